--- /dev/null
+++ b/hibiscusstep/cmdline/__init__.py
@@ -0,0 +1,1 @@
+"""hibiscusstep.cmdline: one thin module a program."""
--- /dev/null
+++ b/hibiscusstep/cmdline/common.py
@@ -0,0 +1,65 @@
+"""hibiscusstep.cmdline.common: what the programs share: errors, serving, the loop."""
+
+import asyncio
+import functools
+import signal
+import sys
+
+import click
+import uvloop
+from aiohttp import web
+
+from hibiscusstep.errors import ConfigurationError, HibiscusstepError
+
+__all__ = ["EXIT_CODES", "one_line_errors", "run", "serve_until_signal"]
+
+EXIT_FAILED = 1
+EXIT_CONFIGURATION = 3
+EXIT_CODES = "\b\nExit codes: 0 done, 1 failed, 2 wrong use, 3 configuration refused."
+
+
+def run(coroutine):
+    """Run a coroutine on uvloop and return its result."""
+    return uvloop.run(coroutine)
+
+
+def one_line_errors(function):
+    """Turn the library's errors into one line on standard error and an exit code."""
+
+    @functools.wraps(function)
+    def wrapper(*args, **kwargs):
+        try:
+            return function(*args, **kwargs)
+        except ConfigurationError as error:
+            click.echo(f"error: {error}", err=True)
+            sys.exit(EXIT_CONFIGURATION)
+        except (HibiscusstepError, OSError) as error:
+            click.echo(f"error: {error}", err=True)
+            sys.exit(EXIT_FAILED)
+
+    return wrapper
+
+
+async def serve_until_signal(app: web.Application, address: str) -> None:
+    """Serve an application until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+        What to serve.
+    address : str
+        IP number and port; port 0 takes a free one. The address taken is printed.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), shutdown_timeout=0.5)
+    await site.start()
+    taken = site._server.sockets[0].getsockname()
+    click.echo(f"listening {taken[0]}:{taken[1]}")
+    await stopped.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/hibiscusstep/cmdline/entry.py
@@ -0,0 +1,63 @@
+"""hibiscusstep.cmdline.entry: the program hibiscusstep-entry."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import click
+
+from hibiscusstep import __version__
+from hibiscusstep.cmdline.common import EXIT_CODES, one_line_errors, run
+from hibiscusstep.configuration.settings import Settings, load_settings
+from hibiscusstep.entry import Entry
+from hibiscusstep.log import set_up_logging
+
+__all__ = ["main"]
+
+
+@click.command(epilog=EXIT_CODES)
+@click.version_option(__version__)
+@click.argument("settings", type=click.Path(exists=True, path_type=Path))
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@one_line_errors
+def main(settings: Path, check: bool) -> None:
+    r"""Run one entry instance by the files of SETTINGS (a folder or one file).
+
+    SIGTERM drains: readiness goes off, open answers finish, exit 0. A second
+    SIGTERM cuts what is open and says so.
+
+    \b
+    Examples:
+      hibiscusstep-entry examples/hanul/instances/guro-1
+      hibiscusstep-entry --check /etc/hibiscusstep
+    """
+    loaded = load_settings(settings)
+    if check:
+        click.echo("settings are good")
+        return
+    set_up_logging(loaded.log_style, loaded.log_level, loaded.name)
+    run(_serve(loaded))
+
+
+async def _serve(settings: Settings) -> None:
+    entry = Entry(settings)
+    running = asyncio.create_task(entry.run())
+    asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def on_signal() -> None:
+        if asked.is_set():
+            entry.cut("second signal")
+        asked.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    stopping = asyncio.create_task(asked.wait())
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    if running.done():
+        stopping.cancel()
+        running.result()
+        return
+    await entry.drain()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
--- /dev/null
+++ b/hibiscusstep/codec.py
@@ -0,0 +1,93 @@
+"""hibiscusstep.codec: data classes to bytes and back, by thrift's binary protocol."""
+
+import typing
+from dataclasses import fields, is_dataclass
+from functools import cache
+from pathlib import Path
+
+import thriftpy2
+from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from hibiscusstep.errors import HibiscusstepError
+
+__all__ = ["CodecError", "decode", "encode"]
+
+_SCHEMA = thriftpy2.load(
+    str(Path(__file__).with_name("hibiscusstep.thrift")),
+    module_name="hibiscusstep_thrift",
+)
+_FACTORY = TCyBinaryProtocolFactory()
+
+
+class CodecError(HibiscusstepError):
+    """The bytes are not a message of the expected class."""
+
+
+def encode(item) -> bytes:
+    """Return a data class as bytes; the struct of the same name is its schema."""
+    return serialize(_to_struct(item), _FACTORY)
+
+
+def decode(cls: type, data: bytes):
+    """Return the data class that `encode` made bytes of.
+
+    Raises
+    ------
+    CodecError
+        If the bytes are cut, of another shape, or lack a field.
+    """
+    try:
+        struct = deserialize(_struct_class(cls.__name__)(), data, _FACTORY)
+        return _from_struct(cls, struct)
+    except Exception as cause:
+        detail = f"not a {cls.__name__}: {type(cause).__name__}"
+        raise CodecError(detail, step="decode") from None
+
+
+@cache
+def _struct_class(name: str) -> type:
+    return getattr(_SCHEMA, name)
+
+
+@cache
+def _field_names(cls: type) -> tuple[str, ...]:
+    return tuple(field.name for field in fields(cls))
+
+
+def _to_struct(item):
+    struct = _struct_class(type(item).__name__)()
+    for name in _field_names(type(item)):
+        setattr(struct, name, _wire(getattr(item, name)))
+    return struct
+
+
+def _wire(value):
+    if is_dataclass(value):
+        return _to_struct(value)
+    if isinstance(value, list | tuple):
+        return [_wire(entry) for entry in value]
+    return value
+
+
+def _from_struct(cls: type, struct):
+    values = {name: getattr(struct, name) for name in _field_names(cls)}
+    for name, value in values.items():
+        if value is None:
+            raise ValueError(f"{name} is missing")
+        nested = _nested_class(cls, name)
+        if nested is not None:
+            values[name] = (
+                [_from_struct(nested, entry) for entry in value]
+                if isinstance(value, list)
+                else _from_struct(nested, value)
+            )
+    return cls(**values)
+
+
+@cache
+def _nested_class(cls: type, name: str) -> type | None:
+    """Return the data class of a field, or of the items of a list field."""
+    hint = typing.get_type_hints(cls)[name]
+    inner = next(iter(typing.get_args(hint)), hint)
+    return inner if is_dataclass(inner) else None
--- /dev/null
+++ b/hibiscusstep/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""hibiscusstep.configuration: folder, models, settings and the version in force."""
--- /dev/null
+++ b/hibiscusstep/configuration/keeper.py
@@ -0,0 +1,143 @@
+"""hibiscusstep.configuration.keeper: gets new versions, from the platform or a peer."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hibiscusstep.configuration.stored import CONFIGURATION_KEY, InForce, Stored
+from hibiscusstep.errors import ConfigurationError, PlatformNotFound
+from hibiscusstep.log import decision
+from hibiscusstep.mailbox import Tick, Worker
+from hibiscusstep.membership.view import View
+from hibiscusstep.membership.worker import ViewChanged
+from hibiscusstep.peer import ConfigurationAsk, ConfigurationReply, Received
+from hibiscusstep.peerlink import Send
+from hibiscusstep.platform import Platform
+
+__all__ = ["ConfigurationKeeper"]
+
+_LOG = logging.getLogger(__name__)
+TICK_S = 0.25
+WATCH_S = 20.0
+RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """A version was seen, at the platform or at a peer."""
+
+    version: int
+    value: bytes
+
+
+class ConfigurationKeeper(Worker):
+    """Keeps the version in force; it only ever grows.
+
+    A few instances watch the platform (a waiting watch is a counted call). The
+    others see a higher version in a heartbeat and ask its sender for it. At the
+    start, and while it has none, an instance asks the platform and all peers.
+
+    Parameters
+    ----------
+    name : str
+        Own name.
+    watchers : int
+        How many instances watch.
+    platform : Platform
+        Where the configuration lives.
+    links : Worker
+        Sends to peers.
+    publish : callable of InForce
+        Gets each new version.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        watchers: int,
+        platform: Platform,
+        links: Worker,
+        publish: Callable[[InForce], None],
+    ) -> None:
+        super().__init__("configuration-keeper", tick_interval=TICK_S)
+        self._own_name = name
+        self._watchers = watchers
+        self._platform = platform
+        self._links = links
+        self._publish = publish
+        self._view = View()
+        self._in_force = InForce()
+        self._rejected: set[int] = set()
+        self._watch: asyncio.Task | None = None
+        self._random = random.Random(name)
+
+    async def stop(self) -> None:
+        """End the watch."""
+        if self._watch:
+            self._watch.cancel()
+
+    async def handle(self, message) -> None:
+        """Take a tick, a view, a version, or a peer's question."""
+        match message:
+            case Tick():
+                self._look_around()
+            case ViewChanged(view=view):
+                self._view = view
+            case _Seen():
+                self._take(message.version, message.value)
+            case Received(sender=sender, message=ConfigurationAsk(number=number)):
+                reply = ConfigurationReply(
+                    number, self._in_force.version, self._in_force.value
+                )
+                self._links.tell(Send(sender, reply))
+            case Received(message=ConfigurationReply(version=version, value=value)):
+                self._take(version, value)
+
+    def _look_around(self) -> None:
+        newest = max(
+            (m for m in self._view.members.values() if m.name != self._own_name),
+            key=lambda member: member.version,
+            default=None,
+        )
+        if newest and newest.version > self._in_force.version:
+            self._links.tell(Send(newest.peer_address, ConfigurationAsk("")))
+        watching = self._own_name in self._view.watchers(self._watchers)
+        wanted = watching or not self._in_force.version
+        if wanted and (self._watch is None or self._watch.done()):
+            self._watch = asyncio.create_task(self._watch_platform())
+        elif not wanted and self._watch:
+            self._watch.cancel()
+
+    async def _watch_platform(self) -> None:
+        while True:
+            if not self._in_force.version:
+                found = await self._platform.get(CONFIGURATION_KEY)
+            else:
+                after = self._in_force.version
+                found = await self._platform.watch(CONFIGURATION_KEY, after, WATCH_S)
+            if found.is_ok() and (item := found.unwrap()):
+                self.tell(_Seen(item.version, item.value))
+                await asyncio.sleep(TICK_S)
+            elif found.is_err():
+                absent = isinstance(found.unwrap_err(), PlatformNotFound)
+                await asyncio.sleep(TICK_S if absent else RETRY_S * self._jitter())
+
+    def _jitter(self) -> float:
+        return 0.5 + self._random.random()
+
+    def _take(self, version: int, value: bytes) -> None:
+        if version <= self._in_force.version or version in self._rejected:
+            return
+        try:
+            configuration = Stored.parse(value).load()
+        except ConfigurationError as error:
+            self._rejected.add(version)
+            _LOG.error(
+                "configuration refused", extra={"version": version, "error": str(error)}
+            )
+            return
+        self._in_force = InForce(version, value, configuration)
+        decision("configuration-in-force", version=version)
+        self._publish(self._in_force)
--- /dev/null
+++ b/hibiscusstep/desk.py
@@ -0,0 +1,281 @@
+"""hibiscusstep.desk: an instance's requests on their way to a grant."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.mailbox import Question, Tick, Worker
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.membership.worker import ViewChanged
+from hibiscusstep.peer import (
+    NotDispatcher,
+    PoolAsk,
+    PoolFinished,
+    PoolFirstToken,
+    PoolGrant,
+    PoolRefuse,
+    PoolRegister,
+    PoolStop,
+    PoolWithdraw,
+    Received,
+    WorkInfo,
+)
+from hibiscusstep.peerlink import LinkLost, Send
+from hibiscusstep.routing.messages import Outcome, Reason
+
+__all__ = ["Desk", "Ended", "Granted", "Place", "Refused", "Started"]
+
+TICK_S = 0.2
+DISPATCHER_GRACE_S = 0.5
+UNAVAILABLE_RETRY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A request wants a target.
+
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    work : WorkInfo
+        The request; `ask` and the times are set by the desk.
+    deadline : float
+        When the first byte is due, in seconds on the loop's clock.
+    never_shed : bool
+        Whether it waits beyond its deadline.
+    on_stop : callable
+        Called if the granted request must stop.
+    """
+
+    pool: str
+    work: WorkInfo
+    deadline: float
+    never_shed: bool
+    on_stop: Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The request goes to `target`; `ask` names the grant."""
+
+    ask: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is not run."""
+
+    reason: Reason
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The first token of a granted request came."""
+
+    pool: str
+    ask: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A granted request ended."""
+
+    pool: str
+    ask: str
+    outcome: Outcome
+    tokens: int = 0
+    decode_seconds: float = 0.0
+    computed: int = -1
+
+
+@dataclass(slots=True, eq=False)
+class _Held:
+    question: Question
+    place: Place
+    received: float
+    target: str = ""
+
+
+@dataclass(slots=True)
+class _Line:
+    """What the instance holds for one pool, and who dispatches it."""
+
+    dispatcher: Member | None = None
+    waiting: dict[str, _Held] = field(default_factory=dict)
+    running: dict[str, _Held] = field(default_factory=dict)
+
+
+class Desk(Worker):
+    """Asks the dispatcher of each pool, and asks again when it changes.
+
+    Parameters
+    ----------
+    name, incarnation, address : str
+        Own name, incarnation and peer address.
+    links : Worker
+        Sends to peers.
+    local : callable of Received
+        Takes what is meant for the dispatchers of this instance.
+    """
+
+    def __init__(self, name, incarnation, address, links, local) -> None:
+        super().__init__("desk", tick_interval=TICK_S)
+        self._own_name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._links = links
+        self._local = local
+        self._view = View()
+        self._lines: dict[str, _Line] = {}
+        self._numbers = itertools.count()
+
+    async def handle(self, message) -> None:
+        """Take a message of this instance, of a dispatcher, or of the membership."""
+        match message:
+            case Question(body=Place()):
+                self._ask(message)
+            case Started(pool=pool, ask=ask, seconds=seconds):
+                self._send(pool, PoolFirstToken(pool, ask, seconds))
+            case Ended():
+                self._end(message)
+            case Received(message=PoolGrant() as grant):
+                self._grant(grant)
+            case Received(message=PoolRefuse() as refusal):
+                self._refuse(refusal)
+            case Received(message=PoolStop(pool=pool, ask=ask)):
+                held = self._line(pool).running.get(ask)
+                if held:
+                    held.place.on_stop()
+            case Received(sender=sender, message=NotDispatcher(pool=pool)):
+                self._register_again(pool, sender)
+            case LinkLost(address=address):
+                self._link_lost(address)
+            case ViewChanged(view=view):
+                self._view = view
+                self._follow()
+            case InForce(configuration=configuration):
+                for pool in configuration.pools:
+                    self._line(pool)
+                self._follow()
+            case Tick():
+                self._expire()
+                self._follow()
+
+    def _line(self, pool: str) -> _Line:
+        return self._lines.setdefault(pool, _Line())
+
+    def _ask(self, question: Question) -> None:
+        place = question.body
+        now = asyncio.get_running_loop().time()
+        ask = f"{self._incarnation}.{next(self._numbers)}"
+        held = _Held(question, place, now)
+        self._line(place.pool).waiting[ask] = held
+        self._send(place.pool, PoolAsk(place.pool, self._info(ask, held)))
+
+    def _info(self, ask: str, held: _Held) -> WorkInfo:
+        now = asyncio.get_running_loop().time()
+        return replace(
+            held.place.work,
+            ask=ask,
+            deadline_in=held.place.deadline - now,
+            waited=now - held.received,
+        )
+
+    def _end(self, ended: Ended) -> None:
+        if self._line(ended.pool).running.pop(ended.ask, None):
+            self._send(
+                ended.pool,
+                PoolFinished(
+                    ended.pool,
+                    ended.ask,
+                    ended.outcome,
+                    ended.tokens,
+                    ended.decode_seconds,
+                    ended.computed,
+                ),
+            )
+
+    def _grant(self, grant: PoolGrant) -> None:
+        line = self._line(grant.pool)
+        held = line.waiting.pop(grant.ask, None)
+        if held is None or held.question.answer.done():
+            self._send(grant.pool, PoolWithdraw(grant.pool, grant.ask))
+            return
+        held.target = grant.target
+        line.running[grant.ask] = held
+        held.question.reply(Granted(grant.ask, grant.target))
+
+    def _refuse(self, refusal: PoolRefuse) -> None:
+        held = self._line(refusal.pool).waiting.pop(refusal.ask, None)
+        if held:
+            reason = Reason(refusal.reason)
+            held.question.reply(Refused(reason, refusal.retry_after))
+
+    def _expire(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for pool, line in self._lines.items():
+            for ask, held in list(line.waiting.items()):
+                late = held.place.deadline + DISPATCHER_GRACE_S < now
+                gone = held.question.answer.done()
+                if gone or (late and not (held.place.never_shed and line.dispatcher)):
+                    del line.waiting[ask]
+                    self._send(pool, PoolWithdraw(pool, ask))
+                    held.question.reply(
+                        Refused(Reason.UNAVAILABLE, UNAVAILABLE_RETRY_S)
+                    )
+
+    def _follow(self) -> None:
+        """Register with each dispatcher that is new."""
+        for pool, line in self._lines.items():
+            name = self._view.dispatcher(pool)
+            member = self._view.members.get(name) if name else None
+            known = line.dispatcher
+            same = (
+                known is not None
+                and member is not None
+                and known.incarnation == member.incarnation
+            )
+            line.dispatcher = member
+            if member and not same:
+                self._register(pool, line)
+
+    def _register(self, pool: str, line: _Line) -> None:
+        renamed = {
+            f"{self._incarnation}.{next(self._numbers)}": held
+            for held in line.waiting.values()
+        }
+        line.waiting = renamed
+        message = PoolRegister(
+            pool,
+            self._own_name,
+            self._incarnation,
+            [self._info(ask, held) for ask, held in renamed.items()],
+            [self._info(ask, held) for ask, held in line.running.items()],
+            [held.target for held in line.running.values()],
+        )
+        self._send(pool, message)
+
+    def _register_again(self, pool: str, sender: str) -> None:
+        line = self._line(pool)
+        if line.dispatcher and line.dispatcher.peer_address == sender:
+            line.dispatcher = None
+
+    def _link_lost(self, address: str) -> None:
+        for line in self._lines.values():
+            if line.dispatcher and line.dispatcher.peer_address == address:
+                line.dispatcher = None
+
+    def _send(self, pool: str, message) -> None:
+        dispatcher = self._line(pool).dispatcher
+        if dispatcher is None:
+            return
+        if dispatcher.name == self._own_name:
+            self._local(Received(self._address, message))
+        else:
+            self._links.tell(Send(dispatcher.peer_address, message))
--- /dev/null
+++ b/hibiscusstep/entry.py
@@ -0,0 +1,350 @@
+"""hibiscusstep.entry: one instance: its tasks, how they are joined, its end."""
+
+import asyncio
+import logging
+import secrets
+from pathlib import Path
+
+import orjson
+from aiohttp import web
+
+from hibiscusstep.answers import AnswerKeeper
+from hibiscusstep.caller import CallerBorder
+from hibiscusstep.claims.claimer import Claimer
+from hibiscusstep.claims.writer import ClaimWriter
+from hibiscusstep.configuration.keeper import ConfigurationKeeper
+from hibiscusstep.configuration.settings import Settings
+from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.delivery import Services
+from hibiscusstep.desk import Desk
+from hibiscusstep.dispatching import Dispatching
+from hibiscusstep.events import EventKind, NullRecorder, Recorder
+from hibiscusstep.explain import Explainer
+from hibiscusstep.keys import KeyGuard
+from hibiscusstep.mailbox import Worker
+from hibiscusstep.membership.view import View
+from hibiscusstep.membership.worker import Membership, OwnState, ViewChanged
+from hibiscusstep.metrics import Metrics
+from hibiscusstep.operators import OperatorBorder
+from hibiscusstep.peer import (
+    AnswerAsk,
+    AnswerReply,
+    ClaimAsk,
+    ClaimRelease,
+    ClaimReply,
+    ConfigurationAsk,
+    ConfigurationReply,
+    Heartbeat,
+    NotDispatcher,
+    PoolAsk,
+    PoolFinished,
+    PoolFirstToken,
+    PoolGrant,
+    PoolRefuse,
+    PoolRegister,
+    PoolStop,
+    PoolWithdraw,
+    Received,
+    StatusAsk,
+    StatusReply,
+)
+from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
+from hibiscusstep.platform import Platform, get_platform_by_name
+from hibiscusstep.supervisor import Child, Restart, Supervisor
+from hibiscusstep.targets.http import TargetSessions
+
+__all__ = ["Entry"]
+
+_LOG = logging.getLogger(__name__)
+READINESS_PAUSE_S = 0.3
+POOL_STATUS_TIMEOUT_S = 1.0
+
+
+class Entry:
+    """One instance of the system.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of this instance.
+    platform : Platform or None
+        The platform; by default the one that the settings name.
+    """
+
+    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+        self._settings = settings
+        self._incarnation = secrets.token_hex(6)
+        kind = get_platform_by_name(settings.platform_dialect)
+        self._platform = platform or kind(settings.platform)
+        self._sessions: TargetSessions | None = None
+        self._view = View()
+        self._in_force = InForce()
+        self._draining = False
+        self._status_asked: dict[str, asyncio.Future] = {}
+        self._recorder = self._make_recorder()
+        self._explainer = Explainer()
+        self._metrics = Metrics()
+        self.started = asyncio.Event()
+
+    @property
+    def incarnation(self) -> str:
+        """Id of this start of the instance."""
+        return self._incarnation
+
+    @property
+    def view(self) -> View:
+        """The live instances as seen here."""
+        return self._view
+
+    @property
+    def in_force(self) -> InForce:
+        """The configuration in force here."""
+        return self._in_force
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._in_force.version > 0 and not self._draining
+
+    @property
+    def links(self) -> PeerLinks:
+        """The connections to peers."""
+        return self._links
+
+    async def run(self) -> None:
+        """Run until cancelled or until an essential task fails."""
+        self._sessions = TargetSessions()
+        self._make_workers()
+        children = [
+            *(Child(worker.name, worker.run) for worker in self._workers),
+            Child("operators", self._serve_operators, Restart.ESSENTIAL),
+            Child("callers", self._serve_callers, Restart.ESSENTIAL),
+        ]
+        self._supervisor = Supervisor(self._settings.name, children)
+        try:
+            await self._supervisor.run()
+        finally:
+            await self._sessions.close()
+            await self._platform.close()
+            self._recorder.close()
+
+    async def drain(self) -> None:
+        """Take no new requests and return when all answers are whole."""
+        _LOG.info("draining", extra={"open": self._border.open_requests})
+        self._recorder.record(EventKind.SHUTDOWN_ASKED)
+        self._draining = True
+        self._membership.tell(OwnState(leaving=True))
+        await asyncio.sleep(READINESS_PAUSE_S)
+        self._border.drain()
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout):
+                await self._border.wait_idle()
+        except TimeoutError:
+            self.cut("drain_timeout passed")
+        self._recorder.record(EventKind.SHUTDOWN_DONE)
+
+    def cut(self, why: str) -> None:
+        """End what is open and say what it was."""
+        names = self._border.cut()
+        _LOG.warning("cut", extra={"why": why, "requests": names})
+
+    def _make_recorder(self) -> NullRecorder:
+        settings = self._settings
+        if not settings.history:
+            return NullRecorder()
+        path = Path(settings.history) / f"{settings.name}.{self._incarnation}.events"
+        return Recorder(path, settings.name, self._incarnation)
+
+    def _make_workers(self) -> None:
+        settings, name = self._settings, self._settings.name
+        address = settings.peer_address
+        self._links = PeerLinks(address, settings.peer_key, self._route)
+        self._membership = Membership(
+            settings, self._incarnation, self._links, self._platform, self._on_view
+        )
+        self._keeper = ConfigurationKeeper(
+            name, settings.watchers, self._platform, self._links, self._on_configuration
+        )
+        self._dispatching = Dispatching(
+            name,
+            address,
+            self._links,
+            self._route,
+            self._sessions,
+            tier_guard=settings.tier_guard_enabled,
+        )
+        self._desk = Desk(name, self._incarnation, address, self._links, self._route)
+        self._claim_writer = ClaimWriter(
+            name, address, self._platform, self._links, self._route
+        )
+        self._claimer = Claimer(
+            name, self._incarnation, address, self._links, self._route
+        )
+        self._answers = AnswerKeeper(
+            name, self._incarnation, address, self._links, settings.kept_answer_bytes
+        )
+        self._workers: list[Worker] = [
+            self._links,
+            self._membership,
+            self._keeper,
+            self._dispatching,
+            self._desk,
+            self._claim_writer,
+            self._claimer,
+            self._answers,
+        ]
+        self._make_borders()
+        self._receivers = self._make_routes()
+
+    def _make_borders(self) -> None:
+        keys = KeyGuard(
+            self._claimer,
+            self._answers,
+            self._recorder,
+            enabled=self._settings.claims_enabled,
+        )
+        services = Services(
+            self._settings.name,
+            self._desk,
+            keys,
+            self._sessions,
+            self._recorder,
+            self._explainer,
+        )
+        self._border = CallerBorder(
+            services, self._metrics, self._settings.body_timeout
+        )
+        self._operators = OperatorBorder(
+            self._settings.operator_key,
+            lambda: self.ready,
+            self._status,
+            self._refresh_gauges,
+            self._explainer,
+            self._metrics,
+        )
+
+    def _make_routes(self) -> dict[type, Worker]:
+        table = {
+            self._membership: (Heartbeat,),
+            self._keeper: (ConfigurationAsk, ConfigurationReply),
+            self._dispatching: (
+                PoolAsk,
+                PoolWithdraw,
+                PoolFirstToken,
+                PoolFinished,
+                PoolRegister,
+                StatusAsk,
+            ),
+            self._desk: (PoolGrant, PoolRefuse, PoolStop, NotDispatcher),
+            self._claim_writer: (ClaimAsk, ClaimRelease),
+            self._claimer: (ClaimReply,),
+            self._answers: (AnswerAsk, AnswerReply),
+        }
+        return {kind: worker for worker, kinds in table.items() for kind in kinds}
+
+    def _route(self, message: Received | LinkLost) -> None:
+        """Bring a message from a peer, or between two local tasks, to its task."""
+        if isinstance(message, LinkLost):
+            self._desk.tell(message)
+        elif isinstance(message.message, StatusReply):
+            future = self._status_asked.pop(message.message.number, None)
+            if future and not future.done():
+                future.set_result(orjson.loads(message.message.text))
+        else:
+            self._receivers[type(message.message)].tell(message)
+
+    def _on_view(self, changed: ViewChanged) -> None:
+        self._view = changed.view
+        for worker in (
+            self._keeper,
+            self._dispatching,
+            self._desk,
+            self._claim_writer,
+            self._claimer,
+            self._answers,
+        ):
+            worker.tell(changed)
+
+    def _on_configuration(self, in_force: InForce) -> None:
+        self._in_force = in_force
+        self._recorder.record(
+            EventKind.CONFIGURATION_IN_FORCE, version=in_force.version
+        )
+        self._border.take(in_force)
+        for worker in (
+            self._dispatching,
+            self._desk,
+            self._claim_writer,
+            self._claimer,
+        ):
+            worker.tell(in_force)
+        self._membership.tell(OwnState(version=in_force.version, ready=True))
+
+    async def _serve_callers(self) -> None:
+        await self._serve(self._border.app(), self._settings.caller_address)
+
+    async def _serve_operators(self) -> None:
+        await self._serve(self._operators.app(), self._settings.operator_address)
+
+    async def _serve(self, app: web.Application, address: str) -> None:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), shutdown_timeout=0.2, backlog=1024)
+        await site.start()
+        self.started.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await runner.cleanup()
+
+    def _refresh_gauges(self) -> None:
+        gauges = self._metrics
+        gauges.open_requests.set({}, self._border.open_requests)
+        gauges.version.set({}, self._in_force.version)
+        gauges.members.set({}, len(self._view.members))
+        gauges.restarts.set({}, self._supervisor.restarts)
+        writes, claims = self._claim_writer.totals
+        gauges.claim_writes.set({}, writes)
+        gauges.claims_written.set({}, claims)
+
+    async def _status(self) -> dict:
+        """Return the members and the pools, each told by its dispatcher."""
+        configuration = self._in_force.configuration
+        pools = list(configuration.pools) if configuration else []
+        states = await asyncio.gather(*(self._pool_status(pool) for pool in pools))
+        return {
+            "instance": self._settings.name,
+            "version": self._in_force.version,
+            "ready": self.ready,
+            "doubtful": self._view.doubtful,
+            "members": [
+                {
+                    "name": member.name,
+                    "place": member.place,
+                    "version": member.version,
+                    "ready": member.ready,
+                    "leaving": member.leaving,
+                    "operator_address": member.operator_address,
+                }
+                for _name, member in sorted(self._view.members.items())
+            ],
+            "pools": dict(zip(pools, states, strict=True)),
+        }
+
+    async def _pool_status(self, pool: str) -> dict:
+        name = self._view.dispatcher(pool)
+        if name is None:
+            return {}
+        if name == self._settings.name:
+            return await self._dispatching.ask(StatusAsk("", pool))
+        number = secrets.token_hex(8)
+        future = asyncio.get_running_loop().create_future()
+        self._status_asked[number] = future
+        address = self._view.members[name].peer_address
+        self._links.tell(Send(address, StatusAsk(number, pool)))
+        try:
+            return await asyncio.wait_for(future, POOL_STATUS_TIMEOUT_S)
+        except TimeoutError:
+            self._status_asked.pop(number, None)
+            return {}
--- /dev/null
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -0,0 +1,59 @@
+// Messages between instances. Each has a data class of the same name and fields in
+// peer.py; thriftpy2 reads this file at start-up, so no generator is needed.
+
+struct WorkInfo {
+  1: string ask, 2: string request, 3: string instance, 4: string customer,
+  5: string tier, 6: i32 rank, 7: i32 prompt_tokens, 8: i32 output_tokens,
+  9: double deadline_in, 10: double waited, 11: bool stoppable,
+  12: list<i64> prefixes, 13: list<string> avoid
+}
+struct Heartbeat {
+  1: string instance, 2: string incarnation, 3: string place, 4: string data_centre,
+  5: string peer_address, 6: string operator_address, 7: i64 version,
+  8: bool ready, 9: bool leaving, 10: list<string> known
+}
+struct PoolAsk { 1: string pool, 2: WorkInfo work }
+struct PoolWithdraw { 1: string pool, 2: string ask }
+struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds }
+struct PoolFinished {
+  1: string pool, 2: string ask, 3: string outcome, 4: i32 tokens,
+  5: double decode_seconds, 6: i32 computed
+}
+struct PoolRegister {
+  1: string pool, 2: string instance, 3: string incarnation,
+  4: list<WorkInfo> waiting, 5: list<WorkInfo> running, 6: list<string> targets
+}
+struct PoolGrant { 1: string pool, 2: string ask, 3: string target, 4: double waited }
+struct PoolRefuse { 1: string pool, 2: string ask, 3: string reason, 4: double retry_after }
+struct PoolStop { 1: string pool, 2: string ask }
+struct NotDispatcher { 1: string pool }
+struct ClaimAsk {
+  1: string number, 2: i32 shard, 3: binary digest, 4: binary body_digest,
+  5: string holder, 6: string incarnation, 7: string attempt, 8: string supersedes,
+  9: bool lookup
+}
+struct ClaimReply {
+  1: string number, 2: string result, 3: string holder, 4: string incarnation,
+  5: string attempt, 6: binary body_digest
+}
+struct ClaimRelease { 1: i32 shard, 2: binary digest, 3: string attempt }
+struct AnswerAsk { 1: string number, 2: string attempt }
+struct AnswerReply {
+  1: string number, 2: string state, 3: i32 status, 4: string content_type, 5: binary body
+}
+struct ConfigurationAsk { 1: string number }
+struct ConfigurationReply { 1: string number, 2: i64 version, 3: binary value }
+struct StatusAsk { 1: string number, 2: string pool }
+struct StatusReply { 1: string number, 2: string text }
+
+// What the platform keeps of claimed keys.
+struct ClaimRecord {
+  1: binary digest, 2: binary body_digest, 3: string holder, 4: string incarnation,
+  5: string attempt, 6: i64 at, 7: bool released, 8: i64 sequence
+}
+struct ClaimSegment { 1: list<ClaimRecord> records }
+struct SealedSegment { 1: string name, 2: i32 count, 3: i64 newest }
+struct ClaimHead {
+  1: list<SealedSegment> sealed, 2: list<ClaimRecord> open, 3: string batch,
+  4: i64 next_sequence
+}
--- /dev/null
+++ b/hibiscusstep/load/__init__.py
@@ -0,0 +1,1 @@
+"""hibiscusstep.load: mixes of callers' requests, driven and measured."""
--- /dev/null
+++ b/hibiscusstep/load/report.py
@@ -0,0 +1,117 @@
+"""hibiscusstep.load.report: goodput by tier, wasted prefill, times, refusals."""
+
+from collections import Counter, defaultdict
+from dataclasses import asdict, dataclass
+
+import numpy as np
+
+from hibiscusstep.load.drive import Result, State
+
+__all__ = ["Report", "make_report"]
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Figures of one run.
+
+    Parameters
+    ----------
+    goodput : dict of str to float
+        Share of answers that are whole and began in time, by class.
+    useful : dict of str to int
+        Their number, by class.
+    first : dict of str to dict of str to float
+        Percentiles of seconds to the first token of whole answers, by class.
+    gaps : dict of str to dict of str to float
+        Percentiles of seconds between events, by class.
+    states : dict of str to int
+        Number of requests by how they ended.
+    refusals : dict of str to int
+        Number by reason.
+    prefilled, wasted, aborted : int
+        Prompt tokens that engines computed; those of no delivered answer; of
+        these, those of requests that ended on the engine before their end.
+    recomputed : int
+        Prompt tokens computed for delivered answers although the same prefix was
+        computed before.
+    """
+
+    goodput: dict
+    useful: dict
+    first: dict
+    gaps: dict
+    states: dict
+    refusals: dict
+    prefilled: int = 0
+    wasted: int = 0
+    aborted: int = 0
+    recomputed: int = 0
+
+    def to_dict(self) -> dict:
+        """Return the figures as a tree of plain values."""
+        return asdict(self)
+
+
+def make_report(results: list[Result], engines: list[dict]) -> Report:
+    """Return the figures of a run.
+
+    Parameters
+    ----------
+    results : list of Result
+        What the callers saw.
+    engines : list of dict
+        Counts of each engine stand-in at the end.
+    """
+    by_class = defaultdict(list)
+    for result in results:
+        by_class[result.arrival.kind].append(result)
+    useful = {kind: sum(map(_useful, group)) for kind, group in by_class.items()}
+    prefilled = sum(counts.get("prefilled", 0) for counts in engines)
+    delivered = sum(r.computed for r in results if r.state is State.COMPLETE)
+    return Report(
+        {kind: useful[kind] / len(group) for kind, group in by_class.items()},
+        useful,
+        {
+            kind: _percentiles([r.first for r in group if r.state is State.COMPLETE])
+            for kind, group in by_class.items()
+        },
+        {
+            kind: _percentiles([gap for r in group for gap in r.gaps])
+            for kind, group in by_class.items()
+        },
+        dict(Counter(str(r.state) for r in results)),
+        dict(Counter(r.reason for r in results if r.reason)),
+        prefilled,
+        max(0, prefilled - delivered),
+        sum(counts.get("aborted_prefill", 0) for counts in engines),
+        _recomputed(results),
+    )
+
+
+def _useful(result: Result) -> bool:
+    return (
+        result.state is State.COMPLETE and result.first <= result.arrival.spec.deadline
+    )
+
+
+def _percentiles(values: list[float]) -> dict:
+    if not values:
+        return {}
+    marks = np.percentile(values, [50, 95, 99])
+    return dict(zip(("p50", "p95", "p99"), np.round(marks, 4).tolist(), strict=True))
+
+
+def _recomputed(results: list[Result]) -> int:
+    """Return prefix tokens that a cache could have saved."""
+    seen: set[str] = set()
+    total = 0
+    for result in sorted(results, key=lambda r: r.arrival.at):
+        spec = result.arrival.spec
+        if result.state is not State.COMPLETE or not spec.prefixes:
+            continue
+        prefix = result.arrival.prompt[:64]
+        own = len(result.arrival.prompt) // 4 * (1 - spec.prefix_share)
+        if prefix in seen:
+            total += max(0, int(result.computed - own))
+        seen.add(prefix)
+    return total
--- /dev/null
+++ b/hibiscusstep/membership/__init__.py
@@ -0,0 +1,1 @@
+"""hibiscusstep.membership: which instances are alive, and who does what."""
--- /dev/null
+++ b/hibiscusstep/membership/tracker.py
@@ -0,0 +1,91 @@
+"""hibiscusstep.membership.tracker: pure bookkeeping of heartbeats."""
+
+from dataclasses import dataclass
+
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.peer import Heartbeat
+
+__all__ = ["Tracker"]
+
+FORGET_DOUBT_S = 60.0
+
+
+@dataclass(slots=True)
+class _Heard:
+    member: Member
+    at: float
+
+
+class Tracker:
+    """Knows who was heard when.
+
+    Parameters
+    ----------
+    name : str
+        Own name; heartbeats of it from others are void.
+    suspect_after : float
+        Seconds of silence after which a member is gone.
+    """
+
+    def __init__(self, name: str, suspect_after: float) -> None:
+        self._name = name
+        self._suspect_after = suspect_after
+        self._heard: dict[str, _Heard] = {}
+        self._gone: dict[str, float] = {}
+        self._dead_incarnations: set[str] = set()
+        self._last_check: float | None = None
+
+    def heard(self, beat: Heartbeat, now: float) -> None:
+        """Take a heartbeat; one of an earlier incarnation is dropped."""
+        if beat.instance == self._name or beat.incarnation in self._dead_incarnations:
+            return
+        known = self._heard.get(beat.instance)
+        if known and known.member.incarnation != beat.incarnation:
+            self._dead_incarnations.add(known.member.incarnation)
+        self._heard[beat.instance] = _Heard(Member.of(beat), now)
+        self._gone.pop(beat.instance, None)
+
+    def left(self, name: str) -> None:
+        """Take note that a member has ended in good order."""
+        self._heard.pop(name, None)
+        self._gone.pop(name, None)
+
+    def expire(self, now: float) -> None:
+        """Drop members that were silent too long.
+
+        A gap between two checks longer than the bound means that this process was
+        paused; then nobody was heard through no fault of theirs, and all start anew.
+        """
+        paused = (
+            self._last_check is not None
+            and now - self._last_check > self._suspect_after / 2
+        )
+        self._last_check = now
+        if paused:
+            for heard in self._heard.values():
+                heard.at = now
+            return
+        for name, heard in list(self._heard.items()):
+            if now - heard.at > self._suspect_after:
+                del self._heard[name]
+                self._gone[name] = now
+        for name, since in list(self._gone.items()):
+            if now - since > FORGET_DOUBT_S:
+                del self._gone[name]
+
+    def view(self, own: Member, platform_live: set[str] | None = None) -> View:
+        """Return the live members with oneself.
+
+        Parameters
+        ----------
+        own : Member
+            Oneself.
+        platform_live : set of str or None
+            Names on the platform's list, None if it is out of reach; a silent
+            member that is not on it is dead and no cause for doubt.
+        """
+        members = {name: heard.member for name, heard in self._heard.items()}
+        doubted = set(self._gone) & (
+            platform_live if platform_live is not None else set(self._gone)
+        )
+        return View({**members, own.name: own}, doubtful=bool(doubted))
--- /dev/null
+++ b/hibiscusstep/membership/worker.py
@@ -0,0 +1,180 @@
+"""hibiscusstep.membership.worker: sends heartbeats and publishes the view."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from hibiscusstep.configuration.settings import Settings
+from hibiscusstep.mailbox import Tick, Worker
+from hibiscusstep.membership.tracker import Tracker
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.peer import Heartbeat, Received
+from hibiscusstep.peerlink import Send
+from hibiscusstep.platform import Platform
+
+__all__ = ["Membership", "OwnState", "ViewChanged"]
+
+_LOG = logging.getLogger(__name__)
+LIST_INTERVAL_S = 30.0
+KNOWN_EVERY = 10
+FORGET_CONTACT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class OwnState:
+    """What one's own heartbeats tell from now on; None leaves a value as it is."""
+
+    version: int | None = None
+    ready: bool | None = None
+    leaving: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The live instances or what they tell of themselves changed."""
+
+    view: View
+
+
+class Membership(Worker):
+    """Heartbeats to every member of the data centre.
+
+    Parameters
+    ----------
+    settings : Settings
+        Own name, place, addresses, intervals.
+    incarnation : str
+        Own incarnation.
+    links : Worker
+        Sends to peers.
+    platform : Platform
+        Its lagging list seeds the membership.
+    publish : callable of ViewChanged
+        Gets each new view.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        links: Worker,
+        platform: Platform,
+        publish: Callable[[ViewChanged], None],
+    ) -> None:
+        super().__init__("membership", tick_interval=settings.heartbeat_interval)
+        self._settings = settings
+        self._links = links
+        self._platform = platform
+        self._publish = publish
+        self._own = Member(
+            settings.name,
+            incarnation,
+            settings.place,
+            settings.data_centre,
+            settings.peer_address,
+            settings.operator_address,
+            0,
+            False,
+            False,
+        )
+        self._tracker = Tracker(settings.name, settings.suspect_after)
+        self._listed: set[str] = set()
+        self._mentioned: dict[str, float] = {}
+        self._platform_live: set[str] | None = None
+        self._listing: asyncio.Task | None = None
+        self._beats = 0
+        self._view = View()
+
+    async def start(self) -> None:
+        """Begin to read the platform's list."""
+        self._listing = asyncio.create_task(self._read_list())
+
+    async def stop(self) -> None:
+        """End reading the list."""
+        self._listing.cancel()
+
+    async def handle(self, message) -> None:
+        """Take a tick, a heartbeat or a change of one's own state."""
+        now = asyncio.get_running_loop().time()
+        match message:
+            case Tick():
+                self._tracker.expire(now)
+                self._send_heartbeats()
+            case Received(message=Heartbeat() as beat):
+                self._hear(beat, now)
+            case OwnState():
+                self._change_own(message)
+        self._publish_if_changed()
+
+    def _change_own(self, state: OwnState) -> None:
+        changes = {
+            name: value
+            for name in ("version", "ready", "leaving")
+            if (value := getattr(state, name)) is not None
+        }
+        self._own = replace(self._own, **changes)
+        self._send_heartbeats()
+
+    def _hear(self, beat: Heartbeat, now: float) -> None:
+        if beat.data_centre != self._settings.data_centre:
+            return
+        new = beat.instance not in self._view.members
+        self._tracker.heard(beat, now)
+        self._mentioned.update(dict.fromkeys(beat.known, now))
+        self._mentioned[beat.peer_address] = now
+        if new:
+            self._beat_to(beat.peer_address, with_known=True)
+
+    def _send_heartbeats(self) -> None:
+        self._beats += 1
+        with_known = self._beats % KNOWN_EVERY == 1
+        for address in self._contacts() - {self._settings.peer_address}:
+            self._beat_to(address, with_known)
+
+    def _contacts(self) -> set[str]:
+        horizon = asyncio.get_running_loop().time() - FORGET_CONTACT_S
+        self._mentioned = {a: t for a, t in self._mentioned.items() if t > horizon}
+        return self._listed | set(self._settings.seeds) | self._mentioned.keys()
+
+    def _beat_to(self, address: str, with_known: bool) -> None:
+        own = self._own
+        known = [m.peer_address for m in self._view.members.values()]
+        beat = Heartbeat(
+            own.name,
+            own.incarnation,
+            own.place,
+            own.data_centre,
+            own.peer_address,
+            own.operator_address,
+            own.version,
+            own.ready,
+            own.leaving,
+            known if with_known else [],
+        )
+        self._links.tell(Send(address, beat))
+
+    def _publish_if_changed(self) -> None:
+        view = self._tracker.view(self._own, self._platform_live)
+        if view == self._view:
+            return
+        gone = self._view.members.keys() - view.members.keys()
+        come = view.members.keys() - self._view.members.keys()
+        if gone or come:
+            _LOG.info(
+                "members changed", extra={"come": sorted(come), "gone": sorted(gone)}
+            )
+        self._view = view
+        self._publish(ViewChanged(view))
+
+    async def _read_list(self) -> None:
+        while True:
+            listed = await self._platform.instances()
+            if listed.is_ok():
+                records = [r for r in listed.unwrap() if not r.leaving]
+                self._platform_live = {record.name for record in records}
+                self._listed = {record.peer_address for record in records}
+            else:
+                self._platform_live = None
+            interval = LIST_INTERVAL_S if listed.is_ok() else 2.0
+            await asyncio.sleep(interval)
--- /dev/null
+++ b/hibiscusstep/metrics.py
@@ -0,0 +1,54 @@
+"""hibiscusstep.metrics: what an instance counts, for Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics"]
+
+SECONDS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0)
+
+
+class Metrics:
+    """Counters, gauges and histograms of one instance.
+
+    Attributes
+    ----------
+    requests : aioprometheus.Counter
+        Answered requests by tier, route and outcome.
+    first_byte : aioprometheus.Histogram
+        Seconds from receipt to the first byte, by tier.
+    open_requests, version, members, restarts : aioprometheus.Gauge
+        Requests held, configuration in force, live instances, restarted tasks.
+    claim_writes, claims_written : aioprometheus.Gauge
+        Writes of claims so far, and claims in them.
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = self._add(
+            Counter("hibiscusstep_requests_total", "Answered requests.")
+        )
+        self.first_byte = self._add(
+            Histogram(
+                "hibiscusstep_first_byte_seconds",
+                "Seconds from receipt to first byte.",
+                buckets=SECONDS,
+            )
+        )
+        self.open_requests = self._gauge("open_requests", "Requests held now.")
+        self.version = self._gauge("configuration_version", "Version in force.")
+        self.members = self._gauge("members", "Live instances seen.")
+        self.restarts = self._gauge("task_restarts", "Tasks restarted.")
+        self.claim_writes = self._gauge("claim_writes", "Writes of claims.")
+        self.claims_written = self._gauge("claims_written", "Claims written.")
+
+    def render(self) -> tuple[bytes, dict]:
+        """Return the text form and its HTTP headers."""
+        return render(self._registry, [])
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return self._add(Gauge(f"hibiscusstep_{name}", doc))
+
+    def _add(self, collector):
+        self._registry.register(collector)
+        return collector
--- /dev/null
+++ b/hibiscusstep/peer.py
@@ -0,0 +1,276 @@
+"""hibiscusstep.peer: the messages between instances, as data classes."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "AnswerAsk",
+    "AnswerReply",
+    "ClaimAsk",
+    "ClaimRelease",
+    "ClaimReply",
+    "ConfigurationAsk",
+    "ConfigurationReply",
+    "Heartbeat",
+    "MESSAGES",
+    "NotDispatcher",
+    "PoolAsk",
+    "PoolFinished",
+    "PoolFirstToken",
+    "PoolGrant",
+    "PoolRefuse",
+    "PoolRegister",
+    "PoolStop",
+    "PoolWithdraw",
+    "Received",
+    "StatusAsk",
+    "StatusReply",
+    "WorkInfo",
+]
+
+
+@dataclass(slots=True)
+class WorkInfo:
+    """`hibiscusstep.routing.messages.Work` with times relative to now, in seconds."""
+
+    ask: str
+    request: str
+    instance: str
+    customer: str
+    tier: str
+    rank: int
+    prompt_tokens: int
+    output_tokens: int
+    deadline_in: float
+    waited: float
+    stoppable: bool
+    prefixes: list[int]
+    avoid: list[str]
+
+
+@dataclass(slots=True)
+class Heartbeat:
+    """A sign of life; `known` holds peer addresses and is mostly empty."""
+
+    instance: str
+    incarnation: str
+    place: str
+    data_centre: str
+    peer_address: str
+    operator_address: str
+    version: int
+    ready: bool
+    leaving: bool
+    known: list[str]
+
+
+@dataclass(slots=True)
+class PoolAsk:
+    """A request wants a target of a pool."""
+
+    pool: str
+    work: WorkInfo
+
+
+@dataclass(slots=True)
+class PoolWithdraw:
+    """An ask, or the grant that answers it, is void."""
+
+    pool: str
+    ask: str
+
+
+@dataclass(slots=True)
+class PoolFirstToken:
+    """The first token came, `seconds` after the dispatch."""
+
+    pool: str
+    ask: str
+    seconds: float
+
+
+@dataclass(slots=True)
+class PoolFinished:
+    """A granted request ended; `outcome` is a value of ``Outcome``."""
+
+    pool: str
+    ask: str
+    outcome: str
+    tokens: int
+    decode_seconds: float
+    computed: int
+
+
+@dataclass(slots=True)
+class PoolRegister:
+    """All that an instance holds for a pool, to a dispatcher that is new to it."""
+
+    pool: str
+    instance: str
+    incarnation: str
+    waiting: list[WorkInfo]
+    running: list[WorkInfo]
+    targets: list[str]
+
+
+@dataclass(slots=True)
+class PoolGrant:
+    """The ask may go to `target`."""
+
+    pool: str
+    ask: str
+    target: str
+    waited: float
+
+
+@dataclass(slots=True)
+class PoolRefuse:
+    """The ask is refused; `reason` is a value of ``Reason``."""
+
+    pool: str
+    ask: str
+    reason: str
+    retry_after: float
+
+
+@dataclass(slots=True)
+class PoolStop:
+    """The running request must end."""
+
+    pool: str
+    ask: str
+
+
+@dataclass(slots=True)
+class NotDispatcher:
+    """The sender does not think that it dispatches the pool."""
+
+    pool: str
+
+
+@dataclass(slots=True)
+class ClaimAsk:
+    """A key is to be claimed, or with `lookup` just looked up.
+
+    `supersedes` names an attempt that its holder says is dead.
+    """
+
+    number: str
+    shard: int
+    digest: bytes
+    body_digest: bytes
+    holder: str
+    incarnation: str
+    attempt: str
+    supersedes: str
+    lookup: bool
+
+
+@dataclass(slots=True)
+class ClaimReply:
+    """`result` is a value of ``ClaimResult``; who holds the key if it is held."""
+
+    number: str
+    result: str
+    holder: str
+    incarnation: str
+    attempt: str
+    body_digest: bytes
+
+
+@dataclass(slots=True)
+class ClaimRelease:
+    """The attempt was never dispatched and never will be."""
+
+    shard: int
+    digest: bytes
+    attempt: str
+
+
+@dataclass(slots=True)
+class AnswerAsk:
+    """Asks what became of an attempt that the receiver holds."""
+
+    number: str
+    attempt: str
+
+
+@dataclass(slots=True)
+class AnswerReply:
+    """`state` is a value of ``AnswerState``; the answer if it was kept."""
+
+    number: str
+    state: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class ConfigurationAsk:
+    """Asks for the configuration that the receiver has in force."""
+
+    number: str
+
+
+@dataclass(slots=True)
+class ConfigurationReply:
+    """The configuration object as the platform keeps it; version 0 is none."""
+
+    number: str
+    version: int
+    value: bytes
+
+
+@dataclass(slots=True)
+class StatusAsk:
+    """Asks for the state of a pool that the receiver dispatches."""
+
+    number: str
+    pool: str
+
+
+@dataclass(slots=True)
+class StatusReply:
+    """JSON text of ``PoolStatus``."""
+
+    number: str
+    text: str
+
+
+@dataclass(slots=True)
+class Received:
+    """A message from a peer.
+
+    Parameters
+    ----------
+    sender : str
+        Peer address that the sender gave of itself.
+    message : object
+        One of the classes of this module.
+    """
+
+    sender: str
+    message: object
+
+
+MESSAGES = (
+    Heartbeat,
+    PoolAsk,
+    PoolWithdraw,
+    PoolFirstToken,
+    PoolFinished,
+    PoolRegister,
+    PoolGrant,
+    PoolRefuse,
+    PoolStop,
+    NotDispatcher,
+    ClaimAsk,
+    ClaimReply,
+    ClaimRelease,
+    AnswerAsk,
+    AnswerReply,
+    ConfigurationAsk,
+    ConfigurationReply,
+    StatusAsk,
+    StatusReply,
+)
--- /dev/null
+++ b/hibiscusstep/platform.py
@@ -0,0 +1,101 @@
+"""hibiscusstep.platform: the platform's object service, as the system sees it."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from result import Result
+
+from hibiscusstep.errors import PlatformError
+
+__all__ = ["InstanceRecord", "Platform", "Versioned", "get_platform_by_name"]
+
+
+@dataclass(frozen=True, slots=True)
+class Versioned:
+    """An object of the platform.
+
+    Parameters
+    ----------
+    key : str
+        Its name.
+    version : int
+        Grows with every write of the object.
+    value : bytes
+        At most one megabyte.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """An entry of the platform's lagging list of instances.
+
+    Parameters
+    ----------
+    name, place, peer_address : str
+        Who and where.
+    leaving : bool
+        Whether the platform is about to replace it.
+    """
+
+    name: str
+    place: str
+    peer_address: str
+    leaving: bool = False
+
+
+class Platform(ABC):
+    """Object service with versions, conditional updates and watches.
+
+    Each method is one counted call; none is repeated here. An error of type
+    `PlatformUnavailable` after a write says that it may or may not stand.
+    """
+
+    @abstractmethod
+    async def get(self, key: str) -> Result[Versioned, PlatformError]:
+        """Return the object."""
+
+    @abstractmethod
+    async def put(
+        self, key: str, value: bytes, expected: int
+    ) -> Result[int, PlatformError]:
+        """Write if the version is `expected` (0: if it does not exist).
+
+        Returns
+        -------
+        Result of int
+            The new version.
+        """
+
+    @abstractmethod
+    async def delete(self, key: str) -> Result[None, PlatformError]:
+        """Delete the object; no error if it does not exist."""
+
+    @abstractmethod
+    async def watch(
+        self, key: str, after: int, timeout: float
+    ) -> Result[Versioned | None, PlatformError]:
+        """Wait until the version is above `after`; None after `timeout` seconds."""
+
+    @abstractmethod
+    async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
+        """Return the lagging list of live and leaving instances."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Give back the sockets."""
+
+
+def get_platform_by_name(name: str) -> type[Platform]:
+    """Return the platform class of a dialect's name.
+
+    Raises
+    ------
+    UnknownName
+        If there is no such dialect.
+    """
+    from hibiscusstep.platforms import PLATFORMS
+
+    return PLATFORMS.get(name)
--- /dev/null
+++ b/hibiscusstep/platforms/memory.py
@@ -0,0 +1,130 @@
+"""hibiscusstep.platforms.memory: the object service in memory, with faults."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from hibiscusstep.errors import (
+    PlatformConflict,
+    PlatformError,
+    PlatformNotFound,
+    PlatformUnavailable,
+)
+from hibiscusstep.platform import InstanceRecord, Platform, Versioned
+
+__all__ = ["Faults", "MAX_VALUE_BYTES", "MemoryPlatform"]
+
+MAX_VALUE_BYTES = 1 << 20
+
+
+@dataclass
+class Faults:
+    """What goes wrong, set by tests and by the stand-in's control calls.
+
+    Parameters
+    ----------
+    down : bool
+        No call takes effect or gets an answer.
+    delay : float
+        Seconds added before each call takes effect.
+    lose_answers : int
+        So many of the next writes take effect while their answer is lost.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+
+
+class MemoryPlatform(Platform):
+    """Objects in a dictionary; serves tests and the stand-in process.
+
+    Parameters
+    ----------
+    url : str
+        Unused; the dialects share one signature.
+    """
+
+    name = "memory"
+
+    def __init__(self, url: str = "") -> None:
+        self.faults = Faults()
+        self.calls: Counter = Counter()
+        self.records: list[InstanceRecord] = []
+        self._objects: dict[str, Versioned] = {}
+        self._last_version = 0
+        self._changed = asyncio.Condition()
+
+    async def get(self, key: str) -> Result[Versioned, PlatformError]:
+        """Return the object."""
+        return await self._call("get", lambda: self._read(key))
+
+    async def put(
+        self, key: str, value: bytes, expected: int
+    ) -> Result[int, PlatformError]:
+        """Write if the version is `expected` (0: if it does not exist)."""
+        answer = await self._call("put", lambda: self._write(key, value, expected))
+        if answer.is_ok():
+            async with self._changed:
+                self._changed.notify_all()
+        return self._maybe_lost(answer, "put")
+
+    async def delete(self, key: str) -> Result[None, PlatformError]:
+        """Delete the object."""
+        answer = await self._call("delete", lambda: self._remove(key))
+        return self._maybe_lost(answer, "delete")
+
+    async def watch(
+        self, key: str, after: int, timeout: float
+    ) -> Result[Versioned | None, PlatformError]:
+        """Wait until the version is above `after`."""
+        begun = await self._call("watch", lambda: Ok(None))
+        if begun.is_err():
+            return begun
+        try:
+            async with asyncio.timeout(timeout), self._changed:
+                await self._changed.wait_for(
+                    lambda: key in self._objects and self._objects[key].version > after
+                )
+        except TimeoutError:
+            return Ok(None)
+        return Ok(self._objects[key])
+
+    async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
+        """Return the list of instances."""
+        return await self._call("instances", lambda: Ok(list(self.records)))
+
+    async def _call(self, step, effect):
+        self.calls[step] += 1
+        await asyncio.sleep(self.faults.delay)
+        if self.faults.down:
+            return Err(PlatformUnavailable("outage", step=step, peer="platform"))
+        return effect()
+
+    def _maybe_lost(self, answer, step):
+        if answer.is_ok() and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Err(PlatformUnavailable("answer lost", step=step, peer="platform"))
+        return answer
+
+    def _read(self, key: str):
+        if key not in self._objects:
+            return Err(
+                PlatformNotFound(f"no object {key}", step="get", peer="platform")
+            )
+        return Ok(self._objects[key])
+
+    def _write(self, key: str, value: bytes, expected: int):
+        current = self._objects[key].version if key in self._objects else 0
+        if current != expected or len(value) > MAX_VALUE_BYTES:
+            detail = f"{key} is at version {current}, not {expected}"
+            return Err(PlatformConflict(detail, step="put", peer="platform"))
+        self._last_version += 1
+        self._objects[key] = Versioned(key, self._last_version, value)
+        return Ok(self._last_version)
+
+    def _remove(self, key: str):
+        self._objects.pop(key, None)
+        return Ok(None)
--- /dev/null
+++ b/hibiscusstep/policies/__init__.py
@@ -0,0 +1,27 @@
+"""hibiscusstep.policies: the placement policies, ours and the baselines."""
+
+from hibiscusstep.policies.baselines import (
+    FirstComePolicy,
+    LeastLoadPolicy,
+    RandomPolicy,
+    RoundRobinPolicy,
+    StrictPriorityPolicy,
+    TwoChoicesPolicy,
+)
+from hibiscusstep.policies.expected_work import ExpectedWorkPolicy
+from hibiscusstep.registry import Registry
+
+__all__ = ["POLICIES"]
+
+POLICIES = Registry(
+    "policy",
+    [
+        ExpectedWorkPolicy,
+        FirstComePolicy,
+        LeastLoadPolicy,
+        RandomPolicy,
+        RoundRobinPolicy,
+        StrictPriorityPolicy,
+        TwoChoicesPolicy,
+    ],
+)
--- /dev/null
+++ b/hibiscusstep/routing/messages.py
@@ -0,0 +1,222 @@
+"""hibiscusstep.routing.messages: what a dispatcher is told and what it decides."""
+
+import enum
+from dataclasses import dataclass, field
+
+__all__ = [
+    "Adopt",
+    "Ask",
+    "Configure",
+    "Decision",
+    "Finished",
+    "FirstToken",
+    "Grant",
+    "InstanceGone",
+    "LoadReport",
+    "Outcome",
+    "Reason",
+    "Recovered",
+    "Refuse",
+    "Stop",
+    "Tick",
+    "Withdraw",
+    "Work",
+]
+
+
+class Outcome(enum.StrEnum):
+    """How a granted request ended at its target."""
+
+    DONE = "done"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    UNUSED = "unused"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused, or stopped."""
+
+    LOAD = "load"
+    DEADLINE = "deadline"
+    HIGHER_TIER = "higher-tier"
+    IMPOSSIBLE = "impossible"
+    CUSTOMER_LIMIT = "customer-limit"
+    NO_TARGET = "no-target"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request as the dispatcher sees it.
+
+    Parameters
+    ----------
+    ask : str
+        Unique id of this ask; a repeated ask of a request has a new one.
+    request, instance : str
+        Whose it is: the request's id and the instance that holds it.
+    customer, tier : str
+        Names.
+    rank : int
+        Rank of the tier, 0 the highest.
+    prompt_tokens, output_tokens : int
+        Estimated by the instance; 0 prompt tokens for a plain service.
+    deadline : float
+        When the first byte is due, in seconds on the dispatcher's clock.
+    received : float
+        When it was received, in seconds on the dispatcher's clock.
+    stoppable : bool
+        Whether it may be stopped while it runs.
+    prefixes : tuple of int
+        Hashes of leading parts of the prompt, shortest first.
+    avoid : tuple of str
+        Targets that failed this request before.
+    """
+
+    ask: str
+    request: str
+    instance: str
+    customer: str
+    tier: str
+    rank: int
+    prompt_tokens: int
+    output_tokens: int
+    deadline: float
+    received: float
+    stoppable: bool = False
+    prefixes: tuple[int, ...] = ()
+    avoid: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request wants a target."""
+
+    work: Work
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """The request no longer wants one, or does not use its grant."""
+
+    ask: str
+
+
+@dataclass(frozen=True, slots=True)
+class FirstToken:
+    """The answer's first token came `seconds` after the dispatch."""
+
+    ask: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """A granted request ended.
+
+    Parameters
+    ----------
+    ask : str
+        The ask that was granted.
+    outcome : Outcome
+        How.
+    tokens : int
+        Tokens of the answer.
+    decode_seconds : float
+        Seconds from the first to the last token; if the answer came in one piece,
+        minus the seconds from dispatch to its end; 0 if not known.
+    computed : int
+        Prompt tokens that the target says it computed; -1 if it does not say.
+    """
+
+    ask: str
+    outcome: Outcome
+    tokens: int = 0
+    decode_seconds: float = 0.0
+    computed: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a target said of itself, some time ago."""
+
+    target: str
+    running: int
+    waiting: int
+    leaving: bool
+    reachable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """An instance reports a request that already runs, after a change of dispatcher."""
+
+    work: Work
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """Every live instance has reported; grants may begin."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceGone:
+    """An instance is dead; what it held is void."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Configure:
+    """A new version of the configuration is in force."""
+
+    configuration: object = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The request goes to `target`.
+
+    Parameters
+    ----------
+    work : Work
+        The request.
+    target : str
+        Where it goes.
+    wait : float
+        Seconds it waited.
+    candidates : dict of str to float
+        Estimated seconds to the end of the answer, by target weighed.
+    """
+
+    work: Work
+    target: str
+    wait: float
+    candidates: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request is not run; come back in `retry_after` seconds."""
+
+    work: Work
+    reason: Reason
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The running request must end, to make way for a higher tier."""
+
+    work: Work
+    target: str
+
+
+Decision = Grant | Refuse | Stop
--- /dev/null
+++ b/hibiscusstep/standins/batching.py
@@ -0,0 +1,202 @@
+"""hibiscusstep.standins.batching: continuous batching with a prefix cache."""
+
+import hashlib
+import itertools
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+__all__ = ["Batch", "EngineSpeed", "Job", "PrefixCache", "count_tokens"]
+
+BYTES_PER_TOKEN = 4
+BLOCK_BYTES = 256
+
+
+def count_tokens(text: str) -> int:
+    """Return the tokens of a text; four bytes make one."""
+    return max(1, len(text.encode()) // BYTES_PER_TOKEN)
+
+
+@dataclass
+class EngineSpeed:
+    """How fast an engine is.
+
+    Parameters
+    ----------
+    prefill_rate : float
+        Prompt tokens a second.
+    decode_rate : float
+        Tokens a second of one stream running alone.
+    batch_cost : float
+        Share of a decode step added by each further stream.
+    max_running : int
+        Streams in the batch; more wait.
+    prefill_chunk : int
+        Prompt tokens of one step; the other streams wait for them.
+    slow : float
+        Divides both rates; 1 is full speed.
+    """
+
+    prefill_rate: float = 4000.0
+    decode_rate: float = 40.0
+    batch_cost: float = 0.02
+    max_running: int = 8
+    prefill_chunk: int = 1024
+    slow: float = 1.0
+
+
+@dataclass(eq=False)
+class Job:
+    """A request in an engine.
+
+    Parameters
+    ----------
+    request : str
+        Its id.
+    prompt : str
+        All text of the prompt.
+    output_tokens : int
+        Tokens that the answer will have.
+    produced : int
+        Tokens made so far.
+    """
+
+    request: str
+    prompt: str
+    output_tokens: int
+    produced: int = 0
+    prompt_tokens: int = field(init=False)
+    prefill_left: int = field(init=False, default=0)
+    prefilled: int = field(init=False, default=0)
+    cancelled: bool = field(init=False, default=False)
+
+    def __post_init__(self) -> None:
+        """Count the prompt's tokens."""
+        self.prompt_tokens = count_tokens(self.prompt)
+
+    @property
+    def tag(self) -> str:
+        """Mark of the prompt that every token of its answer carries."""
+        return hashlib.blake2b(self.prompt.encode(), digest_size=4).hexdigest()
+
+    @property
+    def finished(self) -> bool:
+        """Whether the last token is made."""
+        return self.produced >= self.output_tokens
+
+    def token(self, number: int) -> str:
+        """Return the text of a token by its number from 0."""
+        return f"{self.tag}.{number} "
+
+
+class PrefixCache:
+    """Least recently used prompt blocks, within a limit.
+
+    Parameters
+    ----------
+    capacity : int
+        Tokens kept.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._blocks: OrderedDict[bytes, None] = OrderedDict()
+        self._capacity = capacity * BYTES_PER_TOKEN // BLOCK_BYTES
+
+    def cached_tokens(self, prompt: str) -> int:
+        """Return how many leading tokens are cached, and remember the prompt."""
+        digests = list(_chain(prompt.encode()))
+        hits = sum(1 for _ in itertools.takewhile(self._blocks.__contains__, digests))
+        for digest in digests:
+            self._blocks[digest] = None
+            self._blocks.move_to_end(digest)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return hits * BLOCK_BYTES // BYTES_PER_TOKEN
+
+
+def _chain(data: bytes):
+    running = hashlib.blake2b(digest_size=8)
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        running.update(data[start : start + BLOCK_BYTES])
+        yield running.copy().digest()
+
+
+class Batch:
+    """The jobs of an engine; each `step` makes at most one token of each.
+
+    Parameters
+    ----------
+    speed : EngineSpeed
+        How fast.
+    cache_tokens : int
+        Size of the prefix cache.
+    """
+
+    def __init__(self, speed: EngineSpeed, cache_tokens: int = 60_000) -> None:
+        self.speed = speed
+        self.prefilled_total = 0
+        self._cache = PrefixCache(cache_tokens)
+        self._waiting: deque[Job] = deque()
+        self._running: list[Job] = []
+
+    @property
+    def running(self) -> int:
+        """Jobs in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Jobs that wait for a place in the batch."""
+        return len(self._waiting)
+
+    @property
+    def idle(self) -> bool:
+        """Whether there is nothing to do."""
+        return not self._running and not self._waiting
+
+    def add(self, job: Job) -> None:
+        """Take a job as it comes."""
+        self._waiting.append(job)
+
+    def step(self) -> tuple[float, list[Job]]:
+        """Run one step.
+
+        Returns
+        -------
+        seconds : float
+            How long it takes.
+        advanced : list of Job
+            Jobs that got a token at its end.
+        """
+        self._admit()
+        prefill = self._prefill()
+        decoding = [job for job in self._running if not job.prefill_left]
+        for job in decoding:
+            job.produced += 1
+        self._running = [job for job in self._running if not job.finished]
+        return self._duration(prefill, len(decoding)), decoding
+
+    def _admit(self) -> None:
+        self._running = [job for job in self._running if not job.cancelled]
+        while self._waiting and len(self._running) < self.speed.max_running:
+            job = self._waiting.popleft()
+            if not job.cancelled:
+                cached = self._cache.cached_tokens(job.prompt)
+                job.prefill_left = max(1, job.prompt_tokens - cached)
+                self._running.append(job)
+
+    def _prefill(self) -> int:
+        room = self.speed.prefill_chunk
+        for job in self._running:
+            part = min(room, job.prefill_left)
+            job.prefill_left -= part
+            job.prefilled += part
+            room -= part
+        done = self.speed.prefill_chunk - room
+        self.prefilled_total += done
+        return done
+
+    def _duration(self, prefill: int, decoding: int) -> float:
+        speed = self.speed
+        decode = (1 + speed.batch_cost * (decoding - 1)) / speed.decode_rate
+        busy = prefill / speed.prefill_rate + (decode if decoding else 0.0)
+        return busy * speed.slow
--- /dev/null
+++ b/hibiscusstep/targets/engine.py
@@ -0,0 +1,158 @@
+"""hibiscusstep.targets.engine: model engines with chat completions over HTTP."""
+
+import asyncio
+import logging
+import re
+
+import aiohttp
+import orjson
+from result import Result
+
+from hibiscusstep.errors import TargetError
+from hibiscusstep.target import Answer, Order
+from hibiscusstep.targets.http import HttpTarget
+from hibiscusstep.targets.service import ServiceAnswer
+
+__all__ = ["EngineAnswer", "EngineTarget", "StreamedAnswer"]
+
+_LOG = logging.getLogger(__name__)
+END_MARK = b"data: [DONE]\n\n"
+EVENT_END = b"\n\n"
+RESUME_ATTEMPTS = 3
+RESUME_PAUSE_S = 0.1
+CANCEL_TIMEOUT_S = 1.0
+_COMPUTED = re.compile(rb'"prompt_tokens_computed":\s*(\d+)')
+
+
+class EngineTarget(HttpTarget):
+    """An engine that streams, resumes and cancels by request id."""
+
+    name = "engine"
+
+    async def send(self, order: Order) -> Result[Answer, TargetError]:
+        """Send an order, once."""
+        sent = await self.send_once(order)
+        kind = StreamedAnswer if order.stream else EngineAnswer
+        return sent.map(lambda response: kind(response, self, order))
+
+    async def resume(self, attempt: str, after: int) -> aiohttp.ClientResponse:
+        """Return the rest of a cut stream, from event number `after`."""
+        url = f"http://{self._address}/v1/requests/{attempt}?after={after}"
+        response = await self._sessions.shared.get(
+            url, timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+        )
+        if response.status != 200:
+            response.release()
+            raise aiohttp.ClientPayloadError(f"resume: status {response.status}")
+        return response
+
+    async def cancel(self, attempt: str) -> None:
+        """Stop the work on a request; an engine that is away has stopped anyway."""
+        url = f"http://{self._address}/v1/requests/{attempt}"
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._sessions.shared.delete(url, timeout=timeout):
+                pass
+        except (aiohttp.ClientError, OSError, TimeoutError) as cause:
+            _LOG.info(
+                "cancel not heard", extra={"attempt": attempt, "error": str(cause)}
+            )
+
+
+class EngineAnswer(ServiceAnswer):
+    """A whole JSON completion."""
+
+    def __init__(self, response, target: EngineTarget, order: Order) -> None:
+        super().__init__(response, target)
+        self._attempt = order.attempt
+
+    async def chunks(self):
+        """Yield the one body once it is whole and is JSON."""
+        body = b"".join([chunk async for chunk in super().chunks()])
+        if self.status == 200:
+            self._read_usage(body)
+        yield body
+
+    async def cancel(self) -> None:
+        """Stop the engine's work."""
+        self.close()
+        await self._target.cancel(self._attempt)
+
+    def _read_usage(self, body: bytes) -> None:
+        try:
+            usage = orjson.loads(body).get("usage") or {}
+        except (orjson.JSONDecodeError, AttributeError):
+            detail = "answer is not a JSON object"
+            peer = self._target.name
+            raise TargetError(detail, step="read", peer=peer, sent=True) from None
+        self.tokens = int(usage.get("completion_tokens", 0))
+        self.computed = int(usage.get("prompt_tokens_computed", -1))
+
+
+class StreamedAnswer(EngineAnswer):
+    """Server-sent events, untouched; a cut stream is resumed on its engine."""
+
+    def __init__(self, response, target: EngineTarget, order: Order) -> None:
+        super().__init__(response, target, order)
+        self._tail = b""
+        self._complete = False
+
+    async def chunks(self):
+        """Yield whole events until the end mark."""
+        if self.status != 200:
+            async for chunk in ServiceAnswer.chunks(self):
+                yield chunk
+            return
+        for attempts_left in reversed(range(RESUME_ATTEMPTS + 1)):
+            try:
+                async for events in self._events():
+                    yield events
+                if self._complete:
+                    return
+                raise aiohttp.ClientPayloadError("ended without its end mark")
+            except (aiohttp.ClientError, OSError, TimeoutError) as cause:
+                if not await self._resumed(attempts_left, cause):
+                    raise self._target.error(cause, step="read", sent=True) from None
+
+    async def _events(self):
+        content = self._response.content
+        while chunk := await content.readany():
+            data = self._tail + chunk if self._tail else chunk
+            end = data.rfind(EVENT_END) + len(EVENT_END)
+            if end < len(EVENT_END):
+                self._tail = data
+                continue
+            self._tail = data[end:]
+            events = data if end == len(data) else data[:end]
+            self._count(events)
+            yield events
+
+    def _count(self, events: bytes) -> None:
+        if events.endswith(END_MARK):
+            self._complete = True
+            found = _COMPUTED.search(events[-400:])
+            self.computed = int(found.group(1)) if found else -1
+            self.tokens += events.count(EVENT_END) - 2
+        else:
+            self.tokens += events.count(EVENT_END)
+
+    async def _resumed(self, attempts_left: int, cause: Exception) -> bool:
+        if not attempts_left:
+            return False
+        self._response.close()
+        self._tail = b""
+        await asyncio.sleep(RESUME_PAUSE_S)
+        try:
+            self._response = await self._target.resume(self._attempt, self.tokens)
+        except (aiohttp.ClientError, OSError, TimeoutError) as failure:
+            _LOG.info(
+                "not resumed",
+                extra={
+                    "attempt": self._attempt,
+                    "cut": str(cause),
+                    "why": str(failure),
+                },
+            )
+            return False
+        _LOG.info("resumed", extra={"attempt": self._attempt, "after": self.tokens})
+        return True
--- /dev/null
+++ b/hibiscusstep/targets/http.py
@@ -0,0 +1,109 @@
+"""hibiscusstep.targets.http: what targets spoken to over HTTP have in common."""
+
+import aiohttp
+from result import Err, Ok, Result
+
+from hibiscusstep.errors import TargetError
+from hibiscusstep.routing.messages import LoadReport
+from hibiscusstep.target import Order, Target
+
+__all__ = ["HttpTarget", "TargetSessions"]
+
+CONNECT_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 1.0
+READ_BUFFER_BYTES = 1 << 16
+KEEP_ALIVE_S = 15.0
+
+
+class TargetSessions:
+    """Connections to targets.
+
+    Attributes
+    ----------
+    shared : aiohttp.ClientSession
+        Reuses connections; for what may run twice, and for load reports.
+    fresh : aiohttp.ClientSession
+        A connection for each order, for what may not: a reused one may turn out
+        closed after the order has left, and then the outcome would be unknown.
+    """
+
+    def __init__(self) -> None:
+        self.shared = _make_session(force_close=False, keepalive_timeout=KEEP_ALIVE_S)
+        self.fresh = _make_session(force_close=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.shared.close()
+        await self.fresh.close()
+
+
+def _make_session(**options) -> aiohttp.ClientSession:
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, **options),
+        read_bufsize=READ_BUFFER_BYTES,
+        auto_decompress=False,
+    )
+    # The library repeats GET, PUT and DELETE after a broken connection; what they
+    # mean here is not known to be idempotent. It has no public switch.
+    session._retry_connection = False
+    return session
+
+
+class HttpTarget(Target):
+    """Sends an order over HTTP exactly once and reads ``GET /load``."""
+
+    async def send_once(self, order: Order) -> Result:
+        """Return the response when its head has come."""
+        timeout = aiohttp.ClientTimeout(
+            total=order.timeout, sock_connect=CONNECT_TIMEOUT_S
+        )
+        session = self._sessions.shared if order.idempotent else self._sessions.fresh
+        try:
+            response = await session.request(
+                order.method,
+                f"http://{self._address}{order.path}",
+                data=order.body or None,
+                headers=self._headers(order),
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as cause:
+            return Err(self.error(cause, step="connect", sent=False))
+        except (aiohttp.ClientError, OSError, TimeoutError) as cause:
+            return Err(self.error(cause, step="send", sent=True))
+        if response.status == 503 and "X-Leaving" in response.headers:
+            response.release()
+            return Err(
+                TargetError(
+                    "leaving", step="send", peer=self._name, sent=False, leaving=True
+                )
+            )
+        return Ok(response)
+
+    async def report(self) -> LoadReport:
+        """Return what the target says of its load."""
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        try:
+            async with self._sessions.shared.get(
+                f"http://{self._address}/load", timeout=timeout
+            ) as response:
+                load = await response.json()
+            return LoadReport(
+                self._name,
+                int(load.get("running", 0)),
+                int(load.get("waiting", 0)),
+                bool(load.get("leaving", False)),
+            )
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return LoadReport(self._name, 0, 0, False, reachable=False)
+
+    def error(self, cause: Exception, *, step: str, sent: bool) -> TargetError:
+        """Return the typed error of a library's error."""
+        detail = f"{type(cause).__name__}: {cause}".rstrip(": ")
+        return TargetError(detail, step=step, peer=self._name, sent=sent)
+
+    def _headers(self, order: Order) -> dict[str, str]:
+        headers = {"X-Request-Id": order.attempt, "Content-Type": order.content_type}
+        if order.key:
+            headers["Idempotency-Key"] = order.key
+        return headers
--- /dev/null
+++ b/hibiscusstep/targets/service.py
@@ -0,0 +1,52 @@
+"""hibiscusstep.targets.service: plain services, passed through."""
+
+import aiohttp
+from result import Result
+
+from hibiscusstep.errors import TargetError
+from hibiscusstep.target import Answer, Order
+from hibiscusstep.targets.http import READ_BUFFER_BYTES, HttpTarget
+
+__all__ = ["ServiceAnswer", "ServiceTarget"]
+
+
+class ServiceAnswer(Answer):
+    """A response whose framing (length or last chunk) is its end mark."""
+
+    def __init__(self, response: aiohttp.ClientResponse, target: HttpTarget) -> None:
+        self._response = response
+        self._target = target
+        self.status = response.status
+        self.content_type = response.headers.get(
+            "Content-Type", "application/octet-stream"
+        )
+
+    async def chunks(self):
+        """Yield the body; the library checks its framing."""
+        try:
+            async for chunk in self._response.content.iter_chunked(READ_BUFFER_BYTES):
+                yield chunk
+        except (aiohttp.ClientError, OSError, TimeoutError) as cause:
+            raise self._target.error(cause, step="read", sent=True) from None
+
+    async def cancel(self) -> None:
+        """Close the connection; a plain service knows no other way."""
+        self.close()
+
+    def close(self) -> None:
+        """Give back the connection, closed unless the body was read to its end."""
+        if self._response.content.at_eof():
+            self._response.release()
+        else:
+            self._response.close()
+
+
+class ServiceTarget(HttpTarget):
+    """A plain service."""
+
+    name = "service"
+
+    async def send(self, order: Order) -> Result[Answer, TargetError]:
+        """Send an order, once."""
+        sent = await self.send_once(order)
+        return sent.map(lambda response: ServiceAnswer(response, self))
