--- a/hibiscusstep/caller.py
+++ b/hibiscusstep/caller.py
@@ -1,7 +1,6 @@
 """hibiscusstep.caller: the HTTP border towards callers."""
 
 import asyncio
-import logging
 
 from aiohttp import web
 
@@ -14,7 +13,6 @@
 
 __all__ = ["CallerBorder"]
 
-_LOG = logging.getLogger(__name__)
 HARD_MAX_BODY = 64 << 20
 
 
@@ -87,10 +85,9 @@
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
-            delivery.caller_left()
+            if not task.done():
+                delivery.caller_left()
             raise
-        except ConnectionError:
-            pass
         admitted = delivery.admitted
         self._count(admitted.tier, admitted.route_name, str(sink.response.status))
         elapsed = asyncio.get_running_loop().time() - started
@@ -139,15 +136,6 @@
         self._open.discard(task)
         if not self._open:
             self._idle.set()
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error and not isinstance(error, ConnectionError):
-            _LOG.error(
-                "delivery failed",
-                extra={"request": task.get_name(), "error": repr(error)},
-                exc_info=error,
-            )
 
     def _count(self, tier: str, route: str, outcome: str) -> None:
         labels = {"tier": tier, "route": route, "outcome": outcome}
--- a/hibiscusstep/cmdline/common.py
+++ b/hibiscusstep/cmdline/common.py
@@ -54,10 +54,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=0.5
+    )
     await runner.setup()
     host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), shutdown_timeout=0.5)
+    site = web.TCPSite(runner, host, int(port))
     await site.start()
     taken = site._server.sockets[0].getsockname()
     click.echo(f"listening {taken[0]}:{taken[1]}")
--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import logging
 from dataclasses import dataclass
 
 from hibiscusstep.admission import Admitted
@@ -23,6 +24,7 @@
 
 __all__ = ["Delivery", "Services"]
 
+_LOG = logging.getLogger(__name__)
 MAX_WHOLE_BYTES = 16 << 20
 STREAM_TYPE = "text/event-stream"
 
@@ -121,14 +123,35 @@
     async def run(self) -> None:
         """Do it; every path ends with one answer."""
         self._record(EventKind.RECEIVED, detail=self._admitted.head.tier)
+        try:
+            await self._answer()
+        except ConnectionError:
+            self._record(EventKind.CANCELLED, detail="caller left")
+        finally:
+            if self._claiming:
+                self._end_claim()
+
+    async def _answer(self) -> None:
         try:
             await self._run()
         except Problem as problem:
             self._record_problem(problem)
             await self._sink.problem(problem)
-        finally:
-            if self._claiming:
-                self._end_claim()
+        except ConnectionError:
+            raise
+        except Exception:
+            _LOG.exception("delivery failed", extra={"request": self.admitted.request})
+            problem = self._internal()
+            self._record_problem(problem)
+            await self._sink.problem(problem)
+
+    def _internal(self) -> Problem:
+        detail = "An error of the scheduler itself; it is in its log."
+        if not self._dispatched:
+            return Problem(500, "internal", detail, Outcome.NOT_RUN, 1.0)
+        idempotent = self._admitted.route.idempotent
+        outcome = Outcome.FAILED if idempotent else Outcome.UNKNOWN
+        return Problem(500, "internal", detail, outcome)
 
     def _end_claim(self) -> None:
         sink = self._sink
@@ -260,6 +283,7 @@
             return self._unknown("It was sent to a target and then given up.")
         outcome = Outcome.FAILED if self._dispatched else Outcome.NOT_RUN
         if self._interrupt is _Interrupt.STOPPED:
+            self._record(EventKind.STOPPED)
             detail = "It was stopped for a higher tier before its answer was whole."
             return Problem(503, "stopped", detail, outcome, 1.0)
         if self._interrupt is _Interrupt.CALLER_LEFT:
@@ -296,6 +320,7 @@
             rank=admitted.rank,
             stoppable=admitted.route.idempotent
             and self._configuration.rule(admitted.tier).may_be_stopped,
+            idempotent=admitted.route.idempotent,
             **fields,
         )
 
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -287,10 +287,12 @@
         await self._serve(self._operators.app(), self._settings.operator_address)
 
     async def _serve(self, app: web.Application, address: str) -> None:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2
+        )
         await runner.setup()
         host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), shutdown_timeout=0.2, backlog=1024)
+        site = web.TCPSite(runner, host, int(port), backlog=1024)
         await site.start()
         self.started.set()
         try:
--- a/hibiscusstep/events.py
+++ b/hibiscusstep/events.py
@@ -53,8 +53,8 @@
         What it was about; ``""`` where it does not apply.
     rank : int
         Rank of the tier, 0 the highest.
-    stoppable : bool
-        Whether the running request could have been stopped.
+    stoppable, idempotent : bool
+        Whether the running request could have been stopped; may run twice.
     version : int
         Version of the configuration.
     detail : str
@@ -74,6 +74,7 @@
     rank: int = 0
     target: str = ""
     stoppable: bool = False
+    idempotent: bool = False
     version: int = 0
     detail: str = ""
 
--- a/hibiscusstep/metrics.py
+++ b/hibiscusstep/metrics.py
@@ -24,16 +24,15 @@
     """
 
     def __init__(self) -> None:
-        self._registry = Registry()
-        self.requests = self._add(
-            Counter("hibiscusstep_requests_total", "Answered requests.")
+        self._registry = registry = Registry()
+        self.requests = Counter(
+            "hibiscusstep_requests_total", "Answered requests.", registry=registry
         )
-        self.first_byte = self._add(
-            Histogram(
-                "hibiscusstep_first_byte_seconds",
-                "Seconds from receipt to first byte.",
-                buckets=SECONDS,
-            )
+        self.first_byte = Histogram(
+            "hibiscusstep_first_byte_seconds",
+            "Seconds from receipt to first byte.",
+            buckets=SECONDS,
+            registry=registry,
         )
         self.open_requests = self._gauge("open_requests", "Requests held now.")
         self.version = self._gauge("configuration_version", "Version in force.")
@@ -47,8 +46,4 @@
         return render(self._registry, [])
 
     def _gauge(self, name: str, doc: str) -> Gauge:
-        return self._add(Gauge(f"hibiscusstep_{name}", doc))
-
-    def _add(self, collector):
-        self._registry.register(collector)
-        return collector
+        return Gauge(f"hibiscusstep_{name}", doc, registry=self._registry)
--- a/hibiscusstep/sink.py
+++ b/hibiscusstep/sink.py
@@ -54,22 +54,20 @@
     async def begin(self, status: int, content_type: str, **headers: str) -> None:
         """Send the head of a streamed answer."""
         self.status, self.content_type = status, content_type
-        head = {"Content-Type": content_type, "X-Request-Id": self._name, **headers}
-        self._response = web.StreamResponse(status=status, headers=head)
-        if not self.detached:
-            await self._response.prepare(self._request)
+        self._response = web.StreamResponse(
+            status=status, headers=self._head(content_type, headers)
+        )
+        await self._to_caller(self._response.prepare, self._request)
 
     async def write(self, data: bytes) -> None:
         """Send a part."""
         self._remember(data)
         self.bytes_sent += len(data)
-        if not self.detached:
-            await self._response.write(data)
+        await self._to_caller(self._response.write, data)
 
     async def end(self) -> None:
         """Send the end of a streamed answer."""
-        if not self.detached:
-            await self._response.write_eof()
+        await self._to_caller(self._response.write_eof)
 
     async def whole(
         self, status: int, content_type: str, body: bytes, **headers: str
@@ -77,33 +75,42 @@
         """Send an answer in one piece, with its length."""
         self.status, self.content_type = status, content_type
         self._remember(body)
-        head = {"Content-Type": content_type, "X-Request-Id": self._name, **headers}
-        self._response = web.Response(status=status, body=body, headers=head)
         self.bytes_sent += len(body)
-        if not self.detached:
-            await self._response.prepare(self._request)
-            await self._response.write_eof()
+        self._response = web.Response(
+            status=status, body=body, headers=self._head(content_type, headers)
+        )
+        await self._to_caller(self._response.prepare, self._request)
+        await self._to_caller(self._response.write_eof)
 
     async def problem(self, problem: Problem) -> None:
         """Send a problem document; in a stream that has begun, as its last event."""
         body = problem.body(self._name)
         if not self.begun:
-            headers = {**problem.headers, "X-Request-Id": self._name}
-            self._response = web.Response(
-                status=problem.status, body=body, headers=headers
+            headers = problem.headers
+            kind = headers.pop("Content-Type")
+            await self.whole(problem.status, kind, body, **headers)
+        elif self.content_type.startswith("text/event-stream"):
+            await self._to_caller(
+                self._response.write, b"event: error\ndata: " + body + b"\n\n"
             )
-            if not self.detached:
-                await self._response.prepare(self._request)
-                await self._response.write_eof()
-            return
-        if self.detached:
-            return
-        if self.content_type.startswith("text/event-stream"):
-            await self._response.write(b"event: error\ndata: " + body + b"\n\n")
-            await self._response.write_eof()
+            await self.end()
         elif self._request.transport:
             self._request.transport.abort()
 
+    def _head(self, content_type: str, headers: dict) -> dict:
+        return {"Content-Type": content_type, "X-Request-Id": self._name, **headers}
+
+    async def _to_caller(self, send, *arguments) -> None:
+        """Send to the caller; if it has left, go on only where the answer is kept."""
+        if self.detached:
+            return
+        try:
+            await send(*arguments)
+        except ConnectionError:
+            if not self._keep:
+                raise
+            self.detached = True
+
     def _remember(self, data: bytes) -> None:
         if self._overflow:
             return
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,326 @@
+"""Instances, targets and a platform in one loop, with faults, for tests."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+
+import aiohttp
+from aiohttp import web
+from fleet import free_ports
+
+from hibiscusstep.checker import check_history
+from hibiscusstep.configuration.settings import Settings
+from hibiscusstep.configuration.stored import CONFIGURATION_KEY, Stored
+from hibiscusstep.entry import Entry
+from hibiscusstep.events import EventKind, Recorder, read_history
+from hibiscusstep.platform import InstanceRecord
+from hibiscusstep.platforms.memory import MemoryPlatform
+from hibiscusstep.standins.batching import EngineSpeed
+from hibiscusstep.standins.engine import make_engine_app
+from hibiscusstep.standins.service import make_service_app
+
+BOUND_S = 30.0
+KEY = "a-customers-key"
+SERVICE, ENGINE = "service", "engine"
+
+
+async def until(condition, bound=BOUND_S):
+    """Wait for a condition; fail if it never comes."""
+    async with asyncio.timeout(bound):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def configuration(targets, *, deadline=5.0, max_running=4, shedding=None, **claims):
+    """Make the files of a configuration with two pools and three tiers."""
+    pools = {
+        kind: {
+            "kind": kind,
+            "targets": {
+                name: {
+                    "address": address,
+                    "place": "hall",
+                    "max_running": max_running,
+                    "decode_rate": 100,
+                }
+                for name, address in targets.items()
+                if name.startswith(kind)
+            },
+        }
+        for kind in (SERVICE, ENGINE)
+    }
+    data = {
+        "tiers": {
+            name: {"rank": rank} for rank, name in enumerate(("high", "mid", "low"))
+        },
+        "customers": {
+            "club": {
+                "key_hashes": [hashlib.sha256(KEY.encode()).hexdigest()],
+                "tier": "high",
+                "tiers": ["mid", "low"],
+            }
+        },
+        "pools": {kind: pool for kind, pool in pools.items() if pool["targets"]},
+        "routes": {
+            "charge": {
+                "pool": SERVICE,
+                "path": "/charge",
+                "idempotent": False,
+                "key": "optional",
+                "deadline": deadline,
+            },
+            "read": {
+                "pool": SERVICE,
+                "path": "/read",
+                "idempotent": True,
+                "deadline": deadline,
+            },
+            "chat": {
+                "pool": ENGINE,
+                "model": "m",
+                "idempotent": True,
+                "deadline": deadline,
+            },
+        },
+        "shedding": shedding or {"low": {"may_be_stopped": True}},
+        "claims": {"shards": 2, "writes_per_second": 1000, "timeout": 1.0, **claims},
+    }
+    data["routes"] = {
+        name: route
+        for name, route in data["routes"].items()
+        if route["pool"] in data["pools"]
+    }
+    return {"all.json": json.dumps(data)}
+
+
+class Reply:
+    """What a caller got."""
+
+    def __init__(self, status=0, body=b"", headers=None):
+        self.status, self.body, self.headers = status, body, headers or {}
+
+    @property
+    def outcome(self):
+        """Outcome of a problem document, ``"whole"`` for an answer."""
+        if self.status == 200 and b"event: error" not in self.body:
+            return "whole"
+        text = self.body.rpartition(b"data: ")[2] or b"{}"
+        return json.loads(text).get("outcome") if self.status else "broken"
+
+
+class Cluster:
+    """A whole system in one event loop.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For the recorded history.
+    instances, services, engines : int
+        How many of each.
+    """
+
+    def __init__(self, folder, instances=3, services=2, engines=0, **options):
+        self.folder = folder
+        self.platform = MemoryPlatform()
+        self.entries, self.tasks, self.urls = {}, {}, {}
+        self.targets, self.apps, self._runners = {}, {}, []
+        self.killed = []
+        self._names = [f"e{number}" for number in range(instances)]
+        self._counts = {SERVICE: services, ENGINE: engines}
+        self._options = options
+        self._speed = options.pop("speed", {})
+        self._duration = options.pop("duration", 0.01)
+        self._settings = options.pop("settings", {})
+        self._recorder = Recorder(folder / "harness.events", "harness", "harness")
+
+    async def __aenter__(self):
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        await self._start_targets()
+        await self.apply(configuration(self.targets, **self._options))
+        ports = iter(free_ports(3 * len(self._names)))
+        self._ports = {name: [next(ports) for _ in range(3)] for name in self._names}
+        self.platform.records = [
+            InstanceRecord(name, "hall", f"127.0.0.1:{ports[2]}")
+            for name, ports in self._ports.items()
+        ]
+        for name in self._names:
+            await self.start(name)
+        await self.settled()
+        return self
+
+    async def __aexit__(self, *_exc):
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.session.close()
+        self._recorder.close()
+
+    async def _start_targets(self):
+        for kind, count in self._counts.items():
+            for name in (f"{kind}-{number}" for number in range(count)):
+                recorder = Recorder(self.folder / f"{name}.events", name, "target")
+                if kind == ENGINE:
+                    speed = EngineSpeed(**{"decode_rate": 100.0, **self._speed})
+                    app = make_engine_app(speed, name=name, recorder=recorder)
+                else:
+                    app = make_service_app(
+                        name=name, duration=self._duration, recorder=recorder
+                    )
+                self.apps[name] = app
+                await self.serve_target(name, free_ports(1)[0])
+
+    async def serve_target(self, name, port):
+        """Serve a target's application on a port."""
+        runner = web.AppRunner(
+            self.apps[name],
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self.targets[name] = f"127.0.0.1:{port}"
+        self._runners.append(runner)
+
+    async def apply(self, files, **fields):
+        """Have a configuration accepted; return its version."""
+        found = await self.platform.get(CONFIGURATION_KEY)
+        version = found.unwrap().version if found.is_ok() else 0
+        value = Stored(files=files, **fields).to_bytes()
+        accepted = (await self.platform.put(CONFIGURATION_KEY, value, version)).unwrap()
+        self._recorder.record(EventKind.CONFIGURATION_ACCEPTED, version=accepted)
+        return accepted
+
+    def mark(self, kind, **fields):
+        """Record an event of the test itself."""
+        self._recorder.record(kind, **fields)
+
+    def settings(self, name):
+        """Make the settings of an instance: quick heartbeats."""
+        caller, operator, peer = self._ports[name]
+        return Settings(
+            name=name,
+            place="hall",
+            caller_address=f"127.0.0.1:{caller}",
+            operator_address=f"127.0.0.1:{operator}",
+            peer_address=f"127.0.0.1:{peer}",
+            platform="",
+            peer_key="a-peer-key-of-tests",
+            operator_key="an-operator-key-of-tests",
+            seeds=[f"127.0.0.1:{ports[2]}" for ports in self._ports.values()],
+            history=str(self.folder),
+            heartbeat_interval=0.1,
+            suspect_after=0.8,
+            **self._settings,
+        )
+
+    async def start(self, name):
+        """Start an instance, or start it again."""
+        entry = Entry(self.settings(name), self.platform)
+        self.entries[name] = entry
+        self.tasks[name] = asyncio.create_task(entry.run())
+        self.urls[name] = f"http://{entry._settings.caller_address}"
+        await entry.started.wait()
+
+    async def kill(self, name):
+        """End an instance as a kill does: at once, nothing said."""
+        self.killed.append(name)
+        entry, task = self.entries.pop(name), self.tasks.pop(name)
+        entry._border.drain()
+        entry.cut("killed by the test")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def drain(self, name):
+        """End an instance as SIGTERM does."""
+        await self.entries[name].drain()
+        self.entries.pop(name)
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def cut(self, *sides):
+        """Cut the peer links between groups of instances."""
+        for side in sides:
+            others = [n for other in sides if other is not side for n in other]
+            for name in side:
+                self.entries[name].links.cut(
+                    {f"127.0.0.1:{self._ports[other][2]}" for other in others}
+                )
+
+    def heal(self):
+        """End all cuts."""
+        for entry in self.entries.values():
+            entry.links.cut(set())
+
+    async def settled(self):
+        """Wait until all instances see each other and every pool is dispatched."""
+        names = set(self.entries)
+        await until(lambda: all(set(e.view.members) == names for e in self._live()))
+        await until(lambda: all(e.ready for e in self._live()))
+        await until(self._recovered)
+
+    def dispatcher(self, pool):
+        """Return the name of the instance that dispatches a pool."""
+        return self._live()[0].view.dispatcher(pool)
+
+    def _live(self):
+        return list(self.entries.values())
+
+    def _recovered(self):
+        live = self._live()
+        pools = live[0].in_force.configuration.pools
+        return all(
+            any(e._dispatching.status(pool).get("recovered") for e in live)
+            for pool in pools
+        )
+
+    async def call(self, name, path="/charge", *, key="", tier="", body=b"{}", **more):
+        """Send one call through an instance."""
+        headers = {"Authorization": f"Bearer {KEY}"}
+        headers |= {"Idempotency-Key": key} if key else {}
+        headers |= {"Hibiscusstep-Tier": tier} if tier else {}
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with self.session.post(
+                self.urls[name] + path, data=body, headers=headers, **more
+            ) as response:
+                return Reply(response.status, await response.read(), response.headers)
+        return Reply()
+
+    async def chat(self, name, prompt="why?", tokens=4, stream=True, **more):
+        """Send one chat completion through an instance."""
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+        return await self.call(
+            name, "/v1/chat/completions", body=json.dumps(body).encode(), **more
+        )
+
+    async def control(self, target, **faults):
+        """Set faults of a target."""
+        url = f"http://{self.targets[target]}/control"
+        async with self.session.post(url, json=faults) as response:
+            assert response.status == 204
+
+    def history(self):
+        """Return all events so far."""
+        return read_history(self.folder)
+
+    def events(self, kind):
+        """Return the events of a kind so far."""
+        return [event for event in self.history() if event.kind is kind]
+
+    def findings(self):
+        """Return the broken promises so far."""
+        return check_history(self.history(), self.killed)
+
+    def check(self):
+        """Fail with the events if a promise was broken."""
+        findings = self.findings()
+        assert not findings, "\n".join(map(str, findings))
