Tier order under overload, kills and cuts; dead peers are told from cut ones

Cause: the order was proved only for one dispatcher that nobody loses. With every silent peer treated alike, a dispatcher could not know whether another one serves lower work beyond a cut.

Pools whose targets are all drained refuse at once; targets that are only out of reach are waited for.

--- a/hibiscusstep/checker.py
+++ b/hibiscusstep/checker.py
@@ -90,6 +90,12 @@
         ]
         self.served = [event for event in events if event.kind is EventKind.SERVED]
 
+    def death(self, event: Event) -> float:
+        """Return when the event's process was killed, infinity if it was not."""
+        if event.instance not in self.killed:
+            return float("inf")
+        return max(e.at for e in self.events if e.incarnation == event.incarnation)
+
     def of(self, kind: EventKind) -> list[Event]:
         return [event for event in self.events if event.kind is kind]
 
@@ -155,7 +161,7 @@
 
 def tier_order(history: _History) -> Iterator[Finding]:
     """Yield refusals for load while a lower tier of the pool waits or is served."""
-    spans = [_Span.of(events) for events in history.by_request.values()]
+    spans = [_Span.of(events, history) for events in history.by_request.values()]
     by_pool: dict[str, list[_Span]] = defaultdict(list)
     for span in spans:
         if span is not None:
@@ -187,7 +193,7 @@
     events: tuple[Event, ...]
 
     @classmethod
-    def of(cls, events: list[Event]) -> "_Span | None":
+    def of(cls, events: list[Event], history: _History) -> "_Span | None":
         own = [event for event in events if _own(event)]
         queued = [e for e in own if e.kind is EventKind.QUEUED]
         if not queued:
@@ -203,7 +209,7 @@
             head.stoppable,
             head.at,
             min(sent, default=never),
-            max(ends, default=never),
+            max(ends, default=history.death(head)),
             tuple(own),
         )
 
--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -39,7 +39,7 @@
     ),
     Reason.CUSTOMER_LIMIT: (429, "customer-limit", "Too many of your requests wait."),
     Reason.NO_TARGET: (503, "no-target", "No target of the pool takes work."),
-    Reason.UNAVAILABLE: (503, "unavailable", "The pool's dispatcher did not answer."),
+    Reason.UNAVAILABLE: (503, "unavailable", "Part of the system cannot be reached."),
 }
 
 
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -206,6 +206,7 @@
         for pool, duty in self._duties.items():
             for name in gone:
                 self._feed(duty, m.InstanceGone(name))
+            self._feed(duty, m.Doubt(view.doubtful))
             self._maybe_recovered(pool, duty)
 
     def _change_configuration(self) -> None:
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -246,6 +246,7 @@
         """Bring a message from a peer, or between two local tasks, to its task."""
         if isinstance(message, LinkLost):
             self._desk.tell(message)
+            self._membership.tell(message)
         elif isinstance(message.message, StatusReply):
             future = self._status_asked.pop(message.message.number, None)
             if future and not future.done():
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -50,6 +50,13 @@
         self._heard.pop(name, None)
         self._gone.pop(name, None)
 
+    def refused(self, address: str) -> None:
+        """Take note that nothing listens at a member's peer address: it is dead."""
+        for name, heard in list(self._heard.items()):
+            if heard.member.peer_address == address:
+                self._dead_incarnations.add(heard.member.incarnation)
+                self.left(name)
+
     def expire(self, now: float) -> None:
         """Drop members that were silent too long.
 
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -10,7 +10,7 @@
 from hibiscusstep.membership.tracker import Tracker
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import Heartbeat, Received
-from hibiscusstep.peerlink import Send
+from hibiscusstep.peerlink import LinkLost, Send
 from hibiscusstep.platform import Platform
 
 __all__ = ["Membership", "OwnState", "ViewChanged"]
@@ -95,7 +95,7 @@
         self._listing.cancel()
 
     async def handle(self, message) -> None:
-        """Take a tick, a heartbeat or a change of one's own state."""
+        """Take a tick, a heartbeat, a refused connection, or one's own state."""
         now = asyncio.get_running_loop().time()
         match message:
             case Tick():
@@ -105,6 +105,8 @@
                 self._hear(beat, now)
             case OwnState():
                 self._change_own(message)
+            case LinkLost(address=address, refused=True):
+                self._tracker.refused(address)
         self._publish_if_changed()
 
     def _change_own(self, state: OwnState) -> None:
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -39,9 +39,19 @@
 
 @dataclass(slots=True)
 class LinkLost:
-    """The connection to a peer broke; messages to it may be lost."""
+    """The connection to a peer broke; messages to it may be lost.
+
+    Parameters
+    ----------
+    address : str
+        The peer's.
+    refused : bool
+        Whether its machine answers and nothing listens: the process is dead. A
+        paused process, or one behind a cut, does not refuse.
+    """
 
     address: str
+    refused: bool = False
 
 
 class Authenticator:
@@ -142,9 +152,9 @@
         """Drop all traffic from and to these peers; for tests of cuts."""
         self._cut = set(addresses)
 
-    def lost(self, address: str) -> None:
+    def lost(self, address: str, refused: bool) -> None:
         """Report a broken connection."""
-        self._deliver(LinkLost(address))
+        self._deliver(LinkLost(address, refused))
 
     async def _serve(self, reader, writer) -> None:
         task = asyncio.current_task()
@@ -202,13 +212,16 @@
     async def _run(self) -> None:
         backoff = FIRST_BACKOFF_S
         while True:
+            refused = False
             try:
                 reader, writer, authenticator = await self._links.connect(self._address)
                 backoff = FIRST_BACKOFF_S
                 await self._write_all(reader, writer, authenticator)
+            except ConnectionRefusedError:
+                refused = True
             except (OSError, EOFError, TimeoutError):
                 pass
-            self._links.lost(self._address)
+            self._links.lost(self._address, refused)
             await asyncio.sleep(backoff)
             backoff = min(MAX_BACKOFF_S, backoff * 2)
 
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -18,6 +18,7 @@
 MAX_RETRY_AFTER_S = 120.0
 EARLY_REFUSAL_FACTOR = 1.5
 URGENT_S = 0.3
+UNREACHABLE_RETRY_S = 1.0
 _ANYONE = Customer(key_hashes=["0" * 64], tier="any")
 
 
@@ -67,6 +68,7 @@
         self._queues: dict[str, TierQueue] = {}
         self._running_of: Counter = Counter()
         self._recovered = False
+        self._doubtful = False
         self._policy: Policy | None = None
         self._decisions: list[m.Decision] = []
         self.counts = PoolCounts()
@@ -182,6 +184,10 @@
     def _recover(self, message: m.Recovered, now: float) -> None:
         self._recovered = True
 
+    @_take.register
+    def _doubt(self, message: m.Doubt, now: float) -> None:
+        self._doubtful = message.doubtful
+
     @_take.register
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
         held = [
@@ -326,7 +332,9 @@
         """Mark work that cannot meet its deadline as due at once."""
         if item.latest_start <= now:
             self._refuse_item(item, m.Reason.IMPOSSIBLE, now)
-        elif self._policy.refuses_early:
+        elif all(t.drained or t.leaving for t in self._targets.values()):
+            self._refuse_item(item, m.Reason.NO_TARGET, now)
+        elif self._policy.refuses_early and not self._doubtful:
             slack = (item.latest_start - now) * EARLY_REFUSAL_FACTOR
             if self._expected_wait(item, now) > slack:
                 self._give_up(item, now, m.Reason.LOAD)
@@ -335,7 +343,7 @@
         live = self._usable(now)
         places = sum(target.max_running for target in live)
         if not places:
-            return float("inf")
+            return self._next_probe(now)
         if any(target.free > 0 for target in live) and not self._ahead(item):
             return 0.0
         return self._ahead(item) / places + self._next_free(item.work.rank, live, now)
@@ -396,6 +404,10 @@
         """Refuse a request unless lower work has to go first; say whether it went."""
         if not self._configuration.rule(item.work.tier).may_be_shed:
             return False
+        if not self._usable(now) or self._doubtful:
+            known = m.Reason.UNAVAILABLE if self._doubtful else m.Reason.NO_TARGET
+            self._refuse_item(item, known, now)
+            return True
         if self._policy.tiered and self._tier_guard:
             for lower in self._shedder.waiting_below(item.work.rank):
                 self._refuse_item(lower, m.Reason.HIGHER_TIER, now)
@@ -403,8 +415,6 @@
                 self._stop(target, run)
             if self._shedder.stopping(item.work.rank):
                 return False
-        if reason is m.Reason.DEADLINE and not self._usable(now):
-            reason = m.Reason.NO_TARGET
         self._refuse_item(item, reason, now)
         return True
 
@@ -452,7 +462,8 @@
 
     def _next_probe(self, now: float) -> float:
         waits = [t.suspect_until - now for t in self._targets.values() if t.failures]
-        return round(min(MAX_RETRY_AFTER_S, min(waits, default=5.0)), 1)
+        soonest = min(waits, default=UNREACHABLE_RETRY_S)
+        return round(min(MAX_RETRY_AFTER_S, max(0.0, soonest)), 1)
 
     def _drop(self, ask: str) -> None:
         tier = self._tier_of.pop(ask, None)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -7,6 +7,7 @@
     "Adopt",
     "Ask",
     "Configure",
+    "Doubt",
     "Decision",
     "Finished",
     "FirstToken",
@@ -161,6 +162,16 @@
     """Every live instance has reported; grants may begin."""
 
 
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """Whether another dispatcher may be at work beyond a cut.
+
+    In doubt nothing is refused for load: what the other side serves is not known.
+    """
+
+    doubtful: bool
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceGone:
     """An instance is dead; what it held is void."""
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,363 @@
+"""The pure dispatcher: tier order, conservation of work, fairness, no starvation."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusstep.configuration.models import load_configuration
+from hibiscusstep.policies import POLICIES
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.dispatcher import Dispatcher
+
+RANKS = {"high": 0, "mid": 1, "low": 2}
+CUSTOMERS = {"big": 1.0, "small": 1.0, "heavy": 4.0}
+
+
+def make_configuration(targets=2, max_running=2, policy="expected-work", **pool):
+    data = {
+        "tiers": {name: {"rank": rank} for name, rank in RANKS.items()},
+        "customers": {
+            name: {"key_hashes": [f"{n:064x}"], "tier": "high", "weight": weight}
+            for n, (name, weight) in enumerate(CUSTOMERS.items())
+        },
+        "pools": {
+            "p": {
+                "kind": "engine",
+                "policy": policy,
+                "targets": {
+                    f"t{n}": {
+                        "address": f"127.0.0.1:{n + 1}",
+                        "place": "hall",
+                        "max_running": max_running,
+                        "prefill_rate": 1000,
+                        "decode_rate": 10,
+                    }
+                    for n in range(targets)
+                },
+                **pool,
+            }
+        },
+        "shedding": {"low": {"may_be_stopped": True}},
+    }
+    return load_configuration({"a.json": json.dumps(data)})[0]
+
+
+def make(recovered=True, **options):
+    dispatcher = Dispatcher("p", make_configuration(**options))
+    if recovered:
+        dispatcher.handle(m.Recovered(), 0.0)
+    return dispatcher
+
+
+def work(ask, tier="high", now=0.0, deadline=10.0, **fields):
+    return m.Work(
+        ask=str(ask),
+        request=f"r{ask}",
+        instance=fields.pop("instance", "e0"),
+        customer=fields.pop("customer", "small"),
+        tier=tier,
+        rank=RANKS[tier],
+        prompt_tokens=fields.pop("prompt_tokens", 10),
+        output_tokens=fields.pop("output_tokens", 10),
+        deadline=now + deadline,
+        received=now,
+        stoppable=fields.pop("stoppable", tier == "low"),
+        **fields,
+    )
+
+
+def granted(decisions):
+    return [d.work.ask for d in decisions if isinstance(d, m.Grant)]
+
+
+def refused(decisions):
+    return [d.work.ask for d in decisions if isinstance(d, m.Refuse)]
+
+
+def stopped(decisions):
+    return [d.work.ask for d in decisions if isinstance(d, m.Stop)]
+
+
+def fill(dispatcher, count, now=0.0, tier="high", prefix="f", **fields):
+    """Take `count` places; return the asks."""
+    names = [f"{prefix}{n}" for n in range(count)]
+    for name in names:
+        assert granted(dispatcher.handle(m.Ask(work(name, tier, now, **fields)), now))
+    return names
+
+
+class TestRecovery:
+    def test_decides_nothing_before(self):
+        dispatcher = make(recovered=False)
+        assert dispatcher.handle(m.Ask(work(1, deadline=0.1)), 0.0) == []
+        assert dispatcher.handle(m.Tick(), 5.0) == []
+
+    def test_counts_what_it_adopts(self):
+        dispatcher = make(recovered=False, targets=1, max_running=1)
+        dispatcher.handle(m.Adopt(work("a"), "t0"), 0.0)
+        dispatcher.handle(m.Ask(work("b")), 0.0)
+        assert granted(dispatcher.handle(m.Recovered(), 0.0)) == []
+        done = m.Finished("a", m.Outcome.DONE)
+        assert granted(dispatcher.handle(done, 1.0)) == ["b"]
+
+    def test_what_a_dead_instance_held_is_void(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, instance="dead")
+        dispatcher.handle(m.Ask(work("waits", instance="dead")), 0.0)
+        dispatcher.handle(m.Ask(work("next")), 0.0)
+        assert granted(dispatcher.handle(m.InstanceGone("dead"), 1.0)) == ["next"]
+
+
+class TestTierOrder:
+    def test_higher_goes_first(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1)
+        for tier in ("low", "mid", "high"):
+            dispatcher.handle(m.Ask(work(tier, tier)), 0.0)
+        order = []
+        running = "f0"
+        while running:
+            decisions = dispatcher.handle(m.Finished(running, m.Outcome.DONE), 1.0)
+            running = next(iter(granted(decisions)), None)
+            order.append(running)
+        assert order == ["high", "mid", "low", None]
+
+    def test_lower_waiting_is_refused_first(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, output_tokens=1000)
+        dispatcher.handle(m.Ask(work("mid", "mid", deadline=90)), 0.0)
+        decisions = dispatcher.handle(m.Ask(work("high", deadline=1)), 0.0)
+        assert refused(decisions) == ["mid", "high"]
+
+    def test_lower_running_is_stopped_before_a_refusal(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, tier="low", output_tokens=1000)
+        assert dispatcher.handle(m.Ask(work("high", deadline=2)), 0.0) == []
+        decisions = dispatcher.handle(m.Tick(), 1.8)
+        assert stopped(decisions) == ["f0"] and refused(decisions) == []
+        assert refused(dispatcher.handle(m.Tick(), 2.5)) == []
+        cancelled = m.Finished("f0", m.Outcome.CANCELLED)
+        assert granted(dispatcher.handle(cancelled, 2.6)) == ["high"]
+
+    def test_what_may_not_be_stopped_runs_on(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, tier="mid", output_tokens=1000)
+        decisions = dispatcher.handle(m.Ask(work("high", deadline=2)), 0.0)
+        assert stopped(decisions) == [] and refused(decisions) == ["high"]
+
+    def test_a_tier_that_may_not_be_shed_waits(self):
+        data = make_configuration(targets=1, max_running=1).model_dump()
+        data["shedding"]["high"] = {"may_be_shed": False}
+        data["shedding"]["mid"] = {"may_be_shed": True}
+        configuration = load_configuration({"a.json": json.dumps(data)})[0]
+        dispatcher = Dispatcher("p", configuration)
+        dispatcher.handle(m.Recovered(), 0.0)
+        fill(dispatcher, 1, output_tokens=1000)
+        dispatcher.handle(m.Ask(work("waits", deadline=1)), 0.0)
+        assert refused(dispatcher.handle(m.Tick(), 50.0)) == []
+
+
+class TestRefusals:
+    def test_what_cannot_begin_in_time_is_refused_on_arrival(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, output_tokens=1000)
+        decisions = dispatcher.handle(m.Ask(work("late", deadline=2)), 0.0)
+        assert refused(decisions) == ["late"]
+        assert 90 < decisions[0].retry_after < 110
+
+    def test_impossible_even_when_idle(self):
+        decisions = make().handle(m.Ask(work("x", prompt_tokens=9000, deadline=2)), 0.0)
+        assert decisions[0].reason is m.Reason.IMPOSSIBLE
+
+    def test_free_capacity_is_never_refused(self):
+        dispatcher = make()
+        assert granted(dispatcher.handle(m.Ask(work("x", deadline=0.2)), 0.0)) == ["x"]
+
+    def test_a_customers_limit(self):
+        data = make_configuration(targets=1, max_running=1).model_dump()
+        data["customers"]["small"]["max_waiting"] = 1
+        configuration = load_configuration({"a.json": json.dumps(data)})[0]
+        dispatcher = Dispatcher("p", configuration)
+        dispatcher.handle(m.Recovered(), 0.0)
+        fill(dispatcher, 1)
+        dispatcher.handle(m.Ask(work("one")), 0.0)
+        decisions = dispatcher.handle(m.Ask(work("two")), 0.0)
+        assert decisions[0].reason is m.Reason.CUSTOMER_LIMIT
+
+
+class TestTargets:
+    def test_a_failed_target_rests_then_gets_one(self):
+        dispatcher = make(targets=2, max_running=2)
+        decisions = dispatcher.handle(m.Ask(work("a")), 0.0)
+        bad = decisions[0].target
+        dispatcher.handle(m.Finished("a", m.Outcome.UNREACHABLE), 0.0)
+        for n in range(2):
+            decisions = dispatcher.handle(m.Ask(work(n)), 0.1)
+            assert decisions[0].target != bad
+        assert dispatcher.handle(m.Ask(work("b")), 0.2) == []
+        assert granted(dispatcher.handle(m.Tick(), 1.2)) == ["b"]
+        assert dispatcher.handle(m.Ask(work("c")), 1.3) == []
+
+    @pytest.mark.parametrize("mark", ["drained", "leaving", "reachable"])
+    def test_marked_targets_get_nothing(self, mark):
+        dispatcher = make(targets=1)
+        if mark == "drained":
+            data = make_configuration(targets=1).model_dump()
+            data["pools"]["p"]["targets"]["t0"]["drained"] = True
+            changed = load_configuration({"a.json": json.dumps(data)})[0]
+            dispatcher.handle(m.Configure(changed), 0.0)
+        else:
+            report = m.LoadReport("t0", 0, 0, mark == "leaving", mark != "reachable")
+            dispatcher.handle(report, 0.0)
+        decisions = dispatcher.handle(m.Ask(work("x")), 0.0)
+        if mark != "reachable":
+            assert decisions[0].reason is m.Reason.NO_TARGET
+        else:
+            assert decisions == []
+
+    def test_an_unlike_pair_gets_unlike_shares(self):
+        dispatcher = make(targets=2, max_running=50)
+        dispatcher.targets["t1"].decode_rate = 40.0
+        dispatcher.targets["t1"].prefill_rate = 4000.0
+        first = dispatcher.handle(m.Ask(work("x")), 0.0)[0]
+        assert first.target == "t1"
+
+    def test_a_prefix_goes_where_it_was(self):
+        dispatcher = make(targets=4, max_running=50)
+        scene = {"prompt_tokens": 1100, "prefixes": (1, 2), "deadline": 100.0}
+        first = dispatcher.handle(m.Ask(work("x", **scene)), 0.0)[0]
+        dispatcher.handle(m.FirstToken("x", 1.1), 1.1)
+        dispatcher.handle(m.Finished("x", m.Outcome.DONE, 10, 1.0), 2.0)
+        again = dispatcher.handle(m.Ask(work("y", now=3.0, **scene)), 3.0)[0]
+        assert again.target == first.target
+
+
+class TestFairness:
+    def run_all(self, asks, **options):
+        """Serve one at a time; return the order of customers."""
+        dispatcher = make(targets=1, max_running=1, **options)
+        fill(dispatcher, 1, prefix="first")
+        for ask in asks:
+            dispatcher.handle(m.Ask(ask), 0.0)
+        order, running, now = [], "first0", 0.0
+        while running:
+            now += 0.001
+            decisions = dispatcher.handle(m.Finished(running, m.Outcome.DONE), now)
+            grants = [d for d in decisions if isinstance(d, m.Grant)]
+            order += [d.work.customer for d in grants]
+            running = grants[0].work.ask if grants else None
+        return order
+
+    def test_a_flood_does_not_hold_up_another(self):
+        asks = [work(n, customer="big", deadline=500) for n in range(40)]
+        asks += [work(f"s{n}", customer="small", deadline=500) for n in range(4)]
+        order = self.run_all(asks)
+        assert order[:10].count("small") == 4
+
+    def test_weights_share_the_pool(self):
+        asks = [
+            work(f"{customer}{n}", customer=customer, deadline=500)
+            for n in range(40)
+            for customer in ("heavy", "small")
+        ]
+        order = self.run_all(asks)
+        assert 14 <= order[:20].count("heavy") <= 18
+
+    def test_long_work_of_one_customer_is_not_starved_by_short(self):
+        asks = [work("long", prompt_tokens=900, deadline=500)]
+        asks += [work(n, deadline=500) for n in range(30)]
+        assert len(self.run_all(asks)) == 31
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "ask", "ask", "done", "broken", "tick", "leave"]),
+        st.sampled_from(list(RANKS)),
+        st.sampled_from(list(CUSTOMERS)),
+        st.sampled_from([10, 10, 300, 3000]),
+        st.floats(0.3, 20),
+        st.floats(0, 3),
+    ),
+    max_size=60,
+)
+
+
+class TestInvariants:
+    @pytest.mark.parametrize("policy", sorted(set(POLICIES.names)))
+    @given(STEPS)
+    def test_hold_for_any_sequence(self, policy, steps):
+        dispatcher = make(policy=policy)
+        world = World(dispatcher)
+        for number, step in enumerate(steps):
+            world.take(number, *step)
+            world.check(policy)
+
+
+class World:
+    """Feeds a dispatcher and knows what waits and runs."""
+
+    def __init__(self, dispatcher):
+        self.dispatcher, self.now = dispatcher, 0.0
+        self.waiting, self.running = {}, {}
+        self.tiered = dispatcher._policy.tiered
+        self.bounded = dispatcher._policy.bounded
+
+    def take(self, number, what, tier, customer, tokens, deadline, passed):
+        self.now += passed
+        message = m.Tick()
+        if what == "ask":
+            item = work(
+                number,
+                tier,
+                self.now,
+                deadline,
+                customer=customer,
+                prompt_tokens=tokens,
+            )
+            self.waiting[item.ask] = item
+            message = m.Ask(item)
+        elif what in ("done", "broken", "leave") and self.running:
+            ask = sorted(self.running)[number % len(self.running)]
+            del self.running[ask]
+            outcome = {
+                "done": m.Outcome.DONE,
+                "broken": m.Outcome.BROKEN,
+                "leave": m.Outcome.CANCELLED,
+            }[what]
+            message = m.Finished(ask, outcome, 10, 1.0)
+        for taken in self.dispatcher.handle(message, self.now):
+            self.apply(taken)
+
+    def apply(self, taken):
+        if isinstance(taken, m.Grant):
+            self.running[taken.work.ask] = self.waiting.pop(taken.work.ask)
+        elif isinstance(taken, m.Refuse):
+            del self.waiting[taken.work.ask]
+            self.check_refusal(taken)
+        else:
+            assert taken.work.stoppable and taken.work.ask in self.running
+
+    def check_refusal(self, refusal):
+        """No refusal for load while lower work waits or could be stopped."""
+        assert refusal.retry_after > 0
+        if not self.tiered or refusal.reason not in (m.Reason.LOAD, m.Reason.DEADLINE):
+            return
+        rank = refusal.work.rank
+        assert not [w for w in self.waiting.values() if w.rank > rank]
+        assert not [w for w in self.running.values() if w.rank > rank and w.stoppable]
+
+    def check(self, policy):
+        targets = self.dispatcher.targets.values()
+        assert sum(len(t.running) for t in targets) == len(self.running)
+        assert sum(self.dispatcher.waiting.values()) == len(self.waiting)
+        if self.bounded:
+            assert all(t.free >= 0 for t in targets)
+        usable = [t for t in targets if t.usable(self.now)]
+        idle = [t for t in usable if not t.running]
+        short = [w for w in self.waiting.values() if w.prompt_tokens == 10]
+        assert not (idle and short), "work is conserved"
+        late = [w for w in self.waiting.values() if w.deadline + 0.001 < self.now]
+        stopping = any(r.stopping for t in targets for r in t.running.values())
+        assert not late or stopping, "what is given up is answered at once"
