Placement learns true speeds and sends a scene back to where it is cached

Cause, found by printing what a dispatcher had learnt after a run: a first token of a short prompt is mostly one decode step, so prefill rates drifted (765 to 6,000 learnt for an engine of 2,600); prefixes were matched at 1,024 and then 4,096 tokens only, so a scene of 4,000 looked mostly uncached everywhere; urgent long prompts went to every engine at once and questions waited behind them.

--- a/hibiscusstep/admission.py
+++ b/hibiscusstep/admission.py
@@ -229,5 +229,8 @@
 
 def _prefix_hashes(prompt: bytes):
     sizes = (size * BYTES_PER_TOKEN for size in PREFIX_SIZES)
+    running, done = xxhash.xxh64(), 0
     for size in itertools.takewhile(lambda size: size <= len(prompt), sizes):
-        yield xxhash.xxh64_intdigest(prompt[:size]) >> 1
+        running.update(prompt[done:size])
+        done = size
+        yield running.intdigest() >> 1
--- a/hibiscusstep/claims/shard.py
+++ b/hibiscusstep/claims/shard.py
@@ -4,7 +4,7 @@
 import logging
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
@@ -19,7 +19,12 @@
     head_key,
     segment_key,
 )
-from hibiscusstep.errors import PlatformConflict, PlatformError, PlatformNotFound
+from hibiscusstep.errors import (
+    PlatformConflict,
+    PlatformError,
+    PlatformNotFound,
+    PlatformUnavailable,
+)
 from hibiscusstep.platform import Platform
 
 __all__ = ["Pending", "ShardWriter"]
@@ -29,6 +34,7 @@
 MERGE_COUNT = 8
 MAX_SEGMENT_RECORDS = 6000
 RETRY_PAUSE_S = 0.2
+OUTAGE_AFTER_S = 1.0
 MAX_BATCH = 1000
 
 
@@ -95,15 +101,18 @@
         self._releases: list[ClaimRecord] = []
         self._wake = asyncio.Event()
         self._loaded = False
-        self._reachable = True
+        self._failing_since: float | None = None
         self._writing = False
         self.writes = 0
         self.claims_written = 0
 
     @property
     def reachable(self) -> bool:
-        """Whether the last call on the platform was answered."""
-        return self._reachable
+        """Whether the platform answers; one lost answer does not make an outage."""
+        if self._failing_since is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        return now - self._failing_since < OUTAGE_AFTER_S
 
     @property
     def idle(self) -> bool:
@@ -112,10 +121,10 @@
 
     def add(self, pending: Pending) -> None:
         """Take a claim or a look-up; refuse it at once while a write gets no answer."""
-        if self._writing and not self._reachable:
+        if self._writing and not self.reachable:
             pending.answer(Verdict(ClaimResult.UNAVAILABLE))
             return
-        if pending.lookup and self._loaded and self._reachable:
+        if pending.lookup and self._loaded and self.reachable:
             pending.answer(self._index.judge(pending.record, pending.supersedes))
             return
         self._pending.append(pending)
@@ -156,11 +165,8 @@
 
     async def _load(self) -> bool:
         """Read the head and the segments not known; say whether that worked."""
-        found = await self._platform.get(head_key(self._shard))
-        self._reachable = found.is_ok() or isinstance(
-            found.unwrap_err(), PlatformNotFound
-        )
-        if not self._reachable:
+        found = await self._call(self._platform.get(head_key(self._shard)))
+        if found.is_err() and not isinstance(found.unwrap_err(), PlatformNotFound):
             return False
         if found.is_err():
             self._loaded = True
@@ -174,8 +180,18 @@
         self._loaded = True
         return True
 
+    async def _call(self, call: Awaitable) -> Result:
+        """Make a call on the platform; take note of since when none is answered."""
+        begun = asyncio.get_running_loop().time()
+        answer = await call
+        if answer.is_ok() or not isinstance(answer.unwrap_err(), PlatformUnavailable):
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = begun
+        return answer
+
     async def _load_segment(self, name: str) -> bool:
-        found = await self._platform.get(segment_key(self._shard, name))
+        found = await self._call(self._platform.get(segment_key(self._shard, name)))
         if found.is_ok():
             segment = codec.decode(ClaimSegment, found.unwrap().value)
             self._index.load_segment(name, segment.records)
@@ -233,13 +249,12 @@
         expected = self._index.version
         while True:
             self.writes += 1
-            written = await self._platform.put(head_key(self._shard), value, expected)
+            put = self._platform.put(head_key(self._shard), value, expected)
+            written = await self._call(put)
             if written.is_ok():
-                self._reachable = True
                 return written
             if isinstance(written.unwrap_err(), PlatformConflict):
                 return await self._read_back(head)
-            self._reachable = False
             await asyncio.sleep(RETRY_PAUSE_S)
             self._expire_claims(claims)
 
@@ -253,13 +268,11 @@
     async def _read_back(self, head: ClaimHead) -> Result[int, PlatformError]:
         """Return whether the version that stands is the one that was written."""
         while True:
-            found = await self._platform.get(head_key(self._shard))
+            found = await self._call(self._platform.get(head_key(self._shard)))
             if found.is_ok():
-                self._reachable = True
                 item = found.unwrap()
                 stands = codec.decode(ClaimHead, item.value).batch == head.batch
                 return Ok(item.version) if stands else Err(PlatformConflict("lost"))
-            self._reachable = False
             await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _confirm(
--- a/hibiscusstep/policies/expected_work.py
+++ b/hibiscusstep/policies/expected_work.py
@@ -9,6 +9,7 @@
 
 LONG_PREFILL_S = 0.25
 LONG_SHARE = 0.5
+URGENT_LONG_SHARE = 0.7
 NEARLY_DONE_S = 0.1
 
 
@@ -42,20 +43,34 @@
 
     def choose(self, work, targets, live, alone):
         """Return the target of the earliest expected end that may take the work."""
-        allowed = targets if alone else self._allowed(work, targets, live)
+        allowed = self._allowed(work, targets, live, alone)
         if not allowed:
             return None
+        if not alone and self._better_cached_elsewhere(work, allowed, live):
+            return None
         return min(allowed, key=lambda target: self._cost(work, target))
 
-    def _allowed(self, work, targets, live):
+    def _allowed(self, work, targets, live, alone):
         clear = [target for target in targets if not _held_up(target)]
         if not self._long_here(work, targets):
-            return clear
+            return clear or self._sooner_than_waiting(work, targets, live)
         busy = sum(1 for target in live if _held_up(target))
-        if busy >= max(1, math.floor(len(live) * LONG_SHARE)):
+        share = URGENT_LONG_SHARE if alone else LONG_SHARE
+        if busy >= max(1, math.floor(len(live) * share)):
             return []
         return clear
 
+    def _sooner_than_waiting(self, work, targets, live):
+        """Return the held-up targets that begin sooner than a clear one is free."""
+        waits = [
+            run.predicted_first + run.work.output_tokens / target.decode_rate
+            for target in live
+            if not _held_up(target)
+            for run in target.running.values()
+        ]
+        mean = sum(waits) / len(waits) / len(waits) if waits else math.inf
+        return [t for t in targets if t.seconds_to_first(work) < mean]
+
     def _long_here(self, work, targets):
         return all(
             (work.prompt_tokens - target.cached_tokens(work)) / target.prefill_rate
@@ -63,6 +78,13 @@
             for target in targets
         )
 
+    def _better_cached_elsewhere(self, work, allowed, live):
+        """Whether a target without room has so much of a long prompt that it waits."""
+        best = max(target.cached_tokens(work) for target in allowed)
+        most = max(target.cached_tokens(work) for target in live)
+        rate = median(target.prefill_rate for target in live)
+        return (most - best) / rate > LONG_PREFILL_S
+
     def _cost(self, work, target):
         uncached = work.prompt_tokens - target.cached_tokens(work)
         harm = len(target.running) * uncached / target.prefill_rate
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from statistics import median
 
 from hibiscusstep.configuration.models import Configuration, Customer, Pool
 from hibiscusstep.policy import Policy, get_policy_by_name
@@ -16,7 +17,7 @@
 MIN_COST_S = 0.001
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 120.0
-EARLY_REFUSAL_FACTOR = 1.5
+EARLY_REFUSAL_FACTOR = 1.0
 URGENT_S = 0.3
 UNREACHABLE_RETRY_S = 1.0
 _ANYONE = Customer(key_hashes=["0" * 64], tier="any")
@@ -155,7 +156,9 @@
         if target is None:
             return
         if message.outcome is m.Outcome.DONE:
-            target.done(message.ask, message.tokens, message.decode_seconds)
+            target.done(
+                message.ask, message.tokens, message.decode_seconds, message.computed
+            )
         elif message.outcome in (m.Outcome.UNREACHABLE, m.Outcome.BROKEN):
             target.failed(message.ask, now)
         else:
@@ -267,12 +270,13 @@
 
     def _item(self, work: m.Work) -> Waiting:
         targets = list(self._targets.values())
-        prefill = min((t.seconds_to_first(work) for t in targets), default=0.0)
-        alone = [work.prompt_tokens / t.prefill_rate for t in targets]
+        prefill = [
+            (work.prompt_tokens - t.cached_tokens(work)) / t.prefill_rate
+            for t in targets
+        ]
         decode = [work.output_tokens / t.decode_rate for t in targets]
-        cost = max(MIN_COST_S, min(alone, default=0.0) + min(decode, default=0.0))
-        fastest = min(prefill, min(alone, default=0.0))
-        latest = work.deadline - fastest
+        cost = max(MIN_COST_S, median(prefill or [0.0]) + median(decode or [0.0]))
+        latest = work.deadline - median(prefill or [0.0])
         return Waiting(work, cost, latest, self._policy.long(work, targets))
 
     def _usable(self, now: float) -> list[TargetState]:
--- a/hibiscusstep/routing/estimate.py
+++ b/hibiscusstep/routing/estimate.py
@@ -10,11 +10,27 @@
 LEARN = 0.3
 MIN_RATE = 1e-3
 MAX_STEP = 4.0
-MIN_LEARNABLE_S = 0.02
+MIN_LEARNABLE_S = 0.05
+FULL_WEIGHT_S = 1.0
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 30.0
-PREFIX_SIZES = (256, 1024, 4096, 16384, 65536)
+PREFIX_SIZES = (
+    256,
+    512,
+    1024,
+    1536,
+    2048,
+    3072,
+    4096,
+    6144,
+    8192,
+    12288,
+    16384,
+    32768,
+    65536,
+)
 CACHE_TOKENS = 60_000
+CACHE_LOST_FACTOR = 1.5
 
 
 @dataclass(slots=True, eq=False)
@@ -27,12 +43,15 @@
         The request.
     granted : float
         When, in seconds on the dispatcher's clock.
-    uncached : int
-        Prompt tokens that the target is expected to compute.
+    uncached, ahead : int
+        Prompt tokens that the target is expected to compute; those granted before
+        whose first token had not come.
     predicted_first : float
         Expected seconds to the first token.
     first : float or None
         When the first token came.
+    first_seconds : float
+        Seconds from the dispatch to it, 0 if not known.
     stopping : bool
         Whether it was told to stop.
     """
@@ -40,8 +59,10 @@
     work: Work
     granted: float
     uncached: int
+    ahead: int
     predicted_first: float
     first: float | None = None
+    first_seconds: float = 0.0
     stopping: bool = False
 
 
@@ -123,22 +144,20 @@
     def grant(self, work: Work, now: float) -> None:
         """Count a request as running here."""
         uncached = max(0, work.prompt_tokens - self.cached_tokens(work))
-        run = Running(work, now, uncached, self.seconds_to_first(work))
-        self.running[work.ask] = run
+        self.running[work.ask] = Running(
+            work, now, uncached, self.prefilling, self.seconds_to_first(work)
+        )
         self._remember(work)
 
     def first_token(self, ask: str, seconds: float, now: float) -> None:
-        """Learn the prefill rate from a first token."""
+        """Take note that the first token came `seconds` after the dispatch."""
         run = self.running.get(ask)
-        if run is None or run.first is not None:
-            return
-        run.first = now
-        if run.predicted_first >= MIN_LEARNABLE_S and seconds > 0:
-            ratio = _clip(run.predicted_first / seconds)
-            self.prefill_rate = max(MIN_RATE, self.prefill_rate * ratio**LEARN)
+        if run is not None and run.first is None:
+            run.first = now
+            run.first_seconds = seconds
 
-    def done(self, ask: str, tokens: int, seconds: float) -> None:
-        """Learn the decode rate from a whole answer; the target is well again.
+    def done(self, ask: str, tokens: int, seconds: float, computed: int = -1) -> None:
+        """Learn from a whole answer; the target is well again.
 
         Parameters
         ----------
@@ -148,10 +167,33 @@
             Of the answer.
         seconds : float
             As `decode_seconds` of `hibiscusstep.routing.messages.Finished`.
+        computed : int
+            Prompt tokens that the target says it computed, -1 if it does not say.
         """
         run = self.running.pop(ask, None)
         self.failures = 0
-        if run is None or tokens < 2 or not seconds:
+        if run is None:
+            return
+        self._learn_prefill(run, run.uncached if computed < 0 else computed)
+        self._learn_decode(run, tokens, seconds)
+        if computed > CACHE_LOST_FACTOR * run.uncached + PREFIX_SIZES[0]:
+            self._forget_prefixes(run.work)
+
+    def _learn_prefill(self, run: Running, computed: int) -> None:
+        """Learn from the time to the first token.
+
+        A step of decoding passes besides; a long prefill teaches more than a short.
+        """
+        expected = (run.ahead + computed) / self.prefill_rate
+        if expected < MIN_LEARNABLE_S or not run.first_seconds or run.ahead > computed:
+            return
+        prefill = max(MIN_LEARNABLE_S, run.first_seconds - 1 / self.decode_rate)
+        weight = LEARN * min(1.0, expected / FULL_WEIGHT_S)
+        rate = self.prefill_rate * _clip(expected / prefill) ** weight
+        self.prefill_rate = max(MIN_RATE, rate)
+
+    def _learn_decode(self, run: Running, tokens: int, seconds: float) -> None:
+        if tokens < 2 or not seconds:
             return
         if seconds > 0:
             ratio = (tokens - 1) / seconds / self.decode_rate
@@ -172,6 +214,10 @@
         """Drop a request that told nothing of the target."""
         self.running.pop(ask, None)
 
+    def _forget_prefixes(self, work: Work) -> None:
+        for prefix in work.prefixes:
+            self._prefix_tokens -= self._prefixes.pop(prefix, 0)
+
     def _remember(self, work: Work) -> None:
         previous = 0
         for size, prefix in zip(PREFIX_SIZES, work.prefixes, strict=False):
--- a/hibiscusstep/routing/queue.py
+++ b/hibiscusstep/routing/queue.py
@@ -10,6 +10,8 @@
 
 __all__ = ["TierQueue", "Waiting"]
 
+LONG_CHOICES = 8
+
 
 @dataclass(slots=True, eq=False)
 class Waiting:
@@ -130,13 +132,12 @@
         if not self._fair:
             return [next(iter(self._by_ask.values()))]
         urgent = self._next_due()
+        short, long = self._next(False), self._next(True)
+        heads = [*([short] if short else []), *self._long_heads(long)]
+        heads.sort(key=self._key)
         if urgent and urgent.latest_start - now < self._urgent_s:
-            others = [self._next(long) for long in (False, True)]
-            heads = [urgent, *others]
-        else:
-            heads = [self._next(long) for long in (False, True)]
-            heads.sort(key=lambda item: self._key(item) if item else 0.0)
-        return list(dict.fromkeys(item for item in heads if item))
+            heads = [*heads, urgent] if urgent.long else [urgent, *heads]
+        return list(dict.fromkeys(heads))
 
     def overdue(self, now: float) -> Iterator[Waiting]:
         """Yield the requests whose latest start is past, the most overdue first."""
@@ -182,6 +183,14 @@
             heapq.heappop(self._due)
         return self._due[0][-1] if self._due else None
 
+    def _long_heads(self, first: Waiting | None) -> list[Waiting]:
+        """Return the next long request and some that follow it with its customer."""
+        if first is None:
+            return []
+        heap = self._customers[first.work.customer].heaps[True]
+        following = (entry[-1] for entry in heap[:LONG_CHOICES] if not entry[-1].gone)
+        return list(dict.fromkeys([first, *following]))
+
     def _next(self, long: bool) -> Waiting | None:
         heads = (customer.head(long) for customer in self._customers.values())
         return min((head for head in heads if head), key=self._key, default=None)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,86 @@
+"""Leaving targets get nothing new; a shutdown cuts nothing off."""
+
+import asyncio
+
+import pytest
+from cluster import Cluster, configuration, until
+
+from hibiscusstep.events import EventKind
+
+
+async def keep_calling(cluster, stop, replies, **options):
+    """Call through all instances until told to stop."""
+    while not stop.is_set():
+        for name in list(cluster.entries):
+            replies.append(await cluster.call(name, "/read", **options))
+
+
+class TestLeavingTarget:
+    @pytest.mark.parametrize("how", ["operator's mark", "target's notice"])
+    async def test_gets_nothing_new(self, tmp_path, how):
+        async with Cluster(tmp_path) as cluster:
+            stop, replies = asyncio.Event(), []
+            caller = asyncio.create_task(keep_calling(cluster, stop, replies))
+            await until(lambda: len(replies) > 20)
+            cluster.mark(EventKind.TARGET_LEAVING, target="service-0")
+            if how == "operator's mark":
+                files = configuration(cluster.targets)
+                await cluster.apply(files, drained=["service-0"])
+            else:
+                await cluster.control("service-0", leaving=True)
+            await asyncio.sleep(3.2)  # the bound of the promise
+            seen = len(replies)
+            await until(lambda: len(replies) > seen + 30)
+            stop.set()
+            await caller
+            assert {reply.outcome for reply in replies} == {"whole"}
+            cluster.check()
+
+    async def test_refused_work_is_placed_again_also_what_may_not_repeat(
+        self, tmp_path
+    ):
+        async with Cluster(tmp_path, instances=1) as cluster:
+            await cluster.control("service-0", leaving=True)
+            replies = [await cluster.call("e0", key=f"k{n}") for n in range(4)]
+            assert {reply.outcome for reply in replies} == {"whole"}
+            cluster.check()
+
+
+class TestShutdown:
+    async def test_cuts_nothing_off(self, tmp_path):
+        async with Cluster(tmp_path, duration=0.5, deadline=20.0) as cluster:
+            tasks = [
+                asyncio.create_task(cluster.call(name, key=f"{name}-{n}"))
+                for n in range(8)
+                for name in cluster.urls
+            ]
+            await until(lambda: len(cluster.events(EventKind.RECEIVED)) == 24)
+            await cluster.drain("e1")
+            assert {r.outcome for r in await asyncio.gather(*tasks)} == {"whole"}
+            cluster.check()
+
+    async def test_while_platform_and_peers_are_away(self, tmp_path):
+        async with Cluster(tmp_path, duration=0.5, deadline=20.0) as cluster:
+            tasks = [
+                asyncio.create_task(cluster.call("e1", "/read")) for _ in range(12)
+            ]
+            await until(lambda: len(cluster.events(EventKind.RECEIVED)) == 12)
+            cluster.platform.faults.down = True
+            cluster.cut(["e1"], ["e0", "e2"])
+            await cluster.drain("e1")
+            assert {r.outcome for r in await asyncio.gather(*tasks)} == {"whole"}
+            cluster.check()
+
+    async def test_new_callers_are_sent_away_honestly(self, tmp_path):
+        async with Cluster(tmp_path, duration=1.0) as cluster:
+            running = asyncio.create_task(cluster.call("e1"))
+            await until(lambda: cluster.events(EventKind.SERVED))
+            entry = cluster.entries["e1"]
+            draining = asyncio.create_task(entry.drain())
+            await until(lambda: entry._border._draining)
+            assert not entry.ready
+            late = await cluster.call("e1")
+            assert late.status == 503 and late.outcome == "not run"
+            assert (await running).outcome == "whole"
+            await draining
+            cluster.check()
