Kills, freezes, outages, shutdowns and operators' races on real processes

Cause: the proofs ran in one loop, where nothing can be paused or killed for real.

Found by them: the predicate "unknown" asked for the record of a claim that its paused holder had not yet written, though the claim stood at the platform; it now asks that another request with the key had come as far as its grant. The history was read before the last answers were recorded (the check now waits for them, bounded). A look-up of a key made the next claim wait for the pause between writes (100 ms of the first claim of a shard); the pause now follows writes only.

--- a/hibiscusstep/checker.py
+++ b/hibiscusstep/checker.py
@@ -10,7 +10,7 @@
 
 from hibiscusstep.events import Event, EventKind
 
-__all__ = ["PREDICATES", "Finding", "check_history"]
+__all__ = ["ENDS", "PREDICATES", "Finding", "check_history"]
 
 CLOCK_SLACK_S = 0.25
 LEAVING_BOUND_S = 3.0
@@ -150,11 +150,19 @@
 
 
 def unknown(history: _History) -> Iterator[Finding]:
-    """Yield outcomes said to be unknown of what nobody sent."""
-    keys = {e.key for e in history.events if e.kind is EventKind.CLAIMED}
+    """Yield outcomes said to be unknown of what nobody can have sent.
+
+    Somebody can have: this request was dispatched, or another one with its key had
+    come so far as to wait for its grant, after which it claims the key.
+    """
     sent = {event.request for event in history.dispatched}
+    queued = [e for e in history.of(EventKind.QUEUED) if e.key]
     for event in history.of(EventKind.UNKNOWN):
-        if event.request not in sent and event.key not in keys:
+        earlier = any(
+            e.key == event.key and e.request != event.request and e.at < event.at
+            for e in queued
+        )
+        if event.request not in sent and not earlier:
             detail = f"{event.request} was said to be unknown, and nobody sent it"
             yield Finding("unknown", detail, (event,))
 
--- a/hibiscusstep/claims/shard.py
+++ b/hibiscusstep/claims/shard.py
@@ -151,12 +151,13 @@
                 await self._pause_and_retry()
                 continue
             while self._loaded and (self._pending or self._releases):
-                begun = asyncio.get_running_loop().time()
                 self._writing = True
+                begun, writes = asyncio.get_running_loop().time(), self.writes
                 await self._write_batch()
                 self._writing = False
                 spent = asyncio.get_running_loop().time() - begun
-                await asyncio.sleep(max(0.0, self._interval - spent))
+                if self.writes > writes:
+                    await asyncio.sleep(max(0.0, self._interval - spent))
 
     async def _pause_and_retry(self) -> None:
         await asyncio.sleep(RETRY_PAUSE_S)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,251 @@
+"""Kills, freezes, outages and shutdowns on real processes."""
+
+import asyncio
+import json
+import signal
+import threading
+import time
+from http.client import HTTPException
+from pathlib import Path
+
+import pytest
+from fleet import Fleet, http
+
+from hibiscusstep.checker import ENDS, check_history
+from hibiscusstep.events import EventKind, read_history
+from hibiscusstep.load.drive import Driver, State
+from hibiscusstep.load.mix import RequestClass, arrivals, load_mix
+
+KEY = {"Authorization": "Bearer demo-guro-animation"}
+BILL = {"Authorization": "Bearer demo-mapo-pictures", "Idempotency-Key": "shot"}
+QUICK = {"heartbeat_interval": 0.2, "suspect_after": 1.5}
+MIX = Path(__file__).parent.parent / "examples" / "loads" / "demo.json"
+
+
+@pytest.fixture
+def fleet():
+    with Fleet("hanul", targets=3, settings=QUICK) as running:
+        yield running
+
+
+def recording(seconds=4.0, rate=15.0):
+    mix = load_mix(MIX)
+    phases = [mix.phases[0].model_copy(update={"seconds": seconds, "rate": rate})]
+    return arrivals(mix.model_copy(update={"phases": phases}), seed=3)
+
+
+def dispatcher(fleet, pool="hibiscus-pool"):
+    return json.loads(fleet.client("status", "--json"))["pools"][pool]["dispatcher"]
+
+
+def drive(fleet, after, action, urls=None):
+    """Send a recording; do something while it runs; return what callers saw."""
+    timer = threading.Timer(after, action)
+    timer.start()
+    results = asyncio.run(Driver(urls or fleet.callers.values()).run(recording()))
+    timer.join()
+    return results
+
+
+def open_requests(fleet, killed):
+    history = read_history(fleet.history)
+    ended = {event.request for event in history if event.kind in ENDS}
+    return [
+        event
+        for event in history
+        if event.kind is EventKind.RECEIVED
+        and event.instance not in killed
+        and event.request not in ended
+    ]
+
+
+def check(fleet, *killed):
+    """Check the promises once the last answers are recorded."""
+    end = time.monotonic() + 5.0
+    while open_requests(fleet, killed) and time.monotonic() < end:
+        time.sleep(0.02)
+    findings = check_history(read_history(fleet.history), killed)
+    assert not findings, "\n".join(map(str, findings))
+
+
+def wait_for(condition, bound=20.0):
+    end = time.monotonic() + bound
+    while not condition():
+        assert time.monotonic() < end, "never came"
+        time.sleep(0.02)
+
+
+class TestKill:
+    @pytest.mark.parametrize("role", ["dispatcher", "other"])
+    def test_loses_no_request_of_the_others(self, fleet, role):
+        chosen = dispatcher(fleet)
+        others = [name for name in fleet.instances if name != chosen]
+        victim = chosen if role == "dispatcher" else others[0]
+        results = drive(fleet, 1.5, lambda: fleet.signal(victim, signal.SIGKILL))
+        own = [r for r in results if r.request.startswith(victim) or not r.request]
+        rest = [r for r in results if r not in own]
+        assert rest and all(r.state is State.COMPLETE for r in rest)
+        assert all(r.state in (State.COMPLETE, State.BROKEN, State.WRONG) for r in own)
+        check(fleet, victim)
+
+    def test_a_restart_gets_the_configuration_and_serves(self, fleet):
+        victim = dispatcher(fleet)
+        fleet.signal(victim, signal.SIGKILL)
+        fleet.wait(victim)
+        fleet.control("platform", down=True)
+        fleet.start_instance(victim)
+        fleet.wait_ready(victim)
+        body = {"call": "x"}
+        wait_for(
+            lambda: (
+                http("POST", f"{fleet.callers[victim]}/farm/frames", body, KEY)[0]
+                == 200
+            )
+        )
+        check(fleet, victim)
+
+
+class TestFreeze:
+    def test_of_the_dispatcher_and_its_waking(self, fleet):
+        frozen = dispatcher(fleet)
+        awake = [url for name, url in fleet.callers.items() if name != frozen]
+        results = drive(
+            fleet, 1.0, lambda: fleet.signal(frozen, signal.SIGSTOP), urls=awake
+        )
+        assert {r.state for r in results} <= {State.COMPLETE, State.NOT_RUN}
+        fleet.signal(frozen, signal.SIGCONT)
+        url = fleet.callers[frozen]
+        wait_for(
+            lambda: http("POST", f"{url}/farm/frames", {"call": "x"}, KEY)[0] == 200
+        )
+        check(fleet)
+
+    def test_of_the_holder_of_a_key(self, fleet):
+        """A holder paused before its dispatch wakes; nobody charged meanwhile."""
+        holder, *others = fleet.instances
+        path = "/farm/billing/shot"
+        fleet.control("platform", delay=0.8)  # the claim is under way when it stops
+        replies = []
+
+        def charge():
+            url = fleet.callers[holder] + path
+            replies.append(http("POST", url, {"call": "x"}, BILL, timeout=30))
+
+        caller = threading.Thread(target=charge)
+        caller.start()
+        wait_for(
+            lambda: any(
+                e.kind is EventKind.QUEUED and e.key
+                for e in read_history(fleet.history)
+            )
+        )
+        fleet.signal(holder, signal.SIGSTOP)
+        fleet.control("platform", delay=0.0)
+        status, body = 0, b""
+        for name in others:
+            url = fleet.callers[name] + path
+            status, body = http("POST", url, {"call": "x"}, BILL, timeout=30)
+        fleet.signal(holder, signal.SIGCONT)
+        caller.join(30)
+        assert status in (200, 409, 503), body
+        served = [e for e in read_history(fleet.history) if e.kind is EventKind.SERVED]
+        assert len(served) <= 1
+        check(fleet)
+
+
+class TestOutage:
+    def test_keyed_requests_are_refused_and_the_rest_flows(self, fleet):
+        fleet.control("platform", down=True)
+        results = asyncio.run(Driver(fleet.callers.values()).run(recording(3.0)))
+        keyed = [r for r in results if r.arrival.key]
+        rest = [r for r in results if not r.arrival.key]
+        assert rest and {r.state for r in rest} == {State.COMPLETE}
+        assert keyed and {r.state for r in keyed} == {State.NOT_RUN}
+        assert all(r.retry_after for r in keyed)
+        fleet.control("platform", down=False)
+        url = next(iter(fleet.callers.values())) + "/farm/billing/shot"
+        headers = {**BILL, "Idempotency-Key": "after"}
+        wait_for(lambda: http("POST", url, {"call": "x"}, headers)[0] == 200)
+        check(fleet)
+
+
+class TestShutdown:
+    def test_sigterm_cuts_nothing_and_exits_0(self, fleet):
+        victim = dispatcher(fleet)
+        results = drive(fleet, 1.5, lambda: fleet.signal(victim, signal.SIGTERM))
+        assert fleet.wait(victim) == 0
+        refused = [r for r in results if r.state is State.BROKEN]
+        assert all(r.reason.startswith("ClientConnector") for r in refused), refused
+        assert all(
+            r.state in (State.COMPLETE, State.NOT_RUN)
+            for r in results
+            if r.state is not State.BROKEN
+        )
+        check(fleet)
+
+    def test_a_second_sigterm_says_what_it_cuts(self, fleet):
+        name = next(iter(fleet.instances))
+        spec = RequestClass(share=1, customers=["guro-animation"], model="assistant")
+        body = {
+            "model": spec.model,
+            "messages": [{"role": "user", "content": "long"}],
+            "max_tokens": 2000,
+        }
+        url = fleet.callers[name] + "/v1/chat/completions"
+        broken = (OSError, HTTPException)
+        caller = threading.Thread(
+            target=lambda: pytest.raises(broken, http, "POST", url, body, KEY, 60)
+        )
+        caller.start()
+        wait_for(
+            lambda: any(
+                e.kind is EventKind.DISPATCHED for e in read_history(fleet.history)
+            )
+        )
+        fleet.signal(name, signal.SIGTERM)
+        wait_for(lambda: '"draining"' in fleet.log(name))
+        fleet.signal(name, signal.SIGTERM)
+        assert fleet.wait(name) == 0
+        caller.join(10)
+        lines = [line for line in fleet.log(name).splitlines() if '"cut"' in line]
+        assert len(lines) == 1 and f"{name}-" in lines[0]
+
+
+class TestOperators:
+    def test_two_race_on_the_same_and_on_different_files(self, fleet, tmp_path):
+        folders = [tmp_path / "ana", tmp_path / "bo"]
+        for folder in folders:
+            fleet.client("pull", str(folder))
+        tiers = (
+            '{"tiers": {"spare%d": {"rank": %d}},'
+            ' "shedding": {"spare%d": {"may_be_stopped": true}}}'
+        )
+        (folders[0] / "40-ana.json").write_text(tiers % (1, 8, 1))
+        (folders[1] / "41-bo.json").write_text(tiers % (2, 9, 2))
+        for folder in folders:
+            fleet.client("apply", str(folder), "--author", folder.name)
+        fleet.client("pull", str(tmp_path / "both"))
+        names = {path.name for path in (tmp_path / "both").glob("4*.json")}
+        assert names == {"40-ana.json", "41-bo.json"}
+        for folder in folders:
+            fleet.client("pull", str(folder))
+            (folder / "40-ana.json").write_text(tiers % (1, 20 + len(folder.name), 1))
+        fleet.client("apply", str(folders[0]), "--author", "ana")
+        with pytest.raises(RuntimeError, match=r"40-ana.json was changed by ana"):
+            fleet.client("apply", str(folders[1]), "--author", "bo")
+
+    def test_a_lost_answer_is_read_back(self, fleet):
+        (fleet.conf / "50-more.json").write_text('{"claims": {"shards": 8}}')
+        fleet.control("platform", lose_answers=1)
+        printed = fleet.client("apply", str(fleet.conf))
+        assert "is in force everywhere" in printed
+        assert "no difference" in fleet.client("diff", str(fleet.conf))
+
+    def test_a_bad_file_changes_nothing(self, fleet):
+        before = json.loads(fleet.client("status", "--json"))["version"]
+        (fleet.conf / "60-bad.json").write_text('{"tiers": {"desk": {"rnk": 1}}}')
+        with pytest.raises(
+            RuntimeError, match=r"60-bad.json: tiers.desk.rnk: unknown key"
+        ):
+            fleet.client("apply", str(fleet.conf))
+        assert json.loads(fleet.client("status", "--json"))["version"] == before
