--- /dev/null
+++ b/examples/overhead.py
@@ -0,0 +1,166 @@
+"""examples.overhead: what an instance adds to a stream, and what a stream costs it.
+
+Prints Markdown tables: added time to the first token and between tokens against the
+same engine called directly; processor time and memory of one instance by the number
+of open streams.
+"""
+
+import asyncio
+import json
+import multiprocessing
+import os
+import sys
+import time
+from pathlib import Path
+
+import aiohttp
+import numpy as np
+from fleet import Fleet
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+KEY = {"Authorization": "Bearer demo-guro-animation"}
+TOKEN_PERIOD_S = 0.062
+DRIVERS = 3
+ENGINES = 8
+ROUTES = '{"routes": {"assistant": {"deadline": 60}}}'
+
+
+def cpu_seconds(pid):
+    """Return the processor seconds of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_mb(pid):
+    """Return the resident memory of a process in MB."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+async def stream(session, url, tokens, firsts, gaps):
+    """Read one stream; note the seconds to its first part and between parts."""
+    body = {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": "how long?"}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    begun = last = time.perf_counter()
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=KEY
+    ) as response:
+        assert response.status == 200, await response.text()
+        async for _chunk in response.content.iter_any():
+            now = time.perf_counter()
+            (firsts if last == begun else gaps).append(now - last)
+            last = now
+
+
+async def many(urls, streams, tokens, stagger):
+    """Read several streams at once, begun `stagger` seconds apart."""
+    firsts, gaps = [], []
+    timeout = aiohttp.ClientTimeout(total=None)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        tasks = []
+        for number in range(streams):
+            url = urls[number % len(urls)]
+            tasks.append(
+                asyncio.create_task(stream(session, url, tokens, firsts, gaps))
+            )
+            await asyncio.sleep(stagger)
+        await asyncio.gather(*tasks)
+    return firsts, gaps
+
+
+def drive(urls, streams, tokens, stagger, queue):
+    """Run `many` in a process of its own."""
+    queue.put(asyncio.run(many(urls, streams, tokens, stagger)))
+
+
+def percentiles(values):
+    """Return p50, p95 and p99 in milliseconds."""
+    return [round(1e3 * float(v), 2) for v in np.percentile(values, [50, 95, 99])]
+
+
+def added(rounds):
+    """Print the time that an instance adds, in turn with direct calls."""
+    options = ["--decode-rate", "50", "--prefill-rate", "100000"]
+    with Fleet("hanul", targets=1, engine_options=options) as fleet:
+        direct = [fleet.target_url("worker-0")]
+        through = list(fleet.callers.values())
+        print(
+            "| round | path | first token p50, p95, p99 ms | between p50, p95, p99 ms |"
+        )
+        print("| --- | --- | --- | --- |")
+        for number in range(rounds):
+            for name, urls in (("direct", direct), ("through", through)):
+                firsts, gaps = asyncio.run(many(urls, 120, 20, 0.05))
+                times = f"{percentiles(firsts)} | {percentiles(gaps)}"
+                print(f"| {number} | {name} | {times} |")
+
+
+def cost(points):
+    """Print processor time and memory of one instance by open streams."""
+    options = ["--decode-rate", str(1 / TOKEN_PERIOD_S), "--prefill-rate", "1000000"]
+    options += ["--max-running", "400", "--batch-cost", "0"]
+    settings = {"log_level": "WARNING", "history": ""}
+    wide = {
+        "pools": {
+            "hibiscus-pool": {
+                "targets": {f"worker-{n}": {"max_running": 400} for n in range(ENGINES)}
+            }
+        }
+    }
+    files = {"80-wide.json": json.dumps(wide), "81-routes.json": ROUTES}
+    with Fleet(
+        "hanul",
+        targets=ENGINES,
+        engine_options=options,
+        settings=settings,
+        files=files,
+    ) as fleet:
+        name = next(n for n in fleet.instances if n in fleet.client("status"))
+        pid, url = fleet.processes[name].pid, fleet.callers[name]
+        print(f"idle: {resident_mb(pid):.1f} MB resident")
+        print(
+            "| open streams | events/s | core | us/event | MB resident "
+            "| between p50, p95, p99 ms |\n| --- | --- | --- | --- | --- | --- |"
+        )
+        for streams in points:
+            print(_cost_row(pid, url, streams), flush=True)
+
+
+def _cost_row(pid, url, streams):
+    tokens, stagger = 320, 0.006
+    queue = multiprocessing.Queue()
+    share = streams // DRIVERS
+    drivers = [
+        multiprocessing.Process(
+            target=drive, args=([url], share, tokens, stagger * DRIVERS, queue)
+        )
+        for _ in range(DRIVERS)
+    ]
+    for driver in drivers:
+        driver.start()
+    time.sleep(share * stagger * DRIVERS + 1.0)
+    before, begun = cpu_seconds(pid), time.perf_counter()
+    time.sleep(8.0)
+    spent = (cpu_seconds(pid) - before) / (time.perf_counter() - begun)
+    memory = resident_mb(pid)
+    gaps = [gap for _ in drivers for gap in queue.get()[1]]
+    for driver in drivers:
+        driver.join()
+    rate = DRIVERS * share / TOKEN_PERIOD_S
+    per_event = 1e6 * spent / rate
+    return (
+        f"| {DRIVERS * share} | {rate:.0f} | {spent:.2f} | {per_event:.0f} "
+        f"| {memory:.1f} | {percentiles(gaps)} |"
+    )
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "added":
+        added(rounds=3)
+    else:
+        cost(points=[int(n) for n in sys.argv[2:]] or [240, 480, 960])
--- /dev/null
+++ b/examples/slopes.py
@@ -0,0 +1,292 @@
+"""examples.slopes: what each role of an instance costs, by its size, for CAPACITY.md.
+
+python examples/slopes.py membership|dispatcher|claims|configuration
+"""
+
+import asyncio
+import gc
+import json
+import sys
+import time
+import tracemalloc
+
+import uvloop
+from fleet import free_ports
+
+from hibiscusstep import codec
+from hibiscusstep.claims.index import ClaimIndex, ClaimResult
+from hibiscusstep.claims.records import ClaimHead, ClaimRecord
+from hibiscusstep.claims.shard import Pending, ShardWriter
+from hibiscusstep.configuration.models import load_configuration
+from hibiscusstep.configuration.settings import Settings
+from hibiscusstep.configuration.stored import Stored
+from hibiscusstep.membership.worker import Membership, OwnState
+from hibiscusstep.peerlink import PeerLinks
+from hibiscusstep.platforms.memory import MemoryPlatform
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.dispatcher import Dispatcher
+
+
+def row(*cells):
+    """Print a row of a Markdown table."""
+    print("| " + " | ".join(map(str, cells)) + " |", flush=True)
+
+
+def head(*names):
+    """Print the head of a Markdown table."""
+    row(*names)
+    row(*["---"] * len(names))
+
+
+async def membership(counts=(3, 9, 30, 60, 100), seconds=6.0):
+    """Measure heartbeats of N members in one process: bytes and processor time."""
+    head("members", "bytes/s sent a member", "processor us/s a member", "% of a core")
+    for count in counts:
+        ports = free_ports(count)
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        links, tasks = [], []
+        for number, address in enumerate(addresses):
+            link, membership = _member(number, address, addresses[:3])
+            links.append(link)
+            tasks += [
+                asyncio.create_task(link.run()),
+                asyncio.create_task(membership.run()),
+            ]
+            membership.tell(OwnState(version=1, ready=True))
+        await asyncio.sleep(4.0)
+        sent, cpu = sum(link.bytes_sent for link in links), time.process_time()
+        await asyncio.sleep(seconds)
+        sent = sum(link.bytes_sent for link in links) - sent
+        cpu = time.process_time() - cpu
+        each = cpu / count / seconds
+        row(
+            count,
+            round(sent / count / seconds),
+            round(1e6 * each),
+            round(100 * each, 3),
+        )
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _member(number, address, seeds):
+    settings = Settings(
+        name=f"entry-{number}",
+        place="hall",
+        caller_address="127.0.0.1:1",
+        operator_address="127.0.0.1:2",
+        peer_address=address,
+        platform="",
+        peer_key="a-key-for-measuring",
+        operator_key="a-key-for-measuring",
+        seeds=seeds,
+    )
+    holder = []
+    link = PeerLinks(
+        address, settings.peer_key, lambda message: holder[0].tell(message)
+    )
+    platform = MemoryPlatform()
+    worker = Membership(settings, f"{number:012d}", link, platform, lambda _view: None)
+    holder.append(worker)
+    return link, worker
+
+
+def pool_configuration(targets, customers=10):
+    """Make a configuration of one pool."""
+    data = {
+        "tiers": {"high": {"rank": 0}, "mid": {"rank": 1}, "low": {"rank": 2}},
+        "customers": {
+            f"customer-{n}": {"key_hashes": [f"{n:064x}"], "tier": "high"}
+            for n in range(customers)
+        },
+        "pools": {
+            "pool": {
+                "kind": "engine",
+                "targets": {
+                    f"target-{n}": {
+                        "address": f"10.{n // 250}.{n % 250}.1:80",
+                        "place": "hall",
+                        "max_running": 8,
+                    }
+                    for n in range(targets)
+                },
+            }
+        },
+    }
+    return data
+
+
+def _work(number, customers=10, prompt_tokens=40):
+    tier = ("high", "mid", "low")[number % 3]
+    return m.Work(
+        f"{number}",
+        f"request-{number}",
+        "entry",
+        f"customer-{number % customers}",
+        tier,
+        number % 3,
+        prompt_tokens,
+        20,
+        1e6 + number,
+        float(number) / 1e4,
+        tier == "low",
+    )
+
+
+def dispatcher():
+    """Measure a request (ask, grant, first token, end) by targets and by waiting."""
+    head("targets", "customers", "waiting", "us a request", "bytes a waiting request")
+    points = [(10, 10, 0), (100, 10, 0), (1000, 10, 0)]
+    points += [(10, 10, 100), (10, 10, 1000), (10, 10, 10_000)]
+    points += [(100, 390, 1000), (100, 390, 10_000)]
+    for targets, customers, waiting in points:
+        data = pool_configuration(targets, customers)
+        data["pools"]["pool"]["max_waiting"] = 100_000
+        for customer in data["customers"].values():
+            customer["max_waiting"] = 100_000
+        configuration = load_configuration({"a.json": json.dumps(data)})[0]
+        state = Dispatcher("pool", configuration)
+        state.handle(m.Recovered(), 0.0)
+        places = targets * 8
+        running = []
+        for number in range(places):
+            (grant,) = state.handle(m.Ask(_work(number, customers)), 1.0)
+            running.append(grant.work.ask)
+        gc.collect()
+        tracemalloc.start()
+        for number in range(places, places + waiting):
+            state.handle(m.Ask(_work(number, customers)), 1.0)
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        rounds = 400
+        begun = time.process_time()
+        for number in range(places + waiting, places + waiting + rounds):
+            state.handle(m.Ask(_work(number, customers)), 2.0)
+            done = running.pop(0)
+            state.handle(m.FirstToken(done, 0.1), 2.0)
+            for taken in state.handle(
+                m.Finished(done, m.Outcome.DONE, 20, 0.5, 40), 2.0
+            ):
+                running.append(taken.work.ask)
+        spent = time.process_time() - begun
+        each = round(held / waiting) if waiting else "-"
+        row(targets, customers, waiting, round(1e6 * spent / rounds, 1), each)
+
+
+async def claims(rates=(10, 100, 400, 1000), seconds=5.0):
+    """Measure the writes of one shard, and their size, by claims a second."""
+    head("claims/s", "writes/s", "claims a write", "p50 ms", "p95 ms", "cpu us a claim")
+    for rate in rates:
+        platform = MemoryPlatform()
+        platform.faults.delay = 0.005
+        writer = ShardWriter(0, platform, 86_400, 0.1)
+        task = asyncio.create_task(writer.run())
+        loop = asyncio.get_running_loop()
+        waits = []
+        cpu, begun = time.process_time(), loop.time()
+        for number in range(int(rate * seconds)):
+            await asyncio.sleep(max(0.0, begun + number / rate - loop.time()))
+            _claim(writer, number, loop.time(), waits)
+        await asyncio.sleep(0.5)
+        cpu = time.process_time() - cpu
+        spent = loop.time() - begun
+        waits.sort()
+        row(
+            rate,
+            round(writer.writes / spent, 1),
+            round(writer.claims_written / writer.writes, 1),
+            round(1e3 * waits[len(waits) // 2], 1),
+            round(1e3 * waits[int(0.95 * len(waits))], 1),
+            round(1e6 * cpu / len(waits)),
+        )
+        task.cancel()
+    _claim_memory()
+
+
+def _record(number):
+    digest = number.to_bytes(16, "big")
+    return ClaimRecord(
+        digest,
+        digest[:8],
+        "entry-guro",
+        "0123456789ab",
+        f"entry-guro-{number:032x}",
+        1,
+        False,
+        number,
+    )
+
+
+def _claim(writer, number, asked, waits):
+    loop = asyncio.get_running_loop()
+
+    def reply(verdict):
+        assert verdict.result is ClaimResult.CONFIRMED
+        waits.append(loop.time() - asked)
+
+    writer.add(Pending(_record(number), "", False, asked + 60, reply))
+
+
+def _claim_memory():
+    print()
+    head("claims", "bytes each in memory", "bytes each stored", "us each to read back")
+    for count in (1000, 10_000, 100_000):
+        encoded = codec.encode(ClaimHead([], [_record(n) for n in range(count)], "b"))
+        gc.collect()
+        tracemalloc.start()
+        index = ClaimIndex(86_400)
+        index.take_head(codec.decode(ClaimHead, encoded), 1)
+        index.head = ClaimHead()
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        begun = time.process_time()
+        codec.decode(ClaimHead, encoded)
+        spent = time.process_time() - begun
+        row(
+            count,
+            round(held / count),
+            round(len(encoded) / count),
+            round(1e6 * spent / count, 1),
+        )
+
+
+def configuration():
+    """Measure the configuration object and the time to check it, by its size."""
+    head("customers", "targets", "files", "bytes", "ms at first", "ms after a change")
+    for customers, targets in ((5, 50), (100, 300), (390, 1100)):
+        files = _small_files(pool_configuration(targets, customers))
+        begun = time.process_time()
+        Stored(files=files).load()
+        first = time.process_time() - begun
+        name = next(iter(files))
+        changed = Stored(files={**files, name: files[name] + " // changed"})
+        begun = time.process_time()
+        changed.load()
+        again = time.process_time() - begun
+        size = len(changed.to_bytes())
+        times = (round(1e3 * first), round(1e3 * again, 1))
+        row(customers, targets, len(files), size, *times)
+
+
+def _small_files(data, each=10):
+    """Spread customers and targets over files of `each`."""
+    files = {"00.json": json.dumps({"tiers": data["tiers"]})}
+    customers = list(data["customers"].items())
+    for start in range(0, len(customers), each):
+        part = {"customers": dict(customers[start : start + each])}
+        files[f"10-{start:04d}.json"] = json.dumps(part, indent=1)
+    targets = list(data["pools"]["pool"]["targets"].items())
+    for start in range(0, len(targets), each):
+        pool = {"kind": "engine", "targets": dict(targets[start : start + each])}
+        files[f"20-{start:04d}.json"] = json.dumps({"pools": {"pool": pool}}, indent=1)
+    return files
+
+
+if __name__ == "__main__":
+    chosen = globals()[sys.argv[1]]
+    if asyncio.iscoroutinefunction(chosen):
+        uvloop.run(chosen())
+    else:
+        chosen()
--- a/hibiscusstep/admission.py
+++ b/hibiscusstep/admission.py
@@ -103,9 +103,8 @@
 
     @property
     def digest(self) -> bytes:
-        """Digest of customer, route and key: 16 bytes."""
-        parts = (self.customer, self.route_name, self.head.key)
-        data = "\0".join(parts).encode()
+        """Digest of customer and key: 16 bytes; a route may be renamed."""
+        data = f"{self.customer}\0{self.head.key}".encode()
         return hashlib.blake2b(data, digest_size=16).digest()
 
     @property
--- a/hibiscusstep/caller.py
+++ b/hibiscusstep/caller.py
@@ -27,14 +27,22 @@
         Gets the counts.
     body_timeout : float
         Seconds for a caller to send its body.
+    max_open : int
+        Requests held at once; more are refused.
     """
 
     def __init__(
-        self, services: Services, metrics: Metrics, body_timeout: float
+        self,
+        services: Services,
+        metrics: Metrics,
+        body_timeout: float,
+        max_open: int,
     ) -> None:
         self._services = services
         self._metrics = metrics
         self._body_timeout = body_timeout
+        self._max_open = max_open
+        self._admitting = 0
         self._in_force = InForce()
         self._draining = False
         self._open: set[asyncio.Task] = set()
@@ -74,12 +82,15 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         sink = Sink(request, f"{self._services.name}-refused", keep=False)
+        self._admitting += 1
         try:
             delivery, sink = await self._admit(request)
         except Problem as problem:
             self._count("", "", problem.name)
             await sink.problem(problem)
             return sink.response
+        finally:
+            self._admitting -= 1
         task = asyncio.create_task(delivery.run(), name=delivery.admitted.request)
         self._track(task)
         try:
@@ -105,6 +116,9 @@
                 Outcome.NOT_RUN,
                 1.0,
             )
+        if len(self._open) + self._admitting > self._max_open:
+            detail = "This instance holds as many requests as it may."
+            raise Problem(503, "instance-full", detail, Outcome.NOT_RUN, 1.0)
         head = _head(request)
         customer = authenticate(head, configuration)
         route_name = find_route(head, configuration)
--- a/hibiscusstep/cmdline/client.py
+++ b/hibiscusstep/cmdline/client.py
@@ -18,6 +18,7 @@
 )
 from hibiscusstep.configuration.folder import read_folder
 from hibiscusstep.configuration.models import hash_key, load_configuration
+from hibiscusstep.configuration.options import options_page
 from hibiscusstep.errors import HibiscusstepError
 from hibiscusstep.operations import OperatorClient
 from hibiscusstep.platform import Platform, get_platform_by_name
@@ -253,6 +254,13 @@
     _show(notes, as_json, lines)
 
 
+@main.command()
+@one_line_errors
+def options() -> None:
+    """Print every option of files and settings, as tables."""
+    click.echo(options_page())
+
+
 @main.command("hash-key")
 @one_line_errors
 def hash_key_command() -> None:
--- a/hibiscusstep/cmdline/standin.py
+++ b/hibiscusstep/cmdline/standin.py
@@ -66,13 +66,21 @@
 @_MAX_RUNNING
 @click.option("--prefill-rate", default=4000.0, help="Prompt tokens a second.")
 @click.option("--decode-rate", default=40.0, help="Tokens a second of one stream.")
+@click.option("--batch-cost", default=0.02, help="Step added by a further stream.")
 @click.option("--report-lag", default=0.0, help="Seconds the load report lags.")
 @one_line_errors
 def engine(
-    listen, name, history, max_running, prefill_rate, decode_rate, report_lag
+    listen,
+    name,
+    history,
+    max_running,
+    prefill_rate,
+    decode_rate,
+    batch_cost,
+    report_lag,
 ) -> None:
     """Serve a model engine with continuous batching."""
-    speed = EngineSpeed(prefill_rate, decode_rate, max_running=max_running)
+    speed = EngineSpeed(prefill_rate, decode_rate, batch_cost, max_running)
 
     async def serve():
         app = make_engine_app(
--- a/hibiscusstep/configuration/change.py
+++ b/hibiscusstep/configuration/change.py
@@ -215,7 +215,9 @@
         edited = edit(stored)
         if edited == stored:
             return Applied(version, ())
-        edited.load()
+        successor = edited.load()
+        if version:
+            stored.load().check_successor(successor)
         changed = tuple(
             name
             for name in sorted(edited.files.keys() | stored.files.keys())
--- a/hibiscusstep/configuration/folder.py
+++ b/hibiscusstep/configuration/folder.py
@@ -1,6 +1,7 @@
 """hibiscusstep.configuration.folder: small JSON files with comments, merged by name."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 
 import json5
@@ -10,6 +11,7 @@
 __all__ = ["Merged", "merge", "read_folder"]
 
 SUFFIX = ".json"
+MAX_PARSED = 2048
 
 
 @dataclass(frozen=True)
@@ -72,17 +74,25 @@
 
 def _parse(name: str, text: str) -> dict:
     try:
-        tree = json5.loads(text, allow_duplicate_keys=False)
+        tree = _loads(text)
     except (ValueError, RecursionError) as cause:
         detail = str(cause).splitlines()[0]
-        raise ConfigurationError(
-            f"not JSON with comments: {detail}", file=name
-        ) from None
+        detail = f"not JSON with comments: {detail}"
+        raise ConfigurationError(detail, file=name) from None
     if not isinstance(tree, dict):
         raise ConfigurationError("must hold one object {...}", file=name)
     return tree
 
 
+@lru_cache(maxsize=MAX_PARSED)
+def _loads(text: str):
+    """Return the tree of a text, which nobody may change.
+
+    The library takes 5 us a byte; a change of one file parses that file alone.
+    """
+    return json5.loads(text, allow_duplicate_keys=False)
+
+
 def _merge_into(base, tree, name, prefix, origins, overrides) -> None:
     for key, value in tree.items():
         dotted = f"{prefix}.{key}" if prefix else str(key)
--- a/hibiscusstep/configuration/keeper.py
+++ b/hibiscusstep/configuration/keeper.py
@@ -132,6 +132,8 @@
             return
         try:
             configuration = Stored.parse(value).load()
+            if self._in_force.configuration:
+                self._in_force.configuration.check_successor(configuration)
         except ConfigurationError as error:
             self._rejected.add(version)
             _LOG.error(
--- a/hibiscusstep/configuration/models.py
+++ b/hibiscusstep/configuration/models.py
@@ -143,10 +143,18 @@
     )
 
 
+_DEFAULT_RULE = SheddingRule()
+
+
 class Claims(_Model):
     """How keys of requests that must not repeat are kept."""
 
-    shards: int = Field(16, ge=1, le=512, description="Objects written in parallel.")
+    shards: int = Field(
+        16,
+        ge=1,
+        le=512,
+        description="Objects written in parallel; never changed later.",
+    )
     retention: float = Field(
         86_400.0, ge=1.0, description="Seconds for which a key is remembered."
     )
@@ -190,9 +198,24 @@
         )
         return sorted(pairs, key=lambda pair: -len(pair[0]))
 
+    def check_successor(self, successor: "Configuration") -> None:
+        """Refuse a change by which claimed keys would be looked for elsewhere.
+
+        Raises
+        ------
+        ConfigurationError
+            Names the key.
+        """
+        if successor.claims.shards != self.claims.shards:
+            raise ConfigurationError(
+                f"is {self.claims.shards} and cannot change: keys that are claimed "
+                "would run again",
+                key="claims.shards",
+            )
+
     def rule(self, tier: str) -> SheddingRule:
         """Return the shedding rule of a tier, the default where none is given."""
-        return self.shedding.get(tier, SheddingRule())
+        return self.shedding.get(tier, _DEFAULT_RULE)
 
 
 def load_configuration(texts: dict[str, str]) -> tuple[Configuration, Merged]:
--- a/hibiscusstep/configuration/settings.py
+++ b/hibiscusstep/configuration/settings.py
@@ -51,8 +51,8 @@
     drain_timeout: float = Field(
         600.0, gt=0, description="Seconds SIGTERM waits for running answers."
     )
-    max_connections: int = Field(
-        10_000, ge=1, description="Callers' connections held at once."
+    max_open_requests: int = Field(
+        10_000, ge=1, description="Callers' requests held at once."
     )
     body_timeout: float = Field(
         20.0, gt=0, description="Seconds for a caller to send its body."
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -211,8 +211,9 @@
             self._recorder,
             self._explainer,
         )
+        settings = self._settings
         self._border = CallerBorder(
-            services, self._metrics, self._settings.body_timeout
+            services, self._metrics, settings.body_timeout, settings.max_open_requests
         )
         self._operators = OperatorBorder(
             self._settings.operator_key,
--- a/hibiscusstep/events.py
+++ b/hibiscusstep/events.py
@@ -118,7 +118,8 @@
         self._stream.write(orjson.dumps(line) + b"\n")
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the file; later events are dropped."""
+        self._left = 0
         self._stream.close()
 
 
--- a/hibiscusstep/platforms/memory.py
+++ b/hibiscusstep/platforms/memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -45,6 +46,15 @@
     ----------
     url : str
         Unused; the dialects share one signature.
+
+    Attributes
+    ----------
+    faults : Faults
+        What goes wrong from now on.
+    calls : collections.Counter
+        Calls by kind.
+    observer : callable of (str, str) or None
+        Told kind and key of each call before it takes effect.
     """
 
     name = "memory"
@@ -53,19 +63,20 @@
         self.faults = Faults()
         self.calls: Counter = Counter()
         self.records: list[InstanceRecord] = []
+        self.observer: Callable[[str, str], None] | None = None
         self._objects: dict[str, Versioned] = {}
         self._last_version = 0
         self._changed = asyncio.Condition()
 
     async def get(self, key: str) -> Result[Versioned, PlatformError]:
         """Return the object."""
-        return await self._call("get", lambda: self._read(key))
+        return await self._call("get", key, lambda: self._read(key))
 
     async def put(
         self, key: str, value: bytes, expected: int
     ) -> Result[int, PlatformError]:
         """Write if the version is `expected` (0: if it does not exist)."""
-        answer = await self._call("put", lambda: self._write(key, value, expected))
+        answer = await self._call("put", key, lambda: self._write(key, value, expected))
         if answer.is_ok():
             async with self._changed:
                 self._changed.notify_all()
@@ -73,14 +84,14 @@
 
     async def delete(self, key: str) -> Result[None, PlatformError]:
         """Delete the object."""
-        answer = await self._call("delete", lambda: self._remove(key))
+        answer = await self._call("delete", key, lambda: self._remove(key))
         return self._maybe_lost(answer, "delete")
 
     async def watch(
         self, key: str, after: int, timeout: float
     ) -> Result[Versioned | None, PlatformError]:
         """Wait until the version is above `after`."""
-        begun = await self._call("watch", lambda: Ok(None))
+        begun = await self._call("watch", key, lambda: Ok(None))
         if begun.is_err():
             return begun
         try:
@@ -94,10 +105,12 @@
 
     async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
         """Return the list of instances."""
-        return await self._call("instances", lambda: Ok(list(self.records)))
+        return await self._call("instances", "", lambda: Ok(list(self.records)))
 
-    async def _call(self, step, effect):
+    async def _call(self, step, key, effect):
         self.calls[step] += 1
+        if self.observer:
+            self.observer(step, key)
         await asyncio.sleep(self.faults.delay)
         if self.faults.down:
             return Err(PlatformUnavailable("outage", step=step, peer="platform"))
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -20,6 +20,7 @@
 EARLY_REFUSAL_FACTOR = 1.0
 URGENT_S = 0.3
 UNREACHABLE_RETRY_S = 1.0
+NEXT_FREE_VALID_S = 0.02
 _ANYONE = Customer(key_hashes=["0" * 64], tier="any")
 
 
@@ -72,6 +73,7 @@
         self._doubtful = False
         self._policy: Policy | None = None
         self._decisions: list[m.Decision] = []
+        self._next_free_at: dict[int, tuple[float, float]] = {}
         self.counts = PoolCounts()
         self._configure(configuration)
 
@@ -373,6 +375,13 @@
         """Return the seconds until a place is free that the rank may take."""
         if any(target.free > 0 for target in live):
             return 0.0
+        at, seconds = self._next_free_at.get(rank, (-1.0, 0.0))
+        if now - at > NEXT_FREE_VALID_S:
+            seconds = self._scan_next_free(rank, live, now)
+            self._next_free_at[rank] = now, seconds
+        return seconds
+
+    def _scan_next_free(self, rank: int, live, now: float) -> float:
         return min(
             (
                 0.0
--- a/hibiscusstep/routing/estimate.py
+++ b/hibiscusstep/routing/estimate.py
@@ -118,6 +118,8 @@
 
     def cached_tokens(self, work: Work) -> int:
         """Prompt tokens that the target is thought to have cached."""
+        if not work.prefixes or not self._prefixes:
+            return 0
         sizes = [
             size
             for size, prefix in zip(PREFIX_SIZES, work.prefixes, strict=False)
--- a/hibiscusstep/supervisor.py
+++ b/hibiscusstep/supervisor.py
@@ -89,7 +89,12 @@
             for child in self._children
         ]
         try:
-            await asyncio.gather(*tasks)
+            # Not gather: it would cancel all at once, and again below, in mid-cleanup.
+            done, _running = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_EXCEPTION
+            )
+            for task in done:
+                task.result()
         finally:
             for task in reversed(tasks):
                 task.cancel()
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -82,6 +82,16 @@
         assert marks == {"service-0": False, "service-1": True}
 
 
+class TestShards:
+    async def test_a_change_that_would_forget_keys_is_refused(self, tmp_path):
+        async with Cluster(tmp_path) as cluster:
+            before = versions(cluster)
+            await cluster.apply(configuration(cluster.targets, shards=3))
+            keepers = [entry._keeper for entry in cluster._live()]
+            await until(lambda: sum(bool(k._rejected) for k in keepers) == 2)
+            assert versions(cluster) == before
+
+
 class TestRace:
     async def test_versions_only_go_up_under_many_writers(self, tmp_path):
         async with Cluster(tmp_path) as cluster:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -235,12 +235,17 @@
             fleet.client("apply", str(folders[1]), "--author", "bo")
 
     def test_a_lost_answer_is_read_back(self, fleet):
-        (fleet.conf / "50-more.json").write_text('{"claims": {"shards": 8}}')
+        (fleet.conf / "50-more.json").write_text('{"claims": {"timeout": 3}}')
         fleet.control("platform", lose_answers=1)
         printed = fleet.client("apply", str(fleet.conf))
         assert "is in force everywhere" in printed
         assert "no difference" in fleet.client("diff", str(fleet.conf))
 
+    def test_the_number_of_shards_cannot_change(self, fleet):
+        (fleet.conf / "50-more.json").write_text('{"claims": {"shards": 8}}')
+        with pytest.raises(RuntimeError, match=r"claims.shards: is 16 and cannot"):
+            fleet.client("apply", str(fleet.conf))
+
     def test_a_bad_file_changes_nothing(self, fleet):
         before = json.loads(fleet.client("status", "--json"))["version"]
         (fleet.conf / "60-bad.json").write_text('{"tiers": {"desk": {"rnk": 1}}}')
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -222,6 +222,17 @@
             assert b"408" in await self.send_raw(cluster, head)
             assert cluster.events(EventKind.SERVED) == []
 
+    async def test_an_instance_that_is_full_says_so(self, tmp_path):
+        settings = {"max_open_requests": 1}
+        async with Cluster(
+            tmp_path, instances=1, settings=settings, duration=0.5
+        ) as cluster:
+            first = asyncio.create_task(cluster.call("e0"))
+            await until(lambda: cluster.events(EventKind.SERVED))
+            second = await cluster.call("e0")
+            assert second.status == 503 and second.outcome == "not run"
+            assert (await first).outcome == "whole"
+
     async def test_a_body_over_the_limit(self, tmp_path):
         async with Cluster(tmp_path, instances=1) as cluster:
             reply = await cluster.call("e0", body=b"x" * (5 << 20))
