Nobody waits for another's limit, cache or leaving target; mixes with faults

Cause: the matrix showed "not run" where a target was leaving: a request was granted the very target that had refused it, three times, as the others had no room; and reading the queue for that showed that a customer at its max_running, first in turn, held up all others of its tier.

Change: a target that has failed a request does not get it again while another lives; a refusal as leaving counts at once and not from the next report on; a few requests of several customers are tried.

--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -419,7 +419,7 @@
         self._delivery._dispatched = self._dispatched_before
         self._record(EventKind.NOT_SENT, detail=error.detail)
         self._explain_error(error)
-        self.finish(Ending.UNUSED if error.leaving else Ending.UNREACHABLE)
+        self.finish(Ending.LEAVING if error.leaving else Ending.UNREACHABLE)
         raise _TryElsewhere
 
     def _on_break(self, error: TargetError) -> None:
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -165,6 +165,7 @@
             target.failed(message.ask, now)
         else:
             target.forget(message.ask)
+            target.leaving |= message.outcome is m.Outcome.LEAVING
 
     @_take.register
     def _load_report(self, message: m.LoadReport, now: float) -> None:
@@ -296,7 +297,7 @@
             return self._grant_first_come(room, live, now)
         passed_over = False
         for queue in self._queues.values():
-            for item in queue.candidates(now):
+            for item in queue.candidates(now, self._may_run):
                 if passed_over and not item.work.stoppable and self._tier_guard:
                     continue
                 if self._try_grant(item, queue, room, live, now):
@@ -308,7 +309,7 @@
         heads = [
             (item.work.received, item, queue)
             for queue in self._queues.values()
-            for item in queue.candidates(now)
+            for item in queue.candidates(now, self._may_run)
         ]
         heads.sort(key=lambda head: head[0])
         return any(
@@ -317,10 +318,12 @@
 
     def _try_grant(self, item: Waiting, queue, room, live, now: float) -> bool:
         work = item.work
-        customer = self._configuration.customers.get(work.customer, _ANYONE)
-        if self._running_of[work.customer] >= customer.max_running:
+        if not self._may_run(work.customer):
+            return False
+        others = [target for target in live if target.name not in work.avoid]
+        allowed = [target for target in others if target in room] if others else room
+        if not allowed:
             return False
-        allowed = [target for target in room if target.name not in work.avoid] or room
         urgent = item.latest_start - now < URGENT_S
         target = self._policy.choose(work, allowed, live, urgent)
         if target is None:
@@ -328,6 +331,10 @@
         self._grant(item, queue, target, allowed, now)
         return True
 
+    def _may_run(self, customer: str) -> bool:
+        limit = self._configuration.customers.get(customer, _ANYONE).max_running
+        return self._running_of[customer] < limit
+
     def _grant(self, item: Waiting, queue, target, allowed, now: float) -> None:
         work = item.work
         weighed = {t.name: round(t.seconds_to_end(work), 3) for t in allowed[:8]}
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -33,6 +33,7 @@
     BROKEN = "broken"
     CANCELLED = "cancelled"
     UNUSED = "unused"
+    LEAVING = "leaving"
 
 
 class Reason(enum.StrEnum):
--- a/hibiscusstep/routing/queue.py
+++ b/hibiscusstep/routing/queue.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from hibiscusstep.routing.messages import Work
@@ -11,6 +11,8 @@
 __all__ = ["TierQueue", "Waiting"]
 
 LONG_CHOICES = 8
+CUSTOMER_CHOICES = 3
+PLAIN_CHOICES = 8
 
 
 @dataclass(slots=True, eq=False)
@@ -125,17 +127,27 @@
         self._virtual = max(self._virtual, self._served[name])
         self._served[name] += item.cost / weight
 
-    def candidates(self, now: float) -> list[Waiting]:
-        """Return the next short and the next long request, the first to go first."""
+    def candidates(
+        self, now: float, may_run: Callable[[str], bool] = lambda _customer: True
+    ) -> list[Waiting]:
+        """Return requests to try in this order, a few of each class.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the dispatcher's clock.
+        may_run : callable of str
+            Whether a customer may have one more running.
+        """
         if not self._by_ask:
             return []
         if not self._fair:
-            return [next(iter(self._by_ask.values()))]
-        urgent = self._next_due()
-        short, long = self._next(False), self._next(True)
-        heads = [*([short] if short else []), *self._long_heads(long)]
+            return list(itertools.islice(self._by_ask.values(), PLAIN_CHOICES))
+        open_to = {n: c for n, c in self._customers.items() if may_run(n)}
+        heads = [*self._short_heads(open_to), *self._long_heads(open_to)]
         heads.sort(key=self._key)
-        if urgent and urgent.latest_start - now < self._urgent_s:
+        urgent = self._next_due()
+        if urgent.latest_start - now < self._urgent_s:
             heads = [*heads, urgent] if urgent.long else [urgent, *heads]
         return list(dict.fromkeys(heads))
 
@@ -183,17 +195,24 @@
             heapq.heappop(self._due)
         return self._due[0][-1] if self._due else None
 
-    def _long_heads(self, first: Waiting | None) -> list[Waiting]:
-        """Return the next long request and some that follow it with its customer."""
-        if first is None:
-            return []
-        heap = self._customers[first.work.customer].heaps[True]
-        following = (entry[-1] for entry in heap[:LONG_CHOICES] if not entry[-1].gone)
-        return list(dict.fromkeys([first, *following]))
-
-    def _next(self, long: bool) -> Waiting | None:
-        heads = (customer.head(long) for customer in self._customers.values())
-        return min((head for head in heads if head), key=self._key, default=None)
+    def _short_heads(self, customers: dict) -> list[Waiting]:
+        """Return the next short requests, of as many customers."""
+        heads = (customer.head(False) for customer in customers.values())
+        found = (head for head in heads if head)
+        return heapq.nsmallest(CUSTOMER_CHOICES, found, key=self._key)
+
+    def _long_heads(self, customers: dict) -> list[Waiting]:
+        """Return the next long requests of some customers, several of each."""
+        heads = (customer.head(True) for customer in customers.values())
+        found = (head for head in heads if head)
+        firsts = heapq.nsmallest(CUSTOMER_CHOICES, found, key=self._key)
+        heaps = (customers[first.work.customer].heaps[True] for first in firsts)
+        return [
+            entry[-1]
+            for heap in heaps
+            for entry in heap[:LONG_CHOICES]
+            if not entry[-1].gone
+        ]
 
     def _key(self, item: Waiting) -> float:
         return self._served[item.work.customer] + item.cost
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -217,6 +217,23 @@
         else:
             assert decisions == []
 
+    def test_one_that_failed_a_request_does_not_get_it_again(self):
+        dispatcher = make(targets=2, max_running=1)
+        busy = dispatcher.handle(m.Ask(work("busy")), 0.0)[0].target
+        other = next(name for name in dispatcher.targets if name != busy)
+        assert dispatcher.handle(m.Ask(work("again", avoid=(other,))), 0.0) == []
+        (grant,) = dispatcher.handle(m.Finished("busy", m.Outcome.DONE), 1.0)
+        assert (grant.work.ask, grant.target) == ("again", busy)
+
+    def test_one_that_refuses_as_leaving_gets_nothing_until_it_reports(self):
+        dispatcher = make(targets=1)
+        dispatcher.handle(m.Ask(work("a")), 0.0)
+        dispatcher.handle(m.Finished("a", m.Outcome.LEAVING), 0.0)
+        (refusal,) = dispatcher.handle(m.Ask(work("b")), 0.1)
+        assert refusal.reason is m.Reason.NO_TARGET
+        dispatcher.handle(m.LoadReport("t0", 0, 0, False), 1.0)
+        assert granted(dispatcher.handle(m.Ask(work("c")), 1.0)) == ["c"]
+
     def test_an_unlike_pair_gets_unlike_shares(self):
         dispatcher = make(targets=2, max_running=50)
         dispatcher.targets["t1"].decode_rate = 40.0
@@ -256,6 +273,31 @@
         order = self.run_all(asks)
         assert order[:10].count("small") == 4
 
+    def test_a_customer_at_its_limit_does_not_hold_up_another(self):
+        data = make_configuration(targets=1, max_running=4).model_dump()
+        data["customers"]["big"]["max_running"] = 1
+        configuration = load_configuration({"a.json": json.dumps(data)})[0]
+        dispatcher = Dispatcher("p", configuration)
+        dispatcher.handle(m.Recovered(), 0.0)
+        for ask in ("b1", "b2", "b3"):
+            dispatcher.handle(m.Ask(work(ask, customer="big", output_tokens=1)), 0.0)
+        decisions = dispatcher.handle(m.Ask(work("s", customer="small")), 0.0)
+        assert granted(decisions) == ["s"]
+
+    def test_a_scene_that_waits_for_its_cache_does_not_hold_up_another(self):
+        dispatcher = make(targets=2, max_running=1)
+        scene = {"prompt_tokens": 1100, "prefixes": (1, 2), "deadline": 100.0}
+        (first,) = dispatcher.handle(m.Ask(work("x", customer="big", **scene)), 0.0)
+        dispatcher.handle(m.FirstToken("x", 1.1), 1.1)
+        same = work("same", customer="big", now=1.2, **scene)
+        assert dispatcher.handle(m.Ask(same), 1.2) == []
+        other = {**scene, "prefixes": (3, 4)}
+        decisions = dispatcher.handle(
+            m.Ask(work("other", customer="small", now=1.3, **other)), 1.3
+        )
+        assert granted(decisions) == ["other"]
+        assert decisions[0].target != first.target
+
     def test_weights_share_the_pool(self):
         asks = [
             work(f"{customer}{n}", customer=customer, deadline=500)
