Claims under any sequence of faults; a writer reads again before it says "held"

Cause: hypothesis over three writers of a shard (claims, outages, lost answers, restarts, sealing at 3 records) found no second holder. But a writer whose index was old said "held" of a key that another writer had released since, for as long as it wrote nothing: test_a_write_that_landed_unheard_and_was_given_up_is_released failed first.

Ruled out: trusting the holder to say so (it does, while it lives). Change: an index older than 1 s is read again (one call) before "held" is said.

--- a/hibiscusstep/claims/shard.py
+++ b/hibiscusstep/claims/shard.py
@@ -35,6 +35,7 @@
 MAX_SEGMENT_RECORDS = 6000
 RETRY_PAUSE_S = 0.2
 OUTAGE_AFTER_S = 1.0
+FRESH_S = 1.0
 MAX_BATCH = 1000
 
 
@@ -103,6 +104,7 @@
         self._loaded = False
         self._failing_since: float | None = None
         self._writing = False
+        self._read_at = float("-inf")
         self.writes = 0
         self.claims_written = 0
 
@@ -125,8 +127,10 @@
             pending.answer(Verdict(ClaimResult.UNAVAILABLE))
             return
         if pending.lookup and self._loaded and self.reachable:
-            pending.answer(self._index.judge(pending.record, pending.supersedes))
-            return
+            verdict = self._index.judge(pending.record, pending.supersedes)
+            if verdict.result is not ClaimResult.HELD or not self._stale:
+                pending.answer(verdict)
+                return
         self._pending.append(pending)
         self._wake.set()
 
@@ -169,6 +173,7 @@
         found = await self._call(self._platform.get(head_key(self._shard)))
         if found.is_err() and not isinstance(found.unwrap_err(), PlatformNotFound):
             return False
+        self._read_at = asyncio.get_running_loop().time()
         if found.is_err():
             self._loaded = True
             return True
@@ -198,7 +203,25 @@
             self._index.load_segment(name, segment.records)
         return found.is_ok()
 
+    @property
+    def _stale(self) -> bool:
+        """Whether another writer may have released a key since this one read."""
+        return asyncio.get_running_loop().time() - self._read_at > FRESH_S
+
+    def _refresh_first(self) -> bool:
+        """Whether a key that seems held has to be read again before that is said."""
+        if not self._stale or not self.reachable:
+            return False
+        return any(
+            self._index.judge(p.record, p.supersedes).result is ClaimResult.HELD
+            for p in self._pending[:MAX_BATCH]
+        )
+
     async def _write_batch(self) -> None:
+        if self._refresh_first():
+            self._loaded = False
+            self._wake.set()
+            return
         batch, self._pending = self._pending[:MAX_BATCH], self._pending[MAX_BATCH:]
         releases, self._releases = self._releases, []
         claims = self._sort_out(batch)
@@ -280,6 +303,7 @@
         self, head: ClaimHead, version: int, claims: list[Pending]
     ) -> None:
         self._index.take_head(head, version)
+        self._read_at = asyncio.get_running_loop().time()
         self.claims_written += len(claims)
         for pending in claims:
             if pending.answered:
