--- a/hibiscusstep/policies/__init__.py
+++ b/hibiscusstep/policies/__init__.py
@@ -8,7 +8,10 @@
     StrictPriorityPolicy,
     TwoChoicesPolicy,
 )
-from hibiscusstep.policies.expected_work import ExpectedWorkPolicy
+from hibiscusstep.policies.expected_work import (
+    ExpectedWorkPolicy,
+    PrefixAffinityPolicy,
+)
 from hibiscusstep.registry import Registry
 
 __all__ = ["POLICIES"]
@@ -19,6 +22,7 @@
         ExpectedWorkPolicy,
         FirstComePolicy,
         LeastLoadPolicy,
+        PrefixAffinityPolicy,
         RandomPolicy,
         RoundRobinPolicy,
         StrictPriorityPolicy,
--- a/hibiscusstep/policies/expected_work.py
+++ b/hibiscusstep/policies/expected_work.py
@@ -5,7 +5,7 @@
 
 from hibiscusstep.policy import Policy
 
-__all__ = ["ExpectedWorkPolicy"]
+__all__ = ["ExpectedWorkPolicy", "PrefixAffinityPolicy"]
 
 LONG_PREFILL_S = 0.25
 LONG_SHARE = 0.5
@@ -91,5 +91,15 @@
         return target.seconds_to_end(work) + harm
 
 
+class PrefixAffinityPolicy(ExpectedWorkPolicy):
+    """Like expected-work, but a cached prefix elsewhere is never waited for."""
+
+    name = "prefix-affinity"
+    aliases = ()
+
+    def _better_cached_elsewhere(self, work, allowed, live):
+        return False
+
+
 def _held_up(target) -> bool:
     return target.prefilling / target.prefill_rate > LONG_PREFILL_S + NEARLY_DONE_S
--- a/hibiscusstep/routing/queue.py
+++ b/hibiscusstep/routing/queue.py
@@ -145,12 +145,19 @@
             return list(itertools.islice(self._by_ask.values(), PLAIN_CHOICES))
         open_to = {n: c for n, c in self._customers.items() if may_run(n)}
         heads = [*self._short_heads(open_to), *self._long_heads(open_to)]
-        heads.sort(key=self._key)
         urgent = self._next_due()
-        if urgent.latest_start - now < self._urgent_s:
-            heads = [*heads, urgent] if urgent.long else [urgent, *heads]
+        near = urgent.latest_start - now < self._urgent_s
+        if near and not urgent.long and urgent.work.customer in open_to:
+            heads.insert(0, urgent)
+        heads.sort(key=lambda item: self._turn(item, item is urgent and near))
+        if near and urgent.long:
+            heads.append(urgent)
         return list(dict.fromkeys(heads))
 
+    def _turn(self, item: Waiting, urgent: bool) -> float:
+        """Return the sort key; urgency puts a request first within its share only."""
+        return self._served[item.work.customer] + (0.0 if urgent else item.cost)
+
     def overdue(self, now: float) -> Iterator[Waiting]:
         """Yield the requests whose latest start is past, the most overdue first."""
         while (item := self._next_due()) and item.latest_start <= now:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -273,6 +273,24 @@
         order = self.run_all(asks)
         assert order[:10].count("small") == 4
 
+    def test_a_flood_that_nears_its_deadline_does_not_go_first(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, customer="heavy")
+        for number in range(8):
+            flood = work(number, customer="big", deadline=6.0, output_tokens=1)
+            dispatcher.handle(m.Ask(flood), 0.0)
+        running, now = "f0", 5.75
+        for number in range(3):
+            asked = work(f"s{number}", customer="small", now=now, output_tokens=1)
+            dispatcher.handle(m.Ask(asked), now)
+        order = []
+        for _ in range(5):
+            decisions = dispatcher.handle(m.Finished(running, m.Outcome.DONE), now)
+            (running,) = granted(decisions)
+            order.append(running)
+            now += 0.01
+        assert [name[0] for name in order].count("s") >= 2
+
     def test_a_customer_at_its_limit_does_not_hold_up_another(self):
         data = make_configuration(targets=1, max_running=4).model_dump()
         data["customers"]["big"]["max_running"] = 1
