--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -29,6 +29,7 @@
 from hibiscusstep.peer import (
     AnswerAsk,
     AnswerReply,
+    Beat,
     ClaimAsk,
     ClaimRelease,
     ClaimReply,
@@ -226,7 +227,7 @@
 
     def _make_routes(self) -> dict[type, Worker]:
         table = {
-            self._membership: (Heartbeat,),
+            self._membership: (Heartbeat, Beat),
             self._keeper: (ConfigurationAsk, ConfigurationReply),
             self._dispatching: (
                 PoolAsk,
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -10,8 +10,9 @@
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string place, 4: string data_centre,
   5: string peer_address, 6: string operator_address, 7: i64 version,
-  8: bool ready, 9: bool leaving, 10: list<string> known
+  8: bool ready, 9: bool leaving, 10: list<string> known, 11: bool greet
 }
+struct Beat { 1: string incarnation, 2: i64 version }
 struct PoolAsk { 1: string pool, 2: WorkInfo work }
 struct PoolWithdraw { 1: string pool, 2: string ask }
 struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds }
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -1,6 +1,6 @@
 """hibiscusstep.membership.tracker: pure bookkeeping of heartbeats."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import Heartbeat
@@ -32,6 +32,7 @@
         self._suspect_after = suspect_after
         self._heard: dict[str, _Heard] = {}
         self._gone: dict[str, float] = {}
+        self._name_of: dict[str, str] = {}
         self._dead_incarnations: set[str] = set()
         self._last_check: float | None = None
 
@@ -43,11 +44,24 @@
         if known and known.member.incarnation != beat.incarnation:
             self._dead_incarnations.add(known.member.incarnation)
         self._heard[beat.instance] = _Heard(Member.of(beat), now)
+        self._name_of[beat.incarnation] = beat.instance
         self._gone.pop(beat.instance, None)
 
+    def beat(self, incarnation: str, version: int, now: float) -> bool:
+        """Take a sign of life; say whether its sender is known."""
+        heard = self._heard.get(self._name_of.get(incarnation, ""))
+        if heard is None or heard.member.incarnation != incarnation:
+            return incarnation in self._dead_incarnations
+        heard.at = now
+        if version > heard.member.version:
+            heard.member = replace(heard.member, version=version)
+        return True
+
     def left(self, name: str) -> None:
         """Take note that a member has ended in good order."""
-        self._heard.pop(name, None)
+        heard = self._heard.pop(name, None)
+        if heard:
+            self._name_of.pop(heard.member.incarnation, None)
         self._gone.pop(name, None)
 
     def refused(self, address: str) -> None:
@@ -74,7 +88,7 @@
             return
         for name, heard in list(self._heard.items()):
             if now - heard.at > self._suspect_after:
-                del self._heard[name]
+                self.left(name)
                 self._gone[name] = now
         for name, since in list(self._gone.items()):
             if now - since > FORGET_DOUBT_S:
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -9,7 +9,7 @@
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.tracker import Tracker
 from hibiscusstep.membership.view import Member, View
-from hibiscusstep.peer import Heartbeat, Received
+from hibiscusstep.peer import Beat, Heartbeat, Received
 from hibiscusstep.peerlink import LinkLost, Send
 from hibiscusstep.platform import Platform
 
@@ -17,7 +17,7 @@
 
 _LOG = logging.getLogger(__name__)
 LIST_INTERVAL_S = 30.0
-KNOWN_EVERY = 10
+FULL_EVERY = 60
 FORGET_CONTACT_S = 60.0
 
 
@@ -100,9 +100,12 @@
         match message:
             case Tick():
                 self._tracker.expire(now)
-                self._send_heartbeats()
+                self._send_beats()
             case Received(message=Heartbeat() as beat):
                 self._hear(beat, now)
+            case Received(sender=sender, message=Beat(incarnation, version)):
+                if not self._tracker.beat(incarnation, version, now):
+                    self._tell_all_to(sender, with_known=False, greet=True)
             case OwnState():
                 self._change_own(message)
             case LinkLost(address=address, refused=True):
@@ -116,7 +119,7 @@
             if (value := getattr(state, name)) is not None
         }
         self._own = replace(self._own, **changes)
-        self._send_heartbeats()
+        self._send_all()
 
     def _hear(self, beat: Heartbeat, now: float) -> None:
         if beat.data_centre != self._settings.data_centre:
@@ -125,21 +128,34 @@
         self._tracker.heard(beat, now)
         self._mentioned.update(dict.fromkeys(beat.known, now))
         self._mentioned[beat.peer_address] = now
-        if new:
-            self._beat_to(beat.peer_address, with_known=True)
+        if new or beat.greet:
+            self._tell_all_to(beat.peer_address, with_known=new, greet=False)
 
-    def _send_heartbeats(self) -> None:
+    def _send_beats(self) -> None:
+        """Send a sign of life to all, in full to those not known and now and then."""
         self._beats += 1
-        with_known = self._beats % KNOWN_EVERY == 1
+        members = {m.peer_address for m in self._view.members.values()}
+        beat = Beat(self._own.incarnation, self._own.version)
+        for number, address in enumerate(sorted(self._contacts())):
+            if address == self._settings.peer_address:
+                continue
+            if address not in members:
+                self._tell_all_to(address, with_known=False, greet=True)
+            elif (self._beats + number) % FULL_EVERY == 0:
+                self._tell_all_to(address, with_known=True, greet=False)
+            else:
+                self._links.tell(Send(address, beat))
+
+    def _send_all(self) -> None:
         for address in self._contacts() - {self._settings.peer_address}:
-            self._beat_to(address, with_known)
+            self._tell_all_to(address, with_known=False, greet=False)
 
     def _contacts(self) -> set[str]:
         horizon = asyncio.get_running_loop().time() - FORGET_CONTACT_S
         self._mentioned = {a: t for a, t in self._mentioned.items() if t > horizon}
         return self._listed | set(self._settings.seeds) | self._mentioned.keys()
 
-    def _beat_to(self, address: str, with_known: bool) -> None:
+    def _tell_all_to(self, address: str, with_known: bool, greet: bool) -> None:
         own = self._own
         known = [m.peer_address for m in self._view.members.values()]
         beat = Heartbeat(
@@ -153,6 +169,7 @@
             own.ready,
             own.leaving,
             known if with_known else [],
+            greet,
         )
         self._links.tell(Send(address, beat))
 
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AnswerAsk",
     "AnswerReply",
+    "Beat",
     "ClaimAsk",
     "ClaimRelease",
     "ClaimReply",
@@ -49,7 +50,11 @@
 
 @dataclass(slots=True)
 class Heartbeat:
-    """A sign of life; `known` holds peer addresses and is mostly empty."""
+    """All that an instance tells of itself.
+
+    Sent to those that do not know it, when it changes, and now and then; `known`
+    holds peer addresses and is mostly empty; `greet` asks for the like in return.
+    """
 
     instance: str
     incarnation: str
@@ -61,6 +66,15 @@
     ready: bool
     leaving: bool
     known: list[str]
+    greet: bool
+
+
+@dataclass(slots=True)
+class Beat:
+    """A sign of life between heartbeats, from whoever was heard before."""
+
+    incarnation: str
+    version: int
 
 
 @dataclass(slots=True)
@@ -273,4 +287,5 @@
     ConfigurationReply,
     StatusAsk,
     StatusReply,
+    Beat,
 )
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -1,6 +1,7 @@
 """hibiscusstep.peerlink: authenticated connections between instances."""
 
 import asyncio
+import contextlib
 import hashlib
 import hmac
 import logging
@@ -204,7 +205,7 @@
         self._queue: asyncio.Queue = asyncio.Queue(QUEUE_LENGTH)
         self.task = asyncio.create_task(self._run(), name=f"link {address}")
 
-    def put(self, body: bytes) -> None:
+    def put(self, body: bytes | None) -> None:
         if self._queue.full():
             self._queue.get_nowait()
         self._queue.put_nowait(body)
@@ -226,21 +227,23 @@
             backoff = min(MAX_BACKOFF_S, backoff * 2)
 
     async def _write_all(self, reader, writer, authenticator) -> None:
-        closed = asyncio.ensure_future(reader.read(1))
+        """Write what is queued, all that waits at once, until the peer closes."""
+        watch = asyncio.create_task(self._watch(reader))
         try:
-            while True:
-                got = asyncio.ensure_future(self._queue.get())
-                await asyncio.wait({got, closed}, return_when=asyncio.FIRST_COMPLETED)
-                if closed.done():
-                    got.cancel()
-                    raise ConnectionResetError(self._address)
-                frames = [authenticator.frame(got.result())]
-                while not self._queue.empty():
-                    frames.append(authenticator.frame(self._queue.get_nowait()))
+            while (body := await self._queue.get()) is not None:
+                frames = [authenticator.frame(body)]
+                while not self._queue.empty() and (more := self._queue.get_nowait()):
+                    frames.append(authenticator.frame(more))
                 data = b"".join(frames)
                 self._links.bytes_sent += len(data)
                 writer.write(data)
                 await writer.drain()
         finally:
-            closed.cancel()
+            watch.cancel()
             writer.close()
+
+    async def _watch(self, reader) -> None:
+        """Wake the writing when the peer closes; it never sends on this connection."""
+        with contextlib.suppress(OSError):
+            await reader.read(1)
+        self.put(None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,9 +16,8 @@
 
 
 def beat(name="x", incarnation="i1", address="a:1"):
-    return Heartbeat(
-        name, incarnation, "hall", "dc", address, "o:1", 1, True, False, []
-    )
+    places = ("hall", "dc", address, "o:1")
+    return Heartbeat(name, incarnation, *places, 1, True, False, [], False)
 
 
 class TestTracker:
@@ -49,6 +48,15 @@
         view = tracker.view(OWN)
         assert view.holds("x", "i2") and not view.holds("x", "i1")
 
+    def test_a_beat_keeps_a_known_member_and_asks_who_a_stranger_is(self):
+        tracker = Tracker("own", 3.0)
+        tracker.heard(beat(), 0.0)
+        for now in range(1, 8):
+            assert tracker.beat("i1", 5, float(now))
+            tracker.expire(float(now))
+        assert tracker.view(OWN).members["x"].version == 5
+        assert not tracker.beat("i9", 1, 8.0)
+
     def test_its_own_pause_is_not_the_silence_of_others(self):
         tracker = Tracker("own", 3.0)
         tracker.heard(beat(), 0.0)
