Refusals while there was room are counted, and fewer

Cause: nobody knew how many refusals were needless.

Change: an urgent long prompt may pass that bound while another clear target keeps room.

--- a/hibiscusstep/load/compare.py
+++ b/hibiscusstep/load/compare.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import statistics
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -59,12 +60,15 @@
         The figures.
     platform_calls : dict of str to int
         Calls on the platform by kind.
+    pool_counts : dict of str to int
+        What the dispatchers counted, over all pools.
     """
 
     policy: str
     seed: int
     report: Report
     platform_calls: dict
+    pool_counts: dict
 
 
 async def compare(
@@ -122,6 +126,7 @@
         ]
         before = [await self._counts(url) for url in engines.values()]
         calls = await self._counts(self._deployment.platform_url)
+        pools = await self._pool_counts()
         faults = asyncio.create_task(self._faults(engines))
         results = await Driver(self._deployment.callers).run(recording)
         faults.cancel()
@@ -132,7 +137,15 @@
         report = make_report(
             results, [_minus(a, b) for a, b in zip(after, before, strict=True)]
         )
-        return Run(policy, seed, report, _minus(calls_after, calls))
+        pools = _minus(await self._pool_counts(), pools)
+        return Run(policy, seed, report, _minus(calls_after, calls), pools)
+
+    async def _pool_counts(self) -> dict:
+        status = await self._deployment.operator.status()
+        total: Counter = Counter()
+        for state in status["pools"].values():
+            total.update(state.get("counts", {}))
+        return dict(total)
 
     async def _use(self, policy: str) -> dict[str, str]:
         """Put a policy into force; return the engines' URLs by name."""
@@ -232,6 +245,7 @@
     figures["aborted"] = report.aborted
     figures["recomputed"] = report.recomputed
     figures["refused"] = sum(report.refusals.values())
+    figures["refused.with_room"] = run.pool_counts.get("refused_with_room", 0)
     figures["platform.calls"] = sum(run.platform_calls.values())
     return figures
 
--- a/hibiscusstep/policies/expected_work.py
+++ b/hibiscusstep/policies/expected_work.py
@@ -4,13 +4,12 @@
 from statistics import median
 
 from hibiscusstep.policy import Policy
+from hibiscusstep.routing.estimate import LONG_PREFILL_S
 
 __all__ = ["ExpectedWorkPolicy", "PrefixAffinityPolicy"]
 
-LONG_PREFILL_S = 0.25
 LONG_SHARE = 0.5
 URGENT_LONG_SHARE = 0.7
-NEARLY_DONE_S = 0.1
 
 
 class ExpectedWorkPolicy(Policy):
@@ -51,12 +50,13 @@
         return min(allowed, key=lambda target: self._cost(work, target))
 
     def _allowed(self, work, targets, live, alone):
-        clear = [target for target in targets if not _held_up(target)]
+        clear = [target for target in targets if not target.held_up]
         if not self._long_here(work, targets):
             return clear or self._sooner_than_waiting(work, targets, live)
-        busy = sum(1 for target in live if _held_up(target))
+        busy = sum(1 for target in live if target.held_up)
         share = URGENT_LONG_SHARE if alone else LONG_SHARE
-        if busy >= max(1, math.floor(len(live) * share)):
+        spare = len(clear) - 1 if alone else 0
+        if busy >= max(1, math.floor(len(live) * share)) and spare < 1:
             return []
         return clear
 
@@ -65,7 +65,7 @@
         waits = [
             run.predicted_first + run.work.output_tokens / target.decode_rate
             for target in live
-            if not _held_up(target)
+            if not target.held_up
             for run in target.running.values()
         ]
         mean = sum(waits) / len(waits) / len(waits) if waits else math.inf
@@ -99,7 +99,3 @@
 
     def _better_cached_elsewhere(self, work, allowed, live):
         return False
-
-
-def _held_up(target) -> bool:
-    return target.prefilling / target.prefill_rate > LONG_PREFILL_S + NEARLY_DONE_S
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -26,11 +26,16 @@
 
 @dataclass
 class PoolCounts:
-    """Totals of a dispatcher since its start."""
+    """Totals of a dispatcher since its start.
+
+    `refused_with_room` counts refusals for load while a target had a free place and
+    was not held up by a long prompt: those may have been needless.
+    """
 
     asked: int = 0
     granted: int = 0
     refused: int = 0
+    refused_with_room: int = 0
     stopped: int = 0
 
 
@@ -442,6 +447,8 @@
                 self._stop(target, run)
             if self._shedder.stopping(item.work.rank):
                 return False
+        room = (t for t in self._usable(now) if t.free > 0 and not t.held_up)
+        self.counts.refused_with_room += any(room)
         self._refuse_item(item, reason, now)
         return True
 
--- a/hibiscusstep/routing/estimate.py
+++ b/hibiscusstep/routing/estimate.py
@@ -8,6 +8,8 @@
 __all__ = ["Running", "TargetState"]
 
 LEARN = 0.3
+LONG_PREFILL_S = 0.25
+NEARLY_DONE_S = 0.1
 MIN_RATE = 1e-3
 MAX_STEP = 4.0
 MIN_LEARNABLE_S = 0.05
@@ -116,6 +118,11 @@
         """Prompt tokens granted whose first token has not come."""
         return sum(run.uncached for run in self.running.values() if run.first is None)
 
+    @property
+    def held_up(self) -> bool:
+        """Whether it computes prompts for so long that short work should not wait."""
+        return self.prefilling / self.prefill_rate > LONG_PREFILL_S + NEARLY_DONE_S
+
     def cached_tokens(self, work: Work) -> int:
         """Prompt tokens that the target is thought to have cached."""
         if not work.prefixes or not self._prefixes:
