--- a/examples/slopes.py
+++ b/examples/slopes.py
@@ -1,11 +1,13 @@
 """examples.slopes: what each role of an instance costs, by its size, for CAPACITY.md.
 
-python examples/slopes.py membership|dispatcher|claims|configuration
+python examples/slopes.py membership|dispatcher|claims|configuration|\
+                              messages|process
 """
 
 import asyncio
 import gc
 import json
+import subprocess
 import sys
 import time
 import tracemalloc
@@ -13,7 +15,7 @@
 import uvloop
 from fleet import free_ports
 
-from hibiscusstep import codec
+from hibiscusstep import codec, peer
 from hibiscusstep.claims.index import ClaimIndex, ClaimResult
 from hibiscusstep.claims.records import ClaimHead, ClaimRecord
 from hibiscusstep.claims.shard import Pending, ShardWriter
@@ -21,7 +23,7 @@
 from hibiscusstep.configuration.settings import Settings
 from hibiscusstep.configuration.stored import Stored
 from hibiscusstep.membership.worker import Membership, OwnState
-from hibiscusstep.peerlink import PeerLinks
+from hibiscusstep.peerlink import Authenticator, PeerLinks
 from hibiscusstep.platforms.memory import MemoryPlatform
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatcher import Dispatcher
@@ -284,6 +286,66 @@
     return files
 
 
+def messages(rounds=5000):
+    """Measure a peer message: written with its tag, read, and its bytes."""
+    info = peer.WorkInfo(
+        "0123456789ab.1234",
+        "entry-guro-0123456789abcdef0123456789abcdef",
+        "entry-guro",
+        "guro-animation",
+        "desk",
+        0,
+        40,
+        20,
+        2.0,
+        0.0,
+        False,
+        [1 << 60] * 5,
+        [],
+    )
+    ask = info.ask
+    samples = {
+        "Beat": peer.Beat("0123456789ab", 7),
+        "PoolAsk": peer.PoolAsk("hibiscus-pool", info),
+        "PoolGrant": peer.PoolGrant("hibiscus-pool", ask, "worker-1", 0.01),
+        "PoolFirstToken": peer.PoolFirstToken("hibiscus-pool", ask, 0.1),
+        "PoolFinished": peer.PoolFinished("hibiscus-pool", ask, "done", 20, 0.5, 40),
+        "ClaimAsk": peer.ClaimAsk(
+            ask, 3, b"d" * 16, b"b" * 8, "entry-guro", ask, info.request, "", False
+        ),
+    }
+    writer, reader = Authenticator("k", b"n"), Authenticator("k", b"n")
+    head("message", "bytes framed", "us to write", "us to read")
+    for name, message in samples.items():
+        begun = time.process_time()
+        frames = [writer.frame(b"\0" + codec.encode(message)) for _ in range(rounds)]
+        wrote = time.process_time() - begun
+        begun = time.process_time()
+        for frame in frames:
+            body = frame[20:]
+            reader.tag(body)
+            codec.decode(type(message), body[1:])
+        read = time.process_time() - begun
+        times = (round(1e6 * spent / rounds, 1) for spent in (wrote, read))
+        row(name, len(frames[0]), *times)
+
+
+def process():
+    """Measure the resident memory of a process by what it has imported."""
+    head("process", "MB resident")
+    code = "print(int(open('/proc/self/statm').read().split()[1]) * 4096 / 1e6)"
+    libraries = "aiohttp, uvloop, pydantic, json5, orjson, thriftpy2, aioprometheus"
+    for name, first in (
+        ("interpreter", ""),
+        ("with the libraries", f"import {libraries}, click, result, xxhash;"),
+        ("with the entry program", "import hibiscusstep.cmdline.entry;"),
+    ):
+        done = subprocess.run(
+            [sys.executable, "-c", first + code], capture_output=True, text=True
+        )
+        row(name, round(float(done.stdout), 1))
+
+
 if __name__ == "__main__":
     chosen = globals()[sys.argv[1]]
     if asyncio.iscoroutinefunction(chosen):
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,74 @@
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from hibiscusstep import __version__
+from hibiscusstep.cmdline import client, entry, load, standin
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+PROGRAMS = {
+    "hibiscusstep": client.main,
+    "hibiscusstep-entry": entry.main,
+    "hibiscusstep-load": load.main,
+    "hibiscusstep-standin": standin.main,
+}
+
+
+def call(program, *arguments):
+    return CliRunner().invoke(PROGRAMS[program], [str(a) for a in arguments])
+
+
+class TestPrograms:
+    @pytest.mark.parametrize("program", PROGRAMS)
+    def test_help_has_examples_and_exit_codes(self, program):
+        text = call(program, "--help").output
+        assert "Examples:" in text and "Exit codes:" in text
+
+    @pytest.mark.parametrize("program", PROGRAMS)
+    def test_version(self, program):
+        assert __version__ in call(program, "--version").output
+
+
+class TestErrors:
+    def test_a_bad_folder_is_one_line_and_3(self, tmp_path):
+        (tmp_path / "10.json").write_text('{"tiers": {"a": {"rank": -1}}}')
+        done = call("hibiscusstep", "check", tmp_path)
+        assert done.exit_code == 3
+        assert done.output.startswith("error: 10.json: tiers.a.rank: ")
+        assert done.output.count("\n") == 1
+
+    def test_bad_settings_are_one_line_and_3(self, tmp_path):
+        (tmp_path / "10.json").write_text('{"name": "x", "colour": "red"}')
+        done = call("hibiscusstep-entry", "--check", tmp_path)
+        assert done.exit_code == 3 and done.output.count("\n") == 1
+
+    def test_a_platform_that_is_away_is_one_line_and_1(self):
+        done = call(
+            "hibiscusstep",
+            "diff",
+            EXAMPLES / "hanul" / "conf.d",
+            "--platform",
+            "http://127.0.0.1:9",
+        )
+        assert done.exit_code == 1 and done.output.count("\n") == 1
+        assert "platform" in done.output
+
+    def test_a_history_with_a_broken_promise_is_5(self, tmp_path):
+        (tmp_path / "a.events").write_text(
+            '{"kind": "received", "at": 1.0, "instance": "i", "request": "r"}\n'
+        )
+        done = call("hibiscusstep-load", "check", tmp_path)
+        assert done.exit_code == 5 and "answered once" in done.output
+
+
+class TestCheck:
+    def test_names_what_later_files_replace(self, tmp_path):
+        (tmp_path / "10.json").write_text('{"tiers": {"a": {"rank": 1}}}')
+        (tmp_path / "90.json").write_text('{"tiers": {"a": {"rank": 2}}} // later')
+        done = call("hibiscusstep", "check", tmp_path)
+        assert "90.json replaces tiers.a.rank of 10.json" in done.output
+
+    def test_hash_key(self):
+        done = CliRunner().invoke(client.main, ["hash-key"], input="secret\n")
+        assert len(done.output.strip()) == 64
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -53,6 +53,21 @@
         assert len(status["members"]) == 3
         assert len({member["version"] for member in status["members"]}) == 1
 
+    def test_each_grant_has_its_line_and_no_secret_stands_in_any(self, fleet):
+        url = next(iter(fleet.callers.values()))
+        name = json.loads(ask(url, **{"Idempotency-Key": "open-sesame"})[1])["id"]
+        logs = "".join(fleet.log(instance) for instance in fleet.instances)
+        lines = [json.loads(x) for x in logs.splitlines() if x.startswith("{")]
+        (grant,) = [
+            line
+            for line in lines
+            if line["message"] == "grant" and line["request"] in name
+        ]
+        wanted = {"customer", "tier", "pool", "target", "wait", "candidates"}
+        assert wanted <= grant.keys()
+        for secret in ("demo-guro-animation", "open-sesame", "change-me"):
+            assert secret not in logs
+
     def test_drain_and_undrain(self, fleet):
         fleet.client("drain", "worker-0")
         url = next(iter(fleet.callers.values()))
