--- a/examples/slopes.py
+++ b/examples/slopes.py
@@ -7,6 +7,8 @@
 import asyncio
 import gc
 import json
+import logging
+import os
 import subprocess
 import sys
 import time
@@ -21,7 +23,9 @@
 from hibiscusstep.claims.shard import Pending, ShardWriter
 from hibiscusstep.configuration.models import load_configuration
 from hibiscusstep.configuration.settings import Settings
-from hibiscusstep.configuration.stored import Stored
+from hibiscusstep.configuration.stored import CONFIGURATION_KEY, Stored
+from hibiscusstep.entry import Entry
+from hibiscusstep.log import decision, set_up_logging
 from hibiscusstep.membership.worker import Membership, OwnState
 from hibiscusstep.peerlink import Authenticator, PeerLinks
 from hibiscusstep.platforms.memory import MemoryPlatform
@@ -73,17 +77,8 @@
 
 
 def _member(number, address, seeds):
-    settings = Settings(
-        name=f"entry-{number}",
-        place="hall",
-        caller_address="127.0.0.1:1",
-        operator_address="127.0.0.1:2",
-        peer_address=address,
-        platform="",
-        peer_key="a-key-for-measuring",
-        operator_key="a-key-for-measuring",
-        seeds=seeds,
-    )
+    ports = (1, 2, address.rpartition(":")[2])
+    settings = _settings(number, ports, seeds[0].rpartition(":")[2])
     holder = []
     link = PeerLinks(
         address, settings.peer_key, lambda message: holder[0].tell(message)
@@ -176,7 +171,7 @@
         row(targets, customers, waiting, round(1e6 * spent / rounds, 1), each)
 
 
-async def claims(rates=(10, 100, 400, 1000), seconds=5.0):
+async def claims(rates=(10, 20, 100, 400, 1000), seconds=5.0):
     """Measure the writes of one shard, and their size, by claims a second."""
     head("claims/s", "writes/s", "claims a write", "p50 ms", "p95 ms", "cpu us a claim")
     for rate in rates:
@@ -286,6 +281,61 @@
     return files
 
 
+async def spread(counts=(3, 9, 18, 30), changes=5):
+    """Measure the seconds until a change is in force on N whole instances."""
+    head("instances", "median s", "most s", "calls on the platform a change")
+    for count in counts:
+        platform = MemoryPlatform()
+        data = pool_configuration(9)
+        version = await _put(platform, data, 0)
+        ports = free_ports(3 * count)
+        entries = [
+            Entry(_settings(n, ports[3 * n : 3 * n + 3], ports[2]), platform)
+            for n in range(count)
+        ]
+        tasks = [asyncio.create_task(entry.run()) for entry in entries]
+        await _in_force(entries, version)
+        await asyncio.sleep(3.0)
+        seconds, calls = [], sum(platform.calls.values())
+        for number in range(changes):
+            data["tiers"]["low"]["rank"] = 10 + number
+            begun = time.monotonic()
+            version = await _put(platform, data, version)
+            await _in_force(entries, version)
+            seconds.append(time.monotonic() - begun)
+        calls = (sum(platform.calls.values()) - calls) / changes
+        seconds.sort()
+        row(count, round(seconds[changes // 2], 2), round(seconds[-1], 2), calls)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _put(platform, data, version):
+    value = Stored(files={"a.json": json.dumps(data)}).to_bytes()
+    return (await platform.put(CONFIGURATION_KEY, value, version)).unwrap()
+
+
+async def _in_force(entries, version):
+    while any(entry.in_force.version != version for entry in entries):
+        await asyncio.sleep(0.01)
+
+
+def _settings(number, ports, seed):
+    caller, operator, own = (f"127.0.0.1:{port}" for port in ports)
+    return Settings(
+        name=f"entry-{number}",
+        place="hall",
+        caller_address=caller,
+        operator_address=operator,
+        peer_address=own,
+        platform="",
+        peer_key="a-key-for-measuring",
+        operator_key="a-key-for-measuring",
+        seeds=[f"127.0.0.1:{seed}"],
+    )
+
+
 def messages(rounds=5000):
     """Measure a peer message: written with its tag, read, and its bytes."""
     info = peer.WorkInfo(
@@ -330,6 +380,27 @@
         row(name, len(frames[0]), *times)
 
 
+def logs(rounds=5000):
+    """Measure a decision's log line as JSON."""
+    set_up_logging("json", "INFO", "entry-guro")
+    logging.getLogger().handlers[0].setStream(open(os.devnull, "w"))
+    candidates = {f"worker-{number}": 0.123 for number in range(8)}
+    begun = time.process_time()
+    for _ in range(rounds):
+        decision(
+            "grant",
+            request="entry-guro-0123456789abcdef0123456789abcdef",
+            customer="guro-animation",
+            tier="desk",
+            pool="hibiscus-pool",
+            wait=0.01,
+            target="worker-1",
+            candidates=candidates,
+        )
+    spent = time.process_time() - begun
+    print(f"{1e6 * spent / rounds:.1f} us a line")
+
+
 def process():
     """Measure the resident memory of a process by what it has imported."""
     head("process", "MB resident")
--- a/hibiscusstep/claims/shard.py
+++ b/hibiscusstep/claims/shard.py
@@ -30,7 +30,7 @@
 __all__ = ["Pending", "ShardWriter"]
 
 _LOG = logging.getLogger(__name__)
-SEAL_AT = 200
+SEAL_AT = 64
 MERGE_COUNT = 8
 MAX_SEGMENT_RECORDS = 6000
 RETRY_PAUSE_S = 0.2
--- a/hibiscusstep/load/compare.py
+++ b/hibiscusstep/load/compare.py
@@ -251,4 +251,4 @@
 
 
 def _spread(values: list[float]) -> list[float]:
-    return [round(statistics.median(values), 4), min(values), max(values)]
+    return [round(v, 4) for v in (statistics.median(values), min(values), max(values))]
