--- a/hibiscusstep/policies/expected_work.py
+++ b/hibiscusstep/policies/expected_work.py
@@ -9,6 +9,7 @@
 __all__ = ["ExpectedWorkPolicy", "PrefixAffinityPolicy"]
 
 LONG_SHARE = 0.5
+SHORT_PLACES = 1
 URGENT_LONG_SHARE = 0.7
 
 
@@ -16,8 +17,9 @@
     """Earliest expected end; long prompts are kept off part of the targets.
 
     A prompt whose prefill takes over `LONG_PREFILL_S` is long. One long prefill
-    runs on a target at a time, on at most `LONG_SHARE` of the targets, and short
-    prompts wait rather than queue behind one: they would not start sooner there.
+    runs on a target at a time, on at most `LONG_SHARE` of the targets, and leaves
+    `SHORT_PLACES` of a target free; short prompts wait rather than queue behind one:
+    they would not start sooner there. Urgent long prompts are bound less.
 
     Parameters
     ----------
@@ -53,6 +55,8 @@
         clear = [target for target in targets if not target.held_up]
         if not self._long_here(work, targets):
             return clear or self._sooner_than_waiting(work, targets, live)
+        if not alone:
+            clear = [target for target in clear if _keeps_short_places(target)]
         busy = sum(1 for target in live if target.held_up)
         share = URGENT_LONG_SHARE if alone else LONG_SHARE
         spare = len(clear) - 1 if alone else 0
@@ -99,3 +103,7 @@
 
     def _better_cached_elsewhere(self, work, allowed, live):
         return False
+
+
+def _keeps_short_places(target) -> bool:
+    return target.free > min(SHORT_PLACES, target.max_running - 1)
