Nobody is dropped by a change of tiers; the forecast has its own module

Cause, found reading the dispatcher as a newcomer: work of a tier that a change of the configuration removes, or that another instance knows before the dispatcher does, was dropped and answered only by its instance's own time limit; work that came late from another dispatcher was called impossible (422). Change: both are refused at once as unavailable, come back in 1 s.

--- a/hibiscusstep/configuration/models.py
+++ b/hibiscusstep/configuration/models.py
@@ -103,7 +103,7 @@
 
     pool: Name = Field(description="Pool that serves the route.")
     model: str = Field("", description="Model named in the request (engine pools).")
-    path: str = Field("", description="Path prefix (service pools), e.g. /farm/.")
+    path: str = Field("", description="Path prefix (service pools), such as /billing/.")
     idempotent: bool = Field(description="Whether a request may run twice.")
     key: Literal["required", "optional", "none"] = Field(
         "optional", description="Whether an Idempotency-Key must be there."
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -9,18 +9,15 @@
 from hibiscusstep.policy import Policy, get_policy_by_name
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.estimate import TargetState
+from hibiscusstep.routing.forecast import MIN_RETRY_AFTER_S, Forecast
 from hibiscusstep.routing.queue import TierQueue, Waiting
 from hibiscusstep.routing.shedding import Shedder
 
 __all__ = ["Dispatcher", "PoolCounts"]
 
 MIN_COST_S = 0.001
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 120.0
 EARLY_REFUSAL_FACTOR = 1.0
 URGENT_S = 0.3
-UNREACHABLE_RETRY_S = 1.0
-NEXT_FREE_VALID_S = 0.02
 _ANYONE = Customer(key_hashes=["0" * 64], tier="any")
 
 
@@ -78,7 +75,6 @@
         self._doubtful = False
         self._policy: Policy | None = None
         self._decisions: list[m.Decision] = []
-        self._next_free_at: dict[int, tuple[float, float]] = {}
         self.counts = PoolCounts()
         self._configure(configuration)
 
@@ -135,7 +131,10 @@
     @_take.register
     def _ask(self, message: m.Ask, now: float) -> None:
         work = message.work
-        if work.tier not in self._queues or work.ask in self._tier_of:
+        if work.ask in self._tier_of:
+            return
+        if work.tier not in self._queues:
+            self._refuse_unknown_tier(work)
             return
         self.counts.asked += 1
         if self._over_limit(work):
@@ -236,6 +235,9 @@
         self._update_queues()
         self._weights = {n: c.weight for n, c in configuration.customers.items()}
         self._shedder = Shedder(configuration, self._queues, self._targets)
+        self._forecast = Forecast(
+            configuration, self._queues, self._targets, self._shedder
+        )
 
     def _choose_policy(self, pool: Pool) -> None:
         kind = get_policy_by_name(pool.policy)
@@ -246,7 +248,10 @@
         self._queues = {}
         self._update_queues()
         for item in waiting:
-            self._queues[item.work.tier].add(item)
+            if item.work.tier in self._queues:
+                self._queues[item.work.tier].add(item)
+            else:
+                self._drop_unknown_tier(item)
 
     def _update_targets(self, pool: Pool) -> None:
         for name, target in pool.targets.items():
@@ -264,6 +269,9 @@
     def _update_queues(self) -> None:
         tiers = self._configuration.tiers
         ordered = sorted(tiers, key=lambda name: tiers[name].rank)
+        for tier in self._queues.keys() - tiers.keys():
+            for item in self._queues[tier]:
+                self._drop_unknown_tier(item)
         queues = {
             name: self._queues.get(name) or TierQueue(self._policy.fair, URGENT_S)
             for name in ordered
@@ -355,56 +363,15 @@
 
     def _judge_on_arrival(self, item: Waiting, now: float) -> None:
         """Mark work that cannot meet its deadline as due at once."""
-        if item.latest_start <= now:
+        if item.latest_start <= item.work.received:
             self._refuse_item(item, m.Reason.IMPOSSIBLE, now)
         elif all(t.drained or t.leaving for t in self._targets.values()):
             self._refuse_item(item, m.Reason.NO_TARGET, now)
         elif self._policy.refuses_early and not self._doubtful:
             slack = (item.latest_start - now) * EARLY_REFUSAL_FACTOR
-            if self._expected_wait(item, now) > slack:
+            if self._forecast.wait(item, self._usable(now), now) > slack:
                 self._give_up(item, now, m.Reason.LOAD)
 
-    def _expected_wait(self, item: Waiting, now: float) -> float:
-        live = self._usable(now)
-        places = sum(target.max_running for target in live)
-        if not places:
-            return self._next_probe(now)
-        if any(target.free > 0 for target in live) and not self._ahead(item):
-            return 0.0
-        return self._ahead(item) / places + self._next_free(item.work.rank, live, now)
-
-    def _ahead(self, item: Waiting) -> float:
-        """Return the target seconds of the waiting work that goes first."""
-        total = 0.0
-        for tier, queue in self._queues.items():
-            if tier == item.work.tier:
-                own = queue.work_ahead(item, self._weights)
-                return max(0.0, total + own - item.cost)
-            total += queue.backlog()
-        return total
-
-    def _next_free(self, rank: int, live, now: float) -> float:
-        """Return the seconds until a place is free that the rank may take."""
-        if any(target.free > 0 for target in live):
-            return 0.0
-        at, seconds = self._next_free_at.get(rank, (-1.0, 0.0))
-        if now - at > NEXT_FREE_VALID_S:
-            seconds = self._scan_next_free(rank, live, now)
-            self._next_free_at[rank] = now, seconds
-        return seconds
-
-    def _scan_next_free(self, rank: int, live, now: float) -> float:
-        return min(
-            (
-                0.0
-                if run.work.rank > rank and self._shedder.may_stop(run)
-                else target.seconds_left(run, now)
-                for target in live
-                for run in target.running.values()
-            ),
-            default=0.0,
-        )
-
     def _shed(self, now: float) -> None:
         for queue in self._queues.values():
             if self._policy.tiered and self._tier_guard:
@@ -473,31 +440,18 @@
 
     def _refuse_work(self, work: m.Work, reason: m.Reason, now: float) -> None:
         self.counts.refused += 1
-        self._decisions.append(m.Refuse(work, reason, self._retry_after(work, now)))
+        after = self._forecast.retry_after(work, self._usable(now), now)
+        self._decisions.append(m.Refuse(work, reason, after))
 
-    def _retry_after(self, work: m.Work, now: float) -> float:
-        """Return the seconds until what goes before the tier should be served."""
-        live = self._usable(now)
-        places = sum(target.max_running for target in live)
-        if not places:
-            return max(MIN_RETRY_AFTER_S, self._next_probe(now))
-        waiting = sum(
-            queue.backlog()
-            for tier, queue in self._queues.items()
-            if self._configuration.tiers[tier].rank <= work.rank
-        )
-        running = sum(
-            target.seconds_left(run, now)
-            for target in live
-            for run in target.running.values()
-        )
-        seconds = (waiting + running) / places
-        return round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds)), 1)
+    def _drop_unknown_tier(self, item: Waiting) -> None:
+        self._tier_of.pop(item.work.ask, None)
+        self._refuse_unknown_tier(item.work)
 
-    def _next_probe(self, now: float) -> float:
-        waits = [t.suspect_until - now for t in self._targets.values() if t.failures]
-        soonest = min(waits, default=UNREACHABLE_RETRY_S)
-        return round(min(MAX_RETRY_AFTER_S, max(0.0, soonest)), 1)
+    def _refuse_unknown_tier(self, work: m.Work) -> None:
+        """Refuse work of a tier that is gone, or in force elsewhere first."""
+        self.counts.refused += 1
+        refusal = m.Refuse(work, m.Reason.UNAVAILABLE, MIN_RETRY_AFTER_S)
+        self._decisions.append(refusal)
 
     def _drop(self, ask: str) -> None:
         tier = self._tier_of.pop(ask, None)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -171,6 +171,12 @@
         decisions = make().handle(m.Ask(work("x", prompt_tokens=9000, deadline=2)), 0.0)
         assert decisions[0].reason is m.Reason.IMPOSSIBLE
 
+    def test_what_waited_elsewhere_too_long_is_late_not_impossible(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1, now=5.0)
+        decisions = dispatcher.handle(m.Ask(work("x", now=0.0, deadline=5)), 5.1)
+        assert decisions[0].reason in (m.Reason.LOAD, m.Reason.DEADLINE)
+
     def test_free_capacity_is_never_refused(self):
         dispatcher = make()
         assert granted(dispatcher.handle(m.Ask(work("x", deadline=0.2)), 0.0)) == ["x"]
@@ -187,6 +193,37 @@
         assert decisions[0].reason is m.Reason.CUSTOMER_LIMIT
 
 
+class TestChangeOfConfiguration:
+    def test_work_of_a_tier_that_is_gone_is_answered_at_once(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1)
+        dispatcher.handle(m.Ask(work("waits", "mid")), 0.0)
+        data = make_configuration(targets=1, max_running=1).model_dump()
+        del data["tiers"]["mid"]
+        changed = load_configuration({"a.json": json.dumps(data)})[0]
+        (refusal,) = dispatcher.handle(m.Configure(changed), 1.0)
+        assert refusal.work.ask == "waits"
+        assert refusal.reason is m.Reason.UNAVAILABLE
+
+    def test_work_of_a_tier_not_known_yet_is_answered_at_once(self):
+        data = make_configuration().model_dump()
+        del data["tiers"]["mid"]
+        older = load_configuration({"a.json": json.dumps(data)})[0]
+        dispatcher = Dispatcher("p", older)
+        dispatcher.handle(m.Recovered(), 0.0)
+        (refusal,) = dispatcher.handle(m.Ask(work("x", "mid")), 0.0)
+        assert refusal.reason is m.Reason.UNAVAILABLE and refusal.retry_after == 1.0
+
+    def test_a_change_of_policy_keeps_what_waits(self):
+        dispatcher = make(targets=1, max_running=1)
+        fill(dispatcher, 1)
+        dispatcher.handle(m.Ask(work("waits")), 0.0)
+        changed = make_configuration(targets=1, max_running=1, policy="fcfs")
+        dispatcher.handle(m.Configure(changed), 1.0)
+        done = m.Finished("f0", m.Outcome.DONE)
+        assert granted(dispatcher.handle(done, 2.0)) == ["waits"]
+
+
 class TestTargets:
     def test_a_failed_target_rests_then_gets_one(self):
         dispatcher = make(targets=2, max_running=2)
