Freezes at three more steps, of holder, dispatcher and both

Change: nine cells on real processes (received, claimed, run by target): the frozen ones wake after others have gone on; the charge runs at most once, the checker finds nothing. Not run: freezes at the other steps (docs/FAULTS.md).

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -153,6 +153,56 @@
         check(fleet)
 
 
+class TestFreezeAtAStep:
+    """A paused process at each step of a charge; it wakes when all has gone on."""
+
+    @pytest.mark.parametrize("role", ["holder", "dispatcher", "both"])
+    @pytest.mark.parametrize(
+        "step", [EventKind.RECEIVED, EventKind.CLAIMED, EventKind.SERVED]
+    )
+    def test_runs_once_and_goes_on(self, fleet, role, step):
+        holder = next(iter(fleet.instances))
+        chosen = {
+            "holder": {holder},
+            "dispatcher": {dispatcher(fleet, "farm-api")},
+            "both": {holder, dispatcher(fleet, "farm-api")},
+        }[role]
+        for name in fleet.pools["farm-api"]["targets"]:
+            fleet.control(name, duration=0.3)
+        replies = []
+
+        def charge(name):
+            url = fleet.callers[name] + "/farm/billing/shot"
+            replies.append(http("POST", url, {"call": "x"}, BILL, timeout=40))
+
+        first = threading.Thread(target=charge, args=(holder,))
+        first.start()
+        wait_for(lambda: any(e.kind is step for e in read_history(fleet.history)), 10.0)
+        for name in chosen:
+            fleet.signal(name, signal.SIGSTOP)
+        awake = [name for name in fleet.instances if name not in chosen]
+        charge(awake[0])
+        url = fleet.callers[awake[0]] + "/farm/frames"
+        wait_for(lambda: http("POST", url, {"call": "x"}, KEY, timeout=20)[0] == 200)
+        for name in chosen:
+            fleet.signal(name, signal.SIGCONT)
+        first.join(40)
+        assert all(status in (200, 409, 502, 503) for status, _body in replies)
+        charge(awake[0])
+        keyed = {
+            event.request
+            for event in read_history(fleet.history)
+            if event.kind is EventKind.RECEIVED and event.key
+        }
+        ran = [
+            event
+            for event in read_history(fleet.history)
+            if event.kind is EventKind.SERVED and event.request in keyed
+        ]
+        assert len(ran) <= 1
+        check(fleet)
+
+
 class TestOutage:
     def test_keyed_requests_are_refused_and_the_rest_flows(self, fleet):
         fleet.control("platform", down=True)
