--- a/tests/write_faults.py
+++ b/tests/write_faults.py
@@ -23,8 +23,8 @@
 
 - Freezes (SIGSTOP and waking): a loop cannot pause one instance of several; they run
   on real processes in `tests/test_processes.py`: holder, dispatcher and both, of a
-  charge, when it is received, claimed, and run by its target; a dispatcher under load; a
-  holder while its claim is written. The other steps are not run.
+  charge, when it is received, claimed, and run by its target; a dispatcher under load;
+  a holder while its claim is written. The other steps are not run.
 - The steps *grant*, *connect*, *headers sent*, *body sent*, *mid-stream* and *release*
   have no event of their own; *asked*, *dispatched* and *run by target* lie around them.
   Cuts in the midst of a stream are in `tests/test_streams.py`.
