--- a/hibiscusstep/checker.py
+++ b/hibiscusstep/checker.py
@@ -260,7 +260,7 @@
 
 
 def graceful_shutdown(history: _History) -> Iterator[Finding]:
-    """Yield requests that an instance in shutdown did not bring to their end."""
+    """Yield requests that had no end when their instance said it was done."""
     for done in history.of(EventKind.SHUTDOWN_DONE):
         mine = [
             event
@@ -269,7 +269,7 @@
         ]
         for received in mine:
             events = history.by_request[received.request]
-            if not any(event.kind in ENDS for event in events):
+            if not any(e.kind in ENDS and e.at <= done.at for e in events):
                 detail = f"{received.request} was cut off by the shutdown"
                 yield Finding("graceful shutdown", detail, (received, done))
 
