Repeats after failures have a budget

Cause: with many targets failing, each request would load those that are left up to max_attempts times. Also: overhead.py steady, requests that come and go while the cost is taken.

--- a/examples/overhead.py
+++ b/examples/overhead.py
@@ -100,26 +100,25 @@
                 print(f"| {number} | {name} | {times} |")
 
 
-def cost(points):
-    """Print processor time and memory of one instance by open streams."""
+def _wide_fleet(log_level="WARNING"):
+    """Return a deployment whose engines pace many streams."""
     options = ["--decode-rate", str(1 / TOKEN_PERIOD_S), "--prefill-rate", "1000000"]
     options += ["--max-running", "400", "--batch-cost", "0"]
-    settings = {"log_level": "WARNING", "history": ""}
-    wide = {
-        "pools": {
-            "hibiscus-pool": {
-                "targets": {f"worker-{n}": {"max_running": 400} for n in range(ENGINES)}
-            }
-        }
-    }
-    files = {"80-wide.json": json.dumps(wide), "81-routes.json": ROUTES}
-    with Fleet(
+    settings = {"log_level": log_level, "history": ""}
+    targets = {f"worker-{n}": {"max_running": 400} for n in range(ENGINES)}
+    wide = json.dumps({"pools": {"hibiscus-pool": {"targets": targets}}})
+    return Fleet(
         "hanul",
         targets=ENGINES,
         engine_options=options,
         settings=settings,
-        files=files,
-    ) as fleet:
+        files={"80-wide.json": wide, "81-routes.json": ROUTES},
+    )
+
+
+def cost(points):
+    """Print processor time and memory of one instance by open streams."""
+    with _wide_fleet() as fleet:
         name = next(n for n in fleet.instances if n in fleet.client("status"))
         pid, url = fleet.processes[name].pid, fleet.callers[name]
         print(f"idle: {resident_mb(pid):.1f} MB resident")
@@ -134,8 +133,7 @@
             print("direct " + _cost_row(pid, engines, streams), flush=True)
 
 
-def _cost_row(pid, urls, streams):
-    tokens, stagger = 320, 0.006
+def _cost_row(pid, urls, streams, tokens=320, stagger=0.006, warm=None):
     queue = multiprocessing.Queue()
     share = streams // DRIVERS
     drivers = [
@@ -146,7 +144,7 @@
     ]
     for driver in drivers:
         driver.start()
-    time.sleep(share * stagger * DRIVERS + 1.0)
+    time.sleep(warm or share * stagger * DRIVERS + 1.0)
     before, begun = cpu_seconds(pid), time.perf_counter()
     time.sleep(8.0)
     spent = (cpu_seconds(pid) - before) / (time.perf_counter() - begun)
@@ -154,16 +152,30 @@
     gaps = [gap for _ in drivers for gap in queue.get()[1]]
     for driver in drivers:
         driver.join()
-    rate = DRIVERS * share / TOKEN_PERIOD_S
+    open_streams = min(DRIVERS * share, tokens * TOKEN_PERIOD_S / stagger)
+    rate = open_streams / TOKEN_PERIOD_S
     per_event = 1e6 * spent / rate
     return (
-        f"| {DRIVERS * share} | {rate:.0f} | {spent:.2f} | {per_event:.0f} "
+        f"| {open_streams:.0f} | {rate:.0f} | {spent:.2f} | {per_event:.0f} "
         f"| {memory:.1f} | {percentiles(gaps)} |"
     )
 
 
+def steady(requests=36, tokens=433):
+    """Print the cost of an instance while requests come and go at a steady rate."""
+    with _wide_fleet("INFO") as fleet:
+        name = next(iter(fleet.instances))
+        pid, url = fleet.processes[name].pid, fleet.callers[name]
+        lasting = tokens * TOKEN_PERIOD_S
+        streams = int(requests * (lasting + 12))
+        print(f"{requests} requests/s of {tokens} tokens:")
+        print(_cost_row(pid, [url], streams, tokens, 1 / requests, lasting + 2))
+
+
 if __name__ == "__main__":
     if sys.argv[1] == "added":
         added(rounds=3)
+    elif sys.argv[1] == "steady":
+        steady()
     else:
         cost(points=[int(n) for n in sys.argv[2:]] or [240, 480, 960])
--- a/hibiscusstep/attempt.py
+++ b/hibiscusstep/attempt.py
@@ -20,7 +20,17 @@
 
 
 class TryElsewhere(Exception):
-    """The attempt ended without an answer and may be repeated on another target."""
+    """The attempt ended without an answer and may be repeated on another target.
+
+    Parameters
+    ----------
+    failed : bool
+        Whether a target failed, so that the repeat counts against the budget.
+    """
+
+    def __init__(self, failed: bool = True) -> None:
+        super().__init__(failed)
+        self.failed = failed
 
 
 class Attempt:
@@ -134,7 +144,7 @@
         pool = self._configuration.pools[self._admitted.route.pool]
         name = self._granted.target
         if name not in pool.targets:
-            raise TryElsewhere
+            raise TryElsewhere(failed=False)
         kind = get_target_by_kind(pool.kind)
         return kind(name, pool.targets[name].address, self._sessions)
 
@@ -145,7 +155,7 @@
         self._record(EventKind.NOT_SENT, detail=error.detail)
         self._explain_error(error)
         self.finish(Ending.LEAVING if error.leaving else Ending.UNREACHABLE)
-        raise TryElsewhere
+        raise TryElsewhere(failed=not error.leaving)
 
     def _on_break(self, error: TargetError) -> None:
         self.finish(Ending.BROKEN)
--- a/hibiscusstep/configuration/settings.py
+++ b/hibiscusstep/configuration/settings.py
@@ -57,6 +57,9 @@
     body_timeout: float = Field(
         20.0, gt=0, description="Seconds for a caller to send its body."
     )
+    retry_share: float = Field(
+        0.2, ge=0, le=1, description="Repeats after failures for each request."
+    )
     kept_answer_bytes: int = Field(
         8 << 20, ge=0, description="Memory for answers kept for repeated keys."
     )
--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -19,6 +19,7 @@
 from hibiscusstep.progress import Progress
 from hibiscusstep.routing.messages import Outcome as Ending
 from hibiscusstep.routing.messages import Reason
+from hibiscusstep.routing.retries import RetryBudget
 from hibiscusstep.sink import Sink
 
 __all__ = ["Delivery", "Services"]
@@ -50,6 +51,8 @@
         Gets the history.
     explainer : Explainer
         Remembers what was decided.
+    retries : RetryBudget
+        Bounds repeats after failures.
     """
 
     name: str
@@ -58,6 +61,7 @@
     sessions: object
     recorder: NullRecorder
     explainer: Explainer
+    retries: RetryBudget
 
 
 class Delivery:
@@ -152,6 +156,7 @@
 
     async def _run(self) -> None:
         admitted = self._admitted
+        self._services.retries.first_try()
         try:
             async with asyncio.timeout(admitted.route.answer_timeout) as self._scope:
                 if admitted.keyed and await self._answered_before():
@@ -194,7 +199,10 @@
                     return await self._replay(earlier)
             await run.dispatch()
             return True
-        except TryElsewhere:
+        except TryElsewhere as ended:
+            if ended.failed and not self._services.retries.take():
+                detail = "The target failed, and too many requests are repeated now."
+                raise self._progress.failed(detail) from None
             self._avoid.append(granted.target)
             return False
         finally:
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -51,6 +51,7 @@
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
 from hibiscusstep.platform import Platform, get_platform_by_name
+from hibiscusstep.routing.retries import RetryBudget
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 from hibiscusstep.targets.http import TargetSessions
 
@@ -211,6 +212,7 @@
             self._sessions,
             self._recorder,
             self._explainer,
+            RetryBudget(self._settings.retry_share),
         )
         settings = self._settings
         self._border = CallerBorder(
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,41 @@
+import asyncio
+
+from cluster import Cluster, until
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusstep.events import EventKind
+from hibiscusstep.routing.retries import RetryBudget
+
+
+class TestRetryBudget:
+    @given(st.lists(st.booleans(), max_size=300), st.floats(0, 1))
+    def test_repeats_are_a_share_of_first_tries(self, steps, share):
+        budget = RetryBudget(share, reserve=5.0)
+        firsts = repeats = 0
+        for first in steps:
+            if first:
+                budget.first_try()
+                firsts += 1
+            else:
+                repeats += budget.take()
+            assert repeats <= share * firsts + 5.0 + 1e-6
+
+    async def test_without_any_left_a_failure_is_said(self, tmp_path):
+        settings = {"retry_share": 0.0}
+        async with Cluster(
+            tmp_path, services=0, engines=2, settings=settings
+        ) as cluster:
+            task = asyncio.create_task(cluster.chat("e0", "why?", tokens=60))
+            await until(lambda: cluster.events(EventKind.FIRST_TOKEN))
+            target = cluster.events(EventKind.DISPATCHED)[0].target
+            await cluster.control(target, dead=True)
+            assert (await task).outcome == "failed"
+            cluster.check()
+
+    async def test_a_leaving_target_costs_none(self, tmp_path):
+        settings = {"retry_share": 0.0}
+        async with Cluster(tmp_path, instances=1, settings=settings) as cluster:
+            await cluster.control("service-0", leaving=True)
+            replies = [await cluster.call("e0", "/read") for _ in range(3)]
+            assert {reply.outcome for reply in replies} == {"whole"}
