--- a/hibiscusstep/caller.py
+++ b/hibiscusstep/caller.py
@@ -101,8 +101,8 @@
             raise
         admitted = delivery.admitted
         self._count(admitted.tier, admitted.route_name, str(sink.response.status))
-        elapsed = asyncio.get_running_loop().time() - started
-        self._metrics.first_byte.observe({"tier": admitted.tier}, elapsed)
+        waited = sink.begun_at - started
+        self._metrics.first_byte.observe({"tier": admitted.tier}, waited)
         return sink.response
 
     async def _admit(self, request: web.Request) -> tuple[Delivery, Sink]:
--- a/hibiscusstep/sink.py
+++ b/hibiscusstep/sink.py
@@ -1,5 +1,7 @@
 """hibiscusstep.sink: where an answer goes: the caller, and the memory for repeats."""
 
+import asyncio
+
 from aiohttp import web
 
 from hibiscusstep.problem import Problem
@@ -21,6 +23,13 @@
         Id of the request, returned with every answer.
     keep : bool
         Whether the whole answer is kept for a repeat of its key.
+
+    Attributes
+    ----------
+    detached : bool
+        Whether nothing more goes to the caller.
+    begun_at : float or None
+        When the head of the answer was sent, in seconds on the loop's clock.
     """
 
     def __init__(self, request: web.Request, name: str, keep: bool) -> None:
@@ -32,6 +41,7 @@
         self._parts_bytes = 0
         self._overflow = False
         self.detached = False
+        self.begun_at: float | None = None
         self.bytes_sent = 0
         self.status = 0
         self.content_type = ""
@@ -54,6 +64,7 @@
     async def begin(self, status: int, content_type: str, **headers: str) -> None:
         """Send the head of a streamed answer."""
         self.status, self.content_type = status, content_type
+        self.begun_at = asyncio.get_running_loop().time()
         self._response = web.StreamResponse(
             status=status, headers=self._head(content_type, headers)
         )
@@ -76,6 +87,7 @@
         self.status, self.content_type = status, content_type
         self._remember(body)
         self.bytes_sent += len(body)
+        self.begun_at = asyncio.get_running_loop().time()
         self._response = web.Response(
             status=status, body=body, headers=self._head(content_type, headers)
         )
