Stopping, reloading, ranks by customer then route, tokens by event

Change: SIGHUP reads the bounds again; what may outlast the end is begun only in the first 2.8 s after SIGTERM; rank is the customer's, then the route's; tokens by event.

--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -81,6 +81,8 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    if hasattr(entry, "reload"):
+        loop.add_signal_handler(signal.SIGHUP, entry.reload)
     stopping = asyncio.create_task(asked.wait())
     await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
     if running.done():
--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -18,6 +18,11 @@
 
 NOT_READY_RETRY_S = 0.5
 QUOTA_RETRY_S = 1.0
+# Another instance takes it at once.
+STOPPING_RETRY_S = 0.05
+# A stopping instance begins what may last beyond its end for so long; the balancer has
+# taken it out of its rotation by then.
+BEGIN_FOR_S = 2.8
 # Between the longest idle time of callers and ours, so that ours is never the shorter.
 IDLE_MARGIN_S = 5.0
 
@@ -51,6 +56,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._leaving = False
+        self._begin_until = float("inf")
         self._stop_at = float("inf")
 
     @property
@@ -67,15 +73,16 @@
         """Act by a routing table from the next request on."""
         self._table = table
 
-    def leave(self, stop_at: float) -> None:
-        """Ask callers to go elsewhere; begin nothing that would not end in time.
+    def leave(self, now: float, stop_at: float) -> None:
+        """Ask callers to go elsewhere; soon begin nothing that might not end in time.
 
         Parameters
         ----------
-        stop_at : float
-            When answers have to be whole, on the loop's clock.
+        now, stop_at : float
+            This moment, and when answers have to be whole, on the loop's clock.
         """
         self._leaving = True
+        self._begin_until = now + BEGIN_FOR_S
         self._stop_at = stop_at
 
     async def wait_idle(self) -> None:
@@ -129,8 +136,8 @@
         if route is None:
             raise _Rejected(404, "no route")
         now = asyncio.get_running_loop().time()
-        if self._leaving and now + route.objective > self._stop_at:
-            raise _Rejected(503, "stopping", NOT_READY_RETRY_S)
+        if now > self._begin_until and now + route.timeout > self._stop_at:
+            raise _Rejected(503, "stopping", STOPPING_RETRY_S)
         return route
 
     def _find_customer(self, route: ForwardRoute, key: str) -> CustomerRule | None:
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -152,7 +152,13 @@
         for table in tables:
             if self._table is None or table.version > self._table.version:
                 self._table = table
-                decision("configuration-in-force", version=table.version)
+                ranks = {rule.name: rule.rank for rule in table.customers}
+                decision(
+                    "configuration-in-force",
+                    version=table.version,
+                    routes=len(table.routes),
+                    customers=ranks,
+                )
                 self._on_table(table)
 
     def _take_listing(self, listing: Listing, recovered: bool) -> None:
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -37,6 +37,8 @@
 # No event for so long in the midst of a stream: its target is gone.
 STREAM_GAP_S = 1.5
 REPEATABLE_STATUS = 500
+# Ranks of routes within one rank of customers.
+RANKS_A_CUSTOMER = 16
 
 
 class _Next(enum.Enum):
@@ -79,11 +81,10 @@
 
     @property
     def rank(self) -> int:
-        """Priority; the customer's goes before the route's."""
+        """Priority: by the customer's, then by the route's."""
         customer = self.customer
-        if customer is not None and customer.rank is not None:
-            return customer.rank
-        return self.route.rank
+        own = customer.rank if customer and customer.rank is not None else 0
+        return own * RANKS_A_CUSTOMER + min(self.route.rank, RANKS_A_CUSTOMER - 1)
 
     @property
     def deadline(self) -> float:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -60,7 +60,7 @@
 # A stopping instance listens until callers and the balancer have noticed, and keeps
 # this long before the end of its grace free.
 LISTEN_ON_S = 4.0
-STOP_MARGIN_S = 1.0
+STOP_MARGIN_S = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +85,8 @@
         Returns an awaitable that puts this instance on the roster.
     read_table : callable of bytes
         Makes a routing table of what a peer handed on.
+    read_bounds : callable
+        Reads the bounds again.
     close : callable
         Returns an awaitable that gives back the sockets.
     """
@@ -99,6 +101,7 @@
     roster: Roster
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
+    read_bounds: Callable[[], Bounds]
     close: Callable
 
 
@@ -157,7 +160,7 @@
         decision("stop", open=self._border.open_requests, grace=grace)
         self._leaving = True
         self._membership.tell(OwnState(leaving=True))
-        self._border.leave(now + grace - STOP_MARGIN_S)
+        self._border.leave(now, now + grace - STOP_MARGIN_S)
         await asyncio.sleep(min(LISTEN_ON_S, grace / 2))
         try:
             async with asyncio.timeout_at(now + grace - STOP_MARGIN_S):
@@ -165,6 +168,17 @@
         except TimeoutError:
             decision("stop-cuts", open=self._border.open_requests)
 
+    def reload(self) -> None:
+        """Read the settings again; bounds apply at once, addresses at a start."""
+        try:
+            bounds = self._around.read_bounds()
+        except ConfigurationError as error:
+            _LOG.error("settings not reloaded", extra={"error": str(error)})
+            return
+        self._quotas.bounds = bounds
+        self._retries.bounds = bounds
+        decision("reload", bounds=str(bounds))
+
     def cut(self, why: str) -> None:
         """Take note of a second signal; answers that can end still end."""
         _LOG.warning("second signal", extra={"why": why})
@@ -279,8 +293,10 @@
         """Tell the dispatchers which targets there are."""
         if self._table is None:
             return
-        engines = {pool.name: pool.engine for pool in self._table.pools}
-        pools = {name: PlannedPool(engine) for name, engine in engines.items()}
+        pools = {
+            pool.name: PlannedPool(pool.engine, pool.tokens_per_event)
+            for pool in self._table.pools
+        }
         for name, target in self._targets.items():
             pool = pools.setdefault(target.pool, PlannedPool(True))
             pool.targets[name] = PlannedTarget(target.slots, target.leaving)
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -111,10 +111,23 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRule:
-    """A pool: whether its targets are model engines, and their connection limit."""
+    """A pool.
+
+    Parameters
+    ----------
+    name : str
+        The pool.
+    engine : bool
+        Whether its targets are model engines.
+    tokens_per_event : int
+        Tokens that an event of its streams holds.
+    max_connections : int
+        Connections that a target accepts from all instances together.
+    """
 
     name: str
     engine: bool
+    tokens_per_event: int
     max_connections: int
 
 
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -82,7 +82,7 @@
         self._incarnation = incarnation
         self._address = address
         self._links = links
-        self._bounds = bounds
+        self.bounds = bounds
         self._began = asyncio.get_running_loop().time()
         self._view = View()
         self._totals: dict[str, int] = defaultdict(int)
@@ -120,7 +120,7 @@
 
     def used(self, name: str, now: float) -> float:
         """Return the tokens of the window, with a guess at what is not yet heard."""
-        window = self._bounds.quota_window
+        window = self.bounds.quota_window
         own = self._own.setdefault(name, Window(window)).total(now)
         others = self._others.setdefault(name, Window(window)).total(now)
         lately = self._lately.setdefault(name, Window(1.0)).total(now)
@@ -128,7 +128,7 @@
 
     def limit(self, customer: CustomerRule, now: float) -> float:
         """Return the tokens that may be used in a window at this moment."""
-        bounds, quota = self._bounds, customer.quota
+        bounds, quota = self.bounds, customer.quota
         whole = quota.rate * bounds.quota_window + quota.burst
         slack = whole * bounds.quota_overage + bounds.quota_slack
         alive = max(1, len(self._view.members))
@@ -142,7 +142,7 @@
         return max([now - self._began, *ages])
 
     def _count(self, name: str, tokens: int, now: float) -> None:
-        window = self._own.setdefault(name, Window(self._bounds.quota_window))
+        window = self._own.setdefault(name, Window(self.bounds.quota_window))
         window.add(tokens, now)
         self._totals[name] += tokens
 
@@ -173,11 +173,11 @@
             new = recent if first else total - peer.totals.get(name, 0)
             peer.totals[name] = total
             if new:
-                window = self._bounds.quota_window
+                window = self.bounds.quota_window
                 self._others.setdefault(name, Window(window)).add(new, now)
                 if not first:
                     self._lately.setdefault(name, Window(1.0)).add(new, now)
 
     def _forget_old(self, now: float) -> None:
-        horizon = now - 2 * self._bounds.quota_window
+        horizon = now - 2 * self.bounds.quota_window
         self._peers = {i: p for i, p in self._peers.items() if p.at > horizon}
--- a/hibiscusstep/forwarding/retries.py
+++ b/hibiscusstep/forwarding/retries.py
@@ -24,7 +24,7 @@
     """
 
     def __init__(self, bounds: Bounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._requests: dict[str, Window] = defaultdict(self._window)
         self._repeats: dict[str, Window] = defaultdict(self._window)
         self.instances = 1
@@ -35,8 +35,8 @@
 
     def left(self, pool: str, now: float) -> float:
         """Return how many repeats may be made now."""
-        reserve = self._bounds.retry_reserve / max(1, self.instances)
-        share = self._bounds.retry_share * self._requests[pool].total(now)
+        reserve = self.bounds.retry_reserve / max(1, self.instances)
+        share = self.bounds.retry_share * self._requests[pool].total(now)
         return SAFETY * (share + reserve) - self._repeats[pool].total(now)
 
     def take(self, pool: str, now: float) -> bool:
@@ -47,4 +47,4 @@
         return True
 
     def _window(self) -> Window:
-        return Window(self._bounds.retry_window)
+        return Window(self.bounds.retry_window)
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -135,6 +135,7 @@
     return PoolRule(
         name=entry["Name"],
         engine=bool(entry.get("Engine")),
+        tokens_per_event=int((entry.get("Engine") or {}).get("Stride") or 1),
         max_connections=int(entry.get("MaxConns") or 0),
     )
 
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -44,5 +44,6 @@
         roster=roster,
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
+        read_bounds=lambda: load_platform_settings(path).bounds,
         close=client.close,
     )
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -42,9 +42,20 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedPool:
-    """A pool: its targets by name, and whether they are model engines."""
+    """A pool.
+
+    Parameters
+    ----------
+    engine : bool
+        Whether its targets are model engines.
+    tokens_per_event : int
+        Tokens that an event of its streams holds.
+    targets : dict of str to PlannedTarget
+        Its targets by name.
+    """
 
     engine: bool
+    tokens_per_event: int = 1
     targets: dict[str, PlannedTarget] = field(default_factory=dict)
 
 
@@ -146,6 +157,7 @@
         self._tickets = itertools.count()
         self._recovered = False
         self._engine = True
+        self._tokens_per_event = 1
         self._decisions: list[m.Decision] = []
         self._plain_seconds = PLAIN_SERVICE_S
         self.counts = SlotCounts()
@@ -276,6 +288,7 @@
     def _configure(self, plan: Plan) -> None:
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._engine = pool.engine
+        self._tokens_per_event = pool.tokens_per_event
         for name, planned in pool.targets.items():
             target = self._targets.get(name)
             if target is None:
@@ -355,7 +368,8 @@
         guessed = run.cost
         if self._engine and finished.tokens:
             prefill = run.work.prompt_tokens / PREFILL_TOKENS_PER_S
-            guessed = FIRST_TOKEN_S + prefill + finished.tokens * STEP_S
+            tokens = finished.tokens * self._tokens_per_event
+            guessed = FIRST_TOKEN_S + prefill + tokens * STEP_S
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, seconds / guessed))
         target.slowness += LEARN * (ratio - target.slowness)
 
