--- a/examples/slopes.py
+++ b/examples/slopes.py
@@ -28,9 +28,9 @@
 from hibiscusstep.log import decision, set_up_logging
 from hibiscusstep.membership.worker import Membership, OwnState
 from hibiscusstep.peerlink import Authenticator, PeerLinks
-from hibiscusstep.stores.memory import MemoryPlatform
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatcher import Dispatcher
+from hibiscusstep.stores.memory import MemoryPlatform
 
 
 def row(*cells):
--- a/hibiscusstep/caller.py
+++ b/hibiscusstep/caller.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from hibiscusstep.admission import CallerHead, admit, authenticate, find_route
-from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.delivery import Delivery, Services
 from hibiscusstep.metrics import Metrics
 from hibiscusstep.problem import Outcome, Problem
--- a/hibiscusstep/claims/claimer.py
+++ b/hibiscusstep/claims/claimer.py
@@ -7,8 +7,8 @@
 
 from hibiscusstep.claims.index import ClaimResult, Verdict
 from hibiscusstep.claims.records import ClaimRecord, shard_of
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.configuration.models import Claims
-from hibiscusstep.configuration.stored import InForce
 from hibiscusstep.mailbox import Question, Tick, Worker
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
--- a/hibiscusstep/claims/writer.py
+++ b/hibiscusstep/claims/writer.py
@@ -8,8 +8,8 @@
 from hibiscusstep.claims.index import Verdict
 from hibiscusstep.claims.records import ClaimRecord
 from hibiscusstep.claims.shard import Pending, ShardWriter
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.configuration.models import Claims
-from hibiscusstep.configuration.stored import InForce
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -8,7 +8,6 @@
 
 from hibiscusstep import __version__
 from hibiscusstep.cmdline.common import EXIT_CODES, one_line_errors, run
-from hibiscusstep.configuration.settings import load_settings
 from hibiscusstep.log import set_up_logging
 
 __all__ = ["main"]
@@ -51,6 +50,7 @@
 
 
 def _load_own(path: Path):
+    from hibiscusstep.configuration.settings import load_settings
     from hibiscusstep.entry import Entry
 
     settings = load_settings(path)
--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -16,8 +16,8 @@
 from hibiscusstep.load.plot import plot_summary
 from hibiscusstep.load.report import make_report
 from hibiscusstep.operations import OperatorClient
-from hibiscusstep.store import get_platform_by_name
 from hibiscusstep.policies import POLICIES
+from hibiscusstep.store import get_platform_by_name
 
 __all__ = ["main"]
 
--- a/hibiscusstep/configuration/keeper.py
+++ b/hibiscusstep/configuration/keeper.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from hibiscusstep.configuration.stored import CONFIGURATION_KEY, InForce, Stored
+from hibiscusstep.configuration.in_force import InForce
+from hibiscusstep.configuration.stored import CONFIGURATION_KEY, Stored
 from hibiscusstep.errors import ConfigurationError, PlatformNotFound
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
--- a/hibiscusstep/configuration/stored.py
+++ b/hibiscusstep/configuration/stored.py
@@ -1,14 +1,12 @@
 """hibiscusstep.configuration.stored: the one object that holds the configuration."""
 
-from dataclasses import dataclass
-
 import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from hibiscusstep.configuration.models import Configuration, load_configuration
 from hibiscusstep.errors import ConfigurationError
 
-__all__ = ["CONFIGURATION_KEY", "InForce", "Stored"]
+__all__ = ["CONFIGURATION_KEY", "Stored"]
 
 CONFIGURATION_KEY = "hibiscusstep/configuration"
 
@@ -66,22 +64,3 @@
             return configuration
         texts["~drained.json"] = orjson.dumps({"pools": marks}).decode()
         return load_configuration(texts)[0]
-
-
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """A version of the configuration that an instance acts by.
-
-    Parameters
-    ----------
-    version : int
-        The platform's version of the object; 0 is none.
-    value : bytes
-        The object, to hand on to peers.
-    configuration : Configuration or None
-        Its checked form; None only for version 0.
-    """
-
-    version: int = 0
-    value: bytes = b""
-    configuration: Configuration | None = None
--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Question, Tick, Worker
 from hibiscusstep.membership.view import Member, View
@@ -16,6 +16,7 @@
     PoolFinished,
     PoolFirstToken,
     PoolGrant,
+    PoolHeld,
     PoolQueued,
     PoolRefuse,
     PoolRegister,
@@ -32,6 +33,8 @@
 TICK_S = 0.2
 FIRST_STANDBY_S = 0.5
 MAX_STANDBY_S = 4.0
+# A message about the end of a request that got lost costs a place for so long.
+TELL_HELD_S = 1.5
 DISPATCHER_GRACE_S = 0.5
 UNAVAILABLE_RETRY_S = 2.0
 
@@ -153,6 +156,7 @@
         self._view = View()
         self._lines: dict[str, _Line] = {}
         self._numbers = itertools.count()
+        self._told_held = 0.0
 
     async def handle(self, message) -> None:
         """Take a message of this instance, of a dispatcher, or of the membership."""
@@ -189,6 +193,7 @@
             case Tick():
                 self._expire()
                 self._stand_by()
+                self._tell_held()
                 self._follow()
 
     def _line(self, pool: str) -> _Line:
@@ -282,6 +287,15 @@
                     alone_s=round(line.alone_until - now, 1),
                 )
 
+    def _tell_held(self) -> None:
+        """Tell the dispatchers now and then all that runs, lest they count too much."""
+        now = asyncio.get_running_loop().time()
+        if not self._standby_after or now < self._told_held + TELL_HELD_S:
+            return
+        self._told_held = now
+        for pool, line in self._lines.items():
+            self._send(pool, PoolHeld(pool, self._own_name, list(line.running)))
+
     def _dispatcher(self, pool: str, line: _Line) -> Member | None:
         alone = asyncio.get_running_loop().time() < line.alone_until
         name = self._own_name if alone else self._view.dispatcher(pool)
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -1,14 +1,16 @@
 """hibiscusstep.dispatching: runs the dispatchers of the pools an instance has."""
 
+from __future__ import annotations
+
 import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from typing import TYPE_CHECKING
 
 import orjson
 
-from hibiscusstep.configuration.models import Configuration
-from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Question, Tick, Worker
 from hibiscusstep.membership.view import View
@@ -19,6 +21,7 @@
     PoolFinished,
     PoolFirstToken,
     PoolGrant,
+    PoolHeld,
     PoolQueued,
     PoolRefuse,
     PoolRegister,
@@ -31,9 +34,12 @@
 )
 from hibiscusstep.peerlink import Send
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.dispatcher import Dispatcher
 from hibiscusstep.target import get_target_by_kind
 
+if TYPE_CHECKING:
+    from hibiscusstep.configuration.models import Configuration
+    from hibiscusstep.routing.dispatcher import Dispatcher
+
 __all__ = ["Dispatching", "TargetLoad"]
 
 _LOG = logging.getLogger(__name__)
@@ -103,7 +109,7 @@
         sessions,
         *,
         tier_guard: bool = True,
-        kind: type = Dispatcher,
+        kind: type,
         reads_reports: bool = True,
         serves_itself: bool = False,
     ) -> None:
@@ -238,6 +244,8 @@
                     body.computed,
                 )
                 self._feed(duty, finished)
+            case PoolHeld(instance=instance, asks=asks):
+                self._feed(duty, m.Held(instance, frozenset(asks)))
             case PoolRegister():
                 self._register(duty, sender, body, now)
 
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -12,9 +12,9 @@
 from hibiscusstep.caller import CallerBorder
 from hibiscusstep.claims.claimer import Claimer
 from hibiscusstep.claims.writer import ClaimWriter
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.configuration.keeper import ConfigurationKeeper
 from hibiscusstep.configuration.settings import Settings
-from hibiscusstep.configuration.stored import InForce
 from hibiscusstep.delivery import Services
 from hibiscusstep.desk import Desk
 from hibiscusstep.dispatching import Dispatching
@@ -50,8 +50,9 @@
     StatusReply,
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
-from hibiscusstep.store import Platform, get_platform_by_name
+from hibiscusstep.routing.dispatcher import Dispatcher
 from hibiscusstep.routing.retries import RetryBudget
+from hibiscusstep.store import Platform, get_platform_by_name
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 from hibiscusstep.targets.http import TargetSessions
 
@@ -174,6 +175,7 @@
             self._route,
             self._sessions,
             tier_guard=settings.tier_guard_enabled,
+            kind=Dispatcher,
         )
         self._desk = Desk(name, self._incarnation, address, self._links, self._route)
         self._claim_writer = ClaimWriter(
--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -11,7 +11,7 @@
     IngressLimits,
     RoutingTable,
 )
-from hibiscusstep.forwarding.quota import QuotaKeeper
+from hibiscusstep.forwarding.quota import QuotaKeeper, Ticket
 from hibiscusstep.log import decision
 
 __all__ = ["ForwardingBorder"]
@@ -115,17 +115,18 @@
             route = self._find_route(request)
             customer = self._find_customer(route, head.key)
             body = await self._read_body(request)
-            tokens = self._take_quota(customer, head)
+            ticket = self._take_quota(customer, head)
         except _Rejected as rejected:
             return self._reject(request, head.request, rejected)
         pool = route.choose_pool()
-        incoming = Incoming(request, head, body, route, pool, customer, received)
-        exchange = Exchange(incoming, self._means)
+        incoming = Incoming(
+            request, head, body, route, pool, customer, received, ticket
+        )
         try:
-            return await exchange.run()
+            return await Exchange(incoming, self._means).run()
         finally:
-            if customer and not exchange.may_have_run:
-                self._quotas.refund(customer, tokens)
+            if ticket:
+                ticket.release()
 
     def _find_route(self, request: web.Request) -> ForwardRoute:
         if self._table is None:
@@ -148,15 +149,16 @@
             raise _Rejected(401, "unknown key")
         return customer
 
-    def _take_quota(self, customer: CustomerRule | None, head) -> int:
+    def _take_quota(self, customer: CustomerRule | None, head) -> Ticket | None:
         if customer is None:
-            return 0
+            return None
         tokens = head.prompt_tokens + head.output_tokens
         if not head.counted:
             tokens = customer.quota.plain_tokens
-        if not self._quotas.admit(customer, tokens):
+        ticket = self._quotas.admit(customer, tokens)
+        if ticket is None:
             raise _Rejected(429, "over the quota", QUOTA_RETRY_S)
-        return tokens
+        return ticket
 
     async def _read_body(self, request: web.Request) -> bytes:
         limits = self.limits
--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -1,8 +1,8 @@
-"""hibiscusstep.forwarding.bounds: limits that the place of operation sets."""
+"""hibiscusstep.forwarding.bounds: what the place of operation sets."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-__all__ = ["Bounds"]
+__all__ = ["Bounds", "InstanceSettings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,3 +27,38 @@
     quota_window: float = 8.0
     quota_overage: float = 0.1
     quota_slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """What one forwarding instance is told at its start.
+
+    Parameters
+    ----------
+    name, place, data_centre : str
+        The instance, where it runs, and the group of places whose instances work
+        together.
+    caller_address, operator_address, peer_address : str
+        IP number and port for callers, for metrics, and for the other instances.
+    peer_key : str
+        Secret shared by the instances.
+    seeds : tuple of str
+        Peer addresses known from the start.
+    heartbeat_interval, suspect_after : float
+        Seconds between heartbeats, and of silence until a peer is gone.
+    log_style, log_level : str
+        As in the settings of an entry instance.
+    """
+
+    name: str
+    place: str
+    data_centre: str
+    caller_address: str
+    operator_address: str
+    peer_address: str
+    peer_key: str = field(repr=False)
+    seeds: tuple[str, ...]
+    heartbeat_interval: float
+    suspect_after: float
+    log_style: str = "json"
+    log_level: str = "INFO"
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -131,13 +131,20 @@
                 return reply
 
     def finish(self) -> None:
-        """End a request whose answer was read whole; extra bytes spoil the connection."""
-        extra = not self._replies.empty()
+        """End a request whose answer was read whole; extra bytes spoil it."""
+        extra = not self._replies.empty() or self._holds_part_of_another()
         self._replies = None
         self._current = None
         if extra:
             self.abort()
 
+    def _holds_part_of_another(self) -> bool:
+        """Whether the parser has begun with another answer; it is not used again."""
+        try:
+            return self._parser.feed_eof() is not None
+        except Exception:
+            return True
+
     def abort(self) -> None:
         """Close at once."""
         self._tainted = True
--- a/hibiscusstep/forwarding/events.py
+++ b/hibiscusstep/forwarding/events.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.forwarding.events: a stream of server-sent events cut into whole ones."""
+"""hibiscusstep.forwarding.events: an event stream cut into whole events."""
 
 __all__ = ["EventSplitter"]
 
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -18,6 +18,7 @@
     ForwardRoute,
     Repeat,
 )
+from hibiscusstep.forwarding.quota import Ticket
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import MailboxFull
@@ -69,6 +70,8 @@
         Whose it is; None on a public route.
     received : float
         When its head came, in seconds on the loop's clock.
+    ticket : Ticket or None
+        Its tokens of the customer's quota.
     """
 
     request: web.Request
@@ -78,6 +81,7 @@
     pool: str
     customer: CustomerRule | None
     received: float
+    ticket: Ticket | None = None
 
     @property
     def rank(self) -> int:
@@ -157,11 +161,6 @@
         self._grant: Granted | None = None
         self._granted_at = 0.0
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether a target may have worked on it."""
-        return self._may_have_run
-
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
         try:
@@ -227,6 +226,7 @@
         outcome = m.Outcome.CANCELLED
         started = self._now()
         cause = ""
+        may_have_run_before = self._may_have_run
         try:
             connection = await self._means.connections.acquire(
                 target.name, target.address
@@ -234,8 +234,10 @@
             reply, answer = await self._send(connection, target)
             left = await self._take(connection, reply, answer, target)
             outcome = _OUTCOMES[left]
-            if left is _Next.NOT_RUN and answer.misdirected:
-                outcome = m.Outcome.LEAVING
+            if left is _Next.NOT_RUN:
+                self._may_have_run = may_have_run_before
+                if answer.misdirected:
+                    outcome = m.Outcome.LEAVING
             return left
         except TargetError as error:
             cause = str(error)
@@ -280,6 +282,8 @@
             self._splitter.last_id,
         )
         fields = dialect.order_fields(incoming.request.raw_headers, order)
+        if incoming.ticket:
+            incoming.ticket.use()
         connection.begin()
         connection.write(_serialize(incoming, fields))
         self._may_have_run = True
@@ -304,7 +308,6 @@
         status = reply.message.code
         if answer.not_run:
             await self._drain(reply)
-            self._may_have_run = self._attempts > 1 and self._may_have_run
             return _Next.NOT_RUN
         if status < 300 and (not answer.sealed or answer.encoded):
             raise _Spoilt("no answer of the target")
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -8,13 +8,12 @@
 
 from aiohttp import web
 
-from hibiscusstep.configuration.settings import Settings
-from hibiscusstep.configuration.stored import InForce
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.desk import Desk
 from hibiscusstep.dispatching import Dispatching
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.border import ForwardingBorder
-from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 from hibiscusstep.forwarding.catalog import Catalog, TableNews, TargetNews
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect
@@ -36,6 +35,7 @@
     PoolFinished,
     PoolFirstToken,
     PoolGrant,
+    PoolHeld,
     PoolQueued,
     PoolRefuse,
     PoolRegister,
@@ -47,7 +47,7 @@
     Usage,
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
-from hibiscusstep.routing.slots import PlannedPool, PlannedTarget, Plan, SlotDispatcher
+from hibiscusstep.routing.slots import Plan, PlannedPool, PlannedTarget, SlotDispatcher
 from hibiscusstep.store import Change, Feed, Roster
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 
@@ -69,7 +69,7 @@
 
     Parameters
     ----------
-    settings : Settings
+    settings : InstanceSettings
         Of the instance.
     bounds : Bounds
         Times and limits of the place of operation.
@@ -91,7 +91,7 @@
         Returns an awaitable that gives back the sockets.
     """
 
-    settings: Settings
+    settings: InstanceSettings
     bounds: Bounds
     ready_address: str
     ready_path: str
@@ -135,6 +135,35 @@
         """Whether callers may be sent here."""
         return self._table is not None and self._targets_known and not self._leaving
 
+    @property
+    def view(self) -> View:
+        """The live instances as seen here."""
+        return self._view
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force here."""
+        return self._table.version if self._table else 0
+
+    @property
+    def targets(self) -> dict[str, DiscoveredTarget]:
+        """The known targets by name."""
+        return self._targets
+
+    @property
+    def border(self) -> ForwardingBorder:
+        """The border towards callers."""
+        return self._border
+
+    @property
+    def bounds(self) -> Bounds:
+        """The bounds in force here."""
+        return self._quotas.bounds
+
+    def take_table(self, table: RoutingTable) -> None:
+        """Take a routing table that was learnt elsewhere than from the store."""
+        self._catalog.tell(TableNews(table))
+
     async def run(self) -> None:
         """Run until cancelled or until an essential task fails."""
         self._make_workers()
@@ -154,7 +183,7 @@
             await self._around.close()
 
     async def drain(self) -> None:
-        """Send callers elsewhere, go on serving them, return before the grace is over."""
+        """Send callers elsewhere, serve them on, return before the grace is over."""
         grace = self._around.bounds.stop_grace
         now = asyncio.get_running_loop().time()
         decision("stop", open=self._border.open_requests, grace=grace)
@@ -238,6 +267,7 @@
                 PoolWithdraw,
                 PoolFirstToken,
                 PoolFinished,
+                PoolHeld,
                 PoolRegister,
             ),
             self._desk: (PoolGrant, PoolQueued, PoolRefuse, PoolStop, NotDispatcher),
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.forwarding.model: routes, customers and targets as an instance uses them."""
+"""hibiscusstep.forwarding.model: routes, customers and targets, checked."""
 
 import enum
 import random
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.forwarding.quota: customers' tokens over a sliding window, all instances."""
+"""hibiscusstep.forwarding.quota: tokens of customers over a sliding window."""
 
 import asyncio
 from collections import defaultdict, deque
@@ -12,15 +12,21 @@
 from hibiscusstep.peer import Received, Usage
 from hibiscusstep.peerlink import Send
 
-__all__ = ["QuotaKeeper", "Window"]
+__all__ = ["QuotaKeeper", "Ticket", "Window"]
 
 # Instances tell each other what they let through this often; what happens in between
 # is bounded by the overage that a quota allows.
 TELL_INTERVAL_S = 0.2
 # Share of the allowed overage that is used; the rest is for what is not yet heard.
 OVERAGE_USED = 0.3
-# Time in which an instance that starts takes others for still running.
-RESTART_S = 1.0
+# An instance may take this many times its even part of what is left before the others
+# hear of it; or the part that it had in the window.
+UNTOLD_PARTS = 1.0
+# All totals are told again after so many intervals, for those that missed some.
+TELL_ALL_EVERY = 10
+# Share of the quota that is free while nothing is known of a whole window: all
+# instances may have been restarted right after a customer used what it may.
+START_SHARE = 0.3
 
 
 class Window:
@@ -49,6 +55,40 @@
         return self._sum
 
 
+class Ticket:
+    """A request's tokens, set aside until it is sent to a target or given up.
+
+    Parameters
+    ----------
+    keeper : QuotaKeeper
+        Where they are counted.
+    customer : str
+        Whose they are.
+    tokens : int
+        How many.
+    """
+
+    __slots__ = ("_customer", "_keeper", "_open", "_tokens")
+
+    def __init__(self, keeper: "QuotaKeeper", customer: str, tokens: int) -> None:
+        self._keeper = keeper
+        self._customer = customer
+        self._tokens = tokens
+        self._open = True
+
+    def use(self) -> None:
+        """Count the tokens as used, once."""
+        if self._open:
+            self._open = False
+            self._keeper.settle(self._customer, self._tokens, used=True)
+
+    def release(self) -> None:
+        """Give the tokens back if they were not used."""
+        if self._open:
+            self._open = False
+            self._keeper.settle(self._customer, self._tokens, used=False)
+
+
 @dataclass(slots=True)
 class _Peer:
     """What another instance has told: totals since its start, by customer."""
@@ -86,11 +126,13 @@
         self._began = asyncio.get_running_loop().time()
         self._view = View()
         self._totals: dict[str, int] = defaultdict(int)
+        self._pending: dict[str, int] = defaultdict(int)
         self._own: dict[str, Window] = {}
         self._others: dict[str, Window] = {}
         self._lately: dict[str, Window] = {}
         self._peers: dict[str, _Peer] = {}
         self._told: dict[str, int] = {}
+        self._ticks = 0
 
     async def handle(self, message) -> None:
         """Take a tick, a view, or what a peer has let through."""
@@ -98,25 +140,31 @@
             case Tick():
                 self._tell()
             case ViewChanged(view=view):
+                come = view.members.keys() - self._view.members.keys()
                 self._view = view
+                if come:
+                    self._tell_all()
             case Received(message=Usage() as usage):
                 self._hear(usage)
 
-    def admit(self, customer: CustomerRule, tokens: int) -> bool:
-        """Return whether a request of so many tokens is within the quota; count it."""
+    def admit(self, customer: CustomerRule, tokens: int) -> Ticket | None:
+        """Set tokens aside for a request; None if they are beyond the quota."""
         now = asyncio.get_running_loop().time()
         if not customer.quota.rate:
-            return True
-        if self.used(customer.name, now) + tokens > self.limit(customer, now):
-            return False
-        self._count(customer.name, tokens, now)
-        return True
-
-    def refund(self, customer: CustomerRule, tokens: int) -> None:
-        """Take back what was counted for a request that never ran."""
-        if customer.quota.rate:
-            now = asyncio.get_running_loop().time()
-            self._count(customer.name, -tokens, now)
+            return Ticket(self, customer.name, 0)
+        left = self.limit(customer, now) - self.used(customer.name, now)
+        if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
+            return None
+        self._pending[customer.name] += tokens
+        return Ticket(self, customer.name, tokens)
+
+    def settle(self, name: str, tokens: int, used: bool) -> None:
+        """End a ticket."""
+        self._pending[name] -= tokens
+        if used and tokens:
+            window = self._own.setdefault(name, Window(self.bounds.quota_window))
+            window.add(tokens, asyncio.get_running_loop().time())
+            self._totals[name] += tokens
 
     def used(self, name: str, now: float) -> float:
         """Return the tokens of the window, with a guess at what is not yet heard."""
@@ -124,7 +172,8 @@
         own = self._own.setdefault(name, Window(window)).total(now)
         others = self._others.setdefault(name, Window(window)).total(now)
         lately = self._lately.setdefault(name, Window(1.0)).total(now)
-        return own + others + max(0.0, lately) * TELL_INTERVAL_S
+        unheard = lately * TELL_INTERVAL_S
+        return own + others + self._pending[name] + unheard
 
     def limit(self, customer: CustomerRule, now: float) -> float:
         """Return the tokens that may be used in a window at this moment."""
@@ -133,23 +182,32 @@
         slack = whole * bounds.quota_overage + bounds.quota_slack
         alive = max(1, len(self._view.members))
         reached = alive / (alive + self._view.silent)
-        known = (self._age(now) + RESTART_S) / bounds.quota_window
-        return (whole * min(1.0, known) + OVERAGE_USED * slack) * reached
+        known = min(1.0, self._age(now) / bounds.quota_window)
+        free = START_SHARE + (1 - START_SHARE) * known
+        return (whole * free + OVERAGE_USED * slack) * reached
+
+    def _may_go_untold(self, name: str, tokens: int, left: float, now: float) -> bool:
+        """Whether others may well take as much before all have heard of each other."""
+        sent = self._totals[name] - self._told.get(name, 0)
+        untold = sent + self._pending[name]
+        alive = max(1, len(self._view.members))
+        own, others = self._own[name].total(now), self._others[name].total(now)
+        own = max(0.0, own - sent)
+        part = max(UNTOLD_PARTS / alive, own / max(1.0, own + others))
+        return untold + tokens <= part * (left + untold) or alive == 1
 
     def _age(self, now: float) -> float:
         """Return the seconds for which what was used is known."""
         ages = [peer.age + now - peer.at for peer in self._peers.values()]
         return max([now - self._began, *ages])
 
-    def _count(self, name: str, tokens: int, now: float) -> None:
-        window = self._own.setdefault(name, Window(self.bounds.quota_window))
-        window.add(tokens, now)
-        self._totals[name] += tokens
-
     def _tell(self) -> None:
+        self._ticks += 1
+        if self._totals != self._told or self._ticks % TELL_ALL_EVERY == 0:
+            self._tell_all()
+
+    def _tell_all(self) -> None:
         now = asyncio.get_running_loop().time()
-        if self._totals == self._told and int(now * 5) % 10:
-            return
         self._told = dict(self._totals)
         names = list(self._totals)
         recent = [int(self._own[name].total(now)) for name in names]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -26,6 +26,7 @@
 }
 struct PoolGrant { 1: string pool, 2: string ask, 3: string target, 4: double waited }
 struct PoolRefuse { 1: string pool, 2: string ask, 3: string reason, 4: double retry_after }
+struct PoolHeld { 1: string pool, 2: string instance, 3: list<string> asks }
 struct PoolQueued { 1: string pool }
 struct Usage {
   1: string incarnation, 2: double age, 3: list<string> customers,
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -1,17 +1,22 @@
 """hibiscusstep.membership.worker: sends heartbeats and publishes the view."""
 
+from __future__ import annotations
+
 import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
-from hibiscusstep.configuration.settings import Settings
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.tracker import Tracker
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import Beat, Heartbeat, Received
 from hibiscusstep.peerlink import LinkLost, Send
-from hibiscusstep.store import Platform
+from hibiscusstep.store import Roster
+
+if TYPE_CHECKING:
+    from hibiscusstep.configuration.settings import Settings
 
 __all__ = ["Membership", "OwnState", "ViewChanged"]
 
@@ -48,7 +53,7 @@
         Own incarnation.
     links : Worker
         Sends to peers.
-    platform : Platform
+    platform : Roster
         Its lagging list seeds the membership.
     publish : callable of ViewChanged
         Gets each new view.
@@ -59,7 +64,7 @@
         settings: Settings,
         incarnation: str,
         links: Worker,
-        platform: Platform,
+        platform: Roster,
         publish: Callable[[ViewChanged], None],
     ) -> None:
         super().__init__("membership", tick_interval=settings.heartbeat_interval)
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -18,6 +18,7 @@
     "PoolFinished",
     "PoolFirstToken",
     "PoolGrant",
+    "PoolHeld",
     "PoolQueued",
     "PoolRefuse",
     "PoolRegister",
@@ -147,6 +148,15 @@
     pool: str
 
 
+@dataclass(slots=True)
+class PoolHeld:
+    """The grants of a pool that an instance still holds; any others are void."""
+
+    pool: str
+    instance: str
+    asks: list[str]
+
+
 @dataclass(slots=True)
 class PoolRefuse:
     """The ask is refused; `reason` is a value of ``Reason``."""
@@ -338,4 +348,5 @@
     PoolQueued,
     Usage,
     TargetStates,
+    PoolHeld,
 )
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -6,15 +6,13 @@
 
 import orjson
 
-from hibiscusstep.configuration.settings import Settings
 from hibiscusstep.errors import ConfigurationError
-from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
 SETTINGS_VARIABLE = "HIBISCUSSTEP_SETTINGS"
 PEER_KEY_VARIABLE = "HIBISCUSSTEP_PEER_KEY"
-OPERATOR_KEY_VARIABLE = "HIBISCUSSTEP_OPERATOR_KEY"
 # The deploy file declares the same port and path as the place of the metrics.
 METRICS_PORT = 9464
 # A quarter of a second and four misses: a dead peer is gone after a second, well
@@ -29,7 +27,7 @@
 
     Parameters
     ----------
-    instance : Settings
+    instance : InstanceSettings
         Of the instance.
     bounds : Bounds
         Times and limits that the platform sets.
@@ -39,7 +37,7 @@
         Where the platform's balancer asks for readiness.
     """
 
-    instance: Settings
+    instance: InstanceSettings
     bounds: Bounds
     store_address: str
     ready_address: str
@@ -66,22 +64,17 @@
     ip, listen = document["Ip"], document["Listen"]
     port = document["InternalPorts"][0]
     hosts = [seed.rpartition(":")[0] for seed in document.get("Seeds") or ()]
-    instance = Settings(
+    instance = InstanceSettings(
         name=document["NodeName"],
         place=document["Zone"],
         data_centre=document.get("Region") or "default",
         caller_address=listen["Front"],
         operator_address=f"{ip}:{METRICS_PORT}",
         peer_address=f"{ip}:{port}",
-        platform=document["Platform"]["Address"],
-        platform_dialect="objects",
         peer_key=os.environ[PEER_KEY_VARIABLE],
-        operator_key=os.environ[OPERATOR_KEY_VARIABLE],
-        seeds=[f"{host}:{port}" for host in hosts if host != ip],
-        log_style="json",
+        seeds=tuple(f"{host}:{port}" for host in hosts if host != ip),
         heartbeat_interval=HEARTBEAT_INTERVAL_S,
         suspect_after=SUSPECT_AFTER_S,
-        drain_timeout=document["Bounds"]["GraceS"],
     )
     return PlatformSettings(
         instance,
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -12,6 +12,7 @@
     "Finished",
     "FirstToken",
     "Grant",
+    "Held",
     "InstanceGone",
     "LoadReport",
     "Outcome",
@@ -139,6 +140,14 @@
     computed: int = -1
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """All grants that an instance holds; what else is counted for it got lost."""
+
+    instance: str
+    asks: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """What a target said of itself, some time ago."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -30,6 +30,11 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 FOREIGN_LOAD_VALID_S = 1.0
+# With fewer than this share of the targets fit, failures say more of the network, or
+# of the one who reports them, than of the targets: all are used.
+PANIC_SHARE = 0.5
+# A grant is on its way to its instance for less than this.
+GRANT_TRANSIT_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +243,19 @@
         elif message.outcome is m.Outcome.LEAVING:
             target.leaving = True
 
+    @_take.register
+    def _held(self, message: m.Held, now: float) -> None:
+        lost = [
+            ask
+            for target in self._targets.values()
+            for ask, run in target.running.items()
+            if run.work.instance == message.instance
+            and ask not in message.asks
+            and run.granted < now - GRANT_TRANSIT_S
+        ]
+        for ask in lost:
+            self._drop(ask)
+
     @_take.register
     def _load_report(self, message: m.LoadReport, now: float) -> None:
         target = self._targets.get(message.target)
@@ -307,8 +325,13 @@
         prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S
         return FIRST_TOKEN_S + prefill + work.output_tokens * STEP_S
 
+    def _usable(self, now: float) -> list[SlotTarget]:
+        staying = [t for t in self._targets.values() if not t.leaving]
+        fit = [t for t in staying if t.usable(now)]
+        return fit if len(fit) >= PANIC_SHARE * len(staying) else staying
+
     def _schedule(self, now: float) -> None:
-        usable = [t for t in self._targets.values() if t.usable(now)]
+        usable = self._usable(now)
         while self._queue and usable:
             rank, _received, _ticket, work = self._queue[0]
             if work.ask not in self._waiting:
@@ -349,11 +372,7 @@
 
     def _capacity(self, now: float) -> float:
         """Return the guessed seconds of work that all targets do in a second."""
-        return sum(
-            target.slots / target.slowness
-            for target in self._targets.values()
-            if target.usable(now)
-        )
+        return sum(t.slots / t.slowness for t in self._usable(now))
 
     def _refuse(self, work: m.Work, wait: float) -> None:
         self._waiting.pop(work.ask, None)
@@ -376,7 +395,7 @@
     def _punish(self, target: SlotTarget, outcome: m.Outcome, now: float) -> None:
         target.failing += FAILURE_LEARN * (1 - target.failing)
         target.failures += 1
-        if outcome is m.Outcome.UNREACHABLE or target.failures > 1:
+        if outcome is m.Outcome.UNREACHABLE:
             rest = FIRST_REST_S * 2 ** min(8, target.failures - 1)
             target.rest_until = now + min(MAX_REST_S, rest)
 
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -145,7 +145,7 @@
     ) -> Result[Versioned | None, PlatformError]:
         """Wait until the version is above `after`; None after `timeout` seconds."""
 
-    async def close(self) -> None:  # noqa: B027
+    async def close(self) -> None:
         """Give back the sockets."""
 
 
--- a/hibiscusstep/stores/__init__.py
+++ b/hibiscusstep/stores/__init__.py
@@ -1,8 +1,8 @@
 """hibiscusstep.stores: dialects of the platform's object service."""
 
+from hibiscusstep.registry import Registry
 from hibiscusstep.stores.http import HttpPlatform
 from hibiscusstep.stores.memory import MemoryPlatform
-from hibiscusstep.registry import Registry
 
 __all__ = ["PLATFORMS"]
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,11 +15,11 @@
 from hibiscusstep.configuration.stored import CONFIGURATION_KEY, Stored
 from hibiscusstep.entry import Entry
 from hibiscusstep.events import EventKind, Recorder, read_history
-from hibiscusstep.store import InstanceRecord
-from hibiscusstep.stores.memory import MemoryPlatform
 from hibiscusstep.standins.batching import EngineSpeed
 from hibiscusstep.standins.engine import make_engine_app
 from hibiscusstep.standins.service import make_service_app
+from hibiscusstep.store import InstanceRecord
+from hibiscusstep.stores.memory import MemoryPlatform
 
 BOUND_S = 30.0
 KEY = "a-customers-key"
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,360 @@
+"""Stand-ins of the users' platform: the metadata store and targets, by its pages."""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import struct
+
+import orjson
+from aiohttp import web
+
+ROOT = "/hibiscusstep/objects"
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class StoreStandIn:
+    """The metadata store: list, watch, create, replace; with faults.
+
+    Attributes
+    ----------
+    down : bool
+        Every call is refused with 503.
+    refused : set of str
+        Kinds whose calls are refused.
+    calls : list of str
+        Method and path of each call.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.history: list[tuple[int, str, bool, dict]] = []
+        self.oldest = 0
+        self.down = False
+        self.refused: set[str] = set()
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+        self._stopped = False
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_get(ROOT + "/{kind}", self._get)
+        app.router.add_post(ROOT + "/{kind}", self._create)
+        app.router.add_put(ROOT + "/{kind}/{name}", self._replace)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """End."""
+        self._stopped = True
+        self._wake()
+        await self._runner.cleanup()
+
+    def put(self, kind: str, name: str, spec: dict) -> None:
+        """Write an object."""
+        self.revision += 1
+        item = {
+            "Metadata": {"Name": name, "Revision": self.revision, "Created": 1},
+            "Spec": spec,
+            "Status": None,
+        }
+        self.objects[kind, name] = item
+        self._note(kind, False, item)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self.objects.pop((kind, name))
+        self.revision += 1
+        self._note(kind, True, item)
+
+    def lapse(self, kind: str, name: str) -> dict:
+        """Remove an object without an event, as during an outage."""
+        self.revision += 1
+        return self.objects.pop((kind, name))
+
+    def forget_history(self) -> None:
+        """Drop the history; watches from before get 410."""
+        self.history = []
+        self.oldest = self.revision
+        self._wake()
+
+    def _note(self, kind: str, removed: bool, item: dict) -> None:
+        self.history.append((self.revision, kind, removed, item))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _refuses(self, request) -> bool:
+        self.calls.append(f"{request.method} {request.path_qs}")
+        return self.down or request.match_info["kind"] in self.refused
+
+    async def _get(self, request) -> web.Response:
+        if self._refuses(request):
+            return web.Response(status=503)
+        kind = request.match_info["kind"]
+        if "Watch" in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get("After", "")
+        found = sorted(n for k, n in self.objects if k == kind and n > after)
+        page = found[:2]
+        return _json(
+            {
+                "Items": [self.objects[kind, name] for name in page],
+                "HasMore": len(found) > len(page),
+                "At": self.revision,
+            }
+        )
+
+    async def _watch(self, request, kind: str) -> web.Response:
+        since = int(request.query["Watch"])
+        seconds = int(request.query["WaitMs"]) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while not self._stopped:
+                    if since < self.oldest:
+                        return web.Response(status=410)
+                    events = self._events(kind, since)
+                    if events:
+                        return _json({"events": events, "At": self.revision})
+                    await self._changed.wait()
+        return _json({"events": [], "At": self.revision})
+
+    def _events(self, kind: str, since: int) -> list[dict]:
+        return [
+            {"Removed": removed, "Object": item}
+            for revision, of, removed, item in self.history
+            if of == kind and revision > since
+        ]
+
+    async def _create(self, request) -> web.Response:
+        if self._refuses(request):
+            return web.Response(status=503)
+        body = orjson.loads(await request.read())
+        kind, name = request.match_info["kind"], body["Metadata"]["Name"]
+        if (kind, name) in self.objects:
+            return _json(self.objects[kind, name], 409)
+        self.put(kind, name, body["Spec"])
+        return _json(self.objects[kind, name])
+
+    async def _replace(self, request) -> web.Response:
+        if self._refuses(request):
+            return web.Response(status=503)
+        body = orjson.loads(await request.read())
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        self.put(kind, name, body["Spec"])
+        return _json(self.objects[kind, name])
+
+
+def _json(body: dict, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=orjson.dumps(body), content_type="application/json"
+    )
+
+
+class TargetStandIn:
+    """A target: one raw reply a request, in order, as `script` says.
+
+    Parameters
+    ----------
+    name : str
+        Its id; a request for another one gets 421.
+    script : callable of int, dict, bytes
+        Gets the number of the request, its fields and its body; returns the bytes of
+        the reply, a list of them with pauses in seconds between, or None to go away.
+    """
+
+    def __init__(self, name: str, script=None) -> None:
+        self.name = name
+        self.script = script or (lambda number, fields, body: answer(fields))
+        self.requests: list[tuple[str, dict, bytes]] = []
+        self.connections = 0
+        self.open = 0
+        self.closed = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self._numbers = itertools.count()
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    def entry(self, pool: str, state: str = "ready", slots: int = 4) -> dict:
+        """Return what the target writes of itself."""
+        return {
+            "Service": pool,
+            "Address": self.address,
+            "Zone": "z1",
+            "Slots": slots,
+            "State": state,
+            "Sequence": 1,
+        }
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        self.open += 1
+        try:
+            while (request := await _read_request(reader)) is not None:
+                if not await self._reply(request, reader, writer):
+                    return
+        except (OSError, EOFError):
+            pass
+        finally:
+            self.open -= 1
+            self.closed.set()
+            writer.close()
+
+    async def _reply(self, request, reader, writer) -> bool:
+        line, fields, body = request
+        if fields.get("x-target-instance", self.name) != self.name:
+            writer.write(answer(fields, status=421, sealed=False))
+            return True
+        self.requests.append(request)
+        self.arrived.set()
+        parts = self.script(next(self._numbers), fields, body)
+        for part in [parts] if isinstance(parts, bytes) else parts:
+            if part == "reset":
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return False
+            if part == "close":
+                return False
+            if part == "hang":
+                await reader.read()
+                return False
+            if isinstance(part, float):
+                await asyncio.sleep(part)
+            else:
+                writer.write(part)
+                await writer.drain()
+        return True
+
+
+async def _read_request(reader):
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    line, *rest = head.decode("latin-1").strip().split("\r\n")
+    fields = {}
+    for entry in rest:
+        name, _, value = entry.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    return line, fields, body
+
+
+def answer(
+    fields: dict,
+    body: bytes = b"whole",
+    *,
+    status: int = 200,
+    sealed: bool = True,
+    framed: bool = True,
+    not_run: bool = False,
+    extra: str = "",
+) -> bytes:
+    """Return the bytes of an answer to a request with these fields."""
+    lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {fields.get('x-request-id', '')}"]
+    if sealed:
+        lines.append("X-Response-Seal: s.e.a.l")
+    if not_run or status == 421:
+        lines.append("X-Not-Executed: 1")
+    if framed:
+        lines += [f"Content-Length: {len(body)}", "Keep-Alive: timeout=5"]
+    else:
+        lines.append("Connection: close")
+    lines += [line for line in extra.split("\n") if line]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def stream_head(fields: dict) -> bytes:
+    """Return the head of a chunked event stream."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: {fields['x-request-id']}\r\nX-Response-Seal: seal-of-{{}}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a chunked body; an empty one ends it."""
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    """Return a server-sent event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def configuration(version: int = 1, **changes) -> dict:
+    """Return a configuration document with four routes and two customers."""
+    route = {
+        "Host": "h.example",
+        "TimeoutMs": 4000,
+        "TargetLatencyMs": 1000,
+        "Priority": 0,
+        "MaxAttempts": 2,
+        "Service": "pool-a",
+    }
+    document = {
+        "Version": version,
+        "Routes": [
+            {**route, "Name": "safe", "PathPrefix": "/safe/", "Kind": "safe"},
+            {**route, "Name": "once", "PathPrefix": "/once/", "Kind": "unsafe"},
+            {
+                **route,
+                "Name": "resumable",
+                "PathPrefix": "/resume/",
+                "Kind": "streaming",
+                "Resumable": True,
+            },
+            {
+                **route,
+                "Name": "stream",
+                "PathPrefix": "/stream/",
+                "Kind": "streaming",
+                "Resumable": False,
+            },
+        ],
+        "Services": [
+            {"Name": "pool-a", "MaxConns": 100, "Engine": {"Stride": 6}},
+            {"Name": "pool-b", "MaxConns": 100},
+        ],
+        "Limits": {"MaxBodyBytes": 65536, "IdleTimeoutMs": 15000},
+        "Tenants": [
+            {"Name": "one", "ApiKeys": ["key-one", "key-uno"], "Priority": 1},
+            {
+                "Name": "two",
+                "ApiKeys": ["key-two"],
+                "PlainTokens": 100,
+                "RatePerS": 100,
+                "Burst": 100,
+            },
+        ],
+    }
+    return {**document, **changes}
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,432 @@
+"""The forwarding plane end to end: callers, instances, a store and targets."""
+
+import asyncio
+import contextlib
+import itertools
+
+import aiohttp
+import orjson
+import pytest
+from platform_standin import (
+    StoreStandIn,
+    TargetStandIn,
+    answer,
+    chunk,
+    configuration,
+    event,
+    free_port,
+    stream_head,
+)
+
+from hibiscusstep.forwarding.instance import ForwardingInstance
+from hibiscusstep.platform.documents import table_of
+from hibiscusstep.platform.surroundings import load_surroundings
+
+BOUND_S = 15
+KEY = {"Authorization": "Bearer key-one"}
+_ids = itertools.count()
+
+
+def _settings(name, store, seeds=()):
+    port = free_port()
+    return {
+        "NodeName": name,
+        "Ip": "127.0.0.1",
+        "Zone": "z1",
+        "Region": "r",
+        "Listen": {
+            "Front": f"127.0.0.1:{free_port()}",
+            "Ready": f"127.0.0.1:{free_port()}",
+        },
+        "InternalPorts": [port, port],
+        "Seeds": list(seeds),
+        "Bounds": {"GraceS": 2, "RetryBudgetSlack": 50, "QuotaWindowS": 8},
+        "Platform": {"Address": store.address},
+        "New": {"field": 1},
+    }
+
+
+class Site:
+    """A store, targets and instances."""
+
+    def __init__(self, tmp_path, monkeypatch):
+        monkeypatch.setenv("HIBISCUSSTEP_PEER_KEY", "a-key-for-tests-only")
+        monkeypatch.setattr("hibiscusstep.platform.settings.METRICS_PORT", free_port())
+        self._path = tmp_path
+        self.store = StoreStandIn()
+        self.targets = []
+        self.instances = []
+        self._tasks = []
+        self.session = None
+
+    async def start(self, *targets, pool="pool-a", document=None):
+        await self.store.start()
+        self.store.put("config", "main", document or configuration())
+        for target in targets:
+            await self.add_target(target, pool)
+        await self.add_instance()
+        self.session = aiohttp.ClientSession()
+
+    async def add_target(self, target, pool="pool-a"):
+        await target.start()
+        self.targets.append(target)
+        self.store.put("servers", target.name, target.entry(pool))
+
+    async def add_instance(self):
+        settings = _settings(f"n{len(self.instances)}", self.store)
+        path = self._path / f"{settings['NodeName']}.json"
+        path.write_bytes(orjson.dumps(settings))
+        instance = ForwardingInstance(load_surroundings(path))
+        instance.url = f"http://{settings['Listen']['Front']}"
+        instance.ready_url = f"http://{settings['Listen']['Ready']}/hibiscusstep/ready"
+        instance.path = path
+        task = asyncio.create_task(instance.run())
+        self.instances.append(instance)
+        self._tasks.append(task)
+        async with asyncio.timeout(BOUND_S):
+            await instance.started.wait()
+            while not instance.ready or len(instance.targets) < len(self.targets):
+                await asyncio.sleep(0.01)
+        return instance
+
+    async def call(self, path, method="POST", instance=0, **fields):
+        """Return status, fields and body; the body is None where it was cut."""
+        name = fields.pop("request", f"r{next(_ids)}")
+        headers = {"Host": "h.example", "X-Request-Id": name, **KEY, **fields}
+        body = b"a body" if method == "POST" else None
+        url = self.instances[instance].url + path
+        async with (
+            asyncio.timeout(BOUND_S),
+            self.session.request(method, url, headers=headers, data=body) as response,
+        ):
+            try:
+                return response.status, response.headers, await response.read()
+            except aiohttp.ClientPayloadError:
+                return response.status, response.headers, None
+
+    async def stop(self):
+        if self.session:
+            await self.session.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for target in self.targets:
+            await target.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def site(tmp_path, monkeypatch):
+    site = Site(tmp_path, monkeypatch)
+    yield site
+    await site.stop()
+
+
+def _events(fields, numbers, end=True):
+    parts = [stream_head(fields), *(chunk(event(n)) for n in numbers)]
+    return [*parts, chunk(b"")] if end else parts
+
+
+class TestPassingOn:
+    async def test_an_answer_comes_back_as_it_is(self, site):
+        await site.start(TargetStandIn("t1"))
+        status, fields, body = await site.call("/once/a/../b?x=%2F&y", **{"X-Own": "1"})
+        assert (status, body) == (200, b"whole")
+        assert fields["X-Response-Seal"] == "s.e.a.l"
+        line, seen, sent = site.targets[0].requests[0]
+        assert line == "POST /once/a/../b?x=%2F&y HTTP/1.1" or "/once/" in line
+        assert sent == b"a body"
+        assert seen["x-tenant"] == "one"
+        assert seen["x-target-instance"] == "t1"
+        assert seen["x-own"] == "1"
+        assert 0 < int(seen["x-request-deadline-ms"]) <= 4000
+
+    async def test_reserved_fields_and_the_key_are_not_passed_on(self, site):
+        await site.start(TargetStandIn("t1"))
+        forged = {
+            "X-Tenant": "other",
+            "X-Hold": "h",
+            "X-Pin-Ms": "9",
+            "X-Kv-Backup": "1.2.3.4:5",
+            "Kv-From": "1.2.3.4:5/x",
+            "X-Target-Instance": "t9",
+        }
+        status, _fields, _body = await site.call("/safe/", **forged)
+        assert status == 200
+        seen = site.targets[0].requests[0][1]
+        assert seen["x-tenant"] == "one"
+        assert seen["x-target-instance"] == "t1"
+        assert not seen.keys() & {
+            "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization",
+        }  # fmt: skip
+
+    async def test_the_callers_patience_bounds_the_targets_time(self, site):
+        await site.start(TargetStandIn("t1"))
+        await site.call("/safe/", **{"X-Request-Deadline-Ms": "700"})
+        seen = site.targets[0].requests[0][1]
+        assert 0 < int(seen["x-request-deadline-ms"]) <= 700
+
+    async def test_events_come_whole_and_in_order(self, site):
+        await site.start(TargetStandIn("t1", lambda n, f, b: _events(f, range(5))))
+        status, fields, body = await site.call("/stream/")
+        assert status == 200
+        assert fields["Content-Type"] == "text/event-stream"
+        assert body == b"".join(event(n) for n in range(5))
+
+
+class TestRefusing:
+    @pytest.mark.parametrize(
+        ("path", "fields", "status"),
+        [
+            ("/nowhere/", {}, 404),
+            ("/safe", {}, 404),
+            ("/safe/", {"Host": "other.example"}, 404),
+            ("/safe/", {"Authorization": "Bearer nobody"}, 401),
+            ("/safe/", {"Authorization": ""}, 401),
+        ],
+    )
+    async def test_unknown_routes_and_keys(self, site, path, fields, status):
+        await site.start(TargetStandIn("t1"))
+        assert (await site.call(path, **fields))[0] == status
+        assert not site.targets[0].requests
+
+    async def test_beyond_the_quota(self, site):
+        await site.start(TargetStandIn("t1"))
+        fields = {"Authorization": "Bearer key-two", "X-Token-Usage": "150,50"}
+        statuses = [(await site.call("/safe/", **fields))[0] for _ in range(6)]
+        assert statuses[0] == 200
+        assert statuses[-1] == 429
+
+    async def test_a_removed_key(self, site):
+        await site.start(TargetStandIn("t1"))
+        assert (await site.call("/safe/"))[0] == 200
+        document = configuration(2)
+        document["Tenants"][0]["ApiKeys"] = []
+        site.store.put("config", "main", document)
+        async with asyncio.timeout(BOUND_S):
+            while (await site.call("/safe/"))[0] != 401:
+                await asyncio.sleep(0.01)
+
+    async def test_no_target_is_an_honest_refusal(self, site):
+        await site.start()
+        status, fields, _body = await site.call("/once/")
+        assert status == 503
+        assert float(fields["Retry-After"]) > 0
+
+
+class TestAtMostOnce:
+    async def test_a_lost_answer_is_no_promise_and_not_repeated(self, site):
+        targets = [TargetStandIn(f"t{n}", lambda n, f, b: ["reset"]) for n in range(2)]
+        await site.start(*targets)
+        status, _fields, _body = await site.call("/once/")
+        assert status == 502
+        assert sum(len(target.requests) for target in targets) == 1
+
+    async def test_what_a_target_did_not_run_goes_to_another(self, site):
+        def shed(number, fields, body):
+            return answer(fields, status=503, sealed=False, not_run=True)
+
+        await site.start(TargetStandIn("t1", shed), TargetStandIn("t2", shed))
+        status, fields, _body = await site.call("/once/")
+        assert status == 503
+        assert "Retry-After" in fields
+        assert [len(target.requests) for target in site.targets] == [1, 1]
+
+    async def test_another_target_at_the_address(self, site):
+        wrong, right = TargetStandIn("t1"), TargetStandIn("t2")
+        await site.start(wrong, right)
+        wrong.name = "another"
+        for _ in range(4):
+            assert (await site.call("/once/"))[0] == 200
+        assert not wrong.requests
+
+
+class TestRepeating:
+    async def test_a_safe_request_is_repeated_elsewhere(self, site):
+        broken = [TargetStandIn(f"t{n}", lambda n, f, b: ["reset"]) for n in range(1)]
+        await site.start(*broken, TargetStandIn("t9"))
+        for _ in range(4):
+            assert (await site.call("/safe/", "GET"))[0] == 200
+
+    async def test_no_more_attempts_than_the_route_allows(self, site):
+        targets = [TargetStandIn(f"t{n}", lambda n, f, b: ["reset"]) for n in range(4)]
+        await site.start(*targets)
+        assert (await site.call("/safe/", "GET"))[0] == 502
+        assert sum(len(target.requests) for target in targets) == 2
+
+    async def test_a_failure_is_passed_on_when_there_is_no_better_answer(self, site):
+        def fail(number, fields, body):
+            return answer(fields, b"no", status=500)
+
+        await site.start(TargetStandIn("t1", fail), TargetStandIn("t2", fail))
+        status, fields, body = await site.call("/safe/", "GET")
+        assert (status, body) == (500, b"no")
+        assert "X-Response-Seal" in fields
+
+    async def test_a_stream_goes_on_behind_its_last_whole_event(self, site):
+        def cut(number, fields, body):
+            whole = _events(fields, range(3), end=False)
+            return [*whole, chunk(b"id: 3\nda"), 0.3, "reset"]
+
+        def rest(number, fields, body):
+            return _events(fields, range(int(fields["last-event-id"]) + 1, 6))
+
+        first, second = TargetStandIn("t1", cut), TargetStandIn("t2", rest)
+        await site.start(first)
+        task = asyncio.create_task(site.call("/resume/"))
+        async with asyncio.timeout(BOUND_S):
+            await first.arrived.wait()
+        await site.add_target(second)
+        async with asyncio.timeout(BOUND_S):
+            while "t2" not in site.instances[0].targets:
+                await asyncio.sleep(0.005)
+        status, _fields, body = await task
+        assert status == 200
+        assert body == b"".join(event(n) for n in range(6))
+        assert second.requests[0][1]["last-event-id"] == "2"
+
+    async def test_a_stream_that_may_not_go_on_ends_incomplete(self, site):
+        def cut(number, fields, body):
+            return [*_events(fields, range(3), end=False), 0.05, "reset"]
+
+        await site.start(TargetStandIn("t1", cut), TargetStandIn("t2", cut))
+        status, _fields, body = await site.call("/stream/")
+        assert (status, body) == (200, None)
+        assert sum(len(target.requests) for target in site.targets) == 1
+
+
+class TestSpoiltAnswers:
+    async def test_an_answer_to_another_request_is_not_taken(self, site):
+        def late(number, fields, body):
+            stale = answer({"x-request-id": "somebody-elses"}, b"not yours")
+            return [stale, 0.02, answer(fields, b"yours")]
+
+        await site.start(TargetStandIn("t1", late))
+        for _ in range(3):
+            status, _fields, body = await site.call("/once/")
+            assert (status, body) == (200, b"yours")
+
+    async def test_a_success_without_a_seal_is_none(self, site):
+        def unsealed(number, fields, body):
+            return answer(fields, sealed=False)
+
+        await site.start(TargetStandIn("t1", unsealed))
+        status, fields, _body = await site.call("/once/")
+        assert status == 502
+        assert "X-Response-Seal" not in fields
+
+    async def test_an_encoded_body_is_not_the_targets(self, site):
+        def encoded(number, fields, body):
+            return answer(fields, extra="Content-Encoding: gzip")
+
+        await site.start(TargetStandIn("t1", encoded))
+        assert (await site.call("/once/"))[0] == 502
+
+    async def test_a_cut_answer_is_not_passed_on(self, site):
+        def cut(number, fields, body):
+            return [answer(fields, b"much longer")[:-4], "close"]
+
+        await site.start(TargetStandIn("t1", cut))
+        assert (await site.call("/once/"))[0] == 502
+
+
+class TestTimes:
+    async def test_the_routes_timeout_ends_a_request(self, site):
+        document = configuration()
+        for route in document["Routes"]:
+            route["TimeoutMs"] = 300
+        await site.start(
+            TargetStandIn("t1", lambda n, f, b: ["hang"]), document=document
+        )
+        assert (await site.call("/once/"))[0] == 504
+
+    async def test_a_caller_that_leaves_takes_its_work_along(self, site):
+        target = TargetStandIn("t1", lambda n, f, b: ["hang"])
+        await site.start(target)
+        task = asyncio.create_task(site.call("/stream/"))
+        async with asyncio.timeout(BOUND_S):
+            await target.arrived.wait()
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            await target.closed.wait()
+
+    async def test_a_stopping_instance_serves_what_it_has(self, site):
+        target = TargetStandIn("t1", lambda n, f, b: [0.4, answer(f)])
+        await site.start(target)
+        task = asyncio.create_task(site.call("/once/"))
+        async with asyncio.timeout(BOUND_S):
+            await target.arrived.wait()
+            draining = asyncio.create_task(site.instances[0].drain())
+            await asyncio.sleep(0)
+            async with site.session.get(site.instances[0].ready_url) as response:
+                assert response.status == 503
+            assert (await task)[0] == 200
+            status, fields, _body = await site.call("/once/")
+            assert status == 200
+            assert fields["Connection"] == "close"
+            await draining
+
+    async def test_a_long_request_is_not_begun_near_the_end(self, site):
+        await site.start(TargetStandIn("t1"))
+        now = asyncio.get_running_loop().time()
+        site.instances[0].border.leave(now - 5.0, now + 1.0)
+        status, fields, _body = await site.call("/once/")
+        assert status == 503
+        assert "Retry-After" in fields
+
+
+class TestSettings:
+    async def test_bounds_are_read_again(self, site):
+        await site.start()
+        instance = site.instances[0]
+        settings = orjson.loads(instance.path.read_bytes())
+        settings["Bounds"]["QuotaWindowS"] = 4
+        instance.path.write_bytes(orjson.dumps(settings))
+        instance.reload()
+        assert instance.bounds.quota_window == 4
+        instance.path.write_bytes(b"{ broken")
+        instance.reload()
+        assert instance.bounds.quota_window == 4
+
+
+class TestSeveralInstances:
+    async def test_requests_through_all_share_the_slots(self, site):
+        running, most = 0, 0
+
+        def script(number, fields, body):
+            return [0.05, answer(fields)]
+
+        class Counting(TargetStandIn):
+            async def _reply(self, *arguments):
+                nonlocal running, most
+                running += 1
+                most = max(most, running)
+                try:
+                    return await super()._reply(*arguments)
+                finally:
+                    running -= 1
+
+        await site.start(Counting("t1", script))
+        for _ in range(2):
+            await site.add_instance()
+        async with asyncio.timeout(BOUND_S):
+            while any(len(i.view.members) < 3 for i in site.instances):
+                await asyncio.sleep(0.02)
+        calls = [site.call("/once/", instance=n % 3) for n in range(24)]
+        statuses = [status for status, _fields, _body in await asyncio.gather(*calls)]
+        assert statuses.count(200) >= 16
+        assert most <= 4
+
+    async def test_a_configuration_spreads_while_the_store_is_away(self, site):
+        await site.start(TargetStandIn("t1"))
+        await site.add_instance()
+        first, second = site.instances
+        async with asyncio.timeout(BOUND_S):
+            while len(first.view.members) < 2:
+                await asyncio.sleep(0.02)
+        site.store.refused = {"config", "servers"}
+        first.take_table(table_of(configuration(9)))
+        async with asyncio.timeout(BOUND_S):
+            while second.version != 9:
+                await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/test_forwarding_connections.py
@@ -0,0 +1,115 @@
+"""hibiscusstep.forwarding.connections against raw targets."""
+
+import asyncio
+
+import pytest
+from platform_standin import TargetStandIn, answer
+
+from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding.connections import ConnectionPool
+
+BOUND_S = 10
+
+
+async def _exchange(pool, target, request="r1"):
+    connection = await pool.acquire(target.name, target.address)
+    connection.begin()
+    connection.write(f"GET / HTTP/1.1\r\nX-Request-Id: {request}\r\n\r\n".encode())
+    async with asyncio.timeout(BOUND_S):
+        reply = await connection.next_reply()
+        body = b""
+        while not reply.body.at_eof():
+            body += await reply.body.readany()
+    return connection, reply, body
+
+
+@pytest.fixture
+async def target():
+    standin = TargetStandIn("t")
+    await standin.start()
+    yield standin
+    await standin.stop()
+
+
+class TestReuse:
+    async def test_a_whole_answer_leaves_the_connection_for_the_next(self, target):
+        pool = ConnectionPool()
+        for number in range(3):
+            connection, _reply, body = await _exchange(pool, target, f"r{number}")
+            assert body == b"whole"
+            pool.release("t", connection, 5.0)
+        assert target.connections == 1
+        pool.close()
+
+    async def test_bytes_behind_an_answer_end_the_connection(self, target):
+        target.script = lambda n, fields, body: answer(fields) + b"HTTP/1.1 200 OK\r\n"
+        pool = ConnectionPool()
+        connection, _reply, _body = await _exchange(pool, target)
+        await asyncio.sleep(0.05)
+        pool.release("t", connection, 5.0)
+        again = await pool.acquire("t", target.address)
+        assert again is not connection
+        pool.close()
+        again.abort()
+
+    async def test_bytes_that_come_while_idle_end_the_connection(self, target):
+        def script(number, fields, body):
+            return [answer(fields), 0.05, answer(fields), "hang"]
+
+        target.script = script
+        pool = ConnectionPool()
+        connection, _reply, _body = await _exchange(pool, target)
+        pool.release("t", connection, 5.0)
+        async with asyncio.timeout(BOUND_S):
+            while connection.usable:
+                await asyncio.sleep(0.01)
+        pool.close()
+
+    async def test_without_a_named_idle_time_only_a_fresh_one_is_reused(self, target):
+        pool = ConnectionPool()
+        connection, _reply, _body = await _exchange(pool, target)
+        pool.release("t", connection, 0.0)
+        connection.idle_until = 0.0
+        pool.sweep()
+        assert not connection.usable
+        pool.close()
+
+
+class TestEnds:
+    async def test_an_unframed_answer_ends_with_a_clean_close(self, target):
+        target.script = lambda n, f, b: [answer(f, b"all of it", framed=False), "close"]
+        pool = ConnectionPool()
+        _connection, _reply, body = await _exchange(pool, target)
+        assert body == b"all of it"
+        pool.close()
+
+    async def test_an_unframed_answer_that_is_reset_is_not_whole(self, target):
+        target.script = lambda n, fields, b: [
+            answer(fields, b"part", framed=False),
+            0.05,
+            "reset",
+        ]
+        pool = ConnectionPool()
+        with pytest.raises(TargetError):
+            await _exchange(pool, target)
+        pool.close()
+
+    async def test_a_short_framed_answer_is_not_whole(self, target):
+        target.script = lambda n, fields, b: [answer(fields, b"whole")[:-2], "close"]
+        pool = ConnectionPool()
+        with pytest.raises(TargetError):
+            await _exchange(pool, target)
+        pool.close()
+
+    async def test_bytes_that_are_no_answer(self, target):
+        target.script = lambda n, fields, b: [b"\x00\x01 nonsense\r\n\r\n", "hang"]
+        pool = ConnectionPool()
+        with pytest.raises(TargetError):
+            await _exchange(pool, target)
+        pool.close()
+
+    async def test_nobody_listens(self, target):
+        await target.stop()
+        with pytest.raises(TargetError) as caught:
+            await ConnectionPool().acquire("t", target.address)
+        assert not caught.value.sent
--- a/tests/test_mechanisms_off.py
+++ b/tests/test_mechanisms_off.py
@@ -13,8 +13,9 @@
 from cluster import Cluster, configuration, until
 
 from hibiscusstep.caller import CallerBorder
+from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.configuration.keeper import ConfigurationKeeper, _Seen
-from hibiscusstep.configuration.stored import InForce, Stored
+from hibiscusstep.configuration.stored import Stored
 from hibiscusstep.events import EventKind
 from hibiscusstep.load.drive import Result, State, _judge
 from hibiscusstep.load.mix import Arrival, RequestClass
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,143 @@
+"""hibiscusstep.forwarding.quota: the sum over all instances."""
+
+import pytest
+
+from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.model import CustomerRule, Quota
+from hibiscusstep.forwarding.quota import QuotaKeeper, Window
+from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.membership.worker import ViewChanged
+from hibiscusstep.peer import Received
+
+BOUNDS = Bounds(quota_window=8.0, quota_overage=0.1, quota_slack=50.0)
+RULE = CustomerRule("c", frozenset(), None, Quota(100.0, 100.0, 10))
+MOST = (100 * 8 + 100) * 1.1 + 50
+
+
+class _Links:
+    def __init__(self):
+        self.sent = []
+
+    def tell(self, send):
+        self.sent.append(send)
+
+
+def _member(n):
+    return Member(f"i{n}", f"inc{n}", "z", "d", f"a{n}", "o", 1, True, False)
+
+
+class Fleet:
+    """Keepers that hear each other, on a clock of the test's."""
+
+    def __init__(self, count, monkeypatch, loop):
+        self.now = 1000.0
+        monkeypatch.setattr(loop, "time", lambda: self.now)
+        self.links = [_Links() for _ in range(count)]
+        self.keepers = [
+            QuotaKeeper(f"inc{n}", f"a{n}", link, BOUNDS)
+            for n, link in enumerate(self.links)
+        ]
+        self.view(range(count), 0)
+
+    def view(self, alive, silent):
+        members = {f"i{n}": _member(n) for n in alive}
+        self.changed = ViewChanged(View(members, silent))
+
+    async def start(self):
+        for keeper in self.keepers:
+            await keeper.handle(self.changed)
+
+    async def tell(self, cut=()):
+        for n, (keeper, link) in enumerate(zip(self.keepers, self.links, strict=True)):
+            await keeper.handle(Tick())
+            for send in link.sent:
+                to = int(send.address[1:])
+                if (n in cut) == (to in cut):
+                    await self.keepers[to].handle(Received(f"a{n}", send.message))
+            link.sent.clear()
+
+
+@pytest.fixture
+async def fleet(monkeypatch):
+    import asyncio
+
+    fleet = Fleet(3, monkeypatch, asyncio.get_running_loop())
+    await fleet.start()
+    fleet.now += 20.0
+    return fleet
+
+
+class TestWindow:
+    def test_what_is_older_than_the_span_does_not_count(self):
+        window = Window(8.0)
+        window.add(5, 0.0)
+        window.add(7, 4.0)
+        assert window.total(7.9) == 12
+        assert window.total(8.0) == 7
+
+
+class TestQuotaKeeper:
+    async def test_all_instances_together_stay_within(self, fleet):
+        history = []
+        for _step in range(100):
+            for n in range(3):
+                while ticket := fleet.keepers[n].admit(RULE, 10):
+                    ticket.use()
+                    history.append((fleet.now, 10))
+                    if len(history) % 4 == 0:
+                        break
+            fleet.now += 0.2
+            await fleet.tell()
+        for at, _ in history:
+            used = sum(t for when, t in history if at <= when < at + 8.0)
+            assert used <= MOST
+        assert sum(t for _, t in history) >= 100 * 19
+
+    async def test_below_the_quota_nothing_is_refused(self, fleet):
+        for _step in range(200):
+            fleet.keepers[_step % 3].admit(RULE, 15).use()
+            fleet.now += 0.2
+            await fleet.tell()
+
+    async def test_parts_of_a_cut_stay_within_together(self, fleet):
+        fleet.view([0], 2)
+        await fleet.keepers[0].handle(fleet.changed)
+        fleet.view([1, 2], 1)
+        for n in (1, 2):
+            await fleet.keepers[n].handle(fleet.changed)
+        used = 0
+        for _step in range(40):
+            for n in range(3):
+                while ticket := fleet.keepers[n].admit(RULE, 10):
+                    ticket.use()
+                    used += 10
+            await fleet.tell(cut=(0,))
+            fleet.now += 0.2
+        assert used <= MOST
+
+    async def test_what_was_given_back_may_be_used_again(self, fleet):
+        keeper = fleet.keepers[0]
+        tickets = []
+        while ticket := keeper.admit(RULE, 10):
+            tickets.append(ticket)
+        tickets[0].release()
+        tickets[0].use()
+        assert keeper.admit(RULE, 10)
+        assert not keeper.admit(RULE, 10)
+
+    async def test_no_rate_is_no_limit(self, fleet):
+        rule = CustomerRule("free", frozenset(), None, Quota(0.0, 0.0, 10))
+        assert all(fleet.keepers[0].admit(rule, 10**6) for _ in range(50))
+
+    async def test_an_instance_that_starts_hears_what_was_used(self, fleet):
+        for _tick in range(6):
+            while ticket := fleet.keepers[0].admit(RULE, 10):
+                ticket.use()
+            await fleet.tell()
+        fleet.keepers[1] = QuotaKeeper("new", "a1", fleet.links[1], BOUNDS)
+        await fleet.keepers[1].handle(fleet.changed)
+        for _tick in range(10):
+            fleet.now += 0.2
+            await fleet.tell()
+        assert not fleet.keepers[1].admit(RULE, 200)
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,133 @@
+"""hibiscusstep.routing.slots: the dispatcher of targets with slots."""
+
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.slots import Plan, PlannedPool, PlannedTarget, SlotDispatcher
+
+
+def _dispatcher(slots=(2, 2), recovered=True, **leaving):
+    targets = {
+        f"t{n}": PlannedTarget(count, leaving.get(f"t{n}", False))
+        for n, count in enumerate(slots)
+    }
+    dispatcher = SlotDispatcher("p", Plan({"p": PlannedPool(True, 1, targets)}))
+    if recovered:
+        dispatcher.handle(m.Recovered(), 0.0)
+    return dispatcher
+
+
+def _work(
+    ask, rank=0, deadline=100.0, received=0.0, instance="i", avoid=(), tokens=100
+):
+    return m.Work(
+        ask, ask, instance, "c", str(rank), rank, 500, tokens, deadline, received,
+        avoid=avoid,
+    )  # fmt: skip
+
+
+def _grants(decisions):
+    return {d.work.ask: d.target for d in decisions if isinstance(d, m.Grant)}
+
+
+class TestGranting:
+    def test_never_more_than_the_slots(self):
+        dispatcher = _dispatcher((2, 1))
+        granted = {}
+        for n in range(6):
+            granted |= _grants(dispatcher.handle(m.Ask(_work(f"a{n}")), 1.0))
+        assert len(granted) == 3
+        assert sorted(granted.values()) == ["t0", "t0", "t1"]
+        assert dispatcher.waiting == {"0": 3}
+
+    def test_the_highest_rank_first_then_first_come(self):
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("busy")), 0.0)
+        dispatcher.handle(m.Ask(_work("low", rank=2, received=0.1)), 0.1)
+        dispatcher.handle(m.Ask(_work("high-late", rank=1, received=0.3)), 0.3)
+        dispatcher.handle(m.Ask(_work("high-early", rank=1, received=0.2)), 0.3)
+        order = []
+        running = "busy"
+        for at in (1.0, 2.0, 3.0):
+            done = m.Finished(running, m.Outcome.DONE, 10)
+            (running,) = _grants(dispatcher.handle(done, at))
+            order.append(running)
+        assert order == ["high-early", "high-late", "low"]
+
+    def test_a_leaving_target_gets_nothing(self):
+        dispatcher = _dispatcher((2, 2), t0=True)
+        assert _grants(dispatcher.handle(m.Ask(_work("a")), 0.0)) == {"a": "t1"}
+
+    def test_one_that_failed_the_request_is_avoided(self):
+        dispatcher = _dispatcher((2, 2))
+        work = _work("a", avoid=("t0",))
+        assert _grants(dispatcher.handle(m.Ask(work), 0.0)) == {"a": "t1"}
+
+    def test_before_all_have_registered_it_decides_nothing(self):
+        dispatcher = _dispatcher(recovered=False)
+        assert dispatcher.handle(m.Ask(_work("a", deadline=0.1)), 5.0) == []
+        assert _grants(dispatcher.handle(m.Recovered(), 0.05)) == {"a": "t0"}
+
+    def test_a_slow_target_is_learnt(self):
+        dispatcher = _dispatcher((4, 4))
+        for n in range(12):
+            grants = _grants(dispatcher.handle(m.Ask(_work(f"a{n}")), n))
+            seconds = 3.0 if grants[f"a{n}"] == "t0" else 0.3
+            dispatcher.handle(m.Finished(f"a{n}", m.Outcome.DONE, 100), n + seconds)
+        assert dispatcher.targets["t0"].slowness > dispatcher.targets["t1"].slowness
+
+
+class TestLosses:
+    def test_what_an_instance_no_longer_holds_is_freed(self):
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("lost")), 0.0)
+        dispatcher.handle(m.Ask(_work("next", received=0.1)), 0.1)
+        held = m.Held("i", frozenset())
+        assert dispatcher.handle(held, 0.2) == []
+        assert _grants(dispatcher.handle(held, 2.0)) == {"next": "t0"}
+
+    def test_what_a_dead_instance_held_is_freed(self):
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("a", instance="dead")), 0.0)
+        dispatcher.handle(m.Ask(_work("b")), 0.0)
+        assert _grants(dispatcher.handle(m.InstanceGone("dead"), 1.0)) == {"b": "t0"}
+
+    def test_one_unreachable_target_rests(self):
+        dispatcher = _dispatcher((4, 4, 4))
+        dispatcher.handle(m.Ask(_work("a")), 0.0)
+        dispatcher.handle(m.Finished("a", m.Outcome.UNREACHABLE), 0.1)
+        grants = {}
+        for n in range(6):
+            grants |= _grants(dispatcher.handle(m.Ask(_work(f"b{n}")), 0.2))
+        assert "t0" not in grants.values()
+
+    def test_when_most_seem_unreachable_all_are_used(self):
+        """One instance that is cut off must not take the targets from all others."""
+        dispatcher = _dispatcher((1, 1, 1))
+        for n in range(3):
+            dispatcher.handle(m.Ask(_work(f"a{n}")), 0.0)
+        for n in range(3):
+            dispatcher.handle(m.Finished(f"a{n}", m.Outcome.UNREACHABLE), 0.1)
+        assert _grants(dispatcher.handle(m.Ask(_work("b")), 0.2))
+
+
+class TestRefusing:
+    def test_at_the_deadline_with_a_time_to_come_back(self):
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("a")), 0.0)
+        dispatcher.handle(m.Ask(_work("b", deadline=0.5)), 0.0)
+        (refusal,) = dispatcher.handle(m.Tick(), 0.6)
+        assert isinstance(refusal, m.Refuse)
+        assert refusal.work.ask == "b"
+        assert refusal.retry_after > 0
+
+    def test_at_once_where_the_queue_is_too_long(self):
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("a", tokens=1000)), 0.0)
+        for n in range(5):
+            dispatcher.handle(m.Ask(_work(f"b{n}", tokens=1000)), 0.0)
+        (refusal,) = dispatcher.handle(m.Ask(_work("c", deadline=2.0)), 0.0)
+        assert isinstance(refusal, m.Refuse)
+
+    def test_nothing_while_a_slot_is_free(self):
+        dispatcher = _dispatcher((1,))
+        decisions = dispatcher.handle(m.Ask(_work("a", deadline=0.0)), 5.0)
+        assert _grants(decisions) == {"a": "t0"}
