Quotas: a large request is not held back while much is left

Change: the bound holds only where twice what is asked for between two tellings is more than what is left.

--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -22,6 +22,9 @@
 # An instance may take this many times its even part of what is left before the others
 # hear of it; or the part that it had in the window.
 UNTOLD_PARTS = 1.0
+# Where this many times what is asked for between two tellings is left, none is held
+# back: a large request must not be refused while much is left.
+AMPLE = 2.0
 # All totals are told again after so many intervals, for those that missed some.
 TELL_ALL_EVERY = 10
 # Share of the quota that is free while nothing is known of a whole window: all
@@ -190,6 +193,9 @@
         """Whether others may well take as much before all have heard of each other."""
         sent = self._totals[name] - self._told.get(name, 0)
         untold = sent + self._pending[name]
+        lately = self._lately[name].total(now)
+        if AMPLE * (lately * TELL_INTERVAL_S + untold + tokens) <= left:
+            return True
         alive = max(1, len(self._view.members))
         own, others = self._own[name].total(now), self._others[name].total(now)
         own = max(0.0, own - sent)
