The dispatcher's beliefs in the log; pauses and first events measured

Found: engines come in three speeds (events of 15.7, 30 and 87 ms); all pauses over 0.4 s were on the slowest (35 to 40 in 100 of their streams); 'hangs' of 1 s ended 58 attempts that were only slow; a new dispatcher learns speeds anew for ten seconds and more, and short requests beside long prompts make it believe in factors of 8 and 10. Change: pool-state line every 2 s, waited/first_event/longest_pause of each attempt; hang limit of twice the objective; a price for pauses that grow too long.

--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -55,6 +55,8 @@
         Whether it waits beyond its deadline.
     on_stop : callable
         Called if the granted request must stop.
+    due : float
+        When the first token is on time at the latest, on the loop's clock.
     """
 
     pool: str
@@ -62,6 +64,7 @@
     deadline: float
     never_shed: bool
     on_stop: Callable[[], None]
+    due: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +217,7 @@
             ask=ask,
             deadline_in=held.place.deadline - now,
             waited=now - held.received,
+            due_in=held.place.due - now,
         )
 
     def _end(self, ended: Ended) -> None:
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -44,6 +44,8 @@
 
 _LOG = logging.getLogger(__name__)
 TICK_S = 0.05
+# What a dispatcher believes is logged this often.
+STATE_INTERVAL_S = 2.0
 # A new dispatcher decides after this time even if not every instance has registered:
 # one that is paused must not hold up the others.
 RECOVERY_TIMEOUT_S = 0.3
@@ -59,6 +61,7 @@
     addresses: dict[str, str] = field(default_factory=dict)
     poller: asyncio.Task | None = None
     since: float = 0.0
+    told: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +199,16 @@
                 self._recover(duty)
             self._feed(duty, m.Tick())
             self._say_alive(duty)
+            if duty.told + STATE_INTERVAL_S <= now and duty in self._duties.values():
+                duty.told = now
+                self._log_state(duty, now)
+
+    def _log_state(self, duty: _Duty, now: float) -> None:
+        """Log what the dispatcher believes of its targets."""
+        summary = getattr(duty.dispatcher, "summary", None)
+        if summary:
+            pool = duty.dispatcher.pool_name
+            decision("pool-state", pool=pool, **summary(now))
 
     def _say_alive(self, duty: _Duty) -> None:
         """Tell the instances whose requests wait that they are not forgotten."""
@@ -378,4 +391,5 @@
         info.stoppable,
         tuple(info.prefixes),
         tuple(info.avoid),
+        now + info.due_in,
     )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from hibiscusstep.desk import Desk, Ended, Granted, Place, Refused
+from hibiscusstep.desk import Desk, Ended, Granted, Place, Refused, Started
 from hibiscusstep.dispatching import Dispatching, TargetLoad
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.connections import Connection, ConnectionPool, Reply
@@ -31,12 +31,12 @@
 # A request is refused after this part of its objective, so that the caller can still
 # be served in time when it comes again.
 PATIENCE = 0.8
-# A first event that takes this long over the objective will not come: a target that
-# hangs is left for another one where the request may be repeated.
-HANG_FACTOR = 1.0
+# An answer that has not begun after this many times its objective will not come: a
+# target that hangs is left for another one where the request may be repeated.
+HANG_FACTOR = 2.0
 MIN_HANG_S = 1.0
 # No event for so long in the midst of a stream: its target is gone.
-STREAM_GAP_S = 1.5
+STREAM_GAP_S = 2.0
 REPEATABLE_STATUS = 500
 # Ranks of routes within one rank of customers.
 RANKS_A_CUSTOMER = 16
@@ -160,6 +160,10 @@
         self._kept: web.Response | None = None
         self._grant: Granted | None = None
         self._granted_at = 0.0
+        self._first_noted = False
+        self._first_event = 0.0
+        self._last_event = 0.0
+        self._longest_pause = 0.0
 
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
@@ -210,13 +214,15 @@
             list(self._avoid),
         )
         latest = min(begun + patience, incoming.deadline)
-        place = Place(incoming.pool, work, latest, False, _never_stopped)
+        due = incoming.received + route.objective
+        place = Place(incoming.pool, work, latest, False, _never_stopped, due)
         try:
             reply = await self._means.desk.ask(place)
         except MailboxFull:
             reply = Refused(m.Reason.LOAD, 1.0)
         if isinstance(reply, Granted):
             self._grant = reply
+            self._first_noted = False
             self._granted_at = self._now()
         return reply
 
@@ -267,6 +273,10 @@
                 cause=cause,
                 seconds=round(self._now() - started, 4),
                 events=self._splitter.count,
+                waited=round(started - self._in.received, 4),
+                first_event=round(self._first_event, 4),
+                longest_pause=round(self._longest_pause, 4),
+                tokens=self._in.head.prompt_tokens,
             )
 
     async def _send(
@@ -368,12 +378,31 @@
             whole = splitter.feed(data)
             if whole:
                 await self._pass_on(reply, whole)
-            if splitter.count > before and self._repeatable:
-                limit = STREAM_GAP_S
+            if splitter.count > before:
+                self._note_events()
+                self._note_first()
+                limit = STREAM_GAP_S if self._repeatable else None
         await self._pass_on(reply, splitter.rest)
         splitter.drop_rest()
         await self._to_caller(self._response.write_eof())
 
+    def _note_events(self) -> None:
+        """Measure the time to the first event, and the pauses."""
+        now = self._now()
+        if self._last_event:
+            self._longest_pause = max(self._longest_pause, now - self._last_event)
+        else:
+            self._first_event = now - self._in.received
+        self._last_event = now
+
+    def _note_first(self) -> None:
+        """Tell the dispatcher that the prompt has been read."""
+        if self._first_noted or self._grant is None:
+            return
+        self._first_noted = True
+        seconds = self._now() - self._granted_at
+        self._means.desk.tell(Started(self._in.pool, self._grant.ask, seconds))
+
     async def _pass_on(self, reply: Reply, data: bytes) -> None:
         if self._response is None:
             response = web.StreamResponse(status=reply.message.code)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -323,8 +323,16 @@
         """Tell the dispatchers which targets there are."""
         if self._table is None:
             return
+        pauses = {
+            share.pool: route.max_pause
+            for route in self._table.routes
+            if route.streaming
+            for share in route.shares
+        }
         pools = {
-            pool.name: PlannedPool(pool.engine, pool.tokens_per_event)
+            pool.name: PlannedPool(
+                pool.engine, pool.tokens_per_event, pauses.get(pool.name, 1.0)
+            )
             for pool in self._table.pools
         }
         for name, target in self._targets.items():
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -58,6 +58,8 @@
         Targets that one request may be sent to.
     public : bool
         Whether no key is needed.
+    max_pause : float
+        Seconds between two events of a stream that is on time, at the most.
     """
 
     name: str
@@ -71,6 +73,7 @@
     rank: int
     max_attempts: int
     public: bool
+    max_pause: float = 1.0
 
     def choose_pool(self) -> str:
         """Return the pool of the next request, drawn by weight."""
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -51,6 +51,7 @@
     stoppable: bool
     prefixes: list[int]
     avoid: list[str]
+    due_in: float = 0.0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -22,6 +22,7 @@
 CONFIGURATION_NAME = "main"
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_OBJECTIVE_MS = 1_000
+DEFAULT_PAUSE_MS = 1_000
 LOWEST_RANK = 9
 
 
@@ -107,6 +108,7 @@
         rank=int(entry.get("Priority", LOWEST_RANK)),
         max_attempts=max(1, int(entry.get("MaxAttempts") or 1)),
         public=bool(entry.get("Public")),
+        max_pause=float(entry.get("TargetGapMs") or DEFAULT_PAUSE_MS) / 1000,
     )
 
 
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -75,6 +75,9 @@
         Hashes of leading parts of the prompt, shortest first.
     avoid : tuple of str
         Targets that failed this request before.
+    due : float
+        When the first token is on time at the latest, on the dispatcher's clock; 0 if
+        not told.
     """
 
     ask: str
@@ -90,6 +93,7 @@
     stoppable: bool = False
     prefixes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
+    due: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -22,6 +22,14 @@
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
 # Weight of the work that runs at a target against the request's own.
 RUNNING_WEIGHT = 0.3
+# Prompts are read in parts between the tokens of the others, so that each prompt being
+# read makes their steps longer.
+PREFILL_CHUNK_TOKENS = 1024
+# Weight of a second by which a first token would be late, and seconds that a stream is
+# charged whose pauses would grow too long.
+LATE_WEIGHT = 5.0
+PAUSE_COST_S = 0.5
+PAUSE_MARGIN = 0.85
 # A target that fails rests for a moment, twice as long each time in a row.
 FIRST_REST_S = 0.5
 MAX_REST_S = 4.0
@@ -55,12 +63,15 @@
         Whether its targets are model engines.
     tokens_per_event : int
         Tokens that an event of its streams holds.
+    max_pause : float
+        Seconds between two events of a stream that is on time, at the most.
     targets : dict of str to PlannedTarget
         Its targets by name.
     """
 
     engine: bool
     tokens_per_event: int = 1
+    max_pause: float = 1.0
     targets: dict[str, PlannedTarget] = field(default_factory=dict)
 
 
@@ -76,6 +87,8 @@
     work: m.Work
     granted: float
     cost: float
+    prefill: float
+    began: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -122,12 +135,41 @@
             taken += self.foreign
         return self.slots - taken
 
+    def prefill_left(self, now: float) -> float:
+        """Return the guessed seconds of prompts that it has still to read."""
+        return sum(
+            max(0.0, run.prefill - (now - run.granted) / self.slowness)
+            for run in self.running.values()
+            if not run.began
+        )
+
     def cost(self, own: float, now: float) -> float:
         """Return the weighed seconds for a request of `own` guessed seconds."""
         ahead = sum(run.cost for run in self.running.values())
         spent = self.slowness * (own + RUNNING_WEIGHT * ahead)
         return spent * (1 + FAILURE_COST * self.failing)
 
+    def lateness(self, prefill: float, due: float, now: float) -> float:
+        """Return the seconds by which a first token would come too late."""
+        reading = self.prefill_left(now) + prefill + FIRST_TOKEN_S
+        return max(0.0, now + self.slowness * reading - due)
+
+    def pause(self, steps: int, prefill: float, now: float) -> float:
+        """Return the guessed seconds between events while one more prompt is read.
+
+        Parameters
+        ----------
+        steps : int
+            Steps to an event; in each a part of the prompts is read.
+        prefill : float
+            Guessed seconds of the prompt.
+        now : float
+            Seconds on the dispatcher's clock.
+        """
+        chunk = PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_S
+        reading = min(steps * chunk, self.prefill_left(now) + prefill)
+        return self.slowness * (steps * STEP_S + reading)
+
 
 @dataclass
 class SlotCounts:
@@ -163,6 +205,7 @@
         self._recovered = False
         self._engine = True
         self._tokens_per_event = 1
+        self._max_pause = 1.0
         self._decisions: list[m.Decision] = []
         self._plain_seconds = PLAIN_SERVICE_S
         self.counts = SlotCounts()
@@ -199,6 +242,19 @@
         """Whether an ask is still undecided."""
         return ask in self._waiting
 
+    def summary(self, now: float) -> dict:
+        """Return the state in short: of each target, what runs and what was learnt."""
+        targets = {
+            name: (
+                f"{len(target.running)}/{target.slots}"
+                f" x{target.slowness:.2f} f{target.failing:.2f}"
+                f"{' leaving' if target.leaving else ''}"
+                f"{'' if now >= target.rest_until else ' resting'}"
+            )
+            for name, target in self._targets.items()
+        }
+        return {"waiting": self.waiting, "targets": targets}
+
     def handle(self, message, now: float) -> list[m.Decision]:
         """Take one message and return the decisions, in order."""
         self._decisions = []
@@ -228,7 +284,9 @@
 
     @_take.register
     def _first_token(self, message: m.FirstToken, now: float) -> None:
-        pass
+        target = self._targets.get(self._placed.get(message.ask, ""))
+        if target and message.ask in target.running:
+            target.running[message.ask].began = True
 
     @_take.register
     def _finished(self, message: m.Finished, now: float) -> None:
@@ -307,6 +365,7 @@
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._engine = pool.engine
         self._tokens_per_event = pool.tokens_per_event
+        self._max_pause = pool.max_pause
         for name, planned in pool.targets.items():
             target = self._targets.get(name)
             if target is None:
@@ -351,10 +410,26 @@
         own = self._cost(work)
         free = [target for target in usable if target.free(now) > 0]
         others = [target for target in free if target.name not in work.avoid]
-        return min(others or free, key=lambda t: t.cost(own, now), default=None)
+        if not self._engine:
+            return min(others or free, key=lambda t: t.cost(own, now), default=None)
+        return min(
+            others or free, key=lambda t: self._price(t, work, own, now), default=None
+        )
+
+    def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
+        """Return the weighed seconds of a request, and of what it does to others."""
+        prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S
+        price = target.cost(own, now)
+        if work.due:
+            price += LATE_WEIGHT * target.lateness(prefill, work.due, now)
+        pause = target.pause(self._tokens_per_event, prefill, now)
+        if pause > PAUSE_MARGIN * self._max_pause:
+            price += PAUSE_COST_S * len(target.running)
+        return price
 
     def _run(self, target: SlotTarget, work: m.Work, now: float) -> None:
-        target.running[work.ask] = _Run(work, now, self._cost(work))
+        prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S if self._engine else 0.0
+        target.running[work.ask] = _Run(work, now, self._cost(work), prefill)
         self._placed[work.ask] = target.name
 
     def _expire(self, now: float) -> None:
