Speed is learnt from the pace of events; a target that serves in time is waited for

Cause: short requests beside long prompts made a target look eight times slower than it is, and work went to slow targets while a fast one would have been free in time. Change: slowness from the mean time between events of streams with six or more; the best free target is passed over while another would serve in time; what waits behind is weighed for it.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -161,6 +161,8 @@
         self._grant: Granted | None = None
         self._granted_at = 0.0
         self._first_noted = False
+        self._attempt_first = 0.0
+        self._attempt_events = 0
         self._first_event = 0.0
         self._last_event = 0.0
         self._longest_pause = 0.0
@@ -223,6 +225,7 @@
         if isinstance(reply, Granted):
             self._grant = reply
             self._first_noted = False
+            self._attempt_events = 0
             self._granted_at = self._now()
         return reply
 
@@ -379,16 +382,19 @@
             if whole:
                 await self._pass_on(reply, whole)
             if splitter.count > before:
-                self._note_events()
+                self._note_events(splitter.count - before)
                 self._note_first()
                 limit = STREAM_GAP_S if self._repeatable else None
         await self._pass_on(reply, splitter.rest)
         splitter.drop_rest()
         await self._to_caller(self._response.write_eof())
 
-    def _note_events(self) -> None:
+    def _note_events(self, count: int) -> None:
         """Measure the time to the first event, and the pauses."""
         now = self._now()
+        if not self._attempt_events:
+            self._attempt_first = now
+        self._attempt_events += count
         if self._last_event:
             self._longest_pause = max(self._longest_pause, now - self._last_event)
         else:
@@ -499,8 +505,8 @@
             self._in.pool,
             self._grant.ask,
             outcome,
-            self._splitter.count,
-            self._now() - self._granted_at,
+            self._attempt_events,
+            self._last_event - self._attempt_first if self._attempt_events else 0.0,
         )
         self._grant = None
         self._means.desk.tell(ended)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -18,7 +18,11 @@
 PREFILL_TOKENS_PER_S = 48_200.0
 STEP_S = 0.0031
 PLAIN_SERVICE_S = 0.05
-LEARN = 0.2
+LEARN = 0.1
+# Streams with fewer events tell too little of a target's pace.
+MIN_EVENTS = 6
+# So many of the waiting requests are weighed for the free targets at a time.
+WEIGHED = 24
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
 # Weight of the work that runs at a target against the request's own.
 RUNNING_WEIGHT = 0.3
@@ -105,6 +109,8 @@
         Whether it takes no new work.
     slowness : float
         Seconds that work takes against the first guess, learnt.
+    learnt : int
+        Answers that it was learnt from.
     failing : float
         Share of requests that failed lately, learnt.
     rest_until : float
@@ -117,6 +123,7 @@
     slots: int
     leaving: bool = False
     slowness: float = 1.0
+    learnt: int = 0
     failing: float = 0.0
     failures: int = 0
     rest_until: float = 0.0
@@ -391,30 +398,46 @@
 
     def _schedule(self, now: float) -> None:
         usable = self._usable(now)
-        while self._queue and usable:
-            rank, _received, _ticket, work = self._queue[0]
+        passed_over = []
+        while self._queue and len(passed_over) < WEIGHED:
+            free = [target for target in usable if target.free(now) > 0]
+            if not free:
+                break
+            entry = heapq.heappop(self._queue)
+            work = entry[-1]
             if work.ask not in self._waiting:
-                heapq.heappop(self._queue)
                 continue
-            target = self._choose(work, usable, now)
+            target = self._choose(work, free, usable, now)
             if target is None:
-                return
-            heapq.heappop(self._queue)
+                passed_over.append(entry)
+                continue
             del self._waiting[work.ask]
             self.counts.granted += 1
             self._run(target, work, now)
             wait = round(now - work.received, 4)
             self._decisions.append(m.Grant(work, target.name, wait, {}))
+        for entry in passed_over:
+            heapq.heappush(self._queue, entry)
 
-    def _choose(self, work: m.Work, usable, now: float) -> SlotTarget | None:
+    def _choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
+        """Return the best of the free targets; None if another is worth the wait."""
         own = self._cost(work)
-        free = [target for target in usable if target.free(now) > 0]
         others = [target for target in free if target.name not in work.avoid]
         if not self._engine:
-            return min(others or free, key=lambda t: t.cost(own, now), default=None)
-        return min(
-            others or free, key=lambda t: self._price(t, work, own, now), default=None
-        )
+            return min(others or free, key=lambda t: t.cost(own, now))
+        best = min(others or free, key=lambda t: self._price(t, work, own, now))
+        if now >= work.deadline or self._serves_in_time(best, work, now):
+            return best
+        worth_it = any(self._serves_in_time(t, work, now) for t in usable)
+        return None if worth_it else best
+
+    def _serves_in_time(self, target: SlotTarget, work: m.Work, now: float) -> bool:
+        """Whether the first token would be on time, and the pauses of the others."""
+        prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S
+        if work.due and target.lateness(prefill, work.due, now) > 0:
+            return False
+        pause = target.pause(self._tokens_per_event, prefill, now)
+        return not target.running or pause <= PAUSE_MARGIN * self._max_pause
 
     def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
         """Return the weighed seconds of a request, and of what it does to others."""
@@ -458,14 +481,19 @@
     def _learn(self, target: SlotTarget, run: _Run, finished, now: float) -> None:
         target.failures = 0
         target.failing *= 1 - FAILURE_LEARN
-        seconds = now - run.granted
-        guessed = run.cost
-        if self._engine and finished.tokens:
-            prefill = run.work.prompt_tokens / PREFILL_TOKENS_PER_S
-            tokens = finished.tokens * self._tokens_per_event
-            guessed = FIRST_TOKEN_S + prefill + tokens * STEP_S
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, seconds / guessed))
-        target.slowness += LEARN * (ratio - target.slowness)
+        if self._engine:
+            # The pace of events tells the speed; the rest of an answer's time tells
+            # more of what else the target has to do.
+            if finished.tokens < MIN_EVENTS:
+                return
+            steps = (finished.tokens - 1) * self._tokens_per_event
+            ratio = finished.decode_seconds / (steps * STEP_S)
+        else:
+            ratio = (now - run.granted) / run.cost
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        target.learnt += 1
+        weight = max(LEARN, 1 / (1 + target.learnt))
+        target.slowness += weight * (ratio - target.slowness)
 
     def _punish(self, target: SlotTarget, outcome: m.Outcome, now: float) -> None:
         target.failing += FAILURE_LEARN * (1 - target.failing)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -71,7 +71,8 @@
         for n in range(12):
             grants = _grants(dispatcher.handle(m.Ask(_work(f"a{n}")), n))
             seconds = 3.0 if grants[f"a{n}"] == "t0" else 0.3
-            dispatcher.handle(m.Finished(f"a{n}", m.Outcome.DONE, 100), n + seconds)
+            done = m.Finished(f"a{n}", m.Outcome.DONE, 100, seconds)
+            dispatcher.handle(done, n + seconds)
         assert dispatcher.targets["t0"].slowness > dispatcher.targets["t1"].slowness
 
 
