--- a/hibiscusstep/cmdline/client.py
+++ b/hibiscusstep/cmdline/client.py
@@ -22,6 +22,7 @@
 from hibiscusstep.errors import HibiscusstepError
 from hibiscusstep.operations import OperatorClient
 from hibiscusstep.store import Platform, get_platform_by_name
+from hibiscusstep.story import read_lines, tell_story
 
 __all__ = ["main"]
 
@@ -239,12 +240,29 @@
 
 @main.command()
 @click.argument("request")
-@_ENTRY
-@_KEY
+@click.option(
+    "--log",
+    type=click.File("r"),
+    help="Read the instances' log lines from this file, - for standard input.",
+)
+@click.option("--entry", envvar="HIBISCUSSTEP_ENTRY", help="As of status.")
+@click.option("--key", envvar="HIBISCUSSTEP_OPERATOR_KEY", help="As of status.")
 @_JSON
 @one_line_errors
-def explain(request, entry, key, as_json) -> None:
-    """Show what was decided about a request, where and why."""
+def explain(request, log, entry, key, as_json) -> None:
+    """Show what was decided about a request, where and why.
+
+    Asks an instance, or with --log tells it from the lines of all instances.
+    """
+    if log is not None:
+        story = tell_story(request, read_lines(log))
+        if not story:
+            raise HibiscusstepError("no line of this request", step="explain")
+        fields = [line.fields for line in story]
+        _show(fields, as_json, (line.text() for line in story))
+        return
+    if not entry or not key:
+        raise click.UsageError("give --log, or --entry and --key")
     notes = run(_ask(entry, key, lambda client: client.explain(request)))
     lines = (
         f"{note['at']:.3f} {note['what']}: "
--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 from pathlib import Path
 
 import click
@@ -45,7 +46,8 @@
     if check:
         click.echo("settings are good")
         return
-    set_up_logging(loaded.log_style, loaded.log_level, loaded.name)
+    stream = sys.stdout if dialect == "platform" else None
+    set_up_logging(loaded.log_style, loaded.log_level, loaded.name, stream)
     run(_serve(make))
 
 
--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -98,6 +98,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         self._open += 1
         self._idle.clear()
+        self._means.metrics.gauge("open_requests", self._open)
         try:
             response = await self._answer(request)
             if self._leaving and not response.prepared:
@@ -105,6 +106,7 @@
             return response
         finally:
             self._open -= 1
+            self._means.metrics.gauge("open_requests", self._open)
             if not self._open:
                 self._idle.set()
 
@@ -176,11 +178,16 @@
 
     def _reject(self, request, name: str, rejected: _Rejected) -> web.Response:
         version = self._table.version if self._table else 0
+        self._means.metrics.requests.inc(
+            {"route": "", "rank": "", "status": str(rejected.status)}
+        )
         decision(
             "rejected",
             request=name,
             status=rejected.status,
             why=rejected.why,
+            host=request.headers.get("Host", ""),
+            path=request.path[:80],
             version=version,
         )
         headers = {}
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -86,6 +86,7 @@
         self._trusted_at = 0.0
         self._targets_known = False
         self._followers: list[asyncio.Task] = []
+        self._answered: dict[str, float] = {}
 
     async def start(self) -> None:
         """Begin to follow the feeds."""
@@ -127,6 +128,7 @@
             if revision is None:
                 listed = await feed.read_all()
                 if listed.is_ok():
+                    self._note_answer(feed)
                     listing = listed.unwrap()
                     revision = listing.revision
                     self.tell(_Listed(feed, listing, was_lost))
@@ -138,6 +140,7 @@
             else:
                 seen = await feed.watch(revision, WATCH_S)
                 if seen.is_ok():
+                    self._note_answer(feed)
                     changes, revision = seen.unwrap()
                     if changes:
                         self.tell(_Changed(feed, changes))
@@ -152,6 +155,16 @@
             was_lost = True
             await asyncio.sleep(RETRY_S * (0.5 + random.random()))
 
+    def _note_answer(self, feed: Feed) -> None:
+        self._answered[feed.name] = asyncio.get_running_loop().time()
+
+    def age(self) -> float:
+        """Return the seconds since the store last answered about both feeds."""
+        if len(self._answered) < len(self._feeds):
+            return float("inf")
+        now = asyncio.get_running_loop().time()
+        return now - min(self._answered.values())
+
     def _take_tables(self, tables) -> None:
         for table in tables:
             if self._table is None or table.version > self._table.version:
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -12,6 +12,7 @@
 from hibiscusstep.forwarding.connections import Connection, ConnectionPool, Reply
 from hibiscusstep.forwarding.dialect import AnswerHead, Dialect, Order, RequestHead
 from hibiscusstep.forwarding.events import EventSplitter
+from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import (
     CustomerRule,
     DiscoveredTarget,
@@ -121,6 +122,8 @@
         Bounds repeats.
     targets : dict of str to DiscoveredTarget
         All known targets.
+    metrics : ForwardingMetrics
+        What is counted.
     """
 
     instance: str
@@ -130,6 +133,7 @@
     connections: ConnectionPool
     retries: WindowedRetryBudget
     targets: dict[str, DiscoveredTarget]
+    metrics: ForwardingMetrics
 
 
 class _Spoilt(Exception):
@@ -172,12 +176,30 @@
 
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
+        try:
+            response = await self._run_in_time()
+        except asyncio.CancelledError:
+            self._log_end(499, "caller left")
+            raise
+        self._count(response.status)
+        return response
+
+    async def _run_in_time(self) -> web.StreamResponse:
         try:
             async with asyncio.timeout_at(self._in.deadline):
                 return await self._run()
         except TimeoutError:
             return self._fail(504, "timeout")
 
+    def _count(self, status: int) -> None:
+        metrics, route = self._means.metrics, {"route": self._in.route.name}
+        labels = {**route, "rank": str(self._in.rank), "status": str(status)}
+        metrics.requests.inc(labels)
+        if self._attempts:
+            first = self._first_event or self._now() - self._in.received
+            metrics.first_event.observe(route, first)
+            metrics.pause.observe(route, self._longest_pause)
+
     async def _run(self) -> web.StreamResponse:
         means, pool = self._means, self._in.pool
         means.retries.first_try(pool, self._now())
@@ -230,6 +252,8 @@
         except MailboxFull:
             reply = Refused(m.Reason.LOAD, 1.0)
         if isinstance(reply, Granted):
+            waited = self._now() - begun
+            self._means.metrics.queue_wait.observe({"pool": incoming.pool}, waited)
             self._grant = reply
             self._first_noted = False
             self._attempt_events = 0
@@ -273,21 +297,32 @@
             if connection is not None and outcome is not m.Outcome.DONE:
                 connection.abort()
             self._end(outcome)
-            decision(
-                "attempt",
-                request=self._in.head.request,
-                target=target.name,
-                pool=target.pool,
-                number=self._attempts,
-                outcome=outcome,
-                cause=cause,
-                seconds=round(self._now() - started, 4),
-                events=self._splitter.count,
-                waited=round(started - self._in.received, 4),
-                first_event=round(self._first_event, 4),
-                longest_pause=round(self._longest_pause, 4),
-                tokens=self._in.head.prompt_tokens,
-            )
+            self._note_attempt(target, outcome, cause, started)
+
+    def _note_attempt(self, target, outcome: m.Outcome, cause: str, started) -> None:
+        metrics, pool = self._means.metrics, target.pool
+        metrics.attempts.inc({"pool": pool, "outcome": outcome})
+        if self._attempts > 1:
+            metrics.repeats.inc({"pool": pool})
+        decision(
+            "attempt",
+            request=self._in.head.request,
+            target=target.name,
+            address=target.address,
+            pool=pool,
+            number=self._attempts,
+            outcome=outcome,
+            cause=cause,
+            seconds=round(self._now() - started, 4),
+            waited=round(started - self._in.received, 4),
+            events=self._splitter.count,
+            last_event=self._splitter.last_id,
+            first_event=round(self._first_event, 4),
+            longest_pause=round(self._longest_pause, 4),
+            tokens=self._in.head.prompt_tokens,
+            target_revision=target.revision,
+            routine=outcome is m.Outcome.DONE,
+        )
 
     async def _send(
         self, connection: Connection, target: DiscoveredTarget
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,10 +19,11 @@
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.exchange import Means
+from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
-from hibiscusstep.log import decision
+from hibiscusstep.log import decision, dropped_lines, keep_flushing
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import Membership, OwnState, ViewChanged
@@ -58,6 +60,7 @@
 # A dispatcher that is silent for so long is taken for paused or cut off.
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
+METRICS_RETRY_S = 5.0
 # A stopping instance listens until callers and the balancer have noticed, and keeps
 # this long before the end of its grace free.
 LISTEN_ON_S = 4.0
@@ -151,6 +154,11 @@
         """The known targets by name."""
         return self._targets
 
+    @property
+    def metrics_address(self) -> str:
+        """Where the metrics are served."""
+        return self._settings.operator_address
+
     @property
     def border(self) -> ForwardingBorder:
         """The border towards callers."""
@@ -175,7 +183,9 @@
         children = [
             *(Child(worker.name, worker.run) for worker in self._workers),
             Child("sweeper", self._sweep),
+            Child("log", keep_flushing),
             Child("registration", self._register, Restart.TRANSIENT),
+            Child("metrics", self._serve_metrics),
             Child("readiness", self._serve_readiness, Restart.ESSENTIAL),
             Child("callers", self._serve_callers, Restart.ESSENTIAL),
         ]
@@ -242,6 +252,7 @@
             name, incarnation, address, self._links, self._route, STANDBY_AFTER_S
         )
         self._quotas = QuotaKeeper(incarnation, address, self._links, bounds)
+        self._metrics = ForwardingMetrics()
         self._connections = ConnectionPool()
         self._retries = WindowedRetryBudget(bounds)
         self._means = Means(
@@ -252,6 +263,7 @@
             self._connections,
             self._retries,
             self._targets,
+            self._metrics,
         )
         self._border = ForwardingBorder(self._means, self._quotas)
         self._workers: list[Worker] = [
@@ -403,6 +415,40 @@
     async def _say_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
+    async def _serve_metrics(self) -> None:
+        app = web.Application()
+        app.router.add_get("/metrics", self._render_metrics)
+        while True:
+            try:
+                await _serve(app, self._settings.operator_address)
+            except OSError as error:
+                # Callers are served without metrics too.
+                _LOG.error("no metrics", extra={"error": str(error)})
+                await asyncio.sleep(METRICS_RETRY_S)
+
+    async def _render_metrics(self, _request: web.Request) -> web.Response:
+        self._refresh_gauges()
+        content, headers = self._metrics.render()
+        return web.Response(body=content, headers=headers)
+
+    def _refresh_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.gauge("configuration_version", self.version)
+        metrics.gauge("members", len(self._view.members))
+        metrics.gauge("silent_members", self._view.silent)
+        metrics.gauge("connections_opened", self._connections.opened)
+        metrics.gauge("log_lines_dropped", dropped_lines())
+        metrics.gauge("table_age_seconds", self._catalog.age())
+        states = Counter(
+            (target.pool, "leaving" if target.leaving else "ready")
+            for target in self._targets.values()
+        )
+        now = asyncio.get_running_loop().time()
+        for (pool, state), count in states.items():
+            metrics.gauge("targets", count, pool=pool, state=state)
+            left = self._retries.left(pool, now)
+            metrics.gauge("repeats_left", left, pool=pool)
+
     async def _serve_callers(self) -> None:
         limits = self._border.limits
         await _serve(
--- a/hibiscusstep/log.py
+++ b/hibiscusstep/log.py
@@ -1,11 +1,21 @@
 """hibiscusstep.log: set-up of the standard logging, for people or as JSON lines."""
 
+import asyncio
 import logging
 import sys
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["HumanFormatter", "decision", "set_up_logging"]
+from hibiscusstep.logstream import FLUSH_INTERVAL_S, BoundedHandler
+
+__all__ = [
+    "HumanFormatter",
+    "decision",
+    "dropped_lines",
+    "keep_flushing",
+    "set_up_logging",
+]
 
 _STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 _DECISIONS = logging.getLogger("hibiscusstep.decision")
@@ -26,9 +36,9 @@
 
 
 def set_up_logging(
-    style: str = "auto", level: str = "INFO", instance: str = ""
-) -> None:
-    """Send all records to standard error.
+    style: str = "auto", level: str = "INFO", instance: str = "", stream=None
+) -> logging.Handler:
+    """Send all records to standard error, or JSON lines to a stream that never blocks.
 
     Parameters
     ----------
@@ -38,9 +48,19 @@
         Name of the lowest level that is written.
     instance : str
         Name of the instance, a field of every JSON record.
+    stream : file or None
+        Where JSON lines go, bounded and without blocking; None is standard error.
+
+    Returns
+    -------
+    logging.Handler
+        The handler.
     """
     human = style == "human" or (style == "auto" and sys.stderr.isatty())
-    handler = logging.StreamHandler(sys.stderr)
+    if stream is None or human:
+        handler = logging.StreamHandler(sys.stderr)
+    else:
+        handler = BoundedHandler(stream.fileno(), time.monotonic)
     if human:
         handler.setFormatter(
             HumanFormatter("%(asctime)s %(levelname)-7s %(name)s: %(message)s")
@@ -54,6 +74,24 @@
         )
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     logging.getLogger("asyncio").setLevel(logging.WARNING)
+    return handler
+
+
+def _bounded_handlers() -> list[BoundedHandler]:
+    return [h for h in logging.getLogger().handlers if isinstance(h, BoundedHandler)]
+
+
+def dropped_lines() -> int:
+    """Return how many log lines were dropped since the start."""
+    return sum(handler.dropped for handler in _bounded_handlers())
+
+
+async def keep_flushing() -> None:
+    """Write waiting log lines until cancelled."""
+    while True:
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+        for handler in _bounded_handlers():
+            handler.flush()
 
 
 def decision(kind: str, **fields) -> None:
@@ -64,6 +102,7 @@
     kind : str
         What was decided, e.g. ``"grant"``, ``"refuse"``, ``"drain"``.
     **fields : object
-        Request, customer, tier, target, candidates, reason, wait in seconds.
+        Request, customer, tier, target, candidates, reason, wait in seconds; `routine`
+        marks what may be left out first when there is too much.
     """
     _DECISIONS.info(kind, extra=fields)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -427,12 +427,18 @@
                 continue
             del self._waiting[work.ask]
             self.counts.granted += 1
-            self._run(target, work, now)
             wait = round(now - work.received, 4)
-            self._decisions.append(m.Grant(work, target.name, wait, {}))
+            weighed = self._weighed(work, free, now)
+            self._run(target, work, now)
+            self._decisions.append(m.Grant(work, target.name, wait, weighed))
         for entry in passed_over:
             heapq.heappush(self._queue, entry)
 
+    def _weighed(self, work: m.Work, free, now: float) -> dict[str, float]:
+        """Return the prices of some free targets, for the log."""
+        own = self._cost(work)
+        return {t.name: round(self._price(t, work, own, now), 3) for t in free[:6]}
+
     def _choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
         """Return the best of the free targets; None if another is worth the wait."""
         own = self._cost(work)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -51,7 +51,7 @@
 
     def __init__(self, tmp_path, monkeypatch):
         monkeypatch.setenv("HIBISCUSSTEP_PEER_KEY", "a-key-for-tests-only")
-        monkeypatch.setattr("hibiscusstep.platform.settings.METRICS_PORT", free_port())
+        self._monkeypatch = monkeypatch
         self._path = tmp_path
         self.store = StoreStandIn()
         self.targets = []
@@ -73,6 +73,8 @@
         self.store.put("servers", target.name, target.entry(pool))
 
     async def add_instance(self):
+        module = "hibiscusstep.platform.settings.METRICS_PORT"
+        self._monkeypatch.setattr(module, free_port())
         settings = _settings(f"n{len(self.instances)}", self.store)
         path = self._path / f"{settings['NodeName']}.json"
         path.write_bytes(orjson.dumps(settings))
@@ -192,8 +194,10 @@
 
     async def test_beyond_the_quota(self, site):
         await site.start(TargetStandIn("t1"))
-        fields = {"Authorization": "Bearer key-two", "X-Token-Usage": "150,50"}
-        statuses = [(await site.call("/safe/", **fields))[0] for _ in range(6)]
+        fields = {"Authorization": "Bearer key-two", "X-Token-Usage": "30,20"}
+        statuses = [(await site.call("/safe/", **fields))[0]]
+        while 429 not in statuses and len(statuses) < 100:
+            statuses.append((await site.call("/safe/", **fields))[0])
         assert statuses[0] == 200
         assert statuses[-1] == 429
 
@@ -376,6 +380,21 @@
         assert "Retry-After" in fields
 
 
+class TestMetrics:
+    async def test_what_was_answered_is_counted(self, site):
+        await site.start(TargetStandIn("t1"))
+        await site.call("/safe/")
+        await site.call("/nowhere/")
+        url = f"http://{site.instances[0].metrics_address}/metrics"
+        async with asyncio.timeout(BOUND_S), site.session.get(url) as response:
+            text = await response.text()
+        name = "hibiscusstep_forward_requests_total"
+        assert f'{name}{{rank="16",route="safe",status="200"}} 1' in text
+        assert f'{name}{{rank="",route="",status="404"}} 1' in text
+        assert 'hibiscusstep_forward_targets{pool="pool-a",state="ready"} 1' in text
+        assert "key-one" not in text
+
+
 class TestSettings:
     async def test_bounds_are_read_again(self, site):
         await site.start()
--- /dev/null
+++ b/tests/test_logstream.py
@@ -0,0 +1,152 @@
+"""hibiscusstep.logstream, hibiscusstep.story and the decisions' lines."""
+
+import logging
+import os
+
+import orjson
+import pytest
+from click.testing import CliRunner
+from pythonjsonlogger.json import JsonFormatter
+
+from hibiscusstep import logstream
+from hibiscusstep.cmdline.client import main
+from hibiscusstep.logstream import BoundedHandler
+
+
+class Pipe:
+    """A handler that writes into a pipe which is read only when asked."""
+
+    def __init__(self):
+        self.reader, self.writer = os.pipe()
+        self.now = 0.0
+        self.handler = BoundedHandler(self.writer, lambda: self.now)
+        self.handler.setFormatter(JsonFormatter("%(message)s"))
+
+    def log(self, text, routine=False):
+        record = logging.LogRecord("n", logging.INFO, "", 0, text, None, None)
+        record.routine = routine
+        self.handler.emit(record)
+
+    def read(self):
+        os.set_blocking(self.reader, False)
+        parts = []
+        while True:
+            try:
+                part = os.read(self.reader, 1 << 16)
+            except BlockingIOError:
+                break
+            if not part:
+                break
+            parts.append(part)
+            self.handler.flush()
+        return [orjson.loads(line) for line in b"".join(parts).splitlines()]
+
+    def close(self):
+        os.close(self.reader)
+        os.close(self.writer)
+
+
+@pytest.fixture
+def pipe():
+    pipe = Pipe()
+    yield pipe
+    pipe.close()
+
+
+class TestBoundedHandler:
+    def test_lines_come_whole_and_in_order(self, pipe):
+        for n in range(50):
+            pipe.log(f"line {n}")
+        assert [x["message"] for x in pipe.read()] == [f"line {n}" for n in range(50)]
+
+    def test_a_reader_that_stops_holds_nothing_up(self, pipe, monkeypatch):
+        monkeypatch.setattr(logstream, "MAX_PENDING_BYTES", 20_000)
+        for n in range(5_000):
+            pipe.log(f"line {n} " + "x" * 100)
+        assert pipe.handler.dropped > 1_000
+        got = [x["message"].split()[1] for x in pipe.read()]
+        assert got == sorted(got, key=int)
+        pipe.log("after")
+        last = pipe.read()
+        assert last[-2]["message"] == "log lines dropped"
+        assert last[-2]["count"] == pipe.handler.dropped
+        assert last[-1]["message"] == "after"
+
+    def test_lines_of_requests_that_ended_well_are_dropped_first(
+        self, pipe, monkeypatch
+    ):
+        monkeypatch.setattr(logstream, "MAX_PENDING_BYTES", 200_000)
+        for _n in range(3_000):
+            pipe.log("good " + "x" * 100, routine=True)
+            pipe.now += 0.01
+        dropped = pipe.handler.dropped
+        assert dropped
+        pipe.log("bad")
+        assert pipe.handler.dropped == dropped
+        assert pipe.read()[-1]["message"] == "bad"
+
+    def test_no_more_routine_lines_than_a_second_allows(self, pipe, monkeypatch):
+        monkeypatch.setattr(logstream, "MAX_ROUTINE_PER_S", 10)
+        for _ in range(30):
+            pipe.log("good", routine=True)
+        assert pipe.handler.dropped == 20
+        pipe.now = 1.0
+        pipe.log("good", routine=True)
+        assert pipe.handler.dropped == 20
+
+    def test_a_reader_that_is_gone(self, pipe):
+        os.close(pipe.reader)
+        pipe.reader = os.open(os.devnull, os.O_RDONLY)
+        for _ in range(3):
+            pipe.log("line")
+        assert pipe.handler.dropped == 2
+
+
+def _line(second, instance, message, **fields):
+    stamp = f"2026-01-01 10:00:{second:06.3f}".replace(".", ",")
+    line = {"asctime": stamp, "message": message, "instance": instance, **fields}
+    return "12.5 n " + orjson.dumps(line).decode()
+
+
+class TestExplain:
+    LINES = "\n".join(
+        [
+            _line(
+                9.0, "a", "attempt", request="r1", target="t1", pool="p", seconds=1.0
+            ),
+            _line(9.5, "b", "target-leaving", target="t1", revision=7),
+            _line(9.6, "b", "target-leaving", target="t2", revision=8),
+            _line(9.7, "a", "store-lost", feed="servers"),
+            _line(9.7, "c", "store-lost", feed="servers"),
+            _line(8.5, "d", "grant", request="r1", target="t1", pool="p"),
+            _line(50.0, "b", "target-gone", target="t1"),
+            "no line of ours {",
+            _line(9.2, "a", "given-up", request="r1", status=502, why="cut"),
+        ]
+    )
+
+    def test_the_story_is_told_in_order_over_several_instances(self):
+        result = CliRunner().invoke(
+            main, ["explain", "r1", "--log", "-"], input=self.LINES
+        )
+        assert result.exit_code == 0, result.output
+        told = [line.split()[1:3] for line in result.output.splitlines()]
+        assert told == [
+            ["d", "grant:"],
+            ["a", "attempt:"],
+            ["a", "given-up:"],
+            ["b", "target-leaving:"],
+            ["a", "store-lost:"],
+        ]
+
+    def test_a_request_without_a_line(self):
+        result = CliRunner().invoke(
+            main, ["explain", "r9", "--log", "-"], input=self.LINES
+        )
+        assert result.exit_code == 1
+        assert "no line" in result.output
+
+    def test_without_log_or_entry(self, monkeypatch):
+        monkeypatch.delenv("HIBISCUSSTEP_ENTRY", raising=False)
+        result = CliRunner().invoke(main, ["explain", "r9"])
+        assert result.exit_code == 2
