--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -182,7 +182,7 @@
         options = [*self._platform_options, "--listen", address]
         self._spawn("platform", "hibiscusstep-standin", "platform", *options)
         records = [
-            {"name": n, "place": s.place, "peer_address": s.peer_address}
+            {"name": n, "data_centre": s.data_centre, "peer_address": s.peer_address}
             for n, s in self.instances.items()
         ]
         self._until(
--- a/examples/slopes.py
+++ b/examples/slopes.py
@@ -103,7 +103,7 @@
                 "targets": {
                     f"target-{n}": {
                         "address": f"10.{n // 250}.{n % 250}.1:80",
-                        "place": "hall",
+                        "data_centre": "hall",
                         "max_running": 8,
                     }
                     for n in range(targets)
@@ -325,7 +325,7 @@
     caller, operator, own = (f"127.0.0.1:{port}" for port in ports)
     return Settings(
         name=f"entry-{number}",
-        place="hall",
+        data_centre="hall",
         caller_address=caller,
         operator_address=operator,
         peer_address=own,
--- a/hibiscusstep/cmdline/client.py
+++ b/hibiscusstep/cmdline/client.py
@@ -299,7 +299,7 @@
     for member in data["members"]:
         flags = [flag for flag in ("ready", "leaving") if member[flag]]
         yield (
-            f"  instance {member['name']:<12} {member['place']:<14} "
+            f"  instance {member['name']:<12} {member['data_centre']:<14} "
             f"version {member['version']:<6} {' '.join(flags)}"
         )
     for pool, state in data["pools"].items():
--- a/hibiscusstep/configuration/models.py
+++ b/hibiscusstep/configuration/models.py
@@ -70,7 +70,7 @@
     """One engine or service process."""
 
     address: Address = Field(description="IP number and port.")
-    place: Name = Field(description="Place where it runs.")
+    data_centre: Name = Field(description="Data centre where it runs.")
     max_running: int = Field(8, ge=1, description="Requests that may run at once.")
     prefill_rate: float = Field(
         4000.0, gt=0, description="First guess, prompt tokens a second; then learnt."
--- a/hibiscusstep/configuration/settings.py
+++ b/hibiscusstep/configuration/settings.py
@@ -19,8 +19,8 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     name: str = Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$", description="Instance.")
-    place: str = Field(description="Place where the instance runs.")
-    data_centre: str = Field("default", description="Data centre of the place.")
+    data_centre: str = Field(description="Data centre where the instance runs.")
+    region: str = Field("default", description="Its data centres work together.")
     caller_address: Listen = Field(description="Where callers connect.")
     operator_address: Listen = Field(description="Metrics, health, status, explain.")
     peer_address: Listen = Field(description="Where other instances connect.")
--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -9,7 +9,7 @@
 from hibiscusstep.answers import AnswerState, KeptAnswer
 from hibiscusstep.attempt import Attempt, TryElsewhere
 from hibiscusstep.configuration.models import Configuration
-from hibiscusstep.desk import Desk, Granted, Place, Refused
+from hibiscusstep.desk import Desk, Granted, GrantRequest, Refused
 from hibiscusstep.events import EventKind, NullRecorder
 from hibiscusstep.explain import Explainer
 from hibiscusstep.keys import KeyGuard
@@ -223,7 +223,7 @@
     async def _place(self) -> Granted:
         admitted = self._admitted
         rule = self._configuration.rule(admitted.tier)
-        place = Place(
+        wanted = GrantRequest(
             admitted.route.pool,
             self._work(),
             self._received + admitted.route.deadline,
@@ -232,7 +232,7 @@
         )
         self._progress.record(EventKind.QUEUED)
         try:
-            reply = await self._services.desk.ask(place)
+            reply = await self._services.desk.ask(wanted)
         except MailboxFull:
             reply = Refused(Reason.LOAD, 1.0)
         if isinstance(reply, Refused):
--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -28,19 +28,19 @@
 from hibiscusstep.peerlink import LinkLost, Send
 from hibiscusstep.routing.messages import Outcome, Reason
 
-__all__ = ["Desk", "Ended", "Granted", "Place", "Refused", "Started"]
+__all__ = ["Desk", "Ended", "Granted", "GrantRequest", "Refused", "Started"]
 
 TICK_S = 0.2
 FIRST_STANDBY_S = 0.5
 MAX_STANDBY_S = 4.0
-# A message about the end of a request that got lost costs a place for so long.
+# A message about the end of a request that got lost costs a wanted for so long.
 TELL_HELD_S = 1.5
 DISPATCHER_GRACE_S = 0.5
 UNAVAILABLE_RETRY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class GrantRequest:
     """A request wants a target.
 
     Parameters
@@ -107,7 +107,7 @@
 @dataclass(slots=True, eq=False)
 class _Held:
     question: Question
-    place: Place
+    wanted: GrantRequest
     received: float
     target: str = ""
     asked: float = 0.0
@@ -164,7 +164,7 @@
     async def handle(self, message) -> None:
         """Take a message of this instance, of a dispatcher, or of the membership."""
         match message:
-            case Question(body=Place()):
+            case Question(body=GrantRequest()):
                 self._ask(message)
             case Started(pool=pool, ask=ask, seconds=seconds):
                 self._send(pool, PoolFirstToken(pool, ask, seconds))
@@ -181,7 +181,7 @@
             case Received(message=PoolStop(pool=pool, ask=ask)):
                 held = self._line(pool).running.get(ask)
                 if held:
-                    held.place.on_stop()
+                    held.wanted.on_stop()
             case Received(sender=sender, message=NotDispatcher(pool=pool)):
                 self._register_again(pool, sender)
             case LinkLost(address=address):
@@ -203,21 +203,21 @@
         return self._lines.setdefault(pool, _Line())
 
     def _ask(self, question: Question) -> None:
-        place = question.body
+        wanted = question.body
         now = asyncio.get_running_loop().time()
         ask = f"{self._incarnation}.{next(self._numbers)}"
-        held = _Held(question, place, now, asked=now)
-        self._line(place.pool).waiting[ask] = held
-        self._send(place.pool, PoolAsk(place.pool, self._info(ask, held)))
+        held = _Held(question, wanted, now, asked=now)
+        self._line(wanted.pool).waiting[ask] = held
+        self._send(wanted.pool, PoolAsk(wanted.pool, self._info(ask, held)))
 
     def _info(self, ask: str, held: _Held) -> WorkInfo:
         now = asyncio.get_running_loop().time()
         return replace(
-            held.place.work,
+            held.wanted.work,
             ask=ask,
-            deadline_in=held.place.deadline - now,
+            deadline_in=held.wanted.deadline - now,
             waited=now - held.received,
-            due_in=held.place.due - now,
+            due_in=held.wanted.due - now,
         )
 
     def _end(self, ended: Ended) -> None:
@@ -254,9 +254,9 @@
         now = asyncio.get_running_loop().time()
         for pool, line in self._lines.items():
             for ask, held in list(line.waiting.items()):
-                late = held.place.deadline + DISPATCHER_GRACE_S < now
+                late = held.wanted.deadline + DISPATCHER_GRACE_S < now
                 gone = held.question.answer.done()
-                if gone or (late and not (held.place.never_shed and line.dispatcher)):
+                if gone or (late and not (held.wanted.never_shed and line.dispatcher)):
                     del line.waiting[ask]
                     self._send(pool, PoolWithdraw(pool, ask))
                     held.question.reply(
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -330,7 +330,7 @@
             "members": [
                 {
                     "name": member.name,
-                    "place": member.place,
+                    "data_centre": member.data_centre,
                     "version": member.version,
                     "ready": member.ready,
                     "leaving": member.leaving,
--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -35,9 +35,8 @@
 
     Parameters
     ----------
-    name, place, data_centre : str
-        The instance, where it runs, and the group of places whose instances work
-        together.
+    name, data_centre, region : str
+        The instance, where it runs, and the region whose instances work together.
     caller_address, operator_address, peer_address : str
         IP number and port for callers, for metrics, and for the other instances.
     peer_key : str
@@ -51,8 +50,8 @@
     """
 
     name: str
-    place: str
     data_centre: str
+    region: str
     caller_address: str
     operator_address: str
     peer_address: str
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from hibiscusstep.desk import Desk, Ended, Granted, Place, Refused, Started
+from hibiscusstep.desk import Desk, Ended, Granted, GrantRequest, Refused, Started
 from hibiscusstep.dispatching import Dispatching, TargetLoad
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.connections import Connection, ConnectionPool, Reply
@@ -246,9 +246,9 @@
         )
         latest = min(begun + patience, incoming.deadline)
         due = incoming.received + route.objective
-        place = Place(incoming.pool, work, latest, False, _never_stopped, due)
+        wanted = GrantRequest(incoming.pool, work, latest, False, _never_stopped, due)
         try:
-            reply = await self._means.desk.ask(place)
+            reply = await self._means.desk.ask(wanted)
         except MailboxFull:
             reply = Refused(m.Reason.LOAD, 1.0)
         if isinstance(reply, Granted):
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -8,7 +8,7 @@
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in
 }
 struct Heartbeat {
-  1: string instance, 2: string incarnation, 3: string place, 4: string data_centre,
+  1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
   5: string peer_address, 6: string operator_address, 7: i64 version,
   8: bool ready, 9: bool leaving, 10: list<string> known, 11: bool greet
 }
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -15,8 +15,8 @@
 
     name: str
     incarnation: str
-    place: str
     data_centre: str
+    region: str
     peer_address: str
     operator_address: str
     version: int
@@ -29,8 +29,8 @@
         return cls(
             beat.instance,
             beat.incarnation,
-            beat.place,
             beat.data_centre,
+            beat.region,
             beat.peer_address,
             beat.operator_address,
             beat.version,
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """The live instances of a data centre, oneself among them.
+    """The live instances of a region, oneself among them.
 
     Parameters
     ----------
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -43,12 +43,12 @@
 
 
 class Membership(Worker):
-    """Heartbeats to every member of the data centre.
+    """Heartbeats to every member of the region.
 
     Parameters
     ----------
     settings : Settings
-        Own name, place, addresses, intervals.
+        Own name, data_centre, addresses, intervals.
     incarnation : str
         Own incarnation.
     links : Worker
@@ -75,8 +75,8 @@
         self._own = Member(
             settings.name,
             incarnation,
-            settings.place,
             settings.data_centre,
+            settings.region,
             settings.peer_address,
             settings.operator_address,
             0,
@@ -127,7 +127,7 @@
         self._send_all()
 
     def _hear(self, beat: Heartbeat, now: float) -> None:
-        if beat.data_centre != self._settings.data_centre:
+        if beat.region != self._settings.region:
             return
         new = beat.instance not in self._view.members
         self._tracker.heard(beat, now)
@@ -166,8 +166,8 @@
         beat = Heartbeat(
             own.name,
             own.incarnation,
-            own.place,
             own.data_centre,
+            own.region,
             own.peer_address,
             own.operator_address,
             own.version,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -65,8 +65,8 @@
 
     instance: str
     incarnation: str
-    place: str
     data_centre: str
+    region: str
     peer_address: str
     operator_address: str
     version: int
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -196,7 +196,7 @@
 
     async def register(self, record: InstanceRecord) -> Result[None, PlatformError]:
         """Write one's own record, unless it stands there already."""
-        spec = {"DataCentre": record.place, "PeerAddress": record.peer_address}
+        spec = {"DataCentre": record.data_centre, "PeerAddress": record.peer_address}
         body = {"Metadata": {"Name": record.name}, "Spec": spec}
         made = await self._client.call("POST", self._KIND, body=body)
         if made.is_err() and isinstance(made.unwrap_err(), PlatformConflict):
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -66,8 +66,8 @@
     hosts = [seed.rpartition(":")[0] for seed in document.get("Seeds") or ()]
     instance = InstanceSettings(
         name=document["NodeName"],
-        place=document["Zone"],
-        data_centre=document.get("Region") or "default",
+        data_centre=document["Zone"],
+        region=document.get("Region") or "default",
         caller_address=listen["Front"],
         operator_address=f"{ip}:{METRICS_PORT}",
         peer_address=f"{ip}:{port}",
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -45,14 +45,14 @@
 
     Parameters
     ----------
-    name, place, peer_address : str
+    name, data_centre, peer_address : str
         Who and where.
     leaving : bool
         Whether the platform is about to replace it.
     """
 
     name: str
-    place: str
+    data_centre: str
     peer_address: str
     leaving: bool = False
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -41,7 +41,7 @@
             "targets": {
                 name: {
                     "address": address,
-                    "place": "hall",
+                    "data_centre": "hall",
                     "max_running": max_running,
                     "decode_rate": 100,
                 }
@@ -234,7 +234,7 @@
         caller, operator, peer = self._ports[name]
         return Settings(
             name=name,
-            place="hall",
+            data_centre="hall",
             caller_address=f"127.0.0.1:{caller}",
             operator_address=f"127.0.0.1:{operator}",
             peer_address=f"127.0.0.1:{peer}",
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -29,7 +29,7 @@
                 "targets": {
                     f"t{n}": {
                         "address": f"127.0.0.1:{n + 1}",
-                        "place": "hall",
+                        "data_centre": "hall",
                         "max_running": max_running,
                         "prefill_rate": 1000,
                         "decode_rate": 10,
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -13,7 +13,7 @@
 HASH = "0" * 64
 TIERS = '{"tiers": {"high": {"rank": 0}, "low": {"rank": 1}}}'
 POOL = '{"pools": {"p": {"kind": "engine", "targets": {"t": %s}}}}'
-TARGET = '{"address": "127.0.0.1:1", "place": "hall"}'
+TARGET = '{"address": "127.0.0.1:1", "data_centre": "hall"}'
 
 
 def refused(**files):
