A new instance settles for a second before it dispatches a pool

Ruled out: a longer standby time; it would cost every later loss of a dispatcher. Change: readiness for duties is told a second after the start.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -61,6 +61,9 @@
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
 METRICS_RETRY_S = 5.0
+# An instance that has just started takes no pool to dispatch until it has its links to
+# the others; before, all of them would wait for its grants.
+SETTLE_S = 1.0
 # A stopping instance listens until callers and the balancer have noticed, and keeps
 # this long before the end of its grace free.
 LISTEN_ON_S = 4.0
@@ -359,8 +362,7 @@
         in_force = InForce(self._table.version, b"", Plan(pools))
         self._dispatching.tell(in_force)
         self._desk.tell(in_force)
-        own = OwnState(version=self._table.version, ready=self._targets_known)
-        self._membership.tell(own)
+        self._membership.tell(OwnState(version=self._table.version))
 
     def _hand_on(self, changes: list[Change]) -> None:
         """Tell the peers at once of targets that came, changed or left."""
@@ -403,9 +405,15 @@
             await asyncio.sleep(1.0)
 
     async def _sweep(self) -> None:
+        began = asyncio.get_running_loop().time()
+        eligible = False
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._connections.sweep()
+            settled = asyncio.get_running_loop().time() >= began + SETTLE_S
+            if settled and not eligible and self.ready:
+                eligible = True
+                self._membership.tell(OwnState(ready=True))
 
     async def _serve_readiness(self) -> None:
         app = web.Application()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -124,6 +124,11 @@
     await site.stop()
 
 
+def _ready(instance):
+    """Return how many instances take duties, as this one sees it."""
+    return sum(member.ready for member in instance.view.members.values())
+
+
 def _events(fields, numbers, end=True):
     parts = [stream_head(fields), *(chunk(event(n)) for n in numbers)]
     return [*parts, chunk(b"")] if end else parts
@@ -430,7 +435,7 @@
         for _ in range(2):
             await site.add_instance()
         async with asyncio.timeout(BOUND_S):
-            while any(len(i.view.members) < 3 for i in site.instances):
+            while any(_ready(i) < 3 for i in site.instances):
                 await asyncio.sleep(0.02)
         calls = [site.call("/once/", instance=n % 3) for n in range(24)]
         statuses = [status for status, _fields, _body in await asyncio.gather(*calls)]
@@ -463,6 +468,23 @@
             while "t2" not in second.targets:
                 await asyncio.sleep(0.02)
 
+    async def test_a_new_instance_does_not_dispatch_at_once(self, site):
+        await site.start(TargetStandIn("t1"))
+        first = site.instances[0]
+        async with asyncio.timeout(BOUND_S):
+            while not first.view.members["n0"].ready:
+                await asyncio.sleep(0.02)
+        second = await site.add_instance()
+        async with asyncio.timeout(BOUND_S):
+            while "n1" not in first.view.members:
+                await asyncio.sleep(0.005)
+        assert second.ready
+        assert not first.view.members["n1"].ready
+        assert first.view.dispatcher("pool-a") == "n0"
+        async with asyncio.timeout(BOUND_S):
+            while not first.view.members["n1"].ready:
+                await asyncio.sleep(0.02)
+
     async def test_a_configuration_spreads_while_the_store_is_away(self, site):
         await site.start(TargetStandIn("t1"))
         await site.add_instance()
