A stopping instance closes its door before it looks whether it is idle

Ruled out: a longer wait alone, which only moves the moment. Change: the listening socket and idle kept connections are closed first; idle is asked for again after 0.1 s.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -61,6 +61,8 @@
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
 METRICS_RETRY_S = 5.0
+# Between the close of the listening socket and the end of an idle instance.
+CLOSING_S = 0.1
 # An instance that has just started takes no pool to dispatch until it has its links to
 # the others; before, all of them would wait for its grants.
 SETTLE_S = 1.0
@@ -211,10 +213,21 @@
         await asyncio.sleep(min(LISTEN_ON_S, grace / 2))
         try:
             async with asyncio.timeout_at(now + grace - STOP_MARGIN_S):
-                await self._border.wait_idle()
+                await self._finish_callers()
         except TimeoutError:
             decision("stop-cuts", open=self._border.open_requests)
 
+    async def _finish_callers(self) -> None:
+        """Take no new connections, close idle ones, return when all is answered."""
+        await self._caller_site.stop()
+        self._caller_runner.server.pre_shutdown()
+        while True:
+            await self._border.wait_idle()
+            # What had come before the close has reached its handler by then.
+            await asyncio.sleep(CLOSING_S)
+            if not self._border.open_requests:
+                return
+
     def reload(self) -> None:
         """Read the settings again; bounds apply at once, addresses at a start."""
         try:
@@ -423,6 +436,10 @@
     async def _say_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
+    def _note_started(self, runner: web.AppRunner, site: web.TCPSite) -> None:
+        self._caller_runner, self._caller_site = runner, site
+        self.started.set()
+
     async def _serve_metrics(self) -> None:
         app = web.Application()
         app.router.add_get("/metrics", self._render_metrics)
@@ -462,7 +479,7 @@
         await _serve(
             self._border.app(),
             self._settings.caller_address,
-            self.started,
+            self._note_started,
             keepalive_timeout=limits.idle_timeout + 5.0,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
@@ -471,6 +488,7 @@
 
 
 async def _serve(app, address: str, started=None, **options) -> None:
+    """Serve an application until cancelled; `started` gets the runner and the site."""
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -483,7 +501,7 @@
     site = web.TCPSite(runner, host, int(port), backlog=1024)
     await site.start()
     if started:
-        started.set()
+        started(runner, site)
     try:
         await asyncio.Event().wait()
     finally:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -106,6 +106,11 @@
             except aiohttp.ClientPayloadError:
                 return response.status, response.headers, None
 
+    async def end_instance(self, number):
+        """End an instance's task, as its program does after the drain."""
+        self._tasks[number].cancel()
+        await asyncio.gather(self._tasks[number], return_exceptions=True)
+
     async def stop(self):
         if self.session:
             await self.session.close()
@@ -376,6 +381,28 @@
             assert fields["Connection"] == "close"
             await draining
 
+    async def test_a_request_that_comes_with_the_end_is_whole_or_not_begun(self, site):
+        target = TargetStandIn("t1", lambda n, f, b: [0.5, answer(f)])
+        await site.start(target)
+        border = site.instances[0].border
+        wait_idle, late = border.wait_idle, []
+
+        async def idle_and_then_a_request():
+            await wait_idle()
+            if not late:
+                late.append(asyncio.create_task(site.call("/once/")))
+                while len(target.requests) < 2 and not late[0].done():
+                    await asyncio.sleep(0.005)
+
+        border.wait_idle = idle_and_then_a_request
+        await site.call("/once/")
+        async with asyncio.timeout(BOUND_S):
+            await site.instances[0].drain()
+            await site.end_instance(0)
+            ended = (await asyncio.gather(*late, return_exceptions=True))[0]
+        refused = isinstance(ended, aiohttp.ClientConnectionError)
+        assert (refused and len(target.requests) == 1) or ended[0] == 200
+
     async def test_a_long_request_is_not_begun_near_the_end(self, site):
         await site.start(TargetStandIn("t1"))
         now = asyncio.get_running_loop().time()
