--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -50,7 +50,8 @@
     Usage,
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
-from hibiscusstep.routing.slots import Plan, PlannedPool, PlannedTarget, SlotDispatcher
+from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.routing.slots import SlotDispatcher
 from hibiscusstep.store import Change, Feed, Roster
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 
--- /dev/null
+++ b/hibiscusstep/routing/plan.py
@@ -0,0 +1,42 @@
+"""hibiscusstep.routing.plan: which targets a dispatcher with slots may use."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Plan", "PlannedPool", "PlannedTarget"]
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedTarget:
+    """A target that may be dispatched to, and how much at once."""
+
+    slots: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedPool:
+    """A pool.
+
+    Parameters
+    ----------
+    engine : bool
+        Whether its targets are model engines.
+    tokens_per_event : int
+        Tokens that an event of its streams holds.
+    max_pause : float
+        Seconds between two events of a stream that is on time, at the most.
+    targets : dict of str to PlannedTarget
+        Its targets by name.
+    """
+
+    engine: bool
+    tokens_per_event: int = 1
+    max_pause: float = 1.0
+    targets: dict[str, PlannedTarget] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The pools to dispatch, by name."""
+
+    pools: dict[str, PlannedPool] = field(default_factory=dict)
--- /dev/null
+++ b/hibiscusstep/routing/slot_target.py
@@ -0,0 +1,164 @@
+"""hibiscusstep.routing.slot_target: one target with slots, learnt from its answers."""
+
+from dataclasses import dataclass, field
+
+from hibiscusstep.routing import messages as m
+
+__all__ = [
+    "FIRST_TOKEN_S",
+    "PREFILL_TOKENS_PER_S",
+    "STEP_S",
+    "Run",
+    "SlotTarget",
+]
+
+# First guesses of a model engine, by the users' sheets; each target's slowness against
+# them is learnt. A step's time is that with four of eight slots taken.
+FIRST_TOKEN_S = 0.014
+PREFILL_TOKENS_PER_S = 48_200.0
+STEP_S = 0.0031
+# Prompts are read in parts between the tokens of the others, so that each prompt being
+# read makes their steps longer. The size of a part is a guess.
+PREFILL_CHUNK_TOKENS = 1024
+# Weight of a new observation, once there are enough.
+LEARN = 0.1
+MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
+# Weight of the work that runs at a target against the request's own; 0.6 measured the
+# same.
+RUNNING_WEIGHT = 0.3
+# A target that cannot be reached rests, twice as long each time in a row (seconds).
+FIRST_REST_S = 0.5
+MAX_REST_S = 4.0
+# Weight of a request's end in the share that fail; a target that fails always costs
+# this many times more.
+FAILURE_LEARN = 0.25
+FAILURE_COST = 3.0
+# Seconds for which the load that a target reported counts.
+FOREIGN_LOAD_VALID_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A granted request, the guessed seconds of it, and of its prompt alone."""
+
+    work: m.Work
+    granted: float
+    cost: float
+    prefill: float
+    began: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class SlotTarget:
+    """One target as the dispatcher knows it.
+
+    Parameters
+    ----------
+    name : str
+        The target.
+    slots : int
+        Requests that it works on at once.
+    leaving : bool
+        Whether it takes no new work.
+    slowness : float
+        Seconds that work takes against the first guess, learnt.
+    learnt : int
+        Answers that it was learnt from.
+    failing : float
+        Share of requests that failed lately, learnt.
+    rest_until : float
+        When it may be tried again after a failure.
+    foreign : int
+        Requests there that this dispatcher did not grant, by the last report.
+    """
+
+    name: str
+    slots: int
+    leaving: bool = False
+    slowness: float = 1.0
+    learnt: int = 0
+    failing: float = 0.0
+    failures: int = 0
+    rest_until: float = 0.0
+    foreign: int = 0
+    foreign_at: float = -10.0
+    running: dict[str, Run] = field(default_factory=dict)
+
+    def usable(self, now: float) -> bool:
+        """Whether new work may go there."""
+        return not self.leaving and now >= self.rest_until
+
+    def free(self, now: float) -> int:
+        """Return how many more requests it can work on."""
+        taken = len(self.running)
+        if now - self.foreign_at < FOREIGN_LOAD_VALID_S:
+            taken += self.foreign
+        return self.slots - taken
+
+    def prefill_left(self, now: float) -> float:
+        """Return the guessed seconds of prompts that it has still to read."""
+        return sum(
+            max(0.0, run.prefill - (now - run.granted) / self.slowness)
+            for run in self.running.values()
+            if not run.began
+        )
+
+    def cost(self, own: float, now: float) -> float:
+        """Return the weighed seconds for a request of `own` guessed seconds."""
+        ahead = sum(run.cost for run in self.running.values())
+        spent = self.slowness * (own + RUNNING_WEIGHT * ahead)
+        return spent * (1 + FAILURE_COST * self.failing)
+
+    def lateness(self, prefill: float, due: float, now: float) -> float:
+        """Return the seconds by which a first token would come too late."""
+        reading = self.prefill_left(now) + prefill + FIRST_TOKEN_S
+        return max(0.0, now + self.slowness * reading - due)
+
+    def pause(self, steps: int, prefill: float, now: float) -> float:
+        """Return the guessed seconds between events while one more prompt is read.
+
+        Parameters
+        ----------
+        steps : int
+            Steps to an event; in each a part of the prompts is read.
+        prefill : float
+            Guessed seconds of the prompt.
+        now : float
+            Seconds on the dispatcher's clock.
+        """
+        chunk = PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_S
+        reading = min(steps * chunk, self.prefill_left(now) + prefill)
+        return self.slowness * (steps * STEP_S + reading)
+
+    def succeeded(self) -> None:
+        """Take note of a whole answer."""
+        self.failures = 0
+        self.failing *= 1 - FAILURE_LEARN
+
+    def learn(self, ratio: float) -> None:
+        """Learn from seconds that work took against the guess."""
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        self.learnt += 1
+        weight = max(LEARN, 1 / (1 + self.learnt))
+        self.slowness += weight * (ratio - self.slowness)
+
+    def failed(self, now: float, *, rests: bool) -> None:
+        """Take note of a failure; a target that could not be reached rests."""
+        self.failing += FAILURE_LEARN * (1 - self.failing)
+        self.failures += 1
+        if rests:
+            rest = FIRST_REST_S * 2 ** min(8, self.failures - 1)
+            self.rest_until = now + min(MAX_REST_S, rest)
+
+    def summary(self, now: float) -> str:
+        """Return the state in a few words, for the log."""
+        marks = [
+            f"{len(self.running)}/{self.slots}",
+            f"x{self.slowness:.2f}",
+            f"f{self.failing:.2f}",
+        ]
+        if self.leaving:
+            marks.append("leaving")
+        if now < self.rest_until:
+            marks.append("resting")
+        return " ".join(marks)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -6,43 +6,37 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from hibiscusstep.routing import messages as m
-
-__all__ = ["Plan", "PlannedPool", "PlannedTarget", "SlotDispatcher"]
-
-# First guesses of a model engine; each target's slowness against them is learnt.
-FIRST_TOKEN_S = 0.014
-PREFILL_TOKENS_PER_S = 48_200.0
-STEP_S = 0.0031
+from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.routing.slot_target import (
+    FIRST_TOKEN_S,
+    PREFILL_TOKENS_PER_S,
+    STEP_S,
+    Run,
+    SlotTarget,
+)
+
+__all__ = ["SlotCounts", "SlotDispatcher"]
+
+# A plain service's first guess; its targets' slowness against it is learnt.
 PLAIN_SERVICE_S = 0.05
-LEARN = 0.1
 # Streams with fewer events tell too little of a target's pace.
 MIN_EVENTS = 6
 # So many of the waiting requests are weighed for the free targets at a time.
 WEIGHED = 24
-MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
-# Weight of the work that runs at a target against the request's own.
-RUNNING_WEIGHT = 0.3
-# Prompts are read in parts between the tokens of the others, so that each prompt being
-# read makes their steps longer.
-PREFILL_CHUNK_TOKENS = 1024
+# Targets whose prices stand in the log with a grant.
+LOGGED = 6
 # Weight of a second by which a first token would be late, and seconds that a stream is
-# charged whose pauses would grow too long.
+# charged whose pauses would grow too long, from this part of the longest pause on.
 LATE_WEIGHT = 5.0
 PAUSE_COST_S = 0.5
 PAUSE_MARGIN = 0.85
-# A target that fails rests for a moment, twice as long each time in a row.
-FIRST_REST_S = 0.5
-MAX_REST_S = 4.0
-FAILURE_LEARN = 0.25
-FAILURE_COST = 3.0
 # Overload comes in bursts of some seconds; whoever comes back sooner is refused again.
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 5.0
-FOREIGN_LOAD_VALID_S = 1.0
 # With fewer than this share of the targets fit, failures say more of the network, or
 # of the one who reports them, than of the targets: all are used.
 PANIC_SHARE = 0.5
@@ -50,135 +44,6 @@
 GRANT_TRANSIT_S = 0.7
 
 
-@dataclass(frozen=True, slots=True)
-class PlannedTarget:
-    """A target that may be dispatched to, and how much at once."""
-
-    slots: int
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class PlannedPool:
-    """A pool.
-
-    Parameters
-    ----------
-    engine : bool
-        Whether its targets are model engines.
-    tokens_per_event : int
-        Tokens that an event of its streams holds.
-    max_pause : float
-        Seconds between two events of a stream that is on time, at the most.
-    targets : dict of str to PlannedTarget
-        Its targets by name.
-    """
-
-    engine: bool
-    tokens_per_event: int = 1
-    max_pause: float = 1.0
-    targets: dict[str, PlannedTarget] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """The pools to dispatch, by name."""
-
-    pools: dict[str, PlannedPool] = field(default_factory=dict)
-
-
-@dataclass(slots=True, eq=False)
-class _Run:
-    work: m.Work
-    granted: float
-    cost: float
-    prefill: float
-    began: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class SlotTarget:
-    """One target as the dispatcher knows it.
-
-    Parameters
-    ----------
-    name : str
-        The target.
-    slots : int
-        Requests that it works on at once.
-    leaving : bool
-        Whether it takes no new work.
-    slowness : float
-        Seconds that work takes against the first guess, learnt.
-    learnt : int
-        Answers that it was learnt from.
-    failing : float
-        Share of requests that failed lately, learnt.
-    rest_until : float
-        When it may be tried again after a failure.
-    foreign : int
-        Requests there that this dispatcher did not grant, by the last report.
-    """
-
-    name: str
-    slots: int
-    leaving: bool = False
-    slowness: float = 1.0
-    learnt: int = 0
-    failing: float = 0.0
-    failures: int = 0
-    rest_until: float = 0.0
-    foreign: int = 0
-    foreign_at: float = -10.0
-    running: dict[str, _Run] = field(default_factory=dict)
-
-    def usable(self, now: float) -> bool:
-        """Whether new work may go there."""
-        return not self.leaving and now >= self.rest_until
-
-    def free(self, now: float) -> int:
-        """Return how many more requests it can work on."""
-        taken = len(self.running)
-        if now - self.foreign_at < FOREIGN_LOAD_VALID_S:
-            taken += self.foreign
-        return self.slots - taken
-
-    def prefill_left(self, now: float) -> float:
-        """Return the guessed seconds of prompts that it has still to read."""
-        return sum(
-            max(0.0, run.prefill - (now - run.granted) / self.slowness)
-            for run in self.running.values()
-            if not run.began
-        )
-
-    def cost(self, own: float, now: float) -> float:
-        """Return the weighed seconds for a request of `own` guessed seconds."""
-        ahead = sum(run.cost for run in self.running.values())
-        spent = self.slowness * (own + RUNNING_WEIGHT * ahead)
-        return spent * (1 + FAILURE_COST * self.failing)
-
-    def lateness(self, prefill: float, due: float, now: float) -> float:
-        """Return the seconds by which a first token would come too late."""
-        reading = self.prefill_left(now) + prefill + FIRST_TOKEN_S
-        return max(0.0, now + self.slowness * reading - due)
-
-    def pause(self, steps: int, prefill: float, now: float) -> float:
-        """Return the guessed seconds between events while one more prompt is read.
-
-        Parameters
-        ----------
-        steps : int
-            Steps to an event; in each a part of the prompts is read.
-        prefill : float
-            Guessed seconds of the prompt.
-        now : float
-            Seconds on the dispatcher's clock.
-        """
-        chunk = PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_S
-        reading = min(steps * chunk, self.prefill_left(now) + prefill)
-        return self.slowness * (steps * STEP_S + reading)
-
-
 @dataclass
 class SlotCounts:
     """Totals of a dispatcher since its start."""
@@ -257,15 +122,7 @@
 
     def summary(self, now: float) -> dict:
         """Return the state in short: of each target, what runs and what was learnt."""
-        targets = {
-            name: (
-                f"{len(target.running)}/{target.slots}"
-                f" x{target.slowness:.2f} f{target.failing:.2f}"
-                f"{' leaving' if target.leaving else ''}"
-                f"{'' if now >= target.rest_until else ' resting'}"
-            )
-            for name, target in self._targets.items()
-        }
+        targets = {name: target.summary(now) for name, target in self._targets.items()}
         return {"waiting": self.waiting, "targets": targets}
 
     def handle(self, message, now: float) -> list[m.Decision]:
@@ -310,7 +167,7 @@
         if message.outcome is m.Outcome.DONE:
             self._learn(target, run, message, now)
         elif message.outcome in (m.Outcome.UNREACHABLE, m.Outcome.BROKEN):
-            self._punish(target, message.outcome, now)
+            target.failed(now, rests=message.outcome is m.Outcome.UNREACHABLE)
         elif message.outcome is m.Outcome.LEAVING:
             target.leaving = True
 
@@ -437,7 +294,7 @@
     def _weighed(self, work: m.Work, free, now: float) -> dict[str, float]:
         """Return the prices of some free targets, for the log."""
         own = self._cost(work)
-        return {t.name: round(self._price(t, work, own, now), 3) for t in free[:6]}
+        return {t.name: round(self._price(t, work, own, now), 3) for t in free[:LOGGED]}
 
     def _choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
         """Return the best of the free targets; None if another is worth the wait."""
@@ -472,7 +329,7 @@
 
     def _run(self, target: SlotTarget, work: m.Work, now: float) -> None:
         prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S if self._engine else 0.0
-        target.running[work.ask] = _Run(work, now, self._cost(work), prefill)
+        target.running[work.ask] = Run(work, now, self._cost(work), prefill)
         self._placed[work.ask] = target.name
 
     def _expire(self, now: float) -> None:
@@ -498,29 +355,15 @@
         after = round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), 2)
         self._decisions.append(m.Refuse(work, m.Reason.LOAD, after))
 
-    def _learn(self, target: SlotTarget, run: _Run, finished, now: float) -> None:
-        target.failures = 0
-        target.failing *= 1 - FAILURE_LEARN
-        if self._engine:
+    def _learn(self, target: SlotTarget, run: Run, finished, now: float) -> None:
+        target.succeeded()
+        if not self._engine:
+            target.learn((now - run.granted) / run.cost)
+        elif finished.tokens >= MIN_EVENTS:
             # The pace of events tells the speed; the rest of an answer's time tells
             # more of what else the target has to do.
-            if finished.tokens < MIN_EVENTS:
-                return
             steps = (finished.tokens - 1) * self._tokens_per_event
-            ratio = finished.decode_seconds / (steps * STEP_S)
-        else:
-            ratio = (now - run.granted) / run.cost
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-        target.learnt += 1
-        weight = max(LEARN, 1 / (1 + target.learnt))
-        target.slowness += weight * (ratio - target.slowness)
-
-    def _punish(self, target: SlotTarget, outcome: m.Outcome, now: float) -> None:
-        target.failing += FAILURE_LEARN * (1 - target.failing)
-        target.failures += 1
-        if outcome is m.Outcome.UNREACHABLE:
-            rest = FIRST_REST_S * 2 ** min(8, target.failures - 1)
-            target.rest_until = now + min(MAX_REST_S, rest)
+            target.learn(finished.decode_seconds / (steps * STEP_S))
 
     def _drop(self, ask: str) -> None:
         self._waiting.pop(ask, None)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,7 +1,8 @@
 """hibiscusstep.routing.slots: the dispatcher of targets with slots."""
 
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.slots import Plan, PlannedPool, PlannedTarget, SlotDispatcher
+from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.routing.slots import SlotDispatcher
 
 
 def _dispatcher(slots=(2, 2), recovered=True, **leaving):
