A target that could not be reached is no attempt; exchange and instance are split

Cause: requests with one attempt were refused when the connection to a dead target failed, though nothing had been sent (test failed first: 503 of six calls).

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -4,7 +4,8 @@
 
 from aiohttp import web
 
-from hibiscusstep.forwarding.exchange import Exchange, Incoming, Means
+from hibiscusstep.forwarding.exchange import Exchange
+from hibiscusstep.forwarding.incoming import Incoming, Means
 from hibiscusstep.forwarding.model import (
     CustomerRule,
     ForwardRoute,
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -2,31 +2,27 @@
 
 import asyncio
 import enum
-from dataclasses import dataclass
 
 from aiohttp import web
 
-from hibiscusstep.desk import Desk, Ended, Granted, GrantRequest, Refused, Started
-from hibiscusstep.dispatching import Dispatching, TargetLoad
+from hibiscusstep.desk import Ended, Granted, GrantRequest, Refused, Started
+from hibiscusstep.dispatching import TargetLoad
 from hibiscusstep.errors import TargetError
-from hibiscusstep.forwarding.connections import Connection, ConnectionPool, Reply
-from hibiscusstep.forwarding.dialect import AnswerHead, Dialect, Order, RequestHead
+from hibiscusstep.forwarding.connections import Connection, Reply
+from hibiscusstep.forwarding.dialect import AnswerHead, Order
 from hibiscusstep.forwarding.events import EventSplitter
-from hibiscusstep.forwarding.metrics import ForwardingMetrics
+from hibiscusstep.forwarding.incoming import Incoming, Means
 from hibiscusstep.forwarding.model import (
-    CustomerRule,
     DiscoveredTarget,
-    ForwardRoute,
     Repeat,
 )
-from hibiscusstep.forwarding.quota import Ticket
-from hibiscusstep.forwarding.retries import WindowedRetryBudget
+from hibiscusstep.forwarding.pace import Pace
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import MailboxFull
 from hibiscusstep.peer import WorkInfo
 from hibiscusstep.routing import messages as m
 
-__all__ = ["Exchange", "Incoming", "Means"]
+__all__ = ["Exchange"]
 
 MAX_WHOLE_BYTES = 16 << 20
 # A request is refused after this part of its objective, so that the caller can still
@@ -42,100 +38,19 @@
 # An instance that is cut off from the store hears of new targets from its peers.
 MAX_UNKNOWN_TARGETS = 3
 UNKNOWN_RETRY_S = 0.5
-# Ranks of routes within one rank of customers.
-RANKS_A_CUSTOMER = 16
+# Targets that are tried without being reached, beside the attempts.
+MAX_UNREACHED = 4
 
 
 class _Next(enum.Enum):
     """What an attempt that gave no whole answer leaves open."""
 
+    UNSENT = "the target could not be reached"
     NOT_RUN = "the target did not run it"
     BROKEN = "it may have run"
     FAILED = "the target answered with a failure"
 
 
-@dataclass(frozen=True, slots=True)
-class Incoming:
-    """A caller's request, read whole and admitted.
-
-    Parameters
-    ----------
-    request : aiohttp.web.Request
-        Of the library.
-    head : RequestHead
-        What its fields say.
-    body : bytes
-        Its body.
-    route : ForwardRoute
-        Where it goes.
-    pool : str
-        The pool that was drawn.
-    customer : CustomerRule or None
-        Whose it is; None on a public route.
-    received : float
-        When its head came, in seconds on the loop's clock.
-    ticket : Ticket or None
-        Its tokens of the customer's quota.
-    """
-
-    request: web.Request
-    head: RequestHead
-    body: bytes
-    route: ForwardRoute
-    pool: str
-    customer: CustomerRule | None
-    received: float
-    ticket: Ticket | None = None
-
-    @property
-    def rank(self) -> int:
-        """Priority: by the customer's, then by the route's."""
-        customer = self.customer
-        own = customer.rank if customer and customer.rank is not None else 0
-        return own * RANKS_A_CUSTOMER + min(self.route.rank, RANKS_A_CUSTOMER - 1)
-
-    @property
-    def deadline(self) -> float:
-        """When the whole answer is due, on the loop's clock."""
-        patience = self.head.patience
-        timeout = self.route.timeout
-        return self.received + (timeout if patience is None else min(patience, timeout))
-
-
-@dataclass(slots=True)
-class Means:
-    """What exchanges use.
-
-    Parameters
-    ----------
-    instance : str
-        Own name.
-    dialect : Dialect
-        Reads and writes header fields.
-    desk : Desk
-        Gets grants.
-    dispatching : Dispatching
-        Is told the load that targets report.
-    connections : ConnectionPool
-        To targets.
-    retries : WindowedRetryBudget
-        Bounds repeats.
-    targets : dict of str to DiscoveredTarget
-        All known targets.
-    metrics : ForwardingMetrics
-        What is counted.
-    """
-
-    instance: str
-    dialect: Dialect
-    desk: Desk
-    dispatching: Dispatching
-    connections: ConnectionPool
-    retries: WindowedRetryBudget
-    targets: dict[str, DiscoveredTarget]
-    metrics: ForwardingMetrics
-
-
 class _Spoilt(Exception):
     """The target's bytes are not the answer to this request."""
 
@@ -167,12 +82,7 @@
         self._kept: web.Response | None = None
         self._grant: Granted | None = None
         self._granted_at = 0.0
-        self._first_noted = False
-        self._attempt_first = 0.0
-        self._attempt_events = 0
-        self._first_event = 0.0
-        self._last_event = 0.0
-        self._longest_pause = 0.0
+        self._pace = Pace(incoming.received)
 
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
@@ -196,9 +106,9 @@
         labels = {**route, "rank": str(self._in.rank), "status": str(status)}
         metrics.requests.inc(labels)
         if self._attempts:
-            first = self._first_event or self._now() - self._in.received
+            first = self._pace.first_event or self._now() - self._in.received
             metrics.first_event.observe(route, first)
-            metrics.pause.observe(route, self._longest_pause)
+            metrics.pause.observe(route, self._pace.longest_pause)
 
     async def _run(self) -> web.StreamResponse:
         means, pool = self._means, self._in.pool
@@ -220,6 +130,9 @@
             if left is None:
                 return self._response
             self._avoid.append(target.name)
+            if left is _Next.UNSENT and len(self._avoid) <= MAX_UNREACHED:
+                self._attempts -= 1
+                continue
             if not self._may_repeat(left):
                 return self._give_up(left)
 
@@ -255,8 +168,7 @@
             waited = self._now() - begun
             self._means.metrics.queue_wait.observe({"pool": incoming.pool}, waited)
             self._grant = reply
-            self._first_noted = False
-            self._attempt_events = 0
+            self._pace.begin_attempt()
             self._granted_at = self._now()
         return reply
 
@@ -282,7 +194,7 @@
         except TargetError as error:
             cause = str(error)
             outcome = m.Outcome.BROKEN if error.sent else m.Outcome.UNREACHABLE
-            return _Next.BROKEN if error.sent else _Next.NOT_RUN
+            return _Next.BROKEN if error.sent else _Next.UNSENT
         except (_Spoilt, TimeoutError) as error:
             if self._now() >= self._in.deadline:
                 raise
@@ -317,8 +229,8 @@
             waited=round(started - self._in.received, 4),
             events=self._splitter.count,
             last_event=self._splitter.last_id,
-            first_event=round(self._first_event, 4),
-            longest_pause=round(self._longest_pause, 4),
+            first_event=round(self._pace.first_event, 4),
+            longest_pause=round(self._pace.longest_pause, 4),
             tokens=self._in.head.prompt_tokens,
             target_revision=target.revision,
             routine=outcome is m.Outcome.DONE,
@@ -425,31 +337,17 @@
                 await self._pass_on(reply, whole)
             if splitter.count > before:
                 self._note_events(splitter.count - before)
-                self._note_first()
                 limit = STREAM_GAP_S if self._repeatable else None
         await self._pass_on(reply, splitter.rest)
         splitter.drop_rest()
         await self._to_caller(self._response.write_eof())
 
     def _note_events(self, count: int) -> None:
-        """Measure the time to the first event, and the pauses."""
+        """Measure the pace; tell the dispatcher when the prompt has been read."""
         now = self._now()
-        if not self._attempt_events:
-            self._attempt_first = now
-        self._attempt_events += count
-        if self._last_event:
-            self._longest_pause = max(self._longest_pause, now - self._last_event)
-        else:
-            self._first_event = now - self._in.received
-        self._last_event = now
-
-    def _note_first(self) -> None:
-        """Tell the dispatcher that the prompt has been read."""
-        if self._first_noted or self._grant is None:
-            return
-        self._first_noted = True
-        seconds = self._now() - self._granted_at
-        self._means.desk.tell(Started(self._in.pool, self._grant.ask, seconds))
+        if self._pace.note(count, now) and self._grant is not None:
+            seconds = now - self._granted_at
+            self._means.desk.tell(Started(self._in.pool, self._grant.ask, seconds))
 
     async def _pass_on(self, reply: Reply, data: bytes) -> None:
         if self._response is None:
@@ -492,7 +390,7 @@
         route = self._in.route
         if self._attempts >= route.max_attempts:
             return False
-        if left is not _Next.NOT_RUN and route.repeat is Repeat.NEVER:
+        if left in (_Next.BROKEN, _Next.FAILED) and route.repeat is Repeat.NEVER:
             return False
         if self._response is not None and route.repeat is not Repeat.RESUME:
             return False
@@ -502,7 +400,7 @@
     def _give_up(self, left: _Next) -> web.StreamResponse:
         if left is _Next.FAILED and self._kept is not None:
             return self._kept
-        if left is _Next.NOT_RUN and not self._may_have_run:
+        if left in (_Next.NOT_RUN, _Next.UNSENT) and not self._may_have_run:
             return self._refused(0.2, "targets took it not")
         return self._fail(502, "no whole answer")
 
@@ -547,8 +445,8 @@
             self._in.pool,
             self._grant.ask,
             outcome,
-            self._attempt_events,
-            self._last_event - self._attempt_first if self._attempt_events else 0.0,
+            self._pace.events,
+            self._pace.decode_seconds,
         )
         self._grant = None
         self._means.desk.tell(ended)
--- /dev/null
+++ b/hibiscusstep/forwarding/incoming.py
@@ -0,0 +1,101 @@
+"""hibiscusstep.forwarding.incoming: an admitted request, and what serves it."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from hibiscusstep.desk import Desk
+from hibiscusstep.dispatching import Dispatching
+from hibiscusstep.forwarding.connections import ConnectionPool
+from hibiscusstep.forwarding.dialect import Dialect, RequestHead
+from hibiscusstep.forwarding.metrics import ForwardingMetrics
+from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
+from hibiscusstep.forwarding.quota import Ticket
+from hibiscusstep.forwarding.retries import WindowedRetryBudget
+
+__all__ = ["Incoming", "Means"]
+
+# Ranks of routes within one rank of customers.
+RANKS_A_CUSTOMER = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request, read whole and admitted.
+
+    Parameters
+    ----------
+    request : aiohttp.web.Request
+        Of the library.
+    head : RequestHead
+        What its fields say.
+    body : bytes
+        Its body.
+    route : ForwardRoute
+        Where it goes.
+    pool : str
+        The pool that was drawn.
+    customer : CustomerRule or None
+        Whose it is; None on a public route.
+    received : float
+        When its head came, in seconds on the loop's clock.
+    ticket : Ticket or None
+        Its tokens of the customer's quota.
+    """
+
+    request: web.Request
+    head: RequestHead
+    body: bytes
+    route: ForwardRoute
+    pool: str
+    customer: CustomerRule | None
+    received: float
+    ticket: Ticket | None = None
+
+    @property
+    def rank(self) -> int:
+        """Priority: by the customer's, then by the route's."""
+        customer = self.customer
+        own = customer.rank if customer and customer.rank is not None else 0
+        return own * RANKS_A_CUSTOMER + min(self.route.rank, RANKS_A_CUSTOMER - 1)
+
+    @property
+    def deadline(self) -> float:
+        """When the whole answer is due, on the loop's clock."""
+        patience = self.head.patience
+        timeout = self.route.timeout
+        return self.received + (timeout if patience is None else min(patience, timeout))
+
+
+@dataclass(slots=True)
+class Means:
+    """What exchanges use.
+
+    Parameters
+    ----------
+    instance : str
+        Own name.
+    dialect : Dialect
+        Reads and writes header fields.
+    desk : Desk
+        Gets grants.
+    dispatching : Dispatching
+        Is told the load that targets report.
+    connections : ConnectionPool
+        To targets.
+    retries : WindowedRetryBudget
+        Bounds repeats.
+    targets : dict of str to DiscoveredTarget
+        All known targets.
+    metrics : ForwardingMetrics
+        What is counted.
+    """
+
+    instance: str
+    dialect: Dialect
+    desk: Desk
+    dispatching: Dispatching
+    connections: ConnectionPool
+    retries: WindowedRetryBudget
+    targets: dict[str, DiscoveredTarget]
+    metrics: ForwardingMetrics
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -18,11 +18,13 @@
 from hibiscusstep.forwarding.catalog import Catalog, TableNews, TargetNews
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect
-from hibiscusstep.forwarding.exchange import Means
+from hibiscusstep.forwarding.incoming import Means
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
+from hibiscusstep.forwarding.news import to_change, to_state
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
+from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.log import decision, dropped_lines, keep_flushing
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.view import View
@@ -45,7 +47,6 @@
     PoolStop,
     PoolWithdraw,
     Received,
-    TargetState,
     TargetStates,
     Usage,
 )
@@ -322,7 +323,7 @@
             case ConfigurationReply(value=value):
                 self._take_handed_on(value)
             case TargetStates(states=states):
-                changes = tuple(_change(state) for state in states)
+                changes = tuple(to_change(state) for state in states)
                 self._catalog.tell(TargetNews(changes))
             case body if type(body) in self._receivers:
                 self._receivers[type(body)].tell(message)
@@ -380,7 +381,7 @@
 
     def _hand_on(self, changes: list[Change]) -> None:
         """Tell the peers at once of targets that came, changed or left."""
-        states = [_state(change) for change in changes]
+        states = [to_state(change) for change in changes]
         if states:
             for address in self._peers():
                 self._links.tell(Send(address, TargetStates(states)))
@@ -432,7 +433,7 @@
     async def _serve_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self._around.ready_path, self._say_ready)
-        await _serve(app, self._around.ready_address)
+        await serve(app, self._around.ready_address)
 
     async def _say_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
@@ -446,7 +447,7 @@
         app.router.add_get("/metrics", self._render_metrics)
         while True:
             try:
-                await _serve(app, self._settings.operator_address)
+                await serve(app, self._settings.operator_address)
             except OSError as error:
                 # Callers are served without metrics too.
                 _LOG.error("no metrics", extra={"error": str(error)})
@@ -477,7 +478,7 @@
 
     async def _serve_callers(self) -> None:
         limits = self._border.limits
-        await _serve(
+        await serve(
             self._border.app(),
             self._settings.caller_address,
             self._note_started,
@@ -486,55 +487,3 @@
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
         )
-
-
-async def _serve(app, address: str, started=None, **options) -> None:
-    """Serve an application until cancelled; `started` gets the runner and the site."""
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        handler_cancellation=True,
-        shutdown_timeout=0.2,
-        **options,
-    )
-    await runner.setup()
-    host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=1024)
-    await site.start()
-    if started:
-        started(runner, site)
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
-
-
-def _state(change: Change) -> TargetState:
-    item = change.item
-    if item is None:
-        return TargetState(change.name, change.revision, True, "", "", "", 1, True)
-    return TargetState(
-        item.name,
-        item.revision,
-        False,
-        item.pool,
-        item.address,
-        item.data_centre,
-        item.slots,
-        item.leaving,
-    )
-
-
-def _change(state: TargetState) -> Change:
-    if state.removed:
-        return Change(state.name, None, state.revision)
-    target = DiscoveredTarget(
-        state.name,
-        state.pool,
-        state.address,
-        state.data_centre,
-        state.slots,
-        state.leaving,
-        state.revision,
-    )
-    return Change(state.name, target, state.revision)
--- /dev/null
+++ b/hibiscusstep/forwarding/news.py
@@ -0,0 +1,40 @@
+"""hibiscusstep.forwarding.news: changes of targets as messages between instances."""
+
+from hibiscusstep.forwarding.model import DiscoveredTarget
+from hibiscusstep.peer import TargetState
+from hibiscusstep.store import Change
+
+__all__ = ["to_change", "to_state"]
+
+
+def to_state(change: Change) -> TargetState:
+    """Return the message that tells of a change."""
+    item = change.item
+    if item is None:
+        return TargetState(change.name, change.revision, True, "", "", "", 1, True)
+    return TargetState(
+        item.name,
+        item.revision,
+        False,
+        item.pool,
+        item.address,
+        item.data_centre,
+        item.slots,
+        item.leaving,
+    )
+
+
+def to_change(state: TargetState) -> Change:
+    """Return the change that a message tells of."""
+    if state.removed:
+        return Change(state.name, None, state.revision)
+    target = DiscoveredTarget(
+        state.name,
+        state.pool,
+        state.address,
+        state.data_centre,
+        state.slots,
+        state.leaving,
+        state.revision,
+    )
+    return Change(state.name, target, state.revision)
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -1,6 +1,5 @@
 """hibiscusstep.platform.client: the one client of the platform's metadata store."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from urllib.parse import quote
@@ -218,8 +217,3 @@
     spec = item["Spec"]
     name = item["Metadata"]["Name"]
     return InstanceRecord(name, spec["DataCentre"], spec["PeerAddress"])
-
-
-async def close_all(*closables) -> None:
-    """Close several clients."""
-    await asyncio.gather(*(closable.close() for closable in closables))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -246,6 +246,17 @@
         assert "Retry-After" in fields
         assert [len(target.requests) for target in site.targets] == [1, 1]
 
+    async def test_a_target_out_of_reach_was_not_sent_to(self, site):
+        document = configuration()
+        for route in document["Routes"]:
+            route["MaxAttempts"] = 1
+        gone = [TargetStandIn(f"a{n}") for n in range(2)]
+        await site.start(*gone, TargetStandIn("t9"), document=document)
+        for target in gone:
+            await target.stop()
+        for _ in range(6):
+            assert (await site.call("/once/"))[0] == 200
+
     async def test_another_target_at_the_address(self, site):
         wrong, right = TargetStandIn("t1"), TargetStandIn("t2")
         await site.start(wrong, right)
