Processes side by side have a block of ports each

Change: a process holds the first port of its block for its life; who finds it taken takes the next block. The stand-ins' ports come from there too, no longer from the range from which the system draws.

--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -4,6 +4,7 @@
 measurements start them with this module.
 """
 
+import functools
 import itertools
 import json
 import os
@@ -23,16 +24,16 @@
 OPERATOR_KEY = "example-operator-key-change-me"
 ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
 START_TIMEOUT_S = 30.0
-FIRST_PORT, BLOCK, BLOCKS = 10_000, 4000, 5
+FIRST_PORT, BLOCK, BLOCKS = 10_000, 500, 40
 
 
 def free_ports(count):
     """Return ports that are free now.
 
-    They lie below the range from which the system draws, in a block of this process
-    among those that run beside it, so that nobody takes them before they are used.
+    They lie below the range from which the system draws, in a block that this process
+    has for itself as long as it lives, whatever runs beside it.
     """
-    return list(itertools.islice(filter(_is_free, _candidates), count))
+    return list(itertools.islice(filter(_is_free, _candidates()), count))
 
 
 def _is_free(port):
@@ -44,14 +45,23 @@
     return True
 
 
-def _block():
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-    first = FIRST_PORT + BLOCK * (int(worker) % BLOCKS)
-    start = os.getpid() * 37 % BLOCK
-    return itertools.cycle(first + (start + n) % BLOCK for n in range(BLOCK))
+@functools.cache
+def _candidates():
+    """Return the ports of a block, again and again; its first one guards the block."""
+    for number in range(BLOCKS):
+        first = FIRST_PORT + BLOCK * ((os.getpid() + number) % BLOCKS)
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        return itertools.cycle(range(first + 1, first + BLOCK))
+    raise RuntimeError("all blocks of ports are taken")
 
 
-_candidates = _block()
+_guards = []
 
 
 def http(method, url, body=None, headers=None, timeout=5.0):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,15 +8,14 @@
 
 import orjson
 from aiohttp import web
+from fleet import free_ports
 
 ROOT = "/hibiscusstep/objects"
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that only this process takes."""
+    return free_ports(1)[0]
 
 
 class StoreStandIn:
