A stopping instance refuses what comes too late, and reads all it keeps open

Ruled out: closing those connections by the library's private state. Change: served until idle; then what still comes is refused as not run, the port is closed, 0.1 s later and idle again the instance ends.

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -57,6 +57,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._leaving = False
+        self._closed = False
         self._begin_until = float("inf")
         self._stop_at = float("inf")
 
@@ -86,6 +87,10 @@
         self._begin_until = now + BEGIN_FOR_S
         self._stop_at = stop_at
 
+    def close(self) -> None:
+        """Refuse whatever comes from now on."""
+        self._closed = True
+
     async def wait_idle(self) -> None:
         """Return when no request is open."""
         await self._idle.wait()
@@ -140,7 +145,8 @@
         if route is None:
             raise _Rejected(404, "no route")
         now = asyncio.get_running_loop().time()
-        if now > self._begin_until and now + route.timeout > self._stop_at:
+        too_long = now > self._begin_until and now + route.timeout > self._stop_at
+        if self._closed or too_long:
             raise _Rejected(503, "stopping", STOPPING_RETRY_S)
         return route
 
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -63,7 +63,8 @@
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
 METRICS_RETRY_S = 5.0
-# Between the close of the listening socket and the end of an idle instance.
+# Between the first refusal and the end of an idle instance: what was on its way is
+# answered, and whoever comes later is told by the closed port.
 CLOSING_S = 0.1
 # An instance that has just started takes no pool to dispatch until it has its links to
 # the others; before, all of them would wait for its grants.
@@ -220,15 +221,12 @@
             decision("stop-cuts", open=self._border.open_requests)
 
     async def _finish_callers(self) -> None:
-        """Take no new connections, close idle ones, return when all is answered."""
+        """Serve until idle, then refuse what still comes, and wait for its answers."""
+        await self._border.wait_idle()
+        self._border.close()
         await self._caller_site.stop()
-        self._caller_runner.server.pre_shutdown()
-        while True:
-            await self._border.wait_idle()
-            # What had come before the close has reached its handler by then.
-            await asyncio.sleep(CLOSING_S)
-            if not self._border.open_requests:
-                return
+        await asyncio.sleep(CLOSING_S)
+        await self._border.wait_idle()
 
     def reload(self) -> None:
         """Read the settings again; bounds apply at once, addresses at a start."""
@@ -438,8 +436,8 @@
     async def _say_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    def _note_started(self, runner: web.AppRunner, site: web.TCPSite) -> None:
-        self._caller_runner, self._caller_site = runner, site
+    def _note_started(self, site: web.TCPSite) -> None:
+        self._caller_site = site
         self.started.set()
 
     async def _serve_metrics(self) -> None:
--- a/hibiscusstep/forwarding/serving.py
+++ b/hibiscusstep/forwarding/serving.py
@@ -16,7 +16,7 @@
 async def serve(
     app: web.Application,
     address: str,
-    started: Callable[[web.AppRunner, web.TCPSite], None] | None = None,
+    started: Callable[[web.TCPSite], None] | None = None,
     **options,
 ) -> None:
     """Serve an application until cancelled.
@@ -28,7 +28,7 @@
     address : str
         IP number and port.
     started : callable or None
-        Gets the runner and the site once it listens.
+        Gets the site once it listens.
     **options : object
         Of the library's connections.
     """
@@ -44,7 +44,7 @@
     site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
     await site.start()
     if started:
-        started(runner, site)
+        started(site)
     try:
         await asyncio.Event().wait()
     finally:
