--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -33,7 +33,7 @@
 TICK_S = 0.2
 FIRST_STANDBY_S = 0.5
 MAX_STANDBY_S = 4.0
-# A message about the end of a request that got lost costs a wanted for so long.
+# A message about the end of a request that got lost costs a slot for so long.
 TELL_HELD_S = 1.5
 DISPATCHER_GRACE_S = 0.5
 UNAVAILABLE_RETRY_S = 2.0
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -215,9 +215,8 @@
             return
         pool = duty.dispatcher.pool_name
         news = PoolLearnt(pool, list(learnt), list(learnt.values()))
-        for member in self._view.members.values():
-            if member.peer_address != self._address:
-                self._reply(member.peer_address, news)
+        for address in self._view.addresses_beside(self._address):
+            self._links.tell(Send(address, news))
 
     def _take_learnt(self, news: PoolLearnt) -> None:
         """Remember another's learning for the time when it falls to this instance."""
--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -24,8 +24,6 @@
 # A stopping instance begins what may last beyond its end for so long; the balancer has
 # taken it out of its rotation by then.
 BEGIN_FOR_S = 2.8
-# Between the longest idle time of callers and ours, so that ours is never the shorter.
-IDLE_MARGIN_S = 5.0
 
 
 class _Rejected(Exception):
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -84,7 +84,6 @@
         self._removed: dict[str, int] = {}
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
-        self._targets_known = False
         self._followers: list[asyncio.Task] = []
         self._answered: dict[str, float] = {}
 
@@ -192,7 +191,6 @@
             Change(name, target, target.revision)
             for name, target in listing.items.items()
         ]
-        self._targets_known = True
         self._take_changes([*news, *gone], listed=True)
 
     def _take_changes(self, changes, listed: bool = False) -> None:
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -54,7 +54,6 @@
         self._replies: asyncio.Queue | None = None
         self._current: StreamReader | None = None
         self._tainted = False
-        self.reused = False
         self.idle_until = 0.0
 
     @property
@@ -192,7 +191,6 @@
         while idle:
             connection = idle.pop()
             if connection.usable and loop.time() < connection.idle_until:
-                connection.reused = True
                 return connection
             connection.abort()
         return await self._connect(loop, name, address)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -262,8 +262,7 @@
                     self._report(target, answer)
                     return reply, answer
                 # The answer to an earlier request on this connection.
-                while not reply.body.at_eof():
-                    await reply.body.readany()
+                await self._drain(reply)
 
     async def _take(
         self,
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -63,6 +63,8 @@
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
 METRICS_RETRY_S = 5.0
+# Between the longest idle time of callers and ours, so that ours is never the shorter.
+IDLE_MARGIN_S = 5.0
 # Between the first refusal and the end of an idle instance: what was on its way is
 # answered, and whoever comes later is told by the closed port.
 CLOSING_S = 0.1
@@ -406,9 +408,7 @@
             _LOG.error("configuration of a peer refused", extra={"error": str(error)})
 
     def _peers(self) -> list[str]:
-        own = self._settings.peer_address
-        addresses = (member.peer_address for member in self._view.members.values())
-        return [address for address in addresses if address != own]
+        return self._view.addresses_beside(self._settings.peer_address)
 
     async def _register(self) -> None:
         while True:
@@ -480,7 +480,7 @@
             self._border.app(),
             self._settings.caller_address,
             self._note_started,
-            keepalive_timeout=limits.idle_timeout + 5.0,
+            keepalive_timeout=limits.idle_timeout + IDLE_MARGIN_S,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -12,7 +12,7 @@
 class ForwardingMetrics:
     """Counters, gauges and histograms.
 
-    Label values are routes, pools, outcomes and kinds of calls; never requests,
+    Label values are routes, pools and outcomes; never requests,
     customers or targets, so that the sets stay small.
 
     Attributes
@@ -29,8 +29,6 @@
         The longest pause between events of an answer, by route, in seconds.
     queue_wait : aioprometheus.Histogram
         Seconds until the grant, by pool.
-    store_calls : aioprometheus.Counter
-        Calls of the store by kind and result.
     """
 
     def __init__(self) -> None:
@@ -38,7 +36,6 @@
         self.requests = self._counter("requests_total", "Answered requests.")
         self.attempts = self._counter("attempts_total", "Attempts at targets.")
         self.repeats = self._counter("repeats_total", "Attempts beyond the first.")
-        self.store_calls = self._counter("store_calls_total", "Calls of the store.")
         self.first_event = self._histogram("first_event_seconds", "To first event.")
         self.pause = self._histogram("longest_pause_seconds", "Longest pause.")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -219,9 +219,8 @@
         recent = [int(self._own[name].total(now)) for name in names]
         totals = [self._totals[name] for name in names]
         usage = Usage(self._incarnation, now - self._began, names, totals, recent)
-        for member in self._view.members.values():
-            if member.peer_address != self._address:
-                self._links.tell(Send(member.peer_address, usage))
+        for address in self._view.addresses_beside(self._address):
+            self._links.tell(Send(address, usage))
 
     def _hear(self, usage: Usage) -> None:
         now = asyncio.get_running_loop().time()
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -75,6 +75,11 @@
         ready = [m.name for m in self.members.values() if m.ready and not m.leaving]
         return ready or [m.name for m in self.members.values() if m.ready]
 
+    def addresses_beside(self, own: str) -> list[str]:
+        """Return the peer addresses of all members but the one at `own`."""
+        addresses = (member.peer_address for member in self.members.values())
+        return [address for address in addresses if address != own]
+
     def dispatcher(self, pool: str) -> str | None:
         """Return the name of the instance that dispatches a pool."""
         return next(iter(rendezvous(self.eligible, f"pool {pool}")), None)
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -11,7 +11,6 @@
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
-SETTINGS_VARIABLE = "HIBISCUSSTEP_SETTINGS"
 PEER_KEY_VARIABLE = "HIBISCUSSTEP_PEER_KEY"
 # The deploy file declares the same port and path as the place of the metrics.
 METRICS_PORT = 9464
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -80,7 +80,6 @@
         self._tokens_per_event = 1
         self._max_pause = 1.0
         self._decisions: list[m.Decision] = []
-        self._plain_seconds = PLAIN_SERVICE_S
         self.counts = SlotCounts()
         self._configure(plan)
 
@@ -258,7 +257,7 @@
     def _cost(self, work: m.Work) -> float:
         """Return the guessed seconds of a request on a target of slowness 1."""
         if not self._engine:
-            return self._plain_seconds
+            return PLAIN_SERVICE_S
         prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S
         return FIRST_TOKEN_S + prefill + work.output_tokens * STEP_S
 
@@ -341,7 +340,7 @@
         for work in sorted(self._waiting.values(), key=lambda w: (w.rank, w.received)):
             wait = ahead / rate if rate else MAX_RETRY_AFTER_S
             ahead += self._cost(work)
-            if now + wait >= work.deadline or now >= work.deadline:
+            if now + wait >= work.deadline:
                 ahead -= self._cost(work)
                 self._refuse(work, wait)
 
