Large regions: a few instances relay between the others

Each of 69 instances watched the store and handed every change, whole configurations too, to 68 others, and all told all of their use five times a second. Ruled out: fewer heartbeats (they are under 1 % of a core there by the slopes). Change: beyond 12 instances, two of a data centre (the strongest) relay; the others follow one, hear targets, configuration and use from it and leave the store alone. Whoever is followed becomes a relay. Configurations are asked for, not pushed. Dispatchers are relays, by weight of their capacity. Up to 12 instances all stay relays, as before.

--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -118,7 +118,8 @@
     """What the instance holds for one pool, and who dispatches it.
 
     `heard` is when the dispatcher was last heard; until `alone_until` the instance
-    dispatches for itself, for `alone_s` seconds the next time.
+    dispatches for itself, for `alone_s` seconds the next time. `told_held` is whether
+    the dispatcher was last told of any running request.
     """
 
     dispatcher: Member | None = None
@@ -127,6 +128,7 @@
     alone_s: float = FIRST_STANDBY_S
     waiting: dict[str, _Held] = field(default_factory=dict)
     running: dict[str, _Held] = field(default_factory=dict)
+    told_held: bool = False
 
 
 class Desk(Worker):
@@ -298,7 +300,9 @@
             return
         self._told_held = now
         for pool, line in self._lines.items():
-            self._send(pool, PoolHeld(pool, self._own_name, list(line.running)))
+            if line.running or line.told_held:
+                self._send(pool, PoolHeld(pool, self._own_name, list(line.running)))
+            line.told_held = bool(line.running)
 
     def _dispatcher(self, pool: str, line: _Line) -> Member | None:
         alone = asyncio.get_running_loop().time() < line.alone_until
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -51,6 +51,9 @@
 # one that is paused must not hold up the others.
 RECOVERY_TIMEOUT_S = 0.3
 REPORT_INTERVAL_S = 1.0
+# Where the instances are too many to hear each other, one that has not told what it
+# holds for so long (three times missed) is gone, and so are its requests.
+SILENT_INSTANCE_S = 4.5
 
 
 @dataclass(slots=True, eq=False)
@@ -60,6 +63,7 @@
     dispatcher: Dispatcher
     registered: set[str] = field(default_factory=set)
     addresses: dict[str, str] = field(default_factory=dict)
+    heard: dict[str, float] = field(default_factory=dict)
     poller: asyncio.Task | None = None
     since: float = 0.0
     told: float = 0.0
@@ -201,6 +205,7 @@
             overdue = self._serves_itself and now > duty.since + RECOVERY_TIMEOUT_S
             if overdue and not duty.dispatcher.recovered:
                 self._recover(duty)
+            self._drop_silent(duty, now)
             self._feed(duty, m.Tick())
             self._say_alive(duty)
             if duty.told + STATE_INTERVAL_S <= now and duty in self._duties.values():
@@ -208,6 +213,15 @@
                 self._log_state(duty, now)
                 self._tell_learnt(duty)
 
+    def _drop_silent(self, duty: _Duty, now: float) -> None:
+        """Drop what instances held that this one does not hear in its view."""
+        if self._view.size == len(self._view.members):
+            return
+        silent = [n for n, at in duty.heard.items() if now - at > SILENT_INSTANCE_S]
+        for name in silent:
+            del duty.heard[name]
+            self._feed(duty, m.InstanceGone(name))
+
     def _tell_learnt(self, duty: _Duty) -> None:
         """Tell the others what was learnt: any of them may have to dispatch next."""
         learnt = getattr(duty.dispatcher, "learnt", None)
@@ -215,11 +229,13 @@
             return
         pool = duty.dispatcher.pool_name
         news = PoolLearnt(pool, list(learnt), list(learnt.values()))
-        for address in self._view.addresses_beside(self._address):
+        for address in self._view.neighbours(self._address):
             self._links.tell(Send(address, news))
 
     def _take_learnt(self, news: PoolLearnt) -> None:
         """Remember another's learning for the time when it falls to this instance."""
+        for follower in self._view.followers.values():
+            self._links.tell(Send(follower.peer_address, news))
         slowness = dict(zip(news.targets, news.slowness, strict=True))
         self._learnt[news.pool] = slowness
         if news.pool in self._own_duties:
@@ -264,6 +280,7 @@
         match body:
             case PoolAsk(work=info):
                 duty.addresses[info.instance] = sender
+                duty.heard[info.instance] = now
                 self._feed(duty, m.Ask(_work(info, now)))
                 if self._serves_itself and duty.dispatcher.is_waiting(info.ask):
                     self._reply(sender, PoolQueued(pool))
@@ -281,6 +298,7 @@
                 )
                 self._feed(duty, finished)
             case PoolHeld(instance=instance, asks=asks):
+                duty.heard[instance] = now
                 self._feed(duty, m.Held(instance, frozenset(asks)))
             case PoolRegister():
                 self._register(duty, sender, body, now)
@@ -289,6 +307,7 @@
         self, duty: _Duty, sender: str, body: PoolRegister, now: float
     ) -> None:
         duty.addresses[body.instance] = sender
+        duty.heard[body.instance] = now
         self._feed(duty, m.InstanceGone(body.instance))
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(duty, m.Adopt(_work(info, now), target))
@@ -301,8 +320,10 @@
         """Let a dispatcher decide once every live instance has registered."""
         if duty.dispatcher.recovered:
             return
-        expected = {m.incarnation for m in self._view.members.values() if m.ready}
-        if expected <= duty.registered:
+        view = self._view
+        known = (*view.members.values(), *view.followers.values())
+        expected = {member.incarnation for member in known if member.ready}
+        if not view.others and expected <= duty.registered:
             self._recover(duty)
 
     def _recover(self, duty: _Duty) -> None:
@@ -312,10 +333,12 @@
 
     def _change_view(self, view: View) -> None:
         gone = self._view.members.keys() - view.members.keys()
+        mesh = view.size == len(view.members)
         self._view = view
         self._take_duties()
         for pool, duty in self._duties.items():
-            for name in gone:
+            # In a large region a relay that left the view may follow another one.
+            for name in gone if mesh else ():
                 self._feed(duty, m.InstanceGone(name))
             self._feed(duty, m.Doubt(view.doubtful))
             self._maybe_recovered(pool, duty)
--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from hibiscusstep.membership.relays import MESH_SIZE
+
 __all__ = ["Bounds", "InstanceSettings"]
 
 
@@ -45,6 +47,10 @@
         Peer addresses known from the start.
     heartbeat_interval, suspect_after : float
         Seconds between heartbeats, and of silence until a peer is gone.
+    capacity : int
+        As in `hibiscusstep.store.InstanceRecord`.
+    mesh_size : int
+        Up to so many instances all speak to all; beyond, over relays.
     log_style, log_level : str
         As in the settings of an entry instance.
     """
@@ -59,5 +65,7 @@
     seeds: tuple[str, ...]
     heartbeat_interval: float
     suspect_after: float
+    capacity: int = 1
+    mesh_size: int = MESH_SIZE
     log_style: str = "json"
     log_level: str = "INFO"
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -11,7 +11,7 @@
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.store import Change, Feed, HistoryLost, Listing
 
-__all__ = ["Catalog", "TableNews", "TargetNews"]
+__all__ = ["Catalog", "Follow", "TableNews", "TargetListing", "TargetNews"]
 
 _LOG = logging.getLogger(__name__)
 TICK_S = 0.25
@@ -37,6 +37,20 @@
     changes: tuple[Change, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TargetListing:
+    """All targets that a relay knows, at a revision of the store."""
+
+    listing: Listing
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Whether the store is followed, or only what peers tell."""
+
+    store: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _Listed:
     feed: Feed
@@ -85,22 +99,44 @@
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
         self._followers: list[asyncio.Task] = []
+        self._follows = True
+        self._revision = 0
+        self._published = False
         self._answered: dict[str, float] = {}
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store at which the targets are known; 0 if not at all."""
+        return self._revision
+
     async def start(self) -> None:
         """Begin to follow the feeds."""
-        self._followers = [
-            asyncio.create_task(self._follow(feed)) for feed in self._feeds
-        ]
+        if self._follows:
+            self._begin_following()
 
     async def stop(self) -> None:
         """End following them."""
-        self.stop_following()
+        self._end_following()
+
+    def _begin_following(self) -> None:
+        self._followers = [
+            asyncio.create_task(self._follow(feed)) for feed in self._feeds
+        ]
 
-    def stop_following(self) -> None:
-        """Leave the store alone; peers' news are still taken."""
+    def _end_following(self) -> None:
         for task in self._followers:
             task.cancel()
+        self._followers = []
+
+    def _switch(self, follows: bool) -> None:
+        if follows == self._follows:
+            return
+        self._follows = follows
+        decision("store-followed" if follows else "store-left-to-relay")
+        if follows:
+            self._begin_following()
+        else:
+            self._end_following()
 
     async def handle(self, message) -> None:
         """Take a list, changes, a peer's news or a tick."""
@@ -117,6 +153,10 @@
                 self._take_tables([table])
             case TargetNews(changes=changes):
                 self._take_changes(changes)
+            case TargetListing(listing=listing):
+                self._take_listing(listing, recovered=False)
+            case Follow(store=follows):
+                self._switch(follows)
             case Tick():
                 self._drop_missing()
 
@@ -180,6 +220,7 @@
     def _take_listing(self, listing: Listing, recovered: bool) -> None:
         """Take a whole list; what is not on it is gone, or may have lapsed."""
         now = asyncio.get_running_loop().time()
+        self._revision = max(self._revision, listing.revision)
         if recovered:
             self._trusted_at = now + LAPSE_GRACE_S
         gone = [
@@ -191,18 +232,21 @@
             Change(name, target, target.revision)
             for name, target in listing.items.items()
         ]
-        self._take_changes([*news, *gone], listed=True)
+        self._take_changes([*news, *gone])
+        if not self._published:
+            self._publish([])
 
-    def _take_changes(self, changes, listed: bool = False) -> None:
+    def _take_changes(self, changes) -> None:
         now = asyncio.get_running_loop().time()
         taken = []
         for change in changes:
+            self._revision = max(self._revision, change.revision)
             if change.item is None:
                 if self._remove(change, now):
                     taken.append(change)
             elif self._put(change.name, change.item):
                 taken.append(change)
-        if taken or listed:
+        if taken:
             self._publish(taken)
 
     def _put(self, name: str, target: DiscoveredTarget) -> bool:
@@ -253,4 +297,5 @@
             self._missing.pop(name, None)
 
     def _publish(self, changes: list[Change]) -> None:
+        self._published = True
         self._on_targets(dict(self._targets), changes)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -1,7 +1,9 @@
 """hibiscusstep.forwarding.instance: an entry instance that forwards requests."""
 
 import asyncio
+import itertools
 import logging
+import random
 import secrets
 from collections import Counter
 from collections.abc import Callable
@@ -15,20 +17,21 @@
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.border import ForwardingBorder
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
-from hibiscusstep.forwarding.catalog import Catalog, TableNews, TargetNews
+from hibiscusstep.forwarding.catalog import Catalog, Follow, TableNews
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.incoming import Means
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
-from hibiscusstep.forwarding.news import to_change, to_state
+from hibiscusstep.forwarding.news import to_news, to_state
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.log import decision, dropped_lines, keep_flushing
 from hibiscusstep.mailbox import Worker
-from hibiscusstep.membership.view import View
-from hibiscusstep.membership.worker import Membership, OwnState, ViewChanged
+from hibiscusstep.membership.grouped import GroupedMembership
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.membership.worker import OwnState, ViewChanged
 from hibiscusstep.peer import (
     Beat,
     ConfigurationAsk,
@@ -47,6 +50,7 @@
     PoolStop,
     PoolWithdraw,
     Received,
+    Relays,
     TargetStates,
     Usage,
 )
@@ -71,6 +75,15 @@
 # An instance that has just started takes no pool to dispatch until it has its links to
 # the others; before, all of them would wait for its grants.
 SETTLE_S = 1.0
+# A follower that its relay has not made ready by then looks into the store itself.
+FOLLOWER_PATIENCE_S = 3.0
+# All targets are told to the followers again after so many sweeps: a message that a
+# broken connection lost matters for five seconds at the most.
+TELL_TARGETS_EVERY = 10
+# A relay gets most configurations from the store as soon as its peers do.
+ASK_AFTER_S = 0.15
+# A configuration that was asked for and has not come is asked for again.
+TABLE_RETRY_S = 1.0
 # A stopping instance listens until callers and the balancer have noticed, and keeps
 # this long before the end of its grace free.
 LISTEN_ON_S = 4.0
@@ -137,6 +150,10 @@
         self._targets: dict[str, DiscoveredTarget] = {}
         self._targets_known = False
         self._leaving = False
+        self._follows_store = True
+        self._asked = (0, "")
+        self._ask_again = 0.0
+        self._began = asyncio.get_running_loop().time()
         self.started = asyncio.Event()
 
     @property
@@ -185,7 +202,8 @@
 
     def stop_following(self) -> None:
         """Hear of changes from peers only."""
-        self._catalog.stop_following()
+        self._follows_store = False
+        self._catalog.tell(Follow(False))
 
     async def run(self) -> None:
         """Run until cancelled or until an essential task fails."""
@@ -250,8 +268,14 @@
         address, incarnation = settings.peer_address, self._incarnation
         bounds = self._around.bounds
         self._links = PeerLinks(address, settings.peer_key, self._route)
-        self._membership = Membership(
-            settings, incarnation, self._links, self._around.roster, self._on_view
+        self._membership = GroupedMembership(
+            settings,
+            incarnation,
+            self._links,
+            self._around.roster,
+            self._on_view,
+            settings.capacity,
+            settings.mesh_size,
         )
         self._catalog = Catalog(
             self._around.tables, self._around.targets, self._on_table, self._on_targets
@@ -296,7 +320,7 @@
 
     def _make_routes(self) -> dict[type, Worker]:
         table = {
-            self._membership: (Heartbeat, Beat),
+            self._membership: (Heartbeat, Beat, Relays),
             self._dispatching: (
                 PoolAsk,
                 PoolWithdraw,
@@ -322,26 +346,41 @@
                 self._hand_on_table(message.sender)
             case ConfigurationReply(value=value):
                 self._take_handed_on(value)
-            case TargetStates(states=states):
-                changes = tuple(to_change(state) for state in states)
-                self._catalog.tell(TargetNews(changes))
+            case TargetStates() as states:
+                self._catalog.tell(to_news(states))
             case body if type(body) in self._receivers:
                 self._receivers[type(body)].tell(message)
             case body:
                 _LOG.warning("message ignored", extra={"kind": type(body).__name__})
 
     def _on_view(self, changed: ViewChanged) -> None:
-        self._view = changed.view
-        self._retries.instances = len(changed.view.members)
+        before, self._view = self._view, changed.view
+        self._retries.instances = changed.view.size
         for worker in (self._dispatching, self._desk, self._quotas):
             worker.tell(changed)
-        self._ask_for_newer_table()
+        self._choose_sources()
+        delay = 0.0 if changed.view.parent else ASK_AFTER_S
+        asyncio.get_running_loop().call_later(delay, self._ask_for_newer_table)
+        known = {member.incarnation for member in before.followers.values()}
+        for follower in changed.view.followers.values():
+            if follower.incarnation not in known:
+                self._tell_all_targets(follower.peer_address)
+
+    def _choose_sources(self) -> None:
+        """Follow the store, unless a relay does it for this instance."""
+        if not self._follows_store:
+            return
+        served = self._view.parent and self._view.attached
+        waits_in_vain = not self.ready and self._age() > FOLLOWER_PATIENCE_S
+        self._catalog.tell(Follow(not served or waits_in_vain))
+
+    def _age(self) -> float:
+        return asyncio.get_running_loop().time() - self._began
 
     def _on_table(self, table: RoutingTable) -> None:
         self._table = table
         self._border.take(table)
         self._publish_plan()
-        self._hand_on_table_to_all()
 
     def _on_targets(
         self, targets: dict[str, DiscoveredTarget], changes: list[Change]
@@ -386,9 +425,13 @@
             for address in self._peers():
                 self._links.tell(Send(address, TargetStates(states)))
 
-    def _hand_on_table_to_all(self) -> None:
-        for address in self._peers():
-            self._hand_on_table(address)
+    def _tell_all_targets(self, address: str) -> None:
+        """Tell a follower all targets, lest it missed what came or left."""
+        revision = self._catalog.revision
+        if self._targets_known and revision:
+            known = self._targets.items()
+            states = [to_state(Change(name, item, revision)) for name, item in known]
+            self._links.tell(Send(address, TargetStates(states, revision)))
 
     def _hand_on_table(self, address: str) -> None:
         if self._table is not None:
@@ -396,10 +439,28 @@
             self._links.tell(Send(address, reply))
 
     def _ask_for_newer_table(self) -> None:
-        version = self._table.version if self._table else 0
-        newest = max(self._view.members.values(), key=lambda member: member.version)
-        if newest.version > version:
-            self._links.tell(Send(newest.peer_address, ConfigurationAsk("")))
+        """Ask for the configuration where a version is in force that is newer."""
+        newest = self._newest_elsewhere()
+        if newest is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if (newest.version, newest.name) == self._asked and now < self._ask_again:
+            return
+        self._asked = newest.version, newest.name
+        self._ask_again = now + TABLE_RETRY_S
+        self._links.tell(Send(newest.peer_address, ConfigurationAsk("")))
+
+    def _newest_elsewhere(self) -> Member | None:
+        """Return who has the newest configuration; the parent, or else a near one."""
+        newer = [m for m in self._view.members.values() if m.version > self.version]
+        if not newer:
+            return None
+        newest = max(member.version for member in newer)
+        having = [member for member in newer if member.version == newest]
+        parents = [m for m in having if m.peer_address == self._view.parent]
+        here = self._settings.data_centre
+        near = [member for member in having if member.data_centre == here]
+        return random.choice(parents or near or having)
 
     def _take_handed_on(self, value: bytes) -> None:
         try:
@@ -408,7 +469,7 @@
             _LOG.error("configuration of a peer refused", extra={"error": str(error)})
 
     def _peers(self) -> list[str]:
-        return self._view.addresses_beside(self._settings.peer_address)
+        return self._view.neighbours(self._settings.peer_address)
 
     async def _register(self) -> None:
         while True:
@@ -418,13 +479,16 @@
             await asyncio.sleep(1.0)
 
     async def _sweep(self) -> None:
-        began = asyncio.get_running_loop().time()
         eligible = False
-        while True:
+        for sweeps in itertools.count(1):
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._connections.sweep()
-            settled = asyncio.get_running_loop().time() >= began + SETTLE_S
-            if settled and not eligible and self.ready:
+            self._choose_sources()
+            self._ask_for_newer_table()
+            if sweeps % TELL_TARGETS_EVERY == 0:
+                for follower in self._view.followers.values():
+                    self._tell_all_targets(follower.peer_address)
+            if self._age() >= SETTLE_S and not eligible and self.ready:
                 eligible = True
                 self._membership.tell(OwnState(ready=True))
 
@@ -459,7 +523,8 @@
     def _refresh_gauges(self) -> None:
         metrics = self._metrics
         metrics.gauge("configuration_version", self.version)
-        metrics.gauge("members", len(self._view.members))
+        metrics.gauge("members", self._view.size)
+        metrics.gauge("followers", len(self._view.followers))
         metrics.gauge("silent_members", self._view.silent)
         metrics.gauge("connections_opened", self._connections.opened)
         metrics.gauge("log_lines_dropped", dropped_lines())
--- a/hibiscusstep/forwarding/news.py
+++ b/hibiscusstep/forwarding/news.py
@@ -1,10 +1,20 @@
 """hibiscusstep.forwarding.news: changes of targets as messages between instances."""
 
+from hibiscusstep.forwarding.catalog import TargetListing, TargetNews
 from hibiscusstep.forwarding.model import DiscoveredTarget
-from hibiscusstep.peer import TargetState
-from hibiscusstep.store import Change
+from hibiscusstep.peer import TargetState, TargetStates
+from hibiscusstep.store import Change, Listing
 
-__all__ = ["to_change", "to_state"]
+__all__ = ["to_news", "to_state"]
+
+
+def to_news(message: TargetStates) -> TargetNews | TargetListing:
+    """Return what a peer's message says of targets."""
+    changes = tuple(_to_change(state) for state in message.states)
+    if not message.revision:
+        return TargetNews(changes)
+    items = {change.name: change.item for change in changes if change.item}
+    return TargetListing(Listing(items, message.revision))
 
 
 def to_state(change: Change) -> TargetState:
@@ -24,7 +34,7 @@
     )
 
 
-def to_change(state: TargetState) -> Change:
+def _to_change(state: TargetState) -> Change:
     """Return the change that a message tells of."""
     if state.removed:
         return Change(state.name, None, state.revision)
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -27,6 +27,8 @@
 AMPLE = 2.0
 # All totals are told again after so many intervals, for those that missed some.
 TELL_ALL_EVERY = 10
+# From a follower over its relay and another one to a third instance.
+GROUPED_HOPS = 3
 # Share of the quota that is free while nothing is known of a whole window: all
 # instances may have been restarted right after a customer used what it may.
 START_SHARE = 0.1
@@ -104,9 +106,10 @@
 class QuotaKeeper(Worker):
     """Counts what all instances let through; admits what stays within the quota.
 
-    Each instance tells all others its totals a few times a second. Instances out of
-    reach are taken to use their even share, so that the parts of a cut stay within
-    the quota together.
+    Each instance tells its neighbours its totals a few times a second. A relay tells
+    the other relays the sum of its own and its followers', and each follower the sum
+    of all others. Instances out of reach are taken to use their even share, so that
+    the parts of a cut stay within the quota together.
 
     Parameters
     ----------
@@ -128,13 +131,19 @@
         self.bounds = bounds
         self._began = asyncio.get_running_loop().time()
         self._view = View()
-        self._totals: dict[str, int] = defaultdict(int)
         self._pending: dict[str, int] = defaultdict(int)
         self._own: dict[str, Window] = {}
         self._others: dict[str, Window] = {}
         self._lately: dict[str, Window] = {}
         self._peers: dict[str, _Peer] = {}
+        # Tokens since the start: of this instance's group, which is itself and its
+        # followers; of all; and of each follower.
+        self._of_group: dict[str, int] = defaultdict(int)
+        self._of_all: dict[str, int] = defaultdict(int)
+        self._of_follower: dict[str, dict[str, int]] = {}
+        self._group: dict[str, Window] = {}
         self._told: dict[str, int] = {}
+        self._told_all: dict[str, int] = {}
         self._ticks = 0
 
     async def handle(self, message) -> None:
@@ -143,13 +152,22 @@
             case Tick():
                 self._tell()
             case ViewChanged(view=view):
-                come = view.members.keys() - self._view.members.keys()
-                self._view = view
-                if come:
-                    self._tell_all()
+                self._take_view(view)
             case Received(message=Usage() as usage):
                 self._hear(usage)
 
+    def _take_view(self, view: View) -> None:
+        before, self._view = self._view, view
+        if view.parent and view.parent != before.parent:
+            # The new parent tells anew what the others used in the window.
+            self._others.clear()
+            self._peers.clear()
+        known = before.members.keys() | before.followers.keys()
+        if view.parent != before.parent or (
+            view.members.keys() | view.followers.keys() - known
+        ):
+            self._tell_all()
+
     def admit(self, customer: CustomerRule, tokens: int) -> Ticket | None:
         """Set tokens aside for a request; None if they are beyond the quota."""
         now = asyncio.get_running_loop().time()
@@ -165,25 +183,41 @@
         """End a ticket."""
         self._pending[name] -= tokens
         if used and tokens:
-            window = self._own.setdefault(name, Window(self.bounds.quota_window))
-            window.add(tokens, asyncio.get_running_loop().time())
-            self._totals[name] += tokens
+            now = asyncio.get_running_loop().time()
+            self._window(self._own, name).add(tokens, now)
+            self._count(name, tokens, now, in_group=True)
+
+    def _window(self, windows: dict[str, Window], name: str) -> Window:
+        return windows.setdefault(name, Window(self.bounds.quota_window))
+
+    def _count(self, name: str, tokens: int, now: float, *, in_group: bool) -> None:
+        """Count for what is told to the neighbours."""
+        self._of_all[name] += tokens
+        if in_group:
+            self._of_group[name] += tokens
+            self._window(self._group, name).add(tokens, now)
 
     def used(self, name: str, now: float) -> float:
         """Return the tokens of the window, with a guess at what is not yet heard."""
-        window = self.bounds.quota_window
-        own = self._own.setdefault(name, Window(window)).total(now)
-        others = self._others.setdefault(name, Window(window)).total(now)
+        own = self._window(self._own, name).total(now)
+        others = self._window(self._others, name).total(now)
         lately = self._lately.setdefault(name, Window(1.0)).total(now)
-        unheard = lately * TELL_INTERVAL_S
+        unheard = lately * self._delay
         return own + others + self._pending[name] + unheard
 
+    @property
+    def _delay(self) -> float:
+        """Seconds until an instance has heard of another one's use, at the most."""
+        view = self._view
+        hops = 1 if view.size == len(view.members) else GROUPED_HOPS
+        return hops * TELL_INTERVAL_S
+
     def limit(self, customer: CustomerRule, now: float) -> float:
         """Return the tokens that may be used in a window at this moment."""
         bounds, quota = self.bounds, customer.quota
         whole = quota.rate * bounds.quota_window + quota.burst
         slack = whole * bounds.quota_overage + bounds.quota_slack
-        alive = max(1, len(self._view.members))
+        alive = max(1, self._view.size)
         reached = alive / (alive + self._view.silent)
         known = min(1.0, self._age(now) / bounds.quota_window)
         free = START_SHARE + (1 - START_SHARE) * known
@@ -191,12 +225,12 @@
 
     def _may_go_untold(self, name: str, tokens: int, left: float, now: float) -> bool:
         """Whether others may well take as much before all have heard of each other."""
-        sent = self._totals[name] - self._told.get(name, 0)
+        sent = self._of_group[name] - self._told.get(name, 0)
         untold = sent + self._pending[name]
         lately = self._lately[name].total(now)
-        if AMPLE * (lately * TELL_INTERVAL_S + untold + tokens) <= left:
+        if AMPLE * (lately * self._delay + untold + tokens) <= left:
             return True
-        alive = max(1, len(self._view.members))
+        alive = max(1, self._view.size)
         own, others = self._own[name].total(now), self._others[name].total(now)
         own = max(0.0, own - sent)
         part = max(UNTOLD_PARTS / alive, own / max(1.0, own + others))
@@ -209,19 +243,35 @@
 
     def _tell(self) -> None:
         self._ticks += 1
-        if self._totals != self._told or self._ticks % TELL_ALL_EVERY == 0:
+        every = self._ticks % TELL_ALL_EVERY == 0
+        if every or self._of_group != self._told or self._has_news_for_followers():
             self._tell_all()
 
+    def _has_news_for_followers(self) -> bool:
+        return bool(self._view.followers) and self._of_all != self._told_all
+
     def _tell_all(self) -> None:
         now = asyncio.get_running_loop().time()
-        self._told = dict(self._totals)
-        names = list(self._totals)
-        recent = [int(self._own[name].total(now)) for name in names]
-        totals = [self._totals[name] for name in names]
-        usage = Usage(self._incarnation, now - self._began, names, totals, recent)
-        for address in self._view.addresses_beside(self._address):
+        self._told = dict(self._of_group)
+        self._told_all = dict(self._of_all)
+        followers = {f.peer_address: f for f in self._view.followers.values()}
+        group = self._usage(self._of_group, self._group, {}, now)
+        for address in self._view.neighbours(self._address):
+            usage = group
+            if address in followers:
+                told = self._of_follower.get(followers[address].incarnation, {})
+                usage = self._usage(self._of_all, self._others, told, now)
             self._links.tell(Send(address, usage))
 
+    def _usage(self, totals, windows, without: dict[str, int], now: float) -> Usage:
+        """Return what is told to a neighbour: totals without its own part."""
+        names = list(totals)
+        rest = [totals[name] - without.get(name, 0) for name in names]
+        recent = [int(self._window(windows, name).total(now)) for name in names]
+        follower = bool(self._view.parent)
+        age = now - self._began
+        return Usage(self._incarnation, age, names, rest, recent, follower)
+
     def _hear(self, usage: Usage) -> None:
         now = asyncio.get_running_loop().time()
         peer = self._peers.get(usage.incarnation)
@@ -235,12 +285,18 @@
         ):
             new = recent if first else total - peer.totals.get(name, 0)
             peer.totals[name] = total
-            if new:
-                window = self.bounds.quota_window
-                self._others.setdefault(name, Window(window)).add(new, now)
-                if not first:
-                    self._lately.setdefault(name, Window(1.0)).add(new, now)
+            if not new:
+                continue
+            self._window(self._others, name).add(new, now)
+            self._count(name, new, now, in_group=usage.follower)
+            if usage.follower:
+                told = self._of_follower.setdefault(usage.incarnation, {})
+                told[name] = told.get(name, 0) + new
+            if not first:
+                self._lately.setdefault(name, Window(1.0)).add(new, now)
 
     def _forget_old(self, now: float) -> None:
         horizon = now - 2 * self.bounds.quota_window
         self._peers = {i: p for i, p in self._peers.items() if p.at > horizon}
+        heard = self._peers.keys()
+        self._of_follower = {i: t for i, t in self._of_follower.items() if i in heard}
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -10,8 +10,10 @@
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
   5: string peer_address, 6: string operator_address, 7: i64 version,
-  8: bool ready, 9: bool leaving, 10: list<string> known, 11: bool greet
+  8: bool ready, 9: bool leaving, 10: list<string> known, 11: bool greet,
+  12: bool relay, 13: i32 capacity, 14: i32 followers, 15: string parent
 }
+struct Relays { 1: list<Heartbeat> relays, 2: i32 instances }
 struct Beat { 1: string incarnation, 2: i64 version }
 struct PoolAsk { 1: string pool, 2: WorkInfo work }
 struct PoolWithdraw { 1: string pool, 2: string ask }
@@ -31,13 +33,13 @@
 struct PoolQueued { 1: string pool }
 struct Usage {
   1: string incarnation, 2: double age, 3: list<string> customers,
-  4: list<i64> totals, 5: list<i64> recent
+  4: list<i64> totals, 5: list<i64> recent, 6: bool follower
 }
 struct TargetState {
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
   5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving
 }
-struct TargetStates { 1: list<TargetState> states }
+struct TargetStates { 1: list<TargetState> states, 2: i64 revision }
 struct PoolStop { 1: string pool, 2: string ask }
 struct NotDispatcher { 1: string pool }
 struct ClaimAsk {
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -71,6 +71,11 @@
                 self._dead_incarnations.add(heard.member.incarnation)
                 self.left(name)
 
+    def refresh(self, now: float) -> None:
+        """Take all that are known as heard: who speaks for them lives."""
+        for heard in self._heard.values():
+            heard.at = now
+
     def expire(self, now: float) -> None:
         """Drop members that were silent too long.
 
@@ -83,8 +88,7 @@
         )
         self._last_check = now
         if paused:
-            for heard in self._heard.values():
-                heard.at = now
+            self.refresh(now)
             return
         for name, heard in list(self._heard.items()):
             if now - heard.at > self._suspect_after:
@@ -94,6 +98,11 @@
             if now - since > FORGET_DOUBT_S:
                 del self._gone[name]
 
+    @property
+    def members(self) -> dict[str, Member]:
+        """The live members by name, without oneself."""
+        return {name: heard.member for name, heard in self._heard.items()}
+
     def view(self, own: Member, platform_live: set[str] | None = None) -> View:
         """Return the live members with oneself.
 
@@ -105,8 +114,7 @@
             Names on the platform's list, None if it is out of reach; a silent
             member that is not on it is dead and no cause for doubt.
         """
-        members = {name: heard.member for name, heard in self._heard.items()}
         doubted = set(self._gone) & (
             platform_live if platform_live is not None else set(self._gone)
         )
-        return View({**members, own.name: own}, silent=len(doubted))
+        return View({**self.members, own.name: own}, silent=len(doubted))
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -1,5 +1,6 @@
 """hibiscusstep.membership.view: the live instances and the roles among them."""
 
+import math
 from dataclasses import dataclass, field
 
 import xxhash
@@ -11,7 +12,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A live instance, as its last heartbeat tells."""
+    """A live instance, as its last heartbeat tells.
+
+    Parameters
+    ----------
+    name, incarnation, data_centre, region, peer_address, operator_address : str
+        Who and where.
+    version : int
+        Of the configuration in force there.
+    ready, leaving : bool
+        Whether it may take roles, and whether it is about to end.
+    relay : bool
+        Whether it speaks to all other relays; else it follows one of them.
+    capacity : int
+        Work that it can bear, as in `hibiscusstep.store.InstanceRecord`.
+    followers : int
+        Instances that it relays for.
+    """
 
     name: str
     incarnation: str
@@ -22,6 +39,9 @@
     version: int
     ready: bool
     leaving: bool
+    relay: bool = True
+    capacity: int = 1
+    followers: int = 0
 
     @classmethod
     def of(cls, beat: Heartbeat) -> "Member":
@@ -36,53 +56,102 @@
             beat.version,
             beat.ready,
             beat.leaving,
+            beat.relay,
+            beat.capacity,
+            beat.followers,
         )
 
 
-def rendezvous(names, key: str, count: int = 1) -> list[str]:
+_HASHES = 1 << 64
+
+
+def rendezvous(names, key: str, count: int | None = 1, weights=None) -> list[str]:
     """Return the `count` names of the highest hash with a key.
 
     The loss of one name moves only the keys that it had.
+
+    Parameters
+    ----------
+    names : iterable of str
+        To choose from.
+    key : str
+        What is to be placed.
+    count : int or None
+        How many; None for all, in order.
+    weights : dict of str to int or None
+        A name is chosen for as many keys as its weight says; alike if None.
     """
-    return sorted(
-        names, key=lambda name: -xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
-    )[:count]
+
+    def score(name: str) -> float:
+        digest = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+        if weights is None:
+            return -digest
+        # The weighted form of the same choice: exponential draws, each divided by
+        # the weight, the least wins.
+        return -math.log((digest + 1) / _HASHES) / max(1, weights[name])
+
+    return sorted(names, key=score)[:count]
 
 
 @dataclass(frozen=True, slots=True)
 class View:
     """The live instances of a region, oneself among them.
 
+    In a small region all are relays. In a large one `members` are the relays and
+    oneself.
+
     Parameters
     ----------
     members : dict of str to Member
         By name.
     silent : int
         Instances that may live and are out of reach, as in a cut.
+    followers : dict of str to Member
+        Instances that this one relays for.
+    parent : str
+        Peer address of the relay that this instance follows; empty if there is none.
+    others : int
+        Live instances beside the members and followers.
+    attached : bool
+        Whether news of the others come in: a relay has its own, a follower those of
+        its parent while that is heard.
     """
 
     members: dict[str, Member] = field(default_factory=dict)
     silent: int = 0
+    followers: dict[str, Member] = field(default_factory=dict)
+    parent: str = ""
+    others: int = 0
+    attached: bool = True
 
     @property
     def doubtful(self) -> bool:
         """Whether instances that may live are out of reach."""
         return self.silent > 0
 
+    @property
+    def size(self) -> int:
+        """Live instances."""
+        return len(self.members) + len(self.followers) + self.others
+
     @property
     def eligible(self) -> list[str]:
         """Names of the instances that may take a role."""
-        ready = [m.name for m in self.members.values() if m.ready and not m.leaving]
-        return ready or [m.name for m in self.members.values() if m.ready]
+        ready = [m for m in self.members.values() if m.ready]
+        best = [m for m in ready if m.relay and not m.leaving]
+        return [m.name for m in best or ready]
 
-    def addresses_beside(self, own: str) -> list[str]:
-        """Return the peer addresses of all members but the one at `own`."""
-        addresses = (member.peer_address for member in self.members.values())
-        return [address for address in addresses if address != own]
+    def neighbours(self, own: str) -> list[str]:
+        """Return the peer addresses to which the instance at `own` tells its news."""
+        if self.parent:
+            return [self.parent]
+        known = (*self.members.values(), *self.followers.values())
+        return [m.peer_address for m in known if m.peer_address != own]
 
     def dispatcher(self, pool: str) -> str | None:
         """Return the name of the instance that dispatches a pool."""
-        return next(iter(rendezvous(self.eligible, f"pool {pool}")), None)
+        weights = {name: self.members[name].capacity for name in self.members}
+        return next(iter(rendezvous(self.eligible, f"pool {pool}", 1, weights)), None)
 
     def claim_writer(self, shard: int) -> str | None:
         """Return the name of the instance that writes a shard of claims."""
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -13,15 +13,16 @@
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import Beat, Heartbeat, Received
 from hibiscusstep.peerlink import LinkLost, Send
-from hibiscusstep.store import Roster
+from hibiscusstep.store import InstanceRecord, Roster
 
 if TYPE_CHECKING:
     from hibiscusstep.configuration.settings import Settings
 
-__all__ = ["Membership", "OwnState", "ViewChanged"]
+__all__ = ["Membership", "OwnState", "ViewChanged", "heartbeat_of"]
 
 _LOG = logging.getLogger(__name__)
 LIST_INTERVAL_S = 30.0
+LIST_RETRY_S = 2.0
 FULL_EVERY = 60
 FORGET_CONTACT_S = 60.0
 
@@ -104,19 +105,28 @@
         now = asyncio.get_running_loop().time()
         match message:
             case Tick():
-                self._tracker.expire(now)
-                self._send_beats()
+                self._take_tick(now)
             case Received(message=Heartbeat() as beat):
                 self._hear(beat, now)
-            case Received(sender=sender, message=Beat(incarnation, version)):
-                if not self._tracker.beat(incarnation, version, now):
+            case Received(sender=sender, message=Beat() as beat):
+                if not self._take_beat(sender, beat, now):
                     self._tell_all_to(sender, with_known=False, greet=True)
+                # What changes the view is told by whole heartbeats.
+                return
             case OwnState():
                 self._change_own(message)
             case LinkLost(address=address, refused=True):
                 self._tracker.refused(address)
         self._publish_if_changed()
 
+    def _take_tick(self, now: float) -> None:
+        self._tracker.expire(now)
+        self._send_beats()
+
+    def _take_beat(self, sender: str, beat: Beat, now: float) -> bool:
+        """Take a sign of life; say whether its sender is known."""
+        return self._tracker.beat(beat.incarnation, beat.version, now)
+
     def _change_own(self, state: OwnState) -> None:
         changes = {
             name: value
@@ -161,25 +171,14 @@
         return self._listed | set(self._settings.seeds) | self._mentioned.keys()
 
     def _tell_all_to(self, address: str, with_known: bool, greet: bool) -> None:
-        own = self._own
         known = [m.peer_address for m in self._view.members.values()]
-        beat = Heartbeat(
-            own.name,
-            own.incarnation,
-            own.data_centre,
-            own.region,
-            own.peer_address,
-            own.operator_address,
-            own.version,
-            own.ready,
-            own.leaving,
-            known if with_known else [],
-            greet,
-        )
+        beat = heartbeat_of(self._own, self._view.parent)
+        beat.known = known if with_known else []
+        beat.greet = greet
         self._links.tell(Send(address, beat))
 
     def _publish_if_changed(self) -> None:
-        view = self._tracker.view(self._own, self._platform_live)
+        view = self._make_view()
         if view == self._view:
             return
         gone = self._view.members.keys() - view.members.keys()
@@ -191,14 +190,42 @@
         self._view = view
         self._publish(ViewChanged(view))
 
+    def _make_view(self) -> View:
+        return self._tracker.view(self._own, self._platform_live)
+
     async def _read_list(self) -> None:
         while True:
             listed = await self._platform.instances()
             if listed.is_ok():
-                records = [r for r in listed.unwrap() if not r.leaving]
-                self._platform_live = {record.name for record in records}
-                self._listed = {record.peer_address for record in records}
+                self._take_records([r for r in listed.unwrap() if not r.leaving])
             else:
                 self._platform_live = None
-            interval = LIST_INTERVAL_S if listed.is_ok() else 2.0
-            await asyncio.sleep(interval)
+            await asyncio.sleep(self._list_interval(listed.is_ok()))
+
+    def _take_records(self, records: list[InstanceRecord]) -> None:
+        self._platform_live = {record.name for record in records}
+        self._listed = {record.peer_address for record in records}
+
+    def _list_interval(self, succeeded: bool) -> float:
+        return LIST_INTERVAL_S if succeeded else LIST_RETRY_S
+
+
+def heartbeat_of(member: Member, parent: str = "") -> Heartbeat:
+    """Return the message by which a member makes itself known."""
+    return Heartbeat(
+        member.name,
+        member.incarnation,
+        member.data_centre,
+        member.region,
+        member.peer_address,
+        member.operator_address,
+        member.version,
+        member.ready,
+        member.leaving,
+        [],
+        False,
+        member.relay,
+        member.capacity,
+        member.followers,
+        parent,
+    )
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -26,6 +26,7 @@
     "PoolStop",
     "PoolWithdraw",
     "Received",
+    "Relays",
     "StatusAsk",
     "StatusReply",
     "TargetState",
@@ -61,6 +62,8 @@
 
     Sent to those that do not know it, when it changes, and now and then; `known`
     holds peer addresses and is mostly empty; `greet` asks for the like in return.
+    `followers` counts the instances that a relay relays for; `parent` is the peer
+    address of the relay that the sender follows, empty if it is one itself.
     """
 
     instance: str
@@ -74,6 +77,18 @@
     leaving: bool
     known: list[str]
     greet: bool
+    relay: bool = True
+    capacity: int = 1
+    followers: int = 0
+    parent: str = ""
+
+
+@dataclass(slots=True)
+class Relays:
+    """A relay tells its followers of all relays, and how many instances live."""
+
+    relays: list[Heartbeat]
+    instances: int
 
 
 @dataclass(slots=True)
@@ -288,7 +303,8 @@
     """What an instance let customers use, in tokens.
 
     `totals` are since its start, `recent` within the quota's window; `age` is in
-    seconds.
+    seconds. A relay tells what its followers used as its own; `follower` is whether
+    the sender follows the receiver.
     """
 
     incarnation: str
@@ -296,6 +312,7 @@
     customers: list[str]
     totals: list[int]
     recent: list[int]
+    follower: bool = False
 
 
 @dataclass(slots=True)
@@ -314,9 +331,13 @@
 
 @dataclass(slots=True)
 class TargetStates:
-    """States of targets that the sender has just learnt."""
+    """States of targets that the sender has just learnt.
+
+    Where `revision` is not 0, these are all targets at that revision of the store.
+    """
 
     states: list[TargetState]
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -361,4 +382,5 @@
     TargetStates,
     PoolHeld,
     PoolLearnt,
+    Relays,
 )
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -82,6 +82,24 @@
         kind = _STATUS_ERRORS.get(status, PlatformUnavailable)
         return Err(kind(f"status {status}", step=step, peer="store"))
 
+    async def list_all(
+        self, kind: str, **query: str
+    ) -> Result[tuple[list[dict], int], PlatformError]:
+        """Return all objects of a kind, page by page, and the store's revision."""
+        items: list[dict] = []
+        while True:
+            reply = await self.call("GET", kind, query=query)
+            if reply.is_err():
+                return reply
+            page = reply.unwrap()
+            try:
+                items += page["Items"]
+                if not page.get("HasMore"):
+                    return Ok((items, int(page["At"])))
+                query["After"] = items[-1]["Metadata"]["Name"]
+            except (IndexError, KeyError, TypeError, ValueError) as cause:
+                return Err(_malformed(kind, cause))
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session:
@@ -108,22 +126,18 @@
         self.name = kind
 
     async def read_all(self) -> Result[Listing, PlatformError]:
-        """Return all objects, page by page."""
+        """Return all objects."""
+        listed = await self._client.list_all(self._kind)
+        if listed.is_err():
+            return listed
+        found, revision = listed.unwrap()
         items: dict[str, object] = {}
-        after: dict[str, str] = {}
-        while True:
-            reply = await self._client.call("GET", self._kind, query=after)
-            if reply.is_err():
-                return reply
-            page = reply.unwrap()
-            try:
-                for item in page["Items"]:
-                    self._add(items, item)
-                    after = {"After": item["Metadata"]["Name"]}
-                if not page.get("HasMore"):
-                    return Ok(Listing(items, int(page["At"])))
-            except (KeyError, TypeError, ValueError) as cause:
-                return Err(self._malformed(cause))
+        try:
+            for item in found:
+                self._add(items, item)
+        except (KeyError, TypeError, ValueError) as cause:
+            return Err(_malformed(self._kind, cause))
+        return Ok(Listing(items, revision))
 
     async def watch(self, revision: int, timeout: float):
         """Return the changes since a revision."""
@@ -145,7 +159,7 @@
                 if (change := self._change(event, at))
             ]
         except (KeyError, TypeError, ValueError) as cause:
-            return Err(self._malformed(cause))
+            return Err(_malformed(self._kind, cause))
         return Ok((changes, at))
 
     def _add(self, items: dict[str, object], item: dict) -> None:
@@ -174,10 +188,6 @@
             )
             return None
 
-    def _malformed(self, cause: Exception) -> PlatformError:
-        detail = f"malformed answer: {cause!r}"
-        return PlatformUnavailable(detail, step=f"read {self._kind}", peer="store")
-
 
 class ObjectRoster(Roster):
     """The instances, each with an object that it wrote at its start.
@@ -195,7 +205,11 @@
 
     async def register(self, record: InstanceRecord) -> Result[None, PlatformError]:
         """Write one's own record, unless it stands there already."""
-        spec = {"DataCentre": record.data_centre, "PeerAddress": record.peer_address}
+        spec = {
+            "DataCentre": record.data_centre,
+            "PeerAddress": record.peer_address,
+            "Capacity": record.capacity,
+        }
         body = {"Metadata": {"Name": record.name}, "Spec": spec}
         made = await self._client.call("POST", self._KIND, body=body)
         if made.is_err() and isinstance(made.unwrap_err(), PlatformConflict):
@@ -205,15 +219,23 @@
 
     async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
         """Return the records; they may be some seconds old."""
-        reply = await self._client.call("GET", self._KIND, query={"Serializable": "1"})
+        listed = await self._client.list_all(self._KIND, Serializable="1")
         try:
-            return reply.map(lambda page: [_record(item) for item in page["Items"]])
-        except (KeyError, TypeError) as cause:
-            detail = f"malformed answer: {cause!r}"
-            return Err(PlatformUnavailable(detail, step="read instances", peer="store"))
+            return listed.map(lambda found: [_record(item) for item in found[0]])
+        except (KeyError, TypeError, ValueError) as cause:
+            return Err(_malformed(self._KIND, cause))
 
 
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
-    name = item["Metadata"]["Name"]
-    return InstanceRecord(name, spec["DataCentre"], spec["PeerAddress"])
+    return InstanceRecord(
+        item["Metadata"]["Name"],
+        spec["DataCentre"],
+        spec["PeerAddress"],
+        capacity=int(spec.get("Capacity", 1)),
+    )
+
+
+def _malformed(kind: str, cause: Exception) -> PlatformError:
+    detail = f"malformed answer: {cause!r}"
+    return PlatformUnavailable(detail, step=f"read {kind}", peer="store")
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -18,6 +18,9 @@
 # within the time in which a second dispatcher must stand in.
 HEARTBEAT_INTERVAL_S = 0.25
 SUSPECT_AFTER_S = 1.0
+# A link that lets two cores work; relays and dispatchers speak to many.
+WIDE_LINK_MBPS = 100.0
+MOST_CORES = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +77,7 @@
         seeds=tuple(f"{host}:{port}" for host in hosts if host != ip),
         heartbeat_interval=HEARTBEAT_INTERVAL_S,
         suspect_after=SUSPECT_AFTER_S,
+        capacity=_capacity(document.get("Limits") or {}),
     )
     return PlatformSettings(
         instance,
@@ -83,6 +87,16 @@
     )
 
 
+def _capacity(limits: dict) -> int:
+    """Return hundredths of a core, or fewer where the link is narrow.
+
+    `CpuShare` is of each of the `Cores`.
+    """
+    cores = float(limits.get("CpuShare", 1.0)) * float(limits.get("Cores", 1))
+    link = float(limits.get("LinkMbps", WIDE_LINK_MBPS)) / WIDE_LINK_MBPS
+    return max(1, round(100 * min(cores, MOST_CORES * link)))
+
+
 def _bounds(bounds: dict) -> Bounds:
     default = Bounds()
     return Bounds(
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -32,7 +32,12 @@
     settings = loaded.instance
     client = ObjectClient(loaded.store_address)
     roster = ObjectRoster(client)
-    record = InstanceRecord(settings.name, settings.data_centre, settings.peer_address)
+    record = InstanceRecord(
+        settings.name,
+        settings.data_centre,
+        settings.peer_address,
+        capacity=settings.capacity,
+    )
     return Surroundings(
         settings=settings,
         bounds=loaded.bounds,
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -49,12 +49,15 @@
         Who and where.
     leaving : bool
         Whether the platform is about to replace it.
+    capacity : int
+        Work that it can bear, in hundredths of a core or what its link allows.
     """
 
     name: str
     data_centre: str
     peer_address: str
     leaving: bool = False
+    capacity: int = 1
 
 
 class Roster(ABC):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -78,7 +78,7 @@
         settings = _settings(f"n{len(self.instances)}", self.store)
         path = self._path / f"{settings['NodeName']}.json"
         path.write_bytes(orjson.dumps(settings))
-        instance = ForwardingInstance(load_surroundings(path))
+        instance = self.make_instance(path)
         instance.url = f"http://{settings['Listen']['Front']}"
         instance.ready_url = f"http://{settings['Listen']['Ready']}/hibiscusstep/ready"
         instance.path = path
@@ -91,6 +91,9 @@
                 await asyncio.sleep(0.01)
         return instance
 
+    def make_instance(self, path):
+        return ForwardingInstance(load_surroundings(path))
+
     async def call(self, path, method="POST", instance=0, **fields):
         """Return status, fields and body; the body is None where it was cut."""
         name = fields.pop("request", f"r{next(_ids)}")
