A fault soak; the dispatcher reckons less for each message; near targets first

Cause: (1) no randomized soak of the forwarding plane with real processes. (2) A dispatcher of 30 targets at 350 requests/s reckoned 1.4 ms a request (half a core here). (2) What lies ahead of a target is kept, its prompts still to read once a moment; expected refusals only when something is asked, or at a tick. (3) 0.02 s against a target of another data centre.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint compare faults clean
+.PHONY: demo test lint compare faults soak clean
 
 .venv/.ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -28,6 +28,10 @@
 	status=$$?; cd tests && PYTHONPATH=../examples ../$(BIN)/python write_faults.py \
 		../out/faults.xml ../docs/FAULTS.md; exit $$status
 
+SEEDS ?= 1-50
+soak: .venv/.ready
+	$(BIN)/python tests/soak.py --seeds $(SEEDS)
+
 lint: .venv/.ready
 	$(BIN)/ruff format --check hibiscusstep tests examples
 	$(BIN)/ruff check hibiscusstep tests examples
--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -150,8 +150,8 @@
     def __init__(
         self, name, incarnation, address, links, local, standby_after: float = 0.0
     ) -> None:
-        tick = min(TICK_S, standby_after / 3) if standby_after else TICK_S
-        super().__init__("desk", tick_interval=tick)
+        super().__init__("desk", tick_interval=TICK_S)
+        self._hurry = min(TICK_S, standby_after / 3) if standby_after else TICK_S
         self._standby_after = standby_after
         self._own_name = name
         self._incarnation = incarnation
@@ -159,6 +159,7 @@
         self._links = links
         self._local = local
         self._view = View()
+        self._chosen: dict[str, str | None] = {}
         self._lines: dict[str, _Line] = {}
         self._numbers = itertools.count()
         self._told_held = 0.0
@@ -190,6 +191,7 @@
                 self._link_lost(address)
             case ViewChanged(view=view):
                 self._view = view
+                self._chosen.clear()
                 self._follow()
             case InForce(configuration=configuration):
                 for pool in configuration.pools:
@@ -201,6 +203,15 @@
                 self._tell_held()
                 self._follow()
 
+    @property
+    def _waits(self) -> bool:
+        return any(line.waiting for line in self._lines.values())
+
+    @property
+    def tick_interval(self) -> float:
+        """Seconds until the next look at what waits."""
+        return self._hurry if self._waits else TICK_S
+
     def _line(self, pool: str) -> _Line:
         return self._lines.setdefault(pool, _Line())
 
@@ -209,6 +220,8 @@
         now = asyncio.get_running_loop().time()
         ask = f"{self._incarnation}.{next(self._numbers)}"
         held = _Held(question, wanted, now, asked=now)
+        if not self._waits:
+            self._tick_in(self._hurry)
         self._line(wanted.pool).waiting[ask] = held
         self._send(wanted.pool, PoolAsk(wanted.pool, self._info(ask, held)))
 
@@ -306,7 +319,9 @@
 
     def _dispatcher(self, pool: str, line: _Line) -> Member | None:
         alone = asyncio.get_running_loop().time() < line.alone_until
-        name = self._own_name if alone else self._view.dispatcher(pool)
+        if pool not in self._chosen:
+            self._chosen[pool] = self._view.dispatcher(pool)
+        name = self._own_name if alone else self._chosen[pool]
         return self._view.members.get(name) if name else None
 
     def _follow(self) -> None:
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -45,6 +45,7 @@
 
 _LOG = logging.getLogger(__name__)
 TICK_S = 0.05
+IDLE_TICK_S = 0.5
 # What a dispatcher believes is logged this often.
 STATE_INTERVAL_S = 2.0
 # A new dispatcher decides after this time even if not every instance has registered:
@@ -137,6 +138,13 @@
         self._configuration: Configuration | None = None
         self._duties: dict[str, _Duty] = {}
 
+    @property
+    def tick_interval(self) -> float:
+        """Seconds until the next look at what waits here."""
+        duties = (*self._duties.values(), *self._own_duties.values())
+        busy = self._duties or any(duty.dispatcher.waiting for duty in duties)
+        return TICK_S if busy else IDLE_TICK_S
+
     async def stop(self) -> None:
         """End the reading of load reports."""
         for duty in self._duties.values():
@@ -265,6 +273,7 @@
             self._own_duties[pool] = duty
             self._feed(duty, m.Learnt(self._learnt.get(pool, {})))
             self._feed(duty, m.Recovered())
+        self._tick_in(TICK_S)
         return self._own_duties[pool]
 
     def _from_desk(self, sender: str, body) -> None:
@@ -370,6 +379,8 @@
             if pool in self._learnt:
                 self._feed(duty, m.Learnt(self._learnt[pool]))
             decision("dispatcher-taken", pool=pool)
+        if mine:
+            self._tick_in(TICK_S)
 
     async def _poll(self, pool: str) -> None:
         while True:
@@ -440,4 +451,5 @@
         tuple(info.prefixes),
         tuple(info.avoid),
         now + info.due_in,
+        info.data_centre,
     )
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -65,7 +65,7 @@
 
 
 class Catalog(Worker):
-    """Follows the store's two feeds; takes what peers hand on as well.
+    """Follows the store's two feeds when told; takes what peers hand on as well.
 
     Versions of the table only grow. A target's state is the one of the highest
     revision. A target that vanishes around an outage of the store stays until
@@ -99,7 +99,7 @@
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
         self._followers: list[asyncio.Task] = []
-        self._follows = True
+        self._follows = False
         self._revision = 0
         self._published = False
         self._answered: dict[str, float] = {}
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -156,6 +156,7 @@
             False,
             [],
             list(self._avoid),
+            data_centre=self._means.data_centre,
         )
         latest = min(begun + patience, incoming.deadline)
         due = incoming.received + route.objective
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -75,6 +75,8 @@
     ----------
     instance : str
         Own name.
+    data_centre : str
+        Where it runs.
     dialect : Dialect
         Reads and writes header fields.
     desk : Desk
@@ -92,6 +94,7 @@
     """
 
     instance: str
+    data_centre: str
     dialect: Dialect
     desk: Desk
     dispatching: Dispatching
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -145,7 +145,7 @@
         self._around = surroundings
         self._settings = surroundings.settings
         self._incarnation = secrets.token_hex(6)
-        self._view = View()
+        self._view = View(settled=False)
         self._table: RoutingTable | None = None
         self._targets: dict[str, DiscoveredTarget] = {}
         self._targets_known = False
@@ -299,6 +299,7 @@
         self._retries = WindowedRetryBudget(bounds)
         self._means = Means(
             name,
+            settings.data_centre,
             self._around.dialect,
             self._desk,
             self._dispatching,
@@ -368,7 +369,7 @@
 
     def _choose_sources(self) -> None:
         """Follow the store, unless a relay does it for this instance."""
-        if not self._follows_store:
+        if not self._follows_store or not self._view.settled:
             return
         served = self._view.parent and self._view.attached
         waits_in_vain = not self.ready and self._age() > FOLLOWER_PATIENCE_S
@@ -412,7 +413,9 @@
         }
         for name, target in self._targets.items():
             pool = pools.setdefault(target.pool, PlannedPool(True))
-            pool.targets[name] = PlannedTarget(target.slots, target.leaving)
+            pool.targets[name] = PlannedTarget(
+                target.slots, target.leaving, target.data_centre
+            )
         in_force = InForce(self._table.version, b"", Plan(pools))
         self._dispatching.tell(in_force)
         self._desk.tell(in_force)
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -6,6 +6,7 @@
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule
+from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
@@ -173,12 +174,32 @@
         now = asyncio.get_running_loop().time()
         if not customer.quota.rate:
             return Ticket(self, customer.name, 0)
-        left = self.limit(customer, now) - self.used(customer.name, now)
+        limit, used = self.limit(customer, now), self.used(customer.name, now)
+        left = limit - used
         if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
+            self._log_refusal(customer, tokens, limit, used, now)
             return None
         self._pending[customer.name] += tokens
         return Ticket(self, customer.name, tokens)
 
+    def _log_refusal(self, customer, tokens: int, limit, used, now: float) -> None:
+        quota, name = customer.quota, customer.name
+        decision(
+            "over-quota",
+            customer=name,
+            tokens=tokens,
+            rate=quota.rate,
+            burst=quota.burst,
+            limit=int(limit),
+            used=int(used),
+            own=int(self._window(self._own, name).total(now)),
+            others=int(self._window(self._others, name).total(now)),
+            last_second=int(self._lately[name].total(now)),
+            pending=self._pending[name],
+            instances=self._view.size,
+            silent=self._view.silent,
+        )
+
     def settle(self, name: str, tokens: int, used: bool) -> None:
         """End a ticket."""
         self._pending[name] -= tokens
--- a/hibiscusstep/mailbox.py
+++ b/hibiscusstep/mailbox.py
@@ -1,6 +1,7 @@
 """hibiscusstep.mailbox: a task that owns its state and is spoken to by messages."""
 
 import asyncio
+import contextlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import Any
@@ -66,6 +67,7 @@
     ) -> None:
         self._name = name
         self._tick_interval = tick_interval
+        self._next_tick: asyncio.TimerHandle | None = None
         self._mailbox: asyncio.Queue = asyncio.Queue(capacity)
 
     @property
@@ -102,18 +104,37 @@
     async def handle(self, message: Any) -> None:
         """Take one message."""
 
+    @property
+    def tick_interval(self) -> float:
+        """Seconds until the next `Tick`; a worker with less to do may take longer."""
+        return self._tick_interval
+
     async def run(self) -> None:
         """Take messages until cancelled."""
         await self.start()
-        ticker = asyncio.create_task(self._tick(), name=f"{self._name} ticker")
+        if self._tick_interval:
+            self._tick()
         try:
             while True:
                 await self.handle(await self._mailbox.get())
         finally:
-            ticker.cancel()
+            if self._next_tick:
+                self._next_tick.cancel()
             await self.stop()
 
-    async def _tick(self) -> None:
-        while self._tick_interval:
+    def _tick(self) -> None:
+        # Where too many messages wait, the worker is awake anyway.
+        with contextlib.suppress(MailboxFull):
             self.tell(Tick())
-            await asyncio.sleep(self._tick_interval)
+        self._next_tick = None
+        self._tick_in(self.tick_interval)
+
+    def _tick_in(self, seconds: float) -> None:
+        """Let the next tick come after so many seconds, or sooner if it is due."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        if self._next_tick:
+            if self._next_tick.when() <= due:
+                return
+            self._next_tick.cancel()
+        self._next_tick = loop.call_at(due, self._tick)
--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from hibiscusstep.log import decision
+from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.relays import MESH_SIZE, Attachment
 from hibiscusstep.membership.tracker import Tracker
 from hibiscusstep.membership.view import View
@@ -30,8 +31,6 @@
 STAY_RELAY_S = 10.0
 # All relays are told to the followers again after so many heartbeats.
 RELAYS_EVERY = 8
-# With no list of the instances by then, the heartbeats that were heard make one.
-LIST_PATIENCE_S = 1.5
 # A parent that is silent for so long may be lost; half of what a peer is given.
 ATTACHED_S = 0.6
 # Instances that were seen within this time and are not now may be in another part of
@@ -42,7 +41,8 @@
 class GroupedMembership(Membership):
     """Heartbeats among relays, and between a relay and its followers.
 
-    A small region is a mesh, as with `Membership`: all its instances are relays.
+    A small region is a mesh, as with `Membership`: all its instances are relays. An
+    instance speaks to others once it has looked, in vain or not, who there is.
 
     Parameters
     ----------
@@ -78,7 +78,7 @@
         )
         self._instances = 1
         self._lists = 0
-        self._began = asyncio.get_running_loop().time()
+        self._looked = False
         self._relay_until = 0.0
         self._heard_parent_at = 0.0
         self._sizes: deque[tuple[float, int]] = deque()
@@ -143,9 +143,10 @@
 
     def _update_role(self, now: float) -> None:
         """Become a relay or a follower as the list of instances and others want it."""
+        if not self._looked:
+            return
         if not self._lists:
-            if now < self._began + LIST_PATIENCE_S:
-                return
+            # No list is to be had; the heartbeats that were heard make one.
             self._attachment.learn(self._heard_records(), self._view.size)
         relay = self._attachment.is_relay or now < self._relay_until
         if self._followers.members:
@@ -156,6 +157,9 @@
         self._own = replace(self._own, relay=relay)
         if relay:
             self._attachment.parent = ""
+        else:
+            # It is given as long as any relay to answer.
+            self._heard_parent_at = now
         self._send_all()
 
     def _heard_records(self) -> list[InstanceRecord]:
@@ -210,6 +214,8 @@
         self._links.tell(Send(address, news))
 
     def _contacts(self) -> set[str]:
+        if not self._looked:
+            return set()
         if not self._own.relay:
             return {self._attachment.parent} - {""}
         self._listed = self._attachment.relay_addresses
@@ -240,6 +246,7 @@
             parent=parent,
             others=others,
             attached=self._own.relay or self._hears_parent(),
+            settled=self._looked,
         )
         grouped = bool(followers) or others > 0 or not self._own.relay
         return replace(view, silent=self._missing(view.size)) if grouped else view
@@ -254,7 +261,10 @@
         while self._sizes and self._sizes[0][0] < now - REMEMBER_SIZE_S:
             self._sizes.popleft()
         self._sizes.append((now, size))
-        return max(seen for _at, seen in self._sizes) - size
+        most = max(seen for _at, seen in self._sizes)
+        # An instance that changes its role may be counted twice for a moment.
+        listed = len(self._platform_live or ()) or most
+        return max(0, min(most, listed) - size)
 
     def _publish_if_changed(self) -> None:
         before = self._view
@@ -271,6 +281,9 @@
             self._attachment.prefer(self._tracker.members)
 
     def _list_interval(self, succeeded: bool) -> float:
+        self._looked = True
+        # The role is taken at once.
+        self.tell(Tick())
         if not succeeded:
             return LIST_RETRY_S
         if self._lists <= len(EARLY_LISTS_S):
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -115,6 +115,8 @@
     attached : bool
         Whether news of the others come in: a relay has its own, a follower those of
         its parent while that is heard.
+    settled : bool
+        Whether the instance knows which of the two it is.
     """
 
     members: dict[str, Member] = field(default_factory=dict)
@@ -123,6 +125,7 @@
     parent: str = ""
     others: int = 0
     attached: bool = True
+    settled: bool = True
 
     @property
     def doubtful(self) -> bool:
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -54,6 +54,7 @@
     prefixes: list[int]
     avoid: list[str]
     due_in: float = 0.0
+    data_centre: str = ""
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -79,6 +79,8 @@
     due : float
         When the first token is on time at the latest, on the dispatcher's clock; 0 if
         not told.
+    data_centre : str
+        Where the instance runs.
     """
 
     ask: str
@@ -95,6 +97,7 @@
     prefixes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
     due: float = 0.0
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/plan.py
+++ b/hibiscusstep/routing/plan.py
@@ -11,6 +11,7 @@
 
     slots: int
     leaving: bool = False
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -70,6 +70,8 @@
         When it may be tried again after a failure.
     foreign : int
         Requests there that this dispatcher did not grant, by the last report.
+    data_centre : str
+        Where it runs.
     """
 
     name: str
@@ -82,7 +84,32 @@
     rest_until: float = 0.0
     foreign: int = 0
     foreign_at: float = -10.0
+    data_centre: str = ""
     running: dict[str, Run] = field(default_factory=dict)
+    _ahead: float = 0.0
+    _prefill_left: float = 0.0
+    _prefill_at: float = -1.0
+
+    def add(self, ask: str, run: Run) -> None:
+        """Take note of a request that was granted."""
+        self.running[ask] = run
+        self._changed()
+
+    def remove(self, ask: str) -> Run | None:
+        """Take note of a request's end; None if it was not here."""
+        run = self.running.pop(ask, None)
+        self._changed()
+        return run
+
+    def begin(self, ask: str) -> None:
+        """Take note that a request's prompt has been read."""
+        if ask in self.running:
+            self.running[ask].began = True
+            self._changed()
+
+    def _changed(self) -> None:
+        self._ahead = sum(run.cost for run in self.running.values())
+        self._prefill_at = -1.0
 
     def usable(self, now: float) -> bool:
         """Whether new work may go there."""
@@ -96,17 +123,22 @@
         return self.slots - taken
 
     def prefill_left(self, now: float) -> float:
-        """Return the guessed seconds of prompts that it has still to read."""
-        return sum(
-            max(0.0, run.prefill - (now - run.granted) / self.slowness)
-            for run in self.running.values()
-            if not run.began
-        )
+        """Return the guessed seconds of prompts that it has still to read.
+
+        Reckoned once a moment: a dispatcher weighs many requests for a target at once.
+        """
+        if now != self._prefill_at:
+            self._prefill_at = now
+            self._prefill_left = sum(
+                max(0.0, run.prefill - (now - run.granted) / self.slowness)
+                for run in self.running.values()
+                if not run.began
+            )
+        return self._prefill_left
 
     def cost(self, own: float, now: float) -> float:
         """Return the weighed seconds for a request of `own` guessed seconds."""
-        ahead = sum(run.cost for run in self.running.values())
-        spent = self.slowness * (own + RUNNING_WEIGHT * ahead)
+        spent = self.slowness * (own + RUNNING_WEIGHT * self._ahead)
         return spent * (1 + FAILURE_COST * self.failing)
 
     def lateness(self, prefill: float, due: float, now: float) -> float:
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -34,6 +34,9 @@
 LATE_WEIGHT = 5.0
 PAUSE_COST_S = 0.5
 PAUSE_MARGIN = 0.85
+# Bytes between data centres are paid for: of targets that serve alike the near one is
+# taken. Six steps of an engine, so that a less busy target still goes first.
+ELSEWHERE_COST_S = 0.02
 # Overload comes in bursts of some seconds; whoever comes back sooner is refused again.
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 5.0
@@ -44,6 +47,10 @@
 GRANT_TRANSIT_S = 0.7
 
 
+# What makes a wait longer, or shows that one was too long.
+_MAY_EXPIRE = (m.Ask, m.Tick, m.Recovered, m.Configure)
+
+
 @dataclass
 class SlotCounts:
     """Totals of a dispatcher since its start."""
@@ -130,7 +137,8 @@
         self._take(message, now)
         if self._recovered:
             self._schedule(now)
-            self._expire(now)
+            if isinstance(message, _MAY_EXPIRE):
+                self._expire(now)
         return self._decisions
 
     @singledispatchmethod
@@ -154,13 +162,13 @@
     @_take.register
     def _first_token(self, message: m.FirstToken, now: float) -> None:
         target = self._targets.get(self._placed.get(message.ask, ""))
-        if target and message.ask in target.running:
-            target.running[message.ask].began = True
+        if target:
+            target.begin(message.ask)
 
     @_take.register
     def _finished(self, message: m.Finished, now: float) -> None:
         target = self._targets.get(self._placed.pop(message.ask, ""))
-        run = target.running.pop(message.ask, None) if target else None
+        run = target.remove(message.ask) if target else None
         if run is None:
             return
         if message.outcome is m.Outcome.DONE:
@@ -247,6 +255,7 @@
             target = self._targets.get(name)
             if target is None:
                 target = SlotTarget(name, planned.slots)
+                target.data_centre = planned.data_centre
                 self._targets[name] = target
             target.slots = planned.slots
             target.leaving |= planned.leaving
@@ -319,6 +328,8 @@
         """Return the weighed seconds of a request, and of what it does to others."""
         prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S
         price = target.cost(own, now)
+        if target.data_centre != work.data_centre:
+            price += ELSEWHERE_COST_S
         if work.due:
             price += LATE_WEIGHT * target.lateness(prefill, work.due, now)
         pause = target.pause(self._tokens_per_event, prefill, now)
@@ -328,7 +339,7 @@
 
     def _run(self, target: SlotTarget, work: m.Work, now: float) -> None:
         prefill = work.prompt_tokens / PREFILL_TOKENS_PER_S if self._engine else 0.0
-        target.running[work.ask] = Run(work, now, self._cost(work), prefill)
+        target.add(work.ask, Run(work, now, self._cost(work), prefill))
         self._placed[work.ask] = target.name
 
     def _expire(self, now: float) -> None:
@@ -368,4 +379,4 @@
         self._waiting.pop(ask, None)
         target = self._targets.get(self._placed.pop(ask, ""))
         if target:
-            target.running.pop(ask, None)
+            target.remove(ask)
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,292 @@
+"""A randomized soak: real processes, faults from outside them, promises checked.
+
+    python tests/soak.py --seeds 1-50
+
+Each seed makes a deployment, callers and a series of overlapping faults. What the
+callers and the targets saw is checked by `soak_ledger`. Processes are ended by the ids
+with which they were started. Peers speak to each other directly: what the proxies do to
+callers and to the store, stopped processes do to peers.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import click
+
+sys.path[:0] = [str(Path(__file__).parent.parent / "examples")]
+
+from soak_ledger import Ledger, Seen  # noqa: E402
+from soak_proxy import Mode  # noqa: E402
+from soak_world import POOL, SLOTS, World  # noqa: E402
+
+KINDS = ("safe", "once", "resume", "stream")
+CUSTOMERS = {"key-one": "one", "key-uno": "one", "key-two": "two", "key-none": ""}
+FORGED = {"X-Tenant": "forged", "X-Target-Instance": "forged", "X-Hold": "h"}
+CALLER_TIMEOUT_S = 20.0
+DEADLINE_MS = 4000
+SETTLED_CALLS = 5
+SETTLED_WITHIN_S = 30.0
+
+
+class Callers:
+    """Callers that keep their connections open and send requests of all kinds."""
+
+    def __init__(self, world, ledger, rng, count):
+        self._world, self._ledger, self._rng = world, ledger, rng
+        self._count = count
+        self._number = 0
+        self.stopping = False
+
+    async def run(self):
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._count):
+                group.create_task(self._caller())
+
+    async def _caller(self):
+        instance = self._rng.choice(self._world.instances)
+        async with aiohttp.ClientSession() as session:
+            while not self.stopping:
+                await asyncio.sleep(self._rng.expovariate(12.0))
+                seen = await self.call(session, instance, self._rng.choice(KINDS))
+                if seen.status in (0, 503):
+                    instance = self._rng.choice(self._world.instances)
+
+    async def call(self, session, instance, kind, key=None):
+        """Send one request; return what came."""
+        self._number += 1
+        name = f"r{self._number}-{kind}"
+        key = key or self._rng.choice(list(CUSTOMERS))
+        seen = Seen(kind, CUSTOMERS[key], where=instance.name)
+        self._ledger.seen[name] = seen
+        fields = {
+            "Host": "h.example",
+            "X-Request-Id": name,
+            "X-Kind": kind,
+            "X-Request-Deadline-Ms": str(DEADLINE_MS),
+            "Authorization": f"Bearer {key}",
+            **(FORGED if self._rng.random() < 0.2 else {}),
+        }
+        url = f"http://{instance.callers.address}/{kind}/p"
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(CALLER_TIMEOUT_S):
+                await self._exchange(session, url, fields, seen)
+        return seen
+
+    async def _exchange(self, session, url, fields, seen):
+        body = b"b" * self._rng.randrange(2000)
+        async with session.post(url, headers=fields, data=body) as response:
+            seen.status = response.status
+            seen.seal = response.headers.get("X-Response-Seal", "")
+            leaves = self._rng.random() < 0.03
+            async for data in response.content.iter_any():
+                seen.body += data
+                if leaves:
+                    response.close()
+                    return
+            seen.whole = True
+
+
+class Faults:
+    """The faults of a soak, each a coroutine that ends with everything well again."""
+
+    def __init__(self, world, rng):
+        self._world, self._rng = world, rng
+        self.told = []
+
+    async def run(self, seconds, count):
+        """Begin `count` faults within so many seconds; they may overlap."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(count):
+                kind = self._rng.choice(self.KINDS)
+                begin = self._rng.uniform(0.0, seconds)
+                group.create_task(self._play(kind, begin, self._rng.uniform(0.2, 3.0)))
+
+    async def _play(self, kind, begin, span):
+        await asyncio.sleep(begin)
+        self.told.append(f"{begin:.1f} {kind.__name__} {span:.1f}")
+        await kind(self, span)
+
+    def _instance(self):
+        return self._rng.choice(self._world.instances)
+
+    async def _kill(self, span, number=signal.SIGKILL):
+        instance = self._instance()
+        process = instance.process
+        instance.signal(signal.SIGCONT)
+        instance.signal(number)
+        code = await instance.ended()
+        if number == signal.SIGTERM and code not in (0, -signal.SIGKILL):
+            instance.exits.append(code)
+        await asyncio.sleep(span / 3)
+        if instance.process is process:
+            instance.start()
+
+    async def _term(self, span):
+        await self._kill(span, signal.SIGTERM)
+
+    async def _herd(self, span):
+        await asyncio.gather(*(self._kill(span) for _ in self._world.instances))
+
+    async def _pause(self, span):
+        instance = self._instance()
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        instance.signal(signal.SIGCONT)
+
+    async def _reload(self, span):
+        instance = self._instance()
+        instance.write_settings(slack=self._rng.randrange(10, 90))
+        instance.signal(signal.SIGHUP)
+
+    async def _store_down(self, span):
+        self._world.store.down = True
+        await asyncio.sleep(span)
+        self._world.store.down = False
+
+    async def _store_forgets(self, span):
+        self._world.store.forget_history()
+
+    async def _store_path(self, span):
+        modes = (Mode.DELAY, Mode.SILENT, Mode.CUT_UP, Mode.CUT_DOWN, Mode.REFUSE)
+        await self._proxy(self._instance().store, self._rng.choice(modes), span)
+
+    async def _caller_path(self, span):
+        modes = (Mode.DELAY, Mode.SILENT, Mode.CUT_UP, Mode.CUT_DOWN)
+        await self._proxy(self._instance().callers, self._rng.choice(modes), span)
+
+    async def _proxy(self, proxy, mode, span):
+        proxy.set(mode, delay=span / 10)
+        await asyncio.sleep(span)
+        proxy.set(Mode.PASS)
+
+    async def _resets(self, span):
+        for instance in self._world.instances:
+            if self._rng.random() < 0.5:
+                instance.callers.reset()
+                instance.store.reset()
+
+    async def _silence(self, span):
+        self._instance().store.silence_open()
+
+    async def _target_fault(self, span):
+        target = self._rng.choice(self._world.targets)
+        target.fault = self._rng.choice(("grey", "shed", "reset", "garble", "slow"))
+        await asyncio.sleep(span)
+        target.fault = ""
+
+    async def _target_leaves(self, span):
+        """A target drains and is replaced."""
+        world = self._world
+        target = self._rng.choice([t for t in world.targets if not t.left_at])
+        await world.add_target()
+        leaving = target.entry(POOL, state="draining", slots=SLOTS)
+        world.store.put("servers", target.name, leaving)
+        target.left_at = time.monotonic()
+        await asyncio.sleep(span)
+        world.store.remove("servers", target.name)
+
+    async def _target_dies(self, span):
+        """A target crashes; its entry goes later."""
+        world = self._world
+        target = self._rng.choice([t for t in world.targets if not t.left_at])
+        await world.add_target()
+        target.left_at = time.monotonic()
+        world.ledger.crashed.add(target.name)
+        await target.stop()
+        await asyncio.sleep(span)
+        world.store.remove("servers", target.name)
+
+    async def _configure(self, span):
+        self._world.configure()
+
+    KINDS = (
+        _kill, _term, _herd, _pause, _reload, _store_down, _store_forgets, _store_path,
+        _caller_path, _resets, _silence, _target_fault, _target_leaves, _target_dies,
+        _configure, _kill, _term, _pause,
+    )  # fmt: skip
+
+
+async def soak(seed, folder, instances=None, seconds=8.0, faults=None, callers=12):
+    """Play one seed; return the findings, and what was done."""
+    rng = random.Random(seed)
+    count = instances or rng.choice((3, 5, 8, 14))
+    ledger = Ledger()
+    world = World(folder, rng, ledger, count, targets=4)
+    people = Callers(world, ledger, rng, callers)
+    trouble = Faults(world, rng)
+    try:
+        await world.start()
+        async with aiohttp.ClientSession() as session:
+            findings = [f"{n} never began" for n in await world.all_ready(session)]
+            calling = asyncio.create_task(people.run())
+            await trouble.run(seconds, faults or rng.randrange(4, 14))
+            findings += [f"{n} not back" for n in await world.all_ready(session)]
+            people.stopping = True
+            await calling
+            findings += await _settled(world, people, session)
+    finally:
+        await world.stop()
+    for instance in world.instances:
+        findings += [f"{instance.name} exited {code}" for code in instance.exits]
+    findings += ledger.findings()
+    statuses = {}
+    for seen in ledger.seen.values():
+        statuses[seen.status] = statuses.get(seen.status, 0) + 1
+    served = f"{count} instances, {dict(sorted(statuses.items()))}"
+    return findings, [served, *trouble.told]
+
+
+async def _settled(world, people, session):
+    """Return which instances do not serve safe requests once all is well again."""
+    findings = []
+    for instance in world.instances:
+        wanted = SETTLED_CALLS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLED_WITHIN_S):
+                while wanted:
+                    seen = await people.call(session, instance, "safe", "key-one")
+                    wanted -= seen.status == 200
+                    await asyncio.sleep(0.02)
+        if wanted:
+            findings.append(f"{instance.name} serves no more")
+    return findings
+
+
+def _parse(text):
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        yield from range(int(first), int(last or first) + 1)
+
+
+@click.command()
+@click.option("--seeds", default="1-50", help="For instance 3,7 or 1-50.")
+@click.option("--instances", type=int, help="Processes; by the seed if not told.")
+@click.option("--seconds", default=8.0, help="In which faults begin.")
+@click.option("--keep", is_flag=True, help="Keep the folders with settings and logs.")
+def main(seeds, instances, seconds, keep):
+    """Play seeds; exit 1 if a promise was broken."""
+    failed = []
+    for seed in _parse(seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        findings, told = asyncio.run(soak(seed, folder, instances, seconds))
+        click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {told[0]}")
+        for line in findings[:20]:
+            click.echo(f"  {line}")
+        if findings:
+            failed.append(seed)
+            click.echo("  " + "; ".join(told[1:]))
+        if findings or keep:
+            click.echo(f"  {folder}")
+    click.echo(f"{len(failed)} failed: {failed}")
+    sys.exit(bool(failed))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -33,6 +33,7 @@
             self._on_table,
             self._on_targets,
         )
+        self.catalog.tell(module.Follow(True))
 
     def _on_table(self, table):
         self.tables.append(table.version)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -169,3 +169,72 @@
             fleet.now += 0.2
             await fleet.tell()
         assert not fleet.keepers[1].admit(RULE, 200)
+
+
+class TestRelays:
+    """Two relays, 0 and 1, with two followers each: 2 and 4 of 0, 3 and 5 of 1."""
+
+    @pytest.fixture
+    async def fleet(self, monkeypatch):
+        import asyncio
+
+        fleet = Fleet(6, monkeypatch, asyncio.get_running_loop())
+        relays = {f"i{n}": _member(n) for n in (0, 1)}
+        for n, keeper in enumerate(fleet.keepers):
+            if n < 2:
+                followers = {f"i{m}": _member(m) for m in (n + 2, n + 4)}
+                view = View(relays, followers=followers, others=2)
+            else:
+                view = View(
+                    {**relays, f"i{n}": _member(n)}, parent=f"a{n % 2}", others=3
+                )
+            await keeper.handle(ViewChanged(view))
+        fleet.now += 20.0
+        return fleet
+
+    async def _settle(self, fleet):
+        for _ in range(4):
+            fleet.now += 0.2
+            await fleet.tell()
+
+    async def test_each_hears_what_all_others_used_once(self, fleet):
+        for n, keeper in enumerate(fleet.keepers):
+            keeper.admit(RULE, 10 + n).use()
+        await self._settle(fleet)
+        fleet.now += 1.1
+        assert {k.used("c", fleet.now) for k in fleet.keepers} == {75}
+
+    async def test_it_is_forgotten_after_the_window(self, fleet):
+        for keeper in fleet.keepers:
+            keeper.admit(RULE, 10).use()
+        await self._settle(fleet)
+        fleet.now += 8.1
+        assert {k.used("c", fleet.now) for k in fleet.keepers} == {0}
+
+    async def test_all_instances_together_stay_within(self, fleet):
+        history = []
+        for _step in range(100):
+            for keeper in fleet.keepers:
+                if ticket := keeper.admit(RULE, 10):
+                    ticket.use()
+                    history.append((fleet.now, 10))
+            fleet.now += 0.2
+            await fleet.tell()
+        for at, _ in history:
+            used = sum(t for when, t in history if at <= when < at + 8.0)
+            assert used <= MOST
+        assert sum(t for _, t in history) >= 100 * 19
+
+    async def test_a_new_parent_tells_the_window_anew(self, fleet):
+        for n, keeper in enumerate(fleet.keepers):
+            keeper.admit(RULE, 10 + n).use()
+        await self._settle(fleet)
+        moved = fleet.keepers[2]
+        relays = {f"i{n}": _member(n) for n in (0, 1)}
+        view = View({**relays, "i2": _member(2)}, parent="a1", others=3)
+        await moved.handle(ViewChanged(view))
+        followers = {f"i{m}": _member(m) for m in (2, 3, 5)}
+        await fleet.keepers[1].handle(ViewChanged(View(relays, followers=followers)))
+        await self._settle(fleet)
+        fleet.now += 1.1
+        assert moved.used("c", fleet.now) >= 75
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,7 +1,12 @@
 """hibiscusstep.routing.slots: the dispatcher of targets with slots."""
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.slots import SlotDispatcher
 
 
@@ -76,6 +81,39 @@
             dispatcher.handle(done, n + seconds)
         assert dispatcher.targets["t0"].slowness > dispatcher.targets["t1"].slowness
 
+    def test_of_targets_that_serve_alike_the_near_one(self):
+        targets = {
+            "far": PlannedTarget(2, False, "a"),
+            "near": PlannedTarget(2, False, "b"),
+        }
+        dispatcher = SlotDispatcher(
+            "p", Plan({"p": PlannedPool(True, targets=targets)})
+        )
+        dispatcher.handle(m.Recovered(), 0.0)
+        work = m.Work("a", "a", "i", "c", "0", 0, 500, 100, 9.0, 0.0, data_centre="b")
+        assert _grants(dispatcher.handle(m.Ask(work), 0.0)) == {"a": "near"}
+        other = m.Work("b", "b", "i", "c", "0", 0, 500, 100, 9.0, 0.0, data_centre="b")
+        assert _grants(dispatcher.handle(m.Ask(other), 0.0)) == {"b": "far"}, "idle"
+
+    @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 2)), max_size=40))
+    def test_what_lies_ahead_is_what_runs(self, steps):
+        target = SlotTarget("t", 8)
+        for now, (number, step) in enumerate(steps):
+            ask = f"a{number}"
+            if step == 0:
+                target.add(ask, Run(_work(ask), now, 1.0 + number, 0.5 + number))
+            elif step == 1:
+                target.remove(ask)
+            else:
+                target.begin(ask)
+            at = now + 0.1
+            runs = target.running.values()
+            left = [max(0.0, r.prefill - (at - r.granted)) for r in runs if not r.began]
+            assert target.prefill_left(at) == sum(left)
+            assert target.cost(0.0, at) == pytest.approx(
+                0.3 * sum(r.cost for r in runs)
+            )
+
 
 class TestLosses:
     def test_what_an_instance_no_longer_holds_is_freed(self):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,82 @@
+"""Short soaks with fixed seeds, seeds that failed once, and the soak's own checks."""
+
+import pytest
+from soak import soak
+from soak_ledger import Ledger, Run, Seen, body_of, events
+
+# Seeds that broke a promise once, each with the cause.
+REGRESSIONS = []
+
+
+class TestSoak:
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [4, 6, *REGRESSIONS])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, told = await soak(seed, tmp_path, 3, seconds=4.0, faults=5, callers=6)
+        assert not findings, told
+
+    @pytest.mark.timeout(240)
+    async def test_nor_in_a_region_with_relays(self, tmp_path):
+        findings, told = await soak(5, tmp_path, 14, seconds=4.0, faults=5, callers=6)
+        assert not findings, told
+
+
+class TestLedger:
+    """Each promise is found broken in a history that breaks it."""
+
+    def _ledger(self, kind="safe", **seen):
+        ledger = Ledger()
+        ledger.runs["r"].append(Run("t", "one", {}))
+        body = (
+            b"".join(events("r")) if kind in ("resume", "stream") else body_of("r", "t")
+        )
+        whole = {"status": 200, "whole": True, "body": body, "seal": "r.t"}
+        ledger.seen["r"] = Seen(kind, "one", **{**whole, **seen})
+        return ledger
+
+    @pytest.mark.parametrize("kind", ["safe", "once", "resume", "stream"])
+    def test_a_good_history(self, kind):
+        assert not self._ledger(kind).findings()
+
+    @pytest.mark.parametrize(
+        ("kind", "seen"),
+        [
+            ("safe", {"body": b"of another"}),
+            ("safe", {"seal": "r.other"}),
+            ("safe", {"seal": ""}),
+            ("safe", {"status": 503, "seal": ""}),
+            ("safe", {"status": 401, "seal": ""}),
+            ("safe", {"status": 404, "seal": ""}),
+            ("stream", {"body": events("r")[0]}),
+            ("resume", {"body": b"".join(events("r")) + events("r")[-1]}),
+        ],
+    )
+    def test_a_wrong_answer(self, kind, seen):
+        assert self._ledger(kind, **seen).findings()
+
+    @pytest.mark.parametrize("kind", ["once", "stream"])
+    def test_a_second_run(self, kind):
+        ledger = self._ledger(kind)
+        ledger.runs["r"].append(Run("u", "one", {}))
+        assert ledger.findings()
+
+    @pytest.mark.parametrize("fields", [{"authorization": "k"}, {"x-hold": "h"}])
+    def test_what_is_not_passed_on(self, fields):
+        ledger = self._ledger()
+        ledger.runs["r"][0].fields = fields
+        assert ledger.findings()
+
+    def test_a_run_for_another_customer(self):
+        ledger = self._ledger()
+        ledger.runs["r"][0].tenant = "two"
+        assert ledger.findings()
+
+    def test_a_run_that_nobody_sent(self):
+        ledger = self._ledger()
+        ledger.runs["s"].append(Run("t", "one", {}))
+        assert ledger.findings()
+
+    def test_work_for_a_target_that_left(self):
+        ledger = self._ledger()
+        ledger.late.append("r at t")
+        assert ledger.findings()
