Both dispatchers have one base class

Change: routing/base.py, PoolDispatcher; what a dispatcher shows to operators is its own. No behaviour changed.

--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -35,11 +35,11 @@
 )
 from hibiscusstep.peerlink import Send
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.target import get_target_by_kind
 
 if TYPE_CHECKING:
     from hibiscusstep.configuration.models import Configuration
-    from hibiscusstep.routing.dispatcher import Dispatcher
 
 __all__ = ["Dispatching", "TargetLoad"]
 
@@ -64,7 +64,7 @@
 class _Duty:
     """One pool that falls to this instance."""
 
-    dispatcher: Dispatcher
+    dispatcher: PoolDispatcher
     registered: set[str] = field(default_factory=set)
     addresses: dict[str, str] = field(default_factory=dict)
     heard: dict[str, float] = field(default_factory=dict)
@@ -194,20 +194,7 @@
             "recovered": duty.dispatcher.recovered,
             "waiting": duty.dispatcher.waiting,
             "counts": asdict(duty.dispatcher.counts),
-            "targets": {
-                target.name: {
-                    "running": len(target.running),
-                    "max_running": target.max_running,
-                    "reported": target.reported,
-                    "prefill_rate": round(target.prefill_rate, 1),
-                    "decode_rate": round(target.decode_rate, 2),
-                    "drained": target.drained,
-                    "leaving": target.leaving,
-                    "reachable": target.reachable,
-                    "failures": target.failures,
-                }
-                for target in duty.dispatcher.targets.values()
-            },
+            "targets": duty.dispatcher.status(),
         }
 
     def _take_tick(self) -> None:
@@ -235,7 +222,7 @@
 
     def _tell_learnt(self, duty: _Duty) -> None:
         """Tell the others what was learnt: any of them may have to dispatch next."""
-        learnt = getattr(duty.dispatcher, "learnt", None)
+        learnt = duty.dispatcher.learnt
         if not learnt:
             return
         pool = duty.dispatcher.pool_name
@@ -254,15 +241,13 @@
 
     def _log_state(self, duty: _Duty, now: float) -> None:
         """Log what the dispatcher believes of its targets."""
-        summary = getattr(duty.dispatcher, "summary", None)
+        summary = duty.dispatcher.summary(now)
         if summary:
-            pool = duty.dispatcher.pool_name
-            decision("pool-state", pool=pool, **summary(now))
+            decision("pool-state", pool=duty.dispatcher.pool_name, **summary)
 
     def _say_alive(self, duty: _Duty) -> None:
         """Tell the instances whose requests wait that they are not forgotten."""
-        instances = getattr(duty.dispatcher, "instances_waiting", set)
-        for instance in instances():
+        for instance in duty.dispatcher.instances_waiting():
             address = duty.addresses.get(instance)
             if address:
                 self._reply(address, PoolQueued(duty.dispatcher.pool_name))
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -1,19 +1,19 @@
 """hibiscusstep.routing.dispatcher: the decisions of one pool, as a state machine."""
 
 from collections import Counter
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from statistics import median
 
 from hibiscusstep.configuration.models import Configuration, Customer, Pool
 from hibiscusstep.policy import Policy, get_policy_by_name
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.estimate import TargetState
 from hibiscusstep.routing.forecast import MIN_RETRY_AFTER_S, Forecast
 from hibiscusstep.routing.queue import TierQueue, Waiting
 from hibiscusstep.routing.shedding import Shedder
 
-__all__ = ["Dispatcher", "PoolCounts"]
+__all__ = ["Dispatcher"]
 
 MIN_COST_S = 0.001
 EARLY_REFUSAL_FACTOR = 1.0
@@ -21,27 +21,8 @@
 _ANYONE = Customer(key_hashes=["0" * 64], tier="any")
 
 
-@dataclass
-class PoolCounts:
-    """Totals of a dispatcher since its start.
-
-    `refused_with_room` counts refusals for load while a target had a free place and
-    was not held up by a long prompt: those may have been needless.
-    """
-
-    asked: int = 0
-    granted: int = 0
-    refused: int = 0
-    refused_with_room: int = 0
-    stopped: int = 0
-
-
-class Dispatcher:
-    """Orders the requests of one pool before its targets.
-
-    Pure: `handle` takes a message and a time and returns decisions. Until
-    `Recovered` is handled it neither grants nor refuses, so that a new dispatcher
-    does not decide before it has heard what runs.
+class Dispatcher(PoolDispatcher):
+    """Orders by tiers and fair shares, by a policy that learns the targets' speeds.
 
     Parameters
     ----------
@@ -63,62 +44,41 @@
         tier_guard: bool = True,
         seed: int = 0,
     ) -> None:
-        self._pool_name = pool_name
+        super().__init__(pool_name)
         self._tier_guard = tier_guard
         self._seed = seed
-        self._targets: dict[str, TargetState] = {}
-        self._placed: dict[str, str] = {}
         self._tier_of: dict[str, str] = {}
         self._queues: dict[str, TierQueue] = {}
         self._running_of: Counter = Counter()
-        self._recovered = False
         self._doubtful = False
         self._policy: Policy | None = None
-        self._decisions: list[m.Decision] = []
-        self.counts = PoolCounts()
         self._configure(configuration)
 
-    @property
-    def pool_name(self) -> str:
-        """The pool."""
-        return self._pool_name
-
-    @property
-    def recovered(self) -> bool:
-        """Whether it decides."""
-        return self._recovered
-
-    @property
-    def targets(self) -> dict[str, TargetState]:
-        """Targets by name."""
-        return self._targets
-
     @property
     def waiting(self) -> dict[str, int]:
         """How many wait, by tier, the highest first."""
         return {tier: len(queue) for tier, queue in self._queues.items()}
 
-    def handle(self, message, now: float) -> list[m.Decision]:
-        """Take one message.
-
-        Parameters
-        ----------
-        message : one of the messages of `hibiscusstep.routing.messages`
-            What happened.
-        now : float
-            Seconds on a clock that never goes back.
-
-        Returns
-        -------
-        list of Decision
-            In the order in which they were taken.
-        """
-        self._decisions = []
-        self._take(message, now)
-        if self._recovered:
-            self._schedule(now)
-            self._shed(now)
-        return self._decisions
+    def status(self) -> dict[str, dict]:
+        """Return what is known of each target, for operators."""
+        return {
+            target.name: {
+                "running": len(target.running),
+                "max_running": target.max_running,
+                "reported": target.reported,
+                "prefill_rate": round(target.prefill_rate, 1),
+                "decode_rate": round(target.decode_rate, 2),
+                "drained": target.drained,
+                "leaving": target.leaving,
+                "reachable": target.reachable,
+                "failures": target.failures,
+            }
+            for target in self._targets.values()
+        }
+
+    def _decide(self, message, now: float) -> None:
+        self._schedule(now)
+        self._shed(now)
 
     def next_due(self) -> float:
         """Return when the next waiting request would have to be given up."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -7,10 +7,10 @@
 import heapq
 import itertools
 import math
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.plan import Plan, PlannedPool
 from hibiscusstep.routing.slot_target import (
     FIRST_TOKEN_S,
@@ -20,7 +20,7 @@
     SlotTarget,
 )
 
-__all__ = ["SlotCounts", "SlotDispatcher"]
+__all__ = ["SlotDispatcher"]
 
 # A plain service's first guess; its targets' slowness against it is learnt.
 PLAIN_SERVICE_S = 0.05
@@ -52,21 +52,11 @@
 _MAY_EXPIRE = (m.Ask, m.Tick, m.Recovered, m.Configure)
 
 
-@dataclass
-class SlotCounts:
-    """Totals of a dispatcher since its start."""
+class SlotDispatcher(PoolDispatcher):
+    """The highest rank first, within it first come, first served.
 
-    asked: int = 0
-    granted: int = 0
-    refused: int = 0
-
-
-class SlotDispatcher:
-    """Orders the requests of one pool before its targets.
-
-    Pure, with the messages and decisions of `hibiscusstep.routing.messages`: the
-    highest rank first, within it first come, first served. A request that cannot be
-    granted by its deadline is refused as soon as that is expected.
+    A request that cannot be granted by its deadline is refused as soon as that is
+    expected.
 
     Parameters
     ----------
@@ -74,44 +64,18 @@
         The pool.
     plan : Plan
         The targets.
-
-    Attributes
-    ----------
-    share : float
-        Part of all slots that may be taken at a time; the others use the rest.
     """
 
     def __init__(self, pool_name: str, plan: Plan, **_options) -> None:
-        self.share = 1.0
-        self._pool_name = pool_name
-        self._targets: dict[str, SlotTarget] = {}
+        super().__init__(pool_name)
         self._queue: list[tuple[int, float, int, m.Work]] = []
         self._waiting: dict[str, m.Work] = {}
-        self._placed: dict[str, str] = {}
         self._tickets = itertools.count()
-        self._recovered = False
         self._engine = True
         self._tokens_per_event = 1
         self._max_pause = 1.0
-        self._decisions: list[m.Decision] = []
-        self.counts = SlotCounts()
         self._configure(plan)
 
-    @property
-    def pool_name(self) -> str:
-        """The pool."""
-        return self._pool_name
-
-    @property
-    def recovered(self) -> bool:
-        """Whether it decides."""
-        return self._recovered
-
-    @property
-    def targets(self) -> dict[str, SlotTarget]:
-        """Targets by name."""
-        return self._targets
-
     @property
     def waiting(self) -> dict[str, int]:
         """How many wait, by rank."""
@@ -126,7 +90,7 @@
         return {name: t.slowness for name, t in self._targets.items() if t.learnt}
 
     def instances_waiting(self) -> set[str]:
-        """Return the instances that have requests waiting."""
+        """Return the instances that want to hear that they are not forgotten."""
         return {work.instance for work in self._waiting.values()}
 
     def is_waiting(self, ask: str) -> bool:
@@ -138,15 +102,10 @@
         targets = {name: target.summary(now) for name, target in self._targets.items()}
         return {"waiting": self.waiting, "targets": targets}
 
-    def handle(self, message, now: float) -> list[m.Decision]:
-        """Take one message and return the decisions, in order."""
-        self._decisions = []
-        self._take(message, now)
-        if self._recovered:
-            self._schedule(now)
-            if isinstance(message, _MAY_EXPIRE):
-                self._expire(now)
-        return self._decisions
+    def _decide(self, message, now: float) -> None:
+        self._schedule(now)
+        if isinstance(message, _MAY_EXPIRE):
+            self._expire(now)
 
     @singledispatchmethod
     def _take(self, message, now: float) -> None:
