--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -30,7 +30,7 @@
 # One that has become a relay by being followed stays one for so long without followers.
 STAY_RELAY_S = 10.0
 # All relays are told to the followers again after so many heartbeats.
-RELAYS_EVERY = 8
+RELAYS_EVERY = 40
 # A parent that is silent for so long may be lost; half of what a peer is given.
 ATTACHED_S = 0.6
 # Instances that were seen within this time and are not now may be in another part of
@@ -83,6 +83,11 @@
         self._heard_parent_at = 0.0
         self._sizes: deque[tuple[float, int]] = deque()
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether it speaks to all relays rather than to one."""
+        return self._own.relay
+
     async def handle(self, message) -> None:
         """Take what `Membership` takes, and a relay's news of the relays."""
         now = asyncio.get_running_loop().time()
