A restart without the store gets all from its peers, targets too

Cause: an instance that starts while the store is away learnt the configuration from its peers, but targets only when one happened to change; and since groups it waited for its first look at the list, 1.5 s with a silent store, before it greeted anybody. A list that failed made it drop its seeds. Ruled out: reading older data of the store, which a silent one does not give either. Change: who sees an instance that is not ready tells it all targets; seeds are greeted after 0.3 s without a list, and kept as long as there was none; a follower's answer names relays too. Figures: both new tests (store refuses, store silent) failed without the change, pass with it; 45 tests of forwarding and groups pass.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -181,6 +181,11 @@
         """The known targets by name."""
         return self._targets
 
+    @property
+    def peer_address(self) -> str:
+        """Where the other instances connect."""
+        return self._settings.peer_address
+
     @property
     def metrics_address(self) -> str:
         """Where the metrics are served."""
@@ -362,10 +367,10 @@
         self._choose_sources()
         delay = 0.0 if changed.view.parent else ASK_AFTER_S
         asyncio.get_running_loop().call_later(delay, self._ask_for_newer_table)
-        known = {member.incarnation for member in before.followers.values()}
-        for follower in changed.view.followers.values():
-            if follower.incarnation not in known:
-                self._tell_all_targets(follower.peer_address)
+        known = {m.incarnation for m in _followers_and_starting(before)}
+        for member in _followers_and_starting(changed.view):
+            if member.incarnation not in {self._incarnation, *known}:
+                self._tell_all_targets(member.peer_address)
 
     def _choose_sources(self) -> None:
         """Follow the store, unless a relay does it for this instance."""
@@ -429,7 +434,7 @@
                 self._links.tell(Send(address, TargetStates(states)))
 
     def _tell_all_targets(self, address: str) -> None:
-        """Tell a follower all targets, lest it missed what came or left."""
+        """Tell all targets to an instance that may lack some, or know some too many."""
         revision = self._catalog.revision
         if self._targets_known and revision:
             known = self._targets.items()
@@ -553,3 +558,9 @@
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
         )
+
+
+def _followers_and_starting(view: View) -> list[Member]:
+    """Return the instances that may have no targets from the store."""
+    starting = [member for member in view.members.values() if not member.ready]
+    return [*view.followers.values(), *starting]
--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -33,6 +33,8 @@
 RELAYS_EVERY = 40
 # A parent that is silent for so long may be lost; half of what a peer is given.
 ATTACHED_S = 0.6
+# The list takes some milliseconds; without it by then, the seeds are asked.
+LOOK_PATIENCE_S = 0.3
 # Instances that were seen within this time and are not now may be in another part of
 # a cut; twice a quota's usual window.
 REMEMBER_SIZE_S = 16.0
@@ -79,6 +81,7 @@
         self._instances = 1
         self._lists = 0
         self._looked = False
+        self._began = asyncio.get_running_loop().time()
         self._relay_until = 0.0
         self._heard_parent_at = 0.0
         self._sizes: deque[tuple[float, int]] = deque()
@@ -120,6 +123,7 @@
             self._hear_follower(beat, now)
 
     def _hear_follower(self, beat: Heartbeat, now: float) -> None:
+        self._mentioned.update(dict.fromkeys(beat.known, now))
         if beat.parent != self._settings.peer_address:
             self._followers.left(beat.instance)
             return
@@ -220,12 +224,13 @@
 
     def _contacts(self) -> set[str]:
         if not self._looked:
-            return set()
+            waited = asyncio.get_running_loop().time() - self._began
+            return super()._contacts() if waited > LOOK_PATIENCE_S else set()
         if not self._own.relay:
             return {self._attachment.parent} - {""}
         self._listed = self._attachment.relay_addresses
         contacts = super()._contacts()
-        if self._listed:
+        if self._lists:
             contacts -= (
                 set(self._settings.seeds) - self._listed - self._mentioned.keys()
             )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 
 import aiohttp
@@ -17,6 +18,7 @@
     free_port,
     stream_head,
 )
+from soak_proxy import Mode, Proxy
 
 from hibiscusstep.forwarding.instance import ForwardingInstance
 from hibiscusstep.platform.documents import table_of
@@ -58,6 +60,8 @@
         self.instances = []
         self._tasks = []
         self.session = None
+        self.seeds = ()
+        self.store_of_the_next = ""
 
     async def start(self, *targets, pool="pool-a", document=None):
         await self.store.start()
@@ -76,6 +80,8 @@
         module = "hibiscusstep.platform.settings.METRICS_PORT"
         self._monkeypatch.setattr(module, free_port())
         settings = _settings(f"n{len(self.instances)}", self.store)
+        if self.store_of_the_next:
+            settings["Platform"]["Address"] = self.store_of_the_next
         path = self._path / f"{settings['NodeName']}.json"
         path.write_bytes(orjson.dumps(settings))
         instance = self.make_instance(path)
@@ -92,7 +98,13 @@
         return instance
 
     def make_instance(self, path):
-        return ForwardingInstance(load_surroundings(path))
+        around = load_surroundings(path)
+        settings = dataclasses.replace(around.settings, seeds=self.seeds)
+        return ForwardingInstance(dataclasses.replace(around, settings=settings))
+
+    def store_address(self):
+        host, _, port = self.store.address.rpartition(":")
+        return host, int(port)
 
     async def call(self, path, method="POST", instance=0, **fields):
         """Return status, fields and body; the body is None where it was cut."""
@@ -552,6 +564,22 @@
             while not first.view.members["n1"].ready:
                 await asyncio.sleep(0.02)
 
+    @pytest.mark.parametrize("mode", [Mode.REFUSE, Mode.SILENT])
+    async def test_a_restart_without_the_store_gets_all_from_its_peers(
+        self, site, mode
+    ):
+        await site.start(TargetStandIn("t1"))
+        proxy = Proxy("127.0.0.1", free_port(), site.store_address)
+        await proxy.start()
+        proxy.set(mode)
+        peer = site.instances[0].peer_address
+        site.store_of_the_next, site.seeds = proxy.address, (peer,)
+        try:
+            late = await site.add_instance()
+            assert late.version and late.targets.keys() == {"t1"}
+        finally:
+            await proxy.stop()
+
     async def test_a_configuration_spreads_while_the_store_is_away(self, site):
         await site.start(TargetStandIn("t1"))
         await site.add_instance()
