A target that mostly fails rests, and is tried with one request at a time

A failure leaves its slot at once and counted as a whole answer, and for plain services even as a fast one, so that the failing targets drew the work. Ruled out: the loss of all instances at 13 s (the answers were the targets' own and sealed); the price of failing alone, four times at most, since a failing target is always the emptiest. Change: outcomes FAILED and REJECTED; four failures in a row, or mostly failures, let a target rest for 0.5 s, doubled each time to 4 s, then it is tried with one request; one that rejects rests for 0.1 s. Figures: the new tests (both routes, four of the dispatcher) failed before and pass.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -35,6 +35,7 @@
 # No event for so long in the midst of a stream: its target is gone.
 STREAM_GAP_S = 2.0
 REPEATABLE_STATUS = 500
+DEADLINE_STATUS = 504
 # An instance that is cut off from the store hears of new targets from its peers.
 MAX_UNKNOWN_TARGETS = 3
 UNKNOWN_RETRY_S = 0.5
@@ -187,6 +188,8 @@
             reply, answer = await self._send(connection, target)
             left = await self._take(connection, reply, answer, target)
             outcome = _OUTCOMES[left]
+            if left is None and _is_failure(reply.message.code):
+                outcome = m.Outcome.FAILED
             if left is _Next.NOT_RUN:
                 self._may_have_run = may_have_run_before
                 if answer.misdirected:
@@ -207,7 +210,7 @@
             self._response = self._response or web.Response(status=499)
             return None
         finally:
-            if connection is not None and outcome is not m.Outcome.DONE:
+            if connection is not None and outcome not in _READ_WHOLE:
                 connection.abort()
             self._end(outcome)
             self._note_attempt(target, outcome, cause, started)
@@ -457,12 +460,21 @@
 
 _OUTCOMES = {
     None: m.Outcome.DONE,
-    _Next.FAILED: m.Outcome.DONE,
-    _Next.NOT_RUN: m.Outcome.UNUSED,
+    _Next.FAILED: m.Outcome.FAILED,
+    _Next.NOT_RUN: m.Outcome.REJECTED,
     _Next.BROKEN: m.Outcome.BROKEN,
 }
 
 
+# After these the connection has been given back.
+_READ_WHOLE = (m.Outcome.DONE, m.Outcome.FAILED)
+
+
+def _is_failure(status: int) -> bool:
+    """Whether a target answered that it failed; 504 is the caller's deadline."""
+    return status >= REPEATABLE_STATUS and status != DEADLINE_STATUS
+
+
 def _never_stopped() -> None:
     """Nothing that runs is stopped here."""
 
--- a/hibiscusstep/routing/dispatcher.py
+++ b/hibiscusstep/routing/dispatcher.py
@@ -121,7 +121,7 @@
         target = self._release(message.ask)
         if target is None:
             return
-        if message.outcome is m.Outcome.DONE:
+        if message.outcome in (m.Outcome.DONE, m.Outcome.FAILED):
             target.done(
                 message.ask, message.tokens, message.decode_seconds, message.computed
             )
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -28,9 +28,15 @@
 
 
 class Outcome(enum.StrEnum):
-    """How a granted request ended at its target."""
+    """How a granted request ended at its target.
+
+    `FAILED` is a target's own answer that it failed, `REJECTED` one that it did not
+    run the request, `UNUSED` a grant that was not taken up.
+    """
 
     DONE = "done"
+    FAILED = "failed"
+    REJECTED = "rejected"
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
     CANCELLED = "cancelled"
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -26,9 +26,15 @@
 # Weight of the work that runs at a target against the request's own; 0.6 measured the
 # same.
 RUNNING_WEIGHT = 0.3
-# A target that cannot be reached rests, twice as long each time in a row (seconds).
+# A target that cannot be reached or mostly fails rests, longer each time in a row
+# (seconds, doubled); one that is full is asked again sooner.
 FIRST_REST_S = 0.5
+REJECTED_REST_S = 0.1
 MAX_REST_S = 4.0
+# A target whose share of failures is above this would draw all work, since a failure
+# leaves its slot sooner than an answer: reached by four failures in a row, or by some
+# more of which a few are answers.
+MOSTLY_FAILING = 0.6
 # Weight of a request's end in the share that fail; a target that fails always costs
 # this many times more.
 FAILURE_LEARN = 0.25
@@ -66,6 +72,8 @@
         Answers that it was learnt from.
     failing : float
         Share of requests that failed lately, learnt.
+    rests : int
+        Times that it rested since its last answer.
     rest_until : float
         When it may be tried again after a failure.
     foreign : int
@@ -80,7 +88,7 @@
     slowness: float = 1.0
     learnt: int = 0
     failing: float = 0.0
-    failures: int = 0
+    rests: int = 0
     rest_until: float = 0.0
     foreign: int = 0
     foreign_at: float = -10.0
@@ -120,7 +128,8 @@
         taken = len(self.running)
         if now - self.foreign_at < FOREIGN_LOAD_VALID_S:
             taken += self.foreign
-        return self.slots - taken
+        # One that mostly failed is tried with one request at a time.
+        return (1 if self._fails else self.slots) - taken
 
     def prefill_left(self, now: float) -> float:
         """Return the guessed seconds of prompts that it has still to read.
@@ -164,7 +173,7 @@
 
     def succeeded(self) -> None:
         """Take note of a whole answer."""
-        self.failures = 0
+        self.rests = 0
         self.failing *= 1 - FAILURE_LEARN
 
     def learn(self, ratio: float) -> None:
@@ -174,12 +183,29 @@
         weight = max(LEARN, 1 / (1 + self.learnt))
         self.slowness += weight * (ratio - self.slowness)
 
-    def failed(self, now: float, *, rests: bool) -> None:
-        """Take note of a failure; a target that could not be reached rests."""
+    def failed(self, now: float) -> None:
+        """Take note of a failure; a target that mostly fails rests."""
         self.failing += FAILURE_LEARN * (1 - self.failing)
-        self.failures += 1
-        if rests:
-            rest = FIRST_REST_S * 2 ** min(8, self.failures - 1)
+        if self._fails:
+            self._rest(now, FIRST_REST_S)
+
+    def unreachable(self, now: float) -> None:
+        """Take note that the target could not be reached; it rests."""
+        self.failing += FAILURE_LEARN * (1 - self.failing)
+        self._rest(now, FIRST_REST_S)
+
+    def rejected(self, now: float) -> None:
+        """Take note that the target did not take a request; it rests shortly."""
+        self._rest(now, REJECTED_REST_S)
+
+    @property
+    def _fails(self) -> bool:
+        return self.failing >= MOSTLY_FAILING
+
+    def _rest(self, now: float, first: float) -> None:
+        if self.usable(now):
+            rest = first * 2 ** min(8, self.rests)
+            self.rests += 1
             self.rest_until = now + min(MAX_REST_S, rest)
 
     def summary(self, now: float) -> str:
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -137,12 +137,17 @@
         run = target.remove(message.ask) if target else None
         if run is None:
             return
-        if message.outcome is m.Outcome.DONE:
-            self._learn(target, run, message, now)
-        elif message.outcome in (m.Outcome.UNREACHABLE, m.Outcome.BROKEN):
-            target.failed(now, rests=message.outcome is m.Outcome.UNREACHABLE)
-        elif message.outcome is m.Outcome.LEAVING:
-            target.leaving = True
+        match message.outcome:
+            case m.Outcome.DONE:
+                self._learn(target, run, message, now)
+            case m.Outcome.FAILED | m.Outcome.BROKEN:
+                target.failed(now)
+            case m.Outcome.UNREACHABLE:
+                target.unreachable(now)
+            case m.Outcome.REJECTED:
+                target.rejected(now)
+            case m.Outcome.LEAVING:
+                target.leaving = True
 
     @_take.register
     def _held(self, message: m.Held, now: float) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -294,6 +294,17 @@
         assert (await site.call("/safe/", "GET"))[0] == 502
         assert sum(len(target.requests) for target in targets) == 2
 
+    @pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+    async def test_a_target_that_only_fails_is_left_out(self, site, path):
+        def fail(number, fields, body):
+            return answer(fields, b"failed", status=500)
+
+        bad, good = TargetStandIn("t1", fail), TargetStandIn("t2")
+        await site.start(bad, good, TargetStandIn("t3"))
+        for _ in range(40):
+            await site.call(path)
+        assert len(bad.requests) <= 10
+
     async def test_a_failure_is_passed_on_when_there_is_no_better_answer(self, site):
         def fail(number, fields, body):
             return answer(fields, b"no", status=500)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -158,6 +158,55 @@
         assert _grants(dispatcher.handle(m.Ask(_work("b")), 0.2))
 
 
+class TestFailing:
+    """A failure leaves its slot soon: a target that fails must not draw all work."""
+
+    def _end(self, dispatcher, ask, at, outcome):
+        return dispatcher.handle(m.Finished(ask, outcome, 0), at)
+
+    def _fail_until_it_rests(self, dispatcher):
+        for n in range(4):
+            work = _work(f"f{n}", avoid=("t1",))
+            assert _grants(dispatcher.handle(m.Ask(work), 0.0)) == {f"f{n}": "t0"}
+            self._end(dispatcher, f"f{n}", 0.0, m.Outcome.FAILED)
+
+    def test_one_that_mostly_fails_rests(self):
+        dispatcher = _dispatcher((2, 2))
+        self._fail_until_it_rests(dispatcher)
+        assert _grants(dispatcher.handle(m.Ask(_work("a")), 0.1)) == {"a": "t1"}
+        assert _grants(dispatcher.handle(m.Ask(_work("b")), 0.1)) == {"b": "t1"}
+        assert not _grants(dispatcher.handle(m.Ask(_work("c")), 0.1))
+
+    def test_it_is_tried_with_one_request_and_comes_back(self):
+        dispatcher = _dispatcher((3, 1))
+        self._fail_until_it_rests(dispatcher)
+        for n in range(3):
+            dispatcher.handle(m.Ask(_work(f"a{n}")), 0.1)
+        assert _grants(dispatcher.handle(m.Tick(), 0.6)) == {"a1": "t0"}
+        done = _grants(self._end(dispatcher, "a1", 0.7, m.Outcome.DONE))
+        assert done == {"a2": "t0"}
+        assert _grants(dispatcher.handle(m.Ask(_work("b")), 0.7)) == {"b": "t0"}
+
+    def test_it_rests_longer_each_time(self):
+        dispatcher = _dispatcher((2, 2))
+        self._fail_until_it_rests(dispatcher)
+        work = _work("again", avoid=("t1",))
+        assert _grants(dispatcher.handle(m.Ask(work), 0.6)) == {"again": "t0"}
+        self._end(dispatcher, "again", 0.6, m.Outcome.FAILED)
+        assert _grants(dispatcher.handle(m.Ask(_work("a", avoid=("t1",))), 1.2)) == {
+            "a": "t1"
+        }
+
+    def test_one_that_takes_nothing_rests_shortly(self):
+        dispatcher = _dispatcher((2, 2))
+        dispatcher.handle(m.Ask(_work("a", avoid=("t1",))), 0.0)
+        self._end(dispatcher, "a", 0.0, m.Outcome.REJECTED)
+        later = _work("b", avoid=("t1",))
+        assert _grants(dispatcher.handle(m.Ask(later), 0.05)) == {"b": "t1"}
+        last = _work("c", avoid=("t1",))
+        assert _grants(dispatcher.handle(m.Ask(last), 0.2)) == {"c": "t0"}
+
+
 class TestRefusing:
     def test_at_the_deadline_with_a_time_to_come_back(self):
         dispatcher = _dispatcher((1,))
