--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -162,7 +162,7 @@
         tokens = head.prompt_tokens + head.output_tokens
         if not head.counted:
             tokens = customer.quota.plain_tokens
-        ticket = self._quotas.admit(customer, tokens)
+        ticket = self._quotas.admit(customer, tokens, head.request)
         if ticket is None:
             raise _Rejected(429, "over the quota", QUOTA_RETRY_S)
         return ticket
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -169,7 +169,9 @@
         ):
             self._tell_all()
 
-    def admit(self, customer: CustomerRule, tokens: int) -> Ticket | None:
+    def admit(
+        self, customer: CustomerRule, tokens: int, request: str = ""
+    ) -> Ticket | None:
         """Set tokens aside for a request; None if they are beyond the quota."""
         now = asyncio.get_running_loop().time()
         if not customer.quota.rate:
@@ -177,15 +179,16 @@
         limit, used = self.limit(customer, now), self.used(customer.name, now)
         left = limit - used
         if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
-            self._log_refusal(customer, tokens, limit, used, now)
+            self._log_refusal(request, customer, tokens, limit, used, now)
             return None
         self._pending[customer.name] += tokens
         return Ticket(self, customer.name, tokens)
 
-    def _log_refusal(self, customer, tokens: int, limit, used, now: float) -> None:
+    def _log_refusal(self, request, customer, tokens, limit, used, now) -> None:
         quota, name = customer.quota, customer.name
         decision(
             "over-quota",
+            request=request,
             customer=name,
             tokens=tokens,
             rate=quota.rate,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import logging
 
 import aiohttp
 import orjson
@@ -226,6 +227,16 @@
         assert statuses[0] == 200
         assert statuses[-1] == 429
 
+    async def test_a_refusal_by_quota_tells_its_inputs(self, site, caplog):
+        caplog.set_level(logging.INFO, "hibiscusstep.decision")
+        await site.start(TargetStandIn("t1"))
+        fields = {"Authorization": "Bearer key-two", "X-Token-Usage": "5000,20"}
+        status, _fields, _body = await site.call("/safe/", request="much", **fields)
+        assert status == 429
+        (line,) = [r for r in caplog.records if r.message == "over-quota"]
+        assert (line.request, line.customer, line.tokens) == ("much", "two", 5020)
+        assert line.limit < 5020 and line.used == 0
+
     async def test_a_removed_key(self, site):
         await site.start(TargetStandIn("t1"))
         assert (await site.call("/safe/"))[0] == 200
