What an instance tells the others, and the plan for dispatchers, are modules of their own

Change: spread.py (targets and configurations handed on and asked for) and planning.py; tests of the former alone. One behaviour: a version that was asked for is not asked of another relay within a second (with several holders, each change of the view asked another one).

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import logging
-import random
 import secrets
 from collections import Counter
 from collections.abc import Callable
@@ -23,14 +22,16 @@
 from hibiscusstep.forwarding.incoming import Means
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
-from hibiscusstep.forwarding.news import to_news, to_state
+from hibiscusstep.forwarding.news import to_news
+from hibiscusstep.forwarding.planning import make_plan
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
+from hibiscusstep.forwarding.spread import Spread
 from hibiscusstep.log import decision, dropped_lines, keep_flushing
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.grouped import GroupedMembership
-from hibiscusstep.membership.view import Member, View
+from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import OwnState, ViewChanged
 from hibiscusstep.peer import (
     Beat,
@@ -54,8 +55,7 @@
     TargetStates,
     Usage,
 )
-from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
-from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slots import SlotDispatcher
 from hibiscusstep.store import Change, Feed, Roster
 from hibiscusstep.supervisor import Child, Restart, Supervisor
@@ -80,10 +80,6 @@
 # All targets are told to the followers again after so many sweeps: a message that a
 # broken connection lost matters for five seconds at the most.
 TELL_TARGETS_EVERY = 10
-# A relay gets most configurations from the store as soon as its peers do.
-ASK_AFTER_S = 0.15
-# A configuration that was asked for and has not come is asked for again.
-TABLE_RETRY_S = 1.0
 # A stopping instance listens until callers and the balancer have noticed, and keeps
 # this long before the end of its grace free.
 LISTEN_ON_S = 4.0
@@ -151,8 +147,6 @@
         self._targets_known = False
         self._leaving = False
         self._follows_store = True
-        self._asked = (0, "")
-        self._ask_again = 0.0
         self._began = asyncio.get_running_loop().time()
         self.started = asyncio.Event()
 
@@ -285,6 +279,14 @@
         self._catalog = Catalog(
             self._around.tables, self._around.targets, self._on_table, self._on_targets
         )
+        self._spread = Spread(
+            incarnation,
+            address,
+            settings.data_centre,
+            self._links,
+            self._targets,
+            lambda: self._catalog.revision if self._targets_known else 0,
+        )
         self._dispatching = Dispatching(
             name,
             address,
@@ -349,7 +351,7 @@
             return
         match message.message:
             case ConfigurationAsk():
-                self._hand_on_table(message.sender)
+                self._spread.hand_table_to(message.sender)
             case ConfigurationReply(value=value):
                 self._take_handed_on(value)
             case TargetStates() as states:
@@ -360,17 +362,12 @@
                 _LOG.warning("message ignored", extra={"kind": type(body).__name__})
 
     def _on_view(self, changed: ViewChanged) -> None:
-        before, self._view = self._view, changed.view
+        self._view = changed.view
         self._retries.instances = changed.view.size
         for worker in (self._dispatching, self._desk, self._quotas):
             worker.tell(changed)
         self._choose_sources()
-        delay = 0.0 if changed.view.parent else ASK_AFTER_S
-        asyncio.get_running_loop().call_later(delay, self._ask_for_newer_table)
-        known = {m.incarnation for m in _followers_and_starting(before)}
-        for member in _followers_and_starting(changed.view):
-            if member.incarnation not in {self._incarnation, *known}:
-                self._tell_all_targets(member.peer_address)
+        self._spread.take_view(changed.view)
 
     def _choose_sources(self) -> None:
         """Follow the store, unless a relay does it for this instance."""
@@ -385,6 +382,7 @@
 
     def _on_table(self, table: RoutingTable) -> None:
         self._table = table
+        self._spread.table = table
         self._border.take(table)
         self._publish_plan()
 
@@ -398,87 +396,25 @@
         for name in gone:
             self._connections.forget(name)
         self._publish_plan()
-        self._hand_on(changes)
+        self._spread.tell_changes(changes)
 
     def _publish_plan(self) -> None:
         """Tell the dispatchers which targets there are."""
         if self._table is None:
             return
-        pauses = {
-            share.pool: route.max_pause
-            for route in self._table.routes
-            if route.streaming
-            for share in route.shares
-        }
-        pools = {
-            pool.name: PlannedPool(
-                pool.engine, pool.tokens_per_event, pauses.get(pool.name, 1.0)
-            )
-            for pool in self._table.pools
-        }
-        for name, target in self._targets.items():
-            pool = pools.setdefault(target.pool, PlannedPool(True))
-            pool.targets[name] = PlannedTarget(
-                target.slots, target.leaving, target.data_centre
-            )
-        in_force = InForce(self._table.version, b"", Plan(pools))
+        in_force = InForce(
+            self._table.version, b"", make_plan(self._table, self._targets)
+        )
         self._dispatching.tell(in_force)
         self._desk.tell(in_force)
         self._membership.tell(OwnState(version=self._table.version))
 
-    def _hand_on(self, changes: list[Change]) -> None:
-        """Tell the peers at once of targets that came, changed or left."""
-        states = [to_state(change) for change in changes]
-        if states:
-            for address in self._peers():
-                self._links.tell(Send(address, TargetStates(states)))
-
-    def _tell_all_targets(self, address: str) -> None:
-        """Tell all targets to an instance that may lack some, or know some too many."""
-        revision = self._catalog.revision
-        if self._targets_known and revision:
-            known = self._targets.items()
-            states = [to_state(Change(name, item, revision)) for name, item in known]
-            self._links.tell(Send(address, TargetStates(states, revision)))
-
-    def _hand_on_table(self, address: str) -> None:
-        if self._table is not None:
-            reply = ConfigurationReply("", self._table.version, self._table.value)
-            self._links.tell(Send(address, reply))
-
-    def _ask_for_newer_table(self) -> None:
-        """Ask for the configuration where a version is in force that is newer."""
-        newest = self._newest_elsewhere()
-        if newest is None:
-            return
-        now = asyncio.get_running_loop().time()
-        if (newest.version, newest.name) == self._asked and now < self._ask_again:
-            return
-        self._asked = newest.version, newest.name
-        self._ask_again = now + TABLE_RETRY_S
-        self._links.tell(Send(newest.peer_address, ConfigurationAsk("")))
-
-    def _newest_elsewhere(self) -> Member | None:
-        """Return who has the newest configuration; the parent, or else a near one."""
-        newer = [m for m in self._view.members.values() if m.version > self.version]
-        if not newer:
-            return None
-        newest = max(member.version for member in newer)
-        having = [member for member in newer if member.version == newest]
-        parents = [m for m in having if m.peer_address == self._view.parent]
-        here = self._settings.data_centre
-        near = [member for member in having if member.data_centre == here]
-        return random.choice(parents or near or having)
-
     def _take_handed_on(self, value: bytes) -> None:
         try:
             self._catalog.tell(TableNews(self._around.read_table(value)))
         except ConfigurationError as error:
             _LOG.error("configuration of a peer refused", extra={"error": str(error)})
 
-    def _peers(self) -> list[str]:
-        return self._view.neighbours(self._settings.peer_address)
-
     async def _register(self) -> None:
         while True:
             done = await self._around.register()
@@ -492,10 +428,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._connections.sweep()
             self._choose_sources()
-            self._ask_for_newer_table()
+            self._spread.ask_for_newer_table()
             if sweeps % TELL_TARGETS_EVERY == 0:
-                for follower in self._view.followers.values():
-                    self._tell_all_targets(follower.peer_address)
+                self._spread.tell_followers_all_targets()
             if self._age() >= SETTLE_S and not eligible and self.ready:
                 eligible = True
                 self._membership.tell(OwnState(ready=True))
@@ -558,9 +493,3 @@
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
         )
-
-
-def _followers_and_starting(view: View) -> list[Member]:
-    """Return the instances that may have no targets from the store."""
-    starting = [member for member in view.members.values() if not member.ready]
-    return [*view.followers.values(), *starting]
