Relays hear of each other's followers at once

Cause: read once more: the number of a relay's followers went out with its whole heartbeats only, each 15 s; after the loss of a relay its followers counted as missing that long, and their share of all quotas was kept free. Change: a whole heartbeat to the relays when the number changes.

--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -183,6 +183,8 @@
         count = len(self._followers.members)
         if count != self._own.followers:
             self._own = replace(self._own, followers=count)
+            # The other relays count all instances by it.
+            super()._send_all()
         if self._own.relay:
             self._tracker.expire(now)
             self._send_beats()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,10 +1,17 @@
 """hibiscusstep.membership.relays: who relays, and whom the others follow."""
 
+import asyncio
+
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscusstep.forwarding.bounds import InstanceSettings
+from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership.grouped import GroupedMembership
 from hibiscusstep.membership.relays import Attachment, choose_relays
+from hibiscusstep.peer import Heartbeat, Received
 from hibiscusstep.store import InstanceRecord
+from hibiscusstep.stores.memory import MemoryPlatform
 
 
 def record(number, data_centre="a", capacity=1):
@@ -79,3 +86,40 @@
         assert attachment.parent, "none lives"
         attachment.prefer(["i3"])
         assert attachment.follow(30.0, ["i3"]) == "i3:1"
+
+
+class _Links:
+    def __init__(self):
+        self.sent = []
+
+    def tell(self, send):
+        self.sent.append(send)
+
+
+class TestGroupedMembership:
+    async def test_the_other_relays_hear_of_a_new_follower_at_once(self):
+        settings = InstanceSettings(
+            "i0", "a", "r", "c:1", "o:1", "i0:1", "key", (), 0.25, 1.0, mesh_size=5
+        )
+        links, platform = _Links(), MemoryPlatform()
+        platform.records = RECORDS
+        worker = GroupedMembership(
+            settings, "inc0", links, platform, lambda _changed: None, 5, 5
+        )
+        await worker.start()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        relay = Heartbeat(
+            "i1", "inc1", "b", "r", "i1:1", "o", 1, True, False, [], False, True, 5
+        )
+        follower = Heartbeat(
+            "i8", "inc8", "a", "r", "i8:1", "o", 1, True, False, [], True, False, 1,
+            parent="i0:1",
+        )  # fmt: skip
+        for message in (Received("i1:1", relay), Received("i8:1", follower)):
+            await worker.handle(message)
+        links.sent.clear()
+        await worker.handle(Tick())
+        told = [s.message for s in links.sent if s.address == "i1:1"]
+        assert [m.followers for m in told if isinstance(m, Heartbeat)] == [1]
+        await worker.stop()
