--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -113,6 +113,7 @@
         self.process = None
         self.paused = False
         self.exits = []
+        self.trail = []
         self._log = world.folder / f"{self.name}.log"
         self._logged = 0
 
@@ -147,6 +148,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self._note(f"started {self.process.pid}")
 
     @property
     def begun(self):
@@ -156,11 +158,20 @@
     def signal(self, number):
         """Send a signal to this process, if it still runs."""
         if self.process.poll() is None:
+            self._note(f"signal {number} to {self.process.pid}")
             self.process.send_signal(number)
             self.paused = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(
                 number, self.paused
             )
 
+    def _note(self, what):
+        """Remember what was done to the process, for findings."""
+        self.trail.append(f"{time.monotonic() - self._world.began:.2f} {what}")
+
+    def state(self):
+        """Return what was done to the process, and whether it lives."""
+        return f"{self.name}: {', '.join(self.trail)}, exit {self.process.poll()}"
+
     async def ended(self, bound=30.0):
         """Return the exit code of the process, waited for without blocking."""
         async with asyncio.timeout(bound):
@@ -196,6 +207,7 @@
         self.folder = folder
         self.ledger = ledger
         self.ports = free_ports(5)
+        self.began = time.monotonic()
         self.net = os.getpid() % 250
         self.store = StoreStandIn()
         self._rng = rng
@@ -266,4 +278,4 @@
                     await asyncio.sleep(0.05)
         except TimeoutError:
             pass
-        return [instance.name for instance in waiting]
+        return [instance.state() for instance in waiting]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 # Seeds that broke a promise once, each with the cause.
 REGRESSIONS = [
     18,  # an instance was told to stop before it had started: the soak's own mistake
+    63,  # one of 14 was not back after 60 s, once; not repeated, cause open
 ]
 
 
