Whether a region is a mesh is asked of the view, once

Cause: read once more: the same comparison of sizes stood in dispatching twice and in the quotas, and the sender was handed to a method that did not read it. Change: View.is_mesh; the parameter is gone. No behaviour changed.

--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -213,7 +213,7 @@
 
     def _drop_silent(self, duty: _Duty, now: float) -> None:
         """Drop what instances held that this one does not hear in its view."""
-        if self._view.size == len(self._view.members):
+        if self._view.is_mesh:
             return
         silent = [n for n, at in duty.heard.items() if now - at > SILENT_INSTANCE_S]
         for name in silent:
@@ -332,12 +332,11 @@
 
     def _change_view(self, view: View) -> None:
         gone = self._view.members.keys() - view.members.keys()
-        mesh = view.size == len(view.members)
         self._view = view
         self._take_duties()
         for pool, duty in self._duties.items():
             # In a large region a relay that left the view may follow another one.
-            for name in gone if mesh else ():
+            for name in gone if view.is_mesh else ():
                 self._feed(duty, m.InstanceGone(name))
             self._feed(duty, m.Doubt(view.doubtful))
             self._maybe_recovered(pool, duty)
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -235,12 +235,7 @@
     @property
     def _delay(self) -> float:
         """Seconds until an instance has heard of another one's use, at the most."""
-        return (GROUPED_HOPS if self._grouped else 1) * TELL_INTERVAL_S
-
-    @property
-    def _grouped(self) -> bool:
-        """Whether others are heard over relays."""
-        return self._view.size > len(self._view.members)
+        return (1 if self._view.is_mesh else GROUPED_HOPS) * TELL_INTERVAL_S
 
     def limit(self, customer: CustomerRule, now: float) -> float:
         """Return the tokens that may be used in a window at this moment."""
@@ -251,7 +246,7 @@
         reached = alive / (alive + self._view.silent)
         known = min(1.0, self._age(now) / bounds.quota_window)
         free = START_SHARE + (1 - START_SHARE) * known
-        part = OVERAGE_USED_GROUPED if self._grouped else OVERAGE_USED
+        part = OVERAGE_USED if self._view.is_mesh else OVERAGE_USED_GROUPED
         return (whole + part * slack) * free * reached
 
     def _may_go_untold(self, name: str, tokens: int, left: float, now: float) -> bool:
--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -135,7 +135,7 @@
             self._tell_all_to(beat.peer_address, with_known=False, greet=False)
             self._tell_relays(beat.peer_address)
 
-    def _take_beat(self, sender: str, beat: Beat, now: float) -> bool:
+    def _take_beat(self, beat: Beat, now: float) -> bool:
         known = self._followers.beat(beat.incarnation, beat.version, now)
         return known or self._tracker.beat(beat.incarnation, beat.version, now)
 
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -137,6 +137,11 @@
         """Live instances."""
         return len(self.members) + len(self.followers) + self.others
 
+    @property
+    def is_mesh(self) -> bool:
+        """Whether all live instances hear each other, without relays between them."""
+        return self.size == len(self.members)
+
     @property
     def eligible(self) -> list[str]:
         """Names of the instances that may take a role."""
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -109,7 +109,7 @@
             case Received(message=Heartbeat() as beat):
                 self._hear(beat, now)
             case Received(sender=sender, message=Beat() as beat):
-                if not self._take_beat(sender, beat, now):
+                if not self._take_beat(beat, now):
                     self._tell_all_to(sender, with_known=False, greet=True)
                 # What changes the view is told by whole heartbeats.
                 return
@@ -123,7 +123,7 @@
         self._tracker.expire(now)
         self._send_beats()
 
-    def _take_beat(self, sender: str, beat: Beat, now: float) -> bool:
+    def _take_beat(self, beat: Beat, now: float) -> bool:
         """Take a sign of life; say whether its sender is known."""
         return self._tracker.beat(beat.incarnation, beat.version, now)
 
