--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -57,6 +57,11 @@
         port = site._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
+    def host_and_port(self) -> tuple[str, int]:
+        """Return where it listens, for a proxy before it."""
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
     async def stop(self) -> None:
         """End."""
         self._stopped = True
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -108,7 +108,7 @@
         self.caller_address, self.peer_port = f"{self.ip}:{caller}", peer
         self.ready_url = f"http://{self.ip}:{ready}{READY_PATH}"
         self._ready = f"{self.ip}:{ready}"
-        self.store = Proxy(self.ip, to_store, world.store_address)
+        self.store = Proxy(self.ip, to_store, world.store.host_and_port)
         self.callers = Proxy(self.ip, from_callers, lambda: (self.ip, caller))
         self.process = None
         self.paused = False
@@ -217,10 +217,6 @@
         self.targets = []
         self.instances = []
 
-    def store_address(self):
-        host, _, port = self.store.address.rpartition(":")
-        return host, int(port)
-
     async def start(self):
         await self.store.start()
         self.configure()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -103,10 +103,6 @@
         settings = dataclasses.replace(around.settings, seeds=self.seeds)
         return ForwardingInstance(dataclasses.replace(around, settings=settings))
 
-    def store_address(self):
-        host, _, port = self.store.address.rpartition(":")
-        return host, int(port)
-
     async def call(self, path, method="POST", instance=0, **fields):
         """Return status, fields and body; the body is None where it was cut."""
         name = fields.pop("request", f"r{next(_ids)}")
@@ -591,7 +587,7 @@
         self, site, mode
     ):
         await site.start(TargetStandIn("t1"))
-        proxy = Proxy("127.0.0.1", free_port(), site.store_address)
+        proxy = Proxy("127.0.0.1", free_port(), site.store.host_and_port)
         await proxy.start()
         proxy.set(mode)
         peer = site.instances[0].peer_address
