--- a/hibiscusstep/cmdline/common.py
+++ b/hibiscusstep/cmdline/common.py
@@ -1,13 +1,10 @@
 """hibiscusstep.cmdline.common: what the programs share: errors, serving, the loop."""
 
-import asyncio
 import functools
 import signal
 import sys
 
 import click
-import uvloop
-from aiohttp import web
 
 from hibiscusstep.errors import ConfigurationError, HibiscusstepError
 
@@ -20,6 +17,8 @@
 
 def run(coroutine):
     """Run a coroutine on uvloop and return its result."""
+    import uvloop
+
     return uvloop.run(coroutine)
 
 
@@ -40,7 +39,7 @@
     return wrapper
 
 
-async def serve_until_signal(app: web.Application, address: str) -> None:
+async def serve_until_signal(app, address: str) -> None:
     """Serve an application until SIGTERM or SIGINT.
 
     Parameters
@@ -50,6 +49,10 @@
     address : str
         IP number and port; port 0 takes a free one. The address taken is printed.
     """
+    import asyncio
+
+    from aiohttp import web
+
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -1,6 +1,5 @@
 """hibiscusstep.cmdline.entry: the program hibiscusstep-entry."""
 
-import asyncio
 import signal
 import sys
 from pathlib import Path
@@ -9,7 +8,6 @@
 
 from hibiscusstep import __version__
 from hibiscusstep.cmdline.common import EXIT_CODES, one_line_errors, run
-from hibiscusstep.log import set_up_logging
 
 __all__ = ["main"]
 
@@ -42,16 +40,18 @@
       hibiscusstep-entry examples/hanul/instances/guro-1
       hibiscusstep-entry --check /etc/hibiscusstep
     """
-    loaded, make = _LOADERS[dialect](settings)
+    loaded, make = _LOADERS[dialect](settings, not check)
     if check:
         click.echo("settings are good")
         return
+    from hibiscusstep.log import set_up_logging
+
     stream = sys.stdout if dialect == "platform" else None
     set_up_logging(loaded.log_style, loaded.log_level, loaded.name, stream)
     run(_serve(make))
 
 
-def _load_own(path: Path):
+def _load_own(path: Path, _serves: bool):
     from hibiscusstep.configuration.settings import load_settings
     from hibiscusstep.entry import Entry
 
@@ -59,11 +59,17 @@
     return settings, lambda: Entry(settings)
 
 
-def _load_platform(path: Path):
+def _load_platform(path: Path, serves: bool):
+    from hibiscusstep.listening import listen
+    from hibiscusstep.platform.settings import load_platform_settings
+
+    settings = load_platform_settings(path).instance
+    callers = listen(settings.caller_address) if serves else None
+    # Only now the modules that take long to import.
     from hibiscusstep.forwarding.instance import ForwardingInstance
     from hibiscusstep.platform.surroundings import load_surroundings
 
-    surroundings = load_surroundings(path)
+    surroundings = load_surroundings(path, callers)
     return surroundings.settings, lambda: ForwardingInstance(surroundings)
 
 
@@ -71,6 +77,8 @@
 
 
 async def _serve(make) -> None:
+    import asyncio
+
     entry = make()
     running = asyncio.create_task(entry.run())
     asked = asyncio.Event()
--- a/hibiscusstep/codec.py
+++ b/hibiscusstep/codec.py
@@ -3,21 +3,25 @@
 import typing
 from dataclasses import fields, is_dataclass
 from functools import cache
-from pathlib import Path
 
-import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
+from thriftpy2.thrift import TPayload, TType, gen_init
 from thriftpy2.utils import deserialize, serialize
 
 from hibiscusstep.errors import HibiscusstepError
+from hibiscusstep.schema import STRUCTS
 
 __all__ = ["CodecError", "decode", "encode"]
 
-_SCHEMA = thriftpy2.load(
-    str(Path(__file__).with_name("hibiscusstep.thrift")),
-    module_name="hibiscusstep_thrift",
-)
 _FACTORY = TCyBinaryProtocolFactory()
+_TYPES = {
+    "bool": TType.BOOL,
+    "double": TType.DOUBLE,
+    "i32": TType.I32,
+    "i64": TType.I64,
+    "string": TType.STRING,
+    "binary": TType.BINARY,
+}
 
 
 class CodecError(HibiscusstepError):
@@ -47,7 +51,23 @@
 
 @cache
 def _struct_class(name: str) -> type:
-    return getattr(_SCHEMA, name)
+    """Return the library's class of a struct, made when it is first needed."""
+    spec = {number: _field_spec(kind, field) for number, kind, field in STRUCTS[name]}
+    defaults = [(field, None) for _number, _kind, field in STRUCTS[name]]
+    return gen_init(type(name, (TPayload,), {}), spec, defaults)
+
+
+def _field_spec(kind: str, field: str) -> tuple:
+    if kind.startswith("list<"):
+        inner = kind.removeprefix("list<").removesuffix(">")
+        return TType.LIST, field, _type_of(inner), False
+    if kind in _TYPES:
+        return _TYPES[kind], field, False
+    return TType.STRUCT, field, _struct_class(kind), False
+
+
+def _type_of(kind: str) -> int | tuple:
+    return _TYPES[kind] if kind in _TYPES else (TType.STRUCT, _struct_class(kind))
 
 
 @cache
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import secrets
+import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -112,6 +113,8 @@
         Reads the bounds again.
     close : callable
         Returns an awaitable that gives back the sockets.
+    caller_socket : socket.socket or None
+        Listens for callers; None where the instance is to listen itself.
     """
 
     settings: InstanceSettings
@@ -126,6 +129,7 @@
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
     close: Callable
+    caller_socket: socket.socket | None = None
 
 
 class ForwardingInstance:
@@ -443,7 +447,7 @@
     async def _say_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    def _note_started(self, site: web.TCPSite) -> None:
+    def _note_started(self, site: web.SockSite) -> None:
         self._caller_site = site
         self.started.set()
 
@@ -486,7 +490,7 @@
         limits = self._border.limits
         await serve(
             self._border.app(),
-            self._settings.caller_address,
+            self._around.caller_socket or self._settings.caller_address,
             self._note_started,
             keepalive_timeout=limits.idle_timeout + IDLE_MARGIN_S,
             max_line_size=limits.max_header_bytes,
--- a/hibiscusstep/forwarding/serving.py
+++ b/hibiscusstep/forwarding/serving.py
@@ -1,22 +1,23 @@
 """hibiscusstep.forwarding.serving: an application on an address, until cancelled."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from aiohttp import web
 
+from hibiscusstep.listening import BACKLOG, listen
+
 __all__ = ["serve"]
 
-# Connections waiting to be accepted.
-BACKLOG = 1024
 # Handlers that are still running at the end have had their time already.
 SHUTDOWN_TIMEOUT_S = 0.2
 
 
 async def serve(
     app: web.Application,
-    address: str,
-    started: Callable[[web.TCPSite], None] | None = None,
+    address: str | socket.socket,
+    started: Callable[[web.SockSite], None] | None = None,
     **options,
 ) -> None:
     """Serve an application until cancelled.
@@ -25,8 +26,8 @@
     ----------
     app : aiohttp.web.Application
         What to serve.
-    address : str
-        IP number and port.
+    address : str or socket.socket
+        IP number and port, or a socket that listens.
     started : callable or None
         Gets the site once it listens.
     **options : object
@@ -40,8 +41,8 @@
         **options,
     )
     await runner.setup()
-    host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+    listener = listen(address) if isinstance(address, str) else address
+    site = web.SockSite(runner, listener, backlog=BACKLOG)
     await site.start()
     if started:
         started(site)
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -1,5 +1,6 @@
 """hibiscusstep.platform.surroundings: all that the adapter brings to an instance."""
 
+import socket
 from pathlib import Path
 
 from hibiscusstep.forwarding.instance import Surroundings
@@ -20,9 +21,18 @@
 READY_PATH = "/hibiscusstep/ready"
 
 
-def load_surroundings(path: Path) -> Surroundings:
+def load_surroundings(
+    path: Path, caller_socket: socket.socket | None = None
+) -> Surroundings:
     """Return what an instance needs, by the platform's settings file.
 
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    caller_socket : socket.socket or None
+        Listens for callers already.
+
     Raises
     ------
     ConfigurationError
@@ -51,4 +61,5 @@
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
         close=client.close,
+        caller_socket=caller_socket,
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -22,6 +22,7 @@
 from soak_proxy import Mode, Proxy
 
 from hibiscusstep.forwarding.instance import ForwardingInstance
+from hibiscusstep.listening import listen
 from hibiscusstep.platform.documents import table_of
 from hibiscusstep.platform.surroundings import load_surroundings
 
@@ -511,6 +512,31 @@
         assert instance.bounds.quota_window == 4
 
 
+class TestStart:
+    async def test_a_connection_made_before_the_instance_runs_is_answered(self, site):
+        """After a restart of all, callers connect while libraries are imported."""
+        await site.start(TargetStandIn("t1"))
+        settings = orjson.loads(site.instances[0].path.read_bytes())
+        settings["NodeName"] = "early"
+        address = settings["Listen"]["Front"] = f"127.0.0.1:{free_port()}"
+        settings["Listen"]["Ready"] = f"127.0.0.1:{free_port()}"
+        settings["InternalPorts"] = [free_port(), 0]
+        path = site.instances[0].path.with_name("early.json")
+        path.write_bytes(orjson.dumps(settings))
+        listener = listen(address)
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        writer.write(b"GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+        instance = ForwardingInstance(load_surroundings(path, listener))
+        running = asyncio.create_task(instance.run())
+        try:
+            async with asyncio.timeout(BOUND_S):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 ")
+        finally:
+            writer.close()
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
 class TestSeveralInstances:
     async def test_requests_through_all_share_the_slots(self, site):
         running, most = 0, 0
