Requests that come back are known again; a request waits as long as that is useful

Hypothesis: slots of a burst go to callers that came back and are late already, and who is refused early comes back too late: both waste what could be served in time. Change: a request is known again by its prompt's parts, lengths and customer; the dispatcher remembers whom it refused for 20 s; who is late goes last within its rank and waits up to 1.5 s instead of being refused again; who is not waits until 1.5 times its time to a first token is left; nothing is begun late while it can be avoided; the share of prompts read between two events is learnt from answers that saw much reading. Queue and memory are a module of their own (slot_queue.py); mechanisms can be turned off by name (HIBISCUSSTEP_OFF) to measure them.

--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -105,6 +105,7 @@
     tokens: int = 0
     decode_seconds: float = 0.0
     computed: int = -1
+    longest_pause: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -253,6 +254,7 @@
                     ended.tokens,
                     ended.decode_seconds,
                     ended.computed,
+                    ended.longest_pause,
                 ),
             )
 
@@ -276,15 +278,26 @@
         now = asyncio.get_running_loop().time()
         for pool, line in self._lines.items():
             for ask, held in list(line.waiting.items()):
-                late = held.wanted.deadline + DISPATCHER_GRACE_S < now
                 gone = held.question.answer.done()
-                if gone or (late and not (held.wanted.never_shed and line.dispatcher)):
+                if gone or self._is_overdue(line, held.wanted, now):
                     del line.waiting[ask]
                     self._send(pool, PoolWithdraw(pool, ask))
                     held.question.reply(
                         Refused(Reason.UNAVAILABLE, UNAVAILABLE_RETRY_S)
                     )
 
+    def _is_overdue(self, line: _Line, wanted: GrantRequest, now: float) -> bool:
+        """Whether a request has waited too long for a dispatcher's decision.
+
+        A dispatcher that tells that it is alive may know better, and keep waiting what
+        has no chance of a better try.
+        """
+        if wanted.never_shed and line.dispatcher:
+            return False
+        heard = self._standby_after and now - line.heard < self._standby_after
+        latest = max(wanted.deadline, wanted.ends) if heard else wanted.deadline
+        return latest + DISPATCHER_GRACE_S < now
+
     def _hear(self, pool: str, sender: str) -> None:
         """Take note that the dispatcher of a pool is alive."""
         line = self._line(pool)
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -294,6 +294,7 @@
                     body.tokens,
                     body.decode_seconds,
                     body.computed,
+                    body.longest_pause,
                 )
                 self._feed(duty, finished)
             case PoolHeld(instance=instance, asks=asks):
@@ -404,6 +405,7 @@
             "tier": work.tier,
             "pool": pool,
             "wait": round(now - work.received, 4),
+            "due_in": round(work.due - now, 3),
         }
         match taken:
             case m.Grant(target=target, candidates=candidates):
@@ -442,4 +444,5 @@
         now + info.due_in,
         info.data_centre,
         now + info.ends_in if info.ends_in else 0.0,
+        info.identity,
     )
--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -12,7 +12,6 @@
     IngressLimits,
     RoutingTable,
 )
-from hibiscusstep.forwarding.patience import UsualPatience
 from hibiscusstep.forwarding.quota import QuotaKeeper, Ticket
 from hibiscusstep.log import decision
 
@@ -59,7 +58,6 @@
         self._closed = False
         self._begin_until = float("inf")
         self._stop_at = float("inf")
-        self._patience = UsualPatience()
 
     @property
     def open_requests(self) -> int:
@@ -136,7 +134,6 @@
             customer,
             received,
             ticket,
-            self._patience.spent(route.name, head.patience),
         )
         try:
             return await Exchange(incoming, self._means).run()
--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.membership.relays import MESH_SIZE
+from hibiscusstep.routing.switches import ALL_ON, Switches
 
 __all__ = ["Bounds", "InstanceSettings"]
 
@@ -51,6 +52,8 @@
         As in `hibiscusstep.store.InstanceRecord`.
     mesh_size : int
         Up to so many instances all speak to all; beyond, over relays.
+    switches : Switches
+        Which mechanisms of the dispatchers are on.
     log_style, log_level : str
         As in the settings of an entry instance.
     """
@@ -67,5 +70,6 @@
     suspect_after: float
     capacity: int = 1
     mesh_size: int = MESH_SIZE
+    switches: Switches = ALL_ON
     log_style: str = "json"
     log_level: str = "INFO"
--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -29,6 +29,8 @@
         Whether it declared tokens at all.
     last_event : str
         The id behind which a stream goes on, "" from its beginning.
+    prompt : str
+        Names of the prompt's parts, "" if it gives none.
     """
 
     request: str
@@ -39,6 +41,7 @@
     expected_output: int
     counted: bool
     last_event: str
+    prompt: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -158,6 +158,7 @@
             [],
             list(self._avoid),
             data_centre=self._means.data_centre,
+            identity=incoming.identity,
         )
         latest = min(begun + patience, incoming.deadline)
         wanted = GrantRequest(
@@ -240,7 +241,6 @@
             cause=cause,
             seconds=round(self._now() - started, 4),
             waited=round(started - self._in.received, 4),
-            spent=round(self._in.spent, 2),
             due_in=round(self._in.due - self._in.received, 3),
             max_pause=self._in.route.max_pause,
             events=self._splitter.count,
@@ -463,6 +463,7 @@
             outcome,
             self._pace.events,
             self._pace.decode_seconds,
+            longest_pause=self._pace.longest_pause if self._attempts == 1 else 0.0,
         )
         self._grant = None
         self._means.desk.tell(ended)
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+import xxhash
 from aiohttp import web
 
 from hibiscusstep.desk import Desk
@@ -41,8 +42,6 @@
         When its head came, in seconds on the loop's clock.
     ticket : Ticket or None
         Its tokens of the customer's quota.
-    spent : float
-        Seconds that its caller has spent on earlier attempts.
     """
 
     request: web.Request
@@ -53,12 +52,26 @@
     customer: CustomerRule | None
     received: float
     ticket: Ticket | None = None
-    spent: float = 0.0
 
     @property
     def due(self) -> float:
-        """When an answer is on time, on the loop's clock: from the first attempt on."""
-        return self.received + self.route.objective - self.spent
+        """When an answer is on time, on the loop's clock, if its caller came first."""
+        return self.received + self.route.objective
+
+    @property
+    def identity(self) -> int:
+        """The same for all attempts at one request, 0 if not known.
+
+        Attempts have ids of their own; a prompt's parts and lengths tell requests
+        apart. A request without a prompt is not known again.
+        """
+        head = self.head
+        if not head.prompt:
+            return 0
+        customer = self.customer.name if self.customer else ""
+        lengths = f"{head.prompt_tokens},{head.output_tokens},{head.expected_output}"
+        parts = (customer, self.request.raw_path, head.prompt, lengths)
+        return xxhash.xxh64_intdigest("\0".join(parts).encode()) >> 1
 
     @property
     def rank(self) -> int:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from aiohttp import web
 
@@ -297,7 +298,7 @@
             self._links,
             self._route,
             None,
-            kind=SlotDispatcher,
+            kind=partial(SlotDispatcher, switches=settings.switches),
             reads_reports=False,
             serves_itself=True,
         )
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -6,7 +6,7 @@
   5: string tier, 6: i32 rank, 7: i32 prompt_tokens, 8: i32 output_tokens,
   9: double deadline_in, 10: double waited, 11: bool stoppable,
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
-  15: string data_centre, 16: double ends_in
+  15: string data_centre, 16: double ends_in, 17: i64 identity
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
@@ -21,7 +21,7 @@
 struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds }
 struct PoolFinished {
   1: string pool, 2: string ask, 3: string outcome, 4: i32 tokens,
-  5: double decode_seconds, 6: i32 computed
+  5: double decode_seconds, 6: i32 computed, 7: double longest_pause
 }
 struct PoolRegister {
   1: string pool, 2: string instance, 3: string incarnation,
--- a/hibiscusstep/load/account.py
+++ b/hibiscusstep/load/account.py
@@ -129,6 +129,8 @@
     """
     records = sorted(read_records(lines), key=lambda record: record["at"])
     account = Account(window)
+    # Granted when its first attempt was late already.
+    came_back = {r["request"] for r in records if _is_late_grant(r)}
     start = records[0]["at"] if records else 0.0
     for record in records:
         fate = _fate(record)
@@ -136,11 +138,17 @@
             _note_target(account, record, fate)
         if fate is None:
             continue
+        if fate == Fate.IN_TIME and record["request"] in came_back:
+            fate = Fate.CAME_BACK
         held = record.get("seconds", 0.0) + record.get("waited", 0.0)
         account.count(record, fate, max(0.0, record["at"] - held - start))
     return account
 
 
+def _is_late_grant(record: dict) -> bool:
+    return record["message"] == "grant" and record.get("due_in", 0.0) < 0
+
+
 def _fate(record: dict) -> str | None:
     """Return what a line says of an attempt of a caller; None if it says no end."""
     match record["message"]:
@@ -169,7 +177,7 @@
 def _fate_of_answer(record: dict) -> str:
     first = record["first_event"] or record["waited"] + record["seconds"]
     if first > record["due_in"]:
-        return Fate.CAME_BACK if record["spent"] else Fate.LATE_FIRST
+        return Fate.LATE_FIRST
     if record["longest_pause"] > record["max_pause"]:
         return Fate.LONG_PAUSE
     return Fate.IN_TIME
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -56,6 +56,7 @@
     due_in: float = 0.0
     data_centre: str = ""
     ends_in: float = 0.0
+    identity: int = 0
 
 
 @dataclass(slots=True)
@@ -136,6 +137,7 @@
     tokens: int
     decode_seconds: float
     computed: int
+    longest_pause: float = 0.0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -38,6 +38,7 @@
             expected_output=output if hint is None else min(output, int(hint)),
             counted=bool(usage),
             last_event=headers.get("Last-Event-Id", ""),
+            prompt=headers.get("X-Prompt-Prefix", ""),
         )
 
     def order_fields(self, raw, order: Order):
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -8,10 +8,13 @@
 
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
+from hibiscusstep.routing.switches import Switches
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
 PEER_KEY_VARIABLE = "HIBISCUSSTEP_PEER_KEY"
+# Names of mechanisms to turn off, by comma; to measure what each is worth.
+OFF_VARIABLE = "HIBISCUSSTEP_OFF"
 # The deploy file declares the same port and path as the place of the metrics.
 METRICS_PORT = 9464
 # A quarter of a second and four misses: a dead peer is gone after a second, well
@@ -78,6 +81,7 @@
         heartbeat_interval=HEARTBEAT_INTERVAL_S,
         suspect_after=SUSPECT_AFTER_S,
         capacity=_capacity(document.get("Limits") or {}),
+        switches=Switches.without(os.environ.get(OFF_VARIABLE, "")),
     )
     return PlatformSettings(
         instance,
--- a/hibiscusstep/routing/engine_model.py
+++ b/hibiscusstep/routing/engine_model.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["AnswerLengths", "EngineModel"]
+__all__ = ["AnswerLengths", "EngineModel", "ReadingShare"]
 
 # First guesses, of one engine in use: seconds before a first token, prompt tokens read
 # in a second, seconds of a token while half of the slots are taken. The first two are
@@ -104,3 +104,50 @@
     def cautious(self, expected: int) -> float:
         """Return a length that four answers of five keep below."""
         return expected * math.exp(self._mean + CAUTION * math.sqrt(self._square))
+
+
+# Prompts are read in parts between the tokens of other streams; until one has been
+# seen, it is taken that a prompt of any length is read between two events.
+FIRST_SHARE_S = 10.0
+# So much to read takes many parts, and a stream sees a whole share of it; less than
+# the second is never believed.
+MANY_PARTS_S = 0.2
+MIN_SHARE_S = 0.005
+# Weight of a new observation, larger for a longer pause than believed: what is too long
+# for callers shall be rare.
+SHARE_LEARN_UP, SHARE_LEARN_DOWN = 0.2, 0.05
+
+
+@dataclass(slots=True)
+class ReadingShare:
+    """Seconds of prompts read between two events of a stream, at slowness 1, learnt.
+
+    However much there is to read, no more than a part of it is read at each step. With
+    the part guessed at half, one in seven answers of the slow targets had a pause
+    beyond what its route allows.
+    """
+
+    most: float = FIRST_SHARE_S
+
+    def between_events(self, to_read: float) -> float:
+        """Return the seconds of so much that are read between two events."""
+        return min(self.most, to_read)
+
+    def learn(self, pause: float, to_read: float) -> None:
+        """Learn from the longest pause of an answer.
+
+        Parameters
+        ----------
+        pause : float
+            Its seconds beside the time of the tokens.
+        to_read : float
+            The most that was to be read beside it; less than is believed to be read
+            between two events tells nothing.
+        """
+        if to_read < min(self.most, MANY_PARTS_S):
+            return
+        if self.most == FIRST_SHARE_S:
+            self.most = max(MIN_SHARE_S, pause)
+            return
+        weight = SHARE_LEARN_UP if pause > self.most else SHARE_LEARN_DOWN
+        self.most = max(MIN_SHARE_S, self.most + weight * (pause - self.most))
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -89,6 +89,8 @@
         Where the instance runs.
     ends : float
         When the whole answer must have come, on the dispatcher's clock; 0 if not told.
+    identity : int
+        The same for all attempts of a caller at one request; 0 if not known.
     """
 
     ask: str
@@ -107,6 +109,7 @@
     due: float = 0.0
     data_centre: str = ""
     ends: float = 0.0
+    identity: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +151,8 @@
         minus the seconds from dispatch to its end; 0 if not known.
     computed : int
         Prompt tokens that the target says it computed; -1 if it does not say.
+    longest_pause : float
+        The longest pause between two events, in seconds; 0 if not known.
     """
 
     ask: str
@@ -155,6 +160,7 @@
     tokens: int = 0
     decode_seconds: float = 0.0
     computed: int = -1
+    longest_pause: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hibiscusstep/routing/slot_queue.py
@@ -0,0 +1,141 @@
+"""hibiscusstep.routing.slot_queue: requests that wait for a slot, in order."""
+
+import heapq
+import itertools
+from collections import Counter, OrderedDict, defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from sortedcontainers import SortedList
+
+from hibiscusstep.routing.messages import Work
+
+__all__ = ["Returns", "SlotQueue"]
+
+# Callers come back within some seconds or not at all: each patience is below this.
+REMEMBER_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A waiting request: its place in the order, and its guessed seconds."""
+
+    entry: tuple[int, bool, float, int, Work]
+    cost: float
+
+
+class SlotQueue:
+    """By rank, within it first come, first served, those that are late already last.
+
+    No operation costs more than a few steps however many wait.
+    """
+
+    def __init__(self) -> None:
+        self._order: SortedList = SortedList()
+        self._by_ask: dict[str, _Waiting] = {}
+        self._deadlines: list[tuple[float, int, str]] = []
+        self._backlog: dict[tuple[int, bool], float] = defaultdict(float)
+        self._tickets = itertools.count()
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._order)
+
+    def __contains__(self, ask: str) -> bool:
+        """Whether an ask waits."""
+        return ask in self._by_ask
+
+    def __iter__(self) -> Iterator[Work]:
+        """Iterate over those that wait, in order."""
+        return (entry[-1] for entry in self._order)
+
+    def __getitem__(self, place: int) -> Work:
+        """Return the request at a place of the order."""
+        return self._order[place][-1]
+
+    @property
+    def by_tier(self) -> dict[str, int]:
+        """How many wait, by tier."""
+        return dict(Counter(work.tier for work in self))
+
+    def add(self, work: Work, cost: float, deadline: float, late: bool) -> None:
+        """Take a request.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        cost : float
+            Its guessed seconds.
+        deadline : float
+            Until when it waits, on the dispatcher's clock.
+        late : bool
+            Whether it can't be served in time any more.
+        """
+        ticket = next(self._tickets)
+        entry = (work.rank, late, work.received, ticket, work)
+        self._order.add(entry)
+        self._by_ask[work.ask] = _Waiting(entry, cost)
+        self._backlog[entry[:2]] += cost
+        heapq.heappush(self._deadlines, (deadline, ticket, work.ask))
+
+    def remove(self, ask: str) -> Work | None:
+        """Take a request out; None if it does not wait."""
+        waiting = self._by_ask.pop(ask, None)
+        if waiting is None:
+            return None
+        self._order.remove(waiting.entry)
+        self._backlog[waiting.entry[:2]] -= waiting.cost
+        return waiting.entry[-1]
+
+    def ahead(self, ask: str) -> float:
+        """Return the guessed seconds of all that go before a waiting request.
+
+        Those are all of its class (rank, and whether late) and of those before: few
+        come after it in its class.
+        """
+        waiting = self._by_ask[ask]
+        own = waiting.entry[:2]
+        total = sum(cost for place, cost in self._backlog.items() if place <= own)
+        return max(0.0, total - waiting.cost)
+
+    def is_late(self, ask: str) -> bool:
+        """Whether a waiting request came too late to be served in time."""
+        return self._by_ask[ask].entry[1]
+
+    def overdue(self, now: float) -> Iterator[Work]:
+        """Yield those whose deadline has passed; the caller removes each."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _deadline, ticket, ask = heapq.heappop(self._deadlines)
+            waiting = self._by_ask.get(ask)
+            if waiting and waiting.entry[3] == ticket:
+                yield waiting.entry[-1]
+
+
+class Returns:
+    """Recognizes requests that come back after a refusal, at whichever instance.
+
+    A caller's attempts have ids of their own, and its objective counts from the first.
+    Of the served answers of a burst one in five was late because its request had been
+    refused before; it took the slot of one that could be served in time.
+    """
+
+    def __init__(self) -> None:
+        self._first: OrderedDict[int, float] = OrderedDict()
+
+    def refused(self, work: Work) -> None:
+        """Remember a refused request, from its first attempt on."""
+        if work.identity:
+            self._first.setdefault(work.identity, work.received)
+
+    def recognize(self, work: Work, now: float) -> Work:
+        """Return the request; due as its first attempt was, if it comes back."""
+        while self._first:
+            identity, received = next(iter(self._first.items()))
+            if received > now - REMEMBER_S:
+                break
+            del self._first[identity]
+        first = self._first.get(work.identity)
+        if first is None or not work.due:
+            return work
+        return replace(work, due=work.due - (work.received - first))
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -3,13 +3,9 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.engine_model import STEP_S, EngineModel
 
 __all__ = ["Run", "SlotTarget"]
 
-# Prompts are read in parts between the tokens of the others, so that each prompt being
-# read makes their steps longer. The size of a part is a guess.
-PREFILL_CHUNK_TOKENS = 1024
 # Weight of a new observation, once there are enough.
 LEARN = 0.1
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
@@ -51,6 +47,8 @@
         Whether its first token came.
     alone : bool
         Whether no other prompt was read at the target meanwhile.
+    beside : float
+        The most guessed seconds of prompts that were to be read while it ran.
     """
 
     work: m.Work
@@ -59,6 +57,7 @@
     prefill: float
     began: bool = False
     alone: bool = True
+    beside: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -110,6 +109,9 @@
         reading = [other for other in self.running.values() if not other.began]
         for other in reading:
             other.alone = False
+        to_read = self.prefill_left(run.granted) + run.prefill
+        for other in self.running.values():
+            other.beside = max(other.beside, to_read)
         run.alone = not reading
         self.running[ask] = run
         self._changed()
@@ -175,26 +177,6 @@
         """
         return now + self.slowness * (self.prefill_left(now) + prefill + first)
 
-    def pause(
-        self, steps: int, prefill: float, model: EngineModel, now: float
-    ) -> float:
-        """Return the guessed seconds between events while one more prompt is read.
-
-        Parameters
-        ----------
-        steps : int
-            Steps to an event; in each a part of the prompts is read.
-        prefill : float
-            Guessed seconds of the prompt.
-        model : EngineModel
-            Of the pool.
-        now : float
-            Seconds on the dispatcher's clock.
-        """
-        chunk = model.prefill(PREFILL_CHUNK_TOKENS)
-        reading = min(steps * chunk, self.prefill_left(now) + prefill)
-        return self.slowness * (steps * STEP_S + reading)
-
     def succeeded(self) -> None:
         """Take note of a whole answer."""
         self.rests = 0
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -4,20 +4,23 @@
 waits here: never more is granted to a target than it has slots.
 """
 
-import heapq
-import itertools
 import math
-from collections import Counter, defaultdict
 from functools import singledispatchmethod
 
 import xxhash
-from sortedcontainers import SortedList
 
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
-from hibiscusstep.routing.engine_model import STEP_S, AnswerLengths, EngineModel
+from hibiscusstep.routing.engine_model import (
+    STEP_S,
+    AnswerLengths,
+    EngineModel,
+    ReadingShare,
+)
 from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
+from hibiscusstep.routing.switches import ALL_ON, Switches
 
 __all__ = ["SlotDispatcher"]
 
@@ -43,14 +46,18 @@
 # With fewer than this share of the targets fit, failures say more of the network, or
 # of the one who reports them, than of the targets: all are used.
 PANIC_SHARE = 0.5
+# A request that can still be served in time waits until so many times the seconds of
+# its first token are left: a target is seldom idle.
+REACH_MARGIN = 1.5
+# One that is late already waits for this share of the time that its caller has left,
+# and no longer than callers bear without a first event: they leave after 2 s or more.
+LATE_SHARE = 0.5
+MAX_LATE_WAIT_S = 1.5
 # A grant is on its way to its instance for less than this.
 GRANT_TRANSIT_S = 0.7
 # How fast all targets work together changes slowly against this.
 RATE_VALID_S = 0.05
 
-# Rank, whether it is late already, seconds of its receipt, number of the ask.
-_Entry = tuple[int, bool, float, int, m.Work]
-
 
 # What makes a wait longer, or shows that one was too long.
 _MAY_EXPIRE = (m.Ask, m.Tick, m.Recovered, m.Configure)
@@ -69,28 +76,31 @@
         The pool.
     plan : Plan
         The targets.
+    switches : Switches
+        Which mechanisms are on.
     tie_key : str
         Decides which of several targets that seem alike comes first. Instances that
         dispatch for themselves with nothing learnt would all take the same ones.
     """
 
     def __init__(
-        self, pool_name: str, plan: Plan, tie_key: str = "", **_options
+        self,
+        pool_name: str,
+        plan: Plan,
+        tie_key: str = "",
+        switches: Switches = ALL_ON,
+        **_options,
     ) -> None:
         super().__init__(pool_name)
         self._tie_key = tie_key
-        # All that wait in their order, and the same by deadline; of each class (rank,
-        # and whether late) the guessed seconds. So a message costs no more where many
-        # wait.
-        self._queue: SortedList = SortedList()
-        self._entries: dict[str, _Entry] = {}
-        self._costs: dict[str, float] = {}
-        self._deadlines: list[tuple[float, int, str]] = []
-        self._backlog: dict[tuple[int, bool], float] = defaultdict(float)
-        self._tickets = itertools.count()
+        self._switches = switches
+        self._queue = SlotQueue()
+        self._returns = Returns()
         self._model = EngineModel()
         self._lengths = AnswerLengths()
+        self._reading = ReadingShare()
         self._rate = 0.0
+        self._fastest = 1.0
         self._rate_at = -math.inf
         self._engine = True
         self._tokens_per_event = 1
@@ -100,7 +110,7 @@
     @property
     def waiting(self) -> dict[str, int]:
         """How many wait, by rank."""
-        return dict(Counter(entry[-1].tier for entry in self._queue))
+        return self._queue.by_tier
 
     @property
     def learnt(self) -> dict[str, float]:
@@ -109,11 +119,11 @@
 
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
-        return {entry[-1].instance for entry in self._queue}
+        return {work.instance for work in self._queue}
 
     def is_waiting(self, ask: str) -> bool:
         """Whether an ask is still undecided."""
-        return ask in self._entries
+        return ask in self._queue
 
     def summary(self, now: float) -> dict:
         """Return the state in short: of each target, what runs and what was learnt."""
@@ -133,26 +143,31 @@
     @_take.register
     def _ask(self, message: m.Ask, now: float) -> None:
         work = message.work
-        if work.ask in self._entries:
+        if work.ask in self._queue:
             return
         self.counts.asked += 1
-        ticket = next(self._tickets)
-        late = bool(work.due) and work.due <= now
-        entry = (work.rank, late, work.received, ticket, work)
-        self._queue.add(entry)
-        self._entries[work.ask] = entry
-        self._costs[work.ask] = self._cost(work)
-        self._backlog[entry[:2]] += self._costs[work.ask]
-        heapq.heappush(self._deadlines, (work.deadline, ticket, work.ask))
-
-    def _forget(self, ask: str) -> m.Work | None:
-        """Take a request out of those that wait; None if it does not."""
-        entry = self._entries.pop(ask, None)
-        if entry is None:
-            return None
-        self._queue.remove(entry)
-        self._backlog[entry[:2]] -= self._costs.pop(ask)
-        return entry[-1]
+        if self._switches.late_last:
+            work = self._returns.recognize(work, now)
+        # Seconds until it is served where nothing else is to do.
+        reach = self._fastest * self._reach(work)
+        late = self._switches.late_last and 0 < work.due < now + reach
+        deadline = self._last_useful_start(work, reach, late)
+        self._queue.add(work, self._cost(work), deadline, late)
+
+    def _last_useful_start(self, work: m.Work, reach: float, late: bool) -> float:
+        """Return until when a request waits.
+
+        One that is refused comes back too late to be served in time: it waits as long
+        as that is still possible. One that is late has time, and mostly its last try.
+        """
+        if not work.due:
+            return work.deadline
+        if late:
+            wait = min(MAX_LATE_WAIT_S, LATE_SHARE * _time_left(work))
+            return max(work.deadline, work.received + wait)
+        if not self._switches.useful_wait:
+            return work.deadline
+        return max(work.received, work.due - REACH_MARGIN * reach)
 
     @_take.register
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
@@ -165,9 +180,9 @@
         if run is None or not run.alone or not self._engine:
             return
         prompt = run.work.prompt_tokens
-        if target.learnt:
+        if target.learnt and self._switches.engine_model:
             self._model.learn(prompt, message.seconds / target.slowness)
-        else:
+        elif not target.learnt:
             target.guess(message.seconds / self._model.cost(prompt, 0))
 
     @_take.register
@@ -234,11 +249,7 @@
 
     @_take.register
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
-        gone = [
-            work.ask
-            for *_order, work in self._queue
-            if work.instance == message.instance
-        ]
+        gone = [work.ask for work in self._queue if work.instance == message.instance]
         gone += [
             ask
             for target in self._targets.values()
@@ -287,6 +298,12 @@
             return PLAIN_SERVICE_S
         return self._model.cost(work.prompt_tokens, work.output_tokens)
 
+    def _reach(self, work: m.Work) -> float:
+        """Return the guessed seconds to a first token on a target of slowness 1."""
+        if not self._engine:
+            return PLAIN_SERVICE_S
+        return self._model.first + self._model.prefill(work.prompt_tokens)
+
     def _usable(self, now: float) -> list[SlotTarget]:
         staying = [t for t in self._targets.values() if not t.leaving]
         fit = [t for t in staying if t.usable(now)]
@@ -303,12 +320,12 @@
         while free and passed_over < min(WEIGHED, len(self._queue)):
             if len(self._placed) >= most:
                 break
-            work = self._queue[passed_over][-1]
+            work = self._queue[passed_over]
             target = self._choose(work, free, usable, now)
             if target is None:
                 passed_over += 1
                 continue
-            self._forget(work.ask)
+            self._queue.remove(work.ask)
             self._grant(work, target, free, now)
             if target.free(now) <= 0:
                 free.remove(target)
@@ -332,7 +349,8 @@
         if not self._engine:
             return min(others or free, key=lambda t: t.cost(own, now))
         best = min(others or free, key=lambda t: self._price(t, work, own, now))
-        if now >= work.deadline or self._serves_in_time(best, work, now):
+        overdue = not work.due and now >= work.deadline
+        if overdue or self._serves_in_time(best, work, now):
             return best
         worth_it = any(self._serves_in_time(t, work, now) for t in usable)
         return None if worth_it else best
@@ -343,13 +361,19 @@
         first = target.first_token(prefill, self._model.first, now)
         if work.due and first > work.due:
             return False
-        if work.ends:
+        if work.ends and self._switches.answer_end:
             steps = self._lengths.cautious(work.output_tokens)
             if first + target.slowness * steps * STEP_S > work.ends:
                 return False
-        pause = target.pause(self._tokens_per_event, prefill, self._model, now)
+        pause = self._pause(target, prefill, now)
         return not target.running or pause <= PAUSE_MARGIN * self._max_pause
 
+    def _pause(self, target: SlotTarget, prefill: float, now: float) -> float:
+        """Return the guessed seconds between events there while a prompt is read."""
+        steps = self._tokens_per_event * STEP_S
+        reading = target.prefill_left(now) + prefill
+        return target.slowness * (steps + self._reading.between_events(reading))
+
     def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
         """Return the weighed seconds of a request, and of what it does to others."""
         prefill = self._model.prefill(work.prompt_tokens)
@@ -359,7 +383,7 @@
         if work.due:
             first = target.first_token(prefill, self._model.first, now)
             price += LATE_WEIGHT * max(0.0, first - work.due)
-        pause = target.pause(self._tokens_per_event, prefill, self._model, now)
+        pause = self._pause(target, prefill, now)
         if pause > PAUSE_MARGIN * self._max_pause:
             price += PAUSE_COST_S * len(target.running)
         return price
@@ -375,39 +399,31 @@
         Of those that wait only the last are looked at: whoever was not the last when
         it came has been pushed back by higher ranks only, and then the last first.
         """
-        while self._deadlines and self._deadlines[0][0] <= now:
-            _deadline, _ticket, ask = heapq.heappop(self._deadlines)
-            if ask in self._entries:
-                self._refuse(self._entries[ask][-1], self._wait(ask))
+        for work in self._queue.overdue(now):
+            self._refuse(work, self._wait(work.ask))
         while self._queue:
-            work = self._queue[-1][-1]
+            work = self._queue[-1]
             wait = self._wait(work.ask)
-            if now + wait < work.deadline:
+            if self._queue.is_late(work.ask) or now + wait < work.deadline:
                 return
             self._refuse(work, wait)
 
     def _wait(self, ask: str) -> float:
-        """Return the guessed seconds until the targets come to a waiting request.
-
-        All that wait in its class or a higher one go first: few come after it there.
-        """
-        entry = self._entries[ask]
-        ahead = sum(s for place, s in self._backlog.items() if place <= entry[:2])
-        ahead = max(0.0, ahead - self._costs[ask])
+        """Return the guessed seconds until the targets come to a waiting request."""
+        ahead = self._queue.ahead(ask)
         return ahead / self._rate if self._rate else MAX_RETRY_AFTER_S
 
     def _reckon_rate(self, now: float) -> None:
         """Reckon again how fast the targets work, at most once a moment."""
         if now >= self._rate_at + RATE_VALID_S:
             self._rate_at = now
-            self._rate = self._capacity(now)
-
-    def _capacity(self, now: float) -> float:
-        """Return the guessed seconds of work that all targets do in a second."""
-        return sum(t.slots / t.slowness for t in self._usable(now))
+            usable = self._usable(now)
+            self._rate = sum(t.slots / t.slowness for t in usable)
+            self._fastest = min((t.slowness for t in usable), default=1.0)
 
     def _refuse(self, work: m.Work, wait: float) -> None:
-        self._forget(work.ask)
+        self._queue.remove(work.ask)
+        self._returns.refused(work)
         self.counts.refused += 1
         after = round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), 2)
         self._decisions.append(m.Refuse(work, m.Reason.LOAD, after))
@@ -421,12 +437,21 @@
             # more of what else the target has to do.
             steps = (finished.tokens - 1) * self._tokens_per_event
             target.learn(finished.decode_seconds / (steps * STEP_S))
+            if finished.longest_pause and self._switches.reading_share:
+                pause = finished.longest_pause / target.slowness
+                steps = self._tokens_per_event * STEP_S
+                self._reading.learn(pause - steps, run.beside)
         if self._engine and finished.tokens:
             tokens = finished.tokens * self._tokens_per_event
             self._lengths.learn(run.work.output_tokens, tokens)
 
     def _drop(self, ask: str) -> None:
-        self._forget(ask)
+        self._queue.remove(ask)
         target = self._targets.get(self._placed.pop(ask, ""))
         if target:
             target.remove(ask)
+
+
+def _time_left(work: m.Work) -> float:
+    """Return the seconds that a request's caller had left when it was received."""
+    return max(0.0, work.ends - work.received) if work.ends else 0.0
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -25,6 +25,7 @@
         (14, "double", "due_in"),
         (15, "string", "data_centre"),
         (16, "double", "ends_in"),
+        (17, "i64", "identity"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
@@ -71,6 +72,7 @@
         (4, "i32", "tokens"),
         (5, "double", "decode_seconds"),
         (6, "i32", "computed"),
+        (7, "double", "longest_pause"),
     ),
     "PoolRegister": (
         (1, "string", "pool"),
