--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -110,6 +110,8 @@
         Whether the targets' load reports are read.
     serves_itself : bool
         Whether it dispatches its own instance's requests of any pool when asked.
+    kept : callable of PoolLearnt or None
+        Keeps what the dispatchers here learn beyond the processes.
     """
 
     def __init__(
@@ -124,13 +126,15 @@
         kind: type,
         reads_reports: bool = True,
         serves_itself: bool = False,
+        kept: Callable[[PoolLearnt], None] | None = None,
     ) -> None:
         super().__init__("dispatching", tick_interval=TICK_S)
         self._kind = kind
         self._reads_reports = reads_reports
         self._serves_itself = serves_itself
         self._own_duties: dict[str, _Duty] = {}
-        self._learnt: dict[str, dict[str, float]] = {}
+        self._kept = kept
+        self._learnt: dict[str, m.Learnt] = {}
         self._own_name = name
         self._address = address
         self._links = links
@@ -168,6 +172,8 @@
                 message.reply(self.status(pool))
             case Received(message=PoolLearnt() as news):
                 self._take_learnt(news)
+            case PoolLearnt() as news:
+                self._take_kept(news)
             case Received(sender=sender, message=body):
                 self._from_desk(sender, body)
             case _Reported(pool=pool, report=report):
@@ -226,7 +232,16 @@
         if not learnt:
             return
         pool = duty.dispatcher.pool_name
-        news = PoolLearnt(pool, list(learnt), list(learnt.values()))
+        news = PoolLearnt(
+            pool,
+            list(learnt.slowness),
+            list(learnt.slowness.values()),
+            learnt.first,
+            learnt.token,
+            learnt.share,
+        )
+        if self._kept:
+            self._kept(news)
         for address in self._view.neighbours(self._address):
             self._links.tell(Send(address, news))
 
@@ -234,10 +249,17 @@
         """Remember another's learning for the time when it falls to this instance."""
         for follower in self._view.followers.values():
             self._links.tell(Send(follower.peer_address, news))
-        slowness = dict(zip(news.targets, news.slowness, strict=True))
-        self._learnt[news.pool] = slowness
+        self._learnt[news.pool] = _learnt(news)
         if news.pool in self._own_duties:
-            self._feed(self._own_duties[news.pool], m.Learnt(slowness))
+            self._feed(self._own_duties[news.pool], self._learnt[news.pool])
+
+    def _take_kept(self, news: PoolLearnt) -> None:
+        """Take what was kept of an earlier time where nothing newer is known."""
+        kept = _learnt(news, old=True)
+        self._learnt.setdefault(news.pool, kept)
+        for duties in (self._duties, self._own_duties):
+            if news.pool in duties:
+                self._feed(duties[news.pool], kept)
 
     def _log_state(self, duty: _Duty, now: float) -> None:
         """Log what the dispatcher believes of its targets."""
@@ -259,7 +281,8 @@
         if pool not in self._own_duties:
             duty = _Duty(self._kind(pool, self._configuration, tie_key=self._own_name))
             self._own_duties[pool] = duty
-            self._feed(duty, m.Learnt(self._learnt.get(pool, {})))
+            if pool in self._learnt:
+                self._feed(duty, self._learnt[pool])
             self._feed(duty, m.Recovered())
         self._tick_in(TICK_S)
         duty = self._own_duties[pool]
@@ -367,7 +390,7 @@
                 duty.poller = asyncio.create_task(self._poll(pool))
             self._duties[pool] = duty
             if pool in self._learnt:
-                self._feed(duty, m.Learnt(self._learnt[pool]))
+                self._feed(duty, self._learnt[pool])
             decision("dispatcher-taken", pool=pool)
         if mine:
             self._tick_in(TICK_S)
@@ -426,6 +449,11 @@
             self._links.tell(Send(address, message))
 
 
+def _learnt(news: PoolLearnt, old: bool = False) -> m.Learnt:
+    slowness = dict(zip(news.targets, news.slowness, strict=True))
+    return m.Learnt(slowness, news.first, news.token, news.share, old)
+
+
 def _work(info: WorkInfo, now: float) -> m.Work:
     return m.Work(
         info.ask,
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -16,6 +16,7 @@
 from hibiscusstep.desk import Desk
 from hibiscusstep.dispatching import Dispatching
 from hibiscusstep.errors import ConfigurationError
+from hibiscusstep.forwarding.beliefs import BeliefKeeper
 from hibiscusstep.forwarding.border import ForwardingBorder
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 from hibiscusstep.forwarding.catalog import Catalog, Follow, TableNews
@@ -59,7 +60,7 @@
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slots import SlotDispatcher
-from hibiscusstep.store import Change, Feed, Roster
+from hibiscusstep.store import BeliefStore, Change, Feed, Roster
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 
 __all__ = ["ForwardingInstance", "Surroundings"]
@@ -106,6 +107,8 @@
         The configuration and the targets' entries.
     roster : Roster
         The instances.
+    beliefs : BeliefStore
+        Keeps what dispatchers learnt.
     register : callable
         Returns an awaitable that puts this instance on the roster.
     read_table : callable of bytes
@@ -126,6 +129,7 @@
     tables: Feed
     targets: Feed
     roster: Roster
+    beliefs: BeliefStore
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
@@ -292,6 +296,9 @@
             self._targets,
             lambda: self._catalog.revision if self._targets_known else 0,
         )
+        self._keeper = BeliefKeeper(
+            self._around.beliefs, lambda news: self._dispatching.tell(news)
+        )
         self._dispatching = Dispatching(
             name,
             address,
@@ -301,6 +308,7 @@
             kind=partial(SlotDispatcher, switches=settings.switches),
             reads_reports=False,
             serves_itself=True,
+            kept=self._keeper.tell if settings.switches.kept_beliefs else None,
         )
         self._desk = Desk(
             name, incarnation, address, self._links, self._route, STANDBY_AFTER_S
@@ -328,6 +336,7 @@
             self._dispatching,
             self._desk,
             self._quotas,
+            *([self._keeper] if settings.switches.kept_beliefs else []),
         ]
         self._receivers = self._make_routes()
 
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -29,7 +29,10 @@
 }
 struct PoolGrant { 1: string pool, 2: string ask, 3: string target, 4: double waited }
 struct PoolRefuse { 1: string pool, 2: string ask, 3: string reason, 4: double retry_after }
-struct PoolLearnt { 1: string pool, 2: list<string> targets, 3: list<double> slowness }
+struct PoolLearnt {
+  1: string pool, 2: list<string> targets, 3: list<double> slowness, 4: double first,
+  5: double token, 6: double share
+}
 struct PoolHeld { 1: string pool, 2: string instance, 3: list<string> asks }
 struct PoolQueued { 1: string pool }
 struct Usage {
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -180,11 +180,14 @@
 
 @dataclass(slots=True)
 class PoolLearnt:
-    """How slow a pool's targets are, learnt by its dispatcher; for its successor."""
+    """What a pool's dispatcher learnt, for its successor; see ``messages.Learnt``."""
 
     pool: str
     targets: list[str]
     slowness: list[float]
+    first: float = 0.0
+    token: float = 0.0
+    share: float = 0.0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -16,6 +16,7 @@
     PlatformUnavailable,
 )
 from hibiscusstep.store import (
+    BeliefStore,
     Change,
     Feed,
     HistoryLost,
@@ -24,7 +25,7 @@
     Roster,
 )
 
-__all__ = ["ObjectClient", "ObjectFeed", "ObjectRoster"]
+__all__ = ["ObjectBeliefs", "ObjectClient", "ObjectFeed", "ObjectRoster"]
 
 _LOG = logging.getLogger(__name__)
 _ROOT = "/hibiscusstep/objects"
@@ -100,6 +101,33 @@
             except (IndexError, KeyError, TypeError, ValueError) as cause:
                 return Err(_malformed(kind, cause))
 
+    async def write(
+        self, kind: str, name: str, spec: dict, methods: tuple[str, str]
+    ) -> Result[None, PlatformError]:
+        """Write an object without a condition.
+
+        Parameters
+        ----------
+        kind, name : str
+            Of the object.
+        spec : dict
+            What it holds.
+        methods : tuple of str
+            The call to try first, and the one for the other case: POST makes an
+            object, PUT replaces one.
+        """
+        body = {"Metadata": {"Name": name}, "Spec": spec}
+        for method in methods:
+            path = kind if method == "POST" else f"{kind}/{quote(name)}"
+            written = await self.call(method, path, body=body)
+            if written.is_ok():
+                break
+            if not isinstance(
+                written.unwrap_err(), PlatformConflict | PlatformNotFound
+            ):
+                break
+        return written.map(lambda _reply: None)
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session:
@@ -210,12 +238,7 @@
             "PeerAddress": record.peer_address,
             "Capacity": record.capacity,
         }
-        body = {"Metadata": {"Name": record.name}, "Spec": spec}
-        made = await self._client.call("POST", self._KIND, body=body)
-        if made.is_err() and isinstance(made.unwrap_err(), PlatformConflict):
-            path = f"{self._KIND}/{quote(record.name)}"
-            made = await self._client.call("PUT", path, body=body)
-        return made.map(lambda _reply: None)
+        return await self._client.write(self._KIND, record.name, spec, ("POST", "PUT"))
 
     async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
         """Return the records; they may be some seconds old."""
@@ -226,6 +249,35 @@
             return Err(_malformed(self._KIND, cause))
 
 
+class ObjectBeliefs(BeliefStore):
+    """An object for each pool, which its dispatcher writes.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        Makes the calls.
+    """
+
+    _KIND = "hibiscusstep-beliefs"
+
+    def __init__(self, client: ObjectClient) -> None:
+        self._client = client
+
+    async def write(self, pool: str, document: dict) -> Result[None, PlatformError]:
+        """Write the document of a pool."""
+        return await self._client.write(self._KIND, pool, document, ("PUT", "POST"))
+
+    async def read_all(self) -> Result[dict[str, dict], PlatformError]:
+        """Return the documents by pool."""
+        listed = await self._client.list_all(self._KIND, Serializable="1")
+        try:
+            return listed.map(
+                lambda found: {i["Metadata"]["Name"]: i["Spec"] for i in found[0]}
+            )
+        except (KeyError, TypeError) as cause:
+            return Err(_malformed(self._KIND, cause))
+
+
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -4,7 +4,12 @@
 from pathlib import Path
 
 from hibiscusstep.forwarding.instance import Surroundings
-from hibiscusstep.platform.client import ObjectClient, ObjectFeed, ObjectRoster
+from hibiscusstep.platform.client import (
+    ObjectBeliefs,
+    ObjectClient,
+    ObjectFeed,
+    ObjectRoster,
+)
 from hibiscusstep.platform.documents import (
     CONFIGURATION_KIND,
     TARGET_KIND,
@@ -57,6 +62,7 @@
         tables=ObjectFeed(client, CONFIGURATION_KIND, decode_table),
         targets=ObjectFeed(client, TARGET_KIND, decode_target),
         roster=roster,
+        beliefs=ObjectBeliefs(client),
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
--- a/hibiscusstep/routing/base.py
+++ b/hibiscusstep/routing/base.py
@@ -73,9 +73,9 @@
         """How many wait, by tier."""
 
     @property
-    def learnt(self) -> dict[str, float]:
-        """The slowness of targets, for those that may dispatch next."""
-        return {}
+    def learnt(self) -> m.Learnt | None:
+        """What was learnt, for those that may dispatch next; None if nothing."""
+        return None
 
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
--- a/hibiscusstep/routing/engine_model.py
+++ b/hibiscusstep/routing/engine_model.py
@@ -40,12 +40,19 @@
     _xy: float = 0.0
     first: float = FIRST_TOKEN_S
     token: float = 1.0 / PREFILL_TOKENS_PER_S
+    learnt: int = 0
 
     def __post_init__(self) -> None:
         """Begin with the first guess."""
+        self.believe(self.first, self.token)
+
+    def believe(self, first: float, token: float) -> None:
+        """Begin with what others learnt."""
+        self.first, self.token = first, token
+        self._weight = self._x = self._xx = self._y = self._xy = 0.0
         for prompt in PRIOR_PROMPTS:
-            seconds = FIRST_TOKEN_S + prompt / PREFILL_TOKENS_PER_S
-            self._add(prompt, seconds, PRIOR_ANSWERS / len(PRIOR_PROMPTS))
+            weight = PRIOR_ANSWERS / len(PRIOR_PROMPTS)
+            self._add(prompt, first + prompt * token, weight)
 
     def prefill(self, prompt_tokens: int) -> float:
         """Return the seconds for which a prompt is read."""
@@ -59,6 +66,7 @@
         """Learn from a first token, in seconds as on a target of slowness 1."""
         for name in ("_weight", "_x", "_xx", "_y", "_xy"):
             setattr(self, name, KEEP * getattr(self, name))
+        self.learnt += 1
         self._add(prompt_tokens, seconds, 1.0)
         spread = self._weight * self._xx - self._x**2
         if spread <= 0:
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -173,9 +173,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Learnt:
-    """How slow targets are, by another dispatcher of the pool."""
+    """What a dispatcher of the pool learnt, or one before a restart of all.
+
+    Parameters
+    ----------
+    slowness : dict of str to float
+        Of targets by name.
+    first, token : float
+        Seconds before a first token, and of a prompt's token; 0 if not learnt.
+    share : float
+        Seconds of prompts that are read between two events; 0 if not learnt.
+    old : bool
+        Whether it only stands in for what is not known yet.
+    """
 
     slowness: dict[str, float]
+    first: float = 0.0
+    token: float = 0.0
+    share: float = 0.0
+    old: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -11,6 +11,7 @@
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
 # What the beginning of one answer may say: it holds a connection's time too.
 MIN_FIRST_GUESS, MAX_FIRST_GUESS = 0.5, 4.0
+FIRST_GUESS_LEARN = 0.5
 # Weight of the work that runs at a target against the request's own; 0.6 measured the
 # same.
 RUNNING_WEIGHT = 0.3
@@ -47,6 +48,8 @@
         Whether its first token came.
     alone : bool
         Whether no other prompt was read at the target meanwhile.
+    expected_first : float
+        The guessed seconds to its first token at slowness 1.
     beside : float
         The most guessed seconds of prompts that were to be read while it ran.
     """
@@ -57,6 +60,7 @@
     prefill: float
     began: bool = False
     alone: bool = True
+    expected_first: float = 1.0
     beside: float = 0.0
 
 
@@ -183,9 +187,9 @@
         self.failing *= 1 - FAILURE_LEARN
 
     def guess(self, ratio: float) -> None:
-        """Take a first answer's beginning for the speed until an answer is whole."""
-        if not self.learnt:
-            self.slowness = min(MAX_FIRST_GUESS, max(MIN_FIRST_GUESS, ratio))
+        """Take an answer's beginning for the speed until an answer is whole."""
+        ratio = min(MAX_FIRST_GUESS, max(MIN_FIRST_GUESS, ratio))
+        self.slowness += FIRST_GUESS_LEARN * (ratio - self.slowness)
 
     def learn(self, ratio: float) -> None:
         """Learn from seconds that work took against the guess."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -12,6 +12,7 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.engine_model import (
+    FIRST_SHARE_S,
     STEP_S,
     AnswerLengths,
     EngineModel,
@@ -99,6 +100,8 @@
         self._model = EngineModel()
         self._lengths = AnswerLengths()
         self._reading = ReadingShare()
+        # Slowness of targets by others, also of those that are not known here yet.
+        self._kept: dict[str, float] = {}
         self._rate = 0.0
         self._fastest = 1.0
         self._rate_at = -math.inf
@@ -113,9 +116,14 @@
         return self._queue.by_tier
 
     @property
-    def learnt(self) -> dict[str, float]:
-        """The slowness of the targets of which something was learnt."""
-        return {name: t.slowness for name, t in self._targets.items() if t.learnt}
+    def learnt(self) -> m.Learnt | None:
+        """The slowness of targets and the engines' figures; None if nothing is."""
+        slowness = {name: t.slowness for name, t in self._targets.items() if t.learnt}
+        if not slowness:
+            return None
+        model, share = self._model, self._reading.most
+        known = share if share != FIRST_SHARE_S else 0.0
+        return m.Learnt(slowness, model.first, model.token, known)
 
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
@@ -177,13 +185,13 @@
     def _first_token(self, message: m.FirstToken, now: float) -> None:
         target = self._targets.get(self._placed.get(message.ask, ""))
         run = target.begin(message.ask) if target else None
-        if run is None or not run.alone or not self._engine:
+        if run is None or not self._engine:
             return
-        prompt = run.work.prompt_tokens
-        if target.learnt and self._switches.engine_model:
+        if not target.learnt:
+            target.guess(message.seconds / run.expected_first)
+        elif run.alone and self._switches.engine_model:
+            prompt = run.work.prompt_tokens
             self._model.learn(prompt, message.seconds / target.slowness)
-        elif not target.learnt:
-            target.guess(message.seconds / self._model.cost(prompt, 0))
 
     @_take.register
     def _finished(self, message: m.Finished, now: float) -> None:
@@ -218,11 +226,24 @@
 
     @_take.register
     def _take_learnt(self, message: m.Learnt, now: float) -> None:
-        for name, slowness in message.slowness.items():
-            target = self._targets.get(name)
-            if target:
-                target.slowness = slowness
-                target.learnt = max(1, target.learnt)
+        if not message.old:
+            self._kept = {}
+        elif self.learnt:
+            return
+        self._kept |= message.slowness
+        for target in self._targets.values():
+            self._believe(target)
+        if message.token and not self._model.learnt:
+            self._model.believe(message.first, message.token)
+        if message.share and self._reading.most == FIRST_SHARE_S:
+            self._reading.most = message.share
+
+    def _believe(self, target: SlotTarget) -> None:
+        """Take over what others learnt of a target."""
+        slowness = self._kept.get(target.name)
+        if slowness is not None:
+            target.slowness = slowness
+            target.learnt = max(1, target.learnt)
 
     @_take.register
     def _load_report(self, message: m.LoadReport, now: float) -> None:
@@ -283,6 +304,7 @@
                 target = SlotTarget(name, planned.slots)
                 target.data_centre = planned.data_centre
                 self._targets[name] = target
+                self._believe(target)
             target.slots = planned.slots
             target.leaving |= planned.leaving
         for name in self._targets.keys() - pool.targets.keys():
@@ -390,7 +412,9 @@
 
     def _run(self, target: SlotTarget, work: m.Work, now: float) -> None:
         prefill = self._model.prefill(work.prompt_tokens) if self._engine else 0.0
-        target.add(work.ask, Run(work, now, self._cost(work), prefill))
+        run = Run(work, now, self._cost(work), prefill)
+        run.expected_first = target.prefill_left(now) + self._reach(work)
+        target.add(work.ask, run)
         self._placed[work.ask] = target.name
 
     def _expire(self, now: float) -> None:
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -98,6 +98,9 @@
         (1, "string", "pool"),
         (2, "list<string>", "targets"),
         (3, "list<double>", "slowness"),
+        (4, "double", "first"),
+        (5, "double", "token"),
+        (6, "double", "share"),
     ),
     "PoolHeld": (
         (1, "string", "pool"),
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -8,6 +8,7 @@
 from hibiscusstep.errors import PlatformError
 
 __all__ = [
+    "BeliefStore",
     "Change",
     "Feed",
     "HistoryLost",
@@ -115,6 +116,18 @@
         """
 
 
+class BeliefStore(ABC):
+    """Keeps a small document for each pool, for the time after a restart of all."""
+
+    @abstractmethod
+    async def write(self, pool: str, document: dict) -> Result[None, PlatformError]:
+        """Write the document of a pool; the last one written stands."""
+
+    @abstractmethod
+    async def read_all(self) -> Result[dict[str, dict], PlatformError]:
+        """Return the documents by pool; they may be some seconds old."""
+
+
 class Platform(Roster):
     """Object service with versions, conditional updates and watches.
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -253,7 +253,7 @@
         first, second = _dispatcher((4, 4)), _dispatcher((4, 4))
         first.handle(m.Ask(_work("a")), 0.0)
         first.handle(m.Finished("a", m.Outcome.DONE, 50, 5.0), 5.0)
-        second.handle(m.Learnt(first.learnt), 6.0)
+        second.handle(first.learnt, 6.0)
         assert second.targets["t0"].slowness == first.targets["t0"].slowness > 5
         assert _grants(second.handle(m.Ask(_work("b")), 7.0)) == {"b": "t1"}
 
