A customer's tokens are set aside once a request has its target

Change: at its receipt a request is refused if its tokens do not fit by what was used; they are set aside when it has a target, and it is refused then if they no longer fit. Test: test_quota.py, what waits for a target takes nothing from others.

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -12,13 +12,12 @@
     IngressLimits,
     RoutingTable,
 )
-from hibiscusstep.forwarding.quota import QuotaKeeper, Ticket
+from hibiscusstep.forwarding.quota import QUOTA_RETRY_S, QuotaClaim, QuotaKeeper
 from hibiscusstep.log import decision
 
 __all__ = ["ForwardingBorder"]
 
 NOT_READY_RETRY_S = 0.5
-QUOTA_RETRY_S = 1.0
 # Another instance takes it at once.
 STOPPING_RETRY_S = 0.05
 # A stopping instance begins what may last beyond its end for so long; the balancer has
@@ -121,7 +120,7 @@
             route = self._find_route(request)
             customer = self._find_customer(route, head.key)
             body = await self._read_body(request)
-            ticket = self._take_quota(customer, head)
+            claim = self._claim_quota(customer, head)
         except _Rejected as rejected:
             return self._reject(request, head.request, rejected)
         pool = route.choose_pool()
@@ -133,13 +132,13 @@
             pool,
             customer,
             received,
-            ticket,
+            claim,
         )
         try:
             return await Exchange(incoming, self._means).run()
         finally:
-            if ticket:
-                ticket.release()
+            if claim:
+                claim.release()
 
     def _find_route(self, request: web.Request) -> ForwardRoute:
         if self._table is None:
@@ -163,16 +162,16 @@
             raise _Rejected(401, "unknown key")
         return customer
 
-    def _take_quota(self, customer: CustomerRule | None, head) -> Ticket | None:
+    def _claim_quota(self, customer: CustomerRule | None, head) -> QuotaClaim | None:
         if customer is None:
             return None
         tokens = head.prompt_tokens + head.output_tokens
         if not head.counted:
             tokens = customer.quota.plain_tokens
-        ticket = self._quotas.admit(customer, tokens, head.request)
-        if ticket is None:
+        claim = QuotaClaim(self._quotas, customer, tokens, head.request)
+        if not claim.fits():
             raise _Rejected(429, "over the quota", QUOTA_RETRY_S)
-        return ticket
+        return claim
 
     async def _read_body(self, request: web.Request) -> bytes:
         limits = self.limits
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -17,6 +17,7 @@
     Repeat,
 )
 from hibiscusstep.forwarding.pace import Pace
+from hibiscusstep.forwarding.quota import QUOTA_RETRY_S
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import MailboxFull
 from hibiscusstep.peer import WorkInfo
@@ -126,6 +127,9 @@
                 if len(self._avoid) > MAX_UNKNOWN_TARGETS:
                     return self._refused(UNKNOWN_RETRY_S, "unknown targets")
                 continue
+            if self._in.claim and not self._in.claim.take():
+                self._end(m.Outcome.UNUSED)
+                return self._refused(QUOTA_RETRY_S, "over the quota", 429)
             self._attempts += 1
             left = await self._attempt(target)
             if left is None:
@@ -265,8 +269,8 @@
             self._splitter.last_id,
         )
         fields = dialect.order_fields(incoming.request.raw_headers, order)
-        if incoming.ticket:
-            incoming.ticket.use()
+        if incoming.claim:
+            incoming.claim.use()
         connection.begin()
         connection.write(_serialize(incoming, fields))
         self._may_have_run = True
@@ -419,11 +423,14 @@
             return self._refused(0.2, "targets took it not")
         return self._fail(502, "no whole answer")
 
-    def _refused(self, retry_after: float, reason) -> web.StreamResponse:
+    def _refused(
+        self, retry_after: float, reason, status: int = 503
+    ) -> web.StreamResponse:
         if self._may_have_run or self._response is not None:
             return self._fail(502, f"refused after an attempt: {reason}")
-        self._log_end(503, str(reason))
-        return web.Response(status=503, headers={"Retry-After": f"{retry_after:.2f}"})
+        self._log_end(status, str(reason))
+        headers = {"Retry-After": f"{retry_after:.2f}"}
+        return web.Response(status=status, headers=headers)
 
     def _fail(self, status: int, why: str) -> web.StreamResponse:
         self._log_end(status, why)
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -11,7 +11,7 @@
 from hibiscusstep.forwarding.dialect import Dialect, RequestHead
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
-from hibiscusstep.forwarding.quota import Ticket
+from hibiscusstep.forwarding.quota import QuotaClaim
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 
 __all__ = ["Incoming", "Means"]
@@ -40,7 +40,7 @@
         Whose it is; None on a public route.
     received : float
         When its head came, in seconds on the loop's clock.
-    ticket : Ticket or None
+    claim : QuotaClaim or None
         Its tokens of the customer's quota.
     """
 
@@ -51,7 +51,7 @@
     pool: str
     customer: CustomerRule | None
     received: float
-    ticket: Ticket | None = None
+    claim: QuotaClaim | None = None
 
     @property
     def due(self) -> float:
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -13,8 +13,10 @@
 from hibiscusstep.peer import Received, Usage
 from hibiscusstep.peerlink import Send
 
-__all__ = ["QuotaKeeper", "Ticket", "Window"]
+__all__ = ["QUOTA_RETRY_S", "QuotaClaim", "QuotaKeeper", "Ticket", "Window"]
 
+# Whoever is beyond a quota may come again after so many seconds.
+QUOTA_RETRY_S = 1.0
 # Instances tell each other what they let through this often; what happens in between
 # is bounded by the overage that a quota allows.
 TELL_INTERVAL_S = 0.2
@@ -98,6 +100,58 @@
             self._keeper.settle(self._customer, self._tokens, used=False)
 
 
+class QuotaClaim:
+    """A request's wish for tokens, set aside only once it has a target.
+
+    What waits may still be refused for load: counted while it waited, a burst of one
+    customer was refused by quota for what it never used.
+
+    Parameters
+    ----------
+    keeper : QuotaKeeper
+        Where they are counted.
+    customer : CustomerRule
+        Whose they are.
+    tokens : int
+        How many.
+    request : str
+        Id of the request, for the log.
+    """
+
+    __slots__ = ("_customer", "_keeper", "_request", "_ticket", "_tokens")
+
+    def __init__(
+        self, keeper: "QuotaKeeper", customer: CustomerRule, tokens: int, request: str
+    ) -> None:
+        self._keeper = keeper
+        self._customer = customer
+        self._tokens = tokens
+        self._request = request
+        self._ticket: Ticket | None = None
+
+    def fits(self) -> bool:
+        """Whether the tokens are within the quota now."""
+        return self._keeper.fits(self._customer, self._tokens, self._request)
+
+    def take(self) -> bool:
+        """Set the tokens aside, once; return whether they are."""
+        if self._ticket is None:
+            self._ticket = self._keeper.admit(
+                self._customer, self._tokens, self._request
+            )
+        return self._ticket is not None
+
+    def use(self) -> None:
+        """Count the tokens as used, once."""
+        if self._ticket is not None:
+            self._ticket.use()
+
+    def release(self) -> None:
+        """Give the tokens back if they were set aside and not used."""
+        if self._ticket is not None:
+            self._ticket.release()
+
+
 @dataclass(slots=True)
 class _Peer:
     """What another instance has told: totals since its start, by customer."""
@@ -176,16 +230,24 @@
         self, customer: CustomerRule, tokens: int, request: str = ""
     ) -> Ticket | None:
         """Set tokens aside for a request; None if they are beyond the quota."""
-        now = asyncio.get_running_loop().time()
         if not customer.quota.rate:
             return Ticket(self, customer.name, 0)
+        if not self.fits(customer, tokens, request):
+            return None
+        self._pending[customer.name] += tokens
+        return Ticket(self, customer.name, tokens)
+
+    def fits(self, customer: CustomerRule, tokens: int, request: str = "") -> bool:
+        """Return whether tokens are within the quota; log it if they are not."""
+        if not customer.quota.rate:
+            return True
+        now = asyncio.get_running_loop().time()
         limit, used = self.limit(customer, now), self.used(customer.name, now)
         left = limit - used
         if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
             self._log_refusal(request, customer, tokens, limit, used, now)
-            return None
-        self._pending[customer.name] += tokens
-        return Ticket(self, customer.name, tokens)
+            return False
+        return True
 
     def _log_refusal(self, request, customer, tokens, limit, used, now) -> None:
         quota, name = customer.quota, customer.name
--- a/hibiscusstep/load/account.py
+++ b/hibiscusstep/load/account.py
@@ -156,12 +156,12 @@
             return _fate_of_attempt(record)
         case "given-up":
             return _STATUS_FATES.get(record["status"], Fate.LOST)
-        case "over-quota":
+        case "rejected" if record["status"] == 429:
             return Fate.QUOTA
     return None
 
 
-_STATUS_FATES = {499: Fate.LEFT, 503: Fate.REFUSED, 504: Fate.CUT}
+_STATUS_FATES = {429: Fate.QUOTA, 499: Fate.LEFT, 503: Fate.REFUSED, 504: Fate.CUT}
 
 
 def _fate_of_attempt(record: dict) -> str | None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,7 +4,7 @@
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule, Quota
-from hibiscusstep.forwarding.quota import QuotaKeeper, Window
+from hibiscusstep.forwarding.quota import QuotaClaim, QuotaKeeper, Window
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
@@ -154,6 +154,17 @@
         assert keeper.admit(RULE, 10)
         assert not keeper.admit(RULE, 10)
 
+    async def test_what_waits_for_a_target_takes_nothing_from_others(self, fleet):
+        """In a burst most of what waits is refused for load, and never used."""
+        keeper = fleet.keepers[0]
+        waiting = [QuotaClaim(keeper, RULE, 10, f"r{n}") for n in range(500)]
+        assert all(claim.fits() for claim in waiting)
+        taken = [claim for claim in waiting if claim.take()]
+        assert 0 < len(taken) < 500
+        assert not QuotaClaim(keeper, RULE, 10, "late").take()
+        taken[0].release()
+        assert QuotaClaim(keeper, RULE, 10, "late").take()
+
     async def test_no_rate_is_no_limit(self, fleet):
         rule = CustomerRule("free", frozenset(), None, Quota(0.0, 0.0, 10))
         assert all(fleet.keepers[0].admit(rule, 10**6) for _ in range(50))
