A huge prompt spares the streams of slow targets

Hypothesis: the long pauses that are left at the slow targets come from single prompts. Ruled out: the share read between two events (learnt right, 0.66 s there), small prompts together (a few cases). Change: a request that is in time nowhere goes where it does not hold up the streams that run, and waits for such a target if none is free; 12 requests are weighed for a free slot instead of 24. Test: test_slots.py, a huge prompt spares the streams of a slow target.

--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -30,7 +30,7 @@
 # Streams with fewer events tell too little of a target's pace.
 MIN_EVENTS = 6
 # So many of the waiting requests are weighed for the free targets at a time.
-WEIGHED = 24
+WEIGHED = 12
 # Targets whose prices stand in the log with a grant.
 LOGGED = 6
 # Weight of a second by which a first token would be late, and seconds that a stream is
@@ -367,15 +367,32 @@
     def _choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
         """Return the best of the free targets; None if another is worth the wait."""
         own = self._cost(work)
-        others = [target for target in free if target.name not in work.avoid]
+        others = [target for target in free if target.name not in work.avoid] or free
         if not self._engine:
-            return min(others or free, key=lambda t: t.cost(own, now))
-        best = min(others or free, key=lambda t: self._price(t, work, own, now))
+            return min(others, key=lambda t: t.cost(own, now))
+        best = min(others, key=lambda t: self._price(t, work, own, now))
         overdue = not work.due and now >= work.deadline
         if overdue or self._serves_in_time(best, work, now):
             return best
-        worth_it = any(self._serves_in_time(t, work, now) for t in usable)
-        return None if worth_it else best
+        if any(self._serves_in_time(t, work, now) for t in usable):
+            return None
+        return self._choose_without_harm(work, others, usable, best, now)
+
+    def _choose_without_harm(
+        self, work: m.Work, free, usable, best: SlotTarget, now: float
+    ) -> SlotTarget | None:
+        """Return the target for a request that is in time nowhere.
+
+        It waits for one where it does not hold up the streams that run there: a prompt
+        of 54,600 tokens on a slow target made all ten of them late.
+        """
+        prefill = self._model.prefill(work.prompt_tokens)
+        spared = [target for target in free if not self._harms(target, prefill, now)]
+        if spared:
+            own = self._cost(work)
+            return min(spared, key=lambda t: self._price(t, work, own, now))
+        waits = any(not self._would_harm(target, prefill) for target in usable)
+        return None if waits else best
 
     def _serves_in_time(self, target: SlotTarget, work: m.Work, now: float) -> bool:
         """Whether the first token would be on time, the end, and others' pauses."""
@@ -387,14 +404,21 @@
             steps = self._lengths.cautious(work.output_tokens)
             if first + target.slowness * steps * STEP_S > work.ends:
                 return False
-        pause = self._pause(target, prefill, now)
-        return not target.running or pause <= PAUSE_MARGIN * self._max_pause
+        return not self._harms(target, prefill, now)
+
+    def _harms(self, target: SlotTarget, prefill: float, now: float) -> bool:
+        """Whether a prompt makes the pauses of the streams at a target too long."""
+        pause = self._pause(target, target.prefill_left(now) + prefill)
+        return bool(target.running) and pause > PAUSE_MARGIN * self._max_pause
+
+    def _would_harm(self, target: SlotTarget, prefill: float) -> bool:
+        """Whether it would with nothing else to read there."""
+        return self._pause(target, prefill) > PAUSE_MARGIN * self._max_pause
 
-    def _pause(self, target: SlotTarget, prefill: float, now: float) -> float:
-        """Return the guessed seconds between events there while a prompt is read."""
+    def _pause(self, target: SlotTarget, to_read: float) -> float:
+        """Return the guessed seconds between events there while prompts are read."""
         steps = self._tokens_per_event * STEP_S
-        reading = target.prefill_left(now) + prefill
-        return target.slowness * (steps + self._reading.between_events(reading))
+        return target.slowness * (steps + self._reading.between_events(to_read))
 
     def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
         """Return the weighed seconds of a request, and of what it does to others."""
@@ -405,8 +429,7 @@
         if work.due:
             first = target.first_token(prefill, self._model.first, now)
             price += LATE_WEIGHT * max(0.0, first - work.due)
-        pause = self._pause(target, prefill, now)
-        if pause > PAUSE_MARGIN * self._max_pause:
+        if self._harms(target, prefill, now):
             price += PAUSE_COST_S * len(target.running)
         return price
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -287,6 +287,30 @@
         done = m.Finished("a", m.Outcome.DONE, 10, 0.1)
         assert _grants(dispatcher.handle(done, 0.3)) == {"b": "t0"}
 
+    def test_a_huge_prompt_spares_the_streams_of_a_slow_target(self):
+        """In time nowhere, it went to whichever slot was free."""
+        targets = {name: PlannedTarget(2) for name in ("fast", "slow")}
+        plan = Plan({"p": PlannedPool(True, 6, 0.3, targets)})
+        dispatcher = SlotDispatcher("p", plan)
+        dispatcher.handle(m.Recovered(), 0.0)
+        slowness = {"fast": 1.0, "slow": 5.0}
+        dispatcher.handle(m.Learnt(slowness, 0.02, 9e-6, share=0.15), 0.0)
+
+        def ask(name, prompt, now, due):
+            work = m.Work(
+                name, name, "i", "c", "0", 0, prompt, 50, now + 0.2, now, due=due,
+                ends=now + 15.0,
+            )  # fmt: skip
+            return _grants(dispatcher.handle(m.Ask(work), now))
+
+        for n in range(3):
+            assert ask(f"a{n}", 300, 0.0, 1.0)
+            dispatcher.handle(m.FirstToken(f"a{n}", 0.05), 0.1)
+        assert len(dispatcher.targets["fast"].running) == 2
+        assert not ask("huge", 60_000, 0.2, 0.5)
+        done = m.Finished("a0", m.Outcome.DONE, 10, 0.2)
+        assert _grants(dispatcher.handle(done, 0.4)) == {"huge": "fast"}
+
     def test_a_target_that_serves_in_time_is_waited_for(self):
         dispatcher = _dispatcher((1, 1))
         dispatcher.handle(m.Learnt({"t0": 1.0, "t1": 8.0}), 0.0)
