Silent connections between instances are found; what is late hides no full queue

Fault: a connection between two instances that goes silent for good, without a reset, was never made anew: heartbeats and grants into it were lost until one side ended. Targets' connections had a time-out for what is sent, and none for a stream that is only read. Change: who receives frames tells so, one byte for all of 0.2 s; a connection whose frames are not acknowledged for 1.5 s is made anew. Connections to targets are probed by the system after 2 s without a byte. The store's calls all had a time-out. Change: the last is refused when its wait is longer than it waits, late or not.

--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -1,5 +1,6 @@
 """hibiscusstep.cmdline.load: the program hibiscusstep-load."""
 
+import itertools
 import sys
 from pathlib import Path
 
@@ -10,10 +11,11 @@
 from hibiscusstep.checker import check_history
 from hibiscusstep.cmdline.common import EXIT_CODES, one_line_errors, run
 from hibiscusstep.events import read_history
+from hibiscusstep.load.account import take_account
 from hibiscusstep.load.compare import Deployment, compare, summarize
 from hibiscusstep.load.drive import Driver
 from hibiscusstep.load.mix import arrivals, load_mix
-from hibiscusstep.load.plot import plot_summary
+from hibiscusstep.load.plot import plot_account, plot_summary
 from hibiscusstep.load.report import make_report
 from hibiscusstep.operations import OperatorClient
 from hibiscusstep.policies import POLICIES
@@ -84,6 +86,21 @@
         sys.exit(EXIT_BROKEN_PROMISE)
 
 
+@main.command()
+@click.argument("logs", nargs=-1, required=True, type=click.File("r", errors="replace"))
+@click.option("--window", default=2.0, show_default=True, help="Seconds of a row.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a PNG.")
+@one_line_errors
+def account(logs, window: float, plot: Path | None) -> None:
+    """Tell from the log lines of all instances where requests were lost or late."""
+    lines = itertools.chain.from_iterable(logs)
+    taken = take_account(lines, window)
+    for line in taken.lines():
+        click.echo(line)
+    if plot:
+        plot_account(taken, plot)
+
+
 @main.command("compare")
 @_MIX
 @_CALLERS
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -20,6 +20,11 @@
 CONNECT_TIMEOUT_S = 0.4
 # Unacknowledged bytes for so long mean that the target's machine is gone.
 USER_TIMEOUT_MS = 4000
+# A connection on which nothing comes is probed: one that went silent for good, without
+# a reset, ends after 4 s in the midst of an answer. Busy streams are never probed.
+PROBE_AFTER_S = 2
+PROBE_INTERVAL_S = 1
+PROBES = 2
 READ_LIMIT_BYTES = 1 << 16
 # Where a target names no idle time it is under a second: reuse only what is fresh.
 UNNAMED_IDLE_S = 0.4
@@ -252,8 +257,18 @@
             detail = f"{type(cause).__name__}"
             raise TargetError(detail, step="connect", peer=name, sent=False) from None
         sock = connection.transport.get_extra_info("socket")
-        with contextlib.suppress(OSError, AttributeError):
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-            )
+        _find_silence(sock)
         return connection
+
+
+def _find_silence(sock) -> None:
+    """Let the system end a connection whose other side is not heard any more."""
+    with contextlib.suppress(OSError, AttributeError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+            (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, PROBES),
+        ):
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/hibiscusstep/load/plot.py
+++ b/hibiscusstep/load/plot.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
-__all__ = ["plot_summary"]
+from hibiscusstep.load.account import Account, Fate
+
+__all__ = ["plot_account", "plot_summary"]
 
 FIGURES = ("goodput.", "wasted")
 
@@ -39,3 +41,30 @@
     figure.tight_layout()
     figure.savefig(path, dpi=80)
     pyplot.close(figure)
+
+
+def plot_account(account: Account, path: Path) -> None:
+    """Draw the fates of all attempts by window, one on the other.
+
+    Parameters
+    ----------
+    account : Account
+        As `hibiscusstep.load.account.take_account` returns it.
+    path : pathlib.Path
+        The PNG to write.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    starts = sorted(account.windows)
+    counts = [[account.windows[start][fate] for start in starts] for fate in Fate.ALL]
+    figure, axis = pyplot.subplots(figsize=(9, 4))
+    axis.stackplot(starts, counts, labels=Fate.ALL, step="post")
+    axis.set_xlabel("seconds")
+    axis.set_ylabel("attempts in a window")
+    axis.legend(loc="upper right", fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -25,6 +25,14 @@
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
+# The receiver tells that frames have come, one byte for all of so many seconds.
+ACKNOWLEDGE_AFTER_S = 0.2
+_ACKNOWLEDGEMENT = b"."
+ACKNOWLEDGEMENTS_READ = 64
+# A connection may go silent for good without a reset while a new one would work: it is
+# made anew when what was written so long ago is not acknowledged. Beyond the pause of a
+# busy peer, and as long as a peer may be silent before it is taken for dead.
+SILENT_AFTER_S = 1.5
 _HEAD = struct.Struct(">I")
 _NUMBER = struct.Struct(">Q")
 _KINDS = {cls: number for number, cls in enumerate(MESSAGES)}
@@ -178,11 +186,21 @@
             theirs = await reader.readexactly(NONCE_BYTES)
             authenticator = Authenticator(self._key, theirs + nonce)
             sender = (await read_frame(reader, authenticator)).decode()
-        while True:
-            body = await read_frame(reader, authenticator)
-            message = codec.decode(MESSAGES[body[0]], body[1:])
-            if sender not in self._cut:
-                self._deliver(Received(sender, message))
+        acknowledgement: asyncio.TimerHandle | None = None
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                body = await read_frame(reader, authenticator)
+                if acknowledgement is None or acknowledgement.when() <= loop.time():
+                    acknowledgement = loop.call_later(
+                        ACKNOWLEDGE_AFTER_S, writer.write, _ACKNOWLEDGEMENT
+                    )
+                message = codec.decode(MESSAGES[body[0]], body[1:])
+                if sender not in self._cut:
+                    self._deliver(Received(sender, message))
+        finally:
+            if acknowledgement:
+                acknowledgement.cancel()
 
     async def connect(self, address: str):
         """Return a writer and its authenticator after the handshake."""
@@ -203,6 +221,8 @@
         self._links = links
         self._address = address
         self._queue: asyncio.Queue = asyncio.Queue(QUEUE_LENGTH)
+        # When the first frame was written that is not acknowledged yet.
+        self._unacknowledged_since: float | None = None
         self.task = asyncio.create_task(self._run(), name=f"link {address}")
 
     def put(self, body: bytes | None) -> None:
@@ -227,7 +247,14 @@
             backoff = min(MAX_BACKOFF_S, backoff * 2)
 
     async def _write_all(self, reader, writer, authenticator) -> None:
-        """Write what is queued, all that waits at once, until the peer closes."""
+        """Write what is queued, all that waits at once, until the peer closes.
+
+        Raises
+        ------
+        TimeoutError
+            If the peer does not tell that frames come.
+        """
+        self._unacknowledged_since = None
         watch = asyncio.create_task(self._watch(reader))
         try:
             while (body := await self._queue.get()) is not None:
@@ -236,14 +263,23 @@
                     frames.append(authenticator.frame(more))
                 data = b"".join(frames)
                 self._links.bytes_sent += len(data)
+                self._expect_acknowledgement()
                 writer.write(data)
                 await writer.drain()
         finally:
             watch.cancel()
             writer.close()
 
+    def _expect_acknowledgement(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._unacknowledged_since is None:
+            self._unacknowledged_since = now
+        elif now > self._unacknowledged_since + SILENT_AFTER_S:
+            raise TimeoutError("the peer has fallen silent")
+
     async def _watch(self, reader) -> None:
-        """Wake the writing when the peer closes; it never sends on this connection."""
+        """Take note of what the peer acknowledges; wake the writing when it closes."""
         with contextlib.suppress(OSError):
-            await reader.read(1)
+            while await reader.read(ACKNOWLEDGEMENTS_READ):
+                self._unacknowledged_since = None
         self.put(None)
--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -18,10 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
-    """A waiting request: its place in the order, and its guessed seconds."""
+    """A waiting request: its place in the order, its guessed seconds, until when."""
 
     entry: tuple[int, bool, float, int, Work]
     cost: float
+    deadline: float
 
 
 class SlotQueue:
@@ -75,7 +76,7 @@
         ticket = next(self._tickets)
         entry = (work.rank, late, work.received, ticket, work)
         self._order.add(entry)
-        self._by_ask[work.ask] = _Waiting(entry, cost)
+        self._by_ask[work.ask] = _Waiting(entry, cost, deadline)
         self._backlog[entry[:2]] += cost
         heapq.heappush(self._deadlines, (deadline, ticket, work.ask))
 
@@ -99,9 +100,9 @@
         total = sum(cost for place, cost in self._backlog.items() if place <= own)
         return max(0.0, total - waiting.cost)
 
-    def is_late(self, ask: str) -> bool:
-        """Whether a waiting request came too late to be served in time."""
-        return self._by_ask[ask].entry[1]
+    def deadline(self, ask: str) -> float:
+        """Return until when a waiting request waits."""
+        return self._by_ask[ask].deadline
 
     def overdue(self, now: float) -> Iterator[Work]:
         """Yield those whose deadline has passed; the caller removes each."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -451,7 +451,7 @@
         while self._queue:
             work = self._queue[-1]
             wait = self._wait(work.ask)
-            if self._queue.is_late(work.ask) or now + wait < work.deadline:
+            if now + wait < self._queue.deadline(work.ask):
                 return
             self._refuse(work, wait)
 
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.connections against raw targets."""
 
 import asyncio
+import socket
 
 import pytest
 from platform_standin import TargetStandIn, answer
@@ -113,3 +114,20 @@
         with pytest.raises(TargetError) as caught:
             await ConnectionPool().acquire("t", target.address)
         assert not caught.value.sent
+
+
+class TestSilence:
+    async def test_connections_are_probed_when_nothing_comes(self):
+        """Only the system can find that a silent connection is dead."""
+        server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pool = ConnectionPool()
+        connection = await pool.acquire("t", f"{host}:{port}")
+        sock = connection.transport.get_extra_info("socket")
+        option = sock.getsockopt
+        assert option(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        assert option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 2
+        assert option(socket.IPPROTO_TCP, socket.TCP_KEEPCNT) <= 3
+        assert 0 < option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 4000
+        connection.abort()
+        server.close()
