An instance that was taken for dead and lives is asked to register again

Found by reading: a dispatcher drops what an instance holds when it leaves its view. If that instance lives (its heartbeats were late, as under load), and did not lose its dispatcher from its own view, nobody tells it: what waits there is refused at its deadline. Change: an instance whose incarnation comes back into the view is told to register. Test: test_dispatching.py; the first of three fails without the change.

--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -62,10 +62,15 @@
 
 @dataclass(slots=True, eq=False)
 class _Duty:
-    """One pool that falls to this instance."""
+    """One pool that falls to this instance.
+
+    `registered` are the incarnations that told what they hold, `dropped` those that
+    were taken for dead since.
+    """
 
     dispatcher: PoolDispatcher
     registered: set[str] = field(default_factory=set)
+    dropped: set[str] = field(default_factory=set)
     addresses: dict[str, str] = field(default_factory=dict)
     heard: dict[str, float] = field(default_factory=dict)
     poller: asyncio.Task | None = None
@@ -355,16 +360,29 @@
         self._feed(duty, m.Recovered())
 
     def _change_view(self, view: View) -> None:
-        gone = self._view.members.keys() - view.members.keys()
-        self._view = view
+        before, self._view = self._view.members, view
+        gone = before.keys() - view.members.keys()
         self._take_duties()
         for pool, duty in self._duties.items():
             # In a large region a relay that left the view may follow another one.
             for name in gone if view.is_mesh else ():
                 self._feed(duty, m.InstanceGone(name))
+                duty.dropped.add(before[name].incarnation)
+            self._ask_back(pool, duty)
             self._feed(duty, m.Doubt(view.doubtful))
             self._maybe_recovered(pool, duty)
 
+    def _ask_back(self, pool: str, duty: _Duty) -> None:
+        """Ask instances to register again that were taken for dead and live.
+
+        They do not know that what they hold was dropped: their waiting requests would
+        be refused at their deadlines.
+        """
+        for member in self._view.members.values():
+            if member.incarnation in duty.dropped:
+                duty.dropped.discard(member.incarnation)
+                self._reply(member.peer_address, NotDispatcher(pool))
+
     def _change_configuration(self) -> None:
         for duty in (*self._duties.values(), *self._own_duties.values()):
             self._feed(duty, m.Configure(self._configuration))
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -26,8 +26,8 @@
 __all__ = ["Exchange"]
 
 MAX_WHOLE_BYTES = 16 << 20
-# A request is refused after this part of its objective, so that the caller can still
-# be served in time when it comes again.
+# A dispatcher that does not know how long a request can be in time refuses it after
+# this part of its objective; one that does not answer at all has somewhat longer.
 PATIENCE = 0.25
 # An answer that has not begun after this many times its objective will not come: a
 # target that hangs is left for another one where the request may be repeated.
--- /dev/null
+++ b/tests/test_dispatching.py
@@ -0,0 +1,76 @@
+"""hibiscusstep.dispatching: dispatchers and the views that they act by."""
+
+import pytest
+
+from hibiscusstep.configuration.in_force import InForce
+from hibiscusstep.dispatching import Dispatching
+from hibiscusstep.membership.view import Member, View
+from hibiscusstep.membership.worker import ViewChanged
+from hibiscusstep.peer import NotDispatcher, PoolRegister, Received
+from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.routing.slots import SlotDispatcher
+
+POOL = "p"
+
+
+class _Links:
+    def __init__(self):
+        self.sent = []
+
+    def tell(self, message):
+        self.sent.append((message.address, message.message))
+
+
+def _view(**incarnations):
+    """Return a view in which `d` dispatches: the others are not ready."""
+    members = {
+        name: Member(
+            name,
+            incarnation,
+            "dc",
+            "r",
+            f"{name}:1",
+            f"{name}:2",
+            1,
+            name == "d",
+            False,
+        )
+        for name, incarnation in incarnations.items()
+    }
+    return ViewChanged(View(members))
+
+
+@pytest.fixture
+async def dispatching():
+    links = _Links()
+    worker = Dispatching(
+        "d", "d:1", links, lambda _message: None, None,
+        kind=SlotDispatcher, reads_reports=False,
+    )  # fmt: skip
+    await worker.handle(_view(d="d-1", e="e-1"))
+    await worker.handle(InForce(1, b"", Plan({POOL: PlannedPool(True)})))
+    register = PoolRegister(POOL, "e", "e-1", [], [], [])
+    await worker.handle(Received("e:1", register))
+    links.sent.clear()
+    return worker, links
+
+
+class TestAnInstanceTakenForDead:
+    """Its requests are dropped; if it lives, it does not know of that."""
+
+    async def test_is_asked_to_register_again_when_it_is_heard_again(self, dispatching):
+        worker, links = dispatching
+        await worker.handle(_view(d="d-1"))
+        await worker.handle(_view(d="d-1", e="e-1"))
+        assert links.sent == [("e:1", NotDispatcher(POOL))]
+
+    async def test_registers_by_itself_after_a_restart(self, dispatching):
+        worker, links = dispatching
+        await worker.handle(_view(d="d-1"))
+        await worker.handle(_view(d="d-1", e="e-2"))
+        assert links.sent == []
+
+    async def test_one_that_was_never_gone_is_left_alone(self, dispatching):
+        worker, links = dispatching
+        await worker.handle(_view(d="d-1", e="e-1", f="f-1"))
+        assert links.sent == []
