A decision weighs each request once, and its loop calls nothing

Cause: since huge prompts wait for targets that they do not hold up, free slots and passed-over requests stand side by side, and each message weighed up to 12 requests against all 30 targets, twice. Ruled out: the queue (flat in what waits, measured). Change: a new request is weighed alone, as the others were before; a first token weighs nothing (each tick does); whether any target serves in time is one loop of plain arithmetic; whether harm can be avoided is reckoned by the fastest target; 8 are weighed.

--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -54,6 +54,11 @@
         """Return the request at a place of the order."""
         return self._order[place][-1]
 
+    def get(self, ask: str) -> Work | None:
+        """Return a waiting request; None if it does not wait."""
+        waiting = self._by_ask.get(ask)
+        return waiting.entry[-1] if waiting else None
+
     @property
     def by_tier(self) -> dict[str, int]:
         """How many wait, by tier."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -30,7 +30,7 @@
 # Streams with fewer events tell too little of a target's pace.
 MIN_EVENTS = 6
 # So many of the waiting requests are weighed for the free targets at a time.
-WEIGHED = 12
+WEIGHED = 8
 # Targets whose prices stand in the log with a grant.
 LOGGED = 6
 # Weight of a second by which a first token would be late, and seconds that a stream is
@@ -62,6 +62,17 @@
 
 # What makes a wait longer, or shows that one was too long.
 _MAY_EXPIRE = (m.Ask, m.Tick, m.Recovered, m.Configure)
+# After these a target may be good for a request that waits; all that is only a matter
+# of time is looked at with each tick.
+_MAY_FREE = (
+    m.Finished,
+    m.Held,
+    m.InstanceGone,
+    m.Tick,
+    m.Recovered,
+    m.Configure,
+    m.Withdraw,
+)
 
 
 class SlotDispatcher(PoolDispatcher):
@@ -139,7 +150,10 @@
         return {"waiting": self.waiting, "targets": targets}
 
     def _decide(self, message, now: float) -> None:
-        self._schedule(now)
+        if isinstance(message, m.Ask):
+            self._schedule_one(message.work.ask, now)
+        elif isinstance(message, _MAY_FREE):
+            self._schedule(now)
         if isinstance(message, _MAY_EXPIRE):
             self._reckon_rate(now)
             self._expire(now)
@@ -336,21 +350,45 @@
         if not self._queue:
             return
         usable = self._usable(now)
-        free = [target for target in usable if target.free(now) > 0]
-        most = math.ceil(self.share * sum(target.slots for target in usable))
+        free = self._free(usable, now)
         passed_over = 0
         while free and passed_over < min(WEIGHED, len(self._queue)):
-            if len(self._placed) >= most:
-                break
-            work = self._queue[passed_over]
-            target = self._choose(work, free, usable, now)
-            if target is None:
+            if not self._try(self._queue[passed_over], free, usable, now):
                 passed_over += 1
-                continue
-            self._queue.remove(work.ask)
-            self._grant(work, target, free, now)
-            if target.free(now) <= 0:
-                free.remove(target)
+
+    def _schedule_one(self, ask: str, now: float) -> None:
+        """Grant a new request if it can be: the others have been weighed already."""
+        work = self._queue.get(ask)
+        if work is None:
+            return
+        usable = self._usable(now)
+        free = self._free(usable, now)
+        if free:
+            self._try(work, free, usable, now)
+
+    def _free(self, usable: list[SlotTarget], now: float) -> list[SlotTarget]:
+        """Return the targets with a free slot; none where all that may be are taken."""
+        if self._is_full(usable):
+            return []
+        return [target for target in usable if target.free(now) > 0]
+
+    def _is_full(self, usable: list[SlotTarget]) -> bool:
+        """Whether its part of all slots is taken."""
+        slots = sum(target.slots for target in usable)
+        return len(self._placed) >= math.ceil(self.share * slots)
+
+    def _try(self, work: m.Work, free, usable, now: float) -> bool:
+        """Grant a request if one of the free targets is good for it."""
+        target = self._choose(work, free, usable, now)
+        if target is None:
+            return False
+        self._queue.remove(work.ask)
+        self._grant(work, target, free, now)
+        if target.free(now) <= 0:
+            free.remove(target)
+        if self._is_full(usable):
+            free.clear()
+        return True
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self.counts.granted += 1
@@ -372,14 +410,14 @@
             return min(others, key=lambda t: t.cost(own, now))
         best = min(others, key=lambda t: self._price(t, work, own, now))
         overdue = not work.due and now >= work.deadline
-        if overdue or self._serves_in_time(best, work, now):
+        if overdue or self._serves_in_time([best], work, now):
             return best
-        if any(self._serves_in_time(t, work, now) for t in usable):
+        if self._serves_in_time(usable, work, now):
             return None
-        return self._choose_without_harm(work, others, usable, best, now)
+        return self._choose_without_harm(work, others, best, now)
 
     def _choose_without_harm(
-        self, work: m.Work, free, usable, best: SlotTarget, now: float
+        self, work: m.Work, free, best: SlotTarget, now: float
     ) -> SlotTarget | None:
         """Return the target for a request that is in time nowhere.
 
@@ -391,34 +429,46 @@
         if spared:
             own = self._cost(work)
             return min(spared, key=lambda t: self._price(t, work, own, now))
-        waits = any(not self._would_harm(target, prefill) for target in usable)
-        return None if waits else best
+        # Where even the fastest target would hold up its streams, none is waited for.
+        pause = self._fastest * self._between_events(prefill)
+        return None if pause <= PAUSE_MARGIN * self._max_pause else best
+
+    def _serves_in_time(self, targets, work: m.Work, now: float) -> bool:
+        """Whether one of some targets serves a request well.
 
-    def _serves_in_time(self, target: SlotTarget, work: m.Work, now: float) -> bool:
-        """Whether the first token would be on time, the end, and others' pauses."""
+        Its first token would be on time, its end too, and the pauses of the streams
+        that run there. Most of a decision's time goes here, so nothing is called in the
+        loop that can be reckoned before it.
+        """
         prefill = self._model.prefill(work.prompt_tokens)
-        first = target.first_token(prefill, self._model.first, now)
-        if work.due and first > work.due:
-            return False
+        reading = prefill + self._model.first
+        due = work.due or math.inf
+        ends, decoding = math.inf, 0.0
         if work.ends and self._switches.answer_end:
-            steps = self._lengths.cautious(work.output_tokens)
-            if first + target.slowness * steps * STEP_S > work.ends:
-                return False
-        return not self._harms(target, prefill, now)
+            ends = work.ends
+            decoding = self._lengths.cautious(work.output_tokens) * STEP_S
+        steps, most = self._tokens_per_event * STEP_S, self._reading.most
+        longest = PAUSE_MARGIN * self._max_pause
+        for target in targets:
+            slowness, left = target.slowness, target.prefill_left(now)
+            first = now + slowness * (left + reading)
+            if first > due or first + slowness * decoding > ends:
+                continue
+            pause = slowness * (steps + min(most, left + prefill))
+            if pause <= longest or not target.running:
+                return True
+        return False
 
     def _harms(self, target: SlotTarget, prefill: float, now: float) -> bool:
         """Whether a prompt makes the pauses of the streams at a target too long."""
-        pause = self._pause(target, target.prefill_left(now) + prefill)
+        to_read = target.prefill_left(now) + prefill
+        pause = target.slowness * self._between_events(to_read)
         return bool(target.running) and pause > PAUSE_MARGIN * self._max_pause
 
-    def _would_harm(self, target: SlotTarget, prefill: float) -> bool:
-        """Whether it would with nothing else to read there."""
-        return self._pause(target, prefill) > PAUSE_MARGIN * self._max_pause
-
-    def _pause(self, target: SlotTarget, to_read: float) -> float:
-        """Return the guessed seconds between events there while prompts are read."""
+    def _between_events(self, to_read: float) -> float:
+        """Return the guessed seconds between events at slowness 1 beside prompts."""
         steps = self._tokens_per_event * STEP_S
-        return target.slowness * (steps + self._reading.between_events(to_read))
+        return steps + self._reading.between_events(to_read)
 
     def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
         """Return the weighed seconds of a request, and of what it does to others."""
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from platform_standin import free_port
 from soak_proxy import Mode, Proxy
 
 from hibiscusstep.peer import PoolQueued, Received
@@ -12,24 +13,16 @@
 KEY = "a-key-for-tests-only"
 
 
-def _free_port():
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class _Pair:
     """Two instances' links; what the first sends passes a proxy."""
 
     async def __aenter__(self):
         self.got = []
-        ports = [_free_port() for _ in range(2)]
+        ports = [free_port() for _ in range(2)]
         receiver = PeerLinks(f"127.0.0.1:{ports[0]}", KEY, self._deliver)
         self.sender = PeerLinks(f"127.0.0.1:{ports[1]}", KEY, lambda _message: None)
         target = ("127.0.0.1", ports[0])
-        self.proxy = Proxy("127.0.0.1", _free_port(), lambda: target)
+        self.proxy = Proxy("127.0.0.1", free_port(), lambda: target)
         await self.proxy.start()
         self._tasks = [asyncio.create_task(w.run()) for w in (receiver, self.sender)]
         return self
