--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -1,5 +1,5 @@
 // Messages between instances. Each has a data class of the same name and fields in
-// peer.py; thriftpy2 reads this file at start-up, so no generator is needed.
+// peer.py; schema.py is generated from this file by examples/generate_schema.py.
 
 struct WorkInfo {
   1: string ask, 2: string request, 3: string instance, 4: string customer,
