A restarted target is a new target; entries that no target wrote name none

Cause: a target may start again under the id it had, and tells so only in its entry. All that is known of targets was kept by id: slots of requests that are lost, speed, failures, connections, beliefs. And an entry of another writer with a field missing raised in the listing's reader, with bytes that are no text or a NaN the whole answer could not be read: no target at all was seen as long as it stood there. A state that is not known counted as leaving. Found beside it: an object made anew in the answer that tells of its removal was taken for older than that (both had the answer's revision), and a peer's word of one target raised the revision at which a whole list is told on, so that others dropped what the list had not got yet. Ruled out: keeping the id as the name and resetting each place by hand: late messages of the older start could not be told apart. Change: a target's name is unique to one start (id and millisecond), its id goes on the wire only; the catalog ignores an older start, also after the newer one has gone, and ends all connections to a start that is over. Fields of entries, rosters and beliefs are checked one by one; what is malformed is left out alone, logged once a revision, and counted. Targets of a pool that the table does not name have no place in a plan. Changes bear the object's own revision. Its entries do not tell of a start yet, so that a start is told has been seen by tests only.

--- a/hibiscusstep/forwarding/beliefs.py
+++ b/hibiscusstep/forwarding/beliefs.py
@@ -14,6 +14,8 @@
 _LOG = logging.getLogger(__name__)
 # Two pools written so often are half a call a second, of the store's hundreds.
 KEEP_INTERVAL_S = 4.0
+# Targets differ in speed by tens, and first tokens come within seconds.
+MAX_FIGURE = 1000.0
 
 
 class BeliefKeeper(Worker):
@@ -75,9 +77,10 @@
         targets = [str(name) for name in document["targets"]]
         slowness = [float(value) for value in document["slowness"]]
         figures = [float(document[name]) for name in ("first", "token", "share")]
-        if len(targets) != len(slowness) or min([*slowness, *figures], default=0) < 0:
+        fit = all(0 <= value <= MAX_FIGURE for value in (*slowness, *figures))
+        if len(targets) != len(slowness) or not fit:
             raise ValueError("figures that do not fit")
         return PoolLearnt(pool, targets, slowness, *figures)
-    except (KeyError, TypeError, ValueError) as cause:
+    except (KeyError, TypeError, ValueError, OverflowError) as cause:
         _LOG.error("beliefs ignored", extra={"pool": pool, "error": repr(cause)})
         return None
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -68,8 +68,8 @@
     """Follows the store's two feeds when told; takes what peers hand on as well.
 
     Versions of the table only grow. A target's state is the one of the highest
-    revision. A target that vanishes around an outage of the store stays until
-    `LAPSE_GRACE_S` after the return.
+    revision, of its newest incarnation. A target that vanishes around an outage of the
+    store stays until `LAPSE_GRACE_S` after the return.
 
     Parameters
     ----------
@@ -79,6 +79,8 @@
         Gets each new version.
     on_targets : callable of dict, list of Change
         Gets all targets by name when one changed, and what changed.
+    on_restart : callable of str
+        Gets the name of an incarnation that is over, since the target started again.
     """
 
     def __init__(
@@ -87,14 +89,18 @@
         targets: Feed,
         on_table: Callable[[RoutingTable], None],
         on_targets: Callable[[dict[str, DiscoveredTarget], list[Change]], None],
+        on_restart: Callable[[str], None],
     ) -> None:
         super().__init__("catalog", tick_interval=TICK_S)
         self._feeds = (tables, targets)
         self._tables = tables
         self._on_table = on_table
         self._on_targets = on_targets
+        self._on_restart = on_restart
         self._table: RoutingTable | None = None
+        # By id, as is all that follows; what is gone stays as it was seen last.
         self._targets: dict[str, DiscoveredTarget] = {}
+        self._last_seen: dict[str, DiscoveredTarget] = {}
         self._removed: dict[str, int] = {}
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
@@ -148,6 +154,7 @@
             case _Changed(feed=feed, changes=changes) if feed is self._tables:
                 self._take_tables(change.item for change in changes if change.item)
             case _Changed(changes=changes):
+                self._raise_revision(max(change.revision for change in changes))
                 self._take_changes(changes)
             case TableNews(table=table):
                 self._take_tables([table])
@@ -220,7 +227,7 @@
     def _take_listing(self, listing: Listing, recovered: bool) -> None:
         """Take a whole list; what is not on it is gone, or may have lapsed."""
         now = asyncio.get_running_loop().time()
-        self._revision = max(self._revision, listing.revision)
+        self._raise_revision(listing.revision)
         if recovered:
             self._trusted_at = now + LAPSE_GRACE_S
         gone = [
@@ -236,11 +243,18 @@
         if not self._published:
             self._publish([])
 
+    def _raise_revision(self, revision: int) -> None:
+        """Note up to where all changes are known.
+
+        What a peer tells of one target does not count: told on as the revision of a
+        whole list, it would make others drop what that list has not got yet.
+        """
+        self._revision = max(self._revision, revision)
+
     def _take_changes(self, changes) -> None:
         now = asyncio.get_running_loop().time()
         taken = []
         for change in changes:
-            self._revision = max(self._revision, change.revision)
             if change.item is None:
                 if self._remove(change, now):
                     taken.append(change)
@@ -250,25 +264,44 @@
             self._publish(taken)
 
     def _put(self, name: str, target: DiscoveredTarget) -> bool:
+        last = self._last_seen.get(name)
+        if last and last.incarnation and not target.incarnation:
+            target = replace(target, incarnation=last.incarnation)
+        if last and target.incarnation < last.incarnation:
+            return False
         self._missing.pop(name, None)
         known = self._targets.get(name)
         if known == target or self._removed.get(name, -1) >= target.revision:
             return False
         if known and known.revision >= target.revision:
             return False
-        if known and known.leaving and not target.leaving:
+        if last and target.incarnation > last.incarnation:
+            self._note_restart(last, target)
+            known = None
+        elif known and known.leaving and not target.leaving:
             target = replace(target, leaving=True)
-        self._targets[name] = target
+        self._targets[name] = self._last_seen[name] = target
         if known is None or known.leaving != target.leaving:
             decision(
                 "target-leaving" if target.leaving else "target-seen",
-                target=name,
+                target=target.name,
                 pool=target.pool,
                 address=target.address,
                 revision=target.revision,
             )
         return True
 
+    def _note_restart(self, last: DiscoveredTarget, target: DiscoveredTarget) -> None:
+        """Tell that an incarnation is over, with all that ran there."""
+        decision(
+            "target-restarted",
+            target=target.name,
+            before=last.name,
+            pool=target.pool,
+            revision=target.revision,
+        )
+        self._on_restart(last.name)
+
     def _remove(self, change: Change, now: float) -> bool:
         known = self._targets.get(change.name)
         if known is None or known.revision > change.revision:
@@ -279,7 +312,7 @@
         self._removed[change.name] = change.revision
         del self._targets[change.name]
         self._missing.pop(change.name, None)
-        decision("target-gone", target=change.name, revision=change.revision)
+        decision("target-gone", target=known.name, revision=change.revision)
         return True
 
     def _drop_missing(self) -> None:
@@ -298,4 +331,5 @@
 
     def _publish(self, changes: list[Change]) -> None:
         self._published = True
-        self._on_targets(dict(self._targets), changes)
+        targets = {target.name: target for target in self._targets.values()}
+        self._on_targets(targets, changes)
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -5,6 +5,7 @@
 import socket
 from collections import defaultdict
 from dataclasses import dataclass
+from weakref import WeakSet
 
 from aiohttp import EMPTY_PAYLOAD, StreamReader
 from aiohttp.base_protocol import BaseProtocol
@@ -149,6 +150,10 @@
         except Exception:
             return True
 
+    def lose(self, why: str) -> None:
+        """Close at once, and tell whoever waits for an answer that it is lost."""
+        self._fail(TargetError(why, **self._where("read")))
+
     def abort(self) -> None:
         """Close at once."""
         self._tainted = True
@@ -171,7 +176,7 @@
 
 
 class ConnectionPool:
-    """Idle connections by target.
+    """Connections by target: the idle ones, to be reused, and those in use.
 
     Attributes
     ----------
@@ -181,6 +186,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self._in_use: dict[str, WeakSet[Connection]] = defaultdict(WeakSet)
         self.opened = 0
 
     async def acquire(self, name: str, address: str) -> Connection:
@@ -192,13 +198,20 @@
             If none can be made; nothing was sent.
         """
         loop = asyncio.get_running_loop()
+        connection = self._take_idle(loop, name)
+        if connection is None:
+            connection = await self._connect(loop, name, address)
+        self._in_use[name].add(connection)
+        return connection
+
+    def _take_idle(self, loop, name: str) -> Connection | None:
         idle = self._idle[name]
         while idle:
             connection = idle.pop()
             if connection.usable and loop.time() < connection.idle_until:
                 return connection
             connection.abort()
-        return await self._connect(loop, name, address)
+        return None
 
     def release(self, name: str, connection: Connection, idle_timeout: float) -> None:
         """Keep a connection for the next request.
@@ -213,6 +226,7 @@
             Seconds for which the target keeps it; 0 if it did not say.
         """
         connection.finish()
+        self._in_use[name].discard(connection)
         if not connection.usable:
             return
         span = idle_timeout - IDLE_MARGIN_S if idle_timeout else UNNAMED_IDLE_S
@@ -226,6 +240,16 @@
         for connection in self._idle.pop(name, ()):
             connection.abort()
 
+    def end_all(self, name: str) -> None:
+        """Close all connections to an incarnation of a target that is over.
+
+        What was asked there is lost. A connection that died behind a cut, with no
+        reset, would show that only when it was probed, up to four seconds later.
+        """
+        self.forget(name)
+        for connection in self._in_use.pop(name, ()):
+            connection.lose("the target started again")
+
     def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
         now = asyncio.get_running_loop().time()
@@ -239,6 +263,8 @@
             self._idle[name] = kept
             if not kept:
                 del self._idle[name]
+        for name in [name for name, used in self._in_use.items() if not used]:
+            del self._in_use[name]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -263,7 +263,7 @@
         incoming, dialect = self._in, self._means.dialect
         customer = incoming.customer.name if incoming.customer else ""
         order = Order(
-            target.name,
+            target.id,
             customer,
             incoming.deadline - self._now(),
             self._splitter.last_id,
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -26,7 +26,7 @@
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.news import to_news
-from hibiscusstep.forwarding.planning import make_plan
+from hibiscusstep.forwarding.planning import Planner
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
@@ -153,6 +153,7 @@
         self._view = View(settled=False)
         self._table: RoutingTable | None = None
         self._targets: dict[str, DiscoveredTarget] = {}
+        self._planner = Planner()
         self._targets_known = False
         self._leaving = False
         self._follows_store = True
@@ -286,7 +287,11 @@
             settings.mesh_size,
         )
         self._catalog = Catalog(
-            self._around.tables, self._around.targets, self._on_table, self._on_targets
+            self._around.tables,
+            self._around.targets,
+            self._on_table,
+            self._on_targets,
+            lambda name: self._connections.end_all(name),
         )
         self._spread = Spread(
             incarnation,
@@ -416,9 +421,8 @@
         """Tell the dispatchers which targets there are."""
         if self._table is None:
             return
-        in_force = InForce(
-            self._table.version, b"", make_plan(self._table, self._targets)
-        )
+        plan = self._planner.make(self._table, self._targets)
+        in_force = InForce(self._table.version, b"", plan)
         self._dispatching.tell(in_force)
         self._desk.tell(in_force)
         self._membership.tell(OwnState(version=self._table.version))
@@ -485,6 +489,8 @@
         metrics.gauge("silent_members", self._view.silent)
         metrics.gauge("connections_opened", self._connections.opened)
         metrics.gauge("log_lines_dropped", dropped_lines())
+        left_out = self._around.targets.left_out + self._planner.left_out
+        metrics.gauge("target_entries_left_out", left_out)
         metrics.gauge("table_age_seconds", self._catalog.age())
         states = Counter(
             (target.pool, "leaving" if target.leaving else "ready")
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -195,12 +195,12 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoveredTarget:
-    """A target as it registered itself.
+    """One incarnation of a target, as it registered itself.
 
     Parameters
     ----------
-    name : str
-        Unique to one start of the target.
+    id : str
+        The target's own, which a later incarnation may bear again.
     pool, address, data_centre : str
         What it serves, IP number and port, where it runs.
     slots : int
@@ -209,12 +209,24 @@
         Whether it takes no new work.
     revision : int
         The store's revision of this state.
+    incarnation : int
+        Unix millisecond of its start; 0 if it does not say.
     """
 
-    name: str
+    id: str
     pool: str
     address: str
     data_centre: str
     slots: int
     leaving: bool
     revision: int
+    incarnation: int = 0
+
+    @property
+    def name(self) -> str:
+        """Unique to one incarnation.
+
+        Slots, speed, failures and connections are kept by this name, here and at other
+        instances, so what is known of one incarnation never counts for the next.
+        """
+        return f"{self.id}@{self.incarnation}" if self.incarnation else self.id
--- a/hibiscusstep/forwarding/news.py
+++ b/hibiscusstep/forwarding/news.py
@@ -23,7 +23,7 @@
     if item is None:
         return TargetState(change.name, change.revision, True, "", "", "", 1, True)
     return TargetState(
-        item.name,
+        item.id,
         item.revision,
         False,
         item.pool,
@@ -31,6 +31,7 @@
         item.data_centre,
         item.slots,
         item.leaving,
+        item.incarnation,
     )
 
 
@@ -46,5 +47,6 @@
         state.slots,
         state.leaving,
         state.revision,
+        state.incarnation,
     )
     return Change(state.name, target, state.revision)
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -1,36 +1,77 @@
 """hibiscusstep.forwarding.planning: what dispatchers need of table and targets."""
 
+import logging
+
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 
-__all__ = ["make_plan"]
+__all__ = ["Planner"]
+
+_LOG = logging.getLogger(__name__)
 
 
-def make_plan(table: RoutingTable, targets: dict[str, DiscoveredTarget]) -> Plan:
-    """Return the pools of a routing table with their targets.
+class Planner:
+    """Makes plans; a target of a pool that the table does not know has no place.
 
-    Parameters
+    Attributes
     ----------
-    table : RoutingTable
-        In force.
-    targets : dict of str to DiscoveredTarget
-        By name; those of a pool that the table does not know get a pool too.
+    left_out : int
+        Targets that had no place so far, each revision once.
     """
+
+    def __init__(self) -> None:
+        self._refused: dict[str, int] = {}
+        self.left_out = 0
+
+    def make(self, table: RoutingTable, targets: dict[str, DiscoveredTarget]) -> Plan:
+        """Return the pools of a routing table with their targets.
+
+        Parameters
+        ----------
+        table : RoutingTable
+            In force.
+        targets : dict of str to DiscoveredTarget
+            By name.
+        """
+        pools = _pools(table)
+        for name, target in targets.items():
+            pool = pools.get(target.pool)
+            if pool is None:
+                self._leave_out(target)
+                continue
+            pool.targets[name] = PlannedTarget(
+                target.slots, target.leaving, target.data_centre
+            )
+        return Plan(pools)
+
+    def _leave_out(self, target: DiscoveredTarget) -> None:
+        if self._refused.get(target.name) == target.revision:
+            return
+        self._refused[target.name] = target.revision
+        self.left_out += 1
+        _LOG.error(
+            "target left out",
+            extra={
+                "target": target.name,
+                "revision": target.revision,
+                "error": f"unknown pool: {target.pool!r}",
+            },
+        )
+
+
+def _pools(table: RoutingTable) -> dict[str, PlannedPool]:
+    """Return the pools that a table names, without targets."""
     pauses = {
         share.pool: route.max_pause
         for route in table.routes
         if route.streaming
         for share in route.shares
     }
-    pools = {
+    routed = {share.pool: PlannedPool(True) for r in table.routes for share in r.shares}
+    named = {
         pool.name: PlannedPool(
             pool.engine, pool.tokens_per_event, pauses.get(pool.name, 1.0)
         )
         for pool in table.pools
     }
-    for name, target in targets.items():
-        pool = pools.setdefault(target.pool, PlannedPool(True))
-        pool.targets[name] = PlannedTarget(
-            target.slots, target.leaving, target.data_centre
-        )
-    return Plan(pools)
+    return routed | named
--- a/hibiscusstep/forwarding/spread.py
+++ b/hibiscusstep/forwarding/spread.py
@@ -83,8 +83,8 @@
     def _tell_all_targets(self, address: str) -> None:
         revision = self._revision()
         if revision:
-            known = self._targets.items()
-            states = [to_state(Change(name, item, revision)) for name, item in known]
+            known = self._targets.values()
+            states = [to_state(Change(item.id, item, revision)) for item in known]
             self._links.tell(Send(address, TargetStates(states, revision)))
 
     def hand_table_to(self, address: str) -> None:
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -41,7 +41,8 @@
 }
 struct TargetState {
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
-  5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving
+  5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving,
+  9: i64 incarnation
 }
 struct TargetStates { 1: list<TargetState> states, 2: i64 revision }
 struct PoolStop { 1: string pool, 2: string ask }
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -324,7 +324,11 @@
 
 @dataclass(slots=True)
 class TargetState:
-    """A target's state at a revision of the store; gone if `removed`."""
+    """A target's state at a revision of the store; gone if `removed`.
+
+    `name` is the id under which it registered, `incarnation` the Unix millisecond of
+    its start, 0 if it does not say.
+    """
 
     name: str
     revision: int
@@ -334,6 +338,7 @@
     data_centre: str
     slots: int
     leaving: bool
+    incarnation: int = 0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -1,7 +1,8 @@
 """hibiscusstep.platform.client: the one client of the platform's metadata store."""
 
+import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from urllib.parse import quote
 
 import aiohttp
@@ -15,6 +16,7 @@
     PlatformNotFound,
     PlatformUnavailable,
 )
+from hibiscusstep.platform import fields as f
 from hibiscusstep.store import (
     BeliefStore,
     Change,
@@ -39,6 +41,8 @@
     410: HistoryLost,
 }
 _Decode = Callable[[str, int, dict, dict], object]
+# What reading a malformed document may raise.
+_MALFORMED = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 
 class ObjectClient:
@@ -76,7 +80,7 @@
             ) as response:
                 status, text = response.status, await response.read()
             if status in (200, 201):
-                return Ok(orjson.loads(text) if text else {})
+                return Ok(_parse(text) if text else {})
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as cause:
             detail = f"no answer: {type(cause).__name__}"
             return Err(PlatformUnavailable(detail, step=step, peer="store"))
@@ -98,9 +102,19 @@
                 if not page.get("HasMore"):
                     return Ok((items, int(page["At"])))
                 query["After"] = items[-1]["Metadata"]["Name"]
-            except (IndexError, KeyError, TypeError, ValueError) as cause:
+            except _MALFORMED as cause:
                 return Err(_malformed(kind, cause))
 
+    async def read_each(
+        self, kind: str, decode: Callable[[dict], object]
+    ) -> Result[list, PlatformError]:
+        """Return all objects of a kind, decoded; the malformed ones are left out.
+
+        They may be some seconds old: such a call costs the store less.
+        """
+        listed = await self.list_all(kind, Serializable="1")
+        return listed.map(lambda found: list(_decode_each(kind, found[0], decode)))
+
     async def write(
         self, kind: str, name: str, spec: dict, methods: tuple[str, str]
     ) -> Result[None, PlatformError]:
@@ -151,7 +165,10 @@
         self._client = client
         self._kind = kind
         self._decode = decode
+        # Revisions at which objects were left out, by name: one log line each.
+        self._refused: dict[str, int] = {}
         self.name = kind
+        self.left_out = 0
 
     async def read_all(self) -> Result[Listing, PlatformError]:
         """Return all objects."""
@@ -159,13 +176,10 @@
         if listed.is_err():
             return listed
         found, revision = listed.unwrap()
-        items: dict[str, object] = {}
-        try:
-            for item in found:
-                self._add(items, item)
-        except (KeyError, TypeError, ValueError) as cause:
-            return Err(_malformed(self._kind, cause))
-        return Ok(Listing(items, revision))
+        decoded = (self._change(item, revision) for item in found)
+        items = {change.name: change.item for change in decoded if change}
+        usable = {name: item for name, item in items.items() if item is not None}
+        return Ok(Listing(usable, revision))
 
     async def watch(self, revision: int, timeout: float):
         """Return the changes since a revision."""
@@ -184,38 +198,46 @@
             changes = [
                 change
                 for event in answer.get("events", ())
-                if (change := self._change(event, at))
+                if (change := self._change(event["Object"], at, event.get("Removed")))
             ]
-        except (KeyError, TypeError, ValueError) as cause:
+        except _MALFORMED as cause:
             return Err(_malformed(self._kind, cause))
         return Ok((changes, at))
 
-    def _add(self, items: dict[str, object], item: dict) -> None:
-        name = item["Metadata"]["Name"]
-        decoded = self._decoded(name, item)
-        if decoded is not None:
-            items[name] = decoded
-
-    def _change(self, event: dict, at: int) -> Change | None:
-        item = event["Object"]
-        name = item["Metadata"]["Name"]
-        if event.get("Removed"):
-            return Change(name, None, at)
-        decoded = self._decoded(name, item)
-        return Change(name, decoded, at) if decoded is not None else None
-
-    def _decoded(self, name: str, item: dict) -> object | None:
+    def _change(self, item: dict, at: int, removed: bool = False) -> Change | None:
+        """Return what an object is now: nothing, where it is gone or malformed.
+
+        Its revision is its own, not that of the answer: an object that is made anew in
+        the same answer as its removal is newer than that.
+        """
+        try:
+            metadata = item["Metadata"]
+            name, revision = metadata["Name"], metadata.get("Revision", at)
+            if not isinstance(name, str) or type(revision) is not int:
+                raise ValueError("no name and revision")
+        except _MALFORMED as cause:
+            self._leave_out("", at, cause)
+            return None
+        if removed:
+            return Change(name, None, revision)
+        return Change(name, self._decoded(name, revision, item), revision)
+
+    def _decoded(self, name: str, revision: int, item: dict) -> object | None:
         try:
-            revision = int(item["Metadata"]["Revision"])
             spec, status = item.get("Spec") or {}, item.get("Status") or {}
             return self._decode(name, revision, spec, status)
-        except (ConfigurationError, KeyError, TypeError, ValueError) as cause:
-            _LOG.error(
-                "object ignored",
-                extra={"kind": self._kind, "object": name, "error": repr(cause)},
-            )
+        except (ConfigurationError, *_MALFORMED) as cause:
+            self._leave_out(name, revision, cause)
             return None
 
+    def _leave_out(self, name: str, revision: int, cause: Exception) -> None:
+        if self._refused.get(name) == revision:
+            return
+        self._refused[name] = revision
+        self.left_out += 1
+        extra = {"kind": self._kind, "object": name, "revision": revision}
+        _LOG.error("object left out", extra={**extra, "error": str(cause)})
+
 
 class ObjectRoster(Roster):
     """The instances, each with an object that it wrote at its start.
@@ -242,11 +264,7 @@
 
     async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
         """Return the records; they may be some seconds old."""
-        listed = await self._client.list_all(self._KIND, Serializable="1")
-        try:
-            return listed.map(lambda found: [_record(item) for item in found[0]])
-        except (KeyError, TypeError, ValueError) as cause:
-            return Err(_malformed(self._KIND, cause))
+        return await self._client.read_each(self._KIND, _record)
 
 
 class ObjectBeliefs(BeliefStore):
@@ -269,25 +287,54 @@
 
     async def read_all(self) -> Result[dict[str, dict], PlatformError]:
         """Return the documents by pool."""
-        listed = await self._client.list_all(self._KIND, Serializable="1")
-        try:
-            return listed.map(
-                lambda found: {i["Metadata"]["Name"]: i["Spec"] for i in found[0]}
-            )
-        except (KeyError, TypeError) as cause:
-            return Err(_malformed(self._KIND, cause))
+        return (await self._client.read_each(self._KIND, _belief)).map(dict)
 
 
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
-        item["Metadata"]["Name"],
-        spec["DataCentre"],
-        spec["PeerAddress"],
-        capacity=int(spec.get("Capacity", 1)),
+        f.read_id(item["Metadata"], "Name"),
+        f.read_text(spec, "DataCentre"),
+        f.read_address(spec, "PeerAddress"),
+        capacity=f.read_whole(spec, "Capacity", least=1) if "Capacity" in spec else 1,
     )
 
 
+def _belief(item: dict) -> tuple[str, dict]:
+    return f.read_text(item["Metadata"], "Name"), item["Spec"]
+
+
+def _decode_each(
+    kind: str, found: list, decode: Callable[[dict], object]
+) -> Iterator[object]:
+    for item in found:
+        try:
+            yield decode(item)
+        except _MALFORMED as cause:
+            _LOG.error("object left out", extra={"kind": kind, "error": str(cause)})
+
+
+def _parse(text: bytes) -> object:
+    """Return the document of an answer.
+
+    One object with bytes that are no text, or a NaN, must not hide all others: what
+    the strict reader refuses is read as far as it goes, and each object judged alone.
+
+    Raises
+    ------
+    ValueError
+        If it is no document.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        pass
+    try:
+        return json.loads(text.decode("utf-8", "replace"))
+    except RecursionError:
+        raise ValueError("nested too deeply") from None
+
+
 def _malformed(kind: str, cause: Exception) -> PlatformError:
     detail = f"malformed answer: {cause!r}"
     return PlatformUnavailable(detail, step=f"read {kind}", peer="store")
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -14,6 +14,7 @@
     RoutingTable,
     Share,
 )
+from hibiscusstep.platform import fields as f
 
 __all__ = ["CONFIGURATION_KIND", "TARGET_KIND", "decode_table", "decode_target"]
 
@@ -24,6 +25,12 @@
 DEFAULT_OBJECTIVE_MS = 1_000
 DEFAULT_PAUSE_MS = 1_000
 LOWEST_RANK = 9
+# A target that claims more would draw all work; engines batch some dozens.
+MAX_SLOTS = 4096
+_READY, _LEAVING = "ready", "draining"
+
+
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def decode_table(name: str, revision: int, spec: dict, status: dict) -> RoutingTable:
@@ -70,23 +77,35 @@
             limits=_limits(spec.get("Limits") or {}),
             value=orjson.dumps(spec),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as cause:
+    except _MALFORMED as cause:
         raise ConfigurationError(f"malformed: {cause!r}", key="config") from None
 
 
 def decode_target(
     name: str, revision: int, spec: dict, status: dict
 ) -> DiscoveredTarget:
-    """Return the target of an entry that it wrote of itself."""
+    """Return the target of an entry that it wrote of itself.
+
+    Raises
+    ------
+    MalformedField
+        If it is not such an entry: others write to the store too. Fields that are not
+        used here tell the writer as well as those that are.
+    """
     entry = {**spec, **status}
+    f.read_number(entry, "ColdLeftMs")
+    f.read_whole(entry, "Sequence")
+    f.read_text(entry, "Version")
     return DiscoveredTarget(
-        name=name,
-        pool=entry["Service"],
-        address=entry["Address"],
-        data_centre=entry.get("Zone", ""),
-        slots=max(1, int(entry.get("Slots") or 1)),
-        leaving=entry.get("State", "ready") != "ready",
+        id=f.read_id({"Name": name}, "Name"),
+        pool=f.read_text(entry, "Service"),
+        address=f.read_address(entry, "Address"),
+        data_centre=f.read_text(entry, "Zone"),
+        slots=f.read_whole(entry, "Slots", least=1, most=MAX_SLOTS),
+        leaving=f.read_choice(entry, "State", (_READY, _LEAVING)) == _LEAVING,
         revision=revision,
+        # `born`, the millisecond of its start, changes when it starts again.
+        incarnation=f.read_whole(entry, "born", least=1) if "born" in entry else 0,
     )
 
 
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -125,6 +125,7 @@
         (6, "string", "data_centre"),
         (7, "i32", "slots"),
         (8, "bool", "leaving"),
+        (9, "i64", "incarnation"),
     ),
     "TargetStates": (
         (1, "list<TargetState>", "states"),
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -97,9 +97,12 @@
     ----------
     name : str
         For logs.
+    left_out : int
+        Objects that could not be decoded so far, each revision once.
     """
 
     name: str
+    left_out: int = 0
 
     @abstractmethod
     async def read_all(self) -> Result[Listing, PlatformError]:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import socket
 import struct
 
@@ -29,6 +30,8 @@
         Kinds whose calls are refused.
     calls : list of str
         Method and path of each call.
+    spoil : tuple of bytes or None
+        Bytes of answers that are replaced, and by what.
     """
 
     def __init__(self) -> None:
@@ -39,6 +42,7 @@
         self.down = False
         self.refused: set[str] = set()
         self.calls: list[str] = []
+        self.spoil: tuple[bytes, bytes] | None = None
         self._changed = asyncio.Event()
         self._stopped = False
         self._runner: web.AppRunner | None = None
@@ -117,7 +121,7 @@
         after = request.query.get("After", "")
         found = sorted(n for k, n in self.objects if k == kind and n > after)
         page = found[:2]
-        return _json(
+        return self._tell(
             {
                 "Items": [self.objects[kind, name] for name in page],
                 "HasMore": len(found) > len(page),
@@ -135,9 +139,16 @@
                         return web.Response(status=410)
                     events = self._events(kind, since)
                     if events:
-                        return _json({"events": events, "At": self.revision})
+                        return self._tell({"events": events, "At": self.revision})
                     await self._changed.wait()
-        return _json({"events": [], "At": self.revision})
+        return self._tell({"events": [], "At": self.revision})
+
+    def _tell(self, body: dict) -> web.Response:
+        """Return an answer; a NaN stands in it as some writers spell it."""
+        text = json.dumps(body, separators=(",", ":")).encode()
+        if self.spoil:
+            text = text.replace(*self.spoil)
+        return web.Response(body=text, content_type="application/json")
 
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
@@ -181,16 +192,26 @@
     script : callable of int, dict, bytes
         Gets the number of the request, its fields and its body; returns the bytes of
         the reply, a list of them with pauses in seconds between, or None to go away.
+    born : int
+        Unix millisecond of its start; 0 where it does not tell.
+
+    Attributes
+    ----------
+    silent : bool
+        Nothing is answered any more and no connection closed, as behind a cut.
     """
 
-    def __init__(self, name: str, script=None) -> None:
+    def __init__(self, name: str, script=None, born: int = 0) -> None:
         self.name = name
+        self.born = born
         self.script = script or (lambda number, fields, body: answer(fields))
         self.requests: list[tuple[str, dict, bytes]] = []
         self.connections = 0
         self.open = 0
         self.closed = asyncio.Event()
         self.arrived = asyncio.Event()
+        self.silent = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -205,20 +226,29 @@
         """Stop listening."""
         self._server.close()
 
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     def entry(self, pool: str, state: str = "ready", slots: int = 4) -> dict:
         """Return what the target writes of itself."""
         return {
             "Service": pool,
             "Address": self.address,
             "Zone": "z1",
+            "Version": "v1",
             "Slots": slots,
             "State": state,
+            "ColdLeftMs": 0,
             "Sequence": 1,
+            **({"born": self.born} if self.born else {}),
         }
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
         self.open += 1
+        self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
                 if not await self._reply(request, reader, writer):
@@ -227,11 +257,14 @@
             pass
         finally:
             self.open -= 1
+            self._writers.discard(writer)
             self.closed.set()
             writer.close()
 
     async def _reply(self, request, reader, writer) -> bool:
         line, fields, body = request
+        if self.silent:
+            return await self._fall_silent(reader)
         if fields.get("x-target-instance", self.name) != self.name:
             writer.write(answer(fields, status=421, sealed=False))
             return True
@@ -239,6 +272,8 @@
         self.arrived.set()
         parts = self.script(next(self._numbers), fields, body)
         for part in [parts] if isinstance(parts, bytes) else parts:
+            if self.silent:
+                return await self._fall_silent(reader)
             if part == "reset":
                 sock = writer.get_extra_info("socket")
                 linger = struct.pack("ii", 1, 0)
@@ -248,8 +283,7 @@
             if part == "close":
                 return False
             if part == "hang":
-                await reader.read()
-                return False
+                return await self._fall_silent(reader)
             if isinstance(part, float):
                 await asyncio.sleep(part)
             else:
@@ -257,6 +291,11 @@
                 await writer.drain()
         return True
 
+    async def _fall_silent(self, reader) -> bool:
+        """Answer no more on a connection, until the other side closes it."""
+        await reader.read()
+        return False
+
 
 async def _read_request(reader):
     try:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -2,21 +2,79 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from platform_standin import StoreStandIn, configuration
 
 from hibiscusstep.forwarding import catalog as module
 from hibiscusstep.forwarding.catalog import Catalog, TableNews, TargetNews
-from hibiscusstep.platform.client import ObjectClient, ObjectFeed, ObjectRoster
+from hibiscusstep.forwarding.model import DiscoveredTarget
+from hibiscusstep.platform.client import (
+    ObjectBeliefs,
+    ObjectClient,
+    ObjectFeed,
+    ObjectRoster,
+)
 from hibiscusstep.platform.documents import decode_table, decode_target, table_of
 from hibiscusstep.store import Change, InstanceRecord
 
 BOUND_S = 10
 
 
-def _entry(state="ready", address="127.0.0.1:1"):
-    return {"Service": "p", "Address": address, "Zone": "z", "Slots": 2, "State": state}
+def _entry(state="ready", address="127.0.0.1:1", **changes):
+    return {
+        "Service": "p",
+        "Address": address,
+        "Zone": "z",
+        "Version": "v1",
+        "Slots": 2,
+        "State": state,
+        "ColdLeftMs": 0,
+        "Sequence": 1,
+        **changes,
+    }
+
+
+BAD_ENTRIES = [
+    None,
+    "text",
+    ["a", "list"],
+    {},
+    *(
+        {name: value for name, value in _entry().items() if name != left_out}
+        for left_out in _entry()
+    ),
+    _entry(Service=7),
+    _entry(Service=""),
+    _entry(Service={"Service": "p"}),
+    _entry(Service="p" * 1000),
+    _entry(address="somewhere:80"),
+    _entry(address="127.0.0.1"),
+    _entry(address="127.0.0.1:99999"),
+    _entry(Zone=None),
+    _entry(Slots=True),
+    _entry(Slots="2"),
+    _entry(Slots=2.5),
+    _entry(Slots=-1),
+    _entry(Slots=0),
+    _entry(Slots=10**12),
+    _entry(Slots=[2]),
+    _entry(state="odd"),
+    _entry(state=["ready"]),
+    _entry(ColdLeftMs=-1),
+    _entry(ColdLeftMs=float("nan")),
+    _entry(Sequence=False),
+    _entry(Version=None),
+    _entry(born=None),
+    _entry(born=1.5),
+    _entry(born=True),
+    _entry(born="1000"),
+    _entry(born=-5),
+    _entry(born=2**63),
+]
 
 
 class Watched:
@@ -25,13 +83,15 @@
     def __init__(self, store):
         self.store = store
         self.client = ObjectClient(store.address)
-        self.tables, self.targets = [], {}
+        self.tables, self.targets, self.over = [], {}, []
         self.changed = asyncio.Event()
+        self.feed = ObjectFeed(self.client, "servers", decode_target)
         self.catalog = Catalog(
             ObjectFeed(self.client, "config", decode_table),
-            ObjectFeed(self.client, "servers", decode_target),
+            self.feed,
             self._on_table,
             self._on_targets,
+            self.over.append,
         )
         self.catalog.tell(module.Follow(True))
 
@@ -149,8 +209,165 @@
         await watched.until(lambda: "t8" in watched.targets)
         assert watched.targets["t4"].slots == 7
 
+    async def test_one_made_anew_in_the_answer_that_removes_it(self, watched):
+        watched.store.remove("servers", "t1")
+        watched.store.put("servers", "t1", _entry(address="127.0.0.1:2"))
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert watched.targets["t1"].address == "127.0.0.1:2"
+
+    async def test_a_peers_word_of_one_target_says_nothing_of_the_others(self, watched):
+        """Told on with it, a whole list would seem newer than what it lacks."""
+        before = watched.catalog.revision
+        newer = replace(watched.targets["t4"], revision=before + 100, slots=9)
+        watched.catalog.tell(TargetNews((Change("t4", newer, before + 100),)))
+        await watched.until(lambda: watched.targets["t4"].slots == 9)
+        assert watched.catalog.revision == before
+
+
+class TestRestartedTarget:
+    """It holds and knows nothing of before; only its id is the same."""
+
+    async def _put(self, watched, born, name, **changes):
+        watched.store.put("servers", "t1", _entry(born=born, **changes))
+        await watched.until(lambda: name in watched.targets)
+
+    async def test_it_is_another_target(self, watched):
+        await self._put(watched, 1000, "t1@1000", state="draining")
+        await self._put(watched, 2000, "t1@2000")
+        assert "t1@1000" not in watched.targets
+        assert not watched.targets["t1@2000"].leaving
+        assert watched.over == ["t1", "t1@1000"]
+
+    async def test_the_same_start_goes_on(self, watched):
+        await self._put(watched, 1000, "t1@1000")
+        watched.store.put("servers", "t1", _entry(born=1000, Slots=7))
+        await watched.until(lambda: watched.targets["t1@1000"].slots == 7)
+        watched.store.put("servers", "t1", _entry(Slots=8))
+        await watched.until(lambda: watched.targets["t1@1000"].slots == 8)
+        assert watched.over == ["t1"]
+
+    async def test_an_older_start_that_comes_later_is_ignored(self, watched):
+        await self._put(watched, 2000, "t1@2000")
+        watched.store.put("servers", "t1", _entry(born=1000, address="127.0.0.1:9"))
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert watched.targets["t1@2000"].address == "127.0.0.1:1"
+
+    async def test_also_when_the_newer_one_has_gone(self, watched):
+        await self._put(watched, 2000, "t1@2000")
+        watched.store.remove("servers", "t1")
+        await watched.until(lambda: "t1@2000" not in watched.targets)
+        watched.store.put("servers", "t1", _entry(born=1000))
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert not any(name.startswith("t1") for name in watched.targets)
+
+    async def test_what_hangs_there_is_over_also_when_the_entry_was_gone(self, watched):
+        await self._put(watched, 1000, "t1@1000")
+        watched.store.remove("servers", "t1")
+        await watched.until(lambda: "t1@1000" not in watched.targets)
+        await self._put(watched, 2000, "t1@2000")
+        assert watched.over == ["t1", "t1@1000"]
+
+    async def test_a_peers_late_word_of_the_older_start(self, watched):
+        await self._put(watched, 1000, "t1@1000")
+        old = watched.targets["t1@1000"]
+        await self._put(watched, 2000, "t1@2000")
+        late = replace(old, revision=old.revision + 100)
+        watched.catalog.tell(TargetNews((Change("t1", late, late.revision),)))
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert "t1@2000" in watched.targets
+        assert "t1@1000" not in watched.targets
+
+    @given(st.data())
+    def test_entries_late_doubled_and_in_any_order(self, data):
+        """What is known at the end is what the newest entry says."""
+        steps = data.draw(
+            st.lists(st.sampled_from(["start", "gone", "beat"]), max_size=8)
+        )
+        history, born = [Change("t", _target(1, 1), 1)], 1
+        for revision, step in enumerate(steps, 2):
+            born += step == "start"
+            item = None if step == "gone" else _target(born, revision)
+            history.append(Change("t", item, revision))
+        doubled = history + data.draw(st.lists(st.sampled_from(history), max_size=8))
+        told = {}
+        catalog = Catalog(
+            None, None, None, lambda all_, _: told.update(now=all_), lambda _name: None
+        )
+        asyncio.run(_tell_all(catalog, data.draw(st.permutations(doubled))))
+        newest = history[-1].item
+        assert told["now"] == ({newest.name: newest} if newest else {})
+
+
+def _target(born, revision):
+    return DiscoveredTarget("t", "p", "127.0.0.1:1", "z", 2, False, revision, born)
+
+
+async def _tell_all(catalog, changes):
+    for change in changes:
+        await catalog.handle(TargetNews((change,)))
+
+
+class TestEntriesOfOthers:
+    """An entry that no target wrote names none; all others hold."""
+
+    @pytest.mark.parametrize("spec", BAD_ENTRIES)
+    async def test_a_bad_entry_is_left_out(self, watched, spec):
+        watched.store.put("servers", "t1", spec)
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert watched.targets.keys() == {"t0", "t2", "t3", "t4", "t9"}
+        watched.store.forget_history()
+        watched.store.put("servers", "t8", _entry())
+        await watched.until(lambda: "t8" in watched.targets)
+        assert "t1" not in watched.targets
+        watched.store.put("servers", "t1", _entry())
+        await watched.until(lambda: "t1" in watched.targets)
+
+    async def test_bytes_that_are_no_text(self, watched):
+        """They stand in the midst of the answer that tells of all the others."""
+        watched.store.spoil = (b'"Zone":"spoilt"', b'"Zone":"\xff\xfe"')
+        watched.store.put("servers", "t1", _entry(Zone="spoilt"))
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert "t1" not in watched.targets
+        watched.store.forget_history()
+        watched.store.put("servers", "t8", _entry())
+        await watched.until(lambda: "t8" in watched.targets)
+        assert watched.targets.keys() == {"t0", "t2", "t3", "t4", "t8", "t9"}
+
+    async def test_one_line_and_one_count_a_revision(self, watched, caplog):
+        watched.store.put("servers", "t1", _entry(state="odd"))
+        await watched.until(lambda: "t1" not in watched.targets)
+        for name in ("t8", "t9"):
+            watched.store.forget_history()
+            watched.store.put("servers", name, _entry())
+            await watched.until(lambda name=name: name in watched.targets)
+        lines = [r for r in caplog.records if r.message == "object left out"]
+        assert [line.object for line in lines] == ["t1"]
+        assert "State: unknown: 'odd'" in lines[0].error
+        assert watched.feed.left_out == 1
+
 
 class TestRoster:
+    async def test_a_record_of_another_writer_hides_no_other(self, watched):
+        roster = ObjectRoster(watched.client)
+        record = InstanceRecord("n1", "z", "127.0.0.1:7")
+        assert (await roster.register(record)).is_ok()
+        kind = "hibiscusstep-instances"
+        for n, spec in enumerate(("text", None, {"DataCentre": 1}, {"Capacity": "x"})):
+            watched.store.put(kind, f"odd{n}", spec)
+        assert (await roster.instances()).unwrap() == [record]
+
+    async def test_a_document_of_another_writer_hides_no_other(self, watched):
+        beliefs = ObjectBeliefs(watched.client)
+        assert (await beliefs.write("p", {"first": 1.0})).is_ok()
+        watched.store.objects["hibiscusstep-beliefs", "q"] = {"Metadata": {}}
+        assert (await beliefs.read_all()).unwrap() == {"p": {"first": 1.0}}
+
     async def test_instances_register_and_are_listed(self, watched):
         roster = ObjectRoster(watched.client)
         for address in ("127.0.0.1:7", "127.0.0.1:8"):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -354,6 +354,99 @@
         assert sum(len(target.requests) for target in site.targets) == 1
 
 
+class TestRestartedTarget:
+    """A target that starts again under its id; its old connections stay silent.
+
+    They are not reset, as behind a cut: nothing but its entry tells that it restarted.
+    """
+
+    async def _start(self, site, script):
+        first = TargetStandIn("t1", script, born=1000)
+        await site.start(first)
+        return first
+
+    async def _restart(self, site):
+        again = TargetStandIn("t1", self._rest, born=2000)
+        await site.add_target(again)
+        async with asyncio.timeout(BOUND_S):
+            while "t1@2000" not in site.instances[0].targets:
+                await asyncio.sleep(0.005)
+        return again
+
+    def _rest(self, number, fields, body):
+        if "last-event-id" in fields:
+            return _events(fields, range(int(fields["last-event-id"]) + 1, 6))
+        return answer(fields)
+
+    async def _arrived(self, target, count):
+        async with asyncio.timeout(BOUND_S):
+            while len(target.requests) < count:
+                await asyncio.sleep(0.005)
+
+    async def test_what_may_run_once_ends_as_after_a_crash(self, site):
+        first = await self._start(site, lambda n, fields, body: ["hang"])
+        task = asyncio.create_task(site.call("/once/"))
+        await self._arrived(first, 1)
+        again = await self._restart(site)
+        status, _fields, _body = await task
+        assert status == 502
+        assert not again.requests
+
+    async def test_a_stream_goes_on_at_the_new_start(self, site):
+        def begin(number, fields, body):
+            return [*_events(fields, range(3), end=False), "hang"]
+
+        first = await self._start(site, begin)
+        task = asyncio.create_task(site.call("/resume/"))
+        await self._arrived(first, 1)
+        again = await self._restart(site)
+        status, _fields, body = await task
+        assert status == 200
+        assert body == b"".join(event(n) for n in range(6))
+        assert again.requests[0][1]["x-target-instance"] == "t1"
+
+    async def test_its_slots_are_free_again(self, site):
+        first = await self._start(site, lambda n, fields, body: ["hang"])
+        hanging = [asyncio.create_task(site.call("/once/")) for _ in range(4)]
+        await self._arrived(first, 4)
+        again = await self._restart(site)
+        statuses = [(await site.call("/once/"))[0] for _ in range(4)]
+        assert statuses == [200] * 4
+        assert len(again.requests) == 4
+        assert {(await task)[0] for task in hanging} == {502}
+
+    async def test_an_instance_without_the_store_hears_of_it(self, site):
+        await self._start(site, self._rest)
+        second = await site.add_instance()
+        async with asyncio.timeout(BOUND_S):
+            while any(len(i.view.members) < 2 for i in site.instances):
+                await asyncio.sleep(0.02)
+        second.stop_following()
+        again = await self._restart(site)
+        async with asyncio.timeout(BOUND_S):
+            while second.targets.keys() != {"t1@2000"}:
+                await asyncio.sleep(0.02)
+        assert (await site.call("/once/", instance=1))[0] == 200
+        assert len(again.requests) == 1
+
+
+class TestEntriesOfOthers:
+    async def test_they_name_no_target_and_are_counted(self, site):
+        await site.start(TargetStandIn("t1"))
+        site.store.put("servers", "odd", {"Service": "pool-a", "Slots": True})
+        site.store.put("servers", "far", TargetStandIn("x").entry("no-such-pool"))
+        site.store.put("servers", "t9", site.targets[0].entry("no-such-pool"))
+        async with asyncio.timeout(BOUND_S):
+            while "t9" not in site.instances[0].targets:
+                await asyncio.sleep(0.005)
+        for _ in range(6):
+            assert (await site.call("/once/"))[0] == 200
+        address = f"http://{site.instances[0].metrics_address}/metrics"
+        async with site.session.get(address) as response:
+            text = await response.text()
+        assert "hibiscusstep_forward_target_entries_left_out 3" in text
+
+
 class TestSpoiltAnswers:
     async def test_an_answer_to_another_request_is_not_taken(self, site):
         def late(number, fields, body):
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -175,6 +175,52 @@
         assert _grants(dispatcher.handle(m.Ask(_work("b")), 0.2))
 
 
+_LATE = st.sampled_from(
+    [
+        m.Finished("old", m.Outcome.DONE, 40, 9.0, longest_pause=3.0),
+        m.Finished("old", m.Outcome.UNREACHABLE),
+        m.Finished("old", m.Outcome.LEAVING),
+        m.FirstToken("old", 9.0),
+        m.Withdraw("old"),
+        m.Held("i", frozenset(["old"])),
+        m.LoadReport("t0@1", 9, 9, False),
+        m.Adopt(_work("old"), "t0@1"),
+        m.Learnt({"t0@1": 9.0}),
+    ]
+)
+
+
+class TestRestartedTarget:
+    """What was known of a target says nothing once it has started again."""
+
+    def _plan(self, name):
+        return Plan({"p": PlannedPool(True, targets={name: PlannedTarget(2)})})
+
+    def _restarted(self):
+        dispatcher = SlotDispatcher("p", self._plan("t0@1"))
+        dispatcher.handle(m.Recovered(), 0.0)
+        dispatcher.handle(m.Ask(_work("old")), 0.0)
+        dispatcher.handle(m.Ask(_work("old2")), 0.0)
+        dispatcher.handle(m.Configure(self._plan("t0@2")), 1.0)
+        return dispatcher
+
+    def test_its_slots_are_free(self):
+        dispatcher = self._restarted()
+        for n in range(2):
+            granted = _grants(dispatcher.handle(m.Ask(_work(f"a{n}")), 1.0))
+            assert granted == {f"a{n}": "t0@2"}
+
+    @given(st.lists(_LATE, max_size=12))
+    def test_late_messages_of_the_older_start_change_nothing(self, late):
+        """In any order, also doubled: the next request is granted and priced alike."""
+        told, untold = self._restarted(), self._restarted()
+        for message in late:
+            told.handle(message, 1.0)
+        ask = m.Ask(_work("new"))
+        assert told.handle(ask, 1.1) == untold.handle(ask, 1.1)
+        assert told.summary(1.1) == untold.summary(1.1)
+
+
 class TestFailing:
     """A failure leaves its slot soon: a target that fails must not draw all work."""
 
