--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,6 +33,13 @@
 DEADLINE_MS = 4000
 SETTLED_CALLS = 5
 SETTLED_WITHIN_S = 30.0
+ODD_ENTRIES = (
+    None,
+    "text",
+    {"Service": POOL},
+    {"Service": POOL, "Address": "127.0.0.1:1", "Slots": True, "State": "ready"},
+    {"Service": ["nested"], "Slots": -1, "born": float("nan")},
+)
 
 
 class Callers:
@@ -96,15 +103,16 @@
 class Faults:
     """The faults of a soak, each a coroutine that ends with everything well again."""
 
-    def __init__(self, world, rng):
+    def __init__(self, world, rng, kinds=None):
         self._world, self._rng = world, rng
+        self._kinds = kinds or self.KINDS
         self.told = []
 
     async def run(self, seconds, count):
         """Begin `count` faults within so many seconds; they may overlap."""
         async with asyncio.TaskGroup() as group:
             for _ in range(count):
-                kind = self._rng.choice(self.KINDS)
+                kind = self._rng.choice(self._kinds)
                 begin = self._rng.uniform(0.0, seconds)
                 group.create_task(self._play(kind, begin, self._rng.uniform(0.2, 3.0)))
 
@@ -205,6 +213,27 @@
         await asyncio.sleep(span)
         world.store.remove("servers", target.name)
 
+    async def _target_restarts(self, span):
+        """Targets start again under their ids, one after the other."""
+        world = self._world
+        for _ in range(self._rng.randrange(1, 4)):
+            staying = [t for t in world.targets if not t.left_at]
+            target = self._rng.choice(staying)
+            await world.restart_target(target, reset=self._rng.random() < 0.5)
+            await asyncio.sleep(span / 3)
+
+    async def _odd_entries(self, span):
+        """Another writer's entries: new ones, and over one of a target for a time."""
+        world = self._world
+        for n in range(2):
+            world.store.put("servers", f"odd{n}", self._rng.choice(ODD_ENTRIES))
+        target = self._rng.choice([t for t in world.targets if not t.left_at])
+        world.store.put("servers", target.name, self._rng.choice(ODD_ENTRIES))
+        await asyncio.sleep(span)
+        if target in world.targets and not target.left_at:
+            entry = target.entry(POOL, slots=SLOTS)
+            world.store.put("servers", target.name, entry)
+
     async def _configure(self, span):
         self._world.configure()
 
@@ -213,16 +242,20 @@
         _caller_path, _resets, _silence, _target_fault, _target_leaves, _target_dies,
         _configure, _kill, _term, _pause,
     )  # fmt: skip
+    # The seeds of earlier soaks were drawn from the kinds above, and stay as they are.
+    ALL_KINDS = (*KINDS, _target_restarts, _target_restarts, _odd_entries)
 
 
-async def soak(seed, folder, instances=None, seconds=8.0, faults=None, callers=12):
+async def soak(
+    seed, folder, instances=None, seconds=8.0, faults=None, callers=12, kinds=None
+):
     """Play one seed; return the findings, and what was done."""
     rng = random.Random(seed)
     count = instances or rng.choice((3, 5, 8, 14))
     ledger = Ledger()
     world = World(folder, rng, ledger, count, targets=4)
     people = Callers(world, ledger, rng, callers)
-    trouble = Faults(world, rng)
+    trouble = Faults(world, rng, kinds)
     try:
         await world.start()
         async with aiohttp.ClientSession() as session:
@@ -277,7 +310,9 @@
     failed = []
     for seed in _parse(seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        findings, told = asyncio.run(soak(seed, folder, instances, seconds))
+        findings, told = asyncio.run(
+            soak(seed, folder, instances, seconds, kinds=Faults.ALL_KINDS)
+        )
         click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {told[0]}")
         for line in findings[:20]:
             click.echo(f"  {line}")
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -42,8 +42,8 @@
         When the store was told that it leaves; 0 if it does not.
     """
 
-    def __init__(self, name, ledger, rng):
-        super().__init__(name, self._work)
+    def __init__(self, name, ledger, rng, born=0):
+        super().__init__(name, self._work, born)
         self.fault = ""
         self.left_at = 0.0
         self._ledger = ledger
@@ -262,6 +262,22 @@
         self.store.put("servers", target.name, target.entry(POOL, slots=SLOTS))
         return target
 
+    async def restart_target(self, target, reset):
+        """Start a target again under its id; all that it held is lost.
+
+        Its connections are reset, or stay as they are and silent, as behind a cut.
+        """
+        self.ledger.crashed.add(target.name)
+        target.silent = True
+        await target.stop()
+        if reset:
+            target.reset()
+        born = time.time_ns() // 1_000_000
+        again = SoakTarget(target.name, self.ledger, self._rng, born)
+        await again.start()
+        self.targets[self.targets.index(target)] = again
+        self.store.put("servers", again.name, again.entry(POOL, slots=SLOTS))
+
     async def all_ready(self, session):
         """Return the instances that do not say within the bound that they are ready."""
         waiting = set(self.instances)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,7 @@
 """Short soaks with fixed seeds, seeds that failed once, and the soak's own checks."""
 
 import pytest
-from soak import soak
+from soak import Faults, soak
 from soak_ledger import Ledger, Run, Seen, body_of, events
 
 # Seeds that broke a promise once, each with the cause.
@@ -29,6 +29,19 @@
         findings, told = await soak(5, tmp_path, 14, seconds=4.0, faults=5, callers=6)
         assert not findings, told
 
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [101, 102])
+    async def test_nor_by_targets_that_restart_and_entries_of_others(
+        self, seed, tmp_path
+    ):
+        kinds = (
+            Faults._target_restarts, Faults._odd_entries, Faults._kill, Faults._silence
+        )  # fmt: skip
+        findings, told = await soak(
+            seed, tmp_path, 3, seconds=4.0, faults=7, callers=6, kinds=kinds
+        )
+        assert not findings, told
+
 
 class TestLedger:
     """Each promise is found broken in a history that breaks it."""
