A relay looks at the largest size once, and greets no followers

The number of instances seen lately was the largest of a list that grew by one with each heartbeat, and 16 s of 340 heartbeats a second are 5,500 numbers to go through each time. And whoever was mentioned and is no relay was greeted with each beat. Class: work on a hot path that grows with what came before, so with the square of the instances; it was below notice at 9 instances, and at 68 showed as slow decisions, not as an error. Ruled out: looking only at the tick: the view has to be right at once. Change: RecentMost keeps falling numbers only; an address of which a follower's heartbeat came is no longer taken for a contact.

--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -1,11 +1,11 @@
 """hibiscusstep.membership.grouped: membership of a region too large for a mesh."""
 
 import asyncio
-from collections import deque
 from dataclasses import replace
 
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership.recent_most import RecentMost
 from hibiscusstep.membership.relays import MESH_SIZE, Attachment
 from hibiscusstep.membership.tracker import Tracker
 from hibiscusstep.membership.view import View
@@ -84,7 +84,7 @@
         self._began = asyncio.get_running_loop().time()
         self._relay_until = 0.0
         self._heard_parent_at = 0.0
-        self._sizes: deque[tuple[float, int]] = deque()
+        self._sizes = RecentMost(REMEMBER_SIZE_S)
 
     @property
     def is_relay(self) -> bool:
@@ -124,6 +124,9 @@
 
     def _hear_follower(self, beat: Heartbeat, now: float) -> None:
         self._mentioned.update(dict.fromkeys(beat.known, now))
+        # Greeted with each beat, it would answer each time with a whole heartbeat: that
+        # doubled the messages of a relay. It speaks up when it becomes a relay.
+        self._mentioned.pop(beat.peer_address, None)
         if beat.parent != self._settings.peer_address:
             self._followers.left(beat.instance)
             return
@@ -269,11 +272,7 @@
 
     def _missing(self, size: int) -> int:
         """Return how many instances were seen lately and are not now."""
-        now = asyncio.get_running_loop().time()
-        while self._sizes and self._sizes[0][0] < now - REMEMBER_SIZE_S:
-            self._sizes.popleft()
-        self._sizes.append((now, size))
-        most = max(seen for _at, seen in self._sizes)
+        most = self._sizes.see(size, asyncio.get_running_loop().time())
         # An instance that changes its role may be counted twice for a moment.
         listed = len(self._platform_live or ()) or most
         return max(0, min(most, listed) - size)
