The choice of a target, and what an adapter brings, in modules of their own

Cause: routing/slots.py (554 lines) held the queue's duties, the learning and the choice of a target; forwarding/instance.py began with a data class that only adapters fill. Change: routing/slot_choice.py (weighs targets, and what it learns for that), forwarding/surroundings.py. Moves only; two empty handlers of the dispatcher are one.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -4,10 +4,7 @@
 import itertools
 import logging
 import secrets
-import socket
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 from aiohttp import web
@@ -18,10 +15,9 @@
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.beliefs import BeliefKeeper
 from hibiscusstep.forwarding.border import ForwardingBorder
-from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
+from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.catalog import Catalog, Follow, TableNews
 from hibiscusstep.forwarding.connections import ConnectionPool
-from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.incoming import Means
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
@@ -31,6 +27,7 @@
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.spread import Spread
+from hibiscusstep.forwarding.surroundings import Surroundings
 from hibiscusstep.log import decision, dropped_lines, keep_flushing
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.grouped import GroupedMembership
@@ -60,10 +57,10 @@
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slots import SlotDispatcher
-from hibiscusstep.store import BeliefStore, Change, Feed, Roster
+from hibiscusstep.store import Change
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 
-__all__ = ["ForwardingInstance", "Surroundings"]
+__all__ = ["ForwardingInstance"]
 
 _LOG = logging.getLogger(__name__)
 # A dispatcher that is silent for so long is taken for paused or cut off.
@@ -89,54 +86,6 @@
 STOP_MARGIN_S = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
-    """What an adapter brings.
-
-    Parameters
-    ----------
-    settings : InstanceSettings
-        Of the instance.
-    bounds : Bounds
-        Times and limits of the place of operation.
-    ready_address, ready_path : str
-        Where a balancer asks whether callers may be sent here.
-    dialect : Dialect
-        Header fields.
-    tables, targets : Feed
-        The configuration and the targets' entries.
-    roster : Roster
-        The instances.
-    beliefs : BeliefStore
-        Keeps what dispatchers learnt.
-    register : callable
-        Returns an awaitable that puts this instance on the roster.
-    read_table : callable of bytes
-        Makes a routing table of what a peer handed on.
-    read_bounds : callable
-        Reads the bounds again.
-    close : callable
-        Returns an awaitable that gives back the sockets.
-    caller_socket : socket.socket or None
-        Listens for callers; None where the instance is to listen itself.
-    """
-
-    settings: InstanceSettings
-    bounds: Bounds
-    ready_address: str
-    ready_path: str
-    dialect: Dialect
-    tables: Feed
-    targets: Feed
-    roster: Roster
-    beliefs: BeliefStore
-    register: Callable
-    read_table: Callable[[bytes], RoutingTable]
-    read_bounds: Callable[[], Bounds]
-    close: Callable
-    caller_socket: socket.socket | None = None
-
-
 class ForwardingInstance:
     """One instance: its tasks, how they are joined, its end.
 
--- /dev/null
+++ b/hibiscusstep/forwarding/surroundings.py
@@ -0,0 +1,60 @@
+"""hibiscusstep.forwarding.surroundings: what an adapter brings to an instance."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
+from hibiscusstep.forwarding.dialect import Dialect
+from hibiscusstep.forwarding.model import RoutingTable
+from hibiscusstep.store import BeliefStore, Feed, Roster
+
+__all__ = ["Surroundings"]
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What an adapter brings.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Of the instance.
+    bounds : Bounds
+        Times and limits of the place of operation.
+    ready_address, ready_path : str
+        Where a balancer asks whether callers may be sent here.
+    dialect : Dialect
+        Header fields.
+    tables, targets : Feed
+        The configuration and the targets' entries.
+    roster : Roster
+        The instances.
+    beliefs : BeliefStore
+        Keeps what dispatchers learnt.
+    register : callable
+        Returns an awaitable that puts this instance on the roster.
+    read_table : callable of bytes
+        Makes a routing table of what a peer handed on.
+    read_bounds : callable
+        Reads the bounds again.
+    close : callable
+        Returns an awaitable that gives back the sockets.
+    caller_socket : socket.socket or None
+        Listens for callers; None where the instance is to listen itself.
+    """
+
+    settings: InstanceSettings
+    bounds: Bounds
+    ready_address: str
+    ready_path: str
+    dialect: Dialect
+    tables: Feed
+    targets: Feed
+    roster: Roster
+    beliefs: BeliefStore
+    register: Callable
+    read_table: Callable[[bytes], RoutingTable]
+    read_bounds: Callable[[], Bounds]
+    close: Callable
+    caller_socket: socket.socket | None = None
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -3,7 +3,7 @@
 import socket
 from pathlib import Path
 
-from hibiscusstep.forwarding.instance import Surroundings
+from hibiscusstep.forwarding.surroundings import Surroundings
 from hibiscusstep.platform.client import (
     ObjectBeliefs,
     ObjectClient,
--- /dev/null
+++ b/hibiscusstep/routing/slot_choice.py
@@ -0,0 +1,207 @@
+"""hibiscusstep.routing.slot_choice: which free target a request goes to."""
+
+import math
+
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.engine_model import (
+    FIRST_SHARE_S,
+    STEP_S,
+    AnswerLengths,
+    EngineModel,
+    ReadingShare,
+)
+from hibiscusstep.routing.plan import PlannedPool
+from hibiscusstep.routing.slot_target import Run, SlotTarget
+from hibiscusstep.routing.switches import Switches
+
+__all__ = ["SlotChoice"]
+
+# A plain service's first guess; its targets' slowness against it is learnt.
+PLAIN_SERVICE_S = 0.05
+# Streams with fewer events tell too little of a target's pace.
+MIN_EVENTS = 6
+# Targets whose prices stand in the log with a grant.
+LOGGED = 6
+# Weight of a second by which a first token would be late, and seconds that a stream is
+# charged whose pauses would grow too long, from this part of the longest pause on.
+LATE_WEIGHT = 5.0
+PAUSE_COST_S = 0.5
+PAUSE_MARGIN = 0.85
+# Bytes between data centres are paid for: of targets that serve alike the near one is
+# taken. Six steps of an engine, so that a less busy target still goes first.
+ELSEWHERE_COST_S = 0.02
+
+
+class SlotChoice:
+    """Weighs the targets of a pool for a request, by what was learnt of the pool.
+
+    Parameters
+    ----------
+    switches : Switches
+        Which mechanisms are on.
+
+    Attributes
+    ----------
+    fastest : float
+        Slowness of the fastest target that may be used.
+    """
+
+    def __init__(self, switches: Switches) -> None:
+        self._switches = switches
+        self._model = EngineModel()
+        self._lengths = AnswerLengths()
+        self._reading = ReadingShare()
+        self._engine = True
+        self._tokens_per_event = 1
+        self._max_pause = 1.0
+        self.fastest = 1.0
+
+    def configure(self, pool: PlannedPool) -> None:
+        """Take what is configured for the pool."""
+        self._engine = pool.engine
+        self._tokens_per_event = pool.tokens_per_event
+        self._max_pause = pool.max_pause
+
+    def learnt(self, slowness: dict[str, float]) -> m.Learnt:
+        """Return what was learnt of the pool, beside the slowness of its targets."""
+        share = self._reading.most
+        known = share if share != FIRST_SHARE_S else 0.0
+        return m.Learnt(slowness, self._model.first, self._model.token, known)
+
+    def believe(self, news: m.Learnt) -> None:
+        """Take over what others learnt, where nothing was learnt here."""
+        if news.token and not self._model.learnt:
+            self._model.believe(news.first, news.token)
+        if news.share and self._reading.most == FIRST_SHARE_S:
+            self._reading.most = news.share
+
+    def begun(self, target: SlotTarget, run: Run, seconds: float) -> None:
+        """Learn from a first token that came `seconds` after the dispatch."""
+        if not self._engine:
+            return
+        if not target.learnt:
+            target.guess(seconds / run.expected_first)
+        elif run.alone and self._switches.engine_model:
+            self._model.learn(run.work.prompt_tokens, seconds / target.slowness)
+
+    def prefill(self, work: m.Work) -> float:
+        """Return the guessed seconds of a prompt on a target of slowness 1."""
+        return self._model.prefill(work.prompt_tokens) if self._engine else 0.0
+
+    def cost(self, work: m.Work) -> float:
+        """Return the guessed seconds of a request on a target of slowness 1."""
+        if not self._engine:
+            return PLAIN_SERVICE_S
+        return self._model.cost(work.prompt_tokens, work.output_tokens)
+
+    def reach(self, work: m.Work) -> float:
+        """Return the guessed seconds to a first token on a target of slowness 1."""
+        if not self._engine:
+            return PLAIN_SERVICE_S
+        return self._model.first + self._model.prefill(work.prompt_tokens)
+
+    def learn(
+        self, target: SlotTarget, run: Run, finished: m.Finished, now: float
+    ) -> None:
+        """Learn from a whole answer."""
+        target.succeeded()
+        if not self._engine:
+            target.learn((now - run.granted) / run.cost)
+        elif finished.tokens >= MIN_EVENTS:
+            # The pace of events tells the speed; the rest of an answer's time tells
+            # more of what else the target has to do.
+            steps = (finished.tokens - 1) * self._tokens_per_event
+            target.learn(finished.decode_seconds / (steps * STEP_S))
+            if finished.longest_pause and self._switches.reading_share:
+                pause = finished.longest_pause / target.slowness
+                steps = self._tokens_per_event * STEP_S
+                self._reading.learn(pause - steps, run.beside)
+        if self._engine and finished.tokens:
+            tokens = finished.tokens * self._tokens_per_event
+            self._lengths.learn(run.work.output_tokens, tokens)
+
+    def weighed(self, work: m.Work, free, now: float) -> dict[str, float]:
+        """Return the prices of some free targets, for the log."""
+        own = self.cost(work)
+        return {t.name: round(self._price(t, work, own, now), 3) for t in free[:LOGGED]}
+
+    def choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
+        """Return the best of the free targets; None if another is worth the wait."""
+        own = self.cost(work)
+        others = [target for target in free if target.name not in work.avoid] or free
+        if not self._engine:
+            return min(others, key=lambda t: t.cost(own, now))
+        best = min(others, key=lambda t: self._price(t, work, own, now))
+        overdue = not work.due and now >= work.deadline
+        if overdue or self._serves_in_time([best], work, now):
+            return best
+        if self._serves_in_time(usable, work, now):
+            return None
+        return self._choose_without_harm(work, others, best, now)
+
+    def _choose_without_harm(
+        self, work: m.Work, free, best: SlotTarget, now: float
+    ) -> SlotTarget | None:
+        """Return the target for a request that is in time nowhere.
+
+        It waits for one where it does not hold up the streams that run there: a prompt
+        of 54,600 tokens on a slow target made all ten of them late.
+        """
+        prefill = self._model.prefill(work.prompt_tokens)
+        spared = [target for target in free if not self._harms(target, prefill, now)]
+        if spared:
+            own = self.cost(work)
+            return min(spared, key=lambda t: self._price(t, work, own, now))
+        # Where even the fastest target would hold up its streams, none is waited for.
+        pause = self.fastest * self._between_events(prefill)
+        return None if pause <= PAUSE_MARGIN * self._max_pause else best
+
+    def _serves_in_time(self, targets, work: m.Work, now: float) -> bool:
+        """Whether one of some targets serves a request well.
+
+        Its first token would be on time, its end too, and the pauses of the streams
+        that run there. Most of a decision's time goes here, so nothing is called in the
+        loop that can be reckoned before it.
+        """
+        prefill = self._model.prefill(work.prompt_tokens)
+        reading = prefill + self._model.first
+        due = work.due or math.inf
+        ends, decoding = math.inf, 0.0
+        if work.ends and self._switches.answer_end:
+            ends = work.ends
+            decoding = self._lengths.cautious(work.output_tokens) * STEP_S
+        steps, most = self._tokens_per_event * STEP_S, self._reading.most
+        longest = PAUSE_MARGIN * self._max_pause
+        for target in targets:
+            slowness, left = target.slowness, target.prefill_left(now)
+            first = now + slowness * (left + reading)
+            if first > due or first + slowness * decoding > ends:
+                continue
+            pause = slowness * (steps + min(most, left + prefill))
+            if pause <= longest or not target.running:
+                return True
+        return False
+
+    def _harms(self, target: SlotTarget, prefill: float, now: float) -> bool:
+        """Whether a prompt makes the pauses of the streams at a target too long."""
+        to_read = target.prefill_left(now) + prefill
+        pause = target.slowness * self._between_events(to_read)
+        return bool(target.running) and pause > PAUSE_MARGIN * self._max_pause
+
+    def _between_events(self, to_read: float) -> float:
+        """Return the guessed seconds between events at slowness 1 beside prompts."""
+        steps = self._tokens_per_event * STEP_S
+        return steps + self._reading.between_events(to_read)
+
+    def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
+        """Return the weighed seconds of a request, and of what it does to others."""
+        prefill = self._model.prefill(work.prompt_tokens)
+        price = target.cost(own, now)
+        if target.data_centre != work.data_centre:
+            price += ELSEWHERE_COST_S
+        if work.due:
+            first = target.first_token(prefill, self._model.first, now)
+            price += LATE_WEIGHT * max(0.0, first - work.due)
+        if self._harms(target, prefill, now):
+            price += PAUSE_COST_S * len(target.running)
+        return price
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -11,36 +11,16 @@
 
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
-from hibiscusstep.routing.engine_model import (
-    FIRST_SHARE_S,
-    STEP_S,
-    AnswerLengths,
-    EngineModel,
-    ReadingShare,
-)
 from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.routing.slot_choice import SlotChoice
 from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.switches import ALL_ON, Switches
 
 __all__ = ["SlotDispatcher"]
 
-# A plain service's first guess; its targets' slowness against it is learnt.
-PLAIN_SERVICE_S = 0.05
-# Streams with fewer events tell too little of a target's pace.
-MIN_EVENTS = 6
 # So many of the waiting requests are weighed for the free targets at a time.
 WEIGHED = 8
-# Targets whose prices stand in the log with a grant.
-LOGGED = 6
-# Weight of a second by which a first token would be late, and seconds that a stream is
-# charged whose pauses would grow too long, from this part of the longest pause on.
-LATE_WEIGHT = 5.0
-PAUSE_COST_S = 0.5
-PAUSE_MARGIN = 0.85
-# Bytes between data centres are paid for: of targets that serve alike the near one is
-# taken. Six steps of an engine, so that a less busy target still goes first.
-ELSEWHERE_COST_S = 0.02
 # Overload comes in bursts of some seconds; whoever comes back sooner is refused again.
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 5.0
@@ -108,17 +88,11 @@
         self._switches = switches
         self._queue = SlotQueue()
         self._returns = Returns()
-        self._model = EngineModel()
-        self._lengths = AnswerLengths()
-        self._reading = ReadingShare()
+        self._choice = SlotChoice(switches)
         # Slowness of targets by others, also of those that are not known here yet.
         self._kept: dict[str, float] = {}
         self._rate = 0.0
-        self._fastest = 1.0
         self._rate_at = -math.inf
-        self._engine = True
-        self._tokens_per_event = 1
-        self._max_pause = 1.0
         self._configure(plan)
 
     @property
@@ -132,9 +106,7 @@
         slowness = {name: t.slowness for name, t in self._targets.items() if t.learnt}
         if not slowness:
             return None
-        model, share = self._model, self._reading.most
-        known = share if share != FIRST_SHARE_S else 0.0
-        return m.Learnt(slowness, model.first, model.token, known)
+        return self._choice.learnt(slowness)
 
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
@@ -171,10 +143,10 @@
         if self._switches.late_last:
             work = self._returns.recognize(work, now)
         # Seconds until it is served where nothing else is to do.
-        reach = self._fastest * self._reach(work)
+        reach = self._choice.fastest * self._choice.reach(work)
         late = self._switches.late_last and 0 < work.due < now + reach
         deadline = self._last_useful_start(work, reach, late)
-        self._queue.add(work, self._cost(work), deadline, late)
+        self._queue.add(work, self._choice.cost(work), deadline, late)
 
     def _last_useful_start(self, work: m.Work, reach: float, late: bool) -> float:
         """Return until when a request waits.
@@ -199,13 +171,8 @@
     def _first_token(self, message: m.FirstToken, now: float) -> None:
         target = self._targets.get(self._placed.get(message.ask, ""))
         run = target.begin(message.ask) if target else None
-        if run is None or not self._engine:
-            return
-        if not target.learnt:
-            target.guess(message.seconds / run.expected_first)
-        elif run.alone and self._switches.engine_model:
-            prompt = run.work.prompt_tokens
-            self._model.learn(prompt, message.seconds / target.slowness)
+        if run is not None:
+            self._choice.begun(target, run, message.seconds)
 
     @_take.register
     def _finished(self, message: m.Finished, now: float) -> None:
@@ -215,7 +182,7 @@
             return
         match message.outcome:
             case m.Outcome.DONE:
-                self._learn(target, run, message, now)
+                self._choice.learn(target, run, message, now)
             case m.Outcome.FAILED | m.Outcome.BROKEN:
                 target.failed(now)
             case m.Outcome.UNREACHABLE:
@@ -247,10 +214,7 @@
         self._kept |= message.slowness
         for target in self._targets.values():
             self._believe(target)
-        if message.token and not self._model.learnt:
-            self._model.believe(message.first, message.token)
-        if message.share and self._reading.most == FIRST_SHARE_S:
-            self._reading.most = message.share
+        self._choice.believe(message)
 
     def _believe(self, target: SlotTarget) -> None:
         """Take over what others learnt of a target."""
@@ -278,10 +242,6 @@
     def _recover(self, message: m.Recovered, now: float) -> None:
         self._recovered = True
 
-    @_take.register
-    def _doubt(self, message: m.Doubt, now: float) -> None:
-        pass
-
     @_take.register
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
         gone = [work.ask for work in self._queue if work.instance == message.instance]
@@ -298,16 +258,15 @@
     def _reconfigure(self, message: m.Configure, now: float) -> None:
         self._configure(message.configuration)
 
-    @_take.register
-    def _tick(self, message: m.Tick, now: float) -> None:
-        pass
+    @_take.register(m.Doubt)
+    @_take.register(m.Tick)
+    def _nothing(self, message, now: float) -> None:
+        """Take note of nothing: what time changes is looked at in `_decide`."""
 
     def _configure(self, plan: Plan) -> None:
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
-        self._engine = pool.engine
+        self._choice.configure(pool)
         self._rate_at = -math.inf
-        self._tokens_per_event = pool.tokens_per_event
-        self._max_pause = pool.max_pause
         names = (
             sorted(pool.targets, key=self._tie_order) if self._tie_key else pool.targets
         )
@@ -328,18 +287,6 @@
     def _tie_order(self, name: str) -> int:
         return xxhash.xxh64_intdigest(f"{self._tie_key}\0{name}".encode())
 
-    def _cost(self, work: m.Work) -> float:
-        """Return the guessed seconds of a request on a target of slowness 1."""
-        if not self._engine:
-            return PLAIN_SERVICE_S
-        return self._model.cost(work.prompt_tokens, work.output_tokens)
-
-    def _reach(self, work: m.Work) -> float:
-        """Return the guessed seconds to a first token on a target of slowness 1."""
-        if not self._engine:
-            return PLAIN_SERVICE_S
-        return self._model.first + self._model.prefill(work.prompt_tokens)
-
     def _usable(self, now: float) -> list[SlotTarget]:
         staying = [t for t in self._targets.values() if not t.leaving]
         fit = [t for t in staying if t.usable(now)]
@@ -379,7 +326,7 @@
 
     def _try(self, work: m.Work, free, usable, now: float) -> bool:
         """Grant a request if one of the free targets is good for it."""
-        target = self._choose(work, free, usable, now)
+        target = self._choice.choose(work, free, usable, now)
         if target is None:
             return False
         self._queue.remove(work.ask)
@@ -392,101 +339,15 @@
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self.counts.granted += 1
-        weighed = self._weighed(work, free, now)
+        weighed = self._choice.weighed(work, free, now)
         self._run(target, work, now)
         wait = round(now - work.received, 4)
         self._decisions.append(m.Grant(work, target.name, wait, weighed))
 
-    def _weighed(self, work: m.Work, free, now: float) -> dict[str, float]:
-        """Return the prices of some free targets, for the log."""
-        own = self._cost(work)
-        return {t.name: round(self._price(t, work, own, now), 3) for t in free[:LOGGED]}
-
-    def _choose(self, work: m.Work, free, usable, now: float) -> SlotTarget | None:
-        """Return the best of the free targets; None if another is worth the wait."""
-        own = self._cost(work)
-        others = [target for target in free if target.name not in work.avoid] or free
-        if not self._engine:
-            return min(others, key=lambda t: t.cost(own, now))
-        best = min(others, key=lambda t: self._price(t, work, own, now))
-        overdue = not work.due and now >= work.deadline
-        if overdue or self._serves_in_time([best], work, now):
-            return best
-        if self._serves_in_time(usable, work, now):
-            return None
-        return self._choose_without_harm(work, others, best, now)
-
-    def _choose_without_harm(
-        self, work: m.Work, free, best: SlotTarget, now: float
-    ) -> SlotTarget | None:
-        """Return the target for a request that is in time nowhere.
-
-        It waits for one where it does not hold up the streams that run there: a prompt
-        of 54,600 tokens on a slow target made all ten of them late.
-        """
-        prefill = self._model.prefill(work.prompt_tokens)
-        spared = [target for target in free if not self._harms(target, prefill, now)]
-        if spared:
-            own = self._cost(work)
-            return min(spared, key=lambda t: self._price(t, work, own, now))
-        # Where even the fastest target would hold up its streams, none is waited for.
-        pause = self._fastest * self._between_events(prefill)
-        return None if pause <= PAUSE_MARGIN * self._max_pause else best
-
-    def _serves_in_time(self, targets, work: m.Work, now: float) -> bool:
-        """Whether one of some targets serves a request well.
-
-        Its first token would be on time, its end too, and the pauses of the streams
-        that run there. Most of a decision's time goes here, so nothing is called in the
-        loop that can be reckoned before it.
-        """
-        prefill = self._model.prefill(work.prompt_tokens)
-        reading = prefill + self._model.first
-        due = work.due or math.inf
-        ends, decoding = math.inf, 0.0
-        if work.ends and self._switches.answer_end:
-            ends = work.ends
-            decoding = self._lengths.cautious(work.output_tokens) * STEP_S
-        steps, most = self._tokens_per_event * STEP_S, self._reading.most
-        longest = PAUSE_MARGIN * self._max_pause
-        for target in targets:
-            slowness, left = target.slowness, target.prefill_left(now)
-            first = now + slowness * (left + reading)
-            if first > due or first + slowness * decoding > ends:
-                continue
-            pause = slowness * (steps + min(most, left + prefill))
-            if pause <= longest or not target.running:
-                return True
-        return False
-
-    def _harms(self, target: SlotTarget, prefill: float, now: float) -> bool:
-        """Whether a prompt makes the pauses of the streams at a target too long."""
-        to_read = target.prefill_left(now) + prefill
-        pause = target.slowness * self._between_events(to_read)
-        return bool(target.running) and pause > PAUSE_MARGIN * self._max_pause
-
-    def _between_events(self, to_read: float) -> float:
-        """Return the guessed seconds between events at slowness 1 beside prompts."""
-        steps = self._tokens_per_event * STEP_S
-        return steps + self._reading.between_events(to_read)
-
-    def _price(self, target: SlotTarget, work: m.Work, own: float, now: float) -> float:
-        """Return the weighed seconds of a request, and of what it does to others."""
-        prefill = self._model.prefill(work.prompt_tokens)
-        price = target.cost(own, now)
-        if target.data_centre != work.data_centre:
-            price += ELSEWHERE_COST_S
-        if work.due:
-            first = target.first_token(prefill, self._model.first, now)
-            price += LATE_WEIGHT * max(0.0, first - work.due)
-        if self._harms(target, prefill, now):
-            price += PAUSE_COST_S * len(target.running)
-        return price
-
     def _run(self, target: SlotTarget, work: m.Work, now: float) -> None:
-        prefill = self._model.prefill(work.prompt_tokens) if self._engine else 0.0
-        run = Run(work, now, self._cost(work), prefill)
-        run.expected_first = target.prefill_left(now) + self._reach(work)
+        choice = self._choice
+        run = Run(work, now, choice.cost(work), choice.prefill(work))
+        run.expected_first = target.prefill_left(now) + choice.reach(work)
         target.add(work.ask, run)
         self._placed[work.ask] = target.name
 
@@ -516,7 +377,7 @@
             self._rate_at = now
             usable = self._usable(now)
             self._rate = sum(t.slots / t.slowness for t in usable)
-            self._fastest = min((t.slowness for t in usable), default=1.0)
+            self._choice.fastest = min((t.slowness for t in usable), default=1.0)
 
     def _refuse(self, work: m.Work, wait: float) -> None:
         self._queue.remove(work.ask)
@@ -525,23 +386,6 @@
         after = round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), 2)
         self._decisions.append(m.Refuse(work, m.Reason.LOAD, after))
 
-    def _learn(self, target: SlotTarget, run: Run, finished, now: float) -> None:
-        target.succeeded()
-        if not self._engine:
-            target.learn((now - run.granted) / run.cost)
-        elif finished.tokens >= MIN_EVENTS:
-            # The pace of events tells the speed; the rest of an answer's time tells
-            # more of what else the target has to do.
-            steps = (finished.tokens - 1) * self._tokens_per_event
-            target.learn(finished.decode_seconds / (steps * STEP_S))
-            if finished.longest_pause and self._switches.reading_share:
-                pause = finished.longest_pause / target.slowness
-                steps = self._tokens_per_event * STEP_S
-                self._reading.learn(pause - steps, run.beside)
-        if self._engine and finished.tokens:
-            tokens = finished.tokens * self._tokens_per_event
-            self._lengths.learn(run.work.output_tokens, tokens)
-
     def _drop(self, ask: str) -> None:
         self._queue.remove(ask)
         target = self._targets.get(self._placed.pop(ask, ""))
