Incident: the lowest rank gets next to nothing in long overload; a test fails

Cause: strict order by rank. While the higher ranks ask for more than all slots, nothing is left for the last one, and it is refused on arrival, as its expected wait is that of all before it. The test of the relays' cost says what is shown of it and what is not.

--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -74,11 +74,24 @@
         Value by window (seconds of its start): 1 for a request in time, less if late.
     counts : dict of str to int
         Requests by how they ended.
+    asked, served : dict of int to int
+        Requests by rank, and those that were answered, in time or late.
     """
 
     owed: dict[float, float] = field(default_factory=lambda: defaultdict(float))
     earned: dict[float, float] = field(default_factory=lambda: defaultdict(float))
     counts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+    served: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+
+    def share_served(self, rank: int) -> float:
+        """Return the part of a rank's requests that were answered."""
+        return self.served[rank] / max(1, self.asked[rank])
+
+    @property
+    def all_served(self) -> float:
+        """The part of all requests that were answered."""
+        return sum(self.served.values()) / max(1, sum(self.asked.values()))
 
     @property
     def whole(self) -> float:
@@ -192,6 +205,7 @@
         hint = max(1, round(output * self._draw.lognormal(0.0, HINT_SPREAD)))
         request = _Request(next(self._order), kind, prompt, output, hint, self._now)
         self._outcomes.owed[self._window(request)] += 1.0
+        self._outcomes.asked[kind.rank] += 1
         self._at(self._now + kind.deadline, self._end, request, "deadline", 0.0)
         self._ask(request)
 
@@ -280,6 +294,7 @@
         request.ended = True
         self._outcomes.counts[how] += 1
         self._outcomes.earned[self._window(request)] += value
+        self._outcomes.served[request.kind.rank] += value > 0
         self._release(request, m.Outcome.DONE if value else m.Outcome.CANCELLED)
 
     def _release(self, request: _Request, outcome: m.Outcome) -> None:
--- a/tests/test_grouped.py
+++ b/tests/test_grouped.py
@@ -148,15 +148,16 @@
 
 
 class TestCostOfARelay:
-    """A region of 68 instances served less of its lowest rank than it had room for.
-
-    Relays dispatch the pools, and half of their processor time went into heartbeats.
-    In overload their decisions came late, whole groups of instances took them for
-    silent and dispatched alone, with a small part of the slots each; who waits last
-    lost most. It came about as the region grew: each heartbeat looked again at all
-    heartbeats of the last 16 s, and relays greeted their own followers with each beat,
-    who answered each greeting with a heartbeat: 340 a second at a relay of 89
-    instances. A profile of the processes proved it: 3.6 of the 7.0 s of the
+    """Half of a relay's processor time went into heartbeats, in a region of 89.
+
+    Looked for when a large region had served too little; not shown to be the cause of
+    that. Relays dispatch the pools. Where processor time is short, their decisions came
+    late, whole groups of instances took them for silent and dispatched alone, each with
+    a small part of the slots: with a profiler in each process, 970 times within ten
+    seconds, and 0.26 of what is owed was earned; 0 times and 0.67 after the mend. It
+    came about as regions grew: each heartbeat looked again at all of the last 16 s, and
+    relays greeted followers with each beat, who answered each greeting with a
+    heartbeat: 340 a second at a relay. The profile proved it: 3.6 of 7.0 s of the
     dispatcher's processor time were spent on the largest of 5,500 numbers.
     """
 
--- a/tests/test_pool_emulator.py
+++ b/tests/test_pool_emulator.py
@@ -98,3 +98,41 @@
         result = CliRunner().invoke(main, [*arguments, "--out", str(out)])
         assert result.exit_code == 0, result.output
         assert out.exists()
+
+
+class TestLowestRankInLongOverload:
+    """Of a pool's lowest rank next to nothing was served while others were.
+
+    A region of 68 instances reported it: of one kind of request a small share was
+    served, of all a fair one. It came about on days on which the higher ranks ask for
+    more than all slots for long. Nothing was lost or slow: strictly by rank, the last
+    one gets what is left over, that is nothing, and its callers wait three seconds at
+    the most. The same day played with and without processor time, and on the code
+    before and after, gave the lowest rank 0.28 and 0.30, 0.17 and 0.16 of what it
+    asked; this emulator, which knows neither network nor processor time, gives it
+    0.03 to 0.12 of what it asked, and all ranks together 0.48 to 0.58.
+    """
+
+    KINDS = (
+        RequestKind(0, 10.2, 6610.0, 384.0, 1.2, 1.2, 15.0),
+        RequestKind(1, 18.2, 628.0, 290.0, 1.0, 1.0, 12.0),
+        RequestKind(2, 15.6, 1800.0, 23.0, 1.0, 1.5, 3.0),
+    )
+    SEEDS = (1, 2, 3, 4)
+
+    def _overload(self, factor):
+        """Six targets of unlike speed, more asked than they can do all the while."""
+        return DrawnDeployment(
+            (0.8, 1.0, 1.0, 1.2, 2.0, 3.0), 8, 0.0026, 0.014, 48_200.0, 2048, 8, 0.5,
+            self.KINDS, (Burst(0.0, 24.0, factor),), 0.0,
+        )  # fmt: skip
+
+    def _played(self, factor):
+        return [PoolEmulator(self._overload(factor), s).run() for s in self.SEEDS]
+
+    def test_it_is_served_a_quarter_as_often_as_all_at_least(self):
+        shares = [(o.share_served(2), o.all_served) for o in self._played(1.4)]
+        assert all(lowest >= all_ / 4 for lowest, all_ in shares), shares
+
+    def test_the_highest_rank_is_served_all_the_same(self):
+        assert min(o.share_served(0) for o in self._played(1.4)) > 0.97
