No rank of a pool is left without service in long overload

Cause: see the test of the lowest rank: strictly by rank the last one gets what is left over, and is refused on arrival for the time that all before it would take. Class: starvation by strict priority. Ruled out: a part of the slots for each rank: it costs the others also where nobody is starved. Aging by time waited: the last rank's patience is shorter than the overload. The last of each class is looked at for refusal, since the last of all no longer says what the others before it may expect.

--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -59,6 +60,29 @@
         waiting = self._by_ask.get(ask)
         return waiting.entry[-1] if waiting else None
 
+    def first_of(self, rank: int) -> Work | None:
+        """Return the request of a rank that comes first; None if none waits."""
+        place = self._order.bisect_left((rank,))
+        if place == len(self._order) or self._order[place][0] != rank:
+            return None
+        return self._order[place][-1]
+
+    def classes(self) -> list[tuple[int, bool]]:
+        """Return the classes (rank, whether late) that were seen, the last first."""
+        return sorted(self._backlog, reverse=True)
+
+    def last_of(self, place: tuple[int, bool]) -> Work | None:
+        """Return the request of a class that comes last; None if none waits."""
+        after = self._order.bisect_left((*place, math.inf))
+        if not after or self._order[after - 1][:2] != place:
+            return None
+        return self._order[after - 1][-1]
+
+    def place_in_rank(self, ask: str) -> int:
+        """Return how many of its rank go before a waiting request."""
+        entry = self._by_ask[ask].entry
+        return self._order.bisect_left(entry) - self._order.bisect_left(entry[:1])
+
     @property
     def by_tier(self) -> dict[str, int]:
         """How many wait, by tier."""
@@ -129,6 +153,10 @@
     def __init__(self) -> None:
         self._first: OrderedDict[int, float] = OrderedDict()
 
+    def knows(self, work: Work) -> bool:
+        """Whether a request was refused before, by its caller's identity."""
+        return work.identity in self._first
+
     def refused(self, work: Work) -> None:
         """Remember a refused request, from its first attempt on."""
         if work.identity:
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -12,6 +12,7 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.routing.rank_floor import RankFloor
 from hibiscusstep.routing.slot_choice import SlotChoice
 from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
@@ -58,6 +59,8 @@
 class SlotDispatcher(PoolDispatcher):
     """The highest rank first, within it first come, first served.
 
+    A rank that was granted much less often than all lately goes first until it is not.
+
     Within a rank, who came back after a refusal and is late already goes behind those
     that can still be served in time. A request that cannot be granted by its deadline
     is refused as soon as that is expected.
@@ -88,6 +91,7 @@
         self._switches = switches
         self._queue = SlotQueue()
         self._returns = Returns()
+        self._floor = RankFloor()
         self._choice = SlotChoice(switches)
         # Slowness of targets by others, also of those that are not known here yet.
         self._kept: dict[str, float] = {}
@@ -140,6 +144,8 @@
         if work.ask in self._queue:
             return
         self.counts.asked += 1
+        if not self._returns.knows(work):
+            self._floor.asked(work.rank, now)
         if self._switches.late_last:
             work = self._returns.recognize(work, now)
         # Seconds until it is served where nothing else is to do.
@@ -298,11 +304,20 @@
             return
         usable = self._usable(now)
         free = self._free(usable, now)
+        while free and self._try_owed(free, usable, now):
+            pass
         passed_over = 0
         while free and passed_over < min(WEIGHED, len(self._queue)):
             if not self._try(self._queue[passed_over], free, usable, now):
                 passed_over += 1
 
+    def _try_owed(self, free, usable, now: float) -> bool:
+        """Grant a request of a rank that is owed one; whether one was granted."""
+        if not self._switches.rank_floor:
+            return False
+        first = (self._queue.first_of(rank) for rank in self._floor.owed(now))
+        return any(work and self._try(work, free, usable, now) for work in first)
+
     def _schedule_one(self, ask: str, now: float) -> None:
         """Grant a new request if it can be: the others have been weighed already."""
         work = self._queue.get(ask)
@@ -339,6 +354,7 @@
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self.counts.granted += 1
+        self._floor.granted(work.rank, now)
         weighed = self._choice.weighed(work, free, now)
         self._run(target, work, now)
         wait = round(now - work.received, 4)
@@ -354,22 +370,27 @@
     def _expire(self, now: float) -> None:
         """Refuse what is overdue, and what is expected to be.
 
-        Of those that wait only the last are looked at: whoever was not the last when
-        it came has been pushed back by higher ranks only, and then the last first.
+        Of those that wait only the last of each class are looked at: whoever was not
+        the last when it came has been pushed back by higher ranks only, and then the
+        last first.
         """
         for work in self._queue.overdue(now):
-            self._refuse(work, self._wait(work.ask))
-        while self._queue:
-            work = self._queue[-1]
-            wait = self._wait(work.ask)
-            if now + wait < self._queue.deadline(work.ask):
-                return
-            self._refuse(work, wait)
-
-    def _wait(self, ask: str) -> float:
+            self._refuse(work, self._wait(work))
+        for place in self._queue.classes():
+            while work := self._queue.last_of(place):
+                wait = self._wait(work)
+                if now + wait < self._queue.deadline(work.ask):
+                    break
+                self._refuse(work, wait)
+
+    def _wait(self, work: m.Work) -> float:
         """Return the guessed seconds until the targets come to a waiting request."""
-        ahead = self._queue.ahead(ask)
-        return ahead / self._rate if self._rate else MAX_RETRY_AFTER_S
+        ahead = self._queue.ahead(work.ask)
+        wait = ahead / self._rate if self._rate else MAX_RETRY_AFTER_S
+        least = self._floor.rate(work.rank) if self._switches.rank_floor else 0.0
+        if least:
+            wait = min(wait, (self._queue.place_in_rank(work.ask) + 1) / least)
+        return wait
 
     def _reckon_rate(self, now: float) -> None:
         """Reckon again how fast the targets work, at most once a moment."""
--- a/hibiscusstep/routing/switches.py
+++ b/hibiscusstep/routing/switches.py
@@ -24,6 +24,8 @@
         Whether a request waits as long as it can still be served in time.
     kept_beliefs : bool
         Whether what was learnt is kept beyond the processes.
+    rank_floor : bool
+        Whether a rank that was granted much less often than all goes first.
     """
 
     engine_model: bool = True
@@ -32,6 +34,7 @@
     late_last: bool = True
     useful_wait: bool = True
     kept_beliefs: bool = True
+    rank_floor: bool = True
 
     @classmethod
     def without(cls, names: str) -> "Switches":
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,5 +1,7 @@
 """hibiscusstep.routing.slots: the dispatcher of targets with slots."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -8,14 +10,16 @@
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.slots import SlotDispatcher
+from hibiscusstep.routing.switches import ALL_ON, Switches
 
 
-def _dispatcher(slots=(2, 2), recovered=True, **leaving):
+def _dispatcher(slots=(2, 2), recovered=True, switches=ALL_ON, **leaving):
     targets = {
         f"t{n}": PlannedTarget(count, leaving.get(f"t{n}", False))
         for n, count in enumerate(slots)
     }
-    dispatcher = SlotDispatcher("p", Plan({"p": PlannedPool(True, targets=targets)}))
+    plan = Plan({"p": PlannedPool(True, targets=targets)})
+    dispatcher = SlotDispatcher("p", plan, switches=switches)
     if recovered:
         dispatcher.handle(m.Recovered(), 0.0)
     return dispatcher
@@ -270,6 +274,45 @@
         assert _grants(dispatcher.handle(m.Ask(last), 0.2)) == {"c": "t0"}
 
 
+class TestLowestRank:
+    """Higher ranks ask for more than all slots, for long."""
+
+    def _overloaded(self, switches=ALL_ON):
+        """Two slots that always have a request of the highest rank to take."""
+        dispatcher = _dispatcher((2,), switches=switches)
+        grants = []
+        for n in range(120):
+            now = n * 0.05
+            for rank in (0, 0, 2):
+                ask = _work(f"a{n}.{rank}.{len(grants)}", rank, now + 1.0, now)
+                grants += dispatcher.handle(m.Ask(replace(ask, ask=f"{n}-{rank}")), now)
+            running = [g.work.ask for g in grants if isinstance(g, m.Grant)][-2:]
+            done = m.Finished(running[0], m.Outcome.DONE, 10)
+            grants += dispatcher.handle(done, now + 0.01)
+        return [g.work.rank for g in grants if isinstance(g, m.Grant)]
+
+    def test_it_is_granted_some(self):
+        ranks = self._overloaded()
+        assert 0.1 < ranks.count(2) / len(ranks) < 0.5
+
+    def test_it_is_granted_nothing_by_rank_alone(self):
+        ranks = self._overloaded(Switches.without("rank_floor"))
+        assert ranks.count(2) / len(ranks) < 0.05
+
+    def test_a_full_queue_of_a_higher_rank_is_seen_behind_it(self):
+        """Who waits last may be in time where the last of another rank is not."""
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.Ask(_work("busy")), 0.0)
+        refused = []
+        for n in range(60):
+            ask = _work(f"r1.{n}", 1, deadline=0.3, tokens=2000)
+            refused += dispatcher.handle(m.Ask(ask), 0.0)
+        dispatcher.handle(m.Ask(_work("last", 2, deadline=90.0)), 0.0)
+        refused += dispatcher.handle(m.Tick(), 0.01)
+        assert any(isinstance(d, m.Refuse) and d.work.rank == 1 for d in refused)
+        assert dispatcher.is_waiting("last")
+
+
 class TestRefusing:
     def test_at_the_deadline_with_a_time_to_come_back(self):
         dispatcher = _dispatcher((1,))
