--- a/hibiscusstep/routing/rank_floor.py
+++ b/hibiscusstep/routing/rank_floor.py
@@ -42,14 +42,18 @@
 
     def owed(self, now: float) -> list[int]:
         """Return the ranks that are below the least share, the most neglected first."""
-        self._fade(now)
+        shares = self.shares(now)
         least = LEAST_SHARE * self._share_of_all
-        shares = {
+        return sorted((rank for rank in shares if shares[rank] < least), key=shares.get)
+
+    def shares(self, now: float) -> dict[int, float]:
+        """Return how often each rank was granted lately, of what it asked."""
+        self._fade(now)
+        return {
             rank: self._granted[rank] / asked
             for rank, asked in self._asked.items()
             if asked >= FEWEST_ASKED
         }
-        return sorted((rank for rank in shares if shares[rank] < least), key=shares.get)
 
     def rate(self, rank: int) -> float:
         """Return the grants a second that a rank gets at least; 0 if not known."""
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -123,7 +123,9 @@
     def summary(self, now: float) -> dict:
         """Return the state in short: of each target, what runs and what was learnt."""
         targets = {name: target.summary(now) for name, target in self._targets.items()}
-        return {"waiting": self.waiting, "targets": targets}
+        shares = self._floor.shares(now)
+        granted = {str(rank): round(shares[rank], 2) for rank in sorted(shares)}
+        return {"waiting": self.waiting, "granted": granted, "targets": targets}
 
     def _decide(self, message, now: float) -> None:
         if isinstance(message, m.Ask):
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -295,6 +295,15 @@
         ranks = self._overloaded()
         assert 0.1 < ranks.count(2) / len(ranks) < 0.5
 
+    def test_the_state_in_the_log_tells_what_each_rank_was_granted(self):
+        dispatcher = _dispatcher((1,))
+        for n in range(12):
+            dispatcher.handle(m.Ask(_work(f"a{n}", rank=n % 2 * 2)), 0.0)
+        assert dispatcher.summary(0.0)["granted"] == {}
+        for n in range(12):
+            dispatcher.handle(m.Ask(_work(f"b{n}", rank=n % 2 * 2)), 0.0)
+        assert dispatcher.summary(0.0)["granted"] == {"0": 0.08, "2": 0.0}
+
     def test_it_is_granted_nothing_by_rank_alone(self):
         ranks = self._overloaded(Switches.without("rank_floor"))
         assert ranks.count(2) / len(ranks) < 0.05
