--- a/hibiscusstep/attempt.py
+++ b/hibiscusstep/attempt.py
@@ -5,9 +5,10 @@
 from hibiscusstep.admission import Admitted
 from hibiscusstep.configuration.models import Configuration
 from hibiscusstep.continuation import Continuation
-from hibiscusstep.desk import Desk, Ended, Granted, Started
+from hibiscusstep.desk import Desk
 from hibiscusstep.errors import TargetError
 from hibiscusstep.events import EventKind
+from hibiscusstep.grants import Ended, Granted, Started
 from hibiscusstep.progress import Progress
 from hibiscusstep.routing.messages import Outcome as Ending
 from hibiscusstep.sink import Sink
--- a/hibiscusstep/delivery.py
+++ b/hibiscusstep/delivery.py
@@ -9,9 +9,10 @@
 from hibiscusstep.answers import AnswerState, KeptAnswer
 from hibiscusstep.attempt import Attempt, TryElsewhere
 from hibiscusstep.configuration.models import Configuration
-from hibiscusstep.desk import Desk, Granted, GrantRequest, Refused
+from hibiscusstep.desk import Desk
 from hibiscusstep.events import EventKind, NullRecorder
 from hibiscusstep.explain import Explainer
+from hibiscusstep.grants import Granted, GrantRequest, Refused
 from hibiscusstep.keys import KeyGuard
 from hibiscusstep.mailbox import MailboxFull
 from hibiscusstep.peer import WorkInfo
--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from hibiscusstep.configuration.in_force import InForce
+from hibiscusstep.grants import Ended, Granted, GrantRequest, Refused, Started
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Question, Tick, Worker
 from hibiscusstep.membership.view import Member, View
@@ -26,9 +26,9 @@
     WorkInfo,
 )
 from hibiscusstep.peerlink import LinkLost, Send
-from hibiscusstep.routing.messages import Outcome, Reason
+from hibiscusstep.routing.messages import Reason
 
-__all__ = ["Desk", "Ended", "Granted", "GrantRequest", "Refused", "Started"]
+__all__ = ["Desk"]
 
 TICK_S = 0.2
 FIRST_STANDBY_S = 0.5
@@ -39,75 +39,6 @@
 UNAVAILABLE_RETRY_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class GrantRequest:
-    """A request wants a target.
-
-    Parameters
-    ----------
-    pool : str
-        The pool.
-    work : WorkInfo
-        The request; `ask` and the times are set by the desk.
-    deadline : float
-        When the first byte is due, in seconds on the loop's clock.
-    never_shed : bool
-        Whether it waits beyond its deadline.
-    on_stop : callable
-        Called if the granted request must stop.
-    due : float
-        When the first token is on time at the latest, on the loop's clock.
-    ends : float
-        When the whole answer must have come, on the loop's clock; 0 if not known.
-    """
-
-    pool: str
-    work: WorkInfo
-    deadline: float
-    never_shed: bool
-    on_stop: Callable[[], None]
-    due: float = 0.0
-    ends: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Granted:
-    """The request goes to `target`; `ask` names the grant."""
-
-    ask: str
-    target: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The request is not run."""
-
-    reason: Reason
-    retry_after: float
-
-
-@dataclass(frozen=True, slots=True)
-class Started:
-    """The first token of a granted request came."""
-
-    pool: str
-    ask: str
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """A granted request ended."""
-
-    pool: str
-    ask: str
-    outcome: Outcome
-    tokens: int = 0
-    decode_seconds: float = 0.0
-    computed: int = -1
-    longest_pause: float = 0.0
-
-
 @dataclass(slots=True, eq=False)
 class _Held:
     question: Question
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from hibiscusstep.desk import Ended, Granted, GrantRequest, Refused, Started
 from hibiscusstep.dispatching import TargetLoad
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.connections import Connection, Reply
@@ -18,6 +17,7 @@
 )
 from hibiscusstep.forwarding.pace import Pace
 from hibiscusstep.forwarding.quota import QUOTA_RETRY_S
+from hibiscusstep.grants import Ended, Granted, GrantRequest, Refused, Started
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import MailboxFull
 from hibiscusstep.peer import WorkInfo
--- a/hibiscusstep/progress.py
+++ b/hibiscusstep/progress.py
@@ -2,9 +2,9 @@
 
 from hibiscusstep.admission import Admitted
 from hibiscusstep.configuration.models import Configuration
-from hibiscusstep.desk import Refused
 from hibiscusstep.events import EventKind, NullRecorder
 from hibiscusstep.explain import Explainer
+from hibiscusstep.grants import Refused
 from hibiscusstep.problem import Outcome, Problem
 from hibiscusstep.routing.messages import Reason
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from hibiscusstep.configuration.in_force import InForce
-from hibiscusstep.desk import Desk, GrantRequest
+from hibiscusstep.desk import Desk
+from hibiscusstep.grants import GrantRequest
 from hibiscusstep.mailbox import Question
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
