--- a/hibiscusstep/routing/rank_floor.py
+++ b/hibiscusstep/routing/rank_floor.py
@@ -7,7 +7,7 @@
 
 # A rank is granted at least this share of how often all requests are. Strictly by rank
 # the last one got 0.03 to 0.12 of what it asked while all got half (six targets, 1.4
-# times what they can do for 24 s, four seeds); with it 0.20 to 0.25. Of all, and not a
+# times what they can do for 24 s, four seeds); with it 0.21 to 0.30. Of all, and not a
 # part of the slots: what it costs the others is no more than is needed for it.
 LEAST_SHARE = 0.4
 # Seconds for which what was asked and granted counts, fading: bursts last some seconds.
