What is left out is counted by one piece of code; one list of what reading raises

Cause: read once more: the feed of the store and the planner each kept the same table of revisions beside a count; client and documents each had a list of the errors that a malformed document raises, with a difference. Change: forwarding/left_out.py serves both; fields.MALFORMED is the union. With it a revision written as Infinity is a malformed answer in the client too, where it would have ended the task that follows the store: the reader takes such a number since other writers' bytes are borne. Ruled out: grants.py beside routing/messages.py: messages of two planes that only look alike.

--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from hibiscusstep.forwarding.left_out import LeftOut
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 
@@ -11,17 +12,15 @@
 
 
 class Planner:
-    """Makes plans; a target of a pool that the table does not know has no place.
-
-    Attributes
-    ----------
-    left_out : int
-        Targets that had no place so far, each revision once.
-    """
+    """Makes plans; a target of a pool that the table does not know has no place."""
 
     def __init__(self) -> None:
-        self._refused: dict[str, int] = {}
-        self.left_out = 0
+        self._left_out = LeftOut()
+
+    @property
+    def left_out(self) -> int:
+        """Targets that had no place so far, each revision once."""
+        return self._left_out.count
 
     def make(self, table: RoutingTable, targets: dict[str, DiscoveredTarget]) -> Plan:
         """Return the pools of a routing table with their targets.
@@ -45,10 +44,8 @@
         return Plan(pools)
 
     def _leave_out(self, target: DiscoveredTarget) -> None:
-        if self._refused.get(target.name) == target.revision:
+        if not self._left_out.is_new(target.name, target.revision):
             return
-        self._refused[target.name] = target.revision
-        self.left_out += 1
         _LOG.error(
             "target left out",
             extra={
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -16,6 +16,7 @@
     PlatformNotFound,
     PlatformUnavailable,
 )
+from hibiscusstep.forwarding.left_out import LeftOut
 from hibiscusstep.platform import fields as f
 from hibiscusstep.store import (
     BeliefStore,
@@ -41,8 +42,6 @@
     410: HistoryLost,
 }
 _Decode = Callable[[str, int, dict, dict], object]
-# What reading a malformed document may raise.
-_MALFORMED = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 
 class ObjectClient:
@@ -102,7 +101,7 @@
                 if not page.get("HasMore"):
                     return Ok((items, int(page["At"])))
                 query["After"] = items[-1]["Metadata"]["Name"]
-            except _MALFORMED as cause:
+            except f.MALFORMED as cause:
                 return Err(_malformed(kind, cause))
 
     async def read_each(
@@ -165,10 +164,13 @@
         self._client = client
         self._kind = kind
         self._decode = decode
-        # Revisions at which objects were left out, by name: one log line each.
-        self._refused: dict[str, int] = {}
+        self._left_out = LeftOut()
         self.name = kind
-        self.left_out = 0
+
+    @property
+    def left_out(self) -> int:
+        """Objects that could not be decoded so far, each revision once."""
+        return self._left_out.count
 
     async def read_all(self) -> Result[Listing, PlatformError]:
         """Return all objects."""
@@ -200,7 +202,7 @@
                 for event in answer.get("events", ())
                 if (change := self._change(event["Object"], at, event.get("Removed")))
             ]
-        except _MALFORMED as cause:
+        except f.MALFORMED as cause:
             return Err(_malformed(self._kind, cause))
         return Ok((changes, at))
 
@@ -215,7 +217,7 @@
             name, revision = metadata["Name"], metadata.get("Revision", at)
             if not isinstance(name, str) or type(revision) is not int:
                 raise ValueError("no name and revision")
-        except _MALFORMED as cause:
+        except f.MALFORMED as cause:
             self._leave_out("", at, cause)
             return None
         if removed:
@@ -226,15 +228,13 @@
         try:
             spec, status = item.get("Spec") or {}, item.get("Status") or {}
             return self._decode(name, revision, spec, status)
-        except (ConfigurationError, *_MALFORMED) as cause:
+        except (ConfigurationError, *f.MALFORMED) as cause:
             self._leave_out(name, revision, cause)
             return None
 
     def _leave_out(self, name: str, revision: int, cause: Exception) -> None:
-        if self._refused.get(name) == revision:
+        if not self._left_out.is_new(name, revision):
             return
-        self._refused[name] = revision
-        self.left_out += 1
         extra = {"kind": self._kind, "object": name, "revision": revision}
         _LOG.error("object left out", extra={**extra, "error": str(cause)})
 
@@ -310,7 +310,7 @@
     for item in found:
         try:
             yield decode(item)
-        except _MALFORMED as cause:
+        except f.MALFORMED as cause:
             _LOG.error("object left out", extra={"kind": kind, "error": str(cause)})
 
 
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -30,9 +30,6 @@
 _READY, _LEAVING = "ready", "draining"
 
 
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
-
-
 def decode_table(name: str, revision: int, spec: dict, status: dict) -> RoutingTable:
     """Return the configuration that a store's object holds.
 
@@ -77,7 +74,7 @@
             limits=_limits(spec.get("Limits") or {}),
             value=orjson.dumps(spec),
         )
-    except _MALFORMED as cause:
+    except f.MALFORMED as cause:
         raise ConfigurationError(f"malformed: {cause!r}", key="config") from None
 
 
--- a/hibiscusstep/platform/fields.py
+++ b/hibiscusstep/platform/fields.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Mapping
 
 __all__ = [
+    "MALFORMED",
     "MalformedField",
     "read_address",
     "read_choice",
@@ -19,6 +20,15 @@
     "read_whole",
 ]
 
+# What reading a malformed document may raise.
+MALFORMED = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 # Longer than any name of the platform; it stands in each log line of a request.
 MAX_TEXT = 200
 # The largest whole number that every JSON reader keeps exact.
