Slots of lost instances: who holds a request past its expected end is asked

Hypothesis: a quarter of a large pool's slots is held for seconds by requests whose instance has lost its power (108 of 436, measured before); their targets have ended them.

Cause: in a region with relays the dispatcher hears of a lost instance only by its silence of 4.5 s. Ruled out: relays' word on who is gone (who is followed changes in a cut, and a relay may be among the lost); a sign of life from each instance that holds something (grows with the instances); a slot given on by silence alone (an instance that is slow or cut off still has its requests at the target).

Change: a granted request has an expected end, by which four of five have ended (slot_choice.longest). Past it the dispatcher asks the instance what it holds (Inquire, PoolInquire); who does not say so within 0.5 s holds it no more (Lost, `end-not-told` in the log); what is told later counts again. A grant that was more than 0.45 s on its way is not used but asked for anew. Counted, in pool-state (`overdue`) and as the gauge slots_overdue. A message of what an instance holds no longer walks over all that runs.

Switch: ask_overdue.

--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -17,6 +17,7 @@
     PoolFirstToken,
     PoolGrant,
     PoolHeld,
+    PoolInquire,
     PoolQueued,
     PoolRefuse,
     PoolRegister,
@@ -37,6 +38,10 @@
 TELL_HELD_S = 1.5
 DISPATCHER_GRACE_S = 0.5
 UNAVAILABLE_RETRY_S = 2.0
+# A grant that was on its way for longer is not used: its slot may have been taken for
+# lost by the time the request would end. Less than what an instance is given to say
+# that it holds a request (`run_watch.ANSWER_S`).
+STALE_GRANT_S = 0.45
 
 
 @dataclass(slots=True, eq=False)
@@ -119,6 +124,10 @@
                 self._refuse(refusal)
             case Received(sender=sender, message=PoolQueued(pool=pool)):
                 self._hear(pool, sender)
+            case Received(sender=sender, message=PoolInquire(pool=pool)):
+                self._hear(pool, sender)
+                held = list(self._line(pool).running)
+                self._send_to(sender, PoolHeld(pool, self._own_name, held))
             case Received(message=PoolStop(pool=pool, ask=ask)):
                 held = self._line(pool).running.get(ask)
                 if held:
@@ -156,12 +165,14 @@
     def _ask(self, question: Question) -> None:
         wanted = question.body
         now = asyncio.get_running_loop().time()
-        ask = f"{self._incarnation}.{next(self._numbers)}"
-        held = _Held(question, wanted, now, asked=now)
         if not self._waits:
             self._tick_in(self._hurry)
-        self._line(wanted.pool).waiting[ask] = held
-        self._send(wanted.pool, PoolAsk(wanted.pool, self._info(ask, held)))
+        self._ask_for(wanted.pool, _Held(question, wanted, now, asked=now))
+
+    def _ask_for(self, pool: str, held: _Held) -> None:
+        ask = f"{self._incarnation}.{next(self._numbers)}"
+        self._line(pool).waiting[ask] = held
+        self._send(pool, PoolAsk(pool, self._info(ask, held)))
 
     def _info(self, ask: str, held: _Held) -> WorkInfo:
         now = asyncio.get_running_loop().time()
@@ -195,6 +206,11 @@
         if held is None or held.question.answer.done():
             self._send(grant.pool, PoolWithdraw(grant.pool, grant.ask))
             return
+        elapsed = asyncio.get_running_loop().time() - held.received
+        if elapsed - grant.waited > STALE_GRANT_S:
+            self._send(grant.pool, PoolWithdraw(grant.pool, grant.ask))
+            self._ask_for(grant.pool, held)
+            return
         held.target = grant.target
         line.running[grant.ask] = held
         held.question.reply(Granted(grant.ask, grant.target))
@@ -334,9 +350,11 @@
 
     def _send(self, pool: str, message) -> None:
         dispatcher = self._line(pool).dispatcher
-        if dispatcher is None:
-            return
-        if dispatcher.name == self._own_name:
+        if dispatcher is not None:
+            self._send_to(dispatcher.peer_address, message)
+
+    def _send_to(self, address: str, message) -> None:
+        if address == self._address:
             self._local(Received(self._address, message))
         else:
-            self._links.tell(Send(dispatcher.peer_address, message))
+            self._links.tell(Send(address, message))
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -22,6 +22,7 @@
     PoolFirstToken,
     PoolGrant,
     PoolHeld,
+    PoolInquire,
     PoolLearnt,
     PoolQueued,
     PoolRefuse,
@@ -195,6 +196,11 @@
             case Tick():
                 self._take_tick()
 
+    @property
+    def overdue(self) -> dict[str, int]:
+        """Slots held here beyond the expected end of their requests, by pool."""
+        return {pool: duty.dispatcher.overdue for pool, duty in self._duties.items()}
+
     def status(self, pool: str) -> dict:
         """Return a pool's targets and queues, empty if it falls to another."""
         duty = self._duties.get(pool)
@@ -435,11 +441,14 @@
             self._carry_out(duty, taken, now)
 
     def _carry_out(self, duty: _Duty, taken: m.Decision, now: float) -> None:
+        pool = duty.dispatcher.pool_name
+        if isinstance(taken, m.Inquire):
+            self._inquire(duty, taken.instance)
+            return
         work = taken.work
         address = duty.addresses.get(work.instance)
         if address is None:
             return
-        pool = duty.dispatcher.pool_name
         fields = {
             "request": work.request,
             "customer": work.customer,
@@ -459,6 +468,14 @@
             case m.Stop(target=target):
                 decision("stop", **fields, target=target)
                 self._reply(address, PoolStop(pool, work.ask))
+            case m.Lost(target=target):
+                instance = work.instance
+                decision("end-not-told", **fields, target=target, instance=instance)
+
+    def _inquire(self, duty: _Duty, instance: str) -> None:
+        address = duty.addresses.get(instance)
+        if address:
+            self._reply(address, PoolInquire(duty.dispatcher.pool_name))
 
     def _reply(self, address: str, message) -> None:
         if address == self._address:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -44,6 +44,7 @@
     PoolFirstToken,
     PoolGrant,
     PoolHeld,
+    PoolInquire,
     PoolLearnt,
     PoolQueued,
     PoolRefuse,
@@ -306,7 +307,14 @@
                 PoolLearnt,
                 PoolRegister,
             ),
-            self._desk: (PoolGrant, PoolQueued, PoolRefuse, PoolStop, NotDispatcher),
+            self._desk: (
+                PoolGrant,
+                PoolInquire,
+                PoolQueued,
+                PoolRefuse,
+                PoolStop,
+                NotDispatcher,
+            ),
             self._quotas: (Usage,),
         }
         return {kind: worker for worker, kinds in table.items() for kind in kinds}
@@ -438,6 +446,8 @@
         metrics.gauge("silent_members", self._view.silent)
         metrics.gauge("connections_opened", self._connections.opened)
         metrics.gauge("log_lines_dropped", dropped_lines())
+        for pool, count in self._dispatching.overdue.items():
+            metrics.gauge("slots_overdue", count, pool=pool)
         left_out = self._around.targets.left_out + self._planner.left_out
         metrics.gauge("target_entries_left_out", left_out)
         metrics.gauge("table_age_seconds", self._catalog.age())
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -35,6 +35,7 @@
 }
 struct PoolHeld { 1: string pool, 2: string instance, 3: list<string> asks }
 struct PoolQueued { 1: string pool }
+struct PoolInquire { 1: string pool }
 struct Usage {
   1: string incarnation, 2: double age, 3: list<string> customers,
   4: list<i64> totals, 5: list<i64> recent, 6: bool follower
--- a/hibiscusstep/load/deployment.py
+++ b/hibiscusstep/load/deployment.py
@@ -4,7 +4,13 @@
 
 import numpy as np
 
-__all__ = ["Burst", "DrawnDeployment", "RequestKind", "draw_deployment"]
+__all__ = [
+    "Burst",
+    "DrawnDeployment",
+    "InstanceLoss",
+    "RequestKind",
+    "draw_deployment",
+]
 
 # Ranges from which a deployment is drawn, uniformly or, for ratios, by their logarithm.
 TARGETS = (4, 12)
@@ -65,6 +71,14 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceLoss:
+    """A part of all instances that loses its power at a moment, and stays away."""
+
+    at: float
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrawnDeployment:
     """A pool, its callers and its troubles.
@@ -91,6 +105,8 @@
         When more is asked.
     restart : float
         When all instances are restarted; 0 for never.
+    loss : InstanceLoss or None
+        Which instances are lost, and when.
     """
 
     slowness: tuple[float, ...]
@@ -104,6 +120,7 @@
     kinds: tuple[RequestKind, ...]
     bursts: tuple[Burst, ...]
     restart: float
+    loss: InstanceLoss | None = None
 
     def rate(self, kind: RequestKind, now: float) -> float:
         """Return the requests a second of a kind at a moment."""
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -12,7 +12,12 @@
 
 import numpy as np
 
-from hibiscusstep.load.deployment import LENGTH_S, DrawnDeployment, RequestKind
+from hibiscusstep.load.deployment import (
+    LENGTH_S,
+    DrawnDeployment,
+    InstanceLoss,
+    RequestKind,
+)
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slots import SlotDispatcher
@@ -37,6 +42,10 @@
 WINDOW_S = 2.0
 # The worst windows of a run count as much as the whole of it.
 WORST_WINDOWS = 2
+# Among how many instances the requests are spread.
+INSTANCES = 20
+# A large region takes an instance for dead that was silent for so long.
+SILENT_INSTANCE_S = 4.5
 # Decode tokens a second of a stream alone lose this share with each further one.
 BATCH_COST = 0.006
 
@@ -51,6 +60,7 @@
     output: int
     hint: int
     began: float
+    instance: str
     returns: int = 0
     ask: str = ""
     job: Job | None = None
@@ -133,6 +143,7 @@
         self._draw = np.random.default_rng(seed)
         self._events: list = []
         self._order = itertools.count()
+        self._numbers = itertools.count()
         self._now = 0.0
         self._by_ask: dict[str, _Request] = {}
         self._names = [f"t{n}" for n in range(len(deployment.slowness))]
@@ -141,6 +152,7 @@
         )
         self._stepping: set[str] = set()
         self._outcomes = Outcomes()
+        self._instances = [f"i{n}" for n in range(INSTANCES)]
         self._kept: m.Learnt | None = None
         self._dispatcher = self._new_dispatcher()
 
@@ -151,6 +163,8 @@
         self._at(TICK_S, self._tick)
         if self._deployment.restart:
             self._at(self._deployment.restart, self._restart)
+        if self._deployment.loss:
+            self._at(self._deployment.loss.at, self._lose, self._deployment.loss)
         while self._events:
             self._now, _number, action, arguments = heapq.heappop(self._events)
             action(*arguments)
@@ -179,14 +193,23 @@
 
     def _tell(self, message) -> None:
         for decision in self._dispatcher.handle(message, self._now):
+            if isinstance(decision, m.Inquire):
+                self._at(self._now + 2 * HOP_S, self._answer, decision.instance)
+                continue
             request = self._by_ask.get(decision.work.ask)
             if request is None:
                 continue
             if isinstance(decision, m.Grant):
                 self._at(self._now + HOP_S, self._send, request, decision)
-            else:
+            elif isinstance(decision, m.Refuse):
                 self._at(self._now + HOP_S, self._refuse, request, decision)
 
+    def _answer(self, instance: str) -> None:
+        """Tell the dispatcher what an instance holds, if it lives."""
+        if instance in self._instances:
+            held = {a for a, r in self._by_ask.items() if r.instance == instance}
+            self._tell(m.Held(instance, frozenset(held)))
+
     def _tick(self) -> None:
         self._tell(m.Tick())
         if self._now < LENGTH_S or self._by_ask:
@@ -203,7 +226,9 @@
         prompt = self._tokens(kind.prompt, kind.spread)
         output = self._tokens(kind.output, kind.spread)
         hint = max(1, round(output * self._draw.lognormal(0.0, HINT_SPREAD)))
-        request = _Request(next(self._order), kind, prompt, output, hint, self._now)
+        number = next(self._numbers)
+        instance = self._instances[number % len(self._instances)]
+        request = _Request(number, kind, prompt, output, hint, self._now, instance)
         self._outcomes.owed[self._window(request)] += 1.0
         self._outcomes.asked[kind.rank] += 1
         self._at(self._now + kind.deadline, self._end, request, "deadline", 0.0)
@@ -223,7 +248,7 @@
         request.ask = f"{request.number}.{request.returns}"
         self._by_ask[request.ask] = request
         work = m.Work(
-            request.ask, request.ask, "i", "c", str(kind.rank), kind.rank,
+            request.ask, request.ask, request.instance, "c", str(kind.rank), kind.rank,
             request.prompt, request.hint, now + PATIENCE * kind.objective, now,
             due=now + kind.objective, ends=request.began + kind.deadline,
             identity=request.number + 1,
@@ -342,6 +367,18 @@
                 self._outcomes.counts["lost"] += 1
         self._dispatcher = self._new_dispatcher()
 
+    def _lose(self, loss: InstanceLoss) -> None:
+        """Lose some instances without a word; their targets work on."""
+        count = round(loss.share * len(self._instances))
+        gone, self._instances = self._instances[:count], self._instances[count:]
+        for name in gone:
+            self._at(self._now + SILENT_INSTANCE_S, self._tell, m.InstanceGone(name))
+        for request in list(self._by_ask.values()):
+            if request.instance in gone:
+                del self._by_ask[request.ask]
+                request.ended = True
+                self._outcomes.counts["lost"] += 1
+
     def _kept_by(self, dispatcher: SlotDispatcher) -> m.Learnt | None:
         learnt = dispatcher.learnt
         if learnt is None:
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -19,6 +19,7 @@
     "PoolFirstToken",
     "PoolGrant",
     "PoolHeld",
+    "PoolInquire",
     "PoolLearnt",
     "PoolQueued",
     "PoolRefuse",
@@ -169,6 +170,13 @@
     pool: str
 
 
+@dataclass(slots=True)
+class PoolInquire:
+    """The dispatcher asks which grants the receiver holds; see ``PoolHeld``."""
+
+    pool: str
+
+
 @dataclass(slots=True)
 class PoolHeld:
     """The grants of a pool that an instance still holds; any others are void."""
@@ -395,4 +403,5 @@
     PoolHeld,
     PoolLearnt,
     Relays,
+    PoolInquire,
 )
--- a/hibiscusstep/routing/base.py
+++ b/hibiscusstep/routing/base.py
@@ -13,7 +13,8 @@
     """Totals of a dispatcher since its start.
 
     `refused_with_room` counts refusals for load while a target had a free place and
-    was not held up by a long prompt: those may have been needless.
+    was not held up by a long prompt: those may have been needless. `lost` counts
+    granted requests whose end was never told.
     """
 
     asked: int = 0
@@ -21,6 +22,7 @@
     refused: int = 0
     refused_with_room: int = 0
     stopped: int = 0
+    lost: int = 0
 
 
 class PoolDispatcher(ABC):
@@ -77,6 +79,11 @@
         """What was learnt, for those that may dispatch next; None if nothing."""
         return None
 
+    @property
+    def overdue(self) -> int:
+        """Places held for requests beyond their expected end; 0 if not known."""
+        return 0
+
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
         return set()
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -13,9 +13,11 @@
     "FirstToken",
     "Grant",
     "Held",
+    "Inquire",
     "Learnt",
     "InstanceGone",
     "LoadReport",
+    "Lost",
     "Outcome",
     "Reason",
     "Recovered",
@@ -286,4 +288,19 @@
     target: str
 
 
-Decision = Grant | Refuse | Stop
+@dataclass(frozen=True, slots=True)
+class Inquire:
+    """An instance is asked which grants it holds: some should have ended."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """A granted request counts no more: its instance did not say that it holds it."""
+
+    work: Work
+    target: str
+
+
+Decision = Grant | Refuse | Stop | Inquire | Lost
--- a/hibiscusstep/routing/slot_choice.py
+++ b/hibiscusstep/routing/slot_choice.py
@@ -30,6 +30,11 @@
 # Bytes between data centres are paid for: of targets that serve alike the near one is
 # taken. Six steps of an engine, so that a less busy target still goes first.
 ELSEWHERE_COST_S = 0.02
+# An end that is not told by then is overdue at the soonest: less is spent on the way,
+# and on instances that are busy.
+MIN_OVERDUE_S = 0.5
+# Slowness of a target that nothing is known of, where too little would do harm.
+UNKNOWN_SLOWNESS = 4.0
 
 
 class SlotChoice:
@@ -100,6 +105,16 @@
             return PLAIN_SERVICE_S
         return self._model.first + self._model.prefill(work.prompt_tokens)
 
+    def longest(self, target: SlotTarget, work: m.Work, now: float) -> float:
+        """Return the seconds in which four of five such requests end at a target."""
+        slowness = target.slowness
+        if not target.learnt:
+            slowness = max(slowness, UNKNOWN_SLOWNESS)
+        seconds = self.reach(work) + target.prefill_left(now)
+        if self._engine:
+            seconds += self._lengths.cautious(work.output_tokens) * STEP_S
+        return max(MIN_OVERDUE_S, slowness * seconds)
+
     def learn(
         self, target: SlotTarget, run: Run, finished: m.Finished, now: float
     ) -> None:
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import OrderedDict
 from functools import singledispatchmethod
 
 import xxhash
@@ -13,6 +14,7 @@
 from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.plan import Plan, PlannedPool
 from hibiscusstep.routing.rank_floor import RankFloor
+from hibiscusstep.routing.run_watch import RunWatch
 from hibiscusstep.routing.slot_choice import SlotChoice
 from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
@@ -37,6 +39,9 @@
 MAX_LATE_WAIT_S = 1.5
 # A grant is on its way to its instance for less than this.
 GRANT_TRANSIT_S = 0.7
+# An instance that was cut off for less than this may still tell that it holds what was
+# taken for lost.
+LOST_VALID_S = 6.0
 # How fast all targets work together changes slowly against this.
 RATE_VALID_S = 0.05
 
@@ -93,6 +98,9 @@
         self._returns = Returns()
         self._floor = RankFloor()
         self._choice = SlotChoice(switches)
+        self._watch = RunWatch()
+        # What was taken for lost: when, and where it ran.
+        self._lost: OrderedDict[str, tuple[float, m.Lost]] = OrderedDict()
         # Slowness of targets by others, also of those that are not known here yet.
         self._kept: dict[str, float] = {}
         self._rate = 0.0
@@ -112,6 +120,11 @@
             return None
         return self._choice.learnt(slowness)
 
+    @property
+    def overdue(self) -> int:
+        """Slots held for requests beyond their expected end."""
+        return self._watch.overdue
+
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
         return {work.instance for work in self._queue}
@@ -125,7 +138,12 @@
         targets = {name: target.summary(now) for name, target in self._targets.items()}
         shares = self._floor.shares(now)
         granted = {str(rank): round(shares[rank], 2) for rank in sorted(shares)}
-        return {"waiting": self.waiting, "granted": granted, "targets": targets}
+        return {
+            "waiting": self.waiting,
+            "granted": granted,
+            "overdue": self.overdue,
+            "targets": targets,
+        }
 
     def _decide(self, message, now: float) -> None:
         if isinstance(message, m.Ask):
@@ -184,6 +202,8 @@
 
     @_take.register
     def _finished(self, message: m.Finished, now: float) -> None:
+        self._watch.forget(message.ask)
+        self._lost.pop(message.ask, None)
         target = self._targets.get(self._placed.pop(message.ask, ""))
         run = target.remove(message.ask) if target else None
         if run is None:
@@ -202,16 +222,15 @@
 
     @_take.register
     def _held(self, message: m.Held, now: float) -> None:
-        lost = [
-            ask
-            for target in self._targets.values()
-            for ask, run in target.running.items()
-            if run.work.instance == message.instance
-            and ask not in message.asks
-            and run.granted < now - GRANT_TRANSIT_S
-        ]
-        for ask in lost:
-            self._drop(ask)
+        self._watch.confirm(message.asks, now)
+        for ask in message.asks & self._lost.keys():
+            _at, lost = self._lost.pop(ask)
+            if lost.target in self._targets:
+                self._run(self._targets[lost.target], lost.work, now)
+        for ask in self._watch.asks_of(message.instance) - message.asks:
+            run = self._targets[self._placed[ask]].running[ask]
+            if run.granted < now - GRANT_TRANSIT_S:
+                self._drop(ask)
 
     @_take.register
     def _take_learnt(self, message: m.Learnt, now: float) -> None:
@@ -253,23 +272,33 @@
     @_take.register
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
         gone = [work.ask for work in self._queue if work.instance == message.instance]
-        gone += [
-            ask
-            for target in self._targets.values()
-            for ask, run in target.running.items()
-            if run.work.instance == message.instance
-        ]
-        for ask in gone:
+        for ask in (*gone, *self._watch.asks_of(message.instance)):
             self._drop(ask)
 
     @_take.register
     def _reconfigure(self, message: m.Configure, now: float) -> None:
         self._configure(message.configuration)
 
-    @_take.register(m.Doubt)
-    @_take.register(m.Tick)
-    def _nothing(self, message, now: float) -> None:
-        """Take note of nothing: what time changes is looked at in `_decide`."""
+    @_take.register
+    def _tick(self, message: m.Tick, now: float) -> None:
+        """Ask for what should have ended, and free what was asked for in vain."""
+        if not self._switches.ask_overdue:
+            return
+        suspects = self._watch.check(now)
+        self._decisions += [m.Inquire(name) for name in sorted(suspects.instances)]
+        for ask in suspects.lost:
+            target = self._targets[self._placed[ask]]
+            lost = m.Lost(target.running[ask].work, target.name)
+            self._drop(ask)
+            self.counts.lost += 1
+            self._lost[ask] = now, lost
+            self._decisions.append(lost)
+        while self._lost and next(iter(self._lost.values()))[0] < now - LOST_VALID_S:
+            self._lost.popitem(last=False)
+
+    @_take.register
+    def _nothing(self, message: m.Doubt, now: float) -> None:
+        """Take note of nothing: refusals here do not depend on what others serve."""
 
     def _configure(self, plan: Plan) -> None:
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
@@ -291,6 +320,7 @@
         for name in self._targets.keys() - pool.targets.keys():
             for ask in self._targets.pop(name).running:
                 self._placed.pop(ask, None)
+                self._watch.forget(ask)
 
     def _tie_order(self, name: str) -> int:
         return xxhash.xxh64_intdigest(f"{self._tie_key}\0{name}".encode())
@@ -368,6 +398,8 @@
         run.expected_first = target.prefill_left(now) + choice.reach(work)
         target.add(work.ask, run)
         self._placed[work.ask] = target.name
+        ends = now + choice.longest(target, work, now)
+        self._watch.watch(work.ask, work.instance, ends)
 
     def _expire(self, now: float) -> None:
         """Refuse what is overdue, and what is expected to be.
@@ -411,6 +443,7 @@
 
     def _drop(self, ask: str) -> None:
         self._queue.remove(ask)
+        self._watch.forget(ask)
         target = self._targets.get(self._placed.pop(ask, ""))
         if target:
             target.remove(ask)
--- a/hibiscusstep/routing/switches.py
+++ b/hibiscusstep/routing/switches.py
@@ -26,6 +26,8 @@
         Whether what was learnt is kept beyond the processes.
     rank_floor : bool
         Whether a rank that was granted much less often than all goes first.
+    ask_overdue : bool
+        Whether instances are asked for what they hold beyond its expected end.
     """
 
     engine_model: bool = True
@@ -35,6 +37,7 @@
     useful_wait: bool = True
     kept_beliefs: bool = True
     rank_floor: bool = True
+    ask_overdue: bool = True
 
     @classmethod
     def without(cls, names: str) -> "Switches":
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -108,6 +108,7 @@
         (3, "list<string>", "asks"),
     ),
     "PoolQueued": ((1, "string", "pool"),),
+    "PoolInquire": ((1, "string", "pool"),),
     "Usage": (
         (1, "string", "incarnation"),
         (2, "double", "age"),
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -8,7 +8,16 @@
 from hibiscusstep.mailbox import Question
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
-from hibiscusstep.peer import PoolAsk, PoolGrant, PoolRegister, Received, WorkInfo
+from hibiscusstep.peer import (
+    PoolAsk,
+    PoolGrant,
+    PoolHeld,
+    PoolInquire,
+    PoolRegister,
+    PoolWithdraw,
+    Received,
+    WorkInfo,
+)
 from hibiscusstep.routing.plan import Plan, PlannedPool
 
 
@@ -99,3 +108,53 @@
         await world.desk.handle(_view(n0=True, n1=False))
         (register,) = world.told_itself(PoolRegister)
         assert register.targets == ["t1"]
+
+
+class TestDispatcherAsks:
+    """What an instance does not hold any more is free at its target."""
+
+    async def test_is_told_what_runs(self):
+        world = _World()
+        await world.start(n0=False, n1=True)
+        await world.ask()
+        (_address, asked), *_ = world.links.sent[1:]
+        grant = PoolGrant("p", asked.work.ask, "t1", 0.0)
+        await world.desk.handle(Received("n1:1", grant))
+        await world.desk.handle(Received("n1:1", PoolInquire("p")))
+        held = PoolHeld("p", "n0", [asked.work.ask])
+        assert world.links.sent[-1] == ("n1:1", held)
+
+    async def test_one_that_dispatched_before_is_told_too(self):
+        world = _World()
+        await world.start(n0=False, n1=True)
+        await world.desk.handle(Received("n2:1", PoolInquire("p")))
+        assert world.links.sent[-1] == ("n2:1", PoolHeld("p", "n0", []))
+
+
+class TestGrantThatWasLongOnItsWay:
+    """Its slot may have been given to another one meanwhile."""
+
+    async def _granted_after(self, seconds):
+        world = _World()
+        await world.start(n0=False, n1=True)
+        loop = asyncio.get_running_loop()
+        question = await world.ask()
+        (_address, asked), *_ = world.links.sent[1:]
+        began = loop.time()
+        loop.time = lambda: began + seconds
+        try:
+            grant = PoolGrant("p", asked.work.ask, "t1", 0.0)
+            await world.desk.handle(Received("n1:1", grant))
+        finally:
+            del loop.time
+        return question, [message for _address, message in world.links.sent[2:]]
+
+    async def test_is_not_used_and_the_request_asks_again(self):
+        question, (withdrawn, asked) = await self._granted_after(1.0)
+        assert isinstance(withdrawn, PoolWithdraw) and isinstance(asked, PoolAsk)
+        assert asked.work.ask != withdrawn.ask
+        assert not question.answer.done()
+
+    async def test_one_that_came_soon_is_used(self):
+        question, sent = await self._granted_after(0.1)
+        assert question.answer.done() and not sent
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -1,13 +1,24 @@
 """hibiscusstep.dispatching: dispatchers and the views that they act by."""
 
+import asyncio
+
 import pytest
 
 from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.dispatching import Dispatching
+from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
-from hibiscusstep.peer import NotDispatcher, PoolRegister, Received
-from hibiscusstep.routing.plan import Plan, PlannedPool
+from hibiscusstep.peer import (
+    NotDispatcher,
+    PoolAsk,
+    PoolGrant,
+    PoolInquire,
+    PoolRegister,
+    Received,
+    WorkInfo,
+)
+from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slots import SlotDispatcher
 
 POOL = "p"
@@ -74,3 +85,30 @@
         worker, links = dispatching
         await worker.handle(_view(d="d-1", e="e-1", f="f-1"))
         assert links.sent == []
+
+
+class TestOverdueRequests:
+    """An instance that lost its power says nothing, and holds slots."""
+
+    async def test_their_instance_is_asked_and_the_gauge_shows_them(self, dispatching):
+        worker, links = dispatching
+        targets = {"t": PlannedTarget(1)}
+        await worker.handle(
+            InForce(2, b"", Plan({POOL: PlannedPool(False, targets=targets)}))
+        )
+        register = PoolRegister(POOL, "d", "d-1", [], [], [])
+        await worker.handle(Received("d:1", register))
+        work = WorkInfo("a", "r", "e", "c", "0", 0, 0, 1, 9.0, 0.0, False, [], [])
+        await worker.handle(Received("e:1", PoolAsk(POOL, work)))
+        assert [type(message) for _address, message in links.sent] == [PoolGrant]
+        assert worker.overdue == {POOL: 0}
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            for tick in range(1, 14):
+                loop.time = lambda tick=tick: began + 0.05 * tick
+                await worker.handle(Tick())
+        finally:
+            del loop.time
+        assert links.sent[1:] == [("e:1", PoolInquire(POOL))]
+        assert worker.overdue == {POOL: 1}
--- a/tests/test_pool_emulator.py
+++ b/tests/test_pool_emulator.py
@@ -11,6 +11,7 @@
 from hibiscusstep.load.deployment import (
     Burst,
     DrawnDeployment,
+    InstanceLoss,
     RequestKind,
     draw_deployment,
 )
@@ -136,3 +137,41 @@
 
     def test_the_highest_rank_is_served_all_the_same(self):
         assert min(o.share_served(0) for o in self._played(1.4)) > 0.97
+
+
+class TestInstancesLostInABurst:
+    """A fifth of all instances loses its power while all slots are taken.
+
+    Their targets work on and end what they run; nobody tells it. In a region of 195
+    instances of which 33 were lost, 108 of 436 slots were held for 4.5 s for requests
+    that would never end, while hundreds were refused.
+    """
+
+    KINDS = (
+        RequestKind(0, 17.0, 6610.0, 384.0, 1.2, 1.02, 12.3),
+        RequestKind(1, 20.5, 628.0, 290.0, 1.0, 0.81, 10.1),
+        RequestKind(2, 29.4, 1800.0, 23.0, 1.0, 1.2, 2.5),
+    )
+    LOSS = InstanceLoss(6.0, 0.2)
+
+    def _share_after(self, switches, seed):
+        """Return the share of the value owed that is earned while slots were held."""
+        deployment = DrawnDeployment(
+            (0.55,) * 4 + (1.0,) * 5 + (2.8,) * 3, 5, 0.0026, 0.014, 48_200.0, 1024, 8,
+            0.3, self.KINDS, (Burst(2.0, 12.0, 1.3),), 0.0, self.LOSS,
+        )  # fmt: skip
+        outcomes = PoolEmulator(deployment, seed, switches).run()
+        windows = [at for at in outcomes.owed if 6.0 <= at < 12.0]
+        earned = sum(outcomes.earned[at] for at in windows)
+        return earned / sum(outcomes.owed[at] for at in windows)
+
+    def test_what_the_dead_hold_is_asked_for(self):
+        """Four seeds gave 0.77 of what is owed with it, 0.67 without, 0.89 with no
+        instance lost."""
+        off = Switches.without("ask_overdue")
+        gains = [
+            self._share_after(ALL_ON, seed) - self._share_after(off, seed)
+            for seed in (1, 2, 3, 4)
+        ]
+        assert min(gains) > 0
+        assert sum(gains) / len(gains) > 0.05
