Signs of life to waiting instances are bounded, however many wait

Hypothesis: a dispatcher in overload spends much on telling each waiting instance every 50 ms that it is not forgotten: 3,900 messages a second with 195 instances.

Change: at most 1,000 a second; with more to tell than that allows each sign says when the next one comes (PoolQueued.again_in), and the instance bears the silence until then. With ten instances nothing changes (one each 50 ms, missed after 0.12 s); with 195 a sign each 0.195 s, missed after 0.265 s.

Figures: signs a second with 100, 300 and 1,000 waiting instances, by the code 2,000, 6,000 and 20,000 before; at most 1,100 after (TestSignsOfLife).

It also gives a slow dispatcher of many more time.

--- a/hibiscusstep/desk.py
+++ b/hibiscusstep/desk.py
@@ -37,6 +37,9 @@
 # A message about the end of a request that got lost costs a slot for so long.
 TELL_HELD_S = 1.5
 DISPATCHER_GRACE_S = 0.5
+# A dispatcher with few instances to tell shows that it lives so often; one with many
+# tells how much longer it takes.
+USUAL_SIGN_S = 0.05
 UNAVAILABLE_RETRY_S = 2.0
 # A grant that was on its way for longer is not used: its slot may have been taken for
 # lost by the time the request would end. Less than what an instance is given to say
@@ -57,16 +60,17 @@
 class _Line:
     """What the instance holds for one pool, and who dispatches it.
 
-    `heard` is when the dispatcher was last heard; until `alone_until` the instance
-    dispatches for itself, for `alone_s` seconds the next time. `alone` is whether it
-    last did: who dispatches for all next must hear of what runs, be it the same
-    instance. `told_held` is whether the dispatcher was last told of any running
-    request.
+    `heard` is when the dispatcher was last heard, `patience` for how many seconds it
+    may be silent from then on; until `alone_until` the instance dispatches for itself,
+    for `alone_s` seconds the next time. `alone` is whether it last did: who dispatches
+    for all next must hear of what runs, be it the same instance. `told_held` is whether
+    the dispatcher was last told of any running request.
     """
 
     dispatcher: Member | None = None
     alone: bool = False
     heard: float = 0.0
+    patience: float = 0.0
     alone_until: float = 0.0
     alone_s: float = FIRST_STANDBY_S
     waiting: dict[str, _Held] = field(default_factory=dict)
@@ -122,8 +126,8 @@
             case Received(sender=sender, message=PoolRefuse() as refusal):
                 self._hear(refusal.pool, sender)
                 self._refuse(refusal)
-            case Received(sender=sender, message=PoolQueued(pool=pool)):
-                self._hear(pool, sender)
+            case Received(sender=sender, message=PoolQueued() as sign):
+                self._hear(sign.pool, sender, sign.again_in)
             case Received(sender=sender, message=PoolInquire(pool=pool)):
                 self._hear(pool, sender)
                 held = list(self._line(pool).running)
@@ -160,7 +164,9 @@
         return self._hurry if self._waits else TICK_S
 
     def _line(self, pool: str) -> _Line:
-        return self._lines.setdefault(pool, _Line())
+        if pool not in self._lines:
+            self._lines[pool] = _Line(patience=self._standby_after)
+        return self._lines[pool]
 
     def _ask(self, question: Question) -> None:
         wanted = question.body
@@ -241,15 +247,25 @@
         """
         if wanted.never_shed and line.dispatcher:
             return False
-        heard = self._standby_after and now - line.heard < self._standby_after
+        heard = self._standby_after and now - line.heard < line.patience
         latest = max(wanted.deadline, wanted.ends) if heard else wanted.deadline
         return latest + DISPATCHER_GRACE_S < now
 
-    def _hear(self, pool: str, sender: str) -> None:
-        """Take note that the dispatcher of a pool is alive."""
+    def _hear(self, pool: str, sender: str, again_in: float = 0.0) -> None:
+        """Take note that the dispatcher of a pool is alive.
+
+        Parameters
+        ----------
+        pool, sender : str
+            The pool, and who sent the sign of life.
+        again_in : float
+            Seconds until the next one, as it was told.
+        """
         line = self._line(pool)
         if line.dispatcher and line.dispatcher.peer_address == sender:
             line.heard = asyncio.get_running_loop().time()
+            late = again_in - USUAL_SIGN_S
+            line.patience = self._standby_after + max(0.0, late)
             if sender != self._address:
                 line.alone_s = FIRST_STANDBY_S
 
@@ -261,7 +277,7 @@
         for pool, line in self._lines.items():
             oldest = min((held.asked for held in line.waiting.values()), default=now)
             silent = now - max(line.heard, oldest)
-            if silent > self._standby_after and now >= line.alone_until:
+            if silent > line.patience and now >= line.alone_until:
                 line.alone_until = now + line.alone_s
                 line.alone_s = min(MAX_STANDBY_S, line.alone_s * 2)
                 name = line.dispatcher.name if line.dispatcher else ""
@@ -325,6 +341,7 @@
         }
         now = asyncio.get_running_loop().time()
         line.heard = now
+        line.patience = self._standby_after
         for held in renamed.values():
             held.asked = now
         line.waiting = renamed
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -53,6 +53,10 @@
 # one that is paused must not hold up the others.
 RECOVERY_TIMEOUT_S = 0.3
 REPORT_INTERVAL_S = 1.0
+# A sign of life to an instance costs some 40 us: at most so many a second are sent to
+# those whose requests wait, however many they are, which is 4 % of a core. At each
+# tick to each of 195 instances they were 3,900, a fifth of what a dispatcher has.
+SIGNS_PER_S = 1000.0
 # An instance that dispatches for itself takes so many times its even share of the
 # slots: its load is uneven, and the others may all do the same.
 ALONE_SHARES = 2.0
@@ -66,7 +70,8 @@
     """One pool that falls to this instance.
 
     `registered` are the incarnations that told what they hold, `dropped` those that
-    were taken for dead since.
+    were taken for dead since. `signed` is when those that wait were last told that they
+    are not forgotten, `sign_interval` the seconds within which they are told again.
     """
 
     dispatcher: PoolDispatcher
@@ -77,6 +82,8 @@
     poller: asyncio.Task | None = None
     since: float = 0.0
     told: float = 0.0
+    signed: float = 0.0
+    sign_interval: float = TICK_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,7 +229,7 @@
                 self._recover(duty)
             self._drop_silent(duty, now)
             self._feed(duty, m.Tick())
-            self._say_alive(duty)
+            self._say_alive(duty, now)
             if duty.told + STATE_INTERVAL_S <= now and duty in self._duties.values():
                 duty.told = now
                 self._log_state(duty, now)
@@ -278,12 +285,18 @@
         if summary:
             decision("pool-state", pool=duty.dispatcher.pool_name, **summary)
 
-    def _say_alive(self, duty: _Duty) -> None:
+    def _say_alive(self, duty: _Duty, now: float) -> None:
         """Tell the instances whose requests wait that they are not forgotten."""
-        for instance in duty.dispatcher.instances_waiting():
+        if now + TICK_S / 2 < duty.signed + duty.sign_interval:
+            return
+        instances = duty.dispatcher.instances_waiting()
+        duty.signed = now
+        duty.sign_interval = max(TICK_S, len(instances) / SIGNS_PER_S)
+        sign = PoolQueued(duty.dispatcher.pool_name, duty.sign_interval)
+        for instance in instances:
             address = duty.addresses.get(instance)
             if address:
-                self._reply(address, PoolQueued(duty.dispatcher.pool_name))
+                self._reply(address, sign)
 
     def _own_duty(self, pool: str) -> _Duty | None:
         """Return the dispatcher that serves this instance alone, made when needed."""
@@ -316,7 +329,7 @@
                 duty.heard[info.instance] = now
                 self._feed(duty, m.Ask(_work(info, now)))
                 if self._serves_itself and duty.dispatcher.is_waiting(info.ask):
-                    self._reply(sender, PoolQueued(pool))
+                    self._reply(sender, PoolQueued(pool, duty.sign_interval))
             case PoolWithdraw(ask=ask):
                 self._feed(duty, m.Withdraw(ask))
             case PoolFirstToken(ask=ask, seconds=seconds):
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -34,7 +34,7 @@
   5: double token, 6: double share
 }
 struct PoolHeld { 1: string pool, 2: string instance, 3: list<string> asks }
-struct PoolQueued { 1: string pool }
+struct PoolQueued { 1: string pool, 2: double again_in }
 struct PoolInquire { 1: string pool }
 struct Usage {
   1: string incarnation, 2: double age, 3: list<string> customers,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -165,9 +165,13 @@
 
 @dataclass(slots=True)
 class PoolQueued:
-    """The dispatcher is alive and holds the receiver's asks; repeated while it does."""
+    """The dispatcher is alive and holds the receiver's asks; repeated while it does.
+
+    `again_in` is the seconds until it says so again, at the latest.
+    """
 
     pool: str
+    again_in: float = 0.0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -107,7 +107,10 @@
         (2, "string", "instance"),
         (3, "list<string>", "asks"),
     ),
-    "PoolQueued": ((1, "string", "pool"),),
+    "PoolQueued": (
+        (1, "string", "pool"),
+        (2, "double", "again_in"),
+    ),
     "PoolInquire": ((1, "string", "pool"),),
     "Usage": (
         (1, "string", "incarnation"),
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -5,7 +5,7 @@
 from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.desk import Desk
 from hibiscusstep.grants import GrantRequest
-from hibiscusstep.mailbox import Question
+from hibiscusstep.mailbox import Question, Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import (
@@ -13,6 +13,7 @@
     PoolGrant,
     PoolHeld,
     PoolInquire,
+    PoolQueued,
     PoolRegister,
     PoolWithdraw,
     Received,
@@ -158,3 +159,31 @@
     async def test_one_that_came_soon_is_used(self):
         question, sent = await self._granted_after(0.1)
         assert question.answer.done() and not sent
+
+
+class TestDispatcherOfMany:
+    """With many instances to tell it shows less often that it lives, and says so."""
+
+    async def _alone_after(self, sign, seconds):
+        """Return whether the desk dispatches for itself so long after a sign."""
+        world = _World()
+        await world.start(n0=False, n1=True)
+        await world.ask()
+        await world.desk.handle(Received("n1:1", sign))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        loop.time = lambda: began + seconds
+        try:
+            await world.desk.handle(Tick())
+        finally:
+            del loop.time
+        return bool(world.told_itself(PoolRegister))
+
+    async def test_is_given_the_time_that_it_told(self):
+        assert not await self._alone_after(PoolQueued("p", 0.2), 0.25)
+
+    async def test_is_silent_beyond_it(self):
+        assert await self._alone_after(PoolQueued("p", 0.2), 0.3)
+
+    async def test_a_dispatcher_of_few_is_missed_soon(self):
+        assert await self._alone_after(PoolQueued("p", 0.05), 0.15)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hibiscusstep.configuration.in_force import InForce
-from hibiscusstep.dispatching import Dispatching
+from hibiscusstep.dispatching import SIGNS_PER_S, Dispatching
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
@@ -14,6 +14,7 @@
     PoolAsk,
     PoolGrant,
     PoolInquire,
+    PoolQueued,
     PoolRegister,
     Received,
     WorkInfo,
@@ -112,3 +113,47 @@
             del loop.time
         assert links.sent[1:] == [("e:1", PoolInquire(POOL))]
         assert worker.overdue == {POOL: 1}
+
+
+class TestSignsOfLife:
+    """Who waits is told so again and again; in overload that is every instance."""
+
+    async def _signs_in_a_second(self, instances):
+        """Return the signs sent in the second second, with one waiting each."""
+        links = _Links()
+        worker = Dispatching(
+            "d", "d:1", links, lambda _message: None, None,
+            kind=SlotDispatcher, reads_reports=False, serves_itself=True,
+        )  # fmt: skip
+        await worker.handle(_view(d="d-1"))
+        plan = Plan({POOL: PlannedPool(False, targets={"t": PlannedTarget(0)})})
+        await worker.handle(InForce(1, b"", plan))
+        register = PoolRegister(POOL, "d", "d-1", [], [], [])
+        await worker.handle(Received("d:1", register))
+        for n in range(instances):
+            work = WorkInfo(
+                f"a{n}", "r", f"e{n}", "c", "0", 0, 0, 1, 9.0, 0.0, False, [], []
+            )
+            await worker.handle(Received(f"e{n}:1", PoolAsk(POOL, work)))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            for tick in range(41):
+                if tick == 21:
+                    links.sent.clear()
+                loop.time = lambda tick=tick: began + 0.05 * tick
+                await worker.handle(Tick())
+        finally:
+            del loop.time
+        return [m for _address, m in links.sent if isinstance(m, PoolQueued)]
+
+    async def test_few_are_told_at_each_tick(self):
+        signs = await self._signs_in_a_second(10)
+        assert len(signs) == 200
+        assert {sign.again_in for sign in signs} == {0.05}
+
+    @pytest.mark.parametrize("instances", [100, 300, 1000])
+    async def test_however_many_wait_the_signs_are_bounded(self, instances):
+        signs = await self._signs_in_a_second(instances)
+        assert instances <= len(signs) <= 1.1 * SIGNS_PER_S
+        assert {sign.again_in for sign in signs} == {instances / SIGNS_PER_S}
