Account: by data centre and role, grants that never end, read as a stream

The account of logs kept all lines in memory and said nothing of places or of requests that were granted and never ended. It now reads line by line (lines out of order by up to five seconds), keeps only what is open, shows how far it is on standard error, and has two more tables. The line at an instance's start tells its data centre.

--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -1,7 +1,9 @@
 """hibiscusstep.cmdline.load: the program hibiscusstep-load."""
 
 import itertools
+import os
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import click
@@ -25,6 +27,8 @@
 __all__ = ["main"]
 
 EXIT_BROKEN_PROMISE = 5
+# The bar of what is read moves on after so much, some hundredths of a second.
+BYTES_A_STEP = 1 << 19
 _MIX = click.argument("mix", type=click.Path(exists=True, path_type=Path))
 _CALLERS = click.option(
     "--caller", "callers", multiple=True, required=True, help="URL of an instance."
@@ -94,14 +98,26 @@
 @one_line_errors
 def account(logs, window: float, plot: Path | None) -> None:
     """Tell from the log lines of all instances where requests were lost or late."""
-    lines = itertools.chain.from_iterable(logs)
-    taken = take_account(lines, window)
+    size = sum(os.fstat(log.fileno()).st_size for log in logs)
+    with click.progressbar(length=size, label="reading", file=sys.stderr) as bar:
+        taken = take_account(_read_lines(logs, bar), window)
     for line in taken.lines():
         click.echo(line)
     if plot:
         plot_account(taken, plot)
 
 
+def _read_lines(logs, bar) -> Iterator[str]:
+    """Yield the lines of log files and show how far they are read."""
+    unshown = 0
+    for line in itertools.chain.from_iterable(logs):
+        yield line
+        unshown += len(line)
+        if unshown > BYTES_A_STEP:
+            bar.update(unshown)
+            unshown = 0
+
+
 @main.command()
 @click.option("--deployments", default="0-9", show_default=True, help="First-last.")
 @click.option("--seeds", default="1", show_default=True, help="Of callers, by comma.")
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -176,7 +176,12 @@
             Child("readiness", self._serve_readiness, Restart.ESSENTIAL),
             Child("callers", self._serve_callers, Restart.ESSENTIAL),
         ]
-        decision("start", instance=self._settings.name, incarnation=self._incarnation)
+        decision(
+            "start",
+            instance=self._settings.name,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+        )
         self._supervisor = Supervisor(self._settings.name, children)
         try:
             await self._supervisor.run()
--- a/hibiscusstep/load/account.py
+++ b/hibiscusstep/load/account.py
@@ -1,5 +1,6 @@
 """hibiscusstep.load.account: where requests were lost or late, from log lines."""
 
+import heapq
 import statistics
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
@@ -12,6 +13,8 @@
 
 # The log's own format of time.
 _TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
+# Lines of many instances that were written to one log are out of order by less.
+OUT_OF_ORDER_S = 5.0
 
 
 class Fate:
@@ -59,12 +62,19 @@
 
 @dataclass(slots=True)
 class Account:
-    """Fates by route and rank, by window, and what the targets did.
+    """Fates by route and rank, by window and by place, and what the targets did.
 
     Parameters
     ----------
     window : float
         Seconds of a window.
+    kinds, windows, places : dict of Counter
+        Fates by route and rank, by the window in which a request began, and by the
+        data centre and role of the instance that ended it.
+    unended : Counter
+        Grants by window whose request no line ends: those of instances that were lost.
+    targets : dict of TargetAccount
+        What the answers of each tell.
     """
 
     window: float
@@ -72,15 +82,26 @@
         default_factory=lambda: defaultdict(Counter)
     )
     windows: dict[float, Counter] = field(default_factory=lambda: defaultdict(Counter))
+    places: dict[tuple[str, str], Counter] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    unended: Counter = field(default_factory=Counter)
     targets: dict[str, TargetAccount] = field(
         default_factory=lambda: defaultdict(TargetAccount)
     )
 
-    def count(self, record: dict, fate: str, began: float) -> None:
+    def window_of(self, moment: float) -> float:
+        """Return the start of the window of a moment, in seconds."""
+        return moment // self.window * self.window
+
+    def count(
+        self, record: dict, fate: str, began: float, place: tuple[str, str]
+    ) -> None:
         """Count an attempt that began at a moment, in seconds since the first line."""
         kind = (record.get("route", ""), int(record.get("rank", -1)))
         self.kinds[kind][fate] += 1
-        self.windows[began // self.window * self.window][fate] += 1
+        self.windows[self.window_of(began)][fate] += 1
+        self.places[place][fate] += 1
 
     def lines(self) -> Iterator[str]:
         """Yield the tables as text."""
@@ -90,6 +111,12 @@
         yield "from second | " + " | ".join(Fate.ALL)
         for start, counts in sorted(self.windows.items()):
             yield f"{start:g} | " + _cells(counts)
+        yield "data centre, role | " + " | ".join(Fate.ALL)
+        for (centre, role), counts in sorted(self.places.items()):
+            yield f"{centre or '-'}, {role} | " + _cells(counts)
+        yield "granted from second | never ended"
+        for start, count in sorted(self.unended.items()):
+            yield f"{start:g} | {count}"
         yield "target | answers | long pauses | broken | ms an event"
         for name, seen in sorted(self.targets.items(), key=lambda item: item[1].pace):
             cells = (seen.answers, seen.pauses, seen.broken, f"{1000 * seen.pace:.0f}")
@@ -123,30 +150,94 @@
     Parameters
     ----------
     lines : iterable of str
-        In any order between instances.
+        Read one by one; those of several instances out of order by `OUT_OF_ORDER_S` at
+        the most. What is kept grows with what is open at a time, not with the log.
     window : float
         Seconds of a window.
     """
-    records = sorted(read_records(lines), key=lambda record: record["at"])
-    account = Account(window)
-    # Granted when its first attempt was late already.
-    came_back = {r["request"] for r in records if _is_late_grant(r)}
-    start = records[0]["at"] if records else 0.0
-    for record in records:
+    reader = _Reader(Account(window))
+    for record in _in_order(read_records(lines)):
+        reader.read(record)
+    return reader.end()
+
+
+def _in_order(records: Iterable[dict]) -> Iterator[dict]:
+    """Yield records by their time."""
+    held: list[tuple[float, int, dict]] = []
+    for number, record in enumerate(records):
+        heapq.heappush(held, (record["at"], number, record))
+        while held[0][0] < record["at"] - OUT_OF_ORDER_S:
+            yield heapq.heappop(held)[2]
+    while held:
+        yield heapq.heappop(held)[2]
+
+
+class _Reader:
+    """Takes the records of a log in their order.
+
+    Parameters
+    ----------
+    account : Account
+        Where it is counted.
+    """
+
+    def __init__(self, account: Account) -> None:
+        self._account = account
+        self._start: float | None = None
+        self._centres: dict[str, str] = {}
+        self._roles: dict[str, str] = {}
+        # Of requests that were granted and have not ended: when, and whether the first
+        # attempt of the caller was late already.
+        self._granted: dict[str, tuple[float, bool]] = {}
+
+    def read(self, record: dict) -> None:
+        """Take the next record."""
+        if self._start is None:
+            self._start = record["at"]
+        self._note_place(record)
         fate = _fate(record)
         if record["message"] == "attempt":
-            _note_target(account, record, fate)
-        if fate is None:
-            continue
-        if fate == Fate.IN_TIME and record["request"] in came_back:
-            fate = Fate.CAME_BACK
+            _note_target(self._account, record, fate)
+        if record["message"] == "grant":
+            late = record.get("due_in", 0.0) < 0
+            self._granted[record["request"]] = record["at"] - self._start, late
+        elif record["message"] in _ENDS:
+            _at, late = self._granted.pop(record.get("request"), (0.0, False))
+            if late and fate == Fate.IN_TIME:
+                fate = Fate.CAME_BACK
+        if fate is not None:
+            self._count(record, fate)
+
+    def _count(self, record: dict, fate: str) -> None:
         held = record.get("seconds", 0.0) + record.get("waited", 0.0)
-        account.count(record, fate, max(0.0, record["at"] - held - start))
-    return account
-
-
-def _is_late_grant(record: dict) -> bool:
-    return record["message"] == "grant" and record.get("due_in", 0.0) < 0
+        began = max(0.0, record["at"] - held - self._start)
+        instance = record.get("instance", "")
+        place = self._centres.get(instance, ""), self._roles.get(instance, FOLLOWER)
+        self._account.count(record, fate, began, place)
+
+    def _note_place(self, record: dict) -> None:
+        instance = record.get("instance", "")
+        match record["message"]:
+            case "start":
+                self._centres[instance] = record.get("data_centre", "")
+                self._roles.pop(instance, None)
+            case "relay-role" if self._roles.get(instance) != DISPATCHER:
+                self._roles[instance] = RELAY if record.get("relay") else FOLLOWER
+            case "dispatcher-taken":
+                self._roles[instance] = DISPATCHER
+            case "dispatcher-left":
+                self._roles[instance] = RELAY
+
+    def end(self) -> Account:
+        """Return the account; what was granted and has not ended by now never does."""
+        for at, _late in self._granted.values():
+            self._account.unended[self._account.window_of(at)] += 1
+        return self._account
+
+
+# Roles of an instance, as far as its log lines tell.
+FOLLOWER, RELAY, DISPATCHER = "follower", "relay", "dispatcher"
+_ENDS = ("attempt", "given-up", "rejected")
 
 
 def _fate(record: dict) -> str | None:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -6,7 +6,13 @@
 from click.testing import CliRunner
 
 from hibiscusstep.cmdline.load import main
-from hibiscusstep.load.account import Fate, take_account
+from hibiscusstep.load.account import (
+    Account,
+    Fate,
+    _Reader,
+    read_records,
+    take_account,
+)
 
 
 def _line(second, message, **fields):
@@ -66,6 +72,45 @@
         assert _fates(grant, _attempt()) == {Fate.CAME_BACK: 1}
 
 
+class TestLargeRegion:
+    """A log of hundreds of instances: by place, and with those that were lost."""
+
+    LINES = (
+        _line(1, "start", instance="n1", data_centre="east"),
+        _line(1, "start", instance="n2", data_centre="west"),
+        _line(2, "relay-role", instance="n1", relay=True),
+        _line(3, "dispatcher-taken", instance="n2", pool="p"),
+    )
+
+    def test_counts_by_data_centre_and_role(self):
+        ends = (_attempt(5, instance="n1"), _attempt(6, instance="n2", request="r2"))
+        places = take_account([*self.LINES, *ends]).places
+        assert places == {
+            ("east", "relay"): {Fate.IN_TIME: 1},
+            ("west", "dispatcher"): {Fate.IN_TIME: 1},
+        }
+
+    def test_one_that_starts_again_is_a_follower(self):
+        again = _line(4, "start", instance="n2", data_centre="west")
+        places = take_account([*self.LINES, again, _attempt(5, instance="n2")]).places
+        assert list(places) == [("west", "follower")]
+
+    def test_tells_the_grants_of_requests_that_never_end(self):
+        grants = [_line(t, "grant", request=f"r{t}", due_in=1.0) for t in (1, 4, 5)]
+        ends = [_attempt(6, request="r4")]
+        assert take_account([*grants, *ends]).unended == {0.0: 1, 4.0: 1}
+
+    def test_lines_out_of_order_by_some_seconds_are_read_in_order(self):
+        grant = _line(4, "grant", request="r1", due_in=-1.5)
+        assert _fates(_attempt(6), grant, _line(30, "start")) == {Fate.CAME_BACK: 1}
+
+    def test_what_is_kept_does_not_grow_with_the_log(self):
+        lines = (_attempt(n * 0.01 % 60, request=f"r{n}") for n in range(6000))
+        reader = _Reader(Account(2.0))
+        held = [len(reader._granted) for r in read_records(lines) if not reader.read(r)]
+        assert max(held) == 0
+
+
 class TestAccount:
     def test_counts_by_the_window_in_which_a_request_began(self):
         account = take_account([_attempt(1), _attempt(8, seconds=5.0)])
