Instances that a cut made each other refuse hear each other again

Cause, traced by counting messages by kind: 1.4 million heartbeats in nine seconds. A cut may refuse connections, as the machine of a dead process does; a refused peer's incarnation was taken for dead for good. Two instances that did so to each other answered each heartbeat as that of a newcomer, at once and without end, and never were members to each other again.

Ruled out: tables and targets that are told again (0.16 MB of all), usage (1.4 MB).

Change: what a refused peer says counts as late words of the dead for the time of suspicion only; a heartbeat whose sender does not become a member is not answered.

Test first: TestAfterACutThatRefuses (200 messages and more for one tick before, a few after; both are members again), and one of the tracker.

--- a/hibiscusstep/membership/grouped.py
+++ b/hibiscusstep/membership/grouped.py
@@ -103,7 +103,7 @@
                 if sender == self._attachment.parent:
                     self._take_relays(news, now)
             case LinkLost(address=address, refused=True):
-                self._followers.refused(address)
+                self._followers.refused(address, now)
                 self._attachment.refused(address, now)
                 await super().handle(message)
             case Received(sender=sender):
@@ -134,8 +134,8 @@
         if beat.parent != self._settings.peer_address:
             self._followers.left(beat.instance)
             return
-        new = beat.instance not in self._followers.members
-        self._followers.heard(beat, now)
+        known = beat.instance in self._followers.members
+        new = self._followers.heard(beat, now) and not known
         self._relay_until = now + STAY_RELAY_S
         self._update_role(now)
         if new or beat.greet:
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -1,5 +1,6 @@
 """hibiscusstep.membership.tracker: pure bookkeeping of heartbeats."""
 
+import math
 from dataclasses import dataclass, replace
 
 from hibiscusstep.membership.view import Member, View
@@ -33,25 +34,33 @@
         self._heard: dict[str, _Heard] = {}
         self._gone: dict[str, float] = {}
         self._name_of: dict[str, str] = {}
-        self._dead_incarnations: set[str] = set()
+        # Until when words of an incarnation are taken for those of the dead.
+        self._dead_until: dict[str, float] = {}
         self._last_check: float | None = None
 
-    def heard(self, beat: Heartbeat, now: float) -> None:
-        """Take a heartbeat; one of an earlier incarnation is dropped."""
-        if beat.instance == self._name or beat.incarnation in self._dead_incarnations:
-            return
+    def heard(self, beat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; say whether its sender is a member now.
+
+        One of an earlier incarnation is dropped, as are late words of the dead.
+        """
+        if beat.instance == self._name or self._is_dead(beat.incarnation, now):
+            return False
         known = self._heard.get(beat.instance)
         if known and known.member.incarnation != beat.incarnation:
-            self._dead_incarnations.add(known.member.incarnation)
+            self._dead_until[known.member.incarnation] = math.inf
         self._heard[beat.instance] = _Heard(Member.of(beat), now)
         self._name_of[beat.incarnation] = beat.instance
         self._gone.pop(beat.instance, None)
+        return True
+
+    def _is_dead(self, incarnation: str, now: float) -> bool:
+        return now < self._dead_until.get(incarnation, -math.inf)
 
     def beat(self, incarnation: str, version: int, now: float) -> bool:
         """Take a sign of life; say whether its sender is known."""
         heard = self._heard.get(self._name_of.get(incarnation, ""))
         if heard is None or heard.member.incarnation != incarnation:
-            return incarnation in self._dead_incarnations
+            return self._is_dead(incarnation, now)
         heard.at = now
         if version > heard.member.version:
             heard.member = replace(heard.member, version=version)
@@ -64,11 +73,16 @@
             self._name_of.pop(heard.member.incarnation, None)
         self._gone.pop(name, None)
 
-    def refused(self, address: str) -> None:
-        """Take note that nothing listens at a member's peer address: it is dead."""
+    def refused(self, address: str, now: float) -> None:
+        """Take note that nothing listens at a member's peer address: it is dead.
+
+        Some cuts refuse connections too. What it said before is over within the time
+        of suspicion; what comes later says that it lives.
+        """
         for name, heard in list(self._heard.items()):
             if heard.member.peer_address == address:
-                self._dead_incarnations.add(heard.member.incarnation)
+                until = now + self._suspect_after
+                self._dead_until[heard.member.incarnation] = until
                 self.left(name)
 
     def refresh(self, now: float) -> None:
--- a/hibiscusstep/membership/worker.py
+++ b/hibiscusstep/membership/worker.py
@@ -116,7 +116,7 @@
             case OwnState():
                 self._change_own(message)
             case LinkLost(address=address, refused=True):
-                self._tracker.refused(address)
+                self._tracker.refused(address, now)
         self._publish_if_changed()
 
     def _take_tick(self, now: float) -> None:
@@ -139,8 +139,9 @@
     def _hear(self, beat: Heartbeat, now: float) -> None:
         if beat.region != self._settings.region:
             return
-        new = beat.instance not in self._view.members
-        self._tracker.heard(beat, now)
+        member = self._tracker.heard(beat, now)
+        # One that is not taken for a member would answer without end.
+        new = member and beat.instance not in self._view.members
         self._mentioned.update(dict.fromkeys(beat.known, now))
         self._mentioned[beat.peer_address] = now
         if new or beat.greet:
--- a/tests/test_grouped.py
+++ b/tests/test_grouped.py
@@ -15,6 +15,7 @@
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.grouped import NEW_S, GroupedMembership
 from hibiscusstep.peer import Beat, Heartbeat, Received
+from hibiscusstep.peerlink import LinkLost
 from hibiscusstep.platform.surroundings import load_surroundings
 from hibiscusstep.store import InstanceRecord, Roster
 
@@ -239,3 +240,86 @@
         finally:
             loop.__dict__.pop("time", None)
             await instance.stop()
+
+
+PAIR = {"n0": OWN_ADDRESS, "n1": RELAY_ADDRESS}
+
+
+class TestAfterACutThatRefuses:
+    """Two instances that live take each other for dead, as a cut refuses connections.
+
+    A data centre was cut off with resets; afterwards two instances of it answered each
+    other's heartbeats without end, 100,000 a second, and never saw each other again.
+    """
+
+    async def _region(self):
+        """Return two relays and what is on its way between them."""
+        on_way = []
+
+        class Links:
+            def __init__(self, sender):
+                self.sender = sender
+
+            def tell(self, send):
+                on_way.append((self.sender, send.address, send.message))
+
+        class Listed(Roster):
+            async def instances(self):
+                return Ok(
+                    [
+                        InstanceRecord(name, "z", address)
+                        for name, address in (
+                            ("n0", OWN_ADDRESS),
+                            ("n1", RELAY_ADDRESS),
+                        )
+                    ]
+                )
+
+        region = {}
+        for name, address in PAIR.items():
+            settings = InstanceSettings(
+                name, "z", "r", "", "", address, "", (), 0.25, 1.0, 100, MESH_SIZE
+            )
+            region[address] = GroupedMembership(
+                settings, f"inc-{name}", Links(address), Listed(), lambda _v: None
+            )
+        for instance in region.values():
+            await instance.start()
+        await asyncio.sleep(0.01)
+        return region, on_way
+
+    async def _exchange(self, region, on_way, most=200):
+        """Deliver what is on its way, and what answers it; return how many came."""
+        count = 0
+        while on_way and count < most:
+            sender, address, message = on_way.pop(0)
+            await region[address].handle(Received(sender, message))
+            count += 1
+        return count
+
+    async def test_they_see_each_other_again_with_a_few_messages(self):
+        region, on_way = await self._region()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            for instance in region.values():
+                await instance.handle(Tick())
+            await self._exchange(region, on_way)
+            first, second = region.values()
+            assert len(first._view.members) == len(second._view.members) == 2
+            for address, other in (
+                (OWN_ADDRESS, RELAY_ADDRESS),
+                (RELAY_ADDRESS, OWN_ADDRESS),
+            ):
+                await region[address].handle(LinkLost(other, refused=True))
+            assert len(first._view.members) == 1
+            for tick in range(1, 9):
+                loop.time = lambda tick=tick: began + 0.25 * tick
+                for instance in region.values():
+                    await instance.handle(Tick())
+                assert await self._exchange(region, on_way) < 20
+            assert len(first._view.members) == len(second._view.members) == 2
+        finally:
+            loop.__dict__.pop("time", None)
+            for instance in region.values():
+                await instance.stop()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -34,12 +34,22 @@
     def test_a_refused_connection_is_a_death_without_doubt(self):
         tracker = Tracker("own", 3.0)
         tracker.heard(beat(), 0.0)
-        tracker.refused("a:1")
+        tracker.refused("a:1", 0.0)
         view = tracker.view(OWN, {"x"})
         assert set(view.members) == {"own"} and not view.doubtful
         tracker.heard(beat(), 0.1)
         assert set(tracker.view(OWN).members) == {"own"}, "late words of the dead"
 
+    def test_one_that_was_refused_in_a_cut_and_speaks_on_lives(self):
+        """A cut may refuse connections, as the machine of a dead process does."""
+        tracker = Tracker("own", 3.0)
+        tracker.heard(beat(), 0.0)
+        tracker.refused("a:1", 0.0)
+        assert tracker.beat("i1", 1, 0.5), "known as dead: nobody is greeted"
+        assert not tracker.beat("i1", 1, 4.0), "it lives, and is asked who it is"
+        assert tracker.heard(beat(), 4.1)
+        assert "x" in tracker.view(OWN).members
+
     def test_a_restart_is_a_new_incarnation(self):
         tracker = Tracker("own", 3.0)
         tracker.heard(beat(), 0.0)
