--- a/tests/test_pool_emulator.py
+++ b/tests/test_pool_emulator.py
@@ -181,7 +181,7 @@
     """All instances restart; for some seconds each dispatches for itself.
 
     In a region of 195 instances and 78 targets 0.17 of what was asked in the first two
-    seconds after it was answered in time, 0.62 in the next two, 0.71 and 0.83 in those
+    seconds after it was answered in time, 0.62 in the next two, 0.71 and 0.88 in those
     after: each took the fastest targets, of which it saw only its own requests, and
     their queues were full long after one dispatcher decided for all again.
     """
