--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -5,12 +5,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
 import orjson
 
 from hibiscusstep.configuration.in_force import InForce
+from hibiscusstep.duty import TICK_S, Duty, learnt_of, work_of
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Question, Tick, Worker
 from hibiscusstep.membership.view import View
@@ -32,11 +33,9 @@
     Received,
     StatusAsk,
     StatusReply,
-    WorkInfo,
 )
 from hibiscusstep.peerlink import Send
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.target import get_target_by_kind
 
 if TYPE_CHECKING:
@@ -45,7 +44,6 @@
 __all__ = ["Dispatching", "TargetLoad"]
 
 _LOG = logging.getLogger(__name__)
-TICK_S = 0.05
 IDLE_TICK_S = 0.5
 # What a dispatcher believes is logged this often.
 STATE_INTERVAL_S = 2.0
@@ -65,27 +63,6 @@
 SILENT_INSTANCE_S = 4.5
 
 
-@dataclass(slots=True, eq=False)
-class _Duty:
-    """One pool that falls to this instance.
-
-    `registered` are the incarnations that told what they hold, `dropped` those that
-    were taken for dead since. `signed` is when those that wait were last told that they
-    are not forgotten, `sign_interval` the seconds within which they are told again.
-    """
-
-    dispatcher: PoolDispatcher
-    registered: set[str] = field(default_factory=set)
-    dropped: set[str] = field(default_factory=set)
-    addresses: dict[str, str] = field(default_factory=dict)
-    heard: dict[str, float] = field(default_factory=dict)
-    poller: asyncio.Task | None = None
-    since: float = 0.0
-    told: float = 0.0
-    signed: float = 0.0
-    sign_interval: float = TICK_S
-
-
 @dataclass(frozen=True, slots=True)
 class _Reported:
     """A target of a pool reported its load."""
@@ -145,7 +122,7 @@
         self._kind = kind
         self._reads_reports = reads_reports
         self._serves_itself = serves_itself
-        self._own_duties: dict[str, _Duty] = {}
+        self._own_duties: dict[str, Duty] = {}
         self._kept = kept
         self._learnt: dict[str, m.Learnt] = {}
         self._own_name = name
@@ -156,7 +133,7 @@
         self._tier_guard = tier_guard
         self._view = View()
         self._configuration: Configuration | None = None
-        self._duties: dict[str, _Duty] = {}
+        self._duties: dict[str, Duty] = {}
 
     @property
     def tick_interval(self) -> float:
@@ -171,7 +148,7 @@
             self._end_poller(duty)
         self._duties = {}
 
-    def _end_poller(self, duty: _Duty) -> None:
+    def _end_poller(self, duty: Duty) -> None:
         if duty.poller:
             duty.poller.cancel()
 
@@ -235,7 +212,7 @@
                 self._log_state(duty, now)
                 self._tell_learnt(duty)
 
-    def _drop_silent(self, duty: _Duty, now: float) -> None:
+    def _drop_silent(self, duty: Duty, now: float) -> None:
         """Drop what instances held that this one does not hear in its view."""
         if self._view.is_mesh:
             return
@@ -244,7 +221,7 @@
             del duty.heard[name]
             self._feed(duty, m.InstanceGone(name))
 
-    def _tell_learnt(self, duty: _Duty) -> None:
+    def _tell_learnt(self, duty: Duty) -> None:
         """Tell the others what was learnt: any of them may have to dispatch next."""
         learnt = duty.dispatcher.learnt
         if not learnt:
@@ -267,25 +244,25 @@
         """Remember another's learning for the time when it falls to this instance."""
         for follower in self._view.followers.values():
             self._links.tell(Send(follower.peer_address, news))
-        self._learnt[news.pool] = _learnt(news)
+        self._learnt[news.pool] = learnt_of(news)
         if news.pool in self._own_duties:
             self._feed(self._own_duties[news.pool], self._learnt[news.pool])
 
     def _take_kept(self, news: PoolLearnt) -> None:
         """Take what was kept of an earlier time where nothing newer is known."""
-        kept = _learnt(news, old=True)
+        kept = learnt_of(news, old=True)
         self._learnt.setdefault(news.pool, kept)
         for duties in (self._duties, self._own_duties):
             if news.pool in duties:
                 self._feed(duties[news.pool], kept)
 
-    def _log_state(self, duty: _Duty, now: float) -> None:
+    def _log_state(self, duty: Duty, now: float) -> None:
         """Log what the dispatcher believes of its targets."""
         summary = duty.dispatcher.summary(now)
         if summary:
             decision("pool-state", pool=duty.dispatcher.pool_name, **summary)
 
-    def _say_alive(self, duty: _Duty, now: float) -> None:
+    def _say_alive(self, duty: Duty, now: float) -> None:
         """Tell the instances whose requests wait that they are not forgotten."""
         if now + TICK_S / 2 < duty.signed + duty.sign_interval:
             return
@@ -298,12 +275,12 @@
             if address:
                 self._reply(address, sign)
 
-    def _own_duty(self, pool: str) -> _Duty | None:
+    def _own_duty(self, pool: str) -> Duty | None:
         """Return the dispatcher that serves this instance alone, made when needed."""
         if not self._serves_itself or self._configuration is None:
             return None
         if pool not in self._own_duties:
-            duty = _Duty(self._kind(pool, self._configuration, alone=self._own_name))
+            duty = Duty(self._kind(pool, self._configuration, alone=self._own_name))
             self._own_duties[pool] = duty
             if pool in self._learnt:
                 self._feed(duty, self._learnt[pool])
@@ -327,7 +304,7 @@
             case PoolAsk(work=info):
                 duty.addresses[info.instance] = sender
                 duty.heard[info.instance] = now
-                self._feed(duty, m.Ask(_work(info, now)))
+                self._feed(duty, m.Ask(work_of(info, now)))
                 if self._serves_itself and duty.dispatcher.is_waiting(info.ask):
                     self._reply(sender, PoolQueued(pool, duty.sign_interval))
             case PoolWithdraw(ask=ask):
@@ -351,19 +328,19 @@
                 self._register(duty, sender, body, now)
 
     def _register(
-        self, duty: _Duty, sender: str, body: PoolRegister, now: float
+        self, duty: Duty, sender: str, body: PoolRegister, now: float
     ) -> None:
         duty.addresses[body.instance] = sender
         duty.heard[body.instance] = now
         self._feed(duty, m.InstanceGone(body.instance))
         for info, target in zip(body.running, body.targets, strict=True):
-            self._feed(duty, m.Adopt(_work(info, now), target))
+            self._feed(duty, m.Adopt(work_of(info, now), target))
         for info in body.waiting:
-            self._feed(duty, m.Ask(_work(info, now)))
+            self._feed(duty, m.Ask(work_of(info, now)))
         duty.registered.add(body.incarnation)
         self._maybe_recovered(body.pool, duty)
 
-    def _maybe_recovered(self, pool: str, duty: _Duty) -> None:
+    def _maybe_recovered(self, pool: str, duty: Duty) -> None:
         """Let a dispatcher decide once every live instance has registered."""
         if duty.dispatcher.recovered:
             return
@@ -373,7 +350,7 @@
         if not view.others and expected <= duty.registered:
             self._recover(duty)
 
-    def _recover(self, duty: _Duty) -> None:
+    def _recover(self, duty: Duty) -> None:
         pool = duty.dispatcher.pool_name
         decision("dispatcher-recovered", pool=pool, instances=len(duty.registered))
         self._feed(duty, m.Recovered())
@@ -391,7 +368,7 @@
             self._feed(duty, m.Doubt(view.doubtful))
             self._maybe_recovered(pool, duty)
 
-    def _ask_back(self, pool: str, duty: _Duty) -> None:
+    def _ask_back(self, pool: str, duty: Duty) -> None:
         """Ask instances to register again that were taken for dead and live.
 
         They do not know that what they hold was dropped: their waiting requests would
@@ -422,7 +399,7 @@
             dispatcher = self._kind(
                 pool, self._configuration, tier_guard=self._tier_guard
             )
-            duty = _Duty(dispatcher, since=asyncio.get_running_loop().time())
+            duty = Duty(dispatcher, since=asyncio.get_running_loop().time())
             if self._reads_reports:
                 duty.poller = asyncio.create_task(self._poll(pool))
             self._duties[pool] = duty
@@ -448,12 +425,12 @@
                 self.tell(_Reported(pool, report))
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def _feed(self, duty: _Duty, message) -> None:
+    def _feed(self, duty: Duty, message) -> None:
         now = asyncio.get_running_loop().time()
         for taken in duty.dispatcher.handle(message, now):
             self._carry_out(duty, taken, now)
 
-    def _carry_out(self, duty: _Duty, taken: m.Decision, now: float) -> None:
+    def _carry_out(self, duty: Duty, taken: m.Decision, now: float) -> None:
         pool = duty.dispatcher.pool_name
         if isinstance(taken, m.Inquire):
             self._inquire(duty, taken.instance)
@@ -485,7 +462,7 @@
                 instance = work.instance
                 decision("end-not-told", **fields, target=target, instance=instance)
 
-    def _inquire(self, duty: _Duty, instance: str) -> None:
+    def _inquire(self, duty: Duty, instance: str) -> None:
         address = duty.addresses.get(instance)
         if address:
             self._reply(address, PoolInquire(duty.dispatcher.pool_name))
@@ -495,30 +472,3 @@
             self._local(Received(address, message))
         else:
             self._links.tell(Send(address, message))
-
-
-def _learnt(news: PoolLearnt, old: bool = False) -> m.Learnt:
-    slowness = dict(zip(news.targets, news.slowness, strict=True))
-    return m.Learnt(slowness, news.first, news.token, news.share, old)
-
-
-def _work(info: WorkInfo, now: float) -> m.Work:
-    return m.Work(
-        info.ask,
-        info.request,
-        info.instance,
-        info.customer,
-        info.tier,
-        info.rank,
-        info.prompt_tokens,
-        info.output_tokens,
-        now + info.deadline_in,
-        now - info.waited,
-        info.stoppable,
-        tuple(info.prefixes),
-        tuple(info.avoid),
-        now + info.due_in,
-        info.data_centre,
-        now + info.ends_in if info.ends_in else 0.0,
-        info.identity,
-    )
