--- a/hibiscusstep/routing/run_watch.py
+++ b/hibiscusstep/routing/run_watch.py
@@ -2,11 +2,13 @@
 
 import heapq
 import itertools
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["RunWatch", "Suspects"]
+from hibiscusstep.routing.messages import Lost
+
+__all__ = ["LostRuns", "RunWatch", "Suspects"]
 
 # An instance that lives answers within some milliseconds, on a busy half of a core in
 # 0.2 s.
@@ -17,6 +19,9 @@
 # Checked every 0.05 s; after a gap of so much this process was paused itself, and the
 # answers to what it asked may wait to be read.
 PAUSED_S = 0.25
+# An instance that was cut off for less than this may still tell that it holds what was
+# taken for lost.
+LOST_VALID_S = 6.0
 
 
 @dataclass(slots=True)
@@ -125,3 +130,24 @@
     def _look_at(self, ask: str, at: float) -> None:
         self._watched[ask].at = at
         heapq.heappush(self._next, (at, next(self._tickets), ask))
+
+
+class LostRuns:
+    """What was taken for lost lately, should its instance say that it holds it."""
+
+    def __init__(self) -> None:
+        self._lost: OrderedDict[str, tuple[float, Lost]] = OrderedDict()
+
+    def add(self, lost: Lost, now: float) -> None:
+        """Remember a request that was taken for lost, and forget the old ones."""
+        self._lost[lost.work.ask] = now, lost
+        while next(iter(self._lost.values()))[0] < now - LOST_VALID_S:
+            self._lost.popitem(last=False)
+
+    def forget(self, ask: str) -> None:
+        """Take note that a request has ended."""
+        self._lost.pop(ask, None)
+
+    def take(self, asks: Iterable[str]) -> list[Lost]:
+        """Return those of some asks that were taken for lost, and forget them."""
+        return [self._lost.pop(ask)[1] for ask in asks if ask in self._lost]
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -5,14 +5,18 @@
 """
 
 import math
-from collections import OrderedDict
 
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.own_targets import OwnTargets
+from hibiscusstep.routing.patience import (
+    MAX_RETRY_AFTER_S,
+    last_useful_start,
+    retry_after,
+)
 from hibiscusstep.routing.plan import Plan, PlannedPool
 from hibiscusstep.routing.rank_floor import RankFloor
-from hibiscusstep.routing.run_watch import RunWatch
+from hibiscusstep.routing.run_watch import LostRuns, RunWatch
 from hibiscusstep.routing.slot_choice import SlotChoice
 from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
@@ -23,21 +27,8 @@
 
 # So many of the waiting requests are weighed for the free targets at a time.
 WEIGHED = 8
-# Overload comes in bursts of some seconds; whoever comes back sooner is refused again.
-MIN_RETRY_AFTER_S = 2.0
-MAX_RETRY_AFTER_S = 5.0
-# A request that can still be served in time waits until so many times the seconds of
-# its first token are left: a target is seldom idle.
-REACH_MARGIN = 1.5
-# One that is late already waits for this share of the time that its caller has left,
-# and no longer than callers bear without a first event: they leave after 2 s or more.
-LATE_SHARE = 0.5
-MAX_LATE_WAIT_S = 1.5
 # A grant is on its way to its instance for less than this.
 GRANT_TRANSIT_S = 0.7
-# An instance that was cut off for less than this may still tell that it holds what was
-# taken for lost.
-LOST_VALID_S = 6.0
 # How fast all targets work together changes slowly against this.
 RATE_VALID_S = 0.05
 
@@ -98,8 +89,7 @@
         self._floor = RankFloor()
         self._choice = SlotChoice(switches)
         self._watch = RunWatch()
-        # What was taken for lost: when, and where it ran.
-        self._lost: OrderedDict[str, tuple[float, m.Lost]] = OrderedDict()
+        self._lost = LostRuns()
         # Slowness of targets by others, also of those that are not known here yet.
         self._kept: dict[str, float] = {}
         self._rate = 0.0
@@ -188,24 +178,9 @@
         # Seconds until it is served where nothing else is to do.
         reach = self._choice.fastest * self._choice.reach(work)
         late = self._switches.late_last and 0 < work.due < now + reach
-        deadline = self._last_useful_start(work, reach, late)
+        deadline = last_useful_start(work, reach, late, self._switches)
         self._queue.add(work, self._choice.cost(work), deadline, late)
 
-    def _last_useful_start(self, work: m.Work, reach: float, late: bool) -> float:
-        """Return until when a request waits.
-
-        One that is refused comes back too late to be served in time: it waits as long
-        as that is still possible. One that is late has time, and mostly its last try.
-        """
-        if not work.due:
-            return work.deadline
-        if late:
-            wait = min(MAX_LATE_WAIT_S, LATE_SHARE * _time_left(work))
-            return max(work.deadline, work.received + wait)
-        if not self._switches.useful_wait:
-            return work.deadline
-        return max(work.received, work.due - REACH_MARGIN * reach)
-
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
         self._drop(message.ask, now)
 
@@ -218,7 +193,7 @@
 
     def _finished(self, message: m.Finished, now: float) -> None:
         self._watch.forget(message.ask)
-        self._lost.pop(message.ask, None)
+        self._lost.forget(message.ask)
         target = self._targets.get(self._placed.pop(message.ask, ""))
         run = target.remove(message.ask) if target else None
         if run is None:
@@ -240,8 +215,7 @@
 
     def _held(self, message: m.Held, now: float) -> None:
         self._watch.confirm(message.asks, now)
-        for ask in message.asks & self._lost.keys():
-            _at, lost = self._lost.pop(ask)
+        for lost in self._lost.take(message.asks):
             if lost.target in self._targets:
                 self._run(self._targets[lost.target], lost.work, now)
         for ask in self._watch.asks_of(message.instance) - message.asks:
@@ -302,10 +276,8 @@
             lost = m.Lost(target.running[ask].work, target.name)
             self._drop(ask, now)
             self.counts.lost += 1
-            self._lost[ask] = now, lost
+            self._lost.add(lost, now)
             self._decisions.append(lost)
-        while self._lost and next(iter(self._lost.values()))[0] < now - LOST_VALID_S:
-            self._lost.popitem(last=False)
 
     def _nothing(self, message: m.Doubt, now: float) -> None:
         """Take note of nothing: refusals here do not depend on what others serve."""
@@ -440,8 +412,7 @@
         self._queue.remove(work.ask)
         self._returns.refused(work)
         self.counts.refused += 1
-        after = round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), 2)
-        self._decisions.append(m.Refuse(work, m.Reason.LOAD, after))
+        self._decisions.append(m.Refuse(work, m.Reason.LOAD, retry_after(wait)))
 
     def _drop(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
@@ -450,8 +421,3 @@
         if target:
             target.remove(ask)
             self._order.changed(target, now)
-
-
-def _time_left(work: m.Work) -> float:
-    """Return the seconds that a request's caller had left when it was received."""
-    return max(0.0, work.ends - work.received) if work.ends else 0.0
