Requests that come before the first configuration wait for it

Change: such a request waits for the first configuration, a second and half of its caller's patience at the most, then it is refused as before.

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.border: the HTTP border towards callers."""
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 
@@ -18,6 +19,11 @@
 __all__ = ["ForwardingBorder"]
 
 NOT_READY_RETRY_S = 0.5
+# A request that comes before the first configuration waits for it, this long and for
+# half of its caller's patience at the most: callers connect while an instance starts,
+# and after a restart of all nobody else is ready. Of a region of 19 instances 219
+# requests were refused in the half second from listening to a configuration.
+START_PATIENCE_S = 1.0
 # Another instance takes it at once.
 STOPPING_RETRY_S = 0.05
 # A stopping instance begins what may last beyond its end for so long; the balancer has
@@ -50,6 +56,7 @@
         self._means = means
         self._quotas = quotas
         self._table: RoutingTable | None = None
+        self._started = asyncio.Event()
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -71,6 +78,7 @@
     def take(self, table: RoutingTable) -> None:
         """Act by a routing table from the next request on."""
         self._table = table
+        self._started.set()
 
     def leave(self, now: float, stop_at: float) -> None:
         """Ask callers to go elsewhere; soon begin nothing that might not end in time.
@@ -116,6 +124,8 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         received = asyncio.get_running_loop().time()
         head = self._means.dialect.read_request(request.headers)
+        if self._table is None:
+            await self._wait_for_table(head.patience)
         try:
             route = self._find_route(request)
             customer = self._find_customer(route, head.key)
@@ -140,6 +150,15 @@
             if claim:
                 claim.release()
 
+    async def _wait_for_table(self, patience: float | None) -> None:
+        """Wait for the first configuration, in vain for a bounded time."""
+        seconds = START_PATIENCE_S
+        if patience is not None:
+            seconds = min(seconds, patience / 2)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._started.wait()
+
     def _find_route(self, request: web.Request) -> ForwardRoute:
         if self._table is None:
             raise _Rejected(503, "no configuration yet", NOT_READY_RETRY_S)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -21,6 +21,7 @@
 )
 from soak_proxy import Mode, Proxy
 
+from hibiscusstep.forwarding import border
 from hibiscusstep.forwarding.instance import ForwardingInstance
 from hibiscusstep.listening import listen
 from hibiscusstep.platform.documents import table_of
@@ -78,7 +79,7 @@
         self.targets.append(target)
         self.store.put("servers", target.name, target.entry(pool))
 
-    async def add_instance(self):
+    async def add_instance(self, wait=True):
         module = "hibiscusstep.platform.settings.METRICS_PORT"
         self._monkeypatch.setattr(module, free_port())
         settings = _settings(f"n{len(self.instances)}", self.store)
@@ -95,10 +96,13 @@
         self._tasks.append(task)
         async with asyncio.timeout(BOUND_S):
             await instance.started.wait()
-            while not instance.ready or len(instance.targets) < len(self.targets):
+            while wait and not self._serves(instance):
                 await asyncio.sleep(0.01)
         return instance
 
+    def _serves(self, instance):
+        return instance.ready and len(instance.targets) >= len(self.targets)
+
     def make_instance(self, path):
         around = load_surroundings(path)
         settings = dataclasses.replace(around.settings, seeds=self.seeds)
@@ -142,6 +146,37 @@
     await site.stop()
 
 
+class TestRequestsBeforeTheFirstConfiguration:
+    """Callers connect while an instance starts; after a restart of all to all."""
+
+    async def _begun(self, site):
+        """Return a call to an instance that has no configuration yet."""
+        await site.start(TargetStandIn("t1", lambda n, f, b: [answer(f)]))
+        # Nor does it find the one that has it.
+        site.store.refused |= {"config", "hibiscusstep-instances"}
+        await site.add_instance(wait=False)
+        assert site.instances[1].version == 0
+        return asyncio.create_task(
+            site.call("/once/", instance=1, **{"X-Request-Deadline-Ms": "9000"})
+        )
+
+    async def test_wait_for_it(self, site, monkeypatch):
+        monkeypatch.setattr(border, "START_PATIENCE_S", BOUND_S)
+        call = await self._begun(site)
+        async with asyncio.timeout(BOUND_S):
+            while not site.instances[1].border.open_requests:
+                await asyncio.sleep(0.01)
+        assert not call.done()
+        site.store.refused.clear()
+        assert (await call)[0] == 200
+
+    async def test_are_refused_where_it_does_not_come(self, site, monkeypatch):
+        monkeypatch.setattr(border, "START_PATIENCE_S", 0.05)
+        status, fields, _body = await (await self._begun(site))
+        assert status == 503
+        assert float(fields["Retry-After"]) > 0
+
+
 def _ready(instance):
     """Return how many instances take duties, as this one sees it."""
     return sum(member.ready for member in instance.view.members.values())
