--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -78,9 +78,8 @@
         **_options,
     ) -> None:
         super().__init__(pool_name)
-        self._own_targets = None
-        if alone and switches.spread_alone:
-            self._own_targets = OwnTargets(alone)
+        spreads = alone and switches.spread_alone
+        self._own_targets = OwnTargets(alone) if spreads else None
         self._own: list[SlotTarget] = []
         self._own_at = -math.inf
         self._switches = switches
--- a/hibiscusstep/routing/target_order.py
+++ b/hibiscusstep/routing/target_order.py
@@ -1,6 +1,7 @@
 """hibiscusstep.routing.target_order: a pool's targets, kept in order as they change."""
 
 import heapq
+import itertools
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -49,6 +50,7 @@
     def __init__(self) -> None:
         self._places: dict[str, _Place] = {}
         self._by_number: dict[int, SlotTarget] = {}
+        self._numbers = itertools.count()
         self._room: dict[str, SortedList] = defaultdict(SortedList)
         self._pace = SortedList()
         self._rests: list[tuple[float, int]] = []
@@ -58,7 +60,7 @@
 
     def add(self, target: SlotTarget, now: float) -> None:
         """Take a target; of those that are alike the one that was added first leads."""
-        number = 1 + max(self._by_number, default=0)
+        number = next(self._numbers)
         self._by_number[number] = target
         self._places[target.name] = _Place(target, number)
         self.changed(target, now)
