A signal to read the settings again no longer ends a process that is starting

Cause: until the loop follows the signal its default action ends the process, and a start takes half a second and more on a busy machine. Ruled out: an error of the instance (the exit is that of the signal).

Change: on the platform's dialect the signal is noted from before the long imports on, and followed once the instance runs. The interpreter's own start, some 0.1 s, is not covered.

Test first: TestSignalAtAStart, exit -1 before.

--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -12,6 +12,8 @@
 __all__ = ["main"]
 
 _STOPS = (signal.SIGTERM, signal.SIGINT)
+# Signals to read the settings again that came while the program starts.
+_early_reloads: list[int] = []
 
 
 @click.command(epilog=EXIT_CODES)
@@ -62,6 +64,12 @@
 
 
 def _load_platform(path: Path, serves: bool):
+    if serves:
+        # By default it would end the process until it can be followed: a start takes
+        # half a second and more on a busy machine.
+        signal.signal(
+            signal.SIGHUP, lambda number, _frame: _early_reloads.append(number)
+        )
     from hibiscusstep.listening import listen
     from hibiscusstep.platform.settings import load_platform_settings
 
@@ -95,6 +103,9 @@
         loop.add_signal_handler(number, on_signal)
     if hasattr(entry, "reload"):
         loop.add_signal_handler(signal.SIGHUP, entry.reload)
+        if _early_reloads:
+            # After the first step of what runs: only then is there what is reloaded.
+            loop.call_soon(entry.reload)
     stopping = asyncio.create_task(asked.wait())
     await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
     if running.done():
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,3 +1,6 @@
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -30,6 +33,37 @@
         assert __version__ in call(program, "--version").output
 
 
+class TestSignalAtAStart:
+    """A soak sent SIGHUP 0.8 s after a start (seed 236): the process ended by it."""
+
+    PROGRAM = """
+import os, signal, sys
+from hibiscusstep import listening
+from hibiscusstep.cmdline import entry
+
+def listen(address):
+    os.kill(os.getpid(), signal.SIGHUP)
+    sys.exit(7 if entry._early_reloads else 8)
+
+listening.listen = listen
+entry.main([sys.argv[1], "--dialect", "platform"])
+"""
+
+    def test_to_read_the_settings_again_is_kept_for_later(self, tmp_path):
+        settings = tmp_path / "local.json"
+        settings.write_text(
+            '{"NodeName": "n", "Zone": "z", "Ip": "127.0.0.1", "InternalPorts": [1, 2],'
+            ' "Listen": {"Front": "127.0.0.1:1", "Ready": "127.0.0.1:2"},'
+            ' "Bounds": {}, "Platform": {"Address": "127.0.0.1:3"}}'
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", self.PROGRAM, str(settings)],
+            env={**os.environ, "HIBISCUSSTEP_PEER_KEY": "a-key-for-tests-only"},
+            timeout=60,
+        )
+        assert done.returncode == 7
+
+
 class TestErrors:
     def test_a_bad_folder_is_one_line_and_3(self, tmp_path):
         (tmp_path / "10.json").write_text('{"tiers": {"a": {"rank": -1}}}')
