Sight: what each customer used, in attempts and once a second, and in the account

The logs could not tell a customer's use: attempt lines had neither customer nor what is counted, and over-quota shows one instance's belief only where it refuses. Now: attempt has customer and counted, over-quota has known_for, customer-use tells once a second what an instance believes of the three customers nearest to their limits, and the account has each customer's heaviest window beside its limit. No change of logic.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -252,6 +252,8 @@
             first_event=round(self._pace.first_event, 4),
             longest_pause=round(self._pace.longest_pause, 4),
             tokens=self._in.head.prompt_tokens,
+            customer=self._in.customer.name if self._in.customer else "",
+            counted=self._in.claim.tokens if self._in.claim else 0,
             target_revision=target.revision,
             routine=outcome is m.Outcome.DONE,
         )
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.quota: tokens of customers over a sliding window."""
 
 import asyncio
+import heapq
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
@@ -39,6 +40,12 @@
 # instances may have been restarted right after a customer used what it may.
 START_SHARE = 0.1
 
+# Each instance logs what it believes of the customers nearest to their limits: so many
+# at the most, from this share of the limit on, every so many intervals (a second).
+LOG_USE_MOST = 3
+LOG_USE_FROM = 0.5
+LOG_USE_EVERY = 5
+
 
 class Window:
     """A sum over the last seconds.
@@ -129,6 +136,11 @@
         self._request = request
         self._ticket: Ticket | None = None
 
+    @property
+    def tokens(self) -> int:
+        """What the request counts as."""
+        return self._tokens
+
     def fits(self) -> bool:
         """Whether the tokens are within the quota now."""
         return self._keeper.fits(self._customer, self._tokens, self._request)
@@ -203,6 +215,7 @@
         self._told: dict[str, int] = {}
         self._told_all: dict[str, int] = {}
         self._ticks = 0
+        self._rules: dict[str, CustomerRule] = {}
 
     async def handle(self, message) -> None:
         """Take a tick, a view, or what a peer has let through."""
@@ -241,6 +254,7 @@
         """Return whether tokens are within the quota; log it if they are not."""
         if not customer.quota.rate:
             return True
+        self._rules[customer.name] = customer
         now = asyncio.get_running_loop().time()
         limit, used = self.limit(customer, now), self.used(customer.name, now)
         left = limit - used
@@ -266,8 +280,29 @@
             pending=self._pending[name],
             instances=self._view.size,
             silent=self._view.silent,
+            known_for=round(self._age(now), 1),
         )
 
+    def _log_use(self) -> None:
+        """Log the customers nearest to their limits, as believed here."""
+        now = asyncio.get_running_loop().time()
+        limits = {name: self.limit(rule, now) for name, rule in self._rules.items()}
+        shares = {name: self.used(name, now) / limit for name, limit in limits.items()}
+        near = [name for name, share in shares.items() if share >= LOG_USE_FROM]
+        for name in heapq.nlargest(LOG_USE_MOST, near, key=shares.get):
+            decision(
+                "customer-use",
+                customer=name,
+                limit=int(limits[name]),
+                used=int(self.used(name, now)),
+                own=int(self._window(self._own, name).total(now)),
+                others=int(self._window(self._others, name).total(now)),
+                window=self.bounds.quota_window,
+                known_for=round(self._age(now), 1),
+                instances=self._view.size,
+                silent=self._view.silent,
+            )
+
     def settle(self, name: str, tokens: int, used: bool) -> None:
         """End a ticket."""
         self._pending[name] -= tokens
@@ -331,6 +366,8 @@
 
     def _tell(self) -> None:
         self._ticks += 1
+        if self._ticks % LOG_USE_EVERY == 0:
+            self._log_use()
         every = self._ticks % TELL_ALL_EVERY == 0
         if every or self._of_group != self._told or self._has_news_for_followers():
             self._tell_all()
--- a/hibiscusstep/load/account.py
+++ b/hibiscusstep/load/account.py
@@ -9,6 +9,8 @@
 
 import orjson
 
+from hibiscusstep.load.customer_use import CustomerUse
+
 __all__ = ["Account", "Fate", "read_records", "take_account"]
 
 # The log's own format of time.
@@ -75,6 +77,8 @@
         Grants by window whose request no line ends: those of instances that were lost.
     targets : dict of TargetAccount
         What the answers of each tell.
+    use : CustomerUse
+        What customers used of their limits.
     """
 
     window: float
@@ -89,6 +93,7 @@
     targets: dict[str, TargetAccount] = field(
         default_factory=lambda: defaultdict(TargetAccount)
     )
+    use: CustomerUse = field(default_factory=CustomerUse)
 
     def window_of(self, moment: float) -> float:
         """Return the start of the window of a moment, in seconds."""
@@ -121,6 +126,9 @@
         for name, seen in sorted(self.targets.items(), key=lambda item: item[1].pace):
             cells = (seen.answers, seen.pauses, seen.broken, f"{1000 * seen.pace:.0f}")
             yield f"{name} | " + " | ".join(map(str, cells))
+        yield "customer | most tokens in a window | from second | limit"
+        for name, most in self.use.heaviest().items():
+            yield f"{name} | {most.tokens} | {most.start:g} | {most.limit or '-'}"
 
 
 def _cells(counts: Counter) -> str:
@@ -195,6 +203,7 @@
         if self._start is None:
             self._start = record["at"]
         self._note_place(record)
+        self._account.use.read(record, record["at"] - self._start)
         fate = _fate(record)
         if record["message"] == "attempt":
             _note_target(self._account, record, fate)
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -136,3 +136,30 @@
         assert result.exit_code == 0, result.output
         assert "chat, 1 | 1 | 1 | 0" in result.output
         assert plot.stat().st_size > 1000
+
+
+class TestCustomerUse:
+    def _use(self, *lines):
+        return take_account([_line(0, "start"), *lines]).use.heaviest()
+
+    def _sent(self, second, counted, **fields):
+        return _attempt(second, customer="c", counted=counted, **fields)
+
+    def test_the_heaviest_window_is_found_by_when_attempts_were_sent(self):
+        lines = [self._sent(second, 10) for second in (2, 11, 12, 18)]
+        most = self._use(*lines)["c"]
+        assert (most.start, most.tokens) == (10.0, 30)
+
+    def test_a_repeat_counts_once(self):
+        lines = [self._sent(2, 10), self._sent(3, 10, number=2)]
+        assert self._use(*lines)["c"].tokens == 10
+
+    def test_the_limit_is_the_largest_that_was_told(self):
+        known = {"customer": "c", "window": 4.0}
+        told = [_line(1, "customer-use", limit=n, **known) for n in (70, 90, 80)]
+        most = self._use(*told, self._sent(2, 10), self._sent(7, 10))["c"]
+        assert (most.limit, most.tokens) == (90, 10)
+
+    def test_it_stands_in_the_table(self):
+        lines = list(take_account([self._sent(2, 10)]).lines())
+        assert lines[-1] == "c | 10 | 0 | -"
