--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -13,7 +13,8 @@
     IngressLimits,
     RoutingTable,
 )
-from hibiscusstep.forwarding.quota import QUOTA_RETRY_S, QuotaClaim, QuotaKeeper
+from hibiscusstep.forwarding.quota import QuotaKeeper
+from hibiscusstep.forwarding.quota_claim import QUOTA_RETRY_S, QuotaClaim
 from hibiscusstep.log import decision
 
 __all__ = ["ForwardingBorder"]
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -16,7 +16,7 @@
     Repeat,
 )
 from hibiscusstep.forwarding.pace import Pace
-from hibiscusstep.forwarding.quota import QUOTA_RETRY_S
+from hibiscusstep.forwarding.quota_claim import QUOTA_RETRY_S
 from hibiscusstep.grants import Ended, Granted, GrantRequest, Refused, Started
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import MailboxFull
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -11,7 +11,7 @@
 from hibiscusstep.forwarding.dialect import Dialect, RequestHead
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
-from hibiscusstep.forwarding.quota import QuotaClaim
+from hibiscusstep.forwarding.quota_claim import QuotaClaim
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 
 __all__ = ["Incoming", "Means"]
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import heapq
-from collections import defaultdict, deque
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule
+from hibiscusstep.forwarding.quota_claim import Ticket
+from hibiscusstep.forwarding.window import Window
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.view import View
@@ -14,10 +16,8 @@
 from hibiscusstep.peer import Received, Usage
 from hibiscusstep.peerlink import Send
 
-__all__ = ["QUOTA_RETRY_S", "QuotaClaim", "QuotaKeeper", "Ticket", "Window"]
+__all__ = ["QuotaKeeper"]
 
-# Whoever is beyond a quota may come again after so many seconds.
-QUOTA_RETRY_S = 1.0
 # Instances tell each other what they let through this often; what happens in between
 # is bounded by the overage that a quota allows.
 TELL_INTERVAL_S = 0.2
@@ -47,123 +47,6 @@
 LOG_USE_EVERY = 5
 
 
-class Window:
-    """A sum over the last seconds.
-
-    Parameters
-    ----------
-    span : float
-        Seconds.
-    """
-
-    def __init__(self, span: float) -> None:
-        self._span = span
-        self._parts: deque[tuple[float, float]] = deque()
-        self._sum = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        """Count an amount at this moment."""
-        self._parts.append((now, amount))
-        self._sum += amount
-
-    def total(self, now: float) -> float:
-        """Return the sum."""
-        while self._parts and self._parts[0][0] <= now - self._span:
-            self._sum -= self._parts.popleft()[1]
-        return self._sum
-
-
-class Ticket:
-    """A request's tokens, set aside until it is sent to a target or given up.
-
-    Parameters
-    ----------
-    keeper : QuotaKeeper
-        Where they are counted.
-    customer : str
-        Whose they are.
-    tokens : int
-        How many.
-    """
-
-    __slots__ = ("_customer", "_keeper", "_open", "_tokens")
-
-    def __init__(self, keeper: "QuotaKeeper", customer: str, tokens: int) -> None:
-        self._keeper = keeper
-        self._customer = customer
-        self._tokens = tokens
-        self._open = True
-
-    def use(self) -> None:
-        """Count the tokens as used, once."""
-        if self._open:
-            self._open = False
-            self._keeper.settle(self._customer, self._tokens, used=True)
-
-    def release(self) -> None:
-        """Give the tokens back if they were not used."""
-        if self._open:
-            self._open = False
-            self._keeper.settle(self._customer, self._tokens, used=False)
-
-
-class QuotaClaim:
-    """A request's wish for tokens, set aside only once it has a target.
-
-    What waits may still be refused for load: counted while it waited, a burst of one
-    customer was refused by quota for what it never used.
-
-    Parameters
-    ----------
-    keeper : QuotaKeeper
-        Where they are counted.
-    customer : CustomerRule
-        Whose they are.
-    tokens : int
-        How many.
-    request : str
-        Id of the request, for the log.
-    """
-
-    __slots__ = ("_customer", "_keeper", "_request", "_ticket", "_tokens")
-
-    def __init__(
-        self, keeper: "QuotaKeeper", customer: CustomerRule, tokens: int, request: str
-    ) -> None:
-        self._keeper = keeper
-        self._customer = customer
-        self._tokens = tokens
-        self._request = request
-        self._ticket: Ticket | None = None
-
-    @property
-    def tokens(self) -> int:
-        """What the request counts as."""
-        return self._tokens
-
-    def fits(self) -> bool:
-        """Whether the tokens are within the quota now."""
-        return self._keeper.fits(self._customer, self._tokens, self._request)
-
-    def take(self) -> bool:
-        """Set the tokens aside, once; return whether they are."""
-        if self._ticket is None:
-            self._ticket = self._keeper.admit(
-                self._customer, self._tokens, self._request
-            )
-        return self._ticket is not None
-
-    def use(self) -> None:
-        """Count the tokens as used, once."""
-        if self._ticket is not None:
-            self._ticket.use()
-
-    def release(self) -> None:
-        """Give the tokens back if they were set aside and not used."""
-        if self._ticket is not None:
-            self._ticket.release()
-
-
 @dataclass(slots=True)
 class _Peer:
     """What another instance has told: totals since its start, by customer."""
--- a/hibiscusstep/forwarding/retries.py
+++ b/hibiscusstep/forwarding/retries.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 
 from hibiscusstep.forwarding.bounds import Bounds
-from hibiscusstep.forwarding.quota import Window
+from hibiscusstep.forwarding.window import Window
 
 __all__ = ["WindowedRetryBudget"]
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,7 +4,9 @@
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule, Quota
-from hibiscusstep.forwarding.quota import QuotaClaim, QuotaKeeper, Window
+from hibiscusstep.forwarding.quota import QuotaKeeper
+from hibiscusstep.forwarding.quota_claim import QuotaClaim
+from hibiscusstep.forwarding.window import Window
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
