Quota: what was used is handed on and kept; an instance's age stands for nothing

Cause: a customer's limit over a sliding window rested on counters of processes alone, and the age of a process (the oldest peer's) stood for knowing what was used. After a restart of all nobody remembered; one that started alone heard of living instances only.

Change: totals are kept by source and only grow, so any instance may tell what it knows of any other one, ended ones too; one that starts takes such a history, with ages. Where nothing tells, only half of the unused overage is free, for a whole window. Requests of the first moments wait until it is known. A lone newcomer takes its part of all that the list names.

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable
 
 from aiohttp import web
 
@@ -20,10 +21,11 @@
 __all__ = ["ForwardingBorder"]
 
 NOT_READY_RETRY_S = 0.5
-# A request that comes before the first configuration waits for it, this long and for
-# half of its caller's patience at the most: callers connect while an instance starts,
-# and after a restart of all nobody else is ready. Of a region of 19 instances 219
-# requests were refused in the half second from listening to a configuration.
+# A request that comes before the first configuration, or before it is heard what its
+# customer used, waits for it, this long and for half of its caller's patience at the
+# most: callers connect while an instance starts, and after a restart of all nobody
+# else is ready. Of a region of 19 instances 219 requests were refused in the half
+# second from listening to a configuration.
 START_PATIENCE_S = 1.0
 # Another instance takes it at once.
 STOPPING_RETRY_S = 0.05
@@ -126,12 +128,12 @@
         received = asyncio.get_running_loop().time()
         head = self._means.dialect.read_request(request.headers)
         if self._table is None:
-            await self._wait_for_table(head.patience)
+            await _wait_in_vain(self._started.wait(), head.patience)
         try:
             route = self._find_route(request)
             customer = self._find_customer(route, head.key)
             body = await self._read_body(request)
-            claim = self._claim_quota(customer, head)
+            claim = await self._claim_quota(customer, head)
         except _Rejected as rejected:
             return self._reject(request, head.request, rejected)
         pool = route.choose_pool()
@@ -151,15 +153,6 @@
             if claim:
                 claim.release()
 
-    async def _wait_for_table(self, patience: float | None) -> None:
-        """Wait for the first configuration, in vain for a bounded time."""
-        seconds = START_PATIENCE_S
-        if patience is not None:
-            seconds = min(seconds, patience / 2)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._started.wait()
-
     def _find_route(self, request: web.Request) -> ForwardRoute:
         if self._table is None:
             raise _Rejected(503, "no configuration yet", NOT_READY_RETRY_S)
@@ -182,9 +175,13 @@
             raise _Rejected(401, "unknown key")
         return customer
 
-    def _claim_quota(self, customer: CustomerRule | None, head) -> QuotaClaim | None:
+    async def _claim_quota(
+        self, customer: CustomerRule | None, head
+    ) -> QuotaClaim | None:
         if customer is None:
             return None
+        if customer.quota.rate and not self._quotas.informed:
+            await _wait_in_vain(self._quotas.wait_informed(), head.patience)
         tokens = head.prompt_tokens + head.output_tokens
         if not head.counted:
             tokens = customer.quota.plain_tokens
@@ -225,3 +222,13 @@
         if rejected.retry_after is not None:
             headers["Retry-After"] = f"{rejected.retry_after:.2f}"
         return web.Response(status=rejected.status, headers=headers)
+
+
+async def _wait_in_vain(event: Awaitable, patience: float | None) -> None:
+    """Wait for what an instance learns at its start, for a bounded time."""
+    seconds = START_PATIENCE_S
+    if patience is not None:
+        seconds = min(seconds, patience / 2)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -19,11 +19,12 @@
 from hibiscusstep.forwarding.catalog import Catalog, Follow, TableNews
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.incoming import Means
+from hibiscusstep.forwarding.kept_use import KeptUseWorker
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.news import to_news
 from hibiscusstep.forwarding.planning import Planner
-from hibiscusstep.forwarding.quota import QuotaKeeper
+from hibiscusstep.forwarding.quota import CustomersChanged, QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.spread import Spread
@@ -55,6 +56,8 @@
     Relays,
     TargetStates,
     Usage,
+    UsageAsk,
+    UsageHistory,
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slots import SlotDispatcher
@@ -273,7 +276,12 @@
         self._desk = Desk(
             name, incarnation, address, self._links, self._route, STANDBY_AFTER_S
         )
-        self._quotas = QuotaKeeper(incarnation, address, self._links, bounds)
+        self._kept_use = KeptUseWorker(
+            self._around.use, bounds.quota_window, lambda use: self._quotas.tell(use)
+        )
+        self._quotas = QuotaKeeper(
+            incarnation, address, self._links, bounds, self._kept_use
+        )
         self._metrics = ForwardingMetrics()
         self._connections = ConnectionPool()
         self._retries = WindowedRetryBudget(bounds)
@@ -296,6 +304,7 @@
             self._dispatching,
             self._desk,
             self._quotas,
+            self._kept_use,
             *([self._keeper] if settings.switches.kept_beliefs else []),
         ]
         self._receivers = self._make_routes()
@@ -320,7 +329,7 @@
                 PoolStop,
                 NotDispatcher,
             ),
-            self._quotas: (Usage,),
+            self._quotas: (Usage, UsageAsk, UsageHistory),
         }
         return {kind: worker for worker, kinds in table.items() for kind in kinds}
 
@@ -365,6 +374,7 @@
         self._table = table
         self._spread.table = table
         self._border.take(table)
+        self._quotas.tell(CustomersChanged(table.customers))
         self._publish_plan()
 
     def _on_targets(
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -3,20 +3,21 @@
 import asyncio
 import heapq
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.kept_use import KeptUse, UseRecorder
 from hibiscusstep.forwarding.model import CustomerRule
 from hibiscusstep.forwarding.quota_claim import Ticket
-from hibiscusstep.forwarding.window import Window
+from hibiscusstep.forwarding.usage import UsageLedger
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
-from hibiscusstep.peer import Received, Usage
+from hibiscusstep.peer import Received, Usage, UsageAsk, UsageHistory, UsageScope
 from hibiscusstep.peerlink import Send
 
-__all__ = ["QuotaKeeper"]
+__all__ = ["CustomersChanged", "QuotaKeeper"]
 
 # Instances tell each other what they let through this often; what happens in between
 # is bounded by the overage that a quota allows.
@@ -36,10 +37,9 @@
 OVERAGE_USED_GROUPED = 0.2
 # From a follower over its relay and another one to a third instance.
 GROUPED_HOPS = 3
-# Share of the quota that is free while nothing is known of a whole window: all
-# instances may have been restarted right after a customer used what it may.
-START_SHARE = 0.1
-
+# Part of the unused overage that is free while nothing tells what was used before the
+# start: a customer may have used its whole limit. The rest is for what is unheard.
+BLIND_SHARE = 0.5
 # Each instance logs what it believes of the customers nearest to their limits: so many
 # at the most, from this share of the limit on, every so many intervals (a second).
 LOG_USE_MOST = 3
@@ -47,13 +47,11 @@
 LOG_USE_EVERY = 5
 
 
-@dataclass(slots=True)
-class _Peer:
-    """What another instance has told: totals since its start, by customer."""
+@dataclass(frozen=True, slots=True)
+class CustomersChanged:
+    """The customers of the configuration in force."""
 
-    age: float
-    at: float
-    totals: dict[str, int] = field(default_factory=dict)
+    customers: tuple[CustomerRule, ...]
 
 
 class QuotaKeeper(Worker):
@@ -64,6 +62,9 @@
     of all others. Instances out of reach are taken to use their even share, so that
     the parts of a cut stay within the quota together.
 
+    One that starts asks what was used before: a living instance, which also knows what
+    ended ones used, or after a restart of all the store.
+
     Parameters
     ----------
     incarnation, address : str
@@ -72,55 +73,155 @@
         Sends to peers.
     bounds : Bounds
         Window and allowed overage.
+    kept : Worker or None
+        Reads and writes what is kept in the store; None where nothing is.
     """
 
     def __init__(
-        self, incarnation: str, address: str, links: Worker, bounds: Bounds
+        self,
+        incarnation: str,
+        address: str,
+        links: Worker,
+        bounds: Bounds,
+        kept: Worker | None = None,
     ) -> None:
         super().__init__("quota-keeper", tick_interval=TELL_INTERVAL_S)
         self._incarnation = incarnation
         self._address = address
         self._links = links
         self.bounds = bounds
-        self._began = asyncio.get_running_loop().time()
+        self._kept = kept
+        now = asyncio.get_running_loop().time()
+        self._ledger = UsageLedger(incarnation, bounds.quota_window, now)
+        self._recorder = UseRecorder(bounds.quota_window)
         self._view = View()
+        self._rules: dict[str, CustomerRule] = {}
         self._pending: dict[str, int] = defaultdict(int)
-        self._own: dict[str, Window] = {}
-        self._others: dict[str, Window] = {}
-        self._lately: dict[str, Window] = {}
-        self._peers: dict[str, _Peer] = {}
-        # Tokens since the start: of this instance's group, which is itself and its
-        # followers; of all; and of each follower.
-        self._of_group: dict[str, int] = defaultdict(int)
-        self._of_all: dict[str, int] = defaultdict(int)
-        self._of_follower: dict[str, dict[str, int]] = {}
-        self._group: dict[str, Window] = {}
         self._told: dict[str, int] = {}
         self._told_all: dict[str, int] = {}
+        # Incarnations of the followers by peer address.
+        self._followers: dict[str, str] = {}
+        # Peer addresses that were asked since the last tick, and those that answered.
+        self._asked: set[str] = set()
+        self._answered: set[str] = set()
+        self._informed = asyncio.Event()
         self._ticks = 0
-        self._rules: dict[str, CustomerRule] = {}
+
+    @property
+    def informed(self) -> bool:
+        """Whether it is known, or was kept, what was used before the start."""
+        return self._informed.is_set()
+
+    async def wait_informed(self) -> None:
+        """Return when it is informed."""
+        await self._informed.wait()
 
     async def handle(self, message) -> None:
-        """Take a tick, a view, or what a peer has let through."""
+        """Take a tick, a view, or what a peer or the store tells of customers' use."""
+        now = asyncio.get_running_loop().time()
+        self._take(message, now)
+        if not self.informed and self._ledger.knows_before(now):
+            self._informed.set()
+
+    def _take(self, message, now: float) -> None:
         match message:
             case Tick():
-                self._tell()
+                self._take_tick(now)
             case ViewChanged(view=view):
-                self._take_view(view)
-            case Received(message=Usage() as usage):
-                self._hear(usage)
+                self._take_view(view, now)
+            case CustomersChanged(customers=customers):
+                self._rules = {rule.name: rule for rule in customers}
+            case KeptUse(usage=usage):
+                self._ledger.take_kept(usage, now)
+                for address in self._followers:
+                    self._tell_history(address, now)
+            case Received(sender=sender, message=Usage() as usage):
+                meant = self._is_meant(usage, sender)
+                if meant and not self._ledger.hear(usage, now):
+                    self._ask(sender)
+            case Received(sender=sender, message=UsageAsk()):
+                self._tell_history(sender, now)
+            case Received(sender=sender, message=UsageHistory() as history):
+                self._take_history(history, sender, now)
+
+    def _take_tick(self, now: float) -> None:
+        self._ticks += 1
+        self._asked.clear()
+        self._ledger.forget_old(now)
+        self._look_back(now)
+        self._tell()
+        self._keep(now)
+        if self._ticks % LOG_USE_EVERY == 0:
+            self._log_use(now)
 
-    def _take_view(self, view: View) -> None:
+    def _take_view(self, view: View, now: float) -> None:
+        """Tell new neighbours all that is known, ended instances' use too."""
         before, self._view = self._view, view
-        if view.parent and view.parent != before.parent:
-            # The new parent tells anew what the others used in the window.
-            self._others.clear()
-            self._peers.clear()
-        known = before.members.keys() | before.followers.keys()
-        if view.parent != before.parent or (
-            view.members.keys() | view.followers.keys() - known
-        ):
-            self._tell_all()
+        followers = view.followers.values()
+        self._followers = {f.peer_address: f.incarnation for f in followers}
+        known = set(before.neighbours(self._address))
+        if view.parent != before.parent:
+            self._answered.clear()
+            self._ask(view.parent)
+        for address in set(view.neighbours(self._address)) - known:
+            self._tell_history(address, now)
+        self._read_kept(now)
+
+    def _look_back(self, now: float) -> None:
+        """Ask what was used before the start, until it is known."""
+        if self._ledger.knows_window(now):
+            return
+        blind = not self._ledger.knows_before(now)
+        for address in self._view.neighbours(self._address):
+            if blind or address not in self._answered:
+                self._ask(address)
+
+    def _read_kept(self, now: float) -> None:
+        """Have read what was kept, unless a relay knows it or the window is known."""
+        if self._kept is None or self._ledger.knows_window(now):
+            return
+        if self._view.settled and not self._view.parent:
+            self._kept.tell(KeptUse(None))
+
+    def _ask(self, address: str) -> None:
+        """Ask a neighbour for all that it knows, once between two ticks."""
+        if address and address not in self._asked:
+            self._asked.add(address)
+            self._links.tell(Send(address, UsageAsk(self._incarnation)))
+
+    def _tell_history(self, address: str, now: float) -> None:
+        scope = self._scope_for(address)
+        if scope:
+            follower = self._followers.get(address, "")
+            history = self._ledger.history(scope, now, follower)
+            self._links.tell(Send(address, history))
+
+    def _scope_for(self, address: str) -> str:
+        """Return whose use the peer at an address is told; empty if none."""
+        if self._view.parent:
+            return UsageScope.FOLLOWER if address == self._view.parent else ""
+        return UsageScope.ALL if address in self._followers else UsageScope.GROUP
+
+    def _is_meant(self, usage: Usage, sender: str) -> bool:
+        """Whether a peer tells it to what this instance is: follower or relay."""
+        if self._view.parent:
+            return usage.scope == UsageScope.ALL and sender == self._view.parent
+        return usage.scope != UsageScope.ALL
+
+    def _take_history(self, history: UsageHistory, sender: str, now: float) -> None:
+        if not history.usages or not self._is_meant(history.usages[0], sender):
+            return
+        self._answered.add(sender)
+        before = self._ledger.known_for(now)
+        self._ledger.take_history(history, now)
+        known_for = self._ledger.known_for(now)
+        if known_for > before:
+            decision(
+                "use-heard",
+                known_for=round(known_for, 1),
+                sources=len(history.usages),
+                kept_known=history.kept_known,
+            )
 
     def admit(
         self, customer: CustomerRule, tokens: int, request: str = ""
@@ -137,80 +238,66 @@
         """Return whether tokens are within the quota; log it if they are not."""
         if not customer.quota.rate:
             return True
-        self._rules[customer.name] = customer
         now = asyncio.get_running_loop().time()
         limit, used = self.limit(customer, now), self.used(customer.name, now)
         left = limit - used
         if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
-            self._log_refusal(request, customer, tokens, limit, used, now)
+            self._log_refusal(request, customer, tokens, now)
             return False
         return True
 
-    def _log_refusal(self, request, customer, tokens, limit, used, now) -> None:
+    def _log_refusal(self, request, customer, tokens, now) -> None:
         quota, name = customer.quota, customer.name
         decision(
             "over-quota",
             request=request,
-            customer=name,
             tokens=tokens,
             rate=quota.rate,
             burst=quota.burst,
-            limit=int(limit),
-            used=int(used),
-            own=int(self._window(self._own, name).total(now)),
-            others=int(self._window(self._others, name).total(now)),
-            last_second=int(self._lately[name].total(now)),
+            last_second=int(self._ledger.lately(name, now)),
             pending=self._pending[name],
-            instances=self._view.size,
-            silent=self._view.silent,
-            known_for=round(self._age(now), 1),
+            **self._belief(customer, now),
         )
 
-    def _log_use(self) -> None:
+    def _log_use(self, now: float) -> None:
         """Log the customers nearest to their limits, as believed here."""
-        now = asyncio.get_running_loop().time()
-        limits = {name: self.limit(rule, now) for name, rule in self._rules.items()}
-        shares = {name: self.used(name, now) / limit for name, limit in limits.items()}
+        shares = {
+            name: self.used(name, now) / self.limit(rule, now)
+            for name, rule in self._rules.items()
+            if rule.quota.rate
+        }
         near = [name for name, share in shares.items() if share >= LOG_USE_FROM]
         for name in heapq.nlargest(LOG_USE_MOST, near, key=shares.get):
-            decision(
-                "customer-use",
-                customer=name,
-                limit=int(limits[name]),
-                used=int(self.used(name, now)),
-                own=int(self._window(self._own, name).total(now)),
-                others=int(self._window(self._others, name).total(now)),
-                window=self.bounds.quota_window,
-                known_for=round(self._age(now), 1),
-                instances=self._view.size,
-                silent=self._view.silent,
-            )
+            decision("customer-use", **self._belief(self._rules[name], now))
+
+    def _belief(self, customer: CustomerRule, now: float) -> dict:
+        """Return what is believed of a customer's use, as fields of a log line."""
+        ledger, name = self._ledger, customer.name
+        return {
+            "customer": name,
+            "limit": int(self.limit(customer, now)),
+            "used": int(self.used(name, now)),
+            "own": int(ledger.own(name, now)),
+            "others": int(ledger.others(name, now)),
+            "window": self.bounds.quota_window,
+            "known_for": round(ledger.known_for(now), 1),
+            "kept_known": ledger.listed is not None,
+            "instances": self._view.size,
+            "silent": self._view.silent,
+        }
 
     def settle(self, name: str, tokens: int, used: bool) -> None:
         """End a ticket."""
         self._pending[name] -= tokens
         if used and tokens:
-            now = asyncio.get_running_loop().time()
-            self._window(self._own, name).add(tokens, now)
-            self._count(name, tokens, now, in_group=True)
-
-    def _window(self, windows: dict[str, Window], name: str) -> Window:
-        return windows.setdefault(name, Window(self.bounds.quota_window))
-
-    def _count(self, name: str, tokens: int, now: float, *, in_group: bool) -> None:
-        """Count for what is told to the neighbours."""
-        self._of_all[name] += tokens
-        if in_group:
-            self._of_group[name] += tokens
-            self._window(self._group, name).add(tokens, now)
+            self._ledger.use(name, tokens, asyncio.get_running_loop().time())
 
     def used(self, name: str, now: float) -> float:
         """Return the tokens of the window, with a guess at what is not yet heard."""
-        own = self._window(self._own, name).total(now)
-        others = self._window(self._others, name).total(now)
-        lately = self._lately.setdefault(name, Window(1.0)).total(now)
-        unheard = lately * self._delay
-        return own + others + self._pending[name] + unheard
+        ledger = self._ledger
+        unheard = ledger.lately(name, now) * self._delay
+        counted = ledger.own(name, now) + ledger.others(name, now)
+        return counted + self._pending[name] + unheard
 
     @property
     def _delay(self) -> float:
@@ -219,92 +306,97 @@
 
     def limit(self, customer: CustomerRule, now: float) -> float:
         """Return the tokens that may be used in a window at this moment."""
+        limit = self._whole_limit(customer)
+        if not self._ledger.knows_window(now):
+            limit = self._limit_in_doubt(customer, limit)
+        alive = max(1, self._view.size)
+        return limit * alive / (alive + self._view.silent)
+
+    def _whole_limit(self, customer: CustomerRule) -> float:
+        """Return the tokens of a window where all that was used is known."""
+        quota = customer.quota
+        whole = quota.rate * self.bounds.quota_window + quota.burst
+        return whole + self._overage_used * self._slack(customer)
+
+    def _slack(self, customer: CustomerRule) -> float:
+        """Return the tokens that may be used in a window beyond the quota."""
         bounds, quota = self.bounds, customer.quota
         whole = quota.rate * bounds.quota_window + quota.burst
-        slack = whole * bounds.quota_overage + bounds.quota_slack
-        alive = max(1, self._view.size)
-        reached = alive / (alive + self._view.silent)
-        known = min(1.0, self._age(now) / bounds.quota_window)
-        free = START_SHARE + (1 - START_SHARE) * known
-        part = OVERAGE_USED if self._view.is_mesh else OVERAGE_USED_GROUPED
-        return (whole + part * slack) * free * reached
+        return whole * bounds.quota_overage + bounds.quota_slack
+
+    @property
+    def _overage_used(self) -> float:
+        return OVERAGE_USED if self._view.is_mesh else OVERAGE_USED_GROUPED
+
+    def _limit_in_doubt(self, customer: CustomerRule, limit: float) -> float:
+        """Return the tokens that are free whatever was used before the start.
+
+        The age of an instance says nothing of it: of a burst in the last seconds
+        before a restart of all nothing expires while the instances grow older. With
+        the limit freed by age, bursts of 1.5 to 5 s before one came to 1.05 to 1.25
+        times what a customer may use.
+        """
+        listed = self._ledger.listed
+        if listed is None:
+            spare = (1 - self._overage_used) * self._slack(customer)
+            return BLIND_SHARE * spare
+        if customer.name in listed:
+            return limit
+        return (1 - UseRecorder.UNLISTED_SHARE) * limit
 
     def _may_go_untold(self, name: str, tokens: int, left: float, now: float) -> bool:
         """Whether others may well take as much before all have heard of each other."""
-        sent = self._of_group[name] - self._told.get(name, 0)
+        ledger = self._ledger
+        sent = ledger.of_group[name] - self._told.get(name, 0)
         untold = sent + self._pending[name]
-        lately = self._lately[name].total(now)
-        if AMPLE * (lately * self._delay + untold + tokens) <= left:
+        lately = ledger.lately(name, now)
+        alive = self._likely_size(now)
+        if alive == 1:
             return True
-        alive = max(1, self._view.size)
-        own, others = self._own[name].total(now), self._others[name].total(now)
-        own = max(0.0, own - sent)
-        part = max(UNTOLD_PARTS / alive, own / max(1.0, own + others))
-        return untold + tokens <= part * (left + untold) or alive == 1
+        others = ledger.others(name, now)
+        met = self._view.size > 1
+        if met and AMPLE * (lately * self._delay + untold + tokens) <= left:
+            return True
+        own = max(0.0, ledger.own(name, now) - sent)
+        part = max(UNTOLD_PARTS / alive, own / max(1.0, own + others) if met else 0.0)
+        return untold + tokens <= part * (left + untold)
 
-    def _age(self, now: float) -> float:
-        """Return the seconds for which what was used is known."""
-        ages = [peer.age + now - peer.at for peer in self._peers.values()]
-        return max([now - self._began, *ages])
+    def _likely_size(self, now: float) -> int:
+        """Return how many instances share what is left; all have just started alike."""
+        view = self._view
+        return max(1, view.size if view.size > 1 else view.likely_size)
 
     def _tell(self) -> None:
-        self._ticks += 1
-        if self._ticks % LOG_USE_EVERY == 0:
-            self._log_use()
+        """Tell the neighbours the totals that changed, and now and then all of them."""
         every = self._ticks % TELL_ALL_EVERY == 0
-        if every or self._of_group != self._told or self._has_news_for_followers():
-            self._tell_all()
-
-    def _has_news_for_followers(self) -> bool:
-        return bool(self._view.followers) and self._of_all != self._told_all
-
-    def _tell_all(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self._told = dict(self._of_group)
-        self._told_all = dict(self._of_all)
-        followers = {f.peer_address: f for f in self._view.followers.values()}
-        group = self._usage(self._of_group, self._group, {}, now)
+        changed = _changed(self._ledger.of_group, {} if every else self._told)
+        changed_all = _changed(self._ledger.of_all, {} if every else self._told_all)
+        self._told = dict(self._ledger.of_group)
+        self._told_all = dict(self._ledger.of_all)
         for address in self._view.neighbours(self._address):
-            usage = group
-            if address in followers:
-                told = self._of_follower.get(followers[address].incarnation, {})
-                usage = self._usage(self._of_all, self._others, told, now)
-            self._links.tell(Send(address, usage))
-
-    def _usage(self, totals, windows, without: dict[str, int], now: float) -> Usage:
-        """Return what is told to a neighbour: totals without its own part."""
-        names = list(totals)
-        rest = [totals[name] - without.get(name, 0) for name in names]
-        recent = [int(self._window(windows, name).total(now)) for name in names]
-        follower = bool(self._view.parent)
-        age = now - self._began
-        return Usage(self._incarnation, age, names, rest, recent, follower)
-
-    def _hear(self, usage: Usage) -> None:
-        now = asyncio.get_running_loop().time()
-        peer = self._peers.get(usage.incarnation)
-        first = peer is None
-        if first:
-            peer = self._peers[usage.incarnation] = _Peer(usage.age, now)
-            self._forget_old(now)
-        peer.age, peer.at = usage.age, now
-        for name, total, recent in zip(
-            usage.customers, usage.totals, usage.recent, strict=True
-        ):
-            new = recent if first else total - peer.totals.get(name, 0)
-            peer.totals[name] = total
-            if not new:
-                continue
-            self._window(self._others, name).add(new, now)
-            self._count(name, new, now, in_group=usage.follower)
-            if usage.follower:
-                told = self._of_follower.setdefault(usage.incarnation, {})
-                told[name] = told.get(name, 0) + new
-            if not first:
-                self._lately.setdefault(name, Window(1.0)).add(new, now)
-
-    def _forget_old(self, now: float) -> None:
-        horizon = now - 2 * self.bounds.quota_window
-        self._peers = {i: p for i, p in self._peers.items() if p.at > horizon}
-        heard = self._peers.keys()
-        self._of_follower = {i: t for i, t in self._of_follower.items() if i in heard}
+            scope = self._scope_for(address)
+            names = changed_all if scope == UsageScope.ALL else changed
+            if names:
+                follower = self._followers.get(address, "")
+                totals = self._ledger.totals(scope, follower, names)
+                usage = Usage(self._incarnation, scope, names, totals)
+                self._links.tell(Send(address, usage))
+
+    def _keep(self, now: float) -> None:
+        """Have the use of customers near their limits kept, if it is up to this one."""
+        if self._kept is None or not self._ledger.knows_before(now):
+            return
+        if not self._view.has_duty("customers' use", self._address):
+            return
+        limits = {
+            name: self._whole_limit(rule)
+            for name, rule in self._rules.items()
+            if rule.quota.rate
+        }
+        document = self._recorder.due(self._ledger, limits, now)
+        if document is not None:
+            self._kept.tell(KeptUse(document))
+
+
+def _changed(totals: dict[str, int], told: dict[str, int]) -> list[str]:
+    return [name for name, total in totals.items() if total != told.get(name)]
--- a/hibiscusstep/forwarding/surroundings.py
+++ b/hibiscusstep/forwarding/surroundings.py
@@ -7,7 +7,7 @@
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.model import RoutingTable
-from hibiscusstep.store import BeliefStore, Feed, Roster
+from hibiscusstep.store import BeliefStore, Feed, Roster, UseStore
 
 __all__ = ["Surroundings"]
 
@@ -32,6 +32,8 @@
         The instances.
     beliefs : BeliefStore
         Keeps what dispatchers learnt.
+    use : UseStore
+        Keeps what customers used of their quotas.
     register : callable
         Returns an awaitable that puts this instance on the roster.
     read_table : callable of bytes
@@ -53,6 +55,7 @@
     targets: Feed
     roster: Roster
     beliefs: BeliefStore
+    use: UseStore
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -37,8 +37,13 @@
 struct PoolQueued { 1: string pool, 2: double again_in }
 struct PoolInquire { 1: string pool }
 struct Usage {
-  1: string incarnation, 2: double age, 3: list<string> customers,
-  4: list<i64> totals, 5: list<i64> recent, 6: bool follower
+  1: string incarnation, 2: string scope, 3: list<string> customers,
+  4: list<i64> totals, 5: list<i64> recent
+}
+struct UsageAsk { 1: string incarnation }
+struct UsageHistory {
+  1: double age, 2: double known_for, 3: bool kept_known, 4: list<string> listed,
+  5: list<Usage> usages
 }
 struct TargetState {
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -178,6 +178,13 @@
         """Return the names of the instances that watch the platform."""
         return rendezvous(self.members, "configuration", count)
 
+    def has_duty(self, duty: str, address: str) -> bool:
+        """Whether the instance at a peer address has a duty that one of all has."""
+        return any(
+            self.members[name].peer_address == address
+            for name in rendezvous(self.eligible, duty)
+        )
+
     def holds(self, name: str, incarnation: str) -> bool:
         """Whether this very process is alive."""
         member = self.members.get(name)
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -1,6 +1,6 @@
 """hibiscusstep.peer: the messages between instances, as data classes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = [
     "AnswerAsk",
@@ -33,6 +33,9 @@
     "TargetState",
     "TargetStates",
     "Usage",
+    "UsageAsk",
+    "UsageHistory",
+    "UsageScope",
     "WorkInfo",
 ]
 
@@ -317,21 +320,65 @@
     text: str
 
 
+class UsageScope:
+    """Whose use a `Usage` tells."""
+
+    # A relay with its followers; an instance without any is a group of one.
+    GROUP = "group"
+    # An instance that follows the receiver.
+    FOLLOWER = "follower"
+    # All but the receiver, as its relay knows it.
+    ALL = "all"
+    # All before a restart, as it was kept in the platform's store.
+    KEPT = "kept"
+
+
 @dataclass(slots=True)
 class Usage:
     """What an instance let customers use, in tokens.
 
-    `totals` are since its start, `recent` within the quota's window; `age` is in
-    seconds. A relay tells what its followers used as its own; `follower` is whether
-    the sender follows the receiver.
+    `totals` are since its start. `recent` is empty, or has the parts of the quota's
+    window by age, newest first, so many for each customer in turn.
     """
 
     incarnation: str
-    age: float
+    scope: str
     customers: list[str]
     totals: list[int]
-    recent: list[int]
-    follower: bool = False
+    recent: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class UsageAsk:
+    """Asks for all that the receiver knows of customers' use.
+
+    `incarnation` is the sender's.
+    """
+
+    incarnation: str
+
+
+@dataclass(slots=True)
+class UsageHistory:
+    """What the sender knows of customers' use, of ended instances too.
+
+    Parameters
+    ----------
+    age, known_for : float
+        Seconds since the sender's start, and for which it knows what was used.
+    kept_known : bool
+        Whether what was kept before a restart is among it.
+    listed : list of str
+        The customers of which something was kept.
+    usages : list of Usage
+        With `recent`.
+    """
+
+    age: float
+    known_for: float
+    kept_known: bool
+    listed: list[str]
+    usages: list[Usage]
 
 
 @dataclass(slots=True)
@@ -403,6 +450,8 @@
     Beat,
     PoolQueued,
     Usage,
+    UsageAsk,
+    UsageHistory,
     TargetStates,
     PoolHeld,
     PoolLearnt,
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -26,9 +26,10 @@
     InstanceRecord,
     Listing,
     Roster,
+    UseStore,
 )
 
-__all__ = ["ObjectBeliefs", "ObjectClient", "ObjectFeed", "ObjectRoster"]
+__all__ = ["ObjectBeliefs", "ObjectClient", "ObjectFeed", "ObjectRoster", "ObjectUse"]
 
 _LOG = logging.getLogger(__name__)
 _ROOT = "/hibiscusstep/objects"
@@ -295,6 +296,35 @@
         return (await self._client.read_each(self._KIND, _belief)).map(dict)
 
 
+class ObjectUse(UseStore):
+    """One object for all customers, which one of the instances writes.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        Makes the calls.
+    """
+
+    _KIND = "hibiscusstep-use"
+    _NAME = "customers"
+
+    def __init__(self, client: ObjectClient) -> None:
+        self._client = client
+
+    async def write(self, document: dict) -> Result[None, PlatformError]:
+        """Write the document."""
+        return await self._client.write(
+            self._KIND, self._NAME, document, ("PUT", "POST")
+        )
+
+    async def read(self) -> Result[dict | None, PlatformError]:
+        """Return the document; the store may not give an older one for it."""
+        reply = await self._client.call("GET", f"{self._KIND}/{self._NAME}")
+        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
+            return Ok(None)
+        return reply.map(lambda found: found.get("Spec"))
+
+
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -9,6 +9,7 @@
     ObjectClient,
     ObjectFeed,
     ObjectRoster,
+    ObjectUse,
 )
 from hibiscusstep.platform.documents import (
     CONFIGURATION_KIND,
@@ -63,6 +64,7 @@
         targets=ObjectFeed(client, TARGET_KIND, decode_target),
         roster=roster,
         beliefs=ObjectBeliefs(client),
+        use=ObjectUse(client),
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -114,11 +114,18 @@
     "PoolInquire": ((1, "string", "pool"),),
     "Usage": (
         (1, "string", "incarnation"),
-        (2, "double", "age"),
+        (2, "string", "scope"),
         (3, "list<string>", "customers"),
         (4, "list<i64>", "totals"),
         (5, "list<i64>", "recent"),
-        (6, "bool", "follower"),
+    ),
+    "UsageAsk": ((1, "string", "incarnation"),),
+    "UsageHistory": (
+        (1, "double", "age"),
+        (2, "double", "known_for"),
+        (3, "bool", "kept_known"),
+        (4, "list<string>", "listed"),
+        (5, "list<Usage>", "usages"),
     ),
     "TargetState": (
         (1, "string", "name"),
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -16,6 +16,7 @@
     "Listing",
     "Platform",
     "Roster",
+    "UseStore",
     "Versioned",
     "get_platform_by_name",
 ]
@@ -131,6 +132,18 @@
         """Return the documents by pool; they may be some seconds old."""
 
 
+class UseStore(ABC):
+    """Keeps a small document of customers' use, for the time after a restart of all."""
+
+    @abstractmethod
+    async def write(self, document: dict) -> Result[None, PlatformError]:
+        """Write the document; the last one written stands."""
+
+    @abstractmethod
+    async def read(self) -> Result[dict | None, PlatformError]:
+        """Return the document as it is now, None if there is none."""
+
+
 class Platform(Roster):
     """Object service with versions, conditional updates and watches.
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -52,6 +52,7 @@
         """Listen on a free port."""
         app = web.Application()
         app.router.add_get(ROOT + "/{kind}", self._get)
+        app.router.add_get(ROOT + "/{kind}/{name}", self._get_one)
         app.router.add_post(ROOT + "/{kind}", self._create)
         app.router.add_put(ROOT + "/{kind}/{name}", self._replace)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -129,6 +130,14 @@
             }
         )
 
+    async def _get_one(self, request) -> web.Response:
+        if self._refuses(request):
+            return web.Response(status=503)
+        found = self.objects.get(
+            (request.match_info["kind"], request.match_info["name"])
+        )
+        return _json(found) if found else web.Response(status=404)
+
     async def _watch(self, request, kind: str) -> web.Response:
         since = int(request.query["Watch"])
         seconds = int(request.query["WaitMs"]) / 1000
--- a/tests/quota_region.py
+++ b/tests/quota_region.py
@@ -5,13 +5,19 @@
 import random
 from dataclasses import dataclass, field
 
+from result import Err, Ok
+
+from hibiscusstep import codec
+from hibiscusstep.errors import PlatformUnavailable
 from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.kept_use import KeptUseWorker
 from hibiscusstep.forwarding.model import CustomerRule, Quota
-from hibiscusstep.forwarding.quota import QuotaKeeper
+from hibiscusstep.forwarding.quota import CustomersChanged, QuotaKeeper
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received
+from hibiscusstep.store import UseStore
 
 STEP_S = 0.02
 TICK_S = 0.2
@@ -31,11 +37,34 @@
         self.sent.append(send)
 
 
+class Store(UseStore):
+    """Counts its calls; answers at once unless it is away."""
+
+    def __init__(self):
+        self.document = None
+        self.writes = self.reads = 0
+        self.away = False
+
+    async def write(self, document):
+        self.writes += 1
+        if self.away:
+            return Err(PlatformUnavailable("away", step="write", peer="store"))
+        self.document = document
+        return Ok(None)
+
+    async def read(self):
+        self.reads += 1
+        if self.away:
+            return Err(PlatformUnavailable("away", step="read", peer="store"))
+        return Ok(self.document)
+
+
 @dataclass
 class Instance:
     number: int
     keeper: QuotaKeeper
     links: _Links
+    worker: KeptUseWorker
     started: float
     next_tick: float
     seen: frozenset = field(default_factory=frozenset)
@@ -61,17 +90,20 @@
         Tokens a second that the customer may use; the same once more as a burst.
     seed : int
         Of the requests.
+    kept : bool
+        Whether a store keeps what was used.
     """
 
     WINDOW_S = 8.0
 
-    def __init__(self, count, monkeypatch, rate=60_000.0, seed=1):
+    def __init__(self, count, monkeypatch, rate=60_000.0, seed=1, kept=False):
         self.now = 1000.0
         monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: self.now)
         self.bounds = Bounds(
             quota_window=self.WINDOW_S, quota_overage=0.1, quota_slack=140_000.0
         )
         self.rule = CustomerRule("c", frozenset(), None, Quota(rate, rate, 10))
+        self.store = Store() if kept else None
         self.history = []
         self.refused = 0
         self.asked = 0
@@ -101,13 +133,21 @@
 
     def start(self, number):
         links = _Links()
-        serial = next(self._serial)
-        keeper = self.make_keeper(f"inc{number}.{serial}", f"a{number}", links)
+        found = []
+        worker = KeptUseWorker(self.store, self.WINDOW_S, found.append)
+        worker.told, worker.found = [], found
+        worker.tell = worker.told.append
+        keeper = QuotaKeeper(
+            f"inc{number}.{next(self._serial)}",
+            f"a{number}",
+            links,
+            self.bounds,
+            worker if self.store else None,
+        )
         first_tick = self.now + self._random.random() * TICK_S
-        self.instances[number] = Instance(number, keeper, links, self.now, first_tick)
-
-    def make_keeper(self, incarnation, address, links):
-        return QuotaKeeper(incarnation, address, links, self.bounds)
+        self.instances[number] = Instance(
+            number, keeper, links, worker, self.now, first_tick
+        )
 
     def kill(self, *numbers):
         for number in numbers or list(self.instances):
@@ -130,15 +170,13 @@
             if seen == instance.seen:
                 continue
             instance.seen = seen
-            view = View({f"i{n}": _member(n) for n in seen}, listed=self._listed())
+            view = View({f"i{n}": _member(n) for n in seen}, listed=self._count)
             await instance.keeper.handle(ViewChanged(view))
+            await instance.keeper.handle(CustomersChanged((self.rule,)))
 
     def _has_met(self, instance):
         return self.now - instance.started >= MEET_S or instance.started == 1000.0
 
-    def _listed(self):
-        return self._count
-
     def _request(self, demand):
         expected = demand * self.rule.quota.rate * STEP_S / REQUEST_TOKENS
         count = int(expected) + (self._random.random() < expected % 1)
@@ -157,6 +195,16 @@
             if self.now >= instance.next_tick:
                 instance.next_tick += TICK_S
                 await instance.keeper.handle(Tick())
+                await instance.worker.handle(Tick())
+            await self._store_of(instance)
+
+    async def _store_of(self, instance):
+        """Let the store take what an instance writes, and answer what it reads."""
+        worker = instance.worker
+        while worker.told:
+            await worker.handle(worker.told.pop(0))
+        while worker.found:
+            await instance.keeper.handle(worker.found.pop(0))
 
     async def _deliver(self):
         for number, instance in self.instances.items():
@@ -169,7 +217,9 @@
         self._way = [way for way in self._way if way.due > self.now]
         for way in arrived:
             if way.to in self.instances:
-                received = Received(f"a{way.sender}", way.message)
+                sent = way.message
+                message = codec.decode(type(sent), codec.encode(sent))
+                received = Received(f"a{way.sender}", message)
                 await self.instances[way.to].keeper.handle(received)
 
 
--- a/tests/test_quota_restarts.py
+++ b/tests/test_quota_restarts.py
@@ -24,8 +24,8 @@
 SEEDS = range(1, 6)
 
 
-async def _restart_all_after_a_burst(monkeypatch, seed, burst_s):
-    region = QuotaRegion(6, monkeypatch, seed=seed)
+async def _restart_all_after_a_burst(monkeypatch, seed, burst_s, kept=False):
+    region = QuotaRegion(6, monkeypatch, seed=seed, kept=kept)
     await region.play(20.0, demand=USUAL)
     await region.play(burst_s, demand=FAR_BEYOND)
     region.kill()
@@ -64,3 +64,91 @@
             for at_once in (1, 2):
                 region = await _restart_one_by_one(monkeypatch, seed, at_once)
                 assert region.heaviest <= region.most, (seed, at_once)
+
+
+async def _play_restart(region, demand, each):
+    """Restart all at once, or each instance in turn; the customer asks evenly."""
+    await region.play(20.0, demand)
+    region.asked = region.refused = 0
+    if not each:
+        region.kill()
+        await region.play(1.0)
+        for number in range(6):
+            region.start(number)
+        await region.play(12.0, demand)
+    for number in range(6 if each else 0):
+        region.kill(number)
+        await region.play(1.0, demand)
+        region.start(number)
+        await region.play(1.0, demand)
+    return region.refused / region.asked
+
+
+class TestBelowTheQuota:
+    """What is known, of peers or from the store, is better than a guess."""
+
+    async def test_nothing_is_refused_after_a_restart_of_all(self, monkeypatch):
+        for seed in SEEDS:
+            for demand in (0.2, USUAL, 0.6):
+                region = QuotaRegion(6, monkeypatch, seed=seed, kept=True)
+                assert await _play_restart(region, demand, each=False) == 0
+
+    async def test_hardly_anything_while_one_after_the_other_restarts(
+        self, monkeypatch
+    ):
+        for seed in SEEDS:
+            for demand, most in ((0.2, 0.0), (USUAL, 0.0), (0.8, 0.03)):
+                region = QuotaRegion(6, monkeypatch, seed=seed, kept=True)
+                assert await _play_restart(region, demand, each=True) <= most
+
+    async def test_nothing_is_refused_where_nothing_was_kept_yet(self, monkeypatch):
+        region = QuotaRegion(6, monkeypatch, kept=True)
+        await region.play(6.0, USUAL)
+        assert not region.refused
+
+
+class TestKeptUse:
+    async def test_a_restart_of_all_stays_within_with_the_store_too(self, monkeypatch):
+        for seed in SEEDS:
+            for burst_s in (1.5, 3.0, 5.0):
+                region = await _restart_all_after_a_burst(
+                    monkeypatch, seed, burst_s, kept=True
+                )
+                assert region.heaviest <= region.most, (seed, burst_s)
+
+    async def test_nor_does_a_second_one_soon_after(self, monkeypatch):
+        for seed in SEEDS:
+            region = QuotaRegion(6, monkeypatch, seed=seed, kept=True)
+            await region.play(20.0, demand=USUAL)
+            for _ in range(3):
+                await region.play(2.5, demand=FAR_BEYOND)
+                region.kill()
+                await region.play(1.0)
+                for number in range(6):
+                    region.start(number)
+            await region.play(10.0, demand=FAR_BEYOND)
+            assert region.heaviest <= region.most, seed
+
+    async def test_where_the_store_is_away_it_still_stays_within(self, monkeypatch):
+        """What was used is not known then, and nothing is freed by guessing."""
+        for seed in SEEDS:
+            region = QuotaRegion(6, monkeypatch, seed=seed, kept=True)
+            region.store.away = True
+            await region.play(20.0, demand=USUAL)
+            await region.play(2.0, demand=FAR_BEYOND)
+            region.kill()
+            await region.play(1.0)
+            for number in range(6):
+                region.start(number)
+            await region.play(10.0, demand=FAR_BEYOND)
+            assert region.heaviest <= region.most, seed
+
+    async def test_calls_are_few(self, monkeypatch):
+        """No customer near its limit: none a second; one at it: about one."""
+        region = QuotaRegion(6, monkeypatch, kept=True)
+        await region.play(30.0, demand=0.2)
+        assert region.store.writes <= 1
+        assert region.store.reads == 6
+        region.store.writes = 0
+        await region.play(30.0, demand=FAR_BEYOND)
+        assert 10 <= region.store.writes <= 30
