Repeats: an instance's start does not renew what all may repeat

An instance that starts had its part of the reserve anew, and while it had met nobody the whole of it.

Change: in the first window after a start a fifth of the share and of the reserve is used, what SAFETY leaves; the part of one that has met nobody goes by the store's list.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -284,7 +284,7 @@
         )
         self._metrics = ForwardingMetrics()
         self._connections = ConnectionPool()
-        self._retries = WindowedRetryBudget(bounds)
+        self._retries = WindowedRetryBudget(bounds, self._began)
         self._means = Means(
             name,
             settings.data_centre,
@@ -353,7 +353,7 @@
 
     def _on_view(self, changed: ViewChanged) -> None:
         self._view = changed.view
-        self._retries.instances = changed.view.size
+        self._retries.instances = changed.view.likely_size
         for worker in (self._dispatching, self._desk, self._quotas):
             worker.tell(changed)
         self._choose_sources()
--- a/hibiscusstep/forwarding/retries.py
+++ b/hibiscusstep/forwarding/retries.py
@@ -9,6 +9,10 @@
 
 # Part of the budget that is used: the window of who counts lies elsewhere than ours.
 SAFETY = 0.8
+# The same in the first window after an instance's start. What was repeated before still
+# counts, and nobody remembers it: where all targets failed around a restart of all, 41
+# repeats more were made in a window than may be, with a reserve of 50.
+SAFETY_AT_START = 1 - SAFETY
 
 
 class WindowedRetryBudget:
@@ -21,10 +25,13 @@
     ----------
     bounds : Bounds
         Share, reserve and window.
+    now : float
+        The start of this instance, on the loop's clock.
     """
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, now: float) -> None:
         self.bounds = bounds
+        self._began = now
         self._requests: dict[str, Window] = defaultdict(self._window)
         self._repeats: dict[str, Window] = defaultdict(self._window)
         self.instances = 1
@@ -35,9 +42,11 @@
 
     def left(self, pool: str, now: float) -> float:
         """Return how many repeats may be made now."""
+        young = now - self._began < self.bounds.retry_window
         reserve = self.bounds.retry_reserve / max(1, self.instances)
         share = self.bounds.retry_share * self._requests[pool].total(now)
-        return SAFETY * (share + reserve) - self._repeats[pool].total(now)
+        most = (SAFETY_AT_START if young else SAFETY) * (share + reserve)
+        return most - self._repeats[pool].total(now)
 
     def take(self, pool: str, now: float) -> bool:
         """Return whether a repeat may be made, and count it."""
