House: limit, reach and the messages of what is kept in modules and classes of their own

One message that meant three things is three. An instance that knows the window no longer takes an older one's word for how many live; lines of use are reckoned only for customers that were let through here.

--- a/hibiscusstep/forwarding/kept_use.py
+++ b/hibiscusstep/forwarding/kept_use.py
@@ -12,19 +12,31 @@
 from hibiscusstep.peer import Usage, UsageScope
 from hibiscusstep.store import UseStore
 
-__all__ = ["KeptUse", "KeptUseWorker", "UseRecorder"]
+__all__ = ["KeepUse", "KeptUse", "KeptUseWorker", "ReadUse", "UseRecorder"]
 
 _LOG = logging.getLogger(__name__)
 _INCARNATION = "kept"
 # A write or a reading that failed is tried again after so many seconds.
-RETRY_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadUse:
+    """Asks for what was kept, once."""
 
 
 @dataclass(frozen=True, slots=True)
 class KeptUse:
-    """What is to be kept or was read; None asks for it."""
+    """What was kept before this instance started."""
+
+    usage: Usage
+
+
+@dataclass(frozen=True, slots=True)
+class KeepUse:
+    """What is to be kept from now on."""
 
-    usage: Usage | None
+    usage: Usage
 
 
 class UseRecorder:
@@ -34,11 +46,6 @@
     after it used some more: a customer at its limit costs about a write a second, the
     others none. What it may have used since is added, so that a restart of all at any
     moment finds no less than was used.
-
-    Parameters
-    ----------
-    span : float
-        Seconds of the window.
     """
 
     # From this share of its limit on a customer is listed. The usual use of large
@@ -56,8 +63,7 @@
     # write for each of their bursts.
     DROP_AFTER_S = 4.0
 
-    def __init__(self, span: float) -> None:
-        self._span = span
+    def __init__(self) -> None:
         # What was written of whom; None while the last writer's document stands.
         self._written: dict[str, int] | None = None
         self._written_at: float | None = None
@@ -131,11 +137,11 @@
     async def handle(self, message) -> None:
         """Take a wish to read, what is to be written, or a tick."""
         match message:
-            case KeptUse(usage=None):
+            case ReadUse():
                 first, self._wanted = not self._wanted, True
                 if first:
                     await self._read_kept()
-            case KeptUse(usage=usage):
+            case KeepUse(usage=usage):
                 self._unwritten = usage
                 await self._write()
             case Tick():
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass
 
 from hibiscusstep.forwarding.bounds import Bounds
-from hibiscusstep.forwarding.kept_use import KeptUse, UseRecorder
+from hibiscusstep.forwarding.kept_use import KeepUse, KeptUse, ReadUse, UseRecorder
 from hibiscusstep.forwarding.model import CustomerRule
 from hibiscusstep.forwarding.quota_claim import Ticket
+from hibiscusstep.forwarding.quota_limit import QuotaLimit
+from hibiscusstep.forwarding.reach import Reach
 from hibiscusstep.forwarding.usage import UsageLedger
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
-from hibiscusstep.membership.tracker import FORGET_DOUBT_S
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, Usage, UsageAsk, UsageHistory, UsageScope
@@ -23,8 +24,6 @@
 # Instances tell each other what they let through this often; what happens in between
 # is bounded by the overage that a quota allows.
 TELL_INTERVAL_S = 0.2
-# Share of the allowed overage that is used; the rest is for what is not yet heard.
-OVERAGE_USED = 0.7
 # An instance may take this many times its even part of what is left before the others
 # hear of it; or the part that it had in the window.
 UNTOLD_PARTS = 1.0
@@ -33,21 +32,8 @@
 AMPLE = 2.0
 # All totals are told again after so many intervals, for those that missed some.
 TELL_ALL_EVERY = 10
-# The same where instances hear of each other over relays: at the onset of a burst three
-# times as much is used before all have heard of it.
-OVERAGE_USED_GROUPED = 0.2
 # From a follower over its relay and another one to a third instance.
 GROUPED_HOPS = 3
-# Part of the unused overage that is free while nothing tells what was used before the
-# start: a customer may have used its whole limit. The rest is for what is unheard.
-BLIND_SHARE = 0.5
-# What an instance was told, at its start, of how many others may live out of its reach
-# counts for so long: like others' own doubt where a living instance told it, for two
-# windows where it only stands on the store's list, which also names some that are gone.
-DOUBT_TOLD_S = FORGET_DOUBT_S
-DOUBT_LISTED_S = 16.0
-# By then it has met the others that live and can be reached.
-MEET_S = 1.0
 # Each instance logs what it believes of the customers nearest to their limits: so many
 # at the most, from this share of the limit on, every so many intervals (a second).
 LOG_USE_MOST = 3
@@ -97,11 +83,12 @@
         self._incarnation = incarnation
         self._address = address
         self._links = links
-        self.bounds = bounds
         self._kept = kept
         now = asyncio.get_running_loop().time()
         self._ledger = UsageLedger(incarnation, bounds.quota_window, now)
-        self._recorder = UseRecorder(bounds.quota_window)
+        self._reach = Reach(now)
+        self._limit = QuotaLimit(bounds, self._ledger, self._reach)
+        self._recorder = UseRecorder()
         self._view = View()
         self._rules: dict[str, CustomerRule] = {}
         self._pending: dict[str, int] = defaultdict(int)
@@ -115,11 +102,17 @@
         self._asked: set[str] = set()
         self._answered: set[str] = set()
         self._informed = asyncio.Event()
-        # How many instances may live, as heard at the start, and until when it counts.
-        self._may_live = 0
-        self._doubt_until = 0.0
         self._ticks = 0
 
+    @property
+    def bounds(self) -> Bounds:
+        """Window and allowed overage in force."""
+        return self._limit.bounds
+
+    @bounds.setter
+    def bounds(self, bounds: Bounds) -> None:
+        self._limit.bounds = bounds
+
     @property
     def informed(self) -> bool:
         """Whether it is known, or was kept, what was used before the start."""
@@ -147,15 +140,21 @@
             case KeptUse(usage=usage):
                 self._ledger.take_kept(usage, now)
                 self._tell_followers(now)
-            case Received(sender=sender, message=Usage() as usage):
+            case Received(sender=sender, message=body):
+                self._take_told(body, sender, now)
+
+    def _take_told(self, message, sender: str, now: float) -> None:
+        """Take what a peer tells or asks."""
+        match message:
+            case Usage() as usage:
                 meant = self._is_meant(usage, sender)
                 if meant and not self._ledger.hear(usage, now):
                     self._ask(sender)
-            case Received(sender=sender, message=UsageAsk() as ask):
+            case UsageAsk() as ask:
                 if sender == self._view.parent:
                     self._take_relay(ask.incarnation)
                 self._tell_history(sender, now)
-            case Received(sender=sender, message=UsageHistory() as history):
+            case UsageHistory() as history:
                 self._take_history(history, sender, now)
 
     def _take_tick(self, now: float) -> None:
@@ -178,9 +177,7 @@
             self._ledger.set_apart(self._told)
             self._answered.clear()
             self._ask(view.parent)
-        if not self._answered and view.listed > self._may_live:
-            self._may_live = view.listed
-            self._doubt_until = now + DOUBT_LISTED_S
+        self._reach.take_view(view, now)
         self._neighbours = view.neighbours(self._address)
         for address in set(self._neighbours) - known:
             self._tell_history(address, now)
@@ -200,7 +197,7 @@
         if self._kept is None or self._ledger.knows_window(now):
             return
         if self._view.settled and not self._view.parent:
-            self._kept.tell(KeptUse(None))
+            self._kept.tell(ReadUse())
 
     def _ask(self, address: str) -> None:
         """Ask a neighbour for all that it knows, once between two ticks."""
@@ -222,7 +219,7 @@
         if scope:
             follower = self._followers.get(address, "")
             history = self._ledger.history(scope, now, follower)
-            history.instances = self._view.size + self._silent(now)
+            history.instances = self._reach.alive + self._reach.silent(now)
             self._links.tell(Send(address, history))
 
     def _scope_for(self, address: str) -> str:
@@ -241,9 +238,9 @@
         if not history.usages or not self._is_meant(history.usages[0], sender):
             return
         self._answered.add(sender)
-        if history.age > self._ledger.age(now):
-            self._may_live = history.instances
-            self._doubt_until = now + DOUBT_TOLD_S
+        older = history.age > self._ledger.age(now)
+        if older and not self._ledger.knows_window(now):
+            self._reach.take_told(history.instances, now)
         if self._view.parent:
             self._take_relay(history.usages[0].incarnation)
         before = self._ledger.known_for(now)
@@ -274,7 +271,7 @@
         if not customer.quota.rate:
             return True
         now = asyncio.get_running_loop().time()
-        limit, used = self.limit(customer, now), self.used(customer.name, now)
+        limit, used = self._limit.at(customer, now), self.used(customer.name, now)
         left = limit - used
         if tokens > left or not self._may_go_untold(customer.name, tokens, left, now):
             self._log_refusal(request, customer, tokens, now)
@@ -295,11 +292,11 @@
         )
 
     def _log_use(self, now: float) -> None:
-        """Log the customers nearest to their limits, as believed here."""
+        """Log those nearest to their limits of the customers that were let through."""
         shares = {
-            name: self.used(name, now) / self.limit(rule, now)
+            name: self.used(name, now) / self._limit.at(rule, now)
             for name, rule in self._rules.items()
-            if rule.quota.rate
+            if rule.quota.rate and self._ledger.own(name, now)
         }
         near = [name for name, share in shares.items() if share >= LOG_USE_FROM]
         for name in heapq.nlargest(LOG_USE_MOST, near, key=shares.get):
@@ -310,7 +307,7 @@
         ledger, name = self._ledger, customer.name
         return {
             "customer": name,
-            "limit": int(self.limit(customer, now)),
+            "limit": int(self._limit.at(customer, now)),
             "used": int(self.used(name, now)),
             "own": int(ledger.own(name, now)),
             "others": int(ledger.others(name, now)),
@@ -318,7 +315,7 @@
             "known_for": round(ledger.known_for(now), 1),
             "kept_known": ledger.listed is not None,
             "instances": self._view.size,
-            "silent": self._silent(now),
+            "silent": self._reach.silent(now),
         }
 
     def settle(self, name: str, tokens: int, used: bool) -> None:
@@ -339,64 +336,13 @@
         """Seconds until an instance has heard of another one's use, at the most."""
         return (1 if self._view.is_mesh else GROUPED_HOPS) * TELL_INTERVAL_S
 
-    def limit(self, customer: CustomerRule, now: float) -> float:
-        """Return the tokens that may be used in a window at this moment."""
-        limit = self._whole_limit(customer)
-        if not self._ledger.knows_window(now):
-            limit = self._limit_in_doubt(customer, limit)
-        alive = max(1, self._view.size)
-        return limit * alive / (alive + self._silent(now))
-
-    def _silent(self, now: float) -> int:
-        """Return how many instances may live out of reach and use their part.
-
-        One that started behind a cut has never seen those on its other side: without
-        the word of others, two of six used 1.3 to 1.5 times a customer's limit.
-        """
-        view = self._view
-        if self._ledger.age(now) < MEET_S or now >= self._doubt_until:
-            return view.silent
-        return max(view.silent, self._may_live - view.size)
-
-    def _whole_limit(self, customer: CustomerRule) -> float:
-        """Return the tokens of a window where all that was used is known."""
-        quota = customer.quota
-        whole = quota.rate * self.bounds.quota_window + quota.burst
-        return whole + self._overage_used * self._slack(customer)
-
-    def _slack(self, customer: CustomerRule) -> float:
-        """Return the tokens that may be used in a window beyond the quota."""
-        bounds, quota = self.bounds, customer.quota
-        whole = quota.rate * bounds.quota_window + quota.burst
-        return whole * bounds.quota_overage + bounds.quota_slack
-
-    @property
-    def _overage_used(self) -> float:
-        return OVERAGE_USED if self._view.is_mesh else OVERAGE_USED_GROUPED
-
-    def _limit_in_doubt(self, customer: CustomerRule, limit: float) -> float:
-        """Return the tokens that are free whatever was used before the start.
-
-        The age of an instance says nothing of it: of a burst in the last seconds
-        before a restart of all nothing expires while the instances grow older. With
-        the limit freed by age, bursts of 1.5 to 5 s before one came to 1.05 to 1.25
-        times what a customer may use.
-        """
-        listed = self._ledger.listed
-        if listed is None:
-            spare = (1 - self._overage_used) * self._slack(customer)
-            return BLIND_SHARE * spare
-        if customer.name in listed:
-            return limit
-        return (1 - UseRecorder.UNLISTED_SHARE) * limit
-
     def _may_go_untold(self, name: str, tokens: int, left: float, now: float) -> bool:
         """Whether others may well take as much before all have heard of each other."""
         ledger = self._ledger
         sent = ledger.of_group[name] - self._told.get(name, 0)
         untold = sent + self._pending[name]
         lately = ledger.lately(name, now)
-        alive = self._likely_size(now)
+        alive = self._reach.likely_size
         if alive == 1:
             return True
         others = ledger.others(name, now)
@@ -407,11 +353,6 @@
         part = max(UNTOLD_PARTS / alive, own / max(1.0, own + others) if heard else 0.0)
         return untold + tokens <= part * (left + untold)
 
-    def _likely_size(self, now: float) -> int:
-        """Return how many instances share what is left; all have just started alike."""
-        view = self._view
-        return max(1, view.size if view.size > 1 else view.likely_size)
-
     def _tell(self) -> None:
         """Tell the neighbours the totals that changed, and now and then all of them."""
         every = self._ticks % TELL_ALL_EVERY == 0
@@ -435,17 +376,17 @@
             return
         if not self._view.has_duty("customers' use", self._address):
             return
-        if self._view.size < self._silent(now):
+        if self._reach.alive < self._reach.silent(now):
             # The greater part of a cut keeps what it used; one document is kept.
             return
         limits = {
-            name: self._whole_limit(rule)
+            name: self._limit.whole(rule)
             for name, rule in self._rules.items()
             if rule.quota.rate
         }
         document = self._recorder.due(self._ledger, limits, now)
         if document is not None:
-            self._kept.tell(KeptUse(document))
+            self._kept.tell(KeepUse(document))
 
 
 def _changed(totals: dict[str, int], told: dict[str, int]) -> list[str]:
--- a/tests/quota_region.py
+++ b/tests/quota_region.py
@@ -116,7 +116,7 @@
         self.instances = {}
         # Instances that neither hear the others nor are heard by them.
         self.cut = set()
-        self._count = count
+        self.count = count
         self._random = random.Random(seed)
         self._serial = itertools.count()
         self._way = []
@@ -205,7 +205,7 @@
 
     def _listed(self, instance):
         """Instances that start together do not find each other on the list at once."""
-        return self._count if self.now - instance.started < NEW_S else 0
+        return self.count if self.now - instance.started < NEW_S else 0
 
     def _has_met(self, instance):
         return self.now - instance.started >= MEET_S or instance.started == 1000.0
--- a/tests/test_kept_use.py
+++ b/tests/test_kept_use.py
@@ -5,7 +5,13 @@
 import pytest
 from quota_region import Store
 
-from hibiscusstep.forwarding.kept_use import KeptUse, KeptUseWorker, UseRecorder
+from hibiscusstep.forwarding.kept_use import (
+    KeepUse,
+    KeptUse,
+    KeptUseWorker,
+    ReadUse,
+    UseRecorder,
+)
 from hibiscusstep.forwarding.usage import UsageLedger
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.peer import Usage, UsageScope
@@ -15,7 +21,7 @@
 
 
 def _recorder():
-    return UseRecorder(SPAN_S), UsageLedger("a", SPAN_S, 0.0)
+    return UseRecorder(), UsageLedger("a", SPAN_S, 0.0)
 
 
 class TestRecorder:
@@ -71,10 +77,10 @@
     async def test_one_reads_what_another_wrote(self):
         store = Store()
         writer, _ = self._worker(store)
-        await writer.handle(KeptUse(self._USAGE))
+        await writer.handle(KeepUse(self._USAGE))
         reader, found = self._worker(store)
-        await reader.handle(KeptUse(None))
-        await reader.handle(KeptUse(None))
+        await reader.handle(ReadUse())
+        await reader.handle(ReadUse())
         assert found == [KeptUse(self._USAGE)]
         assert store.reads == 1
 
@@ -82,8 +88,8 @@
         store = Store()
         store.away = True
         worker, found = self._worker(store)
-        await worker.handle(KeptUse(None))
-        await worker.handle(KeptUse(self._USAGE))
+        await worker.handle(ReadUse())
+        await worker.handle(KeepUse(self._USAGE))
         store.away = False
         await worker.handle(Tick())
         assert store.document == asdict(self._USAGE)
@@ -103,5 +109,5 @@
         store = Store()
         store.document = document
         worker, found = self._worker(store)
-        await worker.handle(KeptUse(None))
+        await worker.handle(ReadUse())
         assert found[0].usage.customers == []
--- a/tests/test_quota_restarts.py
+++ b/tests/test_quota_restarts.py
@@ -29,12 +29,16 @@
     region = QuotaRegion(6, monkeypatch, seed=seed, kept=kept)
     await region.play(20.0, demand=USUAL)
     await region.play(burst_s, demand=FAR_BEYOND)
+    await _restart_all(region)
+    await region.play(12.0, demand=FAR_BEYOND)
+    return region
+
+
+async def _restart_all(region):
     region.kill()
     await region.play(1.0)
-    for number in range(6):
+    for number in range(region.count):
         region.start(number)
-    await region.play(12.0, demand=FAR_BEYOND)
-    return region
 
 
 async def _restart_one_by_one(monkeypatch, seed, at_once):
@@ -99,10 +103,7 @@
     await region.play(20.0, demand)
     region.asked = region.refused = 0
     if not each:
-        region.kill()
-        await region.play(1.0)
-        for number in range(6):
-            region.start(number)
+        await _restart_all(region)
         await region.play(12.0, demand)
     for number in range(6 if each else 0):
         region.kill(number)
@@ -150,10 +151,7 @@
             await region.play(20.0, demand=USUAL)
             for _ in range(3):
                 await region.play(2.5, demand=FAR_BEYOND)
-                region.kill()
-                await region.play(1.0)
-                for number in range(6):
-                    region.start(number)
+                await _restart_all(region)
             await region.play(10.0, demand=FAR_BEYOND)
             assert region.heaviest <= region.most, seed
 
@@ -164,10 +162,7 @@
             region.store.away = True
             await region.play(20.0, demand=USUAL)
             await region.play(2.0, demand=FAR_BEYOND)
-            region.kill()
-            await region.play(1.0)
-            for number in range(6):
-                region.start(number)
+            await _restart_all(region)
             await region.play(10.0, demand=FAR_BEYOND)
             assert region.heaviest <= region.most, seed
 
@@ -195,10 +190,7 @@
             region = self._region(monkeypatch, seed)
             await region.play(20.0, demand=USUAL)
             await region.play(3.0, demand=FAR_BEYOND)
-            region.kill()
-            await region.play(1.0)
-            for number in range(self.COUNT):
-                region.start(number)
+            await _restart_all(region)
             await region.play(12.0, demand=FAR_BEYOND)
             assert region.heaviest <= region.most, seed
 
