--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,3 +1,4 @@
+import gc
 import os
 import subprocess
 import sys
@@ -8,6 +9,7 @@
 
 from hibiscusstep import __version__
 from hibiscusstep.cmdline import client, entry, load, standin
+from hibiscusstep.cmdline.entry import _serve
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 PROGRAMS = {
@@ -106,3 +108,21 @@
     def test_hash_key(self):
         done = CliRunner().invoke(client.main, ["hash-key"], input="secret\n")
         assert len(done.output.strip()) == 64
+
+
+class TestStart:
+    async def test_garbage_is_collected_from_when_the_instance_runs(self):
+        class Instance:
+            collects = None
+
+            async def run(self):
+                self.collects = gc.isenabled()
+
+        instance = Instance()
+        gc.disable()
+        try:
+            await _serve(lambda: instance)
+        finally:
+            gc.enable()
+            gc.unfreeze()
+        assert instance.collects
