--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -141,9 +141,9 @@
                 self._ledger.take_kept(usage, now)
                 self._tell_followers(now)
             case Received(sender=sender, message=body):
-                self._take_told(body, sender, now)
+                self._take_from_peer(body, sender, now)
 
-    def _take_told(self, message, sender: str, now: float) -> None:
+    def _take_from_peer(self, message, sender: str, now: float) -> None:
         """Take what a peer tells or asks."""
         match message:
             case Usage() as usage:
--- a/hibiscusstep/forwarding/usage.py
+++ b/hibiscusstep/forwarding/usage.py
@@ -59,6 +59,12 @@
         Seconds of the window.
     now : float
         The start of this instance, on the loop's clock.
+
+    Attributes
+    ----------
+    listed : frozenset of str or None
+        Customers of which something was kept in the store before this instance, or all
+        of them, started; None while that is not known.
     """
 
     def __init__(self, incarnation: str, span: float, now: float) -> None:
