Sight: what breaks under a request bears its fingerprint

Attempt lines could not tell that two attempts are the same request: ids differ, and lengths of prompts are a guess. Lines of outcome broken now bear a fingerprint of method, host, path with query, customer and body, hashed only there: nothing is added to a request that ends well.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from functools import cached_property
 
 from aiohttp import web
 
@@ -255,9 +256,15 @@
             customer=self._in.customer.name if self._in.customer else "",
             counted=self._in.claim.tokens if self._in.claim else 0,
             target_revision=target.revision,
+            fingerprint=self._fingerprint if outcome is m.Outcome.BROKEN else "",
             routine=outcome is m.Outcome.DONE,
         )
 
+    @cached_property
+    def _fingerprint(self) -> str:
+        """What all attempts of callers at this request share, in hexadecimal."""
+        return f"{self._in.fingerprint():016x}"
+
     async def _send(
         self, connection: Connection, target: DiscoveredTarget
     ) -> tuple[Reply, AnswerHead]:
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -9,6 +9,7 @@
 from hibiscusstep.dispatching import Dispatching
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect, RequestHead
+from hibiscusstep.forwarding.fingerprint import fingerprint
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
 from hibiscusstep.forwarding.quota_claim import QuotaClaim
@@ -73,6 +74,13 @@
         parts = (customer, self.request.raw_path, head.prompt, lengths)
         return xxhash.xxh64_intdigest("\0".join(parts).encode()) >> 1
 
+    def fingerprint(self) -> int:
+        """Return what all attempts at this request share; hashes the whole body."""
+        request = self.request
+        host = request.headers.get("Host", "")
+        customer = self.customer.name if self.customer else ""
+        return fingerprint(request.method, host, request.raw_path, customer, self.body)
+
     @property
     def rank(self) -> int:
         """Priority: by the customer's, then by the route's."""
