--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -202,7 +202,9 @@
         Its id; a request for another one gets 421.
     script : callable of int, dict, bytes
         Gets the number of the request, its fields and its body; returns the bytes of
-        the reply, a list of them with pauses in seconds between, or None to go away.
+        the reply, or a list of them with pauses in seconds between. In the list
+        "reset", "close", "crash" and "hang" stand for how a connection, or the whole
+        target, ends.
     born : int
         Unix millisecond of its start; 0 where it does not tell.
 
@@ -221,15 +223,16 @@
         self.open = 0
         self.closed = asyncio.Event()
         self.arrived = asyncio.Event()
+        self.crashed = asyncio.Event()
         self.silent = False
         self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
         self._server: asyncio.Server | None = None
         self.address = ""
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, a free one if none is given."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
@@ -237,6 +240,19 @@
         """Stop listening."""
         self._server.close()
 
+    def crash(self) -> None:
+        """End all connections at once and refuse new ones, until started again."""
+        self.crashed.set()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def start_again(self, name: str) -> None:
+        """Start under another id at the same address, with nothing known."""
+        self.name = name
+        self.crashed.clear()
+        await self.start(int(self.address.rpartition(":")[2]))
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in self._writers:
@@ -293,6 +309,9 @@
                 return False
             if part == "close":
                 return False
+            if part == "crash":
+                self.crash()
+                return False
             if part == "hang":
                 return await self._fall_silent(reader)
             if isinstance(part, float):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -111,8 +111,8 @@
     async def call(self, path, method="POST", instance=0, **fields):
         """Return status, fields and body; the body is None where it was cut."""
         name = fields.pop("request", f"r{next(_ids)}")
+        body = fields.pop("body", b"a body" if method == "POST" else None)
         headers = {"Host": "h.example", "X-Request-Id": name, **KEY, **fields}
-        body = b"a body" if method == "POST" else None
         url = self.instances[instance].url + path
         async with (
             asyncio.timeout(BOUND_S),
