Requests that crash their targets are quarantined, at all instances

Cause: what an instance learnt of a request ended with the attempt and stayed there. A crash was held against the target alone; attempts have new ids and come to any instance, so nothing knew the request again.

An answer clears it. - What is known only grows (crashes by target, targets of whose crash it is cleared), so it is told in any order, to all, to who starts, through relays; what is quarantined is kept in the store by one instance. - It is checked before a grant is asked for and again before the send. Who was never sent gets 503 with the time until it would be served, else 502; the body says why. Operators list and clear it beside the metrics. - After two crashes an instance repeats it no more by itself.

Why it holds: every send of any instance passes the check, and what it rests on outlives instances and dispatchers.

Ruled out: a count without times (hot requests that ran on several targets when these lost power were accused), crashes within half a second as one (12 attempts in 1.2 s were three), a shared count at the dispatcher (knows nothing of those that dispatch for themselves).

--- a/hibiscusstep/errors.py
+++ b/hibiscusstep/errors.py
@@ -107,6 +107,8 @@
         Whether any byte of the request may have left for the target.
     leaving : bool, default=False
         The target said that it takes no new work.
+    refused : bool, default=False
+        Nothing listens at its address.
     """
 
     def __init__(
@@ -117,7 +119,9 @@
         peer: str,
         sent: bool,
         leaving: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(detail, step=step, peer=peer)
         self.sent = sent
         self.leaving = leaving
+        self.refused = refused
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -204,6 +204,20 @@
         self._in_use[name].add(connection)
         return connection
 
+    async def is_refused(self, name: str, address: str) -> bool:
+        """Whether nothing listens at a target's address; else a connection is kept.
+
+        False also where it can't be told, as behind a cut.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            connection = await self._connect(loop, name, address)
+        except TargetError as error:
+            return error.refused
+        connection.idle_until = loop.time() + UNNAMED_IDLE_S
+        self._idle[name].append(connection)
+        return False
+
     def _take_idle(self, loop, name: str) -> Connection | None:
         idle = self._idle[name]
         while idle:
@@ -281,7 +295,10 @@
                 )
         except (OSError, TimeoutError) as cause:
             detail = f"{type(cause).__name__}"
-            raise TargetError(detail, step="connect", peer=name, sent=False) from None
+            refused = isinstance(cause, ConnectionRefusedError)
+            raise TargetError(
+                detail, step="connect", peer=name, sent=False, refused=refused
+            ) from None
         sock = connection.transport.get_extra_info("socket")
         _find_silence(sock)
         return connection
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -4,11 +4,13 @@
 import enum
 from functools import cached_property
 
+import orjson
 from aiohttp import web
 
 from hibiscusstep.dispatching import TargetLoad
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.connections import Connection, Reply
+from hibiscusstep.forwarding.crashes import BrokenRun
 from hibiscusstep.forwarding.dialect import AnswerHead, Order
 from hibiscusstep.forwarding.events import EventSplitter
 from hibiscusstep.forwarding.incoming import Incoming, Means
@@ -45,6 +47,13 @@
 MAX_UNREACHED = 4
 
 
+_PROBLEM_TYPE = "application/problem+json"
+_QUARANTINED = {
+    "title": "This request is quarantined",
+    "detail": "Targets crashed each time that they ran it, so it is sent to no other.",
+}
+
+
 class _Next(enum.Enum):
     """What an attempt that gave no whole answer leaves open."""
 
@@ -117,9 +126,15 @@
         means, pool = self._means, self._in.pool
         means.retries.first_try(pool, self._now())
         while True:
+            if self._is_quarantined():
+                return self._refuse_quarantined()
             reply = await self._place()
             if isinstance(reply, Refused):
                 return self._refused(reply.retry_after, reply.reason)
+            if self._is_quarantined():
+                # The targets crashed under other attempts while this one waited.
+                self._end(m.Outcome.UNUSED)
+                return self._refuse_quarantined()
             target = means.targets.get(reply.target)
             if target is None:
                 # The dispatcher knows a target that has not been heard of here yet.
@@ -203,6 +218,8 @@
             outcome = _OUTCOMES[left]
             if left is None and _is_failure(reply.message.code):
                 outcome = m.Outcome.FAILED
+            elif left is None and not self._means.quarantine.is_empty:
+                self._means.quarantine.answered(self._fingerprint)
             if left is _Next.NOT_RUN:
                 self._may_have_run = may_have_run_before
                 if answer.misdirected:
@@ -210,8 +227,12 @@
             return left
         except TargetError as error:
             cause = str(error)
-            outcome = m.Outcome.BROKEN if error.sent else m.Outcome.UNREACHABLE
-            return _Next.BROKEN if error.sent else _Next.UNSENT
+            if not error.sent:
+                outcome = m.Outcome.UNREACHABLE
+                return _Next.UNSENT
+            outcome = m.Outcome.BROKEN
+            self._note_broken(target)
+            return _Next.BROKEN
         except (_Spoilt, TimeoutError) as error:
             if self._now() >= self._in.deadline:
                 raise
@@ -228,6 +249,27 @@
             self._end(outcome)
             self._note_attempt(target, outcome, cause, started)
 
+    def _is_quarantined(self) -> bool:
+        """Whether targets crashed under other attempts at this request."""
+        quarantine = self._means.quarantine
+        return not quarantine.is_empty and quarantine.holds(self._fingerprint)
+
+    def _refuse_quarantined(self) -> web.StreamResponse:
+        """Tell the caller why, and when the request would be served again."""
+        seconds = self._means.quarantine.expires_in(self._fingerprint)
+        problem = {**_QUARANTINED, "fingerprint": f"{self._fingerprint:016x}"}
+        return self._refused(seconds, "quarantined", problem=problem)
+
+    def _note_broken(self, target: DiscoveredTarget) -> None:
+        """Hold it against the request if the target has crashed."""
+        run = BrokenRun(
+            self._in.head.request,
+            self._fingerprint,
+            began=self._granted_at,
+            early=not self._pace.events,
+        )
+        self._means.quarantine.broke(target, run)
+
     def _note_attempt(self, target, outcome: m.Outcome, cause: str, started) -> None:
         metrics, pool = self._means.metrics, target.pool
         metrics.attempts.inc({"pool": pool, "outcome": outcome})
@@ -256,14 +298,17 @@
             customer=self._in.customer.name if self._in.customer else "",
             counted=self._in.claim.tokens if self._in.claim else 0,
             target_revision=target.revision,
-            fingerprint=self._fingerprint if outcome is m.Outcome.BROKEN else "",
+            fingerprint=self._shown_fingerprint(outcome),
             routine=outcome is m.Outcome.DONE,
         )
 
+    def _shown_fingerprint(self, outcome: m.Outcome) -> str:
+        return f"{self._fingerprint:016x}" if outcome is m.Outcome.BROKEN else ""
+
     @cached_property
-    def _fingerprint(self) -> str:
-        """What all attempts of callers at this request share, in hexadecimal."""
-        return f"{self._in.fingerprint():016x}"
+    def _fingerprint(self) -> int:
+        """What all attempts of callers at this request share."""
+        return self._in.fingerprint()
 
     async def _send(
         self, connection: Connection, target: DiscoveredTarget
@@ -422,9 +467,16 @@
             return False
         if self._response is not None and route.repeat is not Repeat.RESUME:
             return False
+        if left is _Next.BROKEN and not self._may_break_another():
+            return False
         self._splitter.drop_rest()
         return self._means.retries.take(self._in.pool, self._now())
 
+    def _may_break_another(self) -> bool:
+        """Whether a broken request may be sent on, as far as other attempts tell."""
+        quarantine = self._means.quarantine
+        return quarantine.is_empty or quarantine.may_be_repeated(self._fingerprint)
+
     def _give_up(self, left: _Next) -> web.StreamResponse:
         if left is _Next.FAILED and self._kept is not None:
             return self._kept
@@ -433,20 +485,27 @@
         return self._fail(502, "no whole answer")
 
     def _refused(
-        self, retry_after: float, reason, status: int = 503
+        self,
+        retry_after: float,
+        reason,
+        status: int = 503,
+        problem: dict[str, str] | None = None,
     ) -> web.StreamResponse:
         if self._may_have_run or self._response is not None:
-            return self._fail(502, f"refused after an attempt: {reason}")
+            why = f"refused after an attempt: {reason}"
+            return self._fail(502, why, problem)
         self._log_end(status, str(reason))
         headers = {"Retry-After": f"{retry_after:.2f}"}
-        return web.Response(status=status, headers=headers)
+        return _own_answer(status, problem, headers)
 
-    def _fail(self, status: int, why: str) -> web.StreamResponse:
+    def _fail(
+        self, status: int, why: str, problem: dict[str, str] | None = None
+    ) -> web.StreamResponse:
         self._log_end(status, why)
         if self._response is None:
             if self._kept is not None:
                 return self._kept
-            return web.Response(status=status)
+            return _own_answer(status, problem)
         transport = self._in.request.transport
         if transport is not None:
             transport.abort()
@@ -505,6 +564,18 @@
     return status >= REPEATABLE_STATUS and status != DEADLINE_STATUS
 
 
+def _own_answer(
+    status: int, problem: dict[str, str] | None, headers: dict | None = None
+) -> web.Response:
+    """Return an answer of the instance's own; `problem` tells the caller why."""
+    if problem is None:
+        return web.Response(status=status, headers=headers)
+    body = orjson.dumps({**problem, "status": status})
+    return web.Response(
+        status=status, headers=headers, body=body, content_type=_PROBLEM_TYPE
+    )
+
+
 def _never_stopped() -> None:
     """Nothing that runs is stopped here."""
 
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -12,6 +12,7 @@
 from hibiscusstep.forwarding.fingerprint import fingerprint
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
+from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quota_claim import QuotaClaim
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 
@@ -120,6 +121,8 @@
         All known targets.
     metrics : ForwardingMetrics
         What is counted.
+    quarantine : Quarantine
+        Knows which requests crash their targets.
     """
 
     instance: str
@@ -131,3 +134,4 @@
     retries: WindowedRetryBudget
     targets: dict[str, DiscoveredTarget]
     metrics: ForwardingMetrics
+    quarantine: Quarantine
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -24,6 +24,8 @@
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.news import to_news
 from hibiscusstep.forwarding.planning import Planner
+from hibiscusstep.forwarding.quarantine import Quarantine
+from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaKeeper
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
@@ -54,6 +56,7 @@
     PoolWithdraw,
     Received,
     Relays,
+    SuspectStates,
     TargetStates,
     Usage,
     UsageAsk,
@@ -153,6 +156,11 @@
         """The border towards callers."""
         return self._border
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """The requests that are sent to no target."""
+        return self._quarantine
+
     @property
     def bounds(self) -> Bounds:
         """The bounds in force here."""
@@ -284,6 +292,9 @@
         )
         self._metrics = ForwardingMetrics()
         self._connections = ConnectionPool()
+        self._quarantine = Quarantine(
+            address, self._links, self._connections, self._around.suspects
+        )
         self._retries = WindowedRetryBudget(bounds, self._began)
         self._means = Means(
             name,
@@ -295,6 +306,7 @@
             self._retries,
             self._targets,
             self._metrics,
+            self._quarantine,
         )
         self._border = ForwardingBorder(self._means, self._quotas)
         self._workers: list[Worker] = [
@@ -305,6 +317,7 @@
             self._desk,
             self._quotas,
             self._kept_use,
+            self._quarantine,
             *([self._keeper] if settings.switches.kept_beliefs else []),
         ]
         self._receivers = self._make_routes()
@@ -330,6 +343,7 @@
                 NotDispatcher,
             ),
             self._quotas: (Usage, UsageAsk, UsageHistory),
+            self._quarantine: (SuspectStates,),
         }
         return {kind: worker for worker, kinds in table.items() for kind in kinds}
 
@@ -354,7 +368,12 @@
     def _on_view(self, changed: ViewChanged) -> None:
         self._view = changed.view
         self._retries.instances = changed.view.likely_size
-        for worker in (self._dispatching, self._desk, self._quotas):
+        for worker in (
+            self._dispatching,
+            self._desk,
+            self._quotas,
+            self._quarantine,
+        ):
             worker.tell(changed)
         self._choose_sources()
         self._spread.take_view(changed.view)
@@ -440,6 +459,7 @@
     async def _serve_metrics(self) -> None:
         app = web.Application()
         app.router.add_get("/metrics", self._render_metrics)
+        add_quarantine_routes(app, self._quarantine)
         while True:
             try:
                 await serve(app, self._settings.operator_address)
@@ -461,6 +481,8 @@
         metrics.gauge("silent_members", self._view.silent)
         metrics.gauge("connections_opened", self._connections.opened)
         metrics.gauge("log_lines_dropped", dropped_lines())
+        metrics.gauge("requests_suspected", self._quarantine.suspected)
+        metrics.gauge("requests_quarantined", self._quarantine.quarantined)
         for pool, count in self._dispatching.overdue.items():
             metrics.gauge("slots_overdue", count, pool=pool)
         left_out = self._around.targets.left_out + self._planner.left_out
--- a/hibiscusstep/forwarding/surroundings.py
+++ b/hibiscusstep/forwarding/surroundings.py
@@ -7,7 +7,7 @@
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.model import RoutingTable
-from hibiscusstep.store import BeliefStore, Feed, Roster, UseStore
+from hibiscusstep.store import BeliefStore, Feed, Roster, SuspectStore, UseStore
 
 __all__ = ["Surroundings"]
 
@@ -34,6 +34,8 @@
         Keeps what dispatchers learnt.
     use : UseStore
         Keeps what customers used of their quotas.
+    suspects : SuspectStore
+        Keeps which requests crash targets.
     register : callable
         Returns an awaitable that puts this instance on the roster.
     read_table : callable of bytes
@@ -56,6 +58,7 @@
     roster: Roster
     beliefs: BeliefStore
     use: UseStore
+    suspects: SuspectStore
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -51,6 +51,11 @@
   9: i64 incarnation
 }
 struct TargetStates { 1: list<TargetState> states, 2: i64 revision }
+struct SuspectState {
+  1: i64 fingerprint, 2: list<string> targets, 3: list<double> weights,
+  4: list<double> spans, 5: list<double> ages, 6: list<string> cleared
+}
+struct SuspectStates { 1: list<SuspectState> states }
 struct PoolStop { 1: string pool, 2: string ask }
 struct NotDispatcher { 1: string pool }
 struct ClaimAsk {
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -30,6 +30,8 @@
     "Relays",
     "StatusAsk",
     "StatusReply",
+    "SuspectState",
+    "SuspectStates",
     "TargetState",
     "TargetStates",
     "Usage",
@@ -414,6 +416,38 @@
     revision: int = 0
 
 
+@dataclass(slots=True)
+class SuspectState:
+    """What the sender knows of a request under which targets crashed.
+
+    Parameters
+    ----------
+    fingerprint : int
+        What all attempts at the request share.
+    targets : list of str
+        Those whose crash counts against it.
+    weights, spans, ages : list of float
+        Of each of these crashes: how much it counts, seconds for which the request had
+        been there, and seconds since.
+    cleared : list of str
+        Targets whose crash counts no more since the request was answered.
+    """
+
+    fingerprint: int
+    targets: list[str]
+    weights: list[float]
+    spans: list[float]
+    ages: list[float]
+    cleared: list[str]
+
+
+@dataclass(slots=True)
+class SuspectStates:
+    """Requests under which targets crashed, as the sender knows them."""
+
+    states: list[SuspectState]
+
+
 @dataclass(slots=True)
 class Received:
     """A message from a peer.
@@ -460,4 +494,5 @@
     PoolLearnt,
     Relays,
     PoolInquire,
+    SuspectStates,
 )
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -26,10 +26,18 @@
     InstanceRecord,
     Listing,
     Roster,
+    SuspectStore,
     UseStore,
 )
 
-__all__ = ["ObjectBeliefs", "ObjectClient", "ObjectFeed", "ObjectRoster", "ObjectUse"]
+__all__ = [
+    "ObjectBeliefs",
+    "ObjectClient",
+    "ObjectFeed",
+    "ObjectRoster",
+    "ObjectSuspects",
+    "ObjectUse",
+]
 
 _LOG = logging.getLogger(__name__)
 _ROOT = "/hibiscusstep/objects"
@@ -296,8 +304,8 @@
         return (await self._client.read_each(self._KIND, _belief)).map(dict)
 
 
-class ObjectUse(UseStore):
-    """One object for all customers, which one of the instances writes.
+class _OneObject:
+    """One object of the store, which one of the instances writes.
 
     Parameters
     ----------
@@ -305,8 +313,8 @@
         Makes the calls.
     """
 
-    _KIND = "hibiscusstep-use"
-    _NAME = "customers"
+    _KIND: str
+    _NAME: str
 
     def __init__(self, client: ObjectClient) -> None:
         self._client = client
@@ -325,6 +333,20 @@
         return reply.map(lambda found: found.get("Spec"))
 
 
+class ObjectUse(_OneObject, UseStore):
+    """What customers used."""
+
+    _KIND = "hibiscusstep-use"
+    _NAME = "customers"
+
+
+class ObjectSuspects(_OneObject, SuspectStore):
+    """Requests that crash targets."""
+
+    _KIND = "hibiscusstep-suspects"
+    _NAME = "requests"
+
+
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -9,6 +9,7 @@
     ObjectClient,
     ObjectFeed,
     ObjectRoster,
+    ObjectSuspects,
     ObjectUse,
 )
 from hibiscusstep.platform.documents import (
@@ -65,6 +66,7 @@
         roster=roster,
         beliefs=ObjectBeliefs(client),
         use=ObjectUse(client),
+        suspects=ObjectSuspects(client),
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -143,6 +143,15 @@
         (1, "list<TargetState>", "states"),
         (2, "i64", "revision"),
     ),
+    "SuspectState": (
+        (1, "i64", "fingerprint"),
+        (2, "list<string>", "targets"),
+        (3, "list<double>", "weights"),
+        (4, "list<double>", "spans"),
+        (5, "list<double>", "ages"),
+        (6, "list<string>", "cleared"),
+    ),
+    "SuspectStates": ((1, "list<SuspectState>", "states"),),
     "PoolStop": (
         (1, "string", "pool"),
         (2, "string", "ask"),
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -16,6 +16,7 @@
     "Listing",
     "Platform",
     "Roster",
+    "SuspectStore",
     "UseStore",
     "Versioned",
     "get_platform_by_name",
@@ -144,6 +145,18 @@
         """Return the document as it is now, None if there is none."""
 
 
+class SuspectStore(ABC):
+    """Keeps a small document of requests that crash targets, as `UseStore` does."""
+
+    @abstractmethod
+    async def write(self, document: dict) -> Result[None, PlatformError]:
+        """Write the document; the last one written stands."""
+
+    @abstractmethod
+    async def read(self) -> Result[dict | None, PlatformError]:
+        """Return the document as it is now, None if there is none."""
+
+
 class Platform(Roster):
     """Object service with versions, conditional updates and watches.
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,8 +17,9 @@
 import asyncio
 import itertools
 
+import orjson
 import pytest
-from platform_standin import TargetStandIn, answer
+from platform_standin import TargetStandIn, chunk, event, stream_head
 from test_forwarding import BOUND_S, Site
 
 CRASHING = b"a request that crashes its target"
@@ -49,7 +50,7 @@
 
     def run(self, _number, fields, body):
         if body != CRASHING:
-            return answer(fields)
+            return [stream_head(fields), 0.05, chunk(event(0)), chunk(b"")]
         self.crashes += 1
         return ["crash"]
 
@@ -107,9 +108,80 @@
         await self._come_again(site, [2])
         assert site.crashes <= MOST_CRASHES
 
+    async def test_is_known_after_a_restart_of_all(self, site):
+        await site.start_pool()
+        await self._come_again(site, [0, 1])
+        async with asyncio.timeout(BOUND_S):
+            while ("hibiscusstep-suspects", "requests") not in site.store.objects:
+                await asyncio.sleep(0.01)
+        for number in range(2):
+            await site.end_instance(number)
+        await site.add_instance()
+        async with asyncio.timeout(BOUND_S):
+            while not site.instances[2].quarantine.quarantined:
+                await asyncio.sleep(0.01)
+        await self._come_again(site, [2])
+        assert site.crashes <= MOST_CRASHES
+
+    async def test_its_caller_is_told_why_and_for_how_long(self, site):
+        await site.start_pool(instances=1)
+        await self._come_again(site, [0], times=4)
+        crashes = site.crashes
+        status, fields, body = await site.call("/once/", body=CRASHING)
+        problem = orjson.loads(body)
+        assert (status, problem["status"], site.crashes) == (503, 503, crashes)
+        assert fields["Content-Type"].startswith("application/problem+json")
+        assert "quarantined" in problem["title"]
+        assert float(fields["Retry-After"]) > 60
+
+    async def test_an_operator_sees_and_clears_it(self, site):
+        await site.start_pool(instances=1)
+        await self._come_again(site, [0], times=4)
+        url = f"http://{site.instances[0].metrics_address}/quarantine"
+        async with site.session.get(url) as response:
+            (entry,) = (await response.json())["requests"]
+        assert entry["quarantined"]
+        assert len(entry["seconds_since"]) >= 3
+        one = f"{url}/{entry['fingerprint']}"
+        async with site.session.delete(one) as response:
+            assert response.status == 204
+        async with site.session.delete(one) as response:
+            assert response.status == 404
+        async with site.session.delete(f"{url}/nonsense") as response:
+            assert response.status == 400
+        assert not site.instances[0].quarantine.quarantined
+
     async def test_repeats_of_one_attempt_count_as_well(self, site):
         await site.start_pool(instances=1)
         for _ in range(3):
             await site.has_target_up(0)
             await site.call("/safe/", body=CRASHING)
         assert site.crashes <= 3
+
+
+class TestRequestsBesideIt:
+    async def test_are_served_and_not_accused(self, site):
+        """Streams that are cut with it go on elsewhere; they come again and again."""
+        await site.start_pool(instances=1)
+        bodies = [b"sound %d" % n for n in range(4)]
+        for _ in range(5):
+            await site.has_target_up(0)
+            sound = [site.call("/resume/", body=body) for body in bodies]
+            statuses = await asyncio.gather(*sound, self._crash(site))
+            assert set(statuses[-1:]) <= {502, 503}
+        assert site.instances[0].quarantine.quarantined == 1
+        for body in bodies:
+            await site.has_target_up(0)
+            assert (await site.call("/resume/", body=body))[0] == 200
+
+    async def _crash(self, site):
+        return (await site.call("/once/", body=CRASHING))[0]
+
+    async def test_resets_accuse_nobody(self, site):
+        def reset(_number, fields, _body):
+            return [stream_head(fields), chunk(event(0)), "reset"]
+
+        await site.start(*(TargetStandIn(f"t{n}", reset) for n in range(3)))
+        for _ in range(6):
+            await site.call("/resume/", body=b"sound")
+        assert site.instances[0].quarantine.is_empty
