What targets crashed under runs apart, and once at a time

The one that crashes targets could run on several before its first crash was known.

A request that a crash counts against now says so when it asks for a grant; the dispatcher grants it a target where no other such request runs, and none while it runs elsewhere. Others are placed as before.

--- a/hibiscusstep/duty.py
+++ b/hibiscusstep/duty.py
@@ -60,4 +60,5 @@
         info.data_centre,
         now + info.ends_in if info.ends_in else 0.0,
         info.identity,
+        info.suspect,
     )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -179,6 +179,7 @@
             list(self._avoid),
             data_centre=self._means.data_centre,
             identity=incoming.identity,
+            suspect=self._suspect(),
         )
         latest = min(begun + patience, incoming.deadline)
         wanted = GrantRequest(
@@ -254,6 +255,13 @@
         quarantine = self._means.quarantine
         return not quarantine.is_empty and quarantine.holds(self._fingerprint)
 
+    def _suspect(self) -> int:
+        """Return the fingerprint if targets crashed under this request, else 0."""
+        quarantine = self._means.quarantine
+        if quarantine.is_empty or not quarantine.is_suspected(self._fingerprint):
+            return 0
+        return self._fingerprint
+
     def _refuse_quarantined(self) -> web.StreamResponse:
         """Tell the caller why, and when the request would be served again."""
         seconds = self._means.quarantine.expires_in(self._fingerprint)
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -63,6 +63,7 @@
     data_centre: str = ""
     ends_in: float = 0.0
     identity: int = 0
+    suspect: int = 0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -93,6 +93,8 @@
         When the whole answer must have come, on the dispatcher's clock; 0 if not told.
     identity : int
         The same for all attempts of a caller at one request; 0 if not known.
+    suspect : int
+        The request's fingerprint if targets crashed under it, else 0.
     """
 
     ask: str
@@ -112,6 +114,7 @@
     data_centre: str = ""
     ends: float = 0.0
     identity: int = 0
+    suspect: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -20,6 +20,7 @@
 from hibiscusstep.routing.slot_choice import SlotChoice
 from hibiscusstep.routing.slot_queue import Returns, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
+from hibiscusstep.routing.suspect_runs import without_suspects
 from hibiscusstep.routing.switches import ALL_ON, Switches
 from hibiscusstep.routing.target_order import TargetOrder
 
@@ -336,6 +337,7 @@
     def _try(self, work: m.Work, now: float) -> bool:
         """Grant a request if one of the free targets is good for it."""
         free, worth_waiting = self._candidates(work, now)
+        free = without_suspects(work, free, self._targets.values())
         if not free:
             return False
         target = self._choice.choose(work, free, worth_waiting, now)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -26,6 +26,7 @@
         (15, "string", "data_centre"),
         (16, "double", "ends_in"),
         (17, "i64", "identity"),
+        (18, "i64", "suspect"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
--- /dev/null
+++ b/tests/test_suspect_runs.py
@@ -0,0 +1,55 @@
+"""hibiscusstep.routing.suspect_runs: suspected requests are kept apart."""
+
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.routing.slots import SlotDispatcher
+
+
+def _dispatcher(targets=2):
+    planned = {f"t{n}": PlannedTarget(4) for n in range(targets)}
+    dispatcher = SlotDispatcher("p", Plan({"p": PlannedPool(True, targets=planned)}))
+    dispatcher.handle(m.Recovered(), 0.0)
+    return dispatcher
+
+
+def _ask(dispatcher, ask, suspect=0, at=1.0):
+    work = m.Work(
+        ask, ask, "i", "c", "0", 0, 500, 100, 100.0, at, suspect=suspect
+    )  # fmt: skip
+    return _grants(dispatcher.handle(m.Ask(work), at))
+
+
+def _grants(decisions):
+    return {d.work.ask: d.target for d in decisions if isinstance(d, m.Grant)}
+
+
+class TestSuspects:
+    def test_two_never_run_beside_each_other(self):
+        """One of them may be sound: the next crash must not count against it."""
+        dispatcher = _dispatcher(2)
+        placed = _ask(dispatcher, "a", 7) | _ask(dispatcher, "b", 8)
+        assert len(set(placed.values())) == 2
+        assert _ask(dispatcher, "c", 9) == {}
+
+    def test_the_same_runs_once_at_a_time(self):
+        """Whatever it does, it does to one target before it is known."""
+        dispatcher = _dispatcher(3)
+        assert _ask(dispatcher, "a", 7)
+        assert _ask(dispatcher, "again", 7) == {}
+        done = m.Finished("a", m.Outcome.DONE, 10)
+        assert _grants(dispatcher.handle(done, 2.0)).keys() == {"again"}
+
+    def test_others_run_as_ever(self):
+        dispatcher = _dispatcher(2)
+        _ask(dispatcher, "a", 7)
+        _ask(dispatcher, "b", 8)
+        granted = {}
+        for number in range(6):
+            granted |= _ask(dispatcher, f"sound{number}")
+        assert len(granted) == 6
+
+    def test_one_that_waits_holds_up_nobody(self):
+        dispatcher = _dispatcher(1)
+        _ask(dispatcher, "a", 7)
+        _ask(dispatcher, "waits", 8)
+        assert _ask(dispatcher, "sound").keys() == {"sound"}
