Sight: attempt lines tell what a target says of itself

A target that leaves says so in all its answers, and one that turns a request away may say for how long; neither was read, so nothing in logs could show it. Both are read in the adapter and logged. No change of logic.

--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -86,6 +86,11 @@
         The target's load; -1 if it does not say.
     idle_timeout : float
         Seconds for which the target keeps an idle connection; 0 if not known.
+    leaving : bool
+        Whether the target says that it takes no new work.
+    stay_away : float
+        Seconds for which the target wants nothing more from this instance; 0 if it
+        does not say.
     """
 
     request: str
@@ -96,6 +101,8 @@
     running: int
     waiting: int
     idle_timeout: float
+    leaving: bool = False
+    stay_away: float = 0.0
 
 
 class Dialect(ABC):
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -95,6 +95,7 @@
         self._grant: Granted | None = None
         self._granted_at = 0.0
         self._pace = Pace(incoming.received)
+        self._answer: AnswerHead | None = None
 
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
@@ -206,6 +207,7 @@
     async def _attempt(self, target: DiscoveredTarget) -> _Next | None:
         """Send the request to a target; None once the answer has been passed on."""
         connection = None
+        self._answer = None
         outcome = m.Outcome.CANCELLED
         started = self._now()
         cause = ""
@@ -307,6 +309,8 @@
             counted=self._in.claim.tokens if self._in.claim else 0,
             target_revision=target.revision,
             fingerprint=self._shown_fingerprint(outcome),
+            says_it_leaves=self._answer is not None and self._answer.leaving,
+            stay_away=self._answer.stay_away if self._answer else 0.0,
             routine=outcome is m.Outcome.DONE,
         )
 
@@ -341,6 +345,7 @@
                 reply = await connection.next_reply()
                 answer = dialect.read_answer(reply.message.code, reply.message.headers)
                 if answer.request == incoming.head.request:
+                    self._answer = answer
                     self._report(target, answer)
                     return reply, answer
                 # The answer to an earlier request on this connection.
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -5,6 +5,9 @@
 __all__ = ["PlatformDialect"]
 
 _MISDIRECTED = 421
+_TURNED_AWAY = 503
+# A target that asks for more is asked again after this; it may mean a date.
+MAX_STAY_AWAY_S = 300.0
 _HOP = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade "
     b"content-length proxy-authenticate proxy-authorization expect".split()
@@ -65,6 +68,9 @@
             running=running,
             waiting=waiting,
             idle_timeout=_keep_alive(headers.get("Keep-Alive", "")),
+            # Of a misdirected request another target than the one meant answers.
+            leaving=headers.get("Server-Leaving") == "1" and status != _MISDIRECTED,
+            stay_away=_stay_away(status, headers),
         )
 
     def answer_fields(self, raw):
@@ -91,6 +97,16 @@
         return None
 
 
+def _stay_away(status: int, headers) -> float:
+    """Return the seconds of a refusal's ``Retry-After``; 0 if there are none."""
+    if status != _TURNED_AWAY:
+        return 0.0
+    seconds = _number(headers.get("Retry-After"))
+    if seconds is None or not seconds > 0:
+        return 0.0
+    return min(seconds, MAX_STAY_AWAY_S)
+
+
 def _keep_alive(text: str) -> float:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,42 @@
+"""hibiscusstep.platform.headers: what a target's fields say of itself."""
+
+import pytest
+from multidict import CIMultiDict
+
+from hibiscusstep.platform.headers import MAX_STAY_AWAY_S, PlatformDialect
+
+
+def _read(status=200, **fields):
+    headers = CIMultiDict({name.replace("_", "-"): v for name, v in fields.items()})
+    return PlatformDialect().read_answer(status, headers)
+
+
+class TestLeaving:
+    @pytest.mark.parametrize("status", [200, 404, 500, 503])
+    def test_any_answer_may_say_it(self, status):
+        assert _read(status, Server_Leaving="1").leaving
+
+    @pytest.mark.parametrize("value", ["", "0", "yes", "11"])
+    def test_nothing_else_means_it(self, value):
+        assert not _read(Server_Leaving=value).leaving
+        assert not _read().leaving
+
+    def test_another_target_at_the_address_speaks_for_itself(self):
+        assert not _read(421, Server_Leaving="1").leaving
+
+
+class TestStayAway:
+    def test_a_refusal_tells_for_how_long(self):
+        assert _read(503, Retry_After="2.5").stay_away == 2.5
+
+    @pytest.mark.parametrize("status", [200, 429, 500])
+    def test_other_answers_do_not(self, status):
+        assert _read(status, Retry_After="2.5").stay_away == 0.0
+
+    @pytest.mark.parametrize("value", ["", "-3", "0", "nan", "soon", "Fri, 4 Dec 2026"])
+    def test_what_is_no_time_counts_as_absent(self, value):
+        assert _read(503, Retry_After=value).stay_away == 0.0
+
+    @pytest.mark.parametrize("value", ["1e9", "inf"])
+    def test_it_is_bounded(self, value):
+        assert _read(503, Retry_After=value).stay_away == MAX_STAY_AWAY_S
