A target's removal counts also where it is told before the entry

What callers would have seen: requests sent to a target that is gone, on an instance that heard of its removal from a peer before it heard of the target.

Cause: a removal of what is not known was dropped, so an older state of the entry that came later was taken for news. Found by a property test of another matter, on its first run; the test of entries in any order had the case among its steps and did not draw it.

Why the mend holds: the removal's revision is kept, as for what was known, and an entry that is made anew has a higher one. Failed before, passes now.

--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -309,7 +309,12 @@
 
     def _remove(self, change: Change, now: float) -> bool:
         known = self._targets.get(change.name)
-        if known is None or known.revision > change.revision:
+        if known is None:
+            # Told in another order than it happened: the entry's older state is late.
+            before = self._removed.get(change.name, -1)
+            self._removed[change.name] = max(before, change.revision)
+            return False
+        if known.revision > change.revision:
             return False
         if now < self._trusted_at:
             self._missing.setdefault(change.name, self._trusted_at)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -315,6 +315,17 @@
         assert "t1@2000" in watched.targets
         assert "t1@1000" not in watched.targets
 
+    def test_a_removal_that_is_told_before_the_entry(self):
+        told = {"now": {}}
+        catalog = Catalog(
+            None, None, None, lambda all_, _: told.update(now=all_), lambda _name: None
+        )
+        changes = [Change("t", None, 3), Change("t", _target(1, 2), 2)]
+        asyncio.run(_tell_all(catalog, changes))
+        assert told["now"] == {}
+        asyncio.run(_tell_all(catalog, [Change("t", _target(1, 4), 4)]))
+        assert list(told["now"]) == ["t@1"]
+
     @given(st.data())
     def test_entries_late_doubled_and_in_any_order(self, data):
         """What is known at the end is what the newest entry says."""
@@ -327,7 +338,7 @@
             item = None if step == "gone" else _target(born, revision)
             history.append(Change("t", item, revision))
         doubled = history + data.draw(st.lists(st.sampled_from(history), max_size=8))
-        told = {}
+        told = {"now": {}}
         catalog = Catalog(
             None, None, None, lambda all_, _: told.update(now=all_), lambda _name: None
         )
