What a target says of itself in its answers is acted on: it leaves

What callers saw: requests went to a target for up to 6 s after it had told in answers that it leaves; when it stopped, they would have been cut.

Cause: only the store's list, or a refusal with 421 at the dispatcher of that moment, told of a leaving target. With the store away nothing did. Class: what one instance is told stays where it was heard.

The mend: the instance that reads it puts it into its catalog of targets, and that tells the others as any change of a target, so all instances, those that start and the dispatchers know it without a mechanism of its own. It holds by the target's name until it starts again, whatever its entry says and in whatever order it is told (property test). What was granted before is given back unsent; connections to it are closed.

--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -11,7 +11,14 @@
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.store import Change, Feed, HistoryLost, Listing
 
-__all__ = ["Catalog", "Follow", "TableNews", "TargetListing", "TargetNews"]
+__all__ = [
+    "Catalog",
+    "Follow",
+    "SaidLeaving",
+    "TableNews",
+    "TargetListing",
+    "TargetNews",
+]
 
 _LOG = logging.getLogger(__name__)
 TICK_S = 0.25
@@ -48,6 +55,19 @@
     listing: Listing
 
 
+@dataclass(frozen=True, slots=True)
+class SaidLeaving:
+    """A target said in an answer that it takes no new work.
+
+    Parameters
+    ----------
+    target : DiscoveredTarget
+        As it was known when it was asked.
+    """
+
+    target: DiscoveredTarget
+
+
 @dataclass(frozen=True, slots=True)
 class Follow:
     """Whether the store is followed, or only what peers tell."""
@@ -72,8 +92,10 @@
     """Follows the store's two feeds when told; takes what peers hand on as well.
 
     Versions of the table only grow. A target's state is the one of the highest
-    revision, of its newest incarnation. A target that vanishes around an outage of the
-    store stays until `LAPSE_GRACE_S` after the return.
+    revision, of its newest incarnation. One that was seen leaving, or said so in an
+    answer to any instance, stays so until it starts again: the store may not be there
+    to tell it, and whatever else its entry says is older. A target that vanishes
+    around an outage of the store stays until `LAPSE_GRACE_S` after the return.
 
     Parameters
     ----------
@@ -106,6 +128,8 @@
         self._targets: dict[str, DiscoveredTarget] = {}
         self._last_seen: dict[str, DiscoveredTarget] = {}
         self._removed: dict[str, int] = {}
+        # By name: those that were seen leaving, or said so, since they started.
+        self._leaving: set[str] = set()
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
         self._followers: list[asyncio.Task] = []
@@ -166,6 +190,8 @@
                 self._take_changes(changes)
             case TargetListing(listing=listing):
                 self._take_listing(listing, recovered=False)
+            case SaidLeaving(target=target):
+                self._take_word(target)
             case Follow(store=follows):
                 self._switch(follows)
             case Tick():
@@ -275,7 +301,14 @@
         if last and target.incarnation < last.incarnation:
             return False
         self._missing.pop(name, None)
+        if target.leaving:
+            self._leaving.add(target.name)
+        elif target.name in self._leaving:
+            target = replace(target, leaving=True)
         known = self._targets.get(name)
+        if known and self._only_leaves(known, target):
+            self._set_leaving(name, known)
+            return True
         if known == target or self._removed.get(name, -1) >= target.revision:
             return False
         if known and known.revision >= target.revision:
@@ -283,19 +316,29 @@
         if last and target.incarnation > last.incarnation:
             self._note_restart(last, target)
             known = None
-        elif known and known.leaving and not target.leaving:
-            target = replace(target, leaving=True)
         self._targets[name] = self._last_seen[name] = target
         if known is None or known.leaving != target.leaving:
-            decision(
-                "target-leaving" if target.leaving else "target-seen",
-                target=target.name,
-                pool=target.pool,
-                address=target.address,
-                revision=target.revision,
-            )
+            _log_state(target)
         return True
 
+    def _only_leaves(self, known: DiscoveredTarget, news: DiscoveredTarget) -> bool:
+        """Whether all that is new is that a target leaves, by its own word."""
+        older = news.revision <= known.revision
+        same = news.name == known.name
+        return same and older and news.leaving and not known.leaving
+
+    def _set_leaving(self, name: str, known: DiscoveredTarget) -> None:
+        target = replace(known, leaving=True)
+        self._targets[name] = self._last_seen[name] = target
+        _log_state(target)
+
+    def _take_word(self, target: DiscoveredTarget) -> None:
+        """Take a target's own word that it leaves, unless it has started again."""
+        last = self._last_seen.get(target.id)
+        if last and last.name == target.name:
+            leaving = replace(target, leaving=True)
+            self._take_changes([Change(target.id, leaving, target.revision)])
+
     def _note_restart(self, last: DiscoveredTarget, target: DiscoveredTarget) -> None:
         """Tell that an incarnation is over, with all that ran there."""
         decision(
@@ -343,3 +386,13 @@
         self._published = True
         targets = {target.name: target for target in self._targets.values()}
         self._on_targets(targets, changes)
+
+
+def _log_state(target: DiscoveredTarget) -> None:
+    decision(
+        "target-leaving" if target.leaving else "target-seen",
+        target=target.name,
+        pool=target.pool,
+        address=target.address,
+        revision=target.revision,
+    )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -144,6 +144,11 @@
                 if len(self._avoid) > MAX_UNKNOWN_TARGETS:
                     return self._refused(UNKNOWN_RETRY_S, "unknown targets")
                 continue
+            if target.leaving:
+                # It said so to this instance, or to another one, since it was granted.
+                self._end(m.Outcome.LEAVING)
+                self._avoid.append(target.name)
+                continue
             if self._in.claim and not self._in.claim.take():
                 self._end(m.Outcome.UNUSED)
                 return self._refused(QUOTA_RETRY_S, "over the quota", 429)
@@ -344,6 +349,8 @@
             while True:
                 reply = await connection.next_reply()
                 answer = dialect.read_answer(reply.message.code, reply.message.headers)
+                if answer.leaving and not target.leaving:
+                    self._means.on_leaving(target)
                 if answer.request == incoming.head.request:
                     self._answer = answer
                     self._report(target, answer)
@@ -379,7 +386,7 @@
         return None
 
     def _keep(self, connection, reply, answer, target) -> None:
-        if reply.message.should_close:
+        if reply.message.should_close or answer.leaving:
             connection.abort()
         else:
             self._means.connections.release(
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -1,5 +1,6 @@
 """hibiscusstep.forwarding.incoming: an admitted request, and what serves it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import xxhash
@@ -123,6 +124,8 @@
         What is counted.
     quarantine : Quarantine
         Knows which requests crash their targets.
+    on_leaving : callable of DiscoveredTarget
+        Is told of a target that said in an answer that it leaves.
     """
 
     instance: str
@@ -135,3 +138,4 @@
     targets: dict[str, DiscoveredTarget]
     metrics: ForwardingMetrics
     quarantine: Quarantine
+    on_leaving: Callable[[DiscoveredTarget], None]
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -16,7 +16,7 @@
 from hibiscusstep.forwarding.beliefs import BeliefKeeper
 from hibiscusstep.forwarding.border import ForwardingBorder
 from hibiscusstep.forwarding.bounds import Bounds
-from hibiscusstep.forwarding.catalog import Catalog, Follow, TableNews
+from hibiscusstep.forwarding.catalog import Catalog, Follow, SaidLeaving, TableNews
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.incoming import Means
 from hibiscusstep.forwarding.kept_use import KeptUseWorker
@@ -307,6 +307,7 @@
             self._targets,
             self._metrics,
             self._quarantine,
+            lambda target: self._catalog.tell(SaidLeaving(target)),
         )
         self._border = ForwardingBorder(self._means, self._quotas)
         self._workers: list[Worker] = [
@@ -399,11 +400,15 @@
     def _on_targets(
         self, targets: dict[str, DiscoveredTarget], changes: list[Change]
     ) -> None:
-        gone = self._targets.keys() - targets.keys()
+        unused = [
+            name
+            for name in self._targets
+            if name not in targets or targets[name].leaving
+        ]
         self._targets.clear()
         self._targets.update(targets)
         self._targets_known = True
-        for name in gone:
+        for name in unused:
             self._connections.forget(name)
         self._publish_plan()
         self._spread.tell_changes(changes)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -347,6 +347,37 @@
         assert told["now"] == ({newest.name: newest} if newest else {})
 
 
+class TestLeavingByItsOwnWord:
+    """Answers tell it to one instance, which tells the others; the list may not."""
+
+    @given(st.data())
+    def test_holds_until_it_starts_again_in_whatever_order_it_is_told(self, data):
+        steps = data.draw(
+            st.lists(st.sampled_from(["start", "gone", "beat", "says so"]), max_size=8)
+        )
+        item = _target(1, 1)
+        history, left = [Change("t", item, 1)], set()
+        for revision, step in enumerate(steps, 2):
+            if step == "says so":
+                left.add(item.name)
+                word = replace(item, leaving=True)
+                history.append(Change("t", word, item.revision))
+                continue
+            item = _target(item.incarnation + (step == "start"), revision)
+            gone = step == "gone"
+            history.append(Change("t", None if gone else item, revision))
+        listed = [c for c in history if not (c.item and c.item.leaving)]
+        told = {"now": {}}
+        catalog = Catalog(
+            None, None, None, lambda all_, _: told.update(now=all_), lambda _name: None
+        )
+        asyncio.run(_tell_all(catalog, data.draw(st.permutations(history))))
+        newest = listed[-1].item
+        assert {n: t.leaving for n, t in told["now"].items()} == (
+            {newest.name: newest.name in left} if newest else {}
+        )
+
+
 def _target(born, revision):
     return DiscoveredTarget("t", "p", "127.0.0.1:1", "z", 2, False, revision, born)
 
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -125,7 +125,7 @@
             await site.call("/once/")
         assert again.requests
 
-    async def test_keeps_no_connections(self, site):
+    async def test_is_left_with_no_idle_connections(self, site):
         leaving = TargetStandIn("t0", _says_so("an answer"))
         await _start_and_hear(site, leaving)
         await _until(lambda: not leaving.open)
