A target that turns a request away for a time is left alone for so long

What callers saw: nothing directly; the target got up to 7 requests within 1.2 s of the 20 s for which it wanted none from that instance.

Cause: as of its leaving, what a refusal says was not read; the dispatcher rests a target that rejects for 0.1 s, doubled, for all instances, and forgets it with itself.

The mend: kept by the instance that was told, by target; an ask for a grant names the targets that rest, which are not granted; what was granted before is given back unsent. Where all targets of a pool rest, a request waits if that is over before a grant would be due, else its caller is told when the first may be asked. Other instances ask on: the target tells each for itself.

Why it holds: each send passes the check of the instance that was told.

--- a/hibiscusstep/duty.py
+++ b/hibiscusstep/duty.py
@@ -61,4 +61,5 @@
         now + info.ends_in if info.ends_in else 0.0,
         info.identity,
         info.suspect,
+        tuple(info.resting),
     )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -129,6 +129,8 @@
         while True:
             if self._is_quarantined():
                 return self._refuse_quarantined()
+            if seconds := await self._wait_for_rests():
+                return self._refused(seconds, "targets want nothing")
             reply = await self._place()
             if isinstance(reply, Refused):
                 return self._refused(reply.retry_after, reply.reason)
@@ -149,6 +151,10 @@
                 self._end(m.Outcome.LEAVING)
                 self._avoid.append(target.name)
                 continue
+            if means.rests.is_resting(target.name, self._now()):
+                # It turned another request away since this one asked.
+                self._end(m.Outcome.UNUSED)
+                continue
             if self._in.claim and not self._in.claim.take():
                 self._end(m.Outcome.UNUSED)
                 return self._refused(QUOTA_RETRY_S, "over the quota", 429)
@@ -163,11 +169,40 @@
             if not self._may_repeat(left):
                 return self._give_up(left)
 
+    @property
+    def _latest(self) -> float:
+        """When a dispatcher's answer is due, on the loop's clock."""
+        begun = self._now() if self._attempts else self._in.received
+        patience = PATIENCE * self._in.route.objective
+        return min(begun + patience, self._in.deadline)
+
+    async def _wait_for_rests(self) -> float:
+        """Wait where all targets of the pool want nothing from here for a moment.
+
+        Returns
+        -------
+        float
+            The seconds until one of them may be asked, where that is too long to wait;
+            else 0.
+        """
+        means, now = self._means, self._now()
+        if not means.rests.resting(now):
+            return 0.0
+        names = [
+            name
+            for name, target in means.targets.items()
+            if target.pool == self._in.pool and not target.leaving
+        ]
+        seconds = means.rests.until_any(names, now)
+        if now + seconds > self._latest:
+            return seconds
+        await asyncio.sleep(seconds)
+        return 0.0
+
     async def _place(self) -> Granted | Refused:
         incoming = self._in
-        head, route = incoming.head, incoming.route
+        head, latest = incoming.head, self._latest
         customer = incoming.customer.name if incoming.customer else ""
-        patience = PATIENCE * route.objective
         begun = self._now() if self._attempts else incoming.received
         work = WorkInfo(
             "",
@@ -186,8 +221,8 @@
             data_centre=self._means.data_centre,
             identity=incoming.identity,
             suspect=self._suspect(),
+            resting=self._means.rests.resting(self._now()),
         )
-        latest = min(begun + patience, incoming.deadline)
         wanted = GrantRequest(
             incoming.pool,
             work,
@@ -354,6 +389,10 @@
                 if answer.request == incoming.head.request:
                     self._answer = answer
                     self._report(target, answer)
+                    if answer.stay_away:
+                        self._means.rests.rest(
+                            target.name, answer.stay_away, self._now()
+                        )
                     return reply, answer
                 # The answer to an earlier request on this connection.
                 await self._drain(reply)
--- a/hibiscusstep/forwarding/incoming.py
+++ b/hibiscusstep/forwarding/incoming.py
@@ -15,6 +15,7 @@
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quota_claim import QuotaClaim
+from hibiscusstep.forwarding.rests import TargetRests
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 
 __all__ = ["Incoming", "Means"]
@@ -124,6 +125,8 @@
         What is counted.
     quarantine : Quarantine
         Knows which requests crash their targets.
+    rests : TargetRests
+        Targets that want nothing from this instance for now.
     on_leaving : callable of DiscoveredTarget
         Is told of a target that said in an answer that it leaves.
     """
@@ -138,4 +141,5 @@
     targets: dict[str, DiscoveredTarget]
     metrics: ForwardingMetrics
     quarantine: Quarantine
+    rests: TargetRests
     on_leaving: Callable[[DiscoveredTarget], None]
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -27,6 +27,7 @@
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaKeeper
+from hibiscusstep.forwarding.rests import TargetRests
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.spread import Spread
@@ -307,6 +308,7 @@
             self._targets,
             self._metrics,
             self._quarantine,
+            TargetRests(),
             lambda target: self._catalog.tell(SaidLeaving(target)),
         )
         self._border = ForwardingBorder(self._means, self._quotas)
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -6,7 +6,8 @@
   5: string tier, 6: i32 rank, 7: i32 prompt_tokens, 8: i32 output_tokens,
   9: double deadline_in, 10: double waited, 11: bool stoppable,
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
-  15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect
+  15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect,
+  19: list<string> resting
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -64,6 +64,7 @@
     ends_in: float = 0.0
     identity: int = 0
     suspect: int = 0
+    resting: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -95,6 +95,8 @@
         The same for all attempts of a caller at one request; 0 if not known.
     suspect : int
         The request's fingerprint if targets crashed under it, else 0.
+    resting : tuple of str
+        Targets that want nothing from the instance for now; none of them is granted.
     """
 
     ask: str
@@ -115,6 +117,7 @@
     ends: float = 0.0
     identity: int = 0
     suspect: int = 0
+    resting: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -338,6 +338,8 @@
         """Grant a request if one of the free targets is good for it."""
         free, worth_waiting = self._candidates(work, now)
         free = without_suspects(work, free, self._targets.values())
+        if work.resting:
+            free = [target for target in free if target.name not in work.resting]
         if not free:
             return False
         target = self._choice.choose(work, free, worth_waiting, now)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -27,6 +27,7 @@
         (16, "double", "ends_in"),
         (17, "i64", "identity"),
         (18, "i64", "suspect"),
+        (19, "list<string>", "resting"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
--- a/tests/test_suspect_runs.py
+++ b/tests/test_suspect_runs.py
@@ -53,3 +53,17 @@
         _ask(dispatcher, "a", 7)
         _ask(dispatcher, "waits", 8)
         assert _ask(dispatcher, "sound").keys() == {"sound"}
+
+
+class TestTargetsThatWantNothing:
+    def test_are_not_granted_to_the_instance_that_they_told(self):
+        dispatcher = _dispatcher(2)
+        work = m.Work(
+            "a", "a", "i", "c", "0", 0, 500, 100, 100.0, 1.0, resting=("t0",)
+        )  # fmt: skip
+        assert _grants(dispatcher.handle(m.Ask(work), 1.0)) == {"a": "t1"}
+        both = m.Work(
+            "b", "b", "i", "c", "0", 0, 500, 100, 100.0, 1.0, resting=("t0", "t1")
+        )  # fmt: skip
+        assert _grants(dispatcher.handle(m.Ask(both), 1.0)) == {}
+        assert _ask(dispatcher, "another's").keys() == {"another's"}
