--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import enum
-from functools import cached_property
 
-import orjson
 from aiohttp import web
 
 from hibiscusstep.dispatching import TargetLoad
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.connections import Connection, Reply
-from hibiscusstep.forwarding.crashes import BrokenRun
 from hibiscusstep.forwarding.dialect import AnswerHead, Order
 from hibiscusstep.forwarding.events import EventSplitter
 from hibiscusstep.forwarding.incoming import Incoming, Means
@@ -18,20 +15,16 @@
     DiscoveredTarget,
     Repeat,
 )
+from hibiscusstep.forwarding.own_answer import own_answer
 from hibiscusstep.forwarding.pace import Pace
-from hibiscusstep.forwarding.quota_claim import QUOTA_RETRY_S
-from hibiscusstep.grants import Ended, Granted, GrantRequest, Refused, Started
+from hibiscusstep.forwarding.placement import Placement, Refusal
+from hibiscusstep.forwarding.standing import Standing
 from hibiscusstep.log import decision
-from hibiscusstep.mailbox import MailboxFull
-from hibiscusstep.peer import WorkInfo
 from hibiscusstep.routing import messages as m
 
 __all__ = ["Exchange"]
 
 MAX_WHOLE_BYTES = 16 << 20
-# A dispatcher that does not know how long a request can be in time refuses it after
-# this part of its objective; one that does not answer at all has somewhat longer.
-PATIENCE = 0.25
 # An answer that has not begun after this many times its objective will not come: a
 # target that hangs is left for another one where the request may be repeated.
 HANG_FACTOR = 2.0
@@ -40,20 +33,12 @@
 STREAM_GAP_S = 2.0
 REPEATABLE_STATUS = 500
 DEADLINE_STATUS = 504
-# An instance that is cut off from the store hears of new targets from its peers.
-MAX_UNKNOWN_TARGETS = 3
-UNKNOWN_RETRY_S = 0.5
+# Another target, or the same one a moment later, may take what some did not.
+NOT_TAKEN_RETRY_S = 0.2
 # Targets that are tried without being reached, beside the attempts.
 MAX_UNREACHED = 4
 
 
-_PROBLEM_TYPE = "application/problem+json"
-_QUARANTINED = {
-    "title": "This request is quarantined",
-    "detail": "Targets crashed each time that they ran it, so it is sent to no other.",
-}
-
-
 class _Next(enum.Enum):
     """What an attempt that gave no whole answer leaves open."""
 
@@ -85,17 +70,16 @@
     def __init__(self, incoming: Incoming, means: Means) -> None:
         self._in = incoming
         self._means = means
-        self._avoid: list[str] = []
         self._attempts = 0
         self._may_have_run = False
         self._splitter = EventSplitter()
         self._splitter.last_id = incoming.head.last_event
         self._response: web.StreamResponse | None = None
         self._kept: web.Response | None = None
-        self._grant: Granted | None = None
-        self._granted_at = 0.0
         self._pace = Pace(incoming.received)
         self._answer: AnswerHead | None = None
+        self._standing = Standing(incoming, means.quarantine)
+        self._placement = Placement(incoming, means, self._standing)
 
     async def run(self) -> web.StreamResponse:
         """Return the response, sent or to be sent."""
@@ -127,123 +111,21 @@
         means, pool = self._means, self._in.pool
         means.retries.first_try(pool, self._now())
         while True:
-            if self._is_quarantined():
-                return self._refuse_quarantined()
-            if seconds := await self._wait_for_rests():
-                return self._refused(seconds, "targets want nothing")
-            reply = await self._place()
-            if isinstance(reply, Refused):
-                return self._refused(reply.retry_after, reply.reason)
-            if self._is_quarantined():
-                # The targets crashed under other attempts while this one waited.
-                self._end(m.Outcome.UNUSED)
-                return self._refuse_quarantined()
-            target = means.targets.get(reply.target)
-            if target is None:
-                # The dispatcher knows a target that has not been heard of here yet.
-                self._end(m.Outcome.UNUSED)
-                self._avoid.append(reply.target)
-                if len(self._avoid) > MAX_UNKNOWN_TARGETS:
-                    return self._refused(UNKNOWN_RETRY_S, "unknown targets")
-                continue
-            if target.leaving:
-                # It said so to this instance, or to another one, since it was granted.
-                self._end(m.Outcome.LEAVING)
-                self._avoid.append(target.name)
-                continue
-            if means.rests.is_resting(target.name, self._now()):
-                # It turned another request away since this one asked.
-                self._end(m.Outcome.UNUSED)
-                continue
-            if self._in.claim and not self._in.claim.take():
-                self._end(m.Outcome.UNUSED)
-                return self._refused(QUOTA_RETRY_S, "over the quota", 429)
+            target = await self._placement.find_target(repeats=self._attempts > 0)
+            if isinstance(target, Refusal):
+                return self._refused(target)
             self._attempts += 1
+            self._pace.begin_attempt()
             left = await self._attempt(target)
             if left is None:
                 return self._response
-            self._avoid.append(target.name)
-            if left is _Next.UNSENT and len(self._avoid) <= MAX_UNREACHED:
+            tried = self._placement.avoid(target)
+            if left is _Next.UNSENT and tried <= MAX_UNREACHED:
                 self._attempts -= 1
                 continue
             if not self._may_repeat(left):
                 return self._give_up(left)
 
-    @property
-    def _latest(self) -> float:
-        """When a dispatcher's answer is due, on the loop's clock."""
-        begun = self._now() if self._attempts else self._in.received
-        patience = PATIENCE * self._in.route.objective
-        return min(begun + patience, self._in.deadline)
-
-    async def _wait_for_rests(self) -> float:
-        """Wait where all targets of the pool want nothing from here for a moment.
-
-        Returns
-        -------
-        float
-            The seconds until one of them may be asked, where that is too long to wait;
-            else 0.
-        """
-        means, now = self._means, self._now()
-        if not means.rests.resting(now):
-            return 0.0
-        names = [
-            name
-            for name, target in means.targets.items()
-            if target.pool == self._in.pool and not target.leaving
-        ]
-        seconds = means.rests.until_any(names, now)
-        if now + seconds > self._latest:
-            return seconds
-        await asyncio.sleep(seconds)
-        return 0.0
-
-    async def _place(self) -> Granted | Refused:
-        incoming = self._in
-        head, latest = incoming.head, self._latest
-        customer = incoming.customer.name if incoming.customer else ""
-        begun = self._now() if self._attempts else incoming.received
-        work = WorkInfo(
-            "",
-            head.request,
-            self._means.instance,
-            customer,
-            str(incoming.rank),
-            incoming.rank,
-            head.prompt_tokens,
-            max(1, head.expected_output),
-            0.0,
-            0.0,
-            False,
-            [],
-            list(self._avoid),
-            data_centre=self._means.data_centre,
-            identity=incoming.identity,
-            suspect=self._suspect(),
-            resting=self._means.rests.resting(self._now()),
-        )
-        wanted = GrantRequest(
-            incoming.pool,
-            work,
-            latest,
-            False,
-            _never_stopped,
-            incoming.due,
-            incoming.deadline,
-        )
-        try:
-            reply = await self._means.desk.ask(wanted)
-        except MailboxFull:
-            reply = Refused(m.Reason.LOAD, 1.0)
-        if isinstance(reply, Granted):
-            waited = self._now() - begun
-            self._means.metrics.queue_wait.observe({"pool": incoming.pool}, waited)
-            self._grant = reply
-            self._pace.begin_attempt()
-            self._granted_at = self._now()
-        return reply
-
     async def _attempt(self, target: DiscoveredTarget) -> _Next | None:
         """Send the request to a target; None once the answer has been passed on."""
         connection = None
@@ -261,8 +143,8 @@
             outcome = _OUTCOMES[left]
             if left is None and _is_failure(reply.message.code):
                 outcome = m.Outcome.FAILED
-            elif left is None and not self._means.quarantine.is_empty:
-                self._means.quarantine.answered(self._fingerprint)
+            elif left is None:
+                self._standing.answered()
             if left is _Next.NOT_RUN:
                 self._may_have_run = may_have_run_before
                 if answer.misdirected:
@@ -274,7 +156,9 @@
                 outcome = m.Outcome.UNREACHABLE
                 return _Next.UNSENT
             outcome = m.Outcome.BROKEN
-            self._note_broken(target)
+            self._standing.broke(
+                target, self._placement.granted_at, not self._pace.events
+            )
             return _Next.BROKEN
         except (_Spoilt, TimeoutError) as error:
             if self._now() >= self._in.deadline:
@@ -289,39 +173,12 @@
         finally:
             if connection is not None and outcome not in _READ_WHOLE:
                 connection.abort()
-            self._end(outcome)
+            self._placement.end(outcome, self._pace, self._attempts == 1)
             self._note_attempt(target, outcome, cause, started)
 
-    def _is_quarantined(self) -> bool:
-        """Whether targets crashed under other attempts at this request."""
-        quarantine = self._means.quarantine
-        return not quarantine.is_empty and quarantine.holds(self._fingerprint)
-
-    def _suspect(self) -> int:
-        """Return the fingerprint if targets crashed under this request, else 0."""
-        quarantine = self._means.quarantine
-        if quarantine.is_empty or not quarantine.is_suspected(self._fingerprint):
-            return 0
-        return self._fingerprint
-
-    def _refuse_quarantined(self) -> web.StreamResponse:
-        """Tell the caller why, and when the request would be served again."""
-        seconds = self._means.quarantine.expires_in(self._fingerprint)
-        problem = {**_QUARANTINED, "fingerprint": f"{self._fingerprint:016x}"}
-        return self._refused(seconds, "quarantined", problem=problem)
-
-    def _note_broken(self, target: DiscoveredTarget) -> None:
-        """Hold it against the request if the target has crashed."""
-        run = BrokenRun(
-            self._in.head.request,
-            self._fingerprint,
-            began=self._granted_at,
-            early=not self._pace.events,
-        )
-        self._means.quarantine.broke(target, run)
-
     def _note_attempt(self, target, outcome: m.Outcome, cause: str, started) -> None:
         metrics, pool = self._means.metrics, target.pool
+        broken = outcome is m.Outcome.BROKEN
         metrics.attempts.inc({"pool": pool, "outcome": outcome})
         if self._attempts > 1:
             metrics.repeats.inc({"pool": pool})
@@ -348,20 +205,12 @@
             customer=self._in.customer.name if self._in.customer else "",
             counted=self._in.claim.tokens if self._in.claim else 0,
             target_revision=target.revision,
-            fingerprint=self._shown_fingerprint(outcome),
+            fingerprint=self._standing.fingerprint if broken else "",
             says_it_leaves=self._answer is not None and self._answer.leaving,
             stay_away=self._answer.stay_away if self._answer else 0.0,
             routine=outcome is m.Outcome.DONE,
         )
 
-    def _shown_fingerprint(self, outcome: m.Outcome) -> str:
-        return f"{self._fingerprint:016x}" if outcome is m.Outcome.BROKEN else ""
-
-    @cached_property
-    def _fingerprint(self) -> int:
-        """What all attempts of callers at this request share."""
-        return self._in.fingerprint()
-
     async def _send(
         self, connection: Connection, target: DiscoveredTarget
     ) -> tuple[Reply, AnswerHead]:
@@ -476,10 +325,8 @@
 
     def _note_events(self, count: int) -> None:
         """Measure the pace; tell the dispatcher when the prompt has been read."""
-        now = self._now()
-        if self._pace.note(count, now) and self._grant is not None:
-            seconds = now - self._granted_at
-            self._means.desk.tell(Started(self._in.pool, self._grant.ask, seconds))
+        if self._pace.note(count, self._now()):
+            self._placement.begun()
 
     async def _pass_on(self, reply: Reply, data: bytes) -> None:
         if self._response is None:
@@ -526,36 +373,24 @@
             return False
         if self._response is not None and route.repeat is not Repeat.RESUME:
             return False
-        if left is _Next.BROKEN and not self._may_break_another():
+        if left is _Next.BROKEN and not self._standing.may_be_repeated:
             return False
         self._splitter.drop_rest()
         return self._means.retries.take(self._in.pool, self._now())
 
-    def _may_break_another(self) -> bool:
-        """Whether a broken request may be sent on, as far as other attempts tell."""
-        quarantine = self._means.quarantine
-        return quarantine.is_empty or quarantine.may_be_repeated(self._fingerprint)
-
     def _give_up(self, left: _Next) -> web.StreamResponse:
         if left is _Next.FAILED and self._kept is not None:
             return self._kept
         if left in (_Next.NOT_RUN, _Next.UNSENT) and not self._may_have_run:
-            return self._refused(0.2, "targets took it not")
+            return self._refused(Refusal(NOT_TAKEN_RETRY_S, "targets took it not"))
         return self._fail(502, "no whole answer")
 
-    def _refused(
-        self,
-        retry_after: float,
-        reason,
-        status: int = 503,
-        problem: dict[str, str] | None = None,
-    ) -> web.StreamResponse:
+    def _refused(self, refusal: Refusal) -> web.StreamResponse:
         if self._may_have_run or self._response is not None:
-            why = f"refused after an attempt: {reason}"
-            return self._fail(502, why, problem)
-        self._log_end(status, str(reason))
-        headers = {"Retry-After": f"{retry_after:.2f}"}
-        return _own_answer(status, problem, headers)
+            why = f"refused after an attempt: {refusal.reason}"
+            return self._fail(502, why, refusal.problem)
+        self._log_end(refusal.status, refusal.reason)
+        return own_answer(refusal.status, refusal.problem, refusal.retry_after)
 
     def _fail(
         self, status: int, why: str, problem: dict[str, str] | None = None
@@ -564,7 +399,7 @@
         if self._response is None:
             if self._kept is not None:
                 return self._kept
-            return _own_answer(status, problem)
+            return own_answer(status, problem)
         transport = self._in.request.transport
         if transport is not None:
             transport.abort()
@@ -588,20 +423,6 @@
             report = m.LoadReport(target.name, answer.running, answer.waiting, False)
             self._means.dispatching.tell(TargetLoad(target.pool, report))
 
-    def _end(self, outcome: m.Outcome) -> None:
-        if self._grant is None:
-            return
-        ended = Ended(
-            self._in.pool,
-            self._grant.ask,
-            outcome,
-            self._pace.events,
-            self._pace.decode_seconds,
-            longest_pause=self._pace.longest_pause if self._attempts == 1 else 0.0,
-        )
-        self._grant = None
-        self._means.desk.tell(ended)
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -623,22 +444,6 @@
     return status >= REPEATABLE_STATUS and status != DEADLINE_STATUS
 
 
-def _own_answer(
-    status: int, problem: dict[str, str] | None, headers: dict | None = None
-) -> web.Response:
-    """Return an answer of the instance's own; `problem` tells the caller why."""
-    if problem is None:
-        return web.Response(status=status, headers=headers)
-    body = orjson.dumps({**problem, "status": status})
-    return web.Response(
-        status=status, headers=headers, body=body, content_type=_PROBLEM_TYPE
-    )
-
-
-def _never_stopped() -> None:
-    """Nothing that runs is stopped here."""
-
-
 def _serialize(incoming: Incoming, fields) -> bytes:
     request = incoming.request
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("latin-1")]
