Quarantine: what is told again now and then stays small

All that was known of up to 1,024 requests went to each neighbour every five seconds: 150 KB a time after a flood, far beyond what control may cost. Told again are what is quarantined and the 32 newest of the last 15 s; new neighbours still get all. A test of 500 suspects failed before (no bound).

--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -207,7 +207,7 @@
         self._table.forget_old(now)
         self._detector.forget_old(now)
         if self._ticks % TELL_ALL_EVERY == 0:
-            self._tell(self._table.states(now), self._neighbours)
+            self._tell(self._table.recent(now), self._neighbours)
         keeps = self._view.settled and self._view.has_duty(_DUTY, self._address)
         if keeps and (self._keeping is None or self._keeping.done()):
             # A store that does not answer must not hold up what peers tell.
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -26,6 +26,9 @@
 # it, behind a cut, must not bring the crashes back.
 KEEP_CLEARED_S = 120.0
 MAX_SUSPECTS = 1024
+# What is told again now and then stays small however many targets crash.
+RECENT_S = 15.0
+MAX_RECENT = 32
 MAX_CRASHES = 16
 
 
@@ -46,7 +49,7 @@
     at: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Suspect:
     """A request under which targets crashed.
 
@@ -200,6 +203,18 @@
         """Return all that is known, as others are told."""
         return [self.state(suspect, now) for suspect in self._suspects.values()]
 
+    def recent(self, now: float) -> list[SuspectState]:
+        """Return what is quarantined, and the newest of what changed lately."""
+        held = self.quarantined
+        changed = [
+            suspect
+            for suspect in self._suspects.values()
+            if now - max(suspect.newest, suspect.cleared_at) < RECENT_S
+            and suspect not in held
+        ]
+        newest = sorted(changed, key=lambda s: max(s.newest, s.cleared_at))
+        return [self.state(s, now) for s in (*held, *newest[-MAX_RECENT:])]
+
     def state(self, suspect: Suspect, now: float) -> SuspectState:
         """Return what is known of a request, as others are told."""
         return SuspectState(
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,6 +11,7 @@
     KEEP_CLEARED_S,
     KEEP_S,
     LATE_WEIGHT,
+    MAX_RECENT,
     MAX_SUSPECTS,
     SuspectTable,
 )
@@ -136,3 +137,13 @@
         _crash(table, 200, first=200)
         (state,) = table.states(400.0)
         assert len(state.targets) + len(state.cleared) < 50
+
+    def test_what_is_told_again_stays_small(self):
+        table = SuspectTable()
+        now = _crash(table, 3)
+        for number in range(500):
+            table.crashed(1000 + number, "t", EARLY_WEIGHT, now, now)
+        told = table.recent(now)
+        assert len(told) <= 1 + MAX_RECENT
+        assert told[0].fingerprint == REQUEST
+        assert [state.fingerprint for state in table.recent(now + 60)] == [REQUEST]
