--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import itertools
 import json
 import socket
@@ -32,6 +33,8 @@
         Method and path of each call.
     spoil : tuple of bytes or None
         Bytes of answers that are replaced, and by what.
+    era : str or None
+        Rises by one with each restore from a copy; in a field of all answers.
     """
 
     def __init__(self) -> None:
@@ -43,6 +46,7 @@
         self.refused: set[str] = set()
         self.calls: list[str] = []
         self.spoil: tuple[bytes, bytes] | None = None
+        self.era: str | None = "1"
         self._changed = asyncio.Event()
         self._stopped = False
         self._runner: web.AppRunner | None = None
@@ -51,6 +55,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         app = web.Application()
+        app.on_response_prepare.append(self._tell_era)
         app.router.add_get(ROOT + "/{kind}", self._get)
         app.router.add_get(ROOT + "/{kind}/{name}", self._get_one)
         app.router.add_post(ROOT + "/{kind}", self._create)
@@ -95,6 +100,21 @@
         self.revision += 1
         return self.objects.pop((kind, name))
 
+    async def _tell_era(self, _request, response) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+
+    def copy(self) -> tuple[int, dict]:
+        """Return a copy of all objects, with its revision."""
+        return self.revision, copy.deepcopy(self.objects)
+
+    def restore(self, kept: tuple[int, dict]) -> None:
+        """Come back from a copy: what was written since is gone, as are watches."""
+        self.revision, self.objects = kept[0], copy.deepcopy(kept[1])
+        self.history = [entry for entry in self.history if entry[0] <= self.revision]
+        self.era = str(int(self.era) + 1)
+        self._wake()
+
     def forget_history(self) -> None:
         """Drop the history; watches from before get 410."""
         self.history = []
@@ -144,7 +164,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 while not self._stopped:
-                    if since < self.oldest:
+                    if not self.oldest <= since <= self.revision:
                         return web.Response(status=410)
                     events = self._events(kind, since)
                     if events:
