The store may come back from an older copy: era and revision are one order

What callers would have seen: after a restore, requests to targets that leave or are gone, for ever, since their new revisions are lower than the known ones; changes missed where a revision was given out again; targets that the copy lacks kept for ever.

Cause: revisions were taken for a clock that never goes back, and the field of the answers that tells of a restore was dropped.

A watch or a list over a restore is begun anew. What the copy lacks has the time of an outage's return to be written again, else it is gone. A configuration goes by its own version as before. Records of instances, customers' use and the quarantine are written again by who knows them, records within 2 s of each other.

--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -95,7 +95,8 @@
     revision, of its newest incarnation. One that was seen leaving, or said so in an
     answer to any instance, stays so until it starts again: the store may not be there
     to tell it, and whatever else its entry says is older. A target that vanishes
-    around an outage of the store stays until `LAPSE_GRACE_S` after the return.
+    around an outage of the store, or its restore from an older copy, stays until
+    `LAPSE_GRACE_S` after it.
 
     Parameters
     ----------
@@ -132,6 +133,7 @@
         self._leaving: set[str] = set()
         self._missing: dict[str, float] = {}
         self._trusted_at = 0.0
+        self._era = 0
         self._followers: list[asyncio.Task] = []
         self._follows = False
         self._revision = 0
@@ -259,8 +261,9 @@
         """Take a whole list; what is not on it is gone, or may have lapsed."""
         now = asyncio.get_running_loop().time()
         self._raise_revision(listing.revision)
-        if recovered:
+        if recovered or (self._era and listing.era > self._era):
             self._trusted_at = now + LAPSE_GRACE_S
+        self._era = max(self._era, listing.era)
         gone = [
             Change(name, None, listing.revision)
             for name, target in self._targets.items()
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import random
 import secrets
 from collections import Counter
 from functools import partial
@@ -65,7 +66,7 @@
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slots import SlotDispatcher
-from hibiscusstep.store import Change
+from hibiscusstep.store import Change, StoreRestored
 from hibiscusstep.supervisor import Child, Restart, Supervisor
 
 __all__ = ["ForwardingInstance"]
@@ -74,6 +75,8 @@
 # A dispatcher that is silent for so long is taken for paused or cut off.
 STANDBY_AFTER_S = 0.12
 SWEEP_INTERVAL_S = 0.5
+REGISTER_RETRY_S = 1.0
+REGISTER_SPREAD_S = 2.0
 METRICS_RETRY_S = 5.0
 # Between the longest idle time of callers and ours, so that ours is never the shorter.
 IDLE_MARGIN_S = 5.0
@@ -115,6 +118,7 @@
         self._leaving = False
         self._follows_store = True
         self._began = asyncio.get_running_loop().time()
+        self._unregistered = asyncio.Event()
         self.started = asyncio.Event()
 
     @property
@@ -179,6 +183,7 @@
     async def run(self) -> None:
         """Run until cancelled or until an essential task fails."""
         self._make_workers()
+        self._around.on_store_restored(self._on_store_restored)
         children = [
             *(Child(worker.name, worker.run) for worker in self._workers),
             Child("sweeper", self._sweep),
@@ -432,11 +437,22 @@
             _LOG.error("configuration of a peer refused", extra={"error": str(error)})
 
     async def _register(self) -> None:
+        """Put this instance on the roster, again where a restore may have lost it."""
         while True:
-            done = await self._around.register()
-            if done.is_ok():
-                return
-            await asyncio.sleep(1.0)
+            self._unregistered.clear()
+            while (await self._around.register()).is_err():
+                await asyncio.sleep(REGISTER_RETRY_S)
+            await self._unregistered.wait()
+            # Hundreds of instances hear of a restore in the same moment.
+            await asyncio.sleep(random.random() * REGISTER_SPREAD_S)
+
+    def _on_store_restored(self, before: int, era: int) -> None:
+        """Have written again what this instance keeps in the store."""
+        decision("store-restored", before=before, era=era)
+        self._metrics.gauge("store_era", era)
+        self._unregistered.set()
+        for worker in (self._quotas, self._quarantine):
+            worker.tell(StoreRestored())
 
     async def _sweep(self) -> None:
         eligible = False
--- a/hibiscusstep/forwarding/kept_use.py
+++ b/hibiscusstep/forwarding/kept_use.py
@@ -87,6 +87,10 @@
         recent = list(itertools.chain.from_iterable(rows))
         return Usage(_INCARNATION, UsageScope.KEPT, near, totals, recent)
 
+    def forget(self) -> None:
+        """Take what was written for lost."""
+        self._written = None
+
     def _used_since(self, ledger: UsageLedger, name: str) -> float:
         """Return what a customer used since it was listed."""
         if self._written is None or name not in self._written:
--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -19,7 +19,7 @@
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, SuspectState, SuspectStates
 from hibiscusstep.peerlink import Send
-from hibiscusstep.store import SuspectStore
+from hibiscusstep.store import StoreRestored, SuspectStore
 
 __all__ = ["Quarantine"]
 
@@ -158,6 +158,8 @@
                 self._take_states(states, sender)
             case ViewChanged(view=view):
                 self._take_view(view)
+            case StoreRestored():
+                self._written = frozenset()
             case Tick():
                 self._take_tick()
 
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -18,6 +18,7 @@
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, Usage, UsageAsk, UsageHistory, UsageScope
 from hibiscusstep.peerlink import Send
+from hibiscusstep.store import StoreRestored
 
 __all__ = ["CustomersChanged", "QuotaKeeper"]
 
@@ -140,6 +141,8 @@
             case KeptUse(usage=usage):
                 self._ledger.take_kept(usage, now)
                 self._tell_followers(now)
+            case StoreRestored():
+                self._recorder.forget()
             case Received(sender=sender, message=body):
                 self._take_from_peer(body, sender, now)
 
--- a/hibiscusstep/forwarding/surroundings.py
+++ b/hibiscusstep/forwarding/surroundings.py
@@ -42,6 +42,9 @@
         Makes a routing table of what a peer handed on.
     read_bounds : callable
         Reads the bounds again.
+    on_store_restored : callable of callable
+        Takes what is to be told when the store came back from an older copy: the eras
+        before and since.
     close : callable
         Returns an awaitable that gives back the sockets.
     caller_socket : socket.socket or None
@@ -62,5 +65,6 @@
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
+    on_store_restored: Callable[[Callable[[int, int], None]], None]
     close: Callable
     caller_socket: socket.socket | None = None
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -3,6 +3,7 @@
 import json
 import logging
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import aiohttp
@@ -18,6 +19,7 @@
 )
 from hibiscusstep.forwarding.left_out import LeftOut
 from hibiscusstep.platform import fields as f
+from hibiscusstep.platform.eras import EraTracker, join_revision, split_revision
 from hibiscusstep.store import (
     BeliefStore,
     Change,
@@ -41,6 +43,7 @@
 
 _LOG = logging.getLogger(__name__)
 _ROOT = "/hibiscusstep/objects"
+_ERA_FIELD = "Store-Era"
 # A call takes some milliseconds; a slow store takes about 0.25 s.
 CALL_TIMEOUT_S = 1.5
 # Beyond the time that the store itself waits for a change.
@@ -53,6 +56,14 @@
 _Decode = Callable[[str, int, dict, dict], object]
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A decoded answer of the store, and the era in which it was given."""
+
+    body: dict
+    era: int
+
+
 class ObjectClient:
     """Calls of the store, one HTTP request each, none repeated here.
 
@@ -60,16 +71,31 @@
     ----------
     address : str
         IP number and port.
+
+    Attributes
+    ----------
+    eras : EraTracker
+        Of the store.
     """
 
     def __init__(self, address: str) -> None:
         self._root = f"http://{address}{_ROOT}"
+        self.eras = EraTracker()
         self._session: aiohttp.ClientSession | None = None
 
     async def call(
         self, method: str, path: str, *, query=None, body=None, extra: float = 0.0
     ) -> Result[dict, PlatformError]:
         """Return the decoded answer of one call; `extra` seconds it may wait."""
+        reply = await self.call_in_era(
+            method, path, query=query, body=body, extra=extra
+        )
+        return reply.map(lambda answer: answer.body)
+
+    async def call_in_era(
+        self, method: str, path: str, *, query=None, body=None, extra: float = 0.0
+    ) -> Result[_Answer, PlatformError]:
+        """Return the answer of one call with its era; see `call`."""
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
             self._session = aiohttp.ClientSession(connector=connector)
@@ -87,8 +113,9 @@
                 timeout=timeout,
             ) as response:
                 status, text = response.status, await response.read()
+                era = self.eras.read(response.headers.get(_ERA_FIELD))
             if status in (200, 201):
-                return Ok(_parse(text) if text else {})
+                return Ok(_Answer(_parse(text) if text else {}, era))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as cause:
             detail = f"no answer: {type(cause).__name__}"
             return Err(PlatformUnavailable(detail, step=step, peer="store"))
@@ -97,18 +124,22 @@
 
     async def list_all(
         self, kind: str, **query: str
-    ) -> Result[tuple[list[dict], int], PlatformError]:
-        """Return all objects of a kind, page by page, and the store's revision."""
+    ) -> Result[tuple[list[dict], int, int], PlatformError]:
+        """Return all objects of a kind, page by page, the store's revision and era."""
         items: list[dict] = []
+        eras: set[int] = set()
         while True:
-            reply = await self.call("GET", kind, query=query)
+            reply = await self.call_in_era("GET", kind, query=query)
             if reply.is_err():
                 return reply
-            page = reply.unwrap()
+            page = reply.unwrap().body
+            eras.add(reply.unwrap().era)
+            if len(eras) > 1:
+                return Err(_restored(f"list {kind}"))
             try:
                 items += page["Items"]
                 if not page.get("HasMore"):
-                    return Ok((items, int(page["At"])))
+                    return Ok((items, int(page["At"]), *eras))
                 query["After"] = items[-1]["Metadata"]["Name"]
             except f.MALFORMED as cause:
                 return Err(_malformed(kind, cause))
@@ -186,16 +217,17 @@
         listed = await self._client.list_all(self._kind)
         if listed.is_err():
             return listed
-        found, revision = listed.unwrap()
-        decoded = (self._change(item, revision) for item in found)
+        found, revision, era = listed.unwrap()
+        decoded = (self._change(item, era, revision) for item in found)
         items = {change.name: change.item for change in decoded if change}
         usable = {name: item for name, item in items.items() if item is not None}
-        return Ok(Listing(usable, revision))
+        return Ok(Listing(usable, join_revision(era, revision), era))
 
     async def watch(self, revision: int, timeout: float):
-        """Return the changes since a revision."""
-        query = {"Watch": str(revision), "WaitMs": str(int(timeout * 1000))}
-        reply = await self._client.call(
+        """Return the changes since a revision, `HistoryLost` over a restore."""
+        era, since = split_revision(revision)
+        query = {"Watch": str(since), "WaitMs": str(int(timeout * 1000))}
+        reply = await self._client.call_in_era(
             "GET",
             self._kind,
             query=query,
@@ -204,18 +236,27 @@
         if reply.is_err():
             return reply
         answer = reply.unwrap()
+        if answer.era != era:
+            # The revision from which it went on was given out again.
+            return Err(_restored(f"watch {self._kind}"))
         try:
-            at = int(answer["At"])
+            at = int(answer.body["At"])
             changes = [
                 change
-                for event in answer.get("events", ())
-                if (change := self._change(event["Object"], at, event.get("Removed")))
+                for event in answer.body.get("events", ())
+                if (
+                    change := self._change(
+                        event["Object"], era, at, event.get("Removed")
+                    )
+                )
             ]
         except f.MALFORMED as cause:
             return Err(_malformed(self._kind, cause))
-        return Ok((changes, at))
+        return Ok((changes, join_revision(era, at)))
 
-    def _change(self, item: dict, at: int, removed: bool = False) -> Change | None:
+    def _change(
+        self, item: dict, era: int, at: int, removed: bool = False
+    ) -> Change | None:
         """Return what an object is now: nothing, where it is gone or malformed.
 
         Its revision is its own, not that of the answer: an object that is made anew in
@@ -226,6 +267,7 @@
             name, revision = metadata["Name"], metadata.get("Revision", at)
             if not isinstance(name, str) or type(revision) is not int:
                 raise ValueError("no name and revision")
+            revision = join_revision(era, revision)
         except f.MALFORMED as cause:
             self._leave_out("", at, cause)
             return None
@@ -392,6 +434,10 @@
         raise ValueError("nested too deeply") from None
 
 
+def _restored(step: str) -> HistoryLost:
+    return HistoryLost("restored from an older copy", step=step, peer="store")
+
+
 def _malformed(kind: str, cause: Exception) -> PlatformError:
     detail = f"malformed answer: {cause!r}"
     return PlatformUnavailable(detail, step=f"read {kind}", peer="store")
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -16,6 +16,7 @@
     "Listing",
     "Platform",
     "Roster",
+    "StoreRestored",
     "SuspectStore",
     "UseStore",
     "Versioned",
@@ -63,6 +64,11 @@
     capacity: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store came back from an older copy: what was written lately is gone."""
+
+
 class Roster(ABC):
     """Knows which instances there are; behind the truth by seconds."""
 
@@ -72,7 +78,7 @@
 
 
 class HistoryLost(PlatformError):
-    """The changes since a revision are forgotten; list again."""
+    """The changes since a revision are not to be had; list again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,10 +92,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind by name, and the store's revision at that moment."""
+    """All objects of a kind by name, and the store's revision at that moment.
+
+    `era` rises when the store came back from an older copy, which may lack objects for
+    a moment; 0 where it is not known. A revision of a higher era is higher.
+    """
 
     items: dict[str, object]
     revision: int
+    era: int = 0
 
 
 class Feed(ABC):
