--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -12,6 +12,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 
+from hibiscusstep.clock import elapsed
 from hibiscusstep.errors import TargetError
 
 __all__ = ["Connection", "ConnectionPool", "Reply"]
@@ -178,6 +179,9 @@
 class ConnectionPool:
     """Connections by target: the idle ones, to be reused, and those in use.
 
+    How long one was idle counts while the machine is suspended too: its target closes
+    it meanwhile.
+
     Attributes
     ----------
     opened : int
@@ -198,7 +202,7 @@
             If none can be made; nothing was sent.
         """
         loop = asyncio.get_running_loop()
-        connection = self._take_idle(loop, name)
+        connection = self._take_idle(name)
         if connection is None:
             connection = await self._connect(loop, name, address)
         self._in_use[name].add(connection)
@@ -214,15 +218,15 @@
             connection = await self._connect(loop, name, address)
         except TargetError as error:
             return error.refused
-        connection.idle_until = loop.time() + UNNAMED_IDLE_S
+        connection.idle_until = elapsed() + UNNAMED_IDLE_S
         self._idle[name].append(connection)
         return False
 
-    def _take_idle(self, loop, name: str) -> Connection | None:
+    def _take_idle(self, name: str) -> Connection | None:
         idle = self._idle[name]
         while idle:
             connection = idle.pop()
-            if connection.usable and loop.time() < connection.idle_until:
+            if connection.usable and elapsed() < connection.idle_until:
                 return connection
             connection.abort()
         return None
@@ -244,9 +248,7 @@
         if not connection.usable:
             return
         span = idle_timeout - IDLE_MARGIN_S if idle_timeout else UNNAMED_IDLE_S
-        connection.idle_until = asyncio.get_running_loop().time() + min(
-            MAX_IDLE_S, max(span, 0.0)
-        )
+        connection.idle_until = elapsed() + min(MAX_IDLE_S, max(span, 0.0))
         self._idle[name].append(connection)
 
     def forget(self, name: str) -> None:
@@ -266,7 +268,7 @@
 
     def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
-        now = asyncio.get_running_loop().time()
+        now = elapsed()
         for name, idle in list(self._idle.items()):
             kept = []
             for connection in idle:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from hibiscusstep.clock import SuspensionWatch
 from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.desk import Desk
 from hibiscusstep.dispatching import Dispatching
@@ -119,6 +120,7 @@
         self._follows_store = True
         self._began = asyncio.get_running_loop().time()
         self._unregistered = asyncio.Event()
+        self._suspended_s = 0.0
         self.started = asyncio.Event()
 
     @property
@@ -456,9 +458,11 @@
 
     async def _sweep(self) -> None:
         eligible = False
+        suspensions = SuspensionWatch()
         for sweeps in itertools.count(1):
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._connections.sweep()
+            self._note_suspension(suspensions.check())
             self._choose_sources()
             self._spread.ask_for_newer_table()
             if sweeps % TELL_TARGETS_EVERY == 0:
@@ -467,6 +471,12 @@
                 eligible = True
                 self._membership.tell(OwnState(ready=True))
 
+    def _note_suspension(self, seconds: float) -> None:
+        if seconds:
+            self._suspended_s += seconds
+            decision("machine-suspended", seconds=round(seconds, 3))
+            self._metrics.gauge("suspended_seconds", self._suspended_s)
+
     async def _serve_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self._around.ready_path, self._say_ready)
--- a/hibiscusstep/platform/eras.py
+++ b/hibiscusstep/platform/eras.py
@@ -37,16 +37,18 @@
     ----------
     era : int
         The highest that was told; 0 while none was.
-    on_restored : callable of int, int
-        Is told of a restore: the era before, and the one since.
     """
 
     def __init__(self) -> None:
         self.era = 0
-        self.on_restored: Callable[[int, int], None] = lambda before, since: None
+        self._on_restored: Callable[[int, int], None] | None = None
         self._late = 0
         self._complained_of: str | None = None
 
+    def tell(self, on_restored: Callable[[int, int], None]) -> None:
+        """Tell of each restore: the era before, and the one since."""
+        self._on_restored = on_restored
+
     def read(self, field: str | None) -> int:
         """Return the era of an answer by its header field.
 
@@ -71,8 +73,8 @@
 
     def _rise(self, era: int) -> None:
         before, self.era = self.era, era
-        if before:
-            self.on_restored(before, era)
+        if before and self._on_restored:
+            self._on_restored(before, era)
 
     def _complain(self, field: str | None) -> None:
         """Log a field that can't be what it should, once for each value of it."""
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -70,7 +70,7 @@
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
-        on_store_restored=lambda told: setattr(client.eras, "on_restored", told),
+        on_store_restored=client.eras.tell,
         close=client.close,
         caller_socket=caller_socket,
     )
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,26 @@
+"""hibiscusstep.clock: suspensions are noticed."""
+
+from hibiscusstep import clock
+from hibiscusstep.clock import SuspensionWatch, elapsed
+
+
+class TestElapsed:
+    def test_goes_on(self):
+        assert elapsed() <= elapsed()
+
+
+class TestSuspensionWatch:
+    async def test_tells_each_suspension_once(self, monkeypatch):
+        now = {"elapsed": 100.0, "steady": 7.0}
+        monkeypatch.setattr(clock, "elapsed", lambda: now["elapsed"])
+        monkeypatch.setattr(clock, "_steady", lambda: now["steady"])
+        watch = SuspensionWatch()
+        now["elapsed"] += 0.5
+        now["steady"] += 0.5
+        assert watch.check() == 0.0
+        now["elapsed"] += 5.5
+        now["steady"] += 0.5
+        assert watch.check() == 5.0
+        now["elapsed"] += 0.6
+        now["steady"] += 0.5
+        assert watch.check() == 0.0
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -6,7 +6,9 @@
 import pytest
 from platform_standin import TargetStandIn, answer
 
+from hibiscusstep.clock import elapsed
 from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding import connections as module
 from hibiscusstep.forwarding.connections import ConnectionPool
 
 BOUND_S = 10
@@ -42,6 +44,18 @@
         assert target.connections == 1
         pool.close()
 
+    async def test_not_after_the_machine_was_suspended(self, target, monkeypatch):
+        """The loop's clock stood still; the target has closed it meanwhile."""
+        pool = ConnectionPool()
+        connection, _reply, _body = await _exchange(pool, target)
+        pool.release("t", connection, 5.0)
+        woken = elapsed() + 6.0
+        monkeypatch.setattr(module, "elapsed", lambda: woken)
+        again = await pool.acquire("t", target.address)
+        assert again is not connection
+        pool.close()
+        again.abort()
+
     async def test_bytes_behind_an_answer_end_the_connection(self, target):
         target.script = lambda n, fields, body: answer(fields) + b"HTTP/1.1 200 OK\r\n"
         pool = ConnectionPool()
