Soak: requests that crash targets, targets that say they leave, an older store

Three faults more, drawn from a list of their own so that earlier seeds stay as they are. Checked: a crashing request reaches no more than three targets later than five seconds after its third crash; an instance that passed on that a target leaves sends nothing there three seconds later, in the same process.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,7 @@
 
 from soak_ledger import Ledger, Seen  # noqa: E402
 from soak_proxy import Mode  # noqa: E402
-from soak_world import POOL, SLOTS, World  # noqa: E402
+from soak_world import CRASH_FIELD, LEAVING_FIELD, POOL, SLOTS, World  # noqa: E402
 
 KINDS = ("safe", "once", "resume", "stream")
 CUSTOMERS = {"key-one": "one", "key-uno": "one", "key-two": "two", "key-none": ""}
@@ -32,6 +32,8 @@
 CALLER_TIMEOUT_S = 20.0
 DEADLINE_MS = 4000
 SETTLED_CALLS = 5
+CRASHING_CALLS = 30
+CRASHING_PAUSE_S = 0.4
 SETTLED_WITHIN_S = 30.0
 ODD_ENTRIES = (
     None,
@@ -81,9 +83,13 @@
             **(FORGED if self._rng.random() < 0.2 else {}),
         }
         url = f"http://{instance.callers.address}/{kind}/p"
+        process, sent_at = instance.process.pid, time.monotonic()
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 await self._exchange(session, url, fields, seen)
+        if seen.seal:
+            target, now = seen.seal.rpartition(".")[2], time.monotonic()
+            self._ledger.passed_on(process, target, sent_at, now, seen.leaves)
         return seen
 
     async def _exchange(self, session, url, fields, seen):
@@ -91,6 +97,7 @@
         async with session.post(url, headers=fields, data=body) as response:
             seen.status = response.status
             seen.seal = response.headers.get("X-Response-Seal", "")
+            seen.leaves = LEAVING_FIELD in response.headers
             leaves = self._rng.random() < 0.03
             async for data in response.content.iter_any():
                 seen.body += data
@@ -237,6 +244,52 @@
     async def _configure(self, span):
         self._world.configure()
 
+    async def _crashing_request(self, span):
+        """A request that crashes targets comes again and again, anywhere."""
+        replacing = asyncio.create_task(self._world.replace_crashed(span / 4))
+        name = f"crash{len(self.told)}"
+        try:
+            async with aiohttp.ClientSession() as session:
+                for number in range(CRASHING_CALLS):
+                    await self._send_crashing(session, name, number)
+                    await asyncio.sleep(CRASHING_PAUSE_S)
+        finally:
+            replacing.cancel()
+            await self._world.replace_all_crashed()
+
+    async def _send_crashing(self, session, name, number):
+        instance = self._instance()
+        fields = {
+            "Host": "h.example",
+            "X-Request-Id": f"{name}-{number}",
+            "Authorization": "Bearer key-one",
+            "X-Request-Deadline-Ms": "2000",
+            CRASH_FIELD: name,
+        }
+        url = f"http://{instance.caller_address}/once/{name}"
+        with contextlib.suppress(OSError, TimeoutError, aiohttp.ClientError):
+            async with (
+                asyncio.timeout(2.0),
+                session.post(url, headers=fields, data=name.encode()) as response,
+            ):
+                await response.read()
+
+    async def _says_it_leaves(self, span):
+        """A target tells in its answers that it leaves; the list tells it later."""
+        world = self._world
+        target = self._rng.choice([t for t in world.targets if not t.left_at])
+        await world.add_target()
+        target.says_so = True
+        await asyncio.sleep(6.0 + span)
+        if target not in world.targets or target.crashed.is_set():
+            return
+        leaving = target.entry(POOL, state="draining", slots=SLOTS)
+        world.store.put("servers", target.name, leaving)
+        target.left_at = time.monotonic()
+
+    async def _store_restored(self, span):
+        await self._world.restore_store(span)
+
     KINDS = (
         _kill, _term, _herd, _pause, _reload, _store_down, _store_forgets, _store_path,
         _caller_path, _resets, _silence, _target_fault, _target_leaves, _target_dies,
@@ -244,6 +297,10 @@
     )  # fmt: skip
     # The seeds of earlier soaks were drawn from the kinds above, and stay as they are.
     ALL_KINDS = (*KINDS, _target_restarts, _target_restarts, _odd_entries)
+    NEWEST_KINDS = (
+        *ALL_KINDS, _crashing_request, _crashing_request, _says_it_leaves,
+        _says_it_leaves, _store_restored, _store_restored,
+    )  # fmt: skip
 
 
 async def soak(
@@ -311,7 +368,7 @@
     for seed in _parse(seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         findings, told = asyncio.run(
-            soak(seed, folder, instances, seconds, kinds=Faults.ALL_KINDS)
+            soak(seed, folder, instances, seconds, kinds=Faults.NEWEST_KINDS)
         )
         click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {told[0]}")
         for line in findings[:20]:
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -7,6 +7,12 @@
 REPEATABLE = {"safe", "resume"}
 # Attempts of one request on targets that lived all the while, by the configuration.
 MAX_ATTEMPTS = 2
+# Two seconds are promised for a target that says that it leaves; one is for a busy
+# machine.
+DRAIN_S = 3.0
+# Later than that after a request's third crash it reaches few targets more.
+CONTACT_S = 5.0
+MOST_LATE_CRASHES = 3
 
 
 @dataclass
@@ -36,6 +42,8 @@
         Of the target, as it came.
     where : str
         The instance.
+    leaves : bool
+        Whether the target said in it that it leaves.
     """
 
     kind: str
@@ -45,6 +53,7 @@
     body: bytes = b""
     seal: str = ""
     where: str = ""
+    leaves: bool = False
 
 
 @dataclass
@@ -55,16 +64,36 @@
     seen: dict[str, Seen] = field(default_factory=dict)
     crashed: set[str] = field(default_factory=set)
     late: list[str] = field(default_factory=list)
+    # When targets crashed, by the request that did it, and what was sent of it: when,
+    # and whether its instance had run undisturbed for long enough.
+    crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    # When an instance first passed on that a target leaves, by process and target.
+    heard: dict[tuple[int, str], float] = field(default_factory=dict)
 
     def findings(self):
         """Return a line for each broken promise."""
         lines = [f"after it had left: {what}" for what in self.late]
+        for request, times in self.crashes.items():
+            lines += self._of_crashes(request, sorted(times))
         for name, runs in self.runs.items():
             lines += self._of_runs(name, runs)
         for name, seen in self.seen.items():
             lines += self._of_answer(name, seen)
         return lines
 
+    def _of_crashes(self, request, times):
+        late = [at for at in times[3:] if at > times[2] + CONTACT_S]
+        if len(late) > MOST_LATE_CRASHES:
+            yield f"{request}: {len(late)} crashes long after its third, {len(times)}"
+
+    def passed_on(self, process, target, sent_at, now, leaves):
+        """Note an answer of a target through an instance; what was sent too late."""
+        heard = self.heard.get((process, target))
+        if heard is not None and sent_at > heard + DRAIN_S:
+            self.late.append(f"{target}, {sent_at - heard:.1f} s after its own word")
+        if leaves:
+            self.heard.setdefault((process, target), now)
+
     def _of_runs(self, name, runs):
         seen = self.seen.get(name)
         if seen is None:
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -22,6 +22,9 @@
 from soak_proxy import Proxy
 
 POOL = "pool-a"
+# A target that gets it crashes; by its value requests are told apart.
+CRASH_FIELD = "x-crash"
+LEAVING_FIELD = "Server-Leaving"
 GRACE_S = 2
 SLOTS = 6
 READY_PATH = "/hibiscusstep/ready"
@@ -40,17 +43,24 @@
         What it does to some requests: '', 'grey', 'shed', 'reset', 'garble', 'slow'.
     left_at : float
         When the store was told that it leaves; 0 if it does not.
+    says_so : bool
+        Whether all its answers tell that it leaves.
     """
 
     def __init__(self, name, ledger, rng, born=0):
         super().__init__(name, self._work, born)
         self.fault = ""
         self.left_at = 0.0
+        self.says_so = False
         self._ledger = ledger
         self._rng = rng
 
     def _work(self, _number, fields, _body):
         name = fields.get("x-request-id", "")
+        if CRASH_FIELD in fields:
+            self._ledger.crashes[fields[CRASH_FIELD]].append(time.monotonic())
+            self._ledger.crashed.add(self.name)
+            return ["crash"]
         hit = self.fault and self._rng.random() < 0.4
         if hit and self.fault == "shed":
             return answer(fields, b"", status=503, sealed=False, not_run=True)
@@ -64,6 +74,8 @@
 
     def _answer(self, name, fields, fault):
         seal = f"X-Response-Seal: {name}.{self.name}"
+        if self.says_so:
+            seal += f"\n{LEAVING_FIELD}: 1"
         if fault == "grey":
             yield answer(fields, b"failed", status=500, sealed=False, extra=seal)
         elif self._is_stream(fields):
@@ -80,7 +92,8 @@
                     yield b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore"
 
     def _stream(self, name, fields, seal, fault):
-        yield stream_head(fields).replace(b"X-Response-Seal: seal-of-{}", seal.encode())
+        lines = seal.replace("\n", "\r\n").encode()
+        yield stream_head(fields).replace(b"X-Response-Seal: seal-of-{}", lines)
         after = int(fields.get("last-event-id", 0))
         for event in events(name)[after:]:
             if fault in ("reset", "garble") and self._rng.random() < 0.1:
@@ -262,6 +275,39 @@
         self.store.put("servers", target.name, target.entry(POOL, slots=SLOTS))
         return target
 
+    async def replace_crashed(self, after):
+        """Start another target for each that crashes, until cancelled."""
+        while True:
+            if any(target.crashed.is_set() for target in self.targets):
+                await asyncio.sleep(after)
+                await self.replace_all_crashed()
+            await asyncio.sleep(0.05)
+
+    async def replace_all_crashed(self):
+        """Start another target for each that has crashed."""
+        for target in [t for t in self.targets if t.crashed.is_set()]:
+            self.targets.remove(target)
+            self.store.remove("servers", target.name)
+            await self.add_target()
+
+    async def restore_store(self, span):
+        """Bring the store back from a copy; who wrote to it writes again."""
+        kept = self.store.copy()
+        await asyncio.sleep(span)
+        document = self.store.objects["config", "main"]["Spec"]
+        self.store.restore(kept)
+        await asyncio.sleep(span / 10)
+        self.store.put("config", "main", document)
+        living = {t.name: t for t in self.targets if not t.crashed.is_set()}
+        listed = [name for kind, name in self.store.objects if kind == "servers"]
+        for name in listed:
+            if name not in living:
+                self.store.remove("servers", name)
+        for target in living.values():
+            state = "draining" if target.left_at else "ready"
+            entry = target.entry(POOL, state=state, slots=SLOTS)
+            self.store.put("servers", target.name, entry)
+
     async def restart_target(self, target, reset):
         """Start a target again under its id; all that it held is lost.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,23 @@
         assert not findings, told
 
 
+class TestSoakOfWhatTargetsSay:
+    """Requests that crash targets, targets that say they leave, an older store."""
+
+    KINDS = (
+        Faults._crashing_request, Faults._says_it_leaves, Faults._store_restored,
+        Faults._kill, Faults._term,
+    )  # fmt: skip
+
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [301, 302])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, told = await soak(
+            seed, tmp_path, 3, seconds=4.0, faults=6, callers=6, kinds=self.KINDS
+        )
+        assert not findings, told
+
+
 class TestSignalsUntilTheEnd:
     """A process that had served all ended by a second signal instead of with 0.
 
