Suspects: one more crash never makes a request weigh less

Found while reading: crashes were chained by their ends, so one behind many events (half the weight) that ended first could take the place of one that weighs more, and a quarantined request was released by it. The heaviest chain is taken now. The test failed before.

--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -1,5 +1,6 @@
 """hibiscusstep.forwarding.suspects: requests under which targets crashed."""
 
+import bisect
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -72,17 +73,21 @@
 
     @property
     def weight(self) -> float:
-        """Weight of the crashes whose runs followed one another.
+        """The most that crashes weigh whose runs followed one another.
 
         Of runs beside each other one counts: what ends many targets at once, as a loss
         of power, says nothing of a request that ran on several of them.
         """
-        total, last = 0.0, float("-inf")
-        for crash in sorted(self.crashes.values(), key=lambda crash: crash.at):
-            if crash.began >= last - TRANSIT_S:
-                total += crash.weight
-                last = crash.at
-        return total
+        crashes = sorted(self.crashes.values(), key=lambda crash: crash.at)
+        ends = [crash.at for crash in crashes]
+        # The most that the first so many of them weigh.
+        most = [0.0]
+        for crash in crashes:
+            before = bisect.bisect_right(
+                ends, crash.began + TRANSIT_S, hi=len(most) - 1
+            )
+            most.append(max(most[-1], most[before] + crash.weight))
+        return most[-1]
 
     @property
     def newest(self) -> float:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -49,6 +49,12 @@
             table.crashed(REQUEST, f"t{number}", EARLY_WEIGHT, 0.0, 1 + number / 1000)
         assert not table.is_quarantined(REQUEST)
 
+    def test_one_more_crash_never_weighs_less(self):
+        table = SuspectTable()
+        _crash(table, 3)
+        table.crashed(REQUEST, "slow", LATE_WEIGHT, -5.0, -0.05)
+        assert table.is_quarantined(REQUEST)
+
     def test_a_target_crashes_once(self):
         table = SuspectTable()
         for now in range(9):
