Suspects that wait for a target of their own hold up nobody behind them

What callers would have seen: behind eight waiting copies of a request that runs once at a time, others waited for the next tick though slots were free.

Cause: only the first eight that wait are weighed for a free slot, and those that may not go where there is room counted among them. They make the number larger now, up to 64. The test failed before.

--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -28,6 +28,8 @@
 
 # So many of the waiting requests are weighed for the free targets at a time.
 WEIGHED = 8
+# At the most, where some of them may go to few targets only.
+MOST_WEIGHED = 64
 # A grant is on its way to its instance for less than this.
 GRANT_TRANSIT_S = 0.7
 # How fast all targets work together changes slowly against this.
@@ -311,10 +313,14 @@
             return
         while self._has_room(now) and self._try_owed(now):
             pass
-        passed_over = 0
-        while passed_over < min(WEIGHED, len(self._queue)) and self._has_room(now):
-            if not self._try(self._queue[passed_over], now):
+        passed_over, weighed = 0, WEIGHED
+        while passed_over < min(weighed, len(self._queue)) and self._has_room(now):
+            work = self._queue[passed_over]
+            if not self._try(work, now):
                 passed_over += 1
+                if work.suspect or work.resting:
+                    # What may not go where there is room holds up nobody behind it.
+                    weighed = min(MOST_WEIGHED, weighed + 1)
 
     def _try_owed(self, now: float) -> bool:
         """Grant a request of a rank that is owed one; whether one was granted."""
--- a/tests/test_suspect_runs.py
+++ b/tests/test_suspect_runs.py
@@ -54,6 +54,17 @@
         _ask(dispatcher, "waits", 8)
         assert _ask(dispatcher, "sound").keys() == {"sound"}
 
+    def test_many_that_wait_hold_up_nobody(self):
+        dispatcher = _dispatcher(1)
+        _ask(dispatcher, "a", 7)
+        for number in range(3):
+            _ask(dispatcher, f"busy{number}")
+        for number in range(20):
+            _ask(dispatcher, f"waits{number}", 7, at=1.1)
+        _ask(dispatcher, "sound", at=1.2)
+        done = m.Finished("busy0", m.Outcome.DONE, 10)
+        assert _grants(dispatcher.handle(done, 2.0)).keys() == {"sound"}
+
 
 class TestTargetsThatWantNothing:
     def test_are_not_granted_to_the_instance_that_they_told(self):
