Soak: a target's word is kept by its start, not by its id; seed 319 is a regression case

Seed 319 found four requests 3.3 to 4.2 s after a target's own word that it leaves. The trace: the target said so at 20.46 s, started again under its id at 21.45 s and never said it since; all four went to the new start. That is allowed (a new start knows nothing of before), so the check was wrong: it now goes by the start, which the stand-in tells in a field of its answers.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,14 @@
 
 from soak_ledger import Ledger, Seen  # noqa: E402
 from soak_proxy import Mode  # noqa: E402
-from soak_world import CRASH_FIELD, LEAVING_FIELD, POOL, SLOTS, World  # noqa: E402
+from soak_world import (  # noqa: E402
+    CRASH_FIELD,
+    LEAVING_FIELD,
+    POOL,
+    SLOTS,
+    START_FIELD,
+    World,
+)
 
 KINDS = ("safe", "once", "resume", "stream")
 CUSTOMERS = {"key-one": "one", "key-uno": "one", "key-two": "two", "key-none": ""}
@@ -89,6 +96,7 @@
                 await self._exchange(session, url, fields, seen)
         if seen.seal:
             target, now = seen.seal.rpartition(".")[2], time.monotonic()
+            target = f"{target}@{seen.start}"
             self._ledger.passed_on(process, target, sent_at, now, seen.leaves)
         return seen
 
@@ -98,6 +106,7 @@
             seen.status = response.status
             seen.seal = response.headers.get("X-Response-Seal", "")
             seen.leaves = LEAVING_FIELD in response.headers
+            seen.start = response.headers.get(START_FIELD, "")
             leaves = self._rng.random() < 0.03
             async for data in response.content.iter_any():
                 seen.body += data
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -44,6 +44,8 @@
         The instance.
     leaves : bool
         Whether the target said in it that it leaves.
+    start : str
+        Which start of the target gave it.
     """
 
     kind: str
@@ -54,6 +56,7 @@
     seal: str = ""
     where: str = ""
     leaves: bool = False
+    start: str = ""
 
 
 @dataclass
@@ -67,7 +70,7 @@
     # When targets crashed, by the request that did it, and what was sent of it: when,
     # and whether its instance had run undisturbed for long enough.
     crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
-    # When an instance first passed on that a target leaves, by process and target.
+    # When an instance first passed on that a target leaves, by process and start.
     heard: dict[tuple[int, str], float] = field(default_factory=dict)
 
     def findings(self):
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -25,6 +25,8 @@
 # A target that gets it crashes; by its value requests are told apart.
 CRASH_FIELD = "x-crash"
 LEAVING_FIELD = "Server-Leaving"
+# Tells callers which start of a target answered; its id may be that of another one.
+START_FIELD = "X-Start"
 GRACE_S = 2
 SLOTS = 6
 READY_PATH = "/hibiscusstep/ready"
@@ -73,7 +75,7 @@
         return [*pause, *self._answer(name, fields, self.fault if hit else "")]
 
     def _answer(self, name, fields, fault):
-        seal = f"X-Response-Seal: {name}.{self.name}"
+        seal = f"X-Response-Seal: {name}.{self.name}\n{START_FIELD}: {self.born}"
         if self.says_so:
             seal += f"\n{LEAVING_FIELD}: 1"
         if fault == "grey":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,9 @@
     # A signal to read the settings again ended a process that was starting.
     (236, Faults.ALL_KINDS),
     (141, Faults.ALL_KINDS),
+    # A target that had said it leaves started again under its id and was used: rightly,
+    # the soak's own mistake.
+    (319, Faults.NEWEST_KINDS),
 ]
 
 
