--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -4,6 +4,7 @@
 import os
 import sys
 from collections.abc import Iterator
+from dataclasses import asdict
 from pathlib import Path
 
 import click
@@ -18,8 +19,9 @@
 from hibiscusstep.load.drive import Driver
 from hibiscusstep.load.experiment import run_experiment, table
 from hibiscusstep.load.mix import arrivals, load_mix
-from hibiscusstep.load.plot import plot_account, plot_summary
+from hibiscusstep.load.plot import plot_account, plot_rollouts, plot_summary
 from hibiscusstep.load.report import make_report
+from hibiscusstep.load.rollout_report import play_rollout, rollout_table
 from hibiscusstep.operations import OperatorClient
 from hibiscusstep.policies import POLICIES
 from hibiscusstep.store import get_platform_by_name
@@ -139,6 +141,33 @@
         out.write_bytes(orjson.dumps(runs, option=orjson.OPT_INDENT_2))
 
 
+@main.command()
+@click.option("--seeds", default="1-20", show_default=True, help="First-last.")
+@click.option("--test", default="cusum", show_default=True, help="Sequential test.")
+@click.option("--json", "as_json", is_flag=True, help="Print the results as JSON.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a PNG.")
+@one_line_errors
+def rollout(seeds: str, test: str, as_json: bool, plot: Path | None) -> None:
+    """Carry drawn orders to change a version out, in virtual time.
+
+    Prints a row for each seed and totals: how many requests a version got of those that
+    it may get, how long after its 50th bad answer the last one, and what should not
+    have been.
+    """
+    first, _, last = seeds.partition("-")
+    numbers = range(int(first), int(last or first) + 1)
+    with click.progressbar(numbers, label="playing", file=sys.stderr) as bar:
+        played = {seed: play_rollout(seed, test) for seed in bar}
+    if as_json:
+        results = {str(seed): asdict(result) for seed, result in played.items()}
+        click.echo(orjson.dumps(results, option=orjson.OPT_INDENT_2))
+    else:
+        for line in rollout_table(played):
+            click.echo(line)
+    if plot:
+        plot_rollouts(played, plot)
+
+
 @main.command("compare")
 @_MIX
 @_CALLERS
--- a/hibiscusstep/dispatching.py
+++ b/hibiscusstep/dispatching.py
@@ -35,6 +35,7 @@
     StatusReply,
 )
 from hibiscusstep.peerlink import Send
+from hibiscusstep.rollout.news import RolloutNews
 from hibiscusstep.routing import messages as m
 from hibiscusstep.target import get_target_by_kind
 
@@ -47,6 +48,8 @@
 IDLE_TICK_S = 0.5
 # What a dispatcher believes is logged this often.
 STATE_INTERVAL_S = 2.0
+# How far an order to change the version came is told and logged this often.
+ROLLOUT_INTERVAL_S = 0.5
 # A new dispatcher decides after this time even if not every instance has registered:
 # one that is paused must not hold up the others.
 RECOVERY_TIMEOUT_S = 0.3
@@ -102,6 +105,8 @@
         Whether it dispatches its own instance's requests of any pool when asked.
     kept : callable of PoolLearnt or None
         Keeps what the dispatchers here learn beyond the processes.
+    on_rollout : callable of RolloutNews or None
+        Is told how far orders to change a pool's version came.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
         reads_reports: bool = True,
         serves_itself: bool = False,
         kept: Callable[[PoolLearnt], None] | None = None,
+        on_rollout: Callable[[RolloutNews], None] | None = None,
     ) -> None:
         super().__init__("dispatching", tick_interval=TICK_S)
         self._kind = kind
@@ -124,6 +130,7 @@
         self._serves_itself = serves_itself
         self._own_duties: dict[str, Duty] = {}
         self._kept = kept
+        self._on_rollout = on_rollout
         self._learnt: dict[str, m.Learnt] = {}
         self._own_name = name
         self._address = address
@@ -207,6 +214,7 @@
             self._drop_silent(duty, now)
             self._feed(duty, m.Tick())
             self._say_alive(duty, now)
+            self._tell_rollout(duty, now)
             if duty.told + STATE_INTERVAL_S <= now and duty in self._duties.values():
                 duty.told = now
                 self._log_state(duty, now)
@@ -240,6 +248,24 @@
         for address in self._view.neighbours(self._address):
             self._links.tell(Send(address, news))
 
+    def _tell_rollout(
+        self, duty: Duty, now: float, concluded: m.Conclude | None = None
+    ) -> None:
+        """Tell how far the order of a pool came, now and then and at its end."""
+        rollout = duty.dispatcher.rollout
+        if rollout is None or not self._on_rollout:
+            return
+        if concluded is None and now < duty.rollout_told + ROLLOUT_INTERVAL_S:
+            return
+        duty.rollout_told = now
+        pool, number = duty.dispatcher.pool_name, rollout.planned.number
+        fields = {"pool": pool, "version": rollout.planned.version, **rollout.summary}
+        if concluded:
+            fields |= {"state": concluded.state, "reason": concluded.reason}
+        decision("rollout-verdict" if concluded else "rollout-progress", **fields)
+        verdict = (concluded.state, concluded.reason) if concluded else ()
+        self._on_rollout(RolloutNews(pool, number, rollout.progress, *verdict))
+
     def _take_learnt(self, news: PoolLearnt) -> None:
         """Remember another's learning for the time when it falls to this instance."""
         for follower in self._view.followers.values():
@@ -435,6 +461,9 @@
         if isinstance(taken, m.Inquire):
             self._inquire(duty, taken.instance)
             return
+        if isinstance(taken, m.Conclude):
+            self._tell_rollout(duty, now, taken)
+            return
         work = taken.work
         address = duty.addresses.get(work.instance)
         if address is None:
--- a/hibiscusstep/duty.py
+++ b/hibiscusstep/duty.py
@@ -20,6 +20,7 @@
     `registered` are the incarnations that told what they hold, `dropped` those that
     were taken for dead since. `signed` is when those that wait were last told that they
     are not forgotten, `sign_interval` the seconds within which they are told again.
+    `rollout_told` is when it was last told how far the pool's order came.
     """
 
     dispatcher: PoolDispatcher
@@ -32,6 +33,7 @@
     told: float = 0.0
     signed: float = 0.0
     sign_interval: float = TICK_S
+    rollout_told: float = 0.0
 
 
 def learnt_of(news: PoolLearnt, old: bool = False) -> m.Learnt:
@@ -62,4 +64,5 @@
         info.identity,
         info.suspect,
         tuple(info.resting),
+        info.route,
     )
--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.membership.relays import MESH_SIZE
+from hibiscusstep.rollout.budget import ExposureLimits
 from hibiscusstep.routing.switches import ALL_ON, Switches
 
 __all__ = ["Bounds", "InstanceSettings"]
@@ -21,6 +22,8 @@
     quota_window, quota_overage, quota_slack : float
         A customer's tokens in a window (seconds) may exceed its quota by a share
         and by some tokens.
+    exposure : ExposureLimits
+        What a version may get that is not proved.
     """
 
     stop_grace: float = 8.0
@@ -30,6 +33,7 @@
     quota_window: float = 8.0
     quota_overage: float = 0.1
     quota_slack: float = 0.0
+    exposure: ExposureLimits = field(default_factory=ExposureLimits)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -25,12 +25,13 @@
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.news import to_news
-from hibiscusstep.forwarding.planning import Planner
+from hibiscusstep.forwarding.planning import PlannedVersions, Planner
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaKeeper
 from hibiscusstep.forwarding.rests import TargetRests
 from hibiscusstep.forwarding.retries import WindowedRetryBudget
+from hibiscusstep.forwarding.rollouts import RolloutKeeper, TargetsChanged
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.spread import Spread
 from hibiscusstep.forwarding.surroundings import Surroundings
@@ -59,6 +60,8 @@
     PoolWithdraw,
     Received,
     Relays,
+    RolloutRecords,
+    RolloutWrite,
     SuspectStates,
     TargetStates,
     Usage,
@@ -278,6 +281,9 @@
         self._keeper = BeliefKeeper(
             self._around.beliefs, lambda news: self._dispatching.tell(news)
         )
+        self._rollouts = RolloutKeeper(
+            name, address, self._links, self._around.rollouts, self._publish_plan
+        )
         self._dispatching = Dispatching(
             name,
             address,
@@ -288,6 +294,7 @@
             reads_reports=False,
             serves_itself=True,
             kept=self._keeper.tell if settings.switches.kept_beliefs else None,
+            on_rollout=self._rollouts.tell,
         )
         self._desk = Desk(
             name, incarnation, address, self._links, self._route, STANDBY_AFTER_S
@@ -328,6 +335,7 @@
             self._quotas,
             self._kept_use,
             self._quarantine,
+            self._rollouts,
             *([self._keeper] if settings.switches.kept_beliefs else []),
         ]
         self._receivers = self._make_routes()
@@ -354,6 +362,7 @@
             ),
             self._quotas: (Usage, UsageAsk, UsageHistory),
             self._quarantine: (SuspectStates,),
+            self._rollouts: (RolloutRecords, RolloutWrite),
         }
         return {kind: worker for worker, kinds in table.items() for kind in kinds}
 
@@ -383,6 +392,7 @@
             self._desk,
             self._quotas,
             self._quarantine,
+            self._rollouts,
         ):
             worker.tell(changed)
         self._choose_sources()
@@ -419,6 +429,8 @@
         self._targets_known = True
         for name in unused:
             self._connections.forget(name)
+        if self._catalog.revision:
+            self._rollouts.tell(TargetsChanged(tuple(targets.values())))
         self._publish_plan()
         self._spread.tell_changes(changes)
 
@@ -426,12 +438,17 @@
         """Tell the dispatchers which targets there are."""
         if self._table is None:
             return
-        plan = self._planner.make(self._table, self._targets)
+        plan = self._planner.make(self._table, self._targets, self._versions_of)
         in_force = InForce(self._table.version, b"", plan)
         self._dispatching.tell(in_force)
         self._desk.tell(in_force)
         self._membership.tell(OwnState(version=self._table.version))
 
+    def _versions_of(self, pool: str) -> PlannedVersions:
+        book, keeper = self._rollouts.book, self._rollouts
+        planned = book.planned(pool, self.bounds.exposure, keeper.lead)
+        return PlannedVersions(book.serving(pool), planned)
+
     def _take_handed_on(self, value: bytes) -> None:
         try:
             self._catalog.tell(TableNews(self._around.read_table(value)))
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -211,6 +211,8 @@
         The store's revision of this state.
     incarnation : int
         Unix millisecond of its start; 0 if it does not say.
+    version : str
+        Of its software.
     """
 
     id: str
@@ -221,6 +223,7 @@
     leaving: bool
     revision: int
     incarnation: int = 0
+    version: str = ""
 
     @property
     def name(self) -> str:
--- a/hibiscusstep/forwarding/news.py
+++ b/hibiscusstep/forwarding/news.py
@@ -32,6 +32,7 @@
         item.slots,
         item.leaving,
         item.incarnation,
+        item.version,
     )
 
 
@@ -48,5 +49,6 @@
         state.leaving,
         state.revision,
         state.incarnation,
+        state.version,
     )
     return Change(state.name, target, state.revision)
--- a/hibiscusstep/forwarding/placement.py
+++ b/hibiscusstep/forwarding/placement.py
@@ -180,6 +180,7 @@
             identity=incoming.identity,
             suspect=self._standing.suspect,
             resting=self._means.rests.resting(self._now()),
+            route=incoming.route.name,
         )
         wanted = GrantRequest(
             incoming.pool,
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -1,16 +1,27 @@
 """hibiscusstep.forwarding.planning: what dispatchers need of table and targets."""
 
 import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from hibiscusstep.forwarding.left_out import LeftOut
 from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
+from hibiscusstep.rollout.controller import PlannedRollout
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
 
-__all__ = ["Planner"]
+__all__ = ["PlannedVersions", "Planner"]
 
 _LOG = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedVersions:
+    """Versions of a pool's targets in force, and the order to change them."""
+
+    serving: frozenset[str] = frozenset()
+    rollout: PlannedRollout | None = None
+
+
 class Planner:
     """Makes plans; a target of a pool that the table does not know has no place."""
 
@@ -22,7 +33,12 @@
         """Targets that had no place so far, each revision once."""
         return self._left_out.count
 
-    def make(self, table: RoutingTable, targets: dict[str, DiscoveredTarget]) -> Plan:
+    def make(
+        self,
+        table: RoutingTable,
+        targets: dict[str, DiscoveredTarget],
+        versions: Callable[[str], PlannedVersions] = lambda _pool: PlannedVersions(),
+    ) -> Plan:
         """Return the pools of a routing table with their targets.
 
         Parameters
@@ -31,15 +47,22 @@
             In force.
         targets : dict of str to DiscoveredTarget
             By name.
+        versions : callable of str
+            Returns which versions of a pool's targets may serve.
         """
-        pools = _pools(table)
+        pools = {
+            name: replace(
+                pool, serving=versions(name).serving, rollout=versions(name).rollout
+            )
+            for name, pool in _pools(table).items()
+        }
         for name, target in targets.items():
             pool = pools.get(target.pool)
             if pool is None:
                 self._leave_out(target)
                 continue
             pool.targets[name] = PlannedTarget(
-                target.slots, target.leaving, target.data_centre
+                target.slots, target.leaving, target.data_centre, target.version
             )
         return Plan(pools)
 
--- a/hibiscusstep/forwarding/surroundings.py
+++ b/hibiscusstep/forwarding/surroundings.py
@@ -7,7 +7,14 @@
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
 from hibiscusstep.forwarding.dialect import Dialect
 from hibiscusstep.forwarding.model import RoutingTable
-from hibiscusstep.store import BeliefStore, Feed, Roster, SuspectStore, UseStore
+from hibiscusstep.store import (
+    BeliefStore,
+    Feed,
+    RolloutStore,
+    Roster,
+    SuspectStore,
+    UseStore,
+)
 
 __all__ = ["Surroundings"]
 
@@ -36,6 +43,8 @@
         Keeps what customers used of their quotas.
     suspects : SuspectStore
         Keeps which requests crash targets.
+    rollouts : RolloutStore
+        Has operators' orders to change pools' versions.
     register : callable
         Returns an awaitable that puts this instance on the roster.
     read_table : callable of bytes
@@ -62,6 +71,7 @@
     beliefs: BeliefStore
     use: UseStore
     suspects: SuspectStore
+    rollouts: RolloutStore
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -7,7 +7,7 @@
   9: double deadline_in, 10: double waited, 11: bool stoppable,
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
   15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect,
-  19: list<string> resting
+  19: list<string> resting, 20: string route
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
@@ -49,7 +49,7 @@
 struct TargetState {
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
   5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving,
-  9: i64 incarnation
+  9: i64 incarnation, 10: string version
 }
 struct TargetStates { 1: list<TargetState> states, 2: i64 revision }
 struct SuspectState {
@@ -57,6 +57,17 @@
   4: list<double> spans, 5: list<double> ages, 6: list<string> cleared
 }
 struct SuspectStates { 1: list<SuspectState> states }
+struct RolloutRecord {
+  1: string pool, 2: string version, 3: i64 revision, 4: bool removed,
+  5: double duration, 6: string state, 7: string state_version, 8: i64 number,
+  9: double age, 10: i64 requests, 11: i64 exposed, 12: i64 answers, 13: bool is_known,
+  14: bool is_rejected, 15: list<string> serving, 16: i64 serving_since,
+  17: double serving_for, 18: double evidence
+}
+struct RolloutRecords { 1: list<RolloutRecord> records }
+struct RolloutWrite {
+  1: string pool, 2: i64 revision, 3: string version, 4: string state
+}
 struct PoolStop { 1: string pool, 2: string ask }
 struct NotDispatcher { 1: string pool }
 struct ClaimAsk {
--- a/hibiscusstep/load/plot.py
+++ b/hibiscusstep/load/plot.py
@@ -3,8 +3,9 @@
 from pathlib import Path
 
 from hibiscusstep.load.account import Account, Fate
+from hibiscusstep.load.rollout_emulator import RolloutResult
 
-__all__ = ["plot_account", "plot_summary"]
+__all__ = ["plot_account", "plot_rollouts", "plot_summary"]
 
 FIGURES = ("goodput.", "wasted")
 
@@ -68,3 +69,31 @@
     figure.tight_layout()
     figure.savefig(path, dpi=80)
     pyplot.close(figure)
+
+
+def plot_rollouts(played: dict[int, RolloutResult], path: Path) -> None:
+    """Draw the part of the requests that each version gets, over time.
+
+    Parameters
+    ----------
+    played : dict of int to RolloutResult
+        Results by seed.
+    path : pathlib.Path
+        The PNG to write.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axis = pyplot.subplots(figsize=(9, 4))
+    for seed, result in played.items():
+        seconds, parts = zip(*result.parts, strict=True)
+        style = "--" if result.bad else "-"
+        axis.plot(seconds, parts, style, label=f"{seed}: {result.state or 'running'}")
+    axis.set_xlabel("seconds since the order")
+    axis.set_ylabel("part of the requests (dashed: bad version)")
+    axis.legend(loc="center left", bbox_to_anchor=(1, 0.5), fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
--- /dev/null
+++ b/hibiscusstep/load/rollout_emulator.py
@@ -0,0 +1,480 @@
+"""hibiscusstep.load.rollout_emulator: orders to change a version, in virtual time.
+
+The product's dispatcher carries an order out over drawn targets, callers, kinds of bad
+versions and disturbances; no sockets, exact for a seed.
+"""
+
+import heapq
+import itertools
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from hibiscusstep.forwarding.model import DiscoveredTarget
+from hibiscusstep.forwarding.rollout_book import RolloutBook
+from hibiscusstep.load.drawn_rollout import (
+    CROWDING,
+    NEW,
+    OLD,
+    ORDER_AT_S,
+    Badness,
+    Disturbance,
+    DrawnRollout,
+    Route,
+)
+from hibiscusstep.rollout.budget import ExposureLimits
+from hibiscusstep.rollout.order import RolloutOrder, RolloutState
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.engine_model import STEP_S
+from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
+from hibiscusstep.routing.slot_choice import PLAIN_SERVICE_S
+from hibiscusstep.routing.slots import SlotDispatcher
+
+__all__ = ["RolloutEmulator", "RolloutResult"]
+
+POOL = "pool"
+TICK_S = 0.05
+HOP_S = 0.001
+AFTER_S = 3.0
+TOKENS_PER_EVENT = 6
+# A version that was taken back gets nothing later than this after its last bad answer
+# that is tolerated.
+BAD_ANSWERS = 50
+ROLLBACK_S = 5.0
+# Callers are gone after so many seconds.
+PATIENCE_S = 8.0
+# A dispatcher that takes over after another one's end.
+TAKE_OVER_S = 1.2
+PROGRESS_S = 1.0
+CALL_S = 0.004
+
+
+@dataclass(slots=True)
+class RolloutResult:
+    """What came of an order.
+
+    Parameters
+    ----------
+    bad : bool
+        Whether the version is bad.
+    state : RolloutState or None
+        How it ended; None if it did not.
+    reason : str
+        Why.
+    concluded_after : float
+        Seconds from the order to the status in the store; 0 if it did not end.
+    requests, exposed : int
+        That reached targets between the order and its deadline, and those of them that
+        reached the version.
+    allowed : float
+        Most that a bad version may get.
+    bad_answers : int
+        Bad answers of the version.
+    late_ms : float
+        From its 50th bad answer to the last request to it; 0 if there are fewer.
+    cut : int
+        Requests that ran at old targets when those were stopped.
+    asked, refused : int
+        Requests that callers sent, and those that were refused.
+    parts : list of tuple
+        Seconds since the order, and the part of the requests that the version gets.
+    """
+
+    bad: bool
+    state: RolloutState | None = None
+    reason: str = ""
+    concluded_after: float = 0.0
+    requests: int = 0
+    exposed: int = 0
+    allowed: float = 0.0
+    bad_answers: int = 0
+    late_ms: float = 0.0
+    cut: int = 0
+    asked: int = 0
+    refused: int = 0
+    parts: list[tuple[float, float]] = field(default_factory=list)
+
+    def findings(self, duration: float) -> list[str]:
+        """Return what should not have been."""
+        found = []
+        if self.bad and self.exposed > self.allowed:
+            found.append("EXPOSURE")
+        if self.bad and self.late_ms > 1000 * ROLLBACK_S:
+            found.append("late roll-back")
+        if self.bad and self.bad_answers >= BAD_ANSWERS:
+            if self.state is not RolloutState.ROLLED_BACK:
+                found.append("bad version not rolled back")
+        if not self.bad:
+            if self.state is RolloutState.ROLLED_BACK:
+                found.append("good version rolled back")
+            elif self.state is None or self.concluded_after > duration:
+                found.append("not completed in time")
+        return found
+
+
+@dataclass(slots=True, eq=False)
+class _Target:
+    name: str
+    version: str
+    slowness: float
+    running: dict[str, m.Work] = field(default_factory=dict)
+    down_until: float = 0.0
+
+
+class RolloutEmulator:
+    """Plays one order.
+
+    Parameters
+    ----------
+    drawn : DrawnRollout
+        What is played.
+    seed : int
+        Of the callers and the answers.
+    test : str
+        Name of the sequential test that compares the versions.
+    """
+
+    def __init__(self, drawn: DrawnRollout, seed: int, test: str = "cusum") -> None:
+        self._drawn = drawn
+        self._draw = np.random.default_rng([seed, 1])
+        self._test = test
+        self._events: list = []
+        self._ticket = itertools.count()
+        self._now = 0.0
+        self._targets = {
+            f"{version}-{n}": _Target(f"{version}-{n}", version, slowness)
+            for version, of in ((OLD, drawn.old), (NEW, drawn.new))
+            for n, slowness in enumerate(of)
+        }
+        self._book = RolloutBook()
+        self._stale: Plan | None = None
+        self._revision = 1
+        self._store_state: RolloutState | None = None
+        self._completed = False
+        self._asks: dict[str, tuple[Route, float, str]] = {}
+        self._own: dict[str, SlotDispatcher] = {}
+        self._fiftieth = 0.0
+        self._counts: dict[int, Counter] = defaultdict(Counter)
+        self._result = RolloutResult(drawn.badness is not Badness.NONE)
+        self._down_until = 0.0
+        self._progress_at = 0.0
+        self._take_targets()
+        self._dispatcher = self._new_dispatcher()
+
+    @property
+    def _deadline(self) -> float:
+        return ORDER_AT_S + self._drawn.duration
+
+    def run(self) -> RolloutResult:
+        """Play it to its end."""
+        end = self._deadline + AFTER_S
+        self._at(ORDER_AT_S, self._order)
+        self._at(TICK_S, self._tick)
+        self._at(self._draw.exponential(1 / self._drawn.rate), self._arrive)
+        if self._drawn.kill_at:
+            self._at(self._drawn.kill_at, self._kill)
+        if self._drawn.alone:
+            began, ended = self._drawn.alone
+            self._at(began, self._cut_off)
+            self._at(ended, self._join)
+        for disturbance in self._drawn.disturbances:
+            if disturbance.kind == "crash":
+                self._at(max(0.0, disturbance.at), self._crash, disturbance)
+        while self._events and self._events[0][0] < end:
+            self._now, _ticket, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self._ended()
+
+    def _ended(self) -> RolloutResult:
+        result, limits = self._result, ExposureLimits()
+        result.allowed = limits.share * result.requests + limits.slack
+        for second in sorted(self._counts):
+            counts = self._counts[second]
+            part = counts[NEW] / counts.total()
+            result.parts.append((second - ORDER_AT_S, round(part, 3)))
+        return result
+
+    def _at(self, moment: float, action, *arguments) -> None:
+        entry = (max(moment, self._now), next(self._ticket), action, arguments)
+        heapq.heappush(self._events, entry)
+
+    # The region.
+
+    def _take_targets(self) -> None:
+        found = [
+            DiscoveredTarget(
+                t.name, POOL, "a:1", "z", self._drawn.slots, False, 1, 1, t.version
+            )
+            for t in self._targets.values()
+            if t.version == OLD or self._now >= ORDER_AT_S - 1.0
+        ]
+        self._book.take_targets(found, self._now)
+
+    def _plan(self) -> Plan:
+        serving = self._book.serving(POOL)
+        rollout = self._book.planned(POOL, ExposureLimits(), 0.3)
+        targets = {
+            t.name: PlannedTarget(
+                self._drawn.slots,
+                data_centre="z",
+                version=t.version,
+                leaving=self._completed and t.version == OLD,
+            )
+            for t in self._targets.values()
+        }
+        pool = PlannedPool(
+            self._drawn.engine, TOKENS_PER_EVENT, 60.0, targets, serving, rollout
+        )
+        return Plan({POOL: pool})
+
+    def _new_dispatcher(self, alone: str = "") -> SlotDispatcher:
+        plan = self._stale if alone and self._stale else self._plan()
+        dispatcher = SlotDispatcher(POOL, plan, alone=alone)
+        if alone:
+            dispatcher.share = min(1.0, 2.0 / self._drawn.instances)
+        dispatcher.handle(m.Recovered(), self._now)
+        return dispatcher
+
+    def _replan(self) -> None:
+        if self._dispatcher:
+            self._feed(self._dispatcher, m.Configure(self._plan()))
+
+    def _order(self) -> None:
+        self._take_targets()
+        self._revision += 1
+        order = RolloutOrder(POOL, NEW, self._drawn.duration, self._revision)
+        self._book.take_order(order, self._now)
+        self._replan()
+
+    def _tick(self) -> None:
+        for dispatcher in (self._dispatcher, *self._own.values()):
+            if dispatcher:
+                self._feed(dispatcher, m.Tick())
+        rollout = self._dispatcher.rollout if self._dispatcher else None
+        if rollout and self._now >= self._progress_at + PROGRESS_S:
+            self._progress_at = self._now
+            number = rollout.planned.number
+            self._book.note_progress(POOL, number, rollout.progress)
+        self._at(self._now + TICK_S, self._tick)
+
+    def _kill(self) -> None:
+        self._dispatcher = None
+        self._at(self._now + TAKE_OVER_S, self._take_over)
+
+    def _take_over(self) -> None:
+        self._dispatcher = self._new_dispatcher()
+        for target in self._targets.values():
+            for work in target.running.values():
+                self._feed(self._dispatcher, m.Adopt(work, target.name))
+
+    def _cut_off(self) -> None:
+        self._stale = self._plan()
+
+    def _join(self) -> None:
+        self._stale = None
+        self._own = {}
+
+    def _is_cut_off(self, instance: int) -> bool:
+        return (
+            self._stale is not None and instance % 5 == 0 and self._drawn.instances > 1
+        )
+
+    # Requests.
+
+    def _arrive(self) -> None:
+        drawn = self._drawn
+        self._at(self._now + self._draw.exponential(1 / drawn.rate), self._arrive)
+        weights = np.array([route.weight for route in drawn.routes])
+        route = drawn.routes[self._draw.choice(len(weights), p=weights / weights.sum())]
+        instance = int(self._draw.integers(drawn.instances))
+        ask = f"a{next(self._ticket)}"
+        size = route.size * self._draw.lognormal(-(route.spread**2) / 2, route.spread)
+        now = self._now
+        work = m.Work(
+            ask, ask, f"i{instance}", "c", "0", 0, 500 if drawn.engine else 0,
+            max(1, round(size)) if drawn.engine else 1, now + 1.5, now,
+            due=now + 1.5, data_centre="z", ends=now + PATIENCE_S, route=route.name,
+        )  # fmt: skip
+        self._asks[ask] = route, size, ""
+        self._result.asked += 1
+        if self._is_cut_off(instance):
+            dispatcher = self._own.get(f"i{instance}")
+            if dispatcher is None:
+                dispatcher = self._new_dispatcher(f"i{instance}")
+                self._own[f"i{instance}"] = dispatcher
+            self._feed(dispatcher, m.Ask(work))
+        elif self._dispatcher:
+            self._feed(self._dispatcher, m.Ask(work))
+        else:
+            self._result.refused += 1
+
+    def _feed(self, dispatcher: SlotDispatcher, message) -> None:
+        for taken in dispatcher.handle(message, self._now):
+            if isinstance(taken, m.Grant):
+                self._at(self._now + HOP_S, self._send, dispatcher, taken)
+            elif isinstance(taken, m.Refuse):
+                self._result.refused += 1
+            elif isinstance(taken, m.Conclude):
+                self._conclude(taken)
+            elif isinstance(taken, m.Inquire):
+                self._at(
+                    self._now + 2 * HOP_S, self._answer, dispatcher, taken.instance
+                )
+
+    def _answer(self, dispatcher: SlotDispatcher, instance: str) -> None:
+        """Tell a dispatcher what an instance holds."""
+        held = frozenset(
+            ask
+            for target in self._targets.values()
+            for ask, work in target.running.items()
+            if work.instance == instance
+        )
+        self._feed(dispatcher, m.Held(instance, held))
+
+    def _send(self, dispatcher: SlotDispatcher, grant: m.Grant) -> None:
+        drawn, work = self._drawn, grant.work
+        target = self._targets[grant.target]
+        if self._now < target.down_until or (self._completed and target.version == OLD):
+            self._feed(dispatcher, m.Finished(work.ask, m.Outcome.UNREACHABLE))
+            return
+        self._note_arrival(target)
+        route, size, _ = self._asks[work.ask]
+        bad = self._is_bad(target, route)
+        target.running[work.ask] = work
+        crowd = 1 + CROWDING * (len(target.running) - 1)
+        pace = target.slowness * crowd * self._slowed(target)
+        if bad and drawn.badness is Badness.SLOW:
+            pace *= drawn.factor
+        if drawn.engine:
+            first = (0.014 + 500 / 48_200) * pace
+            tokens = max(1, round(size / TOKENS_PER_EVENT))
+            seconds = first + tokens * TOKENS_PER_EVENT * STEP_S * pace
+        else:
+            first, tokens = 0.0, 0
+            seconds = max(0.005, size) * pace
+        failed = self._draw.random() < route.error_share or self._is_grey(target)
+        failed |= bad and drawn.badness is Badness.FAILS
+        if failed:
+            seconds = min(seconds, max(0.01, 0.5 * PLAIN_SERVICE_S))
+        elif drawn.engine:
+            self._at(self._now + first, self._first, dispatcher, work.ask, first)
+        is_bad_answer = bad and target.version == NEW
+        ends = m.Outcome.FAILED if failed else m.Outcome.DONE
+        if seconds > PATIENCE_S:
+            seconds, ends = PATIENCE_S, m.Outcome.CANCELLED
+        events = 0 if failed else tokens
+        self._at(
+            self._now + seconds, self._finish, dispatcher, target, work.ask, ends,
+            events, max(0.0, seconds - first), is_bad_answer,
+        )  # fmt: skip
+
+    def _first(self, dispatcher: SlotDispatcher, ask: str, seconds: float) -> None:
+        self._feed(dispatcher, m.FirstToken(ask, seconds))
+
+    def _finish(
+        self, dispatcher, target, ask, outcome, events, decode_seconds, is_bad
+    ) -> None:
+        if target.running.pop(ask, None) is None:
+            return
+        if is_bad:
+            self._result.bad_answers += 1
+            if self._result.bad_answers == BAD_ANSWERS:
+                self._fiftieth = self._now
+        if dispatcher is not self._dispatcher and not dispatcher.is_alone:
+            dispatcher = self._dispatcher
+        if dispatcher:
+            finished = m.Finished(ask, outcome, events, decode_seconds)
+            self._feed(dispatcher, finished)
+
+    def _note_arrival(self, target: _Target) -> None:
+        result = self._result
+        self._counts[int(self._now)][target.version] += 1
+        if ORDER_AT_S <= self._now <= self._deadline:
+            result.requests += 1
+            result.exposed += target.version == NEW
+        if target.version == NEW and self._fiftieth:
+            result.late_ms = 1000 * (self._now - self._fiftieth)
+        if target.version == NEW and self._now < ORDER_AT_S:
+            raise AssertionError("a version got a request before its order")
+
+    # Targets.
+
+    def _is_bad(self, target: _Target, route: Route) -> bool:
+        drawn = self._drawn
+        if target.version == OLD or drawn.badness is Badness.NONE:
+            return False
+        if self._now < ORDER_AT_S + drawn.begins:
+            return False
+        if drawn.under_load and len(target.running) < 0.7 * drawn.slots:
+            return False
+        if drawn.route and route.name != drawn.route:
+            return False
+        return bool(self._draw.random() < drawn.part)
+
+    def _slowed(self, target: _Target) -> float:
+        slow = 3.0 if self._is_hit(target, "slow") else 1.0
+        drawn = self._drawn
+        if target.version == NEW and self._now < ORDER_AT_S - 1.0 + drawn.cold_s:
+            slow *= drawn.cold
+        return slow
+
+    def _is_grey(self, target: _Target) -> bool:
+        return self._is_hit(target, "grey") and self._draw.random() < 0.4
+
+    def _is_hit(self, target: _Target, kind: str) -> bool:
+        return any(
+            d.kind == kind
+            and d.at <= self._now < d.at + d.seconds
+            and target.name in d.targets
+            for d in self._drawn.disturbances
+        )
+
+    def _crash(self, disturbance: Disturbance) -> None:
+        for name in sorted(disturbance.targets):
+            target = self._targets[name]
+            target.down_until = self._now + disturbance.seconds
+            for ask in list(target.running):
+                del target.running[ask]
+                if self._dispatcher:
+                    self._feed(self._dispatcher, m.Finished(ask, m.Outcome.BROKEN))
+
+    # The order's status.
+
+    def _conclude(self, taken: m.Conclude) -> None:
+        self._book.conclude(POOL, taken.number, taken.state)
+        self._result.reason = taken.reason
+        self._replan()
+        self._write(taken.state)
+
+    def _write(self, state: RolloutState) -> None:
+        down = self._drawn.store_down
+        answered = self._now + CALL_S
+        if down and down[0] <= answered < down[1]:
+            answered = down[1] + 0.3
+        self._at(answered, self._take_written, state)
+
+    def _take_written(self, state: RolloutState) -> None:
+        if self._store_state is not None:
+            return
+        self._store_state = state
+        self._result.state = state
+        self._result.concluded_after = round(self._now - ORDER_AT_S, 3)
+        self._revision += 1
+        order = RolloutOrder(
+            POOL, NEW, self._drawn.duration, self._revision, state, NEW
+        )
+        if state is RolloutState.COMPLETED:
+            self._completed = True
+            self._stop_old()
+        self._book.take_order(order, self._now)
+        self._replan()
+
+    def _stop_old(self) -> None:
+        for target in self._targets.values():
+            if target.version == OLD:
+                self._result.cut += len(target.running)
+                for ask in list(target.running):
+                    del target.running[ask]
+                    if self._dispatcher:
+                        self._feed(self._dispatcher, m.Finished(ask, m.Outcome.BROKEN))
--- /dev/null
+++ b/hibiscusstep/load/rollout_report.py
@@ -0,0 +1,58 @@
+"""hibiscusstep.load.rollout_report: what came of drawn orders, as a table."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from hibiscusstep.load.drawn_rollout import draw_rollout
+from hibiscusstep.load.rollout_emulator import RolloutEmulator, RolloutResult
+from hibiscusstep.rollout.order import RolloutState
+
+__all__ = ["play_rollout", "rollout_table"]
+
+
+def play_rollout(seed: int, test: str = "cusum") -> RolloutResult:
+    """Return what comes of the order that a seed draws."""
+    return RolloutEmulator(draw_rollout(seed), seed, test).run()
+
+
+def rollout_table(played: dict[int, RolloutResult]) -> Iterator[str]:
+    """Yield a row for each seed, and totals.
+
+    Parameters
+    ----------
+    played : dict of int to RolloutResult
+        Results by seed.
+    """
+    yield (
+        "seed | version | ended | after s | exposed | allowed | bad answers | "
+        "ms from the 50th to the last request | cut | findings | why"
+    )
+    totals: Counter[str] = Counter()
+    for seed, result in played.items():
+        drawn = draw_rollout(seed)
+        findings = result.findings(drawn.duration)
+        yield " | ".join(
+            str(cell)
+            for cell in (
+                seed,
+                drawn.badness if result.bad else "good",
+                result.state or "running",
+                f"{result.concluded_after:.1f} of {drawn.duration:g}",
+                result.exposed,
+                round(result.allowed),
+                result.bad_answers,
+                round(result.late_ms),
+                result.cut,
+                ", ".join(findings) or "-",
+                result.reason,
+            )
+        )
+        totals["bad" if result.bad else "good"] += 1
+        totals["answers cut by the move"] += result.cut
+        totals["requests"] += result.asked
+        if result.bad and result.state is RolloutState.ROLLED_BACK:
+            totals["bad and rolled back"] += 1
+        if not result.bad and not findings:
+            totals["good and completed in time"] += 1
+        totals.update(findings)
+    yield ", ".join(f"{name}: {count}" for name, count in totals.items())
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -28,6 +28,9 @@
     "PoolWithdraw",
     "Received",
     "Relays",
+    "RolloutRecord",
+    "RolloutRecords",
+    "RolloutWrite",
     "StatusAsk",
     "StatusReply",
     "SuspectState",
@@ -65,6 +68,7 @@
     identity: int = 0
     suspect: int = 0
     resting: list[str] = field(default_factory=list)
+    route: str = ""
 
 
 @dataclass(slots=True)
@@ -393,7 +397,7 @@
     """A target's state at a revision of the store; gone if `removed`.
 
     `name` is the id under which it registered, `incarnation` the Unix millisecond of
-    its start, 0 if it does not say.
+    its start, 0 if it does not say, `version` that of its software.
     """
 
     name: str
@@ -405,6 +409,7 @@
     slots: int
     leaving: bool
     incarnation: int = 0
+    version: str = ""
 
 
 @dataclass(slots=True)
@@ -450,6 +455,80 @@
     states: list[SuspectState]
 
 
+@dataclass(slots=True)
+class RolloutRecord:
+    """What the sender knows of a pool's versions and of the order to change them.
+
+    Parameters
+    ----------
+    pool, version : str
+        The pool, and the version to which its traffic is to move.
+    revision : int
+        Of the order in the store; 0 if none is known.
+    removed : bool
+        Whether the order was withdrawn.
+    duration : float
+        Seconds from the order until it should be completed.
+    state, state_version : str
+        A value of ``RolloutState``, empty if there is none, and which version it is of.
+    number : int
+        Tells the order from others.
+    age : float
+        Seconds since it was first seen by any instance.
+    requests, exposed, answers : int
+        As in ``RolloutProgress``.
+    is_known : bool
+        Whether that is all.
+    evidence : float
+        As there.
+    is_rejected : bool
+        Whether the version was found to be bad.
+    serving : list of str
+        Versions in force.
+    serving_since : int
+        Revision of the order whose completion put them in force; 0 if they were there
+        before any.
+    serving_for : float
+        Seconds for which the sender has known them.
+    """
+
+    pool: str
+    version: str
+    revision: int
+    removed: bool
+    duration: float
+    state: str
+    state_version: str
+    number: int
+    age: float
+    requests: int
+    exposed: int
+    answers: int
+    is_known: bool
+    evidence: float
+    is_rejected: bool
+    serving: list[str]
+    serving_since: int
+    serving_for: float
+
+
+@dataclass(slots=True)
+class RolloutRecords:
+    """Pools' versions and orders, as the sender knows them."""
+
+    records: list[RolloutRecord]
+
+
+@dataclass(slots=True)
+class RolloutWrite:
+    """Asks for an order's status to be written: the sender can't reach the store."""
+
+    pool: str
+    revision: int
+    version: str
+    state: str
+
+
 @dataclass(slots=True)
 class Received:
     """A message from a peer.
@@ -497,4 +576,6 @@
     Relays,
     PoolInquire,
     SuspectStates,
+    RolloutRecords,
+    RolloutWrite,
 )
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -3,7 +3,7 @@
 import json
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import quote
 
 import aiohttp
@@ -19,7 +19,9 @@
 )
 from hibiscusstep.forwarding.left_out import LeftOut
 from hibiscusstep.platform import fields as f
+from hibiscusstep.platform.documents import ROLLOUT_KIND, rollout_status
 from hibiscusstep.platform.eras import EraTracker, join_revision, split_revision
+from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import (
     BeliefStore,
     Change,
@@ -27,6 +29,7 @@
     HistoryLost,
     InstanceRecord,
     Listing,
+    RolloutStore,
     Roster,
     SuspectStore,
     UseStore,
@@ -36,6 +39,7 @@
     "ObjectBeliefs",
     "ObjectClient",
     "ObjectFeed",
+    "ObjectRollouts",
     "ObjectRoster",
     "ObjectSuspects",
     "ObjectUse",
@@ -389,6 +393,65 @@
     _NAME = "requests"
 
 
+class ObjectRollouts(RolloutStore):
+    """Orders that operators write, whose status the system writes.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        Makes the calls.
+    feed : ObjectFeed
+        The orders.
+    """
+
+    _KEPT_KIND = "hibiscusstep-rollouts"
+
+    def __init__(self, client: ObjectClient, feed: ObjectFeed) -> None:
+        self._client = client
+        self.feed = feed
+
+    async def write_state(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> Result[RolloutOrder, PlatformError]:
+        """Write the status of an order on its revision's condition."""
+        era, revision = split_revision(order.revision)
+        if era != self._client.eras.era:
+            return Err(_restored("write rollout status"))
+        body = {
+            "Metadata": {"Name": order.pool, "Revision": revision},
+            "Status": rollout_status(order.version, state),
+        }
+        path = f"{ROLLOUT_KIND}/{quote(order.pool)}/status"
+        reply = await self._client.call_in_era("PUT", path, body=body)
+        if reply.is_err():
+            return reply
+        answer = reply.unwrap()
+        try:
+            written = int(answer.body["Metadata"]["Revision"])
+        except f.MALFORMED:
+            # The feed tells the revision; until then the next write finds a conflict.
+            written = revision
+        since = join_revision(answer.era, written)
+        return Ok(
+            replace(order, revision=since, state=state, state_version=order.version)
+        )
+
+    async def write_kept(
+        self, pool: str, document: dict
+    ) -> Result[None, PlatformError]:
+        """Write the document of a pool."""
+        return await self._client.write(
+            self._KEPT_KIND, pool, document, ("PUT", "POST")
+        )
+
+    async def read_kept(self, pool: str) -> Result[dict | None, PlatformError]:
+        """Return the document of a pool."""
+        reply = await self._client.call("GET", f"{self._KEPT_KIND}/{quote(pool)}")
+        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
+            return Ok(None)
+        return reply.map(lambda found: found.get("Spec"))
+
+
 def _record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -15,11 +15,21 @@
     Share,
 )
 from hibiscusstep.platform import fields as f
-
-__all__ = ["CONFIGURATION_KIND", "TARGET_KIND", "decode_table", "decode_target"]
+from hibiscusstep.rollout.order import RolloutOrder, RolloutState
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "ROLLOUT_KIND",
+    "TARGET_KIND",
+    "decode_rollout",
+    "decode_table",
+    "decode_target",
+    "rollout_status",
+]
 
 CONFIGURATION_KIND = "config"
 TARGET_KIND = "servers"
+ROLLOUT_KIND = "rollouts"
 CONFIGURATION_NAME = "main"
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_OBJECTIVE_MS = 1_000
@@ -28,6 +38,14 @@
 # A target that claims more would draw all work; engines batch some dozens.
 MAX_SLOTS = 4096
 _READY, _LEAVING = "ready", "draining"
+# An order that lasts longer is a mistake in its unit.
+MAX_ROLLOUT_S = 7 * 86_400.0
+MIN_ROLLOUT_S = 1.0
+_ROLLOUT_STATES = {
+    "running": RolloutState.RUNNING,
+    "completed": RolloutState.COMPLETED,
+    "rolled_back": RolloutState.ROLLED_BACK,
+}
 
 
 def decode_table(name: str, revision: int, spec: dict, status: dict) -> RoutingTable:
@@ -92,7 +110,6 @@
     entry = {**spec, **status}
     f.read_number(entry, "ColdLeftMs")
     f.read_whole(entry, "Sequence")
-    f.read_text(entry, "Version")
     return DiscoveredTarget(
         id=f.read_id({"Name": name}, "Name"),
         pool=f.read_text(entry, "Service"),
@@ -103,9 +120,46 @@
         revision=revision,
         # `born`, the millisecond of its start, changes when it starts again.
         incarnation=f.read_whole(entry, "born", least=1) if "born" in entry else 0,
+        version=f.read_text(entry, "Version"),
     )
 
 
+def decode_rollout(name: str, revision: int, spec: dict, status: dict) -> RolloutOrder:
+    """Return an operator's order to move a pool's traffic to a version.
+
+    A status that can't be read counts as none: it is written again.
+
+    Raises
+    ------
+    MalformedField
+        If it is not one, or lasts for no time or for longer than a week.
+    """
+    pool = f.read_text(spec, "Service")
+    if pool != name:
+        raise f.MalformedField("Service", f"not the name of the order: {name!r}")
+    duration = f.read_number(spec, "DurationS")
+    if not MIN_ROLLOUT_S <= duration <= MAX_ROLLOUT_S:
+        limits = f"{MIN_ROLLOUT_S:g} to {MAX_ROLLOUT_S:g}"
+        raise f.MalformedField("DurationS", f"not within {limits} seconds")
+    state, state_version = _rollout_state(status)
+    version = f.read_text(spec, "To")
+    return RolloutOrder(pool, version, duration, revision, state, state_version)
+
+
+def _rollout_state(status: dict) -> tuple[RolloutState | None, str]:
+    try:
+        state = f.read_choice(status, "State", _ROLLOUT_STATES)
+        return _ROLLOUT_STATES[state], f.read_text(status, "To")
+    except f.MalformedField:
+        return None, ""
+
+
+def rollout_status(version: str, state: RolloutState) -> dict:
+    """Return the status of an order to a version as a document."""
+    names = {value: name for name, value in _ROLLOUT_STATES.items()}
+    return {"State": names[state], "To": version}
+
+
 def _route(entry: dict) -> ForwardRoute:
     split = entry.get("TrafficSplit") or [
         {"Service": entry.get("Service"), "Weight": 1}
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -8,6 +8,7 @@
 
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.bounds import Bounds, InstanceSettings
+from hibiscusstep.rollout.budget import ExposureLimits
 from hibiscusstep.routing.switches import Switches
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
@@ -115,4 +116,8 @@
         quota_window=float(bounds.get("QuotaWindowS", default.quota_window)),
         quota_overage=float(bounds.get("QuotaOverage", default.quota_overage)),
         quota_slack=float(bounds.get("QuotaSlack", default.quota_slack)),
+        exposure=ExposureLimits(
+            float(bounds.get("ExposureShare", default.exposure.share)),
+            float(bounds.get("ExposureSlack", default.exposure.slack)),
+        ),
     )
--- a/hibiscusstep/platform/surroundings.py
+++ b/hibiscusstep/platform/surroundings.py
@@ -8,13 +8,16 @@
     ObjectBeliefs,
     ObjectClient,
     ObjectFeed,
+    ObjectRollouts,
     ObjectRoster,
     ObjectSuspects,
     ObjectUse,
 )
 from hibiscusstep.platform.documents import (
     CONFIGURATION_KIND,
+    ROLLOUT_KIND,
     TARGET_KIND,
+    decode_rollout,
     decode_table,
     decode_target,
     table_from_bytes,
@@ -67,6 +70,9 @@
         beliefs=ObjectBeliefs(client),
         use=ObjectUse(client),
         suspects=ObjectSuspects(client),
+        rollouts=ObjectRollouts(
+            client, ObjectFeed(client, ROLLOUT_KIND, decode_rollout)
+        ),
         register=lambda: roster.register(record),
         read_table=table_from_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
--- a/hibiscusstep/routing/base.py
+++ b/hibiscusstep/routing/base.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
 
 __all__ = ["PoolCounts", "PoolDispatcher"]
@@ -84,6 +85,11 @@
         """Places held for requests beyond their expected end; 0 if not known."""
         return 0
 
+    @property
+    def rollout(self) -> Rollout | None:
+        """The order to another version that it carries out; None if there is none."""
+        return None
+
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
         return set()
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -3,9 +3,12 @@
 import enum
 from dataclasses import dataclass, field
 
+from hibiscusstep.rollout.order import RolloutState
+
 __all__ = [
     "Adopt",
     "Ask",
+    "Conclude",
     "Configure",
     "Doubt",
     "Decision",
@@ -97,6 +100,8 @@
         The request's fingerprint if targets crashed under it, else 0.
     resting : tuple of str
         Targets that want nothing from the instance for now; none of them is granted.
+    route : str
+        By which it came.
     """
 
     ask: str
@@ -118,6 +123,7 @@
     identity: int = 0
     suspect: int = 0
     resting: tuple[str, ...] = ()
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,4 +315,26 @@
     target: str
 
 
-Decision = Grant | Refuse | Stop | Inquire | Lost
+@dataclass(frozen=True, slots=True)
+class Conclude:
+    """An order to move the pool's traffic to a version is concluded.
+
+    Parameters
+    ----------
+    version : str
+        The version.
+    number : int
+        Of the order.
+    state : RolloutState
+        How it ended.
+    reason : str
+        Why, for operators.
+    """
+
+    version: str
+    number: int
+    state: RolloutState
+    reason: str
+
+
+Decision = Grant | Refuse | Stop | Inquire | Lost | Conclude
--- a/hibiscusstep/routing/plan.py
+++ b/hibiscusstep/routing/plan.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from hibiscusstep.rollout.controller import PlannedRollout
+
 __all__ = ["Plan", "PlannedPool", "PlannedTarget"]
 
 
@@ -12,6 +14,7 @@
     slots: int
     leaving: bool = False
     data_centre: str = ""
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +31,18 @@
         Seconds between two events of a stream that is on time, at the most.
     targets : dict of str to PlannedTarget
         Its targets by name.
+    serving : frozenset of str
+        Versions of its targets that are in force; empty if all are.
+    rollout : PlannedRollout or None
+        An order to move its traffic to another version.
     """
 
     engine: bool
     tokens_per_event: int = 1
     max_pause: float = 1.0
     targets: dict[str, PlannedTarget] = field(default_factory=dict)
+    serving: frozenset[str] = frozenset()
+    rollout: PlannedRollout | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_choice.py
+++ b/hibiscusstep/routing/slot_choice.py
@@ -115,6 +115,14 @@
             seconds += self._lengths.cautious(work.output_tokens) * STEP_S
         return max(MIN_OVERDUE_S, slowness * seconds)
 
+    def ratio(self, run: Run, tokens: int, now: float) -> float:
+        """Return the seconds of a request against those on a target of slowness 1."""
+        if not self._engine:
+            return (now - run.granted) / PLAIN_SERVICE_S
+        steps = tokens * self._tokens_per_event
+        expected = run.expected_first + steps * STEP_S if steps else run.cost
+        return (now - run.granted) / max(STEP_S, expected)
+
     def learn(
         self, target: SlotTarget, run: Run, finished: m.Finished, now: float
     ) -> None:
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -52,6 +52,8 @@
         The guessed seconds to its first token at slowness 1.
     beside : float
         The most guessed seconds of prompts that were to be read while it ran.
+    adopted : bool
+        Whether it was granted by another dispatcher, some time before `granted`.
     """
 
     work: m.Work
@@ -62,6 +64,7 @@
     alone: bool = True
     expected_first: float = 1.0
     beside: float = 0.0
+    adopted: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +93,8 @@
         Requests there that this dispatcher did not grant, by the last report.
     data_centre : str
         Where it runs.
+    version : str
+        Of its software.
     """
 
     name: str
@@ -103,6 +108,7 @@
     foreign: int = 0
     foreign_at: float = -10.0
     data_centre: str = ""
+    version: str = ""
     running: dict[str, Run] = field(default_factory=dict)
     _ahead: float = 0.0
     _prefill_left: float = 0.0
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -6,6 +6,7 @@
 
 import math
 
+from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.base import PoolDispatcher
 from hibiscusstep.routing.own_targets import OwnTargets
@@ -22,7 +23,7 @@
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_runs import without_suspects
 from hibiscusstep.routing.switches import ALL_ON, Switches
-from hibiscusstep.routing.target_order import TargetOrder
+from hibiscusstep.routing.version_split import VersionSplit
 
 __all__ = ["SlotDispatcher"]
 
@@ -85,6 +86,7 @@
         self._own_targets = OwnTargets(alone) if spreads else None
         self._own: list[SlotTarget] = []
         self._own_at = -math.inf
+        self._own_name = alone
         self._switches = switches
         self._queue = SlotQueue()
         self._returns = Returns()
@@ -96,7 +98,7 @@
         self._kept: dict[str, float] = {}
         self._rate = 0.0
         self._rate_at = -math.inf
-        self._order = TargetOrder()
+        self._split = VersionSplit(self._choice, bool(alone))
         # Looked up for each message: a dispatching decorator costs 7 us each time.
         self._takers = {
             m.Ask: self._ask,
@@ -133,6 +135,16 @@
         """Slots held for requests beyond their expected end."""
         return self._watch.overdue
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether it dispatches for one instance only."""
+        return self._own_name != ""
+
+    @property
+    def rollout(self) -> Rollout | None:
+        """The order to another version that is being carried out."""
+        return self._split.rollout
+
     def instances_waiting(self) -> set[str]:
         """Return the instances that want to hear that they are not forgotten."""
         return {work.instance for work in self._queue}
@@ -191,7 +203,7 @@
         run = target.begin(message.ask) if target else None
         if run is not None:
             self._choice.begun(target, run, message.seconds)
-            self._order.changed(target, now)
+            self._split.changed(target, now)
 
     def _finished(self, message: m.Finished, now: float) -> None:
         self._watch.forget(message.ask)
@@ -200,6 +212,7 @@
         run = target.remove(message.ask) if target else None
         if run is None:
             return
+        self._split.ended(target, run, message, now)
         match message.outcome:
             case m.Outcome.DONE:
                 self._choice.learn(target, run, message, now)
@@ -213,7 +226,7 @@
                 target.leaving = True
         if message.outcome is not m.Outcome.DONE:
             self._own_at = -math.inf
-        self._order.changed(target, now)
+        self._split.changed(target, now)
 
     def _held(self, message: m.Held, now: float) -> None:
         self._watch.confirm(message.asks, now)
@@ -233,7 +246,7 @@
         self._kept |= message.slowness
         for target in self._targets.values():
             self._believe(target)
-            self._order.changed(target, now)
+            self._split.changed(target, now)
         self._choice.believe(message)
 
     def _believe(self, target: SlotTarget) -> None:
@@ -255,6 +268,7 @@
         target = self._targets.get(message.target)
         if target:
             self._run(target, message.work, now)
+            target.running[message.work.ask].adopted = True
 
     def _recover(self, message: m.Recovered, now: float) -> None:
         self._recovered = True
@@ -269,6 +283,8 @@
 
     def _tick(self, message: m.Tick, now: float) -> None:
         """Ask for what should have ended, and free what was asked for in vain."""
+        if self._recovered and (concluded := self._split.tick(self._targets, now)):
+            self._decisions.append(concluded)
         if not self._switches.ask_overdue:
             return
         suspects = self._watch.check(now)
@@ -287,6 +303,7 @@
     def _configure(self, plan: Plan, now: float) -> None:
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._choice.configure(pool)
+        self._split.configure(pool)
         self._rate_at = -math.inf
         self._own_at = -math.inf
         for name, planned in pool.targets.items():
@@ -294,15 +311,15 @@
             if target is None:
                 target = SlotTarget(name, planned.slots)
                 target.data_centre = planned.data_centre
+                target.version = planned.version
                 self._targets[name] = target
                 self._believe(target)
-                self._order.add(target, now)
             target.slots = planned.slots
             target.leaving |= planned.leaving
-            self._order.changed(target, now)
+            self._split.place(target, now)
         for name in self._targets.keys() - pool.targets.keys():
             gone = self._targets.pop(name)
-            self._order.remove(gone)
+            self._split.remove(gone)
             for ask in gone.running:
                 self._placed.pop(ask, None)
                 self._watch.forget(ask)
@@ -337,11 +354,14 @@
 
     def _has_room(self, now: float) -> bool:
         """Whether a slot may be free, and its part of all slots is not taken."""
-        most = math.ceil(self.share * self._order.slots(now))
-        return len(self._placed) < most and self._order.has_room(now)
+        most = math.ceil(self.share * self._split.slots(now))
+        return len(self._placed) < most and self._split.has_room(now)
 
     def _try(self, work: m.Work, now: float) -> bool:
         """Grant a request if one of the free targets is good for it."""
+        if canary := self._split.choose(work, now):
+            self._grant(work, canary, [canary], now)
+            return True
         free, worth_waiting = self._candidates(work, now)
         free = without_suspects(work, free, self._targets.values())
         if work.resting:
@@ -349,9 +369,8 @@
         if not free:
             return False
         target = self._choice.choose(work, free, worth_waiting, now)
-        if target is None:
+        if target is None or not self._split.may_serve(work, target, now):
             return False
-        self._queue.remove(work.ask)
         self._grant(work, target, free, now)
         return True
 
@@ -360,14 +379,19 @@
     ) -> tuple[list[SlotTarget], list[SlotTarget]]:
         """Return free targets for a request, and those that it may rather wait for."""
         if self._own_targets is None:
-            return self._order.free(work.data_centre, now), self._order.fastest(now)
+            order = self._split.serving
+            return order.free(work.data_centre, now), order.fastest(now)
         if now >= self._own_at + RATE_VALID_S:
             self._own_at = now
-            self._own = self._own_targets.choose(self._order.usable(now), self.share)
+            self._own = self._own_targets.choose(
+                self._split.serving.usable(now), self.share
+            )
         return [target for target in self._own if target.free(now) > 0], self._own
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
+        self._queue.remove(work.ask)
         self.counts.granted += 1
+        self._split.granted(target)
         self._floor.granted(work.rank, now)
         weighed = self._choice.weighed(work, free, now)
         self._run(target, work, now)
@@ -379,7 +403,7 @@
         run = Run(work, now, choice.cost(work), choice.prefill(work))
         run.expected_first = target.prefill_left(now) + choice.reach(work)
         target.add(work.ask, run)
-        self._order.changed(target, now)
+        self._split.changed(target, now)
         self._placed[work.ask] = target.name
         ends = now + choice.longest(target, work, now)
         self._watch.watch(work.ask, work.instance, ends)
@@ -413,7 +437,7 @@
         """Reckon again how fast the targets work, at most once a moment."""
         if now >= self._rate_at + RATE_VALID_S:
             self._rate_at = now
-            usable = self._order.usable(now)
+            usable = self._split.serving.usable(now)
             self._rate = sum(t.slots / t.slowness for t in usable)
             self._choice.fastest = min((t.slowness for t in usable), default=1.0)
 
@@ -429,4 +453,4 @@
         target = self._targets.get(self._placed.pop(ask, ""))
         if target:
             target.remove(ask)
-            self._order.changed(target, now)
+            self._split.changed(target, now)
--- /dev/null
+++ b/hibiscusstep/routing/version_split.py
@@ -0,0 +1,197 @@
+"""hibiscusstep.routing.version_split: which targets serve, by their version."""
+
+import enum
+
+from hibiscusstep.rollout.comparison import Answer
+from hibiscusstep.rollout.controller import Rollout
+from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.plan import PlannedPool
+from hibiscusstep.routing.slot_choice import SlotChoice
+from hibiscusstep.routing.slot_target import Run, SlotTarget
+from hibiscusstep.routing.target_order import TargetOrder
+
+__all__ = ["VersionSplit"]
+
+
+class _Role(enum.Enum):
+    SERVING = "its version is in force"
+    CANARY = "its version is to be in force, and not proved yet"
+    BARRED = "no order allows its version"
+
+
+# What a request's end tells of its target's version; other ends tell nothing of it.
+_TELLING = (
+    m.Outcome.DONE,
+    m.Outcome.FAILED,
+    m.Outcome.BROKEN,
+    m.Outcome.CANCELLED,
+)
+
+
+class VersionSplit:
+    """Keeps the targets of each version apart, and carries out the pool's order.
+
+    Parameters
+    ----------
+    choice : SlotChoice
+        Weighs targets for requests.
+    is_alone : bool
+        Whether it dispatches for one instance only: that sends nothing to a version
+        that is not in force, since nobody counts it.
+
+    Attributes
+    ----------
+    serving : TargetOrder
+        Targets of the versions that are in force.
+    rollout : Rollout or None
+        The order that is being carried out.
+    """
+
+    def __init__(self, choice: SlotChoice, is_alone: bool) -> None:
+        self._choice = choice
+        self._is_alone = is_alone
+        self._canaries = TargetOrder()
+        self._roles: dict[str, _Role] = {}
+        self._versions: frozenset[str] = frozenset()
+        self._told = False
+        self.serving = TargetOrder()
+        self.rollout: Rollout | None = None
+
+    @property
+    def canary_names(self) -> list[str]:
+        """Targets of the version that is to be in force."""
+        return [name for name, role in self._roles.items() if role is _Role.CANARY]
+
+    def slots(self, now: float) -> int:
+        """Return the slots of all targets that may be used."""
+        return self.serving.slots(now) + self._canaries.slots(now)
+
+    def configure(self, pool: PlannedPool) -> None:
+        """Take the versions in force and the order, before the targets are placed."""
+        self._versions = pool.serving
+        planned = None if self._is_alone else pool.rollout
+        if planned is None:
+            self.rollout = None
+        elif self.rollout and self.rollout.planned.number == planned.number:
+            self.rollout.replan(planned)
+        else:
+            self.rollout = Rollout(planned)
+            self._told = False
+
+    def place(self, target: SlotTarget, now: float) -> None:
+        """Put a target where its version belongs, and note that it changed."""
+        role, before = self._role_of(target), self._roles.get(target.name)
+        if role is before:
+            self.changed(target, now)
+            return
+        self._take_out(target, before)
+        self._roles[target.name] = role
+        if order := self._order(role):
+            order.add(target, now)
+
+    def changed(self, target: SlotTarget, now: float) -> None:
+        """Take note that a target's slots, speed, failures or state changed."""
+        if order := self._order(self._roles.get(target.name)):
+            order.changed(target, now)
+
+    def remove(self, target: SlotTarget) -> None:
+        """Drop a target."""
+        self._take_out(target, self._roles.pop(target.name, None))
+
+    def _take_out(self, target: SlotTarget, role: _Role | None) -> None:
+        if order := self._order(role):
+            order.remove(target)
+
+    def _order(self, role: _Role | None) -> TargetOrder | None:
+        return {_Role.SERVING: self.serving, _Role.CANARY: self._canaries}.get(role)
+
+    def _role_of(self, target: SlotTarget) -> _Role:
+        if not self._versions or target.version in self._versions:
+            return _Role.SERVING
+        if self.rollout and target.version == self.rollout.planned.version:
+            return _Role.CANARY
+        return _Role.BARRED
+
+    def has_room(self, now: float) -> bool:
+        """Whether a target that may be used seems to have a free slot."""
+        if self.serving.has_room(now):
+            return True
+        return self._exposes() and self._canaries.has_room(now)
+
+    def choose(self, work: m.Work, now: float) -> SlotTarget | None:
+        """Return a target of the new version for a request; None if it gets none."""
+        if not self._exposes() or work.suspect or not self._canaries.has_room(now):
+            return None
+        if self.rollout.moves_all:
+            free = self._canaries.free(work.data_centre, now)
+            worth_waiting = self._canaries.fastest(now)
+        else:
+            free = self._canaries_in_turn(now)
+            worth_waiting = []
+        unfit = {*work.resting, *work.avoid}
+        free = [target for target in free if target.name not in unfit]
+        if not free:
+            return None
+        return self._choice.choose(work, free, worth_waiting, now)
+
+    def _exposes(self) -> bool:
+        return self.rollout is not None and self.rollout.may_expose()
+
+    def _canaries_in_turn(self, now: float) -> list[SlotTarget]:
+        """Return the first of the new targets, in turn, that has a free slot."""
+        free = {t.name: t for t in self._canaries.usable(now) if t.free(now) > 0}
+        places = self.rollout.order_of(self.canary_names, now)
+        found = [name for name in places if name in free]
+        return [free[name] for name in found[:1]]
+
+    def may_serve(self, work: m.Work, target: SlotTarget, now: float) -> bool:
+        """Whether a request would end at a target before that is stopped."""
+        if self.rollout is None or not self.rollout.moves_all:
+            return True
+        planned = self.rollout.planned
+        ends = now + self._choice.longest(target, work, now)
+        return ends < planned.deadline - planned.lead
+
+    def granted(self, target: SlotTarget) -> None:
+        """Count a request that was granted a target."""
+        if self.rollout:
+            self.rollout.count(self._roles.get(target.name) is _Role.CANARY)
+
+    def ended(
+        self, target: SlotTarget, run: Run, finished: m.Finished, now: float
+    ) -> None:
+        """Compare a request's end with others."""
+        outcome = finished.outcome
+        if not self.rollout or outcome not in _TELLING:
+            return
+        if run.work.suspect or run.adopted:
+            return
+        answer = Answer(
+            target.name,
+            run.work.route,
+            outcome is m.Outcome.FAILED,
+            outcome is m.Outcome.BROKEN,
+            self._choice.ratio(run, finished.tokens, now),
+            outcome is m.Outcome.CANCELLED,
+        )
+        new = self._roles.get(target.name) is _Role.CANARY
+        self.rollout.comparison.observe(answer, new=new, now=now)
+
+    def tick(self, targets: dict[str, SlotTarget], now: float) -> m.Conclude | None:
+        """Decide what is a matter of time; return a conclusion that is new."""
+        if self.rollout is None:
+            return None
+        usable = len(self._canaries.usable(now))
+        old_runs = sum(
+            len(target.running)
+            for target in targets.values()
+            if self._roles.get(target.name) is not _Role.CANARY
+        )
+        self.rollout.tick(usable, old_runs, now)
+        if self.rollout.verdict is None or self._told:
+            return None
+        self._told = True
+        planned = self.rollout.planned
+        return m.Conclude(
+            planned.version, planned.number, self.rollout.verdict, self.rollout.reason
+        )
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from hibiscusstep.errors import PlatformError
+from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 
 __all__ = [
     "BeliefStore",
@@ -15,6 +16,7 @@
     "InstanceRecord",
     "Listing",
     "Platform",
+    "RolloutStore",
     "Roster",
     "StoreRestored",
     "SuspectStore",
@@ -168,6 +170,38 @@
         """Return the document as it is now, None if there is none."""
 
 
+class RolloutStore(ABC):
+    """Has operators' orders to change pools' versions.
+
+    Attributes
+    ----------
+    feed : Feed
+        The orders by pool.
+    """
+
+    feed: Feed
+
+    @abstractmethod
+    async def write_state(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> Result[RolloutOrder, PlatformError]:
+        """Write the status of an order, if it is as it was seen; return it since.
+
+        `PlatformConflict` says that it has changed, `PlatformUnavailable` that the
+        status may or may not stand.
+        """
+
+    @abstractmethod
+    async def write_kept(
+        self, pool: str, document: dict
+    ) -> Result[None, PlatformError]:
+        """Write how far a pool's order was carried out; the last one written stands."""
+
+    @abstractmethod
+    async def read_kept(self, pool: str) -> Result[dict | None, PlatformError]:
+        """Return that document as it is now, None if there is none."""
+
+
 class Platform(Roster):
     """Object service with versions, conditional updates and watches.
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -60,6 +60,7 @@
         app.router.add_get(ROOT + "/{kind}/{name}", self._get_one)
         app.router.add_post(ROOT + "/{kind}", self._create)
         app.router.add_put(ROOT + "/{kind}/{name}", self._replace)
+        app.router.add_put(ROOT + "/{kind}/{name}/status", self._replace_status)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -89,6 +90,18 @@
         self.objects[kind, name] = item
         self._note(kind, False, item)
 
+    def order(self, pool: str, version: str, seconds: float) -> None:
+        """Write an operator's order; the status of an earlier one stays."""
+        known = self.objects.get(("rollouts", pool))
+        spec = {"Service": pool, "To": version, "DurationS": seconds}
+        self.put("rollouts", pool, spec)
+        if known:
+            self.objects["rollouts", pool]["Status"] = known["Status"]
+
+    def status(self, pool: str) -> dict:
+        """Return the status of a pool's order; empty if there is none."""
+        return self.objects.get(("rollouts", pool), {}).get("Status") or {}
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self.objects.pop((kind, name))
@@ -206,6 +219,25 @@
         self.put(kind, name, body["Spec"])
         return _json(self.objects[kind, name])
 
+    async def _replace_status(self, request) -> web.Response:
+        if self._refuses(request):
+            return web.Response(status=503)
+        body = orjson.loads(await request.read())
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        known = self.objects.get((kind, name))
+        if known is None:
+            return _json({}, 404)
+        condition = body["Metadata"].get("Revision")
+        if condition is not None and condition != known["Metadata"]["Revision"]:
+            return _json(known, 409)
+        self.revision += 1
+        item = copy.deepcopy(known)
+        item["Metadata"]["Revision"] = self.revision
+        item["Status"] = body["Status"]
+        self.objects[kind, name] = item
+        self._note(kind, False, item)
+        return _json(item)
+
 
 def _json(body: dict, status: int = 200) -> web.Response:
     return web.Response(
@@ -227,6 +259,8 @@
         target, ends.
     born : int
         Unix millisecond of its start; 0 where it does not tell.
+    version : str
+        Of its software.
 
     Attributes
     ----------
@@ -234,9 +268,12 @@
         Nothing is answered any more and no connection closed, as behind a cut.
     """
 
-    def __init__(self, name: str, script=None, born: int = 0) -> None:
+    def __init__(
+        self, name: str, script=None, born: int = 0, version: str = "v1"
+    ) -> None:
         self.name = name
         self.born = born
+        self.version = version
         self.script = script or (lambda number, fields, body: answer(fields))
         self.requests: list[tuple[str, dict, bytes]] = []
         self.connections = 0
@@ -284,7 +321,7 @@
             "Service": pool,
             "Address": self.address,
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": slots,
             "State": state,
             "ColdLeftMs": 0,
