Overload: short requests as often as the rank above; plain services' run times

Two decisions, each behind a switch (short_ranks, service_times).

A rank whose requests take less than a quarter of the mean time, and a tenth of all at the most, is now owed as much as the ranks above it, never more.

Cause, the second: in a plain service a request waited until 1.5 times the mean run of the fastest target was left. In a queue that is full that is when all start, at targets of any speed: one answer in four was late and took the slot of one in time. What nine of ten runs take at the usual target is learnt instead.

--- a/hibiscusstep/routing/engine_model.py
+++ b/hibiscusstep/routing/engine_model.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["AnswerLengths", "EngineModel", "ReadingShare"]
+__all__ = ["AnswerLengths", "EngineModel", "ReadingShare", "ServiceTimes"]
 
 # First guesses, of one engine in use: seconds before a first token, prompt tokens read
 # in a second, seconds of a token while half of the slots are taken. The first two are
@@ -114,6 +114,32 @@
         return expected * math.exp(self._mean + CAUTION * math.sqrt(self._square))
 
 
+# A plain service's times against its target's mean are taken as log-normal as well; the
+# first guess of their spread, and the deviations that are allowed for: nine of ten are
+# shorter.
+FIRST_SERVICE_SPREAD = 0.4
+SERVICE_CAUTION = 1.28
+
+
+@dataclass(slots=True)
+class ServiceTimes:
+    """How long a plain service's requests take against the mean, learnt."""
+
+    _mean: float = 0.0
+    _square: float = field(default=FIRST_SERVICE_SPREAD**2)
+
+    def learn(self, ratio: float) -> None:
+        """Learn from a request that took so many times its target's mean."""
+        value = math.log(max(1e-3, ratio))
+        self._mean += LENGTH_LEARN * (value - self._mean)
+        self._square += LENGTH_LEARN * ((value - self._mean) ** 2 - self._square)
+
+    @property
+    def cautious(self) -> float:
+        """Times the mean that nine of ten requests keep below."""
+        return math.exp(self._mean + SERVICE_CAUTION * math.sqrt(self._square))
+
+
 # Prompts are read in parts between the tokens of other streams; until one has been
 # seen, it is taken that a prompt of any length is read between two events.
 FIRST_SHARE_S = 10.0
--- a/hibiscusstep/routing/patience.py
+++ b/hibiscusstep/routing/patience.py
@@ -8,9 +8,6 @@
 # Overload comes in bursts of some seconds; whoever comes back sooner is refused again.
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 5.0
-# A request that can still be served in time waits until so many times the seconds of
-# its first token are left: a target is seldom idle.
-REACH_MARGIN = 1.5
 # One that is late already waits for this share of the time that its caller has left,
 # and no longer than callers bear without a first event: they leave after 2 s or more.
 LATE_SHARE = 0.5
@@ -30,7 +27,7 @@
     work : Work
         The request.
     reach : float
-        Seconds until its first token where nothing else is to do.
+        Seconds from its start within which most such requests are served.
     late : bool
         Whether it can't be served in time any more.
     switches : Switches
@@ -43,7 +40,7 @@
         return max(work.deadline, work.received + wait)
     if not switches.useful_wait:
         return work.deadline
-    return max(work.received, work.due - REACH_MARGIN * reach)
+    return max(work.received, work.due - reach)
 
 
 def retry_after(wait: float) -> float:
--- a/hibiscusstep/routing/rank_floor.py
+++ b/hibiscusstep/routing/rank_floor.py
@@ -12,6 +12,10 @@
 LEAST_SHARE = 0.4
 # Seconds for which what was asked and granted counts, fading: bursts last some seconds.
 MEMORY_S = 4.0
+# A rank whose requests take less than this part of the mean time, and together no more
+# than this part of all, is granted as often as the ranks above it: next to nothing is
+# gained for them by refusing it.
+SHORT_REQUEST, SMALL_PART = 0.25, 0.1
 # With fewer requests of a rank in that time nothing is said of it.
 FEWEST_ASKED = 8.0
 # What is counted fades in steps of this, in seconds.
@@ -25,15 +29,18 @@
     rank have a patience of their own, and overload lasts longer than that.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, spares_short: bool = True) -> None:
+        self._spares_short = spares_short
         self._asked: dict[int, float] = defaultdict(float)
         self._granted: dict[int, float] = defaultdict(float)
+        self._seconds: dict[int, float] = defaultdict(float)
         self._at = 0.0
 
-    def asked(self, rank: int, now: float) -> None:
-        """Take note of a new request."""
+    def asked(self, rank: int, now: float, seconds: float = 1.0) -> None:
+        """Take note of a new request, and for how long it takes a slot."""
         self._fade(now)
         self._asked[rank] += 1
+        self._seconds[rank] += seconds
 
     def granted(self, rank: int, now: float) -> None:
         """Take note of a grant."""
@@ -43,8 +50,8 @@
     def owed(self, now: float) -> list[int]:
         """Return the ranks that are below the least share, the most neglected first."""
         shares = self.shares(now)
-        least = LEAST_SHARE * self._share_of_all
-        return sorted((rank for rank in shares if shares[rank] < least), key=shares.get)
+        below = (rank for rank in shares if shares[rank] < self._least(rank, shares))
+        return sorted(below, key=shares.get)
 
     def shares(self, now: float) -> dict[int, float]:
         """Return how often each rank was granted lately, of what it asked."""
@@ -59,7 +66,23 @@
         """Return the grants a second that a rank gets at least; 0 if not known."""
         if self._asked.get(rank, 0.0) < FEWEST_ASKED:
             return 0.0
-        return LEAST_SHARE * self._share_of_all * self._asked[rank] / MEMORY_S
+        shares = self.shares(self._at)
+        return self._least(rank, shares) * self._asked[rank] / MEMORY_S
+
+    def _least(self, rank: int, shares: dict[int, float]) -> float:
+        """Return the share of its requests that a rank is granted at least."""
+        least = LEAST_SHARE * self._share_of_all
+        if not self._spares_short or not self._is_short(rank):
+            return least
+        above = min((s for r, s in shares.items() if r < rank), default=0.0)
+        return max(least, min(above, self._share_of_all))
+
+    def _is_short(self, rank: int) -> bool:
+        seconds, asked = sum(self._seconds.values()), sum(self._asked.values())
+        own = self._seconds[rank]
+        mean = seconds / asked
+        is_short = own / self._asked[rank] < SHORT_REQUEST * mean
+        return is_short and own < SMALL_PART * seconds
 
     @property
     def _share_of_all(self) -> float:
@@ -72,6 +95,6 @@
             return
         self._at = now
         kept = math.exp(-passed / MEMORY_S)
-        for counts in (self._asked, self._granted):
+        for counts in (self._asked, self._granted, self._seconds):
             for rank in counts:
                 counts[rank] *= kept
--- a/hibiscusstep/routing/slot_choice.py
+++ b/hibiscusstep/routing/slot_choice.py
@@ -9,6 +9,7 @@
     AnswerLengths,
     EngineModel,
     ReadingShare,
+    ServiceTimes,
 )
 from hibiscusstep.routing.plan import PlannedPool
 from hibiscusstep.routing.slot_target import Run, SlotTarget
@@ -30,6 +31,9 @@
 # Bytes between data centres are paid for: of targets that serve alike the near one is
 # taken. Six steps of an engine, so that a less busy target still goes first.
 ELSEWHERE_COST_S = 0.02
+# A stream that can still be in time waits until so many times the seconds of its first
+# token are left: a target is seldom idle.
+REACH_MARGIN = 1.5
 # An end that is not told by then is overdue at the soonest: less is spent on the way,
 # and on instances that are busy.
 MIN_OVERDUE_S = 0.5
@@ -49,6 +53,8 @@
     ----------
     fastest : float
         Slowness of the fastest target that may be used.
+    usual : float
+        Slowness of the target that is free next, in the mean.
     """
 
     def __init__(self, switches: Switches) -> None:
@@ -59,7 +65,9 @@
         self._engine = True
         self._tokens_per_event = 1
         self._max_pause = 1.0
+        self._service = ServiceTimes()
         self.fastest = 1.0
+        self.usual = 1.0
 
     def configure(self, pool: PlannedPool) -> None:
         """Take what is configured for the pool."""
@@ -105,6 +113,15 @@
             return PLAIN_SERVICE_S
         return self._model.first + self._model.prefill(work.prompt_tokens)
 
+    def cautious_reach(self, work: m.Work) -> float:
+        """Return the seconds in which most such requests are served, from their start.
+
+        That of a stream is its first token, of a plain service the whole run.
+        """
+        if self._engine or not self._switches.service_times:
+            return REACH_MARGIN * self.fastest * self.reach(work)
+        return self.usual * PLAIN_SERVICE_S * self._service.cautious
+
     def longest(self, target: SlotTarget, work: m.Work, now: float) -> float:
         """Return the seconds in which four of five such requests end at a target."""
         slowness = target.slowness
@@ -129,7 +146,9 @@
         """Learn from a whole answer."""
         target.succeeded()
         if not self._engine:
-            target.learn((now - run.granted) / run.cost)
+            ratio = (now - run.granted) / run.cost
+            self._service.learn(ratio / target.slowness)
+            target.learn(ratio)
         elif finished.tokens >= MIN_EVENTS:
             # The pace of events tells the speed; the rest of an answer's time tells
             # more of what else the target has to do.
--- a/hibiscusstep/routing/slots.py
+++ b/hibiscusstep/routing/slots.py
@@ -90,7 +90,7 @@
         self._switches = switches
         self._queue = SlotQueue()
         self._returns = Returns()
-        self._floor = RankFloor()
+        self._floor = RankFloor(spares_short=switches.short_ranks)
         self._choice = SlotChoice(switches)
         self._watch = RunWatch()
         self._lost = LostRuns()
@@ -186,13 +186,14 @@
             return
         self.counts.asked += 1
         if not self._returns.knows(work):
-            self._floor.asked(work.rank, now)
+            self._floor.asked(work.rank, now, self._choice.cost(work))
         if self._switches.late_last:
             work = self._returns.recognize(work, now)
         # Seconds until it is served where nothing else is to do.
         reach = self._choice.fastest * self._choice.reach(work)
         late = self._switches.late_last and 0 < work.due < now + reach
-        deadline = last_useful_start(work, reach, late, self._switches)
+        least = self._choice.cautious_reach(work)
+        deadline = last_useful_start(work, least, late, self._switches)
         self._queue.add(work, self._choice.cost(work), deadline, late)
 
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
@@ -440,6 +441,8 @@
             usable = self._split.serving.usable(now)
             self._rate = sum(t.slots / t.slowness for t in usable)
             self._choice.fastest = min((t.slowness for t in usable), default=1.0)
+            slots = sum(t.slots for t in usable)
+            self._choice.usual = slots / self._rate if self._rate else 1.0
 
     def _refuse(self, work: m.Work, wait: float) -> None:
         self._queue.remove(work.ask)
--- a/hibiscusstep/routing/switches.py
+++ b/hibiscusstep/routing/switches.py
@@ -30,6 +30,10 @@
         Whether instances are asked for what they hold beyond its expected end.
     spread_alone : bool
         Whether instances that dispatch for themselves use different targets.
+    short_ranks : bool
+        Whether a rank of short requests is granted as often as those above it.
+    service_times : bool
+        Whether a plain service's request waits until most runs would end late.
     """
 
     engine_model: bool = True
@@ -41,6 +45,8 @@
     rank_floor: bool = True
     ask_overdue: bool = True
     spread_alone: bool = True
+    short_ranks: bool = True
+    service_times: bool = True
 
     @classmethod
     def without(cls, names: str) -> "Switches":
--- /dev/null
+++ b/tests/test_short_requests_in_overload.py
@@ -0,0 +1,64 @@
+"""Short requests of the lowest rank, while long ones of the others fill all engines.
+
+A short request takes a tenth of what a long one does. Refused as often as the order by
+rank says, next to nothing was gained for the others; granted as often as the rank above
+it, it costs that one hardly anything.
+"""
+
+import pytest
+
+from hibiscusstep.load.deployment import Burst, DrawnDeployment, RequestKind
+from hibiscusstep.load.pool_emulator import PoolEmulator
+from hibiscusstep.routing.rank_floor import RankFloor
+from hibiscusstep.routing.switches import ALL_ON, Switches
+
+KINDS = (
+    RequestKind(0, 8.0, 6610.0, 380.0, 1.2, 1.0, 12.5),
+    RequestKind(1, 16.0, 628.0, 290.0, 1.0, 0.8, 10.2),
+    RequestKind(2, 13.5, 1800.0, 23.0, 1.0, 1.5, 2.5),
+)
+OVERLOAD = DrawnDeployment(
+    (0.55, 0.55, 1.0, 1.0, 1.0, 2.8, 2.8), 5, 0.0026, 0.014, 48_200.0, 1024, 10, 0.4,
+    KINDS, (Burst(0.0, 24.0, 1.5),), 0.0,
+)  # fmt: skip
+
+
+class TestShortRequestsInOverload:
+    def _shares(self, switches):
+        runs = [PoolEmulator(OVERLOAD, seed, switches).run() for seed in (1, 2, 3)]
+        return [sum(run.share_served(r) for run in runs) / 3 for r in range(3)]
+
+    def test_for_each_long_one_that_is_refused_two_more_are_served(self):
+        before = self._shares(Switches.without("short_ranks"))
+        after = self._shares(ALL_ON)
+        pairs = zip(KINDS, before, after, strict=True)
+        gained = [kind.rate * (now - then) for kind, then, now in pairs]
+        assert gained[2] > -2 * (gained[0] + gained[1])
+        assert after[2] <= after[1] + 0.05
+
+
+class TestFloorOfShortRequests:
+    def _floor(self, seconds, **options):
+        floor = RankFloor(**options)
+        for rank, taken, granted in ((0, 1.35, 38), (1, 0.9, 20), (2, seconds, 14)):
+            for _ in range(40):
+                floor.asked(rank, 1.0, taken)
+            for _ in range(granted):
+                floor.granted(rank, 1.0)
+        return floor
+
+    def test_they_are_owed_as_much_as_the_rank_above(self):
+        assert self._floor(0.1).owed(1.0) == [2]
+
+    def test_long_ones_are_not(self):
+        assert self._floor(0.9).owed(1.0) == []
+
+    def test_nor_any_where_it_is_off(self):
+        assert self._floor(0.1, spares_short=False).owed(1.0) == []
+
+    @pytest.mark.parametrize("granted", [20, 24, 40])
+    def test_never_more_than_the_rank_above(self, granted):
+        floor = self._floor(0.1)
+        for _ in range(granted - 14):
+            floor.granted(2, 1.0)
+        assert floor.owed(1.0) == []
