--- a/hibiscusstep/rollout/controller.py
+++ b/hibiscusstep/rollout/controller.py
@@ -9,14 +9,14 @@
 __all__ = ["PlannedRollout", "Rollout", "RolloutProgress"]
 
 # A version is proved only by so many answers, whatever they say.
-FEWEST_ANSWERS = 20
+FEWEST_ANSWERS = 10
 # After so many a dispatcher goes by what it has seen itself, not by the one before.
-FEWEST_OWN_ANSWERS = 10
+FEWEST_OWN_ANSWERS = 5
 # With this part of the evidence that rolls a version back, it does not get all traffic.
 DOUBTFUL_EVIDENCE = 0.7
 # Requests that the canary phase saves up: few targets run full for a while, which shows
 # what happens only under load.
-BURST = 12.0
+BURST = 8.0
 # The rate of requests is an average over so many seconds.
 RATE_SPAN_S = 2.0
 # So many targets of the version are tried, and another one comes first after so long.
