Roll-outs: who takes over knows what was used; a change of targets is planned once

Seen on reading the change: an instance planned anew only where an order's state changed, so a dispatcher that took over went on with the counts of the order's first moment, and could have used the allowance twice. A version could serve for the moment between an instance's first list of targets and the word on which version is in force. An order that a restored store lacked for a moment counted as withdrawn and began anew. A status that could not be written was tried four times a second.

Change: plans follow the counts while an order runs, and nothing else; what is seen of several versions bars all until one is known; a list of a new era withdraws nothing for 2.2 s; writes are tried again after half a second.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -447,10 +447,10 @@
         self._desk.tell(in_force)
         self._membership.tell(OwnState(version=self._table.version))
 
-    def _versions_of(self, pool: str) -> PlannedVersions:
+    def _versions_of(self, pool: str, seen: set[str]) -> PlannedVersions:
         book, keeper = self._rollouts.book, self._rollouts
         planned = book.planned(pool, self.bounds.exposure, keeper.lead)
-        return PlannedVersions(book.serving(pool), planned)
+        return PlannedVersions(book.serving(pool, seen), planned)
 
     def _take_handed_on(self, value: bytes) -> None:
         try:
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.planning: what dispatchers need of table and targets."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -37,7 +38,7 @@
         self,
         table: RoutingTable,
         targets: dict[str, DiscoveredTarget],
-        versions: Callable[[str], PlannedVersions] = lambda _pool: PlannedVersions(),
+        versions: Callable[[str, set[str]], PlannedVersions] | None = None,
     ) -> Plan:
         """Return the pools of a routing table with their targets.
 
@@ -47,15 +48,18 @@
             In force.
         targets : dict of str to DiscoveredTarget
             By name.
-        versions : callable of str
-            Returns which versions of a pool's targets may serve.
+        versions : callable of str and set of str, default=None
+            Returns which versions of a pool may serve, given those of its targets.
         """
-        pools = {
-            name: replace(
-                pool, serving=versions(name).serving, rollout=versions(name).rollout
+        pools = _pools(table)
+        seen: dict[str, set[str]] = defaultdict(set)
+        for target in targets.values():
+            seen[target.pool].add(target.version)
+        for name in pools if versions else ():
+            planned = versions(name, seen[name])
+            pools[name] = replace(
+                pools[name], serving=planned.serving, rollout=planned.rollout
             )
-            for name, pool in _pools(table).items()
-        }
         for name, target in targets.items():
             pool = pools.get(target.pool)
             if pool is None:
--- a/hibiscusstep/forwarding/rollout_book.py
+++ b/hibiscusstep/forwarding/rollout_book.py
@@ -109,8 +109,15 @@
             if not self._pools[pool].serving and len(seen) > 1
         ]
 
-    def take_targets(self, targets: Iterable[DiscoveredTarget], now: float) -> None:
-        """Take all targets; the only version of a pool is the one in force."""
+    def take_targets(self, targets: Iterable[DiscoveredTarget], now: float) -> bool:
+        """Take all targets; the only version of a pool is the one in force.
+
+        Returns
+        -------
+        bool
+            Whether other versions are in force, or seen, than before.
+        """
+        before = self._versions()
         self._seen = {}
         for target in targets:
             seen = self._seen.setdefault(target.pool, {})
@@ -120,6 +127,14 @@
             if not known.serving and len(seen) == 1 and known.order is None:
                 self._set_serving(known, frozenset(seen), now)
         self._take_over(now)
+        return self._versions() != before
+
+    def _versions(self) -> dict[str, tuple[frozenset[str], frozenset[str]]]:
+        """Return the versions in force and those that are seen, by pool."""
+        return {
+            pool: (self._pools[pool].serving, frozenset(seen))
+            for pool, seen in self._seen.items()
+        }
 
     def take_order(self, order: RolloutOrder, now: float) -> bool:
         """Take an order as the store has it; whether that is news."""
@@ -183,13 +198,21 @@
             oldest = min(others, key=lambda v: (others[v].began, -others[v].slots, v))
             self._set_serving(known, frozenset({oldest}), now)
 
-    def serving(self, pool: str) -> frozenset[str]:
-        """Return the versions of a pool that may serve; empty if all may."""
+    def serving(self, pool: str, seen: Iterable[str] = ()) -> frozenset[str]:
+        """Return the versions of a pool that may serve; empty if all may.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        seen : iterable of str
+            Versions of its targets, which may be newer than what was taken here.
+        """
         known = self._pools.get(pool)
-        if known is None:
-            return frozenset()
-        several = len(self._seen.get(pool, ())) > 1
-        return known.serving or (NONE_KNOWN if several else frozenset())
+        if known is not None and known.serving:
+            return known.serving
+        several = len({*seen, *self._seen.get(pool, ())}) > 1
+        return NONE_KNOWN if several else frozenset()
 
     def barred(self, pool: str) -> frozenset[str]:
         """Return the versions of a pool that no order allows."""
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -38,6 +38,10 @@
 # The completion is written so long before the deadline, and longer by the time that
 # calls of the store take.
 LEAD_S, LEAD_CALLS, MAX_LEAD_S = 0.2, 3.0, 2.0
+# A status that could not be written is tried again after so long.
+WRITE_AGAIN_S = 0.5
+# What the operator wrote is there again so soon after a restore of the store.
+LAPSE_GRACE_S = 2.2
 # Weight of the last call in the time that calls take.
 CALL_LEARN = 0.5
 _DUTY = "rollouts"
@@ -54,6 +58,7 @@
 class _Listed:
     orders: dict[str, RolloutOrder]
     revision: int
+    era: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +131,9 @@
         self._ambiguous_since: float | None = None
         self._told_at = self._kept_at = 0.0
         self._call_s = 0.0
+        self._era = 0
+        self._trusted_at = 0.0
+        self._write_again_at = 0.0
         self._barred: dict[str, frozenset[str]] = {}
         self.book = RolloutBook()
 
@@ -168,9 +176,10 @@
         now = _now()
         match message:
             case TargetsChanged(targets=targets):
-                self.book.take_targets(targets, now)
-                self._note_barred()
-                self._on_change()
+                if self.book.take_targets(targets, now):
+                    self._note_barred()
+                    self._on_change()
+                    self._follow_or_not()
             case Received(sender=sender, message=RolloutRecords(records=records)):
                 self._take_records(records, sender, now)
             case Received(message=RolloutWrite() as wish):
@@ -179,8 +188,8 @@
                 self._take_view(view, now)
             case RolloutNews() as news:
                 self._take_news(news, now)
-            case _Listed(orders=orders, revision=revision):
-                self._take_listing(orders, revision, now)
+            case _Listed() as listed:
+                self._take_listing(listed, now)
             case _Changed(changes=changes):
                 for change in changes:
                     self._take_change(change.name, change.item, change.revision, now)
@@ -195,11 +204,14 @@
 
     # Orders of the store.
 
-    def _take_listing(self, orders, revision: int, now: float) -> None:
+    def _take_listing(self, listed: _Listed, now: float) -> None:
+        if self._era and listed.era > self._era:
+            self._trusted_at = now + LAPSE_GRACE_S
+        self._era = max(self._era, listed.era)
         for pool in self.book:
-            if pool not in orders:
-                self._take_change(pool, None, revision, now)
-        for pool, order in orders.items():
+            if pool not in listed.orders and now >= self._trusted_at:
+                self._take_change(pool, None, listed.revision, now)
+        for pool, order in listed.orders.items():
             self._take_change(pool, order, order.revision, now)
         for pool in self.book.ambiguous():
             self.book.guess(pool, now)
@@ -251,12 +263,11 @@
     def _take_records(self, records: list[RolloutRecord], sender: str, now) -> None:
         changed = [r.pool for r in records if self.book.take_record(r, now)]
         running = [r.pool for r in records if self.book[r.pool].is_running]
-        if changed:
+        # Whoever takes an order over needs how far it came.
+        news = list(dict.fromkeys([*changed, *running]))
+        if news:
             self._on_change()
-        # Progress is told on as well: whoever takes over next may hear it that way.
-        told_on = list(dict.fromkeys([*changed, *running]))
-        if told_on:
-            self._tell(self.book.records(now, told_on), self._beyond(sender))
+            self._tell(self.book.records(now, news), self._beyond(sender))
 
     def _beyond(self, sender: str) -> list[str]:
         """Return the neighbours that a sender does not tell itself."""
@@ -326,7 +337,7 @@
         if listed.is_err():
             return None
         listing = listed.unwrap()
-        self.tell(_Listed(listing.items, listing.revision))
+        self.tell(_Listed(listing.items, listing.revision, listing.era))
         return listing.revision
 
     def _note_call(self, began: float) -> None:
@@ -351,7 +362,9 @@
         """Write the status of an order that this instance carries out."""
         known = self.book[pool]
         state = known.wanted_state
-        if state is None or not self._dispatches(pool):
+        if state is None or _now() < self._write_again_at:
+            return
+        if not self._dispatches(pool):
             return
         task = self._writing.get(pool)
         if task is None or task.done():
@@ -381,6 +394,7 @@
             self._publish([order.pool], now)
 
     def _take_failed_write(self, pool: str, is_conflict: bool) -> None:
+        self._write_again_at = _now() + WRITE_AGAIN_S
         if is_conflict:
             self._read_again()
             return
@@ -467,8 +481,11 @@
     # Time.
 
     def _take_tick(self, now: float) -> None:
-        self._follow_or_not()
         self._read_if_ambiguous(now)
+        if self._trusted_at and now >= self._trusted_at:
+            # What a restored store lacked for longer was withdrawn.
+            self._trusted_at = 0.0
+            self._read_again()
         for pool in self.book:
             known = self.book[pool]
             if known.is_running and not known.progress.is_known:
--- a/tests/test_rollout_book.py
+++ b/tests/test_rollout_book.py
@@ -107,6 +107,10 @@
         again = _order("v2", 7, RolloutState.ROLLED_BACK, "v2", duration=20.0)
         book.take_order(again, 9.0)
         assert book[POOL].is_running
+        (record,) = book.records(10.0)
+        book.take_record(_told(record), 10.0)
+        assert book[POOL].is_running
+        assert book[POOL].wanted_state is RolloutState.RUNNING
 
     def test_who_sees_it_running_first_does_not_know_what_was_used(self):
         book = RolloutBook()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -307,3 +307,62 @@
 
 def _serves(instance):
     return instance._rollouts.book.serving(POOL)
+
+
+class TestTakeOver:
+    async def test_who_dispatches_next_knows_what_was_used(self, site):
+        await site.start_pool(instances=3)
+        site.begin_calls()
+        site.store.order(POOL, "v2", 30.0)
+        await site.until(lambda: site.ran["v2"] >= 12)
+        others = [i for i in site.instances if i.view.dispatcher(POOL) != _name(i)]
+        await site.until(lambda: all(_planned(i).progress.exposed >= 8 for i in others))
+        number = int(site.instances[0].view.dispatcher(POOL)[1:])
+        await site.end_instance(number)
+        await site.until(lambda: any(i._dispatching.rollouts for i in site.running))
+        (state,) = [
+            state
+            for instance in site.running
+            for state in instance._dispatching.rollouts.values()
+        ]
+        assert state["exposed"] >= 8
+
+    async def test_a_change_of_targets_is_planned_once(self, site, monkeypatch):
+        await site.start_pool(instances=1, new=0)
+        plans = []
+        planner = site.instances[0]._planner
+        make = planner.make
+        monkeypatch.setattr(
+            planner, "make", lambda *args: plans.append(1) or make(*args)
+        )
+        site.store.put("servers", "old1", site.targets[1].entry(POOL, slots=7))
+        await site.until(lambda: site.instances[0].targets["old1"].slots == 7)
+        for _ in range(20):
+            await site.call("/once/")
+        assert len(plans) == 1
+
+
+class TestOrderThatARestoredStoreLacksAMoment:
+    async def test_a_version_that_was_rolled_back_stays_so(self, site):
+        site.fails = lambda number: number % 2 == 0
+        await site.start_pool()
+        site.begin_calls()
+        kept = site.store.copy()
+        site.store.order(POOL, "v2", 10.0)
+        await site.until_status("rolled_back")
+        got = site.ran["v2"]
+        site.store.restore(kept)
+        # The watch ends with the era; the list that follows has no order.
+        eras = [i._rollouts for i in site.running]
+        await site.until(lambda: any(keeper._trusted_at for keeper in eras))
+        site.store.order(POOL, "v2", 10.0)
+        await site.until_status("rolled_back")
+        assert site.ran["v2"] <= got + 1
+
+
+def _name(instance):
+    return instance._settings.name
+
+
+def _planned(instance):
+    return instance._versions_of(POOL, set()).rollout
