--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -1,13 +1,17 @@
 """hibiscusstep.forwarding.rollouts: operators' orders to change a pool's version."""
 
 import asyncio
-import logging
 import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound
+from hibiscusstep.forwarding.kept_rollouts import (
+    KeptRollout,
+    from_document,
+    to_document,
+)
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.rollout_book import RolloutBook
 from hibiscusstep.log import decision
@@ -16,14 +20,12 @@
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, RolloutRecord, RolloutRecords, RolloutWrite
 from hibiscusstep.peerlink import Send
-from hibiscusstep.rollout.controller import RolloutProgress
 from hibiscusstep.rollout.news import RolloutNews
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import HistoryLost, RolloutStore
 
 __all__ = ["RolloutKeeper", "TargetsChanged"]
 
-_LOG = logging.getLogger(__name__)
 TICK_S = 0.25
 # So many instances, beside the pools' dispatchers, follow the orders in the store.
 FOLLOWERS = 2
@@ -435,14 +437,11 @@
     async def _write_kept(self, pools: list[str]) -> None:
         for pool in pools:
             known = self.book[pool]
-            document = {
-                "number": known.number,
-                "version": known.order.version if known.order else "",
-                "began": time.time() - (_now() - known.began),
-                "requests": known.progress.requests,
-                "exposed": known.progress.exposed,
-                "answers": known.progress.answers,
-            }
+            if known.order is None:
+                continue
+            began = time.time() - (_now() - known.began)
+            kept = KeptRollout(known.order.version, began, known.progress)
+            document = to_document(kept)
             written = await self._store.write_kept(pool, document)
             if written.is_err():
                 decision("rollout-not-kept", pool=pool, error=str(written.unwrap_err()))
@@ -461,21 +460,13 @@
 
     def _take_kept(self, pool: str, document: dict | None, now: float) -> None:
         known = self.book[pool]
-        if document is None or known.order is None:
-            return
-        try:
-            if document["version"] != known.order.version:
-                return
-            age = max(0.0, time.time() - float(document["began"]))
-            counts = [int(document[key]) for key in ("requests", "exposed", "answers")]
-        except (KeyError, TypeError, ValueError, OverflowError) as cause:
-            _LOG.error(
-                "kept rollout ignored", extra={"pool": pool, "error": repr(cause)}
-            )
+        kept = from_document(pool, document)
+        if kept is None or not known.order or kept.version != known.order.version:
             return
-        age = min(age, known.order.duration)
-        self.book.resume(pool, known.number, age, RolloutProgress(*counts), now)
-        decision("rollout-resumed", pool=pool, age=round(age, 2), counts=counts)
+        age = min(max(0.0, time.time() - kept.began), known.order.duration)
+        self.book.resume(pool, known.number, age, kept.progress, now)
+        exposed = kept.progress.exposed
+        decision("rollout-resumed", pool=pool, age=round(age, 2), exposed=exposed)
         self._on_change()
 
     # Time.
--- a/tests/test_rollout_book.py
+++ b/tests/test_rollout_book.py
@@ -2,11 +2,17 @@
 
 import itertools
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hibiscusstep import codec
+from hibiscusstep.forwarding.kept_rollouts import (
+    KeptRollout,
+    from_document,
+    to_document,
+)
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.rollout_book import RolloutBook
 from hibiscusstep.peer import RolloutRecord
@@ -16,6 +22,7 @@
 
 POOL = "p"
 LIMITS = ExposureLimits()
+_KEPT = to_document(KeptRollout("v2", 1.0, RolloutProgress()))
 
 
 def _targets(*versions):
@@ -167,6 +174,23 @@
         assert book.records(1.0) == []
 
 
+class TestKeptDocument:
+    def test_what_is_written_is_read(self):
+        kept = KeptRollout("v2", 1000.5, RolloutProgress(9, 3, 2, evidence=0.25))
+        assert from_document(POOL, to_document(kept)) == kept
+
+    @pytest.mark.parametrize(
+        "document",
+        [{}, [], "text", {"version": "v2"}, {**_KEPT, "requests": "many"}],
+    )
+    def test_a_malformed_one_is_ignored_with_a_reason(self, document, caplog):
+        assert from_document(POOL, document) is None
+        assert "kept rollout ignored" in caplog.text
+
+    def test_none_is_none(self):
+        assert from_document(POOL, None) is None
+
+
 class OrderLife(RuleBasedStateMachine):
     """Instances with a book each, one of which dispatches; the store's word is one.
 
