--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -327,6 +327,22 @@
         ]
         assert state["exposed"] >= 8
 
+    async def test_so_does_who_starts_after_all_have_ended(self, site):
+        await site.start_pool()
+        site.begin_calls()
+        site.store.order(POOL, "v2", 60.0)
+        await site.until(lambda: site.ran["v2"] >= 12)
+        kind = "hibiscusstep-rollouts"
+        await site.until(lambda: _kept(site, kind).get("exposed", 0) >= 8)
+        for number in range(2):
+            await site.end_instance(number)
+        await site.add_instance(wait=False)
+        book = site.instances[2]._rollouts.book
+        await site.until(lambda: book[POOL].order is not None)
+        await site.until(lambda: book[POOL].progress.is_known)
+        assert book[POOL].progress.exposed >= 8
+        assert book.serving(POOL) == {"v1"}
+
     async def test_a_change_of_targets_is_planned_once(self, site, monkeypatch):
         await site.start_pool(instances=1, new=0)
         plans = []
@@ -366,3 +382,7 @@
 
 def _planned(instance):
     return instance._versions_of(POOL, set()).rollout
+
+
+def _kept(site, kind):
+    return site.store.objects.get((kind, POOL), {}).get("Spec", {})
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 
 import pytest
 from platform_standin import TargetStandIn, configuration
 from test_catalog import BOUND_S, Watched, _entry, watched  # noqa: F401
 from test_crashing_requests import CRASHING, CrashingSite
 
-from hibiscusstep.forwarding.catalog import TargetNews
+from hibiscusstep.forwarding.catalog import Follow, TargetNews
+from hibiscusstep.platform.eras import join_revision
 from hibiscusstep.store import Change
 
 
@@ -105,6 +107,38 @@
         assert watched.targets["t1"].slots == 5
 
 
+class TestInstanceThatHearsOfTheNewEraFromPeersOnly:
+    """It is cut off from the store; what it heard from there is of the era before."""
+
+    async def _cut_off(self, watched):
+        await _grow(watched)
+        old = watched.targets["t1"]
+        watched.catalog.tell(Follow(False))
+        return old
+
+    async def _hear(self, watched, target):
+        news = TargetNews((Change("t1", target, target.revision),))
+        watched.catalog.tell(news)
+
+    async def test_it_takes_what_they_tell(self, watched):  # noqa: F811
+        old = await self._cut_off(watched)
+        written_again = replace(old, slots=5, revision=join_revision(2, 4))
+        await self._hear(watched, written_again)
+        await watched.until(lambda: watched.targets["t1"].slots == 5)
+
+    async def test_late_news_of_the_era_before_change_nothing(self, watched):  # noqa: F811
+        old = await self._cut_off(watched)
+        leaving = replace(old, leaving=True, revision=join_revision(2, 4))
+        await self._hear(watched, leaving)
+        await watched.until(lambda: watched.targets["t1"].leaving)
+        await self._hear(watched, replace(old, slots=9, revision=old.revision + 7))
+        await self._hear(
+            watched, replace(leaving, slots=6, revision=leaving.revision + 1)
+        )
+        await watched.until(lambda: watched.targets["t1"].slots == 6)
+        assert watched.targets["t1"].leaving
+
+
 class TestConfigurationOfARestoredStore:
     async def test_an_older_one_is_not_put_in_force(self, watched):  # noqa: F811
         kept = watched.store.copy()
