--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -110,13 +110,13 @@
 class TestInstanceThatHearsOfTheNewEraFromPeersOnly:
     """It is cut off from the store; what it heard from there is of the era before."""
 
-    async def _cut_off(self, watched):
+    async def _cut_off(self, watched):  # noqa: F811
         await _grow(watched)
         old = watched.targets["t1"]
         watched.catalog.tell(Follow(False))
         return old
 
-    async def _hear(self, watched, target):
+    async def _hear(self, watched, target):  # noqa: F811
         news = TargetNews((Change("t1", target, target.revision),))
         watched.catalog.tell(news)
 
