--- a/hibiscusstep/routing/rank_floor.py
+++ b/hibiscusstep/routing/rank_floor.py
@@ -34,6 +34,8 @@
         self._asked: dict[int, float] = defaultdict(float)
         self._granted: dict[int, float] = defaultdict(float)
         self._seconds: dict[int, float] = defaultdict(float)
+        self._short: set[int] = set()
+        self._short_at = -math.inf
         self._at = 0.0
 
     def asked(self, rank: int, now: float, seconds: float = 1.0) -> None:
@@ -50,6 +52,7 @@
     def owed(self, now: float) -> list[int]:
         """Return the ranks that are below the least share, the most neglected first."""
         shares = self.shares(now)
+        self._find_short(now)
         below = (rank for rank in shares if shares[rank] < self._least(rank, shares))
         return sorted(below, key=shares.get)
 
@@ -66,23 +69,29 @@
         """Return the grants a second that a rank gets at least; 0 if not known."""
         if self._asked.get(rank, 0.0) < FEWEST_ASKED:
             return 0.0
-        shares = self.shares(self._at)
+        shares = self.shares(self._at) if rank in self._short else {}
         return self._least(rank, shares) * self._asked[rank] / MEMORY_S
 
     def _least(self, rank: int, shares: dict[int, float]) -> float:
         """Return the share of its requests that a rank is granted at least."""
         least = LEAST_SHARE * self._share_of_all
-        if not self._spares_short or not self._is_short(rank):
+        if rank not in self._short:
             return least
         above = min((s for r, s in shares.items() if r < rank), default=0.0)
         return max(least, min(above, self._share_of_all))
 
-    def _is_short(self, rank: int) -> bool:
+    def _find_short(self, now: float) -> None:
+        """Find the ranks whose requests take little time, each and together."""
+        if not self._spares_short or now < self._short_at + FADE_STEP_S:
+            return
+        self._short_at = now
         seconds, asked = sum(self._seconds.values()), sum(self._asked.values())
-        own = self._seconds[rank]
-        mean = seconds / asked
-        is_short = own / self._asked[rank] < SHORT_REQUEST * mean
-        return is_short and own < SMALL_PART * seconds
+        self._short = {
+            rank
+            for rank, own in self._seconds.items()
+            if own < SMALL_PART * seconds
+            and own * asked < SHORT_REQUEST * seconds * self._asked[rank]
+        }
 
     @property
     def _share_of_all(self) -> float:
--- a/hibiscusstep/routing/version_split.py
+++ b/hibiscusstep/routing/version_split.py
@@ -52,6 +52,8 @@
         self._is_alone = is_alone
         self._canaries = TargetOrder()
         self._roles: dict[str, _Role] = {}
+        # Where each target stands that is not barred.
+        self._orders: dict[str, TargetOrder] = {}
         self._versions: frozenset[str] = frozenset()
         self._told = False
         self.serving = TargetOrder()
@@ -64,7 +66,8 @@
 
     def slots(self, now: float) -> int:
         """Return the slots of all targets that may be used."""
-        return self.serving.slots(now) + self._canaries.slots(now)
+        slots = self.serving.slots(now)
+        return slots if self.rollout is None else slots + self._canaries.slots(now)
 
     def configure(self, pool: PlannedPool) -> None:
         """Take the versions in force and the order, before the targets are placed."""
@@ -80,31 +83,30 @@
 
     def place(self, target: SlotTarget, now: float) -> None:
         """Put a target where its version belongs, and note that it changed."""
-        role, before = self._role_of(target), self._roles.get(target.name)
-        if role is before:
+        role = self._role_of(target)
+        if role is self._roles.get(target.name):
             self.changed(target, now)
             return
-        self._take_out(target, before)
+        self.remove(target)
         self._roles[target.name] = role
-        if order := self._order(role):
+        if role is not _Role.BARRED:
+            order = self._canaries if role is _Role.CANARY else self.serving
+            self._orders[target.name] = order
             order.add(target, now)
 
     def changed(self, target: SlotTarget, now: float) -> None:
         """Take note that a target's slots, speed, failures or state changed."""
-        if order := self._order(self._roles.get(target.name)):
+        order = self._orders.get(target.name)
+        if order is not None:
             order.changed(target, now)
 
     def remove(self, target: SlotTarget) -> None:
         """Drop a target."""
-        self._take_out(target, self._roles.pop(target.name, None))
-
-    def _take_out(self, target: SlotTarget, role: _Role | None) -> None:
-        if order := self._order(role):
+        self._roles.pop(target.name, None)
+        order = self._orders.pop(target.name, None)
+        if order is not None:
             order.remove(target)
 
-    def _order(self, role: _Role | None) -> TargetOrder | None:
-        return {_Role.SERVING: self.serving, _Role.CANARY: self._canaries}.get(role)
-
     def _role_of(self, target: SlotTarget) -> _Role:
         if not self._versions or target.version in self._versions:
             return _Role.SERVING
@@ -116,11 +118,15 @@
         """Whether a target that may be used seems to have a free slot."""
         if self.serving.has_room(now):
             return True
-        return self._exposes() and self._canaries.has_room(now)
+        if self.rollout is None or not self.rollout.may_expose():
+            return False
+        return self._canaries.has_room(now)
 
     def choose(self, work: m.Work, now: float) -> SlotTarget | None:
         """Return a target of the new version for a request; None if it gets none."""
-        if not self._exposes() or work.suspect or not self._canaries.has_room(now):
+        if self.rollout is None or work.suspect:
+            return None
+        if not self.rollout.may_expose() or not self._canaries.has_room(now):
             return None
         if self.rollout.moves_all:
             free = self._canaries.free(work.data_centre, now)
@@ -134,9 +140,6 @@
             return None
         return self._choice.choose(work, free, worth_waiting, now)
 
-    def _exposes(self) -> bool:
-        return self.rollout is not None and self.rollout.may_expose()
-
     def _canaries_in_turn(self, now: float) -> list[SlotTarget]:
         """Return the first of the new targets, in turn, that has a free slot."""
         free = {t.name: t for t in self._canaries.usable(now) if t.free(now) > 0}
