Soak: orders to change the version, good and bad, beside the other faults

An operator's order to targets that start beside the old ones; on completion the old ones end at once, taken back the new ones drain. Checked: no run at a version that nobody ordered, none five seconds after one was taken back, every order ends.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,7 +22,7 @@
 
 sys.path[:0] = [str(Path(__file__).parent.parent / "examples")]
 
-from soak_ledger import Ledger, Seen  # noqa: E402
+from soak_ledger import ROLLBACK_S, Ledger, Seen  # noqa: E402
 from soak_proxy import Mode  # noqa: E402
 from soak_world import (  # noqa: E402
     CRASH_FIELD,
@@ -42,6 +42,8 @@
 CRASHING_CALLS = 30
 CRASHING_PAUSE_S = 0.4
 SETTLED_WITHIN_S = 30.0
+# An order ends by its deadline; its dispatcher may be lost and the store be away.
+ORDER_GRACE_S = 20.0
 ODD_ENTRIES = (
     None,
     "text",
@@ -296,6 +298,44 @@
         world.store.put("servers", target.name, leaving)
         target.left_at = time.monotonic()
 
+    async def _rollout(self, span):
+        """The operator moves the pool to another version, good or bad."""
+        world, ledger = self._world, self._world.ledger
+        async with world.rollout:
+            version, before = f"v{len(ledger.versions) + 1}", f"v{world.software}"
+            new = [await world.add_target(version) for _ in range(4)]
+            await asyncio.sleep(span / 3)
+            if self._rng.random() < 0.5:
+                for target in new:
+                    target.fault = "grey"
+            ledger.versions.add(version)
+            duration = 4.0 + span
+            world.store.order(POOL, version, duration)
+            state = await self._ended(version, duration)
+            self.told.append(f"{version} {state or 'without an end'}")
+            if state == "completed":
+                world.software = len(ledger.versions)
+                await world.stop_version(before)
+                return
+            ledger.taken_back[version] = time.monotonic()
+            await asyncio.sleep(1.0)
+            world.drain_version(version)
+            await asyncio.sleep(ROLLBACK_S + span)
+            await world.stop_version(version)
+
+    async def _ended(self, version, duration):
+        """Return how an order ended; empty if it did not."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(duration + ORDER_GRACE_S):
+                while True:
+                    status = self._world.store.status(POOL)
+                    state = status.get("State")
+                    if state != "running" and status.get("To") == version:
+                        return state
+                    await asyncio.sleep(0.02)
+        self._world.ledger.late.append("an order that did not end")
+        return ""
+
     async def _store_restored(self, span):
         await self._world.restore_store(span)
 
@@ -310,6 +350,7 @@
         *ALL_KINDS, _crashing_request, _crashing_request, _says_it_leaves,
         _says_it_leaves, _store_restored, _store_restored,
     )  # fmt: skip
+    WITH_ROLLOUTS = (*NEWEST_KINDS, _rollout, _rollout, _rollout)
 
 
 async def soak(
@@ -377,7 +418,7 @@
     for seed in _parse(seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         findings, told = asyncio.run(
-            soak(seed, folder, instances, seconds, kinds=Faults.NEWEST_KINDS)
+            soak(seed, folder, instances, seconds, kinds=Faults.WITH_ROLLOUTS)
         )
         click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {told[0]}")
         for line in findings[:20]:
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -1,5 +1,6 @@
 """What the soak's targets ran and its callers saw, and the promises over both."""
 
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -13,6 +14,8 @@
 # Later than that after a request's third crash it reaches few targets more.
 CONTACT_S = 5.0
 MOST_LATE_CRASHES = 3
+# Nothing reaches a version so long after it was taken back; five seconds are promised.
+ROLLBACK_S = 5.0
 
 
 @dataclass
@@ -72,6 +75,17 @@
     crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     # When an instance first passed on that a target leaves, by process and start.
     heard: dict[tuple[int, str], float] = field(default_factory=dict)
+    # Versions that may get requests, and when others were taken back.
+    versions: set[str] = field(default_factory=lambda: {"v1"})
+    taken_back: dict[str, float] = field(default_factory=dict)
+
+    def ran(self, name, version):
+        """Note that a target of a version runs a request."""
+        if version not in self.versions:
+            self.late.append(f"{name} at a version that nobody ordered: {version}")
+        back = self.taken_back.get(version)
+        if back is not None and time.monotonic() > back + ROLLBACK_S:
+            self.late.append(f"{name} at a version that was taken back: {version}")
 
     def findings(self):
         """Return a line for each broken promise."""
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -49,8 +49,8 @@
         Whether all its answers tell that it leaves.
     """
 
-    def __init__(self, name, ledger, rng, born=0):
-        super().__init__(name, self._work, born)
+    def __init__(self, name, ledger, rng, born=0, version="v1"):
+        super().__init__(name, self._work, born, version)
         self.fault = ""
         self.left_at = 0.0
         self.says_so = False
@@ -69,6 +69,7 @@
         self._ledger.runs[name].append(
             Run(self.name, fields.get("x-tenant", ""), fields)
         )
+        self._ledger.ran(name, self.version)
         if self.left_at and time.monotonic() > self.left_at + LEFT_AFTER_S:
             self._ledger.late.append(f"{name} at {self.name}")
         pause = [self._rng.uniform(0.0, 0.05) + (0.5 if hit == "slow" else 0.0)]
@@ -228,6 +229,8 @@
         self._rng = rng
         self._names = 0
         self._version = 1
+        self.software = 1
+        self.rollout = asyncio.Lock()
         self._wanted = instances, targets
         self.targets = []
         self.instances = []
@@ -268,10 +271,11 @@
         document["Tenants"][0]["ApiKeys"].append(f"key-{self._version}")
         self.store.put("config", "main", document)
 
-    async def add_target(self):
-        """Start a target and let it register itself."""
+    async def add_target(self, version=""):
+        """Start a target, of the version in force if not told, and register it."""
         self._names += 1
-        target = SoakTarget(f"t{self._names}", self.ledger, self._rng)
+        version = version or f"v{self.software}"
+        target = SoakTarget(f"t{self._names}", self.ledger, self._rng, version=version)
         await target.start()
         self.targets.append(target)
         self.store.put("servers", target.name, target.entry(POOL, slots=SLOTS))
@@ -297,9 +301,12 @@
         kept = self.store.copy()
         await asyncio.sleep(span)
         document = self.store.objects["config", "main"]["Spec"]
+        order = self.store.objects.get(("rollouts", POOL))
         self.store.restore(kept)
         await asyncio.sleep(span / 10)
         self.store.put("config", "main", document)
+        if order:
+            self.store.order(POOL, order["Spec"]["To"], order["Spec"]["DurationS"])
         living = {t.name: t for t in self.targets if not t.crashed.is_set()}
         listed = [name for kind, name in self.store.objects if kind == "servers"]
         for name in listed:
@@ -310,6 +317,22 @@
             entry = target.entry(POOL, state=state, slots=SLOTS)
             self.store.put("servers", target.name, entry)
 
+    async def stop_version(self, version):
+        """End all targets of a version at once, as the operator's platform does."""
+        for target in [t for t in self.targets if t.version == version]:
+            self.ledger.crashed.add(target.name)
+            self.targets.remove(target)
+            target.crash()
+            if ("servers", target.name) in self.store.objects:
+                self.store.remove("servers", target.name)
+
+    def drain_version(self, version):
+        """Let all targets of a version tell that they leave."""
+        for target in [t for t in self.targets if t.version == version]:
+            target.left_at = time.monotonic()
+            leaving = target.entry(POOL, state="draining", slots=SLOTS)
+            self.store.put("servers", target.name, leaving)
+
     async def restart_target(self, target, reset):
         """Start a target again under its id; all that it held is lost.
 
@@ -321,7 +344,7 @@
         if reset:
             target.reset()
         born = time.time_ns() // 1_000_000
-        again = SoakTarget(target.name, self.ledger, self._rng, born)
+        again = SoakTarget(target.name, self.ledger, self._rng, born, target.version)
         await again.start()
         self.targets[self.targets.index(target)] = again
         self.store.put("servers", again.name, again.entry(POOL, slots=SLOTS))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,23 @@
         assert not findings, told
 
 
+class TestSoakOfRollouts:
+    """Orders to change the pool's version, good and bad, beside other faults."""
+
+    KINDS = (
+        Faults._rollout, Faults._rollout, Faults._kill, Faults._store_down,
+        Faults._pause,
+    )  # fmt: skip
+
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [401, 402])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, told = await soak(
+            seed, tmp_path, 3, seconds=4.0, faults=4, callers=8, kinds=self.KINDS
+        )
+        assert not findings, told
+
+
 class TestSignalsUntilTheEnd:
     """A process that had served all ended by a second signal instead of with 0.
 
@@ -160,6 +177,18 @@
         ledger.runs["s"].append(Run("t", "one", {}))
         assert ledger.findings()
 
+    def test_work_for_a_version_that_nobody_ordered(self):
+        ledger = self._ledger()
+        ledger.ran("r", "v2")
+        assert ledger.findings()
+
+    def test_work_for_a_version_that_was_taken_back(self):
+        ledger = self._ledger()
+        ledger.versions.add("v2")
+        ledger.taken_back["v2"] = -1e6
+        ledger.ran("r", "v2")
+        assert ledger.findings()
+
     def test_work_for_a_target_that_left(self):
         ledger = self._ledger()
         ledger.late.append("r at t")
