House: what was written twice is one piece of code; behaviour stays

Found on reading the whole change once more: - Quarantine and RolloutKeeper each kept their neighbours, found the new ones and those that a sender does not tell, in the same eight lines: membership/neighbours.py. - ServiceTimes repeated the estimate of AnswerLengths: both use LogNormal. - ObjectRollouts.read_kept repeated the reading of one object: ObjectClient.read_one. - ForwardingBorder._reject built a refusal that own_answer builds. - Quarantine weighed its whole table twice for each message of a peer; now the requests that the message names. Its listing reckoned what the table does. - Rollout.order_of made places that were only walked in order: a list, `tried`. Rollout.part was read by nobody and is gone. - Four tests waited for the old version in the same two lines: until_old_ran.

--- a/hibiscusstep/forwarding/border.py
+++ b/hibiscusstep/forwarding/border.py
@@ -14,6 +14,7 @@
     IngressLimits,
     RoutingTable,
 )
+from hibiscusstep.forwarding.own_answer import own_answer
 from hibiscusstep.forwarding.quota import QuotaKeeper
 from hibiscusstep.forwarding.quota_claim import QUOTA_RETRY_S, QuotaClaim
 from hibiscusstep.log import decision
@@ -218,10 +219,7 @@
             path=request.path[:80],
             version=version,
         )
-        headers = {}
-        if rejected.retry_after is not None:
-            headers["Retry-After"] = f"{rejected.retry_after:.2f}"
-        return web.Response(status=rejected.status, headers=headers)
+        return own_answer(rejected.status, retry_after=rejected.retry_after)
 
 
 async def _wait_in_vain(event: Awaitable, patience: float | None) -> None:
--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.crashes import BrokenRun, CrashDetector
@@ -9,16 +10,15 @@
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.suspects import (
     EARLY_WEIGHT,
-    KEEP_S,
     LATE_WEIGHT,
     SuspectTable,
 )
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
+from hibiscusstep.membership.neighbours import Neighbours
 from hibiscusstep.membership.view import View
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, SuspectState, SuspectStates
-from hibiscusstep.peerlink import Send
 from hibiscusstep.store import StoreRestored, SuspectStore
 
 __all__ = ["Quarantine"]
@@ -58,13 +58,11 @@
     ) -> None:
         super().__init__("quarantine", tick_interval=TICK_S)
         self._address = address
-        self._links = links
         self._store = store
         self._detector = CrashDetector(connections, self._take_crash)
         self._table = SuspectTable()
         self._view = View(settled=False)
-        # Incarnations by address: one that starts again knows nothing.
-        self._neighbours: dict[str, str] = {}
+        self._neighbours = Neighbours(address, links)
         self._ticks = 0
         self._read = False
         self._written: frozenset[int] = frozenset()
@@ -112,7 +110,9 @@
                     target: round(now - crash.at, 1)
                     for target, crash in suspect.crashes.items()
                 },
-                "expires_in": round(suspect.newest + KEEP_S - now, 1),
+                "expires_in": round(
+                    self._table.expires_in(suspect.fingerprint, now), 1
+                ),
             }
             for suspect in self._table.suspected
         ]
@@ -127,7 +127,7 @@
         if state is None:
             return False
         decision("request-cleared", fingerprint=f"{fingerprint:016x}", why=why)
-        self._tell([state], self._neighbours)
+        self._tell([state], self._neighbours.addresses)
         return True
 
     def _take_crash(self, target: str, runs: list[BrokenRun]) -> None:
@@ -149,7 +149,7 @@
                 weight=weight,
                 crashes=dict(zip(state.targets, state.weights, strict=True)),
             )
-        self._tell(states, self._neighbours)
+        self._tell(states, self._neighbours.addresses)
 
     async def handle(self, message) -> None:
         """Take what a peer tells, a view, or a tick."""
@@ -166,42 +166,28 @@
     def _take_states(self, states: list[SuspectState], sender: str) -> None:
         """Take what a peer knows, and tell on what is new to those it can't reach."""
         now = _now()
-        held = {s.fingerprint for s in self._table.quarantined}
+        told = dict.fromkeys(state.fingerprint for state in states)
+        held = {fingerprint for fingerprint in told if self.holds(fingerprint)}
         changed = [state for state in states if self._table.take(state, now)]
-        for suspect in self._table.quarantined:
-            if suspect.fingerprint not in held:
+        for fingerprint in told:
+            if fingerprint not in held and self.holds(fingerprint):
                 decision(
                     "request-quarantined",
-                    fingerprint=f"{suspect.fingerprint:016x}",
-                    crashes={t: c.weight for t, c in suspect.crashes.items()},
+                    fingerprint=f"{fingerprint:016x}",
+                    crashes=self._table.weights(fingerprint),
                     told_by=sender,
                 )
-        self._tell(changed, self._beyond(sender))
-
-    def _beyond(self, sender: str) -> list[str]:
-        """Return the neighbours that a sender does not tell itself."""
-        followers = {f.peer_address for f in self._view.followers.values()}
-        heard_by = self._neighbours if sender in followers else followers
-        return [address for address in heard_by if address != sender]
+        self._tell(changed, self._neighbours.beyond(sender))
 
     def _take_view(self, view: View) -> None:
         """Tell new neighbours all that is known."""
-        before = self._neighbours
-        known = (*view.members.values(), *view.followers.values())
-        incarnations = {member.peer_address: member.incarnation for member in known}
         self._view = view
-        self._neighbours = {
-            address: incarnations.get(address, "")
-            for address in view.neighbours(self._address)
-        }
-        new = [a for a, who in self._neighbours.items() if before.get(a) != who]
+        new = self._neighbours.take_view(view)
         self._tell(self._table.states(_now()), new)
 
-    def _tell(self, states: list[SuspectState], addresses) -> None:
-        if not states:
-            return
-        for address in addresses:
-            self._links.tell(Send(address, SuspectStates(states)))
+    def _tell(self, states: list[SuspectState], addresses: Iterable[str]) -> None:
+        if states:
+            self._neighbours.tell(SuspectStates(states), addresses)
 
     def _take_tick(self) -> None:
         now = _now()
@@ -209,7 +195,7 @@
         self._table.forget_old(now)
         self._detector.forget_old(now)
         if self._ticks % TELL_ALL_EVERY == 0:
-            self._tell(self._table.recent(now), self._neighbours)
+            self._tell(self._table.recent(now), self._neighbours.addresses)
         keeps = self._view.settled and self._view.has_duty(_DUTY, self._address)
         if keeps and (self._keeping is None or self._keeping.done()):
             # A store that does not answer must not hold up what peers tell.
@@ -240,7 +226,7 @@
         if states:
             decision("quarantine-read", requests=len(states))
             self._take_states(states, "")
-            self._tell(states, self._neighbours)
+            self._tell(states, self._neighbours.addresses)
 
     async def stop(self) -> None:
         """End what is being looked into."""
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound
@@ -16,10 +16,10 @@
 from hibiscusstep.forwarding.rollout_book import RolloutBook
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
+from hibiscusstep.membership.neighbours import Neighbours
 from hibiscusstep.membership.view import View, rendezvous
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import Received, RolloutRecord, RolloutRecords, RolloutWrite
-from hibiscusstep.peerlink import Send
 from hibiscusstep.rollout.news import RolloutNews
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import HistoryLost, RolloutStore
@@ -119,12 +119,10 @@
     ) -> None:
         super().__init__("rollouts", tick_interval=TICK_S)
         self._own_name = name
-        self._address = address
-        self._links = links
         self._store = store
         self._on_change = on_change
         self._view = View(settled=False)
-        self._neighbours: dict[str, str] = {}
+        self._neighbours = Neighbours(address, links)
         self._following: asyncio.Task | None = None
         self._reading: asyncio.Task | None = None
         self._writing: dict[str, asyncio.Task] = {}
@@ -258,7 +256,7 @@
     def _publish(self, pools: list[str], now: float) -> None:
         """Tell the dispatchers here and the other instances."""
         self._on_change()
-        self._tell(self.book.records(now, pools), self._neighbours)
+        self._tell(self.book.records(now, pools), self._neighbours.addresses)
 
     # Other instances.
 
@@ -269,32 +267,17 @@
         news = list(dict.fromkeys([*changed, *running]))
         if news:
             self._on_change()
-            self._tell(self.book.records(now, news), self._beyond(sender))
-
-    def _beyond(self, sender: str) -> list[str]:
-        """Return the neighbours that a sender does not tell itself."""
-        followers = {f.peer_address for f in self._view.followers.values()}
-        heard_by = self._neighbours if sender in followers else followers
-        return [address for address in heard_by if address != sender]
+            self._tell(self.book.records(now, news), self._neighbours.beyond(sender))
 
     def _take_view(self, view: View, now: float) -> None:
-        before = self._neighbours
-        known = (*view.members.values(), *view.followers.values())
-        incarnations = {member.peer_address: member.incarnation for member in known}
         self._view = view
-        self._neighbours = {
-            address: incarnations.get(address, "")
-            for address in view.neighbours(self._address)
-        }
-        new = [a for a, who in self._neighbours.items() if before.get(a) != who]
+        new = self._neighbours.take_view(view)
         self._tell(self.book.records(now), new)
         self._follow_or_not()
 
-    def _tell(self, records: list[RolloutRecord], addresses) -> None:
-        if not records:
-            return
-        for address in addresses:
-            self._links.tell(Send(address, RolloutRecords(records)))
+    def _tell(self, records: list[RolloutRecord], addresses: Iterable[str]) -> None:
+        if records:
+            self._neighbours.tell(RolloutRecords(records), addresses)
 
     def _dispatches(self, pool: str) -> bool:
         return self._view.dispatcher(pool) == self._own_name
@@ -402,11 +385,11 @@
             return
         known = self.book[pool]
         state = known.wanted_state
-        others = list(self._neighbours)
+        others = self._neighbours.addresses
         if state and others and self._dispatches(pool):
             order = known.order
             wish = RolloutWrite(pool, order.revision, order.version, str(state))
-            self._links.tell(Send(random.choice(others), wish))
+            self._neighbours.tell(wish, [random.choice(others)])
 
     def _write_for_another(self, wish: RolloutWrite) -> None:
         """Write a status for a dispatcher that can't reach the store."""
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -165,6 +165,12 @@
         suspect = self._suspects.get(fingerprint)
         return suspect.weight if suspect else 0.0
 
+    def weights(self, fingerprint: int) -> dict[str, float]:
+        """Return how much each target's crash counts against a request."""
+        suspect = self._suspects.get(fingerprint)
+        crashes = suspect.crashes if suspect else {}
+        return {target: crash.weight for target, crash in crashes.items()}
+
     def expires_in(self, fingerprint: int, now: float) -> float:
         """Return the seconds until the crashes under a request count no more."""
         suspect = self._suspects.get(fingerprint)
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -158,6 +158,15 @@
         listed = await self.list_all(kind, Serializable="1")
         return listed.map(lambda found: list(_decode_each(kind, found[0], decode)))
 
+    async def read_one(
+        self, kind: str, name: str
+    ) -> Result[dict | None, PlatformError]:
+        """Return what an object holds as it is now; None if there is none."""
+        reply = await self.call("GET", f"{kind}/{quote(name)}")
+        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
+            return Ok(None)
+        return reply.map(lambda found: found.get("Spec"))
+
     async def write(
         self, kind: str, name: str, spec: dict, methods: tuple[str, str]
     ) -> Result[None, PlatformError]:
@@ -373,10 +382,7 @@
 
     async def read(self) -> Result[dict | None, PlatformError]:
         """Return the document; the store may not give an older one for it."""
-        reply = await self._client.call("GET", f"{self._KIND}/{self._NAME}")
-        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
-            return Ok(None)
-        return reply.map(lambda found: found.get("Spec"))
+        return await self._client.read_one(self._KIND, self._NAME)
 
 
 class ObjectUse(_OneObject, UseStore):
@@ -446,10 +452,7 @@
 
     async def read_kept(self, pool: str) -> Result[dict | None, PlatformError]:
         """Return the document of a pool."""
-        reply = await self._client.call("GET", f"{self._KEPT_KIND}/{quote(pool)}")
-        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
-            return Ok(None)
-        return reply.map(lambda found: found.get("Spec"))
+        return await self._client.read_one(self._KEPT_KIND, pool)
 
 
 def _record(item: dict) -> InstanceRecord:
--- a/hibiscusstep/rollout/controller.py
+++ b/hibiscusstep/rollout/controller.py
@@ -1,5 +1,6 @@
 """hibiscusstep.rollout.controller: carries one order out, as a pool's dispatcher."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from hibiscusstep.rollout.budget import SLACK_PART, ExposureBudget, ExposureLimits
@@ -152,11 +153,6 @@
         """Answers of the version, those before this dispatcher among them."""
         return self._answers_before + self.comparison.answers
 
-    @property
-    def part(self) -> float:
-        """Part of the pool's requests that the version got."""
-        return self._budget.exposed / max(1, self._budget.requests)
-
     @property
     def summary(self) -> dict:
         """The state in short, for the log."""
@@ -193,8 +189,8 @@
             self._open = True
         return self._open
 
-    def order_of(self, names: list[str], now: float) -> dict[str, int]:
-        """Return the place of each target that is tried: the first ones run full.
+    def tried(self, names: Iterable[str], now: float) -> list[str]:
+        """Return the targets that are tried; the first one runs full, then the next.
 
         Few are tried, so that something is known of each, and in turn. One that is at
         fault by itself is replaced.
@@ -202,8 +198,7 @@
         sound = sorted(name for name in names if name not in self.comparison.faulty)
         tried = sound[:CANARY_TARGETS]
         shift = int(now / ROTATE_S) % len(tried) if tried else 0
-        turned = tried[shift:] + tried[:shift]
-        return {name: place for place, name in enumerate(turned)}
+        return tried[shift:] + tried[:shift]
 
     def tick(self, targets: int, old_runs: int, now: float) -> None:
         """Decide what is a matter of time.
--- a/hibiscusstep/routing/engine_model.py
+++ b/hibiscusstep/routing/engine_model.py
@@ -1,7 +1,7 @@
 """hibiscusstep.routing.engine_model: how long a pool's engines take, learnt."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 
 __all__ = ["AnswerLengths", "EngineModel", "ReadingShare", "ServiceTimes"]
 
@@ -84,11 +84,43 @@
         self._xy += weight * prompt * seconds
 
 
-# An answer's length against its hint is taken as log-normal; first guess of its spread.
-FIRST_SPREAD = 0.5
-# Weight of a new answer: some 20 count.
+# Weight of a new observation of a log-normal ratio: some 20 count.
 LENGTH_LEARN = 0.05
-# Deviations above the median that are allowed for: four answers of five are shorter.
+
+
+@dataclass(slots=True)
+class LogNormal:
+    """A ratio that is taken as log-normal, learnt.
+
+    Parameters
+    ----------
+    spread : float
+        First guess of the standard deviation of its logarithm.
+    """
+
+    spread: InitVar[float]
+    _mean: float = 0.0
+    _square: float = field(init=False)
+
+    def __post_init__(self, spread: float) -> None:
+        """Begin with the first guess."""
+        self._square = spread**2
+
+    def learn(self, ratio: float) -> None:
+        """Learn from an observation."""
+        value = math.log(ratio)
+        self._mean += LENGTH_LEARN * (value - self._mean)
+        off = (value - self._mean) ** 2
+        self._square += LENGTH_LEARN * (off - self._square)
+
+    def above_median(self, deviations: float) -> float:
+        """Return the ratio so many standard deviations above the median."""
+        return math.exp(self._mean + deviations * math.sqrt(self._square))
+
+
+# First guess of the spread of an answer's length against its hint, and the deviations
+# that are allowed for: four answers of five are shorter.
+FIRST_SPREAD = 0.5
 CAUTION = 0.84
 
 
@@ -99,45 +131,38 @@
     Callers' hints are right at the median and far off for many.
     """
 
-    _mean: float = 0.0
-    _square: float = field(default=FIRST_SPREAD**2)
+    _ratio: LogNormal = field(default_factory=lambda: LogNormal(FIRST_SPREAD))
 
     def learn(self, expected: int, tokens: int) -> None:
         """Learn from a whole answer."""
-        ratio = math.log(max(1, tokens) / max(1, expected))
-        self._mean += LENGTH_LEARN * (ratio - self._mean)
-        off = (ratio - self._mean) ** 2
-        self._square += LENGTH_LEARN * (off - self._square)
+        self._ratio.learn(max(1, tokens) / max(1, expected))
 
     def cautious(self, expected: int) -> float:
         """Return a length that four answers of five keep below."""
-        return expected * math.exp(self._mean + CAUTION * math.sqrt(self._square))
+        return expected * self._ratio.above_median(CAUTION)
 
 
-# A plain service's times against its target's mean are taken as log-normal as well; the
-# first guess of their spread, and the deviations that are allowed for: nine of ten are
-# shorter.
+# The same of a plain service's times against its target's mean: nine of ten are
+# shorter. Of a time that the clock does not resolve this much is believed.
 FIRST_SERVICE_SPREAD = 0.4
 SERVICE_CAUTION = 1.28
+LEAST_SERVICE_RATIO = 1e-3
 
 
 @dataclass(slots=True)
 class ServiceTimes:
     """How long a plain service's requests take against the mean, learnt."""
 
-    _mean: float = 0.0
-    _square: float = field(default=FIRST_SERVICE_SPREAD**2)
+    _ratio: LogNormal = field(default_factory=lambda: LogNormal(FIRST_SERVICE_SPREAD))
 
     def learn(self, ratio: float) -> None:
         """Learn from a request that took so many times its target's mean."""
-        value = math.log(max(1e-3, ratio))
-        self._mean += LENGTH_LEARN * (value - self._mean)
-        self._square += LENGTH_LEARN * ((value - self._mean) ** 2 - self._square)
+        self._ratio.learn(max(LEAST_SERVICE_RATIO, ratio))
 
     @property
     def cautious(self) -> float:
         """Times the mean that nine of ten requests keep below."""
-        return math.exp(self._mean + SERVICE_CAUTION * math.sqrt(self._square))
+        return self._ratio.above_median(SERVICE_CAUTION)
 
 
 # Prompts are read in parts between the tokens of other streams; until one has been
--- a/hibiscusstep/routing/version_split.py
+++ b/hibiscusstep/routing/version_split.py
@@ -60,7 +60,7 @@
         self.rollout: Rollout | None = None
 
     @property
-    def canary_names(self) -> list[str]:
+    def _canary_names(self) -> list[str]:
         """Targets of the version that is to be in force."""
         return [name for name, role in self._roles.items() if role is _Role.CANARY]
 
@@ -143,9 +143,8 @@
     def _canaries_in_turn(self, now: float) -> list[SlotTarget]:
         """Return the first of the new targets, in turn, that has a free slot."""
         free = {t.name: t for t in self._canaries.usable(now) if t.free(now) > 0}
-        places = self.rollout.order_of(self.canary_names, now)
-        found = [name for name in places if name in free]
-        return [free[name] for name in found[:1]]
+        tried = self.rollout.tried(self._canary_names, now)
+        return [free[name] for name in tried if name in free][:1]
 
     def may_serve(self, work: m.Work, target: SlotTarget, now: float) -> bool:
         """Whether a request would end at a target before that is stopped."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -77,6 +77,11 @@
                 await asyncio.sleep(0.01)
         return self.store.status(POOL)
 
+    async def until_old_ran(self, more=100):
+        """Wait until the old version has run so many requests more."""
+        old = self.ran["v1"]
+        await self.until(lambda: self.ran["v1"] >= old + more)
+
     async def until(self, condition):
         async with asyncio.timeout(BOUND_S):
             while not condition():
@@ -191,8 +196,7 @@
         assert (await site.until_status("rolled_back"))["To"] == "v2"
         got = site.ran["v2"]
         assert got <= SHARE * (got + site.ran["v1"]) + SLACK
-        old = site.ran["v1"]
-        await site.until(lambda: site.ran["v1"] >= old + 100)
+        await site.until_old_ran()
         assert site.ran["v2"] <= got + 1
 
     async def test_is_left_alone_while_the_store_is_away(self, site):
@@ -206,8 +210,8 @@
             i for i in site.instances if i.view.dispatcher(POOL) == i._settings.name
         )
         await site.until(lambda: dispatcher._rollouts.book[POOL].is_rejected)
-        got, old = site.ran["v2"], site.ran["v1"]
-        await site.until(lambda: site.ran["v1"] >= old + 100)
+        got = site.ran["v2"]
+        await site.until_old_ran()
         assert site.ran["v2"] <= got + SLOTS
         site.store.down = False
         await site.until_status("rolled_back")
@@ -222,8 +226,7 @@
         for number in range(2):
             await site.add_instance()
             await site.end_instance(number)
-        old = site.ran["v1"]
-        await site.until(lambda: site.ran["v1"] >= old + 100)
+        await site.until_old_ran()
         assert site.ran["v2"] <= got + 1
 
     async def test_may_be_ordered_again(self, site):
@@ -253,8 +256,8 @@
         await site.until(
             lambda: not any(i._rollouts.book.running for i in site.running)
         )
-        got, old = site.ran["v2"], site.ran["v1"]
-        await site.until(lambda: site.ran["v1"] >= old + 100)
+        got = site.ran["v2"]
+        await site.until_old_ran()
         assert site.ran["v2"] <= got + SLOTS
 
     @pytest.mark.parametrize(
