Roll-outs: a withdrawn order is withdrawn also where its removal bears its last revision

Seen: an order that was removed at once after its status was written went on being carried out; the case of a withdrawal midway timed out once the status was written sooner. Cause: what a watch tells of a removed object is the object as it was, with the revision of its last change, which the book took for old news; only a list, after a failed write, withdrew it.

Change: a removal counts from the known revision on, and counts itself as one later, so that peers take it too. Test failed first; a late word of a removal still withdraws no newer order.

--- a/hibiscusstep/forwarding/rollout_book.py
+++ b/hibiscusstep/forwarding/rollout_book.py
@@ -157,11 +157,15 @@
         return True
 
     def withdraw(self, pool: str, revision: int) -> bool:
-        """Take note that a pool's order was withdrawn; whether that is news."""
+        """Take note that a pool's order was withdrawn; whether that is news.
+
+        What is told of a removal may bear the revision of the order's last change; the
+        removal itself came after it.
+        """
         known = self._pools[pool]
-        if revision <= known.revision:
+        if known.order is None or revision < known.revision:
             return False
-        known.revision = revision
+        known.revision = max(revision, known.revision + 1)
         known.order = None
         return True
 
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -220,7 +220,7 @@
 
     def _take_change(self, pool: str, order, revision: int, now: float) -> None:
         if order is None:
-            if self.book[pool].order and self.book.withdraw(pool, revision):
+            if self.book.withdraw(pool, revision):
                 decision("rollout-withdrawn", pool=pool, revision=revision)
                 self._publish([pool], now)
             return
--- a/tests/test_rollout_book.py
+++ b/tests/test_rollout_book.py
@@ -99,6 +99,22 @@
         assert book[POOL].progress.requests == 10
         assert book[POOL].wanted_state is None
 
+    def test_its_removal_may_bear_its_last_revision(self):
+        one, other = RolloutBook(), RolloutBook()
+        for book in (one, other):
+            book.take_order(_order(state=RolloutState.RUNNING, of="v2"), 1.0)
+        assert one.withdraw(POOL, 5)
+        assert not one.withdraw(POOL, 5)
+        other.take_record(_told(one.records(2.0)[0]), 2.0)
+        assert not one.running
+        assert not other.running
+
+    def test_a_late_word_of_a_removal_withdraws_no_newer_order(self):
+        book = RolloutBook()
+        book.take_order(_order(revision=9), 1.0)
+        assert not book.withdraw(POOL, 5)
+        assert book.running == [POOL]
+
     def test_one_that_replaces_it_begins_anew(self):
         book = RolloutBook()
         book.take_order(_order(), 1.0)
