Roll-outs: no request goes to a version before the store tells that its order runs

Cause, by a trace of what the book took: the version got its first requests as soon as the order was seen, its status was written up to a quarter of a second later; whoever started in between found an order without a status and did not ask what was kept of it. What two dispatchers may use of the allowance adds up to 40 of 50, so the bound held; a third start would have broken it.

Change: an order is planned only once the store has it running, which is written at once and not at the next tick; one that was begun goes on where a restored store lost that. The emulator writes the status first too.

Cost: the canary begins a call of the store later; while no instance can write, it does not begin.

--- a/hibiscusstep/forwarding/rollout_book.py
+++ b/hibiscusstep/forwarding/rollout_book.py
@@ -33,6 +33,9 @@
         When it was first seen, on the loop's clock.
     progress : RolloutProgress
         How far it has been carried out.
+    is_begun : bool
+        Whether the store told that it is being carried out. Before, no request may go
+        to its version: who starts later would not ask what was used.
     final : RolloutState or None
         How it ended, whether or not the store has that yet.
     serving : frozenset of str
@@ -48,6 +51,7 @@
     number: int = 0
     began: float = 0.0
     progress: RolloutProgress = field(default_factory=RolloutProgress)
+    is_begun: bool = False
     final: RolloutState | None = None
     serving: frozenset[str] = frozenset()
     serving_since: int = 0
@@ -239,7 +243,7 @@
         if known is None or known.order is None or known.is_rejected:
             return None
         order = known.order
-        if order.is_completed:
+        if order.is_completed or not known.is_begun:
             return None
         return PlannedRollout(
             order.version,
@@ -344,11 +348,13 @@
         known.number = order.revision if order else 0
         known.began = now
         known.progress = RolloutProgress(is_known=is_known)
+        known.is_begun = False
         known.final = None
 
     def _note_state(self, known, now: float) -> None:
         """Take the status of an order for how it ended."""
         order = known.order
+        known.is_begun |= order.is_running
         if order.is_rolled_back:
             known.final = RolloutState.ROLLED_BACK
         if order.is_completed:
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -229,6 +229,7 @@
             if self.book[pool].number != number:
                 self._log_order(order)
             self._publish([pool], now)
+            self._write_status(pool)
 
     def _log_order(self, order: RolloutOrder) -> None:
         decision(
@@ -268,6 +269,8 @@
         if news:
             self._on_change()
             self._tell(self.book.records(now, news), self._neighbours.beyond(sender))
+        for pool in changed:
+            self._write_status(pool)
 
     def _take_view(self, view: View, now: float) -> None:
         self._view = view
--- a/hibiscusstep/load/rollout_emulator.py
+++ b/hibiscusstep/load/rollout_emulator.py
@@ -150,7 +150,6 @@
         self._book = RolloutBook()
         self._stale: Plan | None = None
         self._revision = 1
-        self._store_state: RolloutState | None = None
         self._completed = False
         self._asks: dict[str, tuple[Route, float, str]] = {}
         self._own: dict[str, SlotDispatcher] = {}
@@ -245,7 +244,7 @@
         self._revision += 1
         order = RolloutOrder(POOL, NEW, self._drawn.duration, self._revision)
         self._book.take_order(order, self._now)
-        self._replan()
+        self._write(RolloutState.RUNNING)
 
     def _tick(self) -> None:
         for dispatcher in (self._dispatcher, *self._own.values()):
@@ -455,11 +454,11 @@
         self._at(answered, self._take_written, state)
 
     def _take_written(self, state: RolloutState) -> None:
-        if self._store_state is not None:
+        if self._result.state is not None:
             return
-        self._store_state = state
-        self._result.state = state
-        self._result.concluded_after = round(self._now - ORDER_AT_S, 3)
+        if state is not RolloutState.RUNNING:
+            self._result.state = state
+            self._result.concluded_after = round(self._now - ORDER_AT_S, 3)
         self._revision += 1
         order = RolloutOrder(
             POOL, NEW, self._drawn.duration, self._revision, state, NEW
--- a/tests/test_rollout_book.py
+++ b/tests/test_rollout_book.py
@@ -99,6 +99,21 @@
         assert book[POOL].progress.requests == 10
         assert book[POOL].wanted_state is None
 
+    def test_nothing_is_carried_out_before_the_store_tells_that_it_runs(self):
+        """Who starts after a restart of all would take it for new."""
+        book = RolloutBook()
+        book.take_targets(_targets("v1"), 0.0)
+        book.take_order(_order(), 1.0)
+        assert book.planned(POOL, LIMITS, 0.3) is None
+        book.take_order(_order(revision=6, state=RolloutState.RUNNING, of="v2"), 1.1)
+        assert book.planned(POOL, LIMITS, 0.3).version == "v2"
+
+    def test_one_that_was_begun_goes_on_where_a_restored_store_lost_that(self):
+        book = RolloutBook()
+        book.take_order(_order(revision=6, state=RolloutState.RUNNING, of="v2"), 1.0)
+        book.take_order(_order(revision=100), 2.0)
+        assert book.planned(POOL, LIMITS, 0.3) is not None
+
     def test_its_removal_may_bear_its_last_revision(self):
         one, other = RolloutBook(), RolloutBook()
         for book in (one, other):
