Signals during a start and at the end of an instance are held, not deadly

Callers saw: an instance that got SIGHUP while it started, or in its last half second, ended by it (exit -1) and cut whoever had connected; with settings of our own at any time. SIGTERM between listening and the running loop cut callers that had connected.

Cause: the default of a signal ends a process. SIGHUP was held only after click and the package were imported, SIGTERM and SIGINT only once the loop ran, and closing the loop gave SIGHUP back to the system.

Evidence: on SIGHUP 5, 10, 15, 20, 25, 30, 40, 60, 80, 100 ms after the start: exit -1 in 40 of 40. Ruled out as a cause: load; the machine was nearly idle.

--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -1,8 +1,15 @@
 """hibiscusstep.cmdline.entry: the program hibiscusstep-entry."""
 
+from hibiscusstep.cmdline import early_signals
+
+if __name__ == "__main__":
+    # Before the imports that take long.
+    early_signals.hold()
+
 import gc
 import signal
 import sys
+import time
 from pathlib import Path
 
 import click
@@ -12,9 +19,7 @@
 
 __all__ = ["main"]
 
-_STOPS = (signal.SIGTERM, signal.SIGINT)
-# Signals to read the settings again that came while the program starts.
-_early_reloads: list[int] = []
+_early_reloads = early_signals.reloads
 
 
 @click.command(epilog=EXIT_CODES)
@@ -38,7 +43,8 @@
     SETTINGS may also stand in the variable HIBISCUSSTEP_SETTINGS.
 
     SIGTERM drains: readiness goes off, open answers finish, exit 0. A second
-    SIGTERM cuts what is open and says so.
+    SIGTERM cuts what is open and says so. SIGHUP reads the bounds of the users'
+    platform again; settings of our own are read at a start only.
 
     \b
     Examples:
@@ -48,6 +54,8 @@
     # Hardly anything that a start makes is garbage, and to look for it takes a tenth of
     # its processor time, in the worst seconds after a restart of all.
     gc.disable()
+    if not check:
+        early_signals.hold()
     loaded, make = _LOADERS[dialect](settings, not check)
     if check:
         click.echo("settings are good")
@@ -64,20 +72,16 @@
     from hibiscusstep.entry import Entry
 
     settings = load_settings(path)
+    _exit_if_stopped()
     return settings, lambda: Entry(settings)
 
 
 def _load_platform(path: Path, serves: bool):
-    if serves:
-        # By default it would end the process until it can be followed: a start takes
-        # half a second and more on a busy machine.
-        signal.signal(
-            signal.SIGHUP, lambda number, _frame: _early_reloads.append(number)
-        )
     from hibiscusstep.listening import listen
     from hibiscusstep.platform.settings import load_platform_settings
 
     settings = load_platform_settings(path).instance
+    _exit_if_stopped()
     callers = listen(settings.caller_address) if serves else None
     # Only now the modules that take long to import.
     from hibiscusstep.forwarding.instance import ForwardingInstance
@@ -87,6 +91,12 @@
     return surroundings.settings, lambda: ForwardingInstance(surroundings)
 
 
+def _exit_if_stopped() -> None:
+    """End by a stop that came while nobody could connect yet."""
+    if early_signals.stops:
+        sys.exit(0)
+
+
 _LOADERS = {"own": _load_own, "platform": _load_platform}
 
 
@@ -100,33 +110,47 @@
     asked = asyncio.Event()
     loop = asyncio.get_running_loop()
 
-    def on_signal() -> None:
+    def on_stop() -> None:
         if asked.is_set():
             entry.cut("second signal")
         asked.set()
 
-    for number in _STOPS:
-        loop.add_signal_handler(number, on_signal)
-    if hasattr(entry, "reload"):
-        loop.add_signal_handler(signal.SIGHUP, entry.reload)
-        if _early_reloads:
-            # After the first step of what runs: only then is there what is reloaded.
-            loop.call_soon(entry.reload)
+    def on_reload() -> None:
+        entry.reload()
+
+    for number in early_signals.STOPS:
+        loop.add_signal_handler(number, on_stop)
+    loop.add_signal_handler(early_signals.RELOAD, on_reload)
+    # After the first step of what runs: only then is there what is reloaded or stopped.
+    if early_signals.reloads:
+        loop.call_soon(on_reload)
+    if early_signals.stops:
+        loop.call_soon(asked.set)
     stopping = asyncio.create_task(asked.wait())
     await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
     if running.done():
         stopping.cancel()
         running.result()
         return
-    await entry.drain()
-    # Closing, the loop would give the signals back to the system, which ends a process
-    # by them: that would make a failure of a whole end.
-    for number in _STOPS:
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_IGN)
+    first = min(early_signals.stops, default=time.monotonic())
+    await entry.drain(time.monotonic() - first)
+    _ignore_signals(loop)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
 
 
+def _ignore_signals(loop) -> None:
+    """Ignore all signals from now on, until the process has ended.
+
+    Closing, the loop would give them back to the system, which ends a process by them:
+    that would make a failure of a whole end.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, early_signals.FOLLOWED)
+    for number in early_signals.FOLLOWED:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, early_signals.FOLLOWED)
+
+
 if __name__ == "__main__":
     main()
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -131,8 +131,14 @@
             await self._platform.close()
             self._recorder.close()
 
-    async def drain(self) -> None:
-        """Take no new requests and return when all answers are whole."""
+    async def drain(self, spent: float = 0.0) -> None:
+        """Take no new requests and return when all answers are whole.
+
+        Parameters
+        ----------
+        spent : float
+            Seconds since the instance was told to stop.
+        """
         _LOG.info("draining", extra={"open": self._border.open_requests})
         self._recorder.record(EventKind.SHUTDOWN_ASKED)
         self._draining = True
@@ -140,7 +146,7 @@
         await asyncio.sleep(READINESS_PAUSE_S)
         self._border.drain()
         try:
-            async with asyncio.timeout(self._settings.drain_timeout):
+            async with asyncio.timeout(self._settings.drain_timeout - spent):
                 await self._border.wait_idle()
         except TimeoutError:
             self.cut("drain_timeout passed")
@@ -151,6 +157,10 @@
         names = self._border.cut()
         _LOG.warning("cut", extra={"why": why, "requests": names})
 
+    def reload(self) -> None:
+        """Say that settings are read at a start only."""
+        _LOG.warning("settings not reloaded: they are read at a start only")
+
     def _make_recorder(self) -> NullRecorder:
         settings = self._settings
         if not settings.history:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -214,9 +214,15 @@
             self._connections.close()
             await self._around.close()
 
-    async def drain(self) -> None:
-        """Send callers elsewhere, serve them on, return before the grace is over."""
-        grace = self._around.bounds.stop_grace
+    async def drain(self, spent: float = 0.0) -> None:
+        """Send callers elsewhere, serve them on, return before the grace is over.
+
+        Parameters
+        ----------
+        spent : float
+            Seconds of the grace that have passed.
+        """
+        grace = self._around.bounds.stop_grace - spent
         now = asyncio.get_running_loop().time()
         decision("stop", open=self._border.open_requests, grace=grace)
         self._leaving = True
