Claims: what a lost writer was asked is asked of the next one

Callers saw: a charge at a live instance refused as not run (503 claims-unavailable, come back in 5 s) because another instance was killed.

Cause: the claim of a key is asked once, of the instance that writes its shard. Killed with it in its hands, that instance never answers, and the claimer waited for its timeout.

Evidence: the failing run of TestKill showed retry_after=5.0, which only KeyGuard gives; the forecast goes to 120 s. Twelve charges whose claims are under way at the kill: some get 503 in each run, both roles, on the code before.

--- a/hibiscusstep/claims/claimer.py
+++ b/hibiscusstep/claims/claimer.py
@@ -10,10 +10,10 @@
 from hibiscusstep.configuration.in_force import InForce
 from hibiscusstep.configuration.models import Claims
 from hibiscusstep.mailbox import Question, Tick, Worker
-from hibiscusstep.membership.view import View
+from hibiscusstep.membership.view import Member, View
 from hibiscusstep.membership.worker import ViewChanged
 from hibiscusstep.peer import ClaimAsk, ClaimRelease, ClaimReply, Received
-from hibiscusstep.peerlink import Send
+from hibiscusstep.peerlink import LinkLost, Send
 
 __all__ = ["ClaimRequest", "Claimer", "ReleaseRequest"]
 
@@ -54,15 +54,35 @@
 
 @dataclass(slots=True, eq=False)
 class _Asked:
+    """A claim that waits for its writer.
+
+    Parameters
+    ----------
+    question : Question
+        Who waits for the verdict.
+    shard : int
+        Of the key.
+    ask : ClaimAsk
+        What was sent.
+    deadline : float
+        When it is given up, in seconds on the loop's clock.
+    writer : Member or None
+        To whom it was sent; None once that may have been lost.
+    """
+
     question: Question
+    shard: int
+    ask: ClaimAsk
     deadline: float
+    writer: Member | None = None
 
 
 class Claimer(Worker):
     """Turns claims of this instance into messages to the shard's writer and back.
 
-    A claim that is not confirmed in time is answered *unavailable* and released:
-    whoever asked must take its attempt for dead.
+    A claim whose writer is lost is asked of the next one: a writer confirms an attempt
+    that holds its key already. One that is not confirmed in time is answered
+    *unavailable* and released: whoever asked must take its attempt for dead.
 
     Parameters
     ----------
@@ -104,10 +124,14 @@
                 self._reply(reply)
             case ViewChanged(view=view):
                 self._view = view
+                self._ask_again()
+            case LinkLost(address=address):
+                self._lose(address)
             case InForce(configuration=configuration):
                 self._settings = configuration.claims
             case Tick():
                 self._expire()
+                self._ask_again()
 
     def _ask(self, question: Question) -> None:
         request = question.body
@@ -124,12 +148,27 @@
             request.supersedes,
             request.lookup,
         )
-        if not self._send(shard, ask):
+        writer = self._send(shard, ask)
+        if writer is None:
             question.reply(Verdict(ClaimResult.UNAVAILABLE))
             return
         timeout = self._settings.timeout + REPLY_GRACE_S
         deadline = asyncio.get_running_loop().time() + timeout
-        self._asked[number] = _Asked(question, deadline)
+        self._asked[number] = _Asked(question, shard, ask, deadline, writer)
+
+    def _ask_again(self) -> None:
+        """Ask what was asked of a writer that is lost or has no such duty now."""
+        for asked in self._asked.values():
+            writer = self._writer(asked.shard)
+            known = asked.writer.incarnation if asked.writer else ""
+            if writer and writer.incarnation != known:
+                asked.writer = self._send(asked.shard, asked.ask)
+
+    def _lose(self, address: str) -> None:
+        """Take note that what a peer was sent may be lost; it is asked again soon."""
+        for asked in self._asked.values():
+            if asked.writer and asked.writer.peer_address == address:
+                asked.writer = None
 
     def _reply(self, reply: ClaimReply) -> None:
         asked = self._asked.pop(reply.number, None)
@@ -160,12 +199,17 @@
         shard = shard_of(digest, self._settings.shards)
         self._send(shard, ClaimRelease(shard, digest, attempt))
 
-    def _send(self, shard: int, message) -> bool:
-        name = self._view.claim_writer(shard)
-        if name is None:
-            return False
-        if name == self._own_name:
+    def _writer(self, shard: int) -> Member | None:
+        """Return who writes a shard's claims; None where nobody is known."""
+        return self._view.members.get(self._view.claim_writer(shard))
+
+    def _send(self, shard: int, message) -> Member | None:
+        """Send to the writer of a shard; return who that is."""
+        writer = self._writer(shard)
+        if writer is None:
+            return None
+        if writer.name == self._own_name:
             self._local(Received(self._address, message))
         else:
-            self._links.tell(Send(self._view.members[name].peer_address, message))
-        return True
+            self._links.tell(Send(writer.peer_address, message))
+        return writer
--- a/hibiscusstep/entry.py
+++ b/hibiscusstep/entry.py
@@ -261,8 +261,8 @@
     def _route(self, message: Received | LinkLost) -> None:
         """Bring a message from a peer, or between two local tasks, to its task."""
         if isinstance(message, LinkLost):
-            self._desk.tell(message)
-            self._membership.tell(message)
+            for worker in (self._desk, self._membership, self._claimer):
+                worker.tell(message)
         elif isinstance(message.message, StatusReply):
             future = self._status_asked.pop(message.message.number, None)
             if future and not future.done():
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -90,6 +90,40 @@
         assert all(r.state in (State.COMPLETE, State.BROKEN, State.WRONG) for r in own)
         check(fleet, victim)
 
+    @pytest.mark.parametrize("role", ["dispatcher", "other"])
+    def test_refuses_no_charge_of_the_others(self, fleet, role):
+        """Charges whose claims were in the hands of the killed one were refused."""
+        chosen = dispatcher(fleet)
+        others = [name for name in fleet.instances if name != chosen]
+        victim = chosen if role == "dispatcher" else others[0]
+        awake = [name for name in fleet.instances if name != victim]
+        fleet.control("platform", delay=0.5)  # the claims are under way at the kill
+        replies = []
+
+        def charge(number):
+            url = fleet.callers[awake[number % len(awake)]] + "/farm/billing/shot"
+            key = {**BILL, "Idempotency-Key": f"shot-{number}"}
+            replies.append(http("POST", url, {"call": "x"}, key, timeout=30))
+
+        callers = [threading.Thread(target=charge, args=(n,)) for n in range(12)]
+        for caller in callers:
+            caller.start()
+        wait_for(
+            lambda: (
+                sum(
+                    e.kind is EventKind.RECEIVED and bool(e.key)
+                    for e in read_history(fleet.history)
+                )
+                == len(callers)
+            )
+        )
+        fleet.signal(victim, signal.SIGKILL)
+        fleet.control("platform", delay=0.0)
+        for caller in callers:
+            caller.join(30)
+        assert [status for status, _body in replies] == [200] * len(callers)
+        check(fleet, victim)
+
     def test_a_restart_gets_the_configuration_and_serves(self, fleet):
         victim = dispatcher(fleet)
         fleet.signal(victim, signal.SIGKILL)
