Peers: a message that goes to many is encoded once, and by its schema

Change: what makes a struct's value of a field is derived from the schema once a class, not from each value; the links keep the bytes of the message that they encoded last.

--- a/hibiscusstep/codec.py
+++ b/hibiscusstep/codec.py
@@ -1,6 +1,7 @@
 """hibiscusstep.codec: data classes to bytes and back, by thrift's binary protocol."""
 
 import typing
+from collections.abc import Callable
 from dataclasses import fields, is_dataclass
 from functools import cache
 
@@ -76,36 +77,57 @@
 
 
 def _to_struct(item):
-    struct = _struct_class(type(item).__name__)()
-    for name in _field_names(type(item)):
-        setattr(struct, name, _wire(getattr(item, name)))
+    cls = type(item)
+    struct = _struct_class(cls.__name__)()
+    for name, convert in _converters(cls):
+        value = getattr(item, name)
+        setattr(struct, name, convert(value) if convert else value)
     return struct
 
 
-def _wire(value):
-    if is_dataclass(value):
-        return _to_struct(value)
-    if isinstance(value, list | tuple):
-        return [_wire(entry) for entry in value]
-    return value
+@cache
+def _converters(cls: type) -> tuple[tuple[str, Callable | None], ...]:
+    """Return the fields of a data class, and what makes the library's values of them.
+
+    None where the value is taken as it is.
+    """
+    kinds = {name: kind for _number, kind, name in STRUCTS[cls.__name__]}
+    return tuple((name, _converter(kinds[name])) for name in _field_names(cls))
+
+
+def _converter(kind: str) -> Callable | None:
+    if not kind.startswith("list<"):
+        return None if kind in _TYPES else _to_struct
+    inner = kind.removeprefix("list<").removesuffix(">")
+    return list if inner in _TYPES else _to_structs
+
+
+def _to_structs(items) -> list:
+    return [_to_struct(item) for item in items]
 
 
 def _from_struct(cls: type, struct):
-    values = {name: getattr(struct, name) for name in _field_names(cls)}
-    for name, value in values.items():
+    values = []
+    for name, nested in _nested_classes(cls):
+        value = getattr(struct, name)
         if value is None:
             raise ValueError(f"{name} is missing")
-        nested = _nested_class(cls, name)
         if nested is not None:
-            values[name] = (
+            value = (
                 [_from_struct(nested, entry) for entry in value]
                 if isinstance(value, list)
                 else _from_struct(nested, value)
             )
-    return cls(**values)
+        values.append(value)
+    return cls(*values)
 
 
 @cache
+def _nested_classes(cls: type) -> tuple[tuple[str, type | None], ...]:
+    """Return the fields of a data class, and the data classes of their values."""
+    return tuple((name, _nested_class(cls, name)) for name in _field_names(cls))
+
+
 def _nested_class(cls: type, name: str) -> type | None:
     """Return the data class of a field, or of the items of a list field."""
     hint = typing.get_type_hints(cls)[name]
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -130,6 +130,9 @@
         self._links: dict[str, _Link] = {}
         self._readers: set[asyncio.Task] = set()
         self._cut: set[str] = set()
+        # The message that was encoded last, and its bytes.
+        self._encoded: object = None
+        self._body = b""
         self.bytes_sent = 0
 
     async def start(self) -> None:
@@ -154,8 +157,15 @@
         if link is None or link.task.done():
             link = _Link(self, message.address)
             self._links[message.address] = link
-        kind = _KINDS[type(message.message)]
-        link.put(bytes([kind]) + codec.encode(message.message))
+        link.put(self._encode(message.message))
+
+    def _encode(self, message) -> bytes:
+        """Return a message as a frame's body; one that goes to many is encoded once."""
+        if message is not self._encoded:
+            kind = _KINDS[type(message)]
+            self._body = bytes([kind]) + codec.encode(message)
+            self._encoded = message
+        return self._body
 
     def cut(self, addresses: set[str]) -> None:
         """Drop all traffic from and to these peers; for tests of cuts."""
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -6,6 +6,7 @@
 from platform_standin import free_port
 from soak_proxy import Mode, Proxy
 
+from hibiscusstep import codec
 from hibiscusstep.peer import PoolQueued, Received
 from hibiscusstep.peerlink import PeerLinks, Send
 
@@ -77,3 +78,26 @@
             writers = set(pair.proxy._writers)
             await pair.send_until("after")
             assert pair.proxy._writers == writers
+
+
+class TestMessageToMany:
+    """Encoding the same message for each peer took half of a relay's processor time."""
+
+    async def test_is_encoded_once_and_comes_to_each(self, monkeypatch):
+        encoded = []
+        encode = codec.encode
+        monkeypatch.setattr(
+            codec, "encode", lambda item: encoded.append(item) or encode(item)
+        )
+        async with _Pair() as pair:
+            await pair.send_until("before")
+            encoded.clear()
+            news = PoolQueued("news")
+            for _ in range(3):
+                pair.sender.tell(Send(pair.proxy.address, news))
+            pair.sender.tell(Send(pair.proxy.address, PoolQueued("other")))
+            async with asyncio.timeout(BOUND_S):
+                while "other" not in pair.got:
+                    await asyncio.sleep(0.01)
+            assert pair.got[-4:] == ["news"] * 3 + ["other"]
+            assert len(encoded) == 2
