Signals: followed by handlers of our own, since the loop's removal sets the default

Seen: test_nor_one_with_settings_of_its_own failed once in a full run beside four busy processes (exit -1), 1 of 17 times beside six of its kind.

Cause: the loop's remove_signal_handler sets the default before SIG_IGN can be set. The first fix blocked the signals meanwhile, but pthread_sigmask holds for one thread, and a signal to the process goes to any thread that does not block it; the libraries have some.

--- a/hibiscusstep/cmdline/entry.py
+++ b/hibiscusstep/cmdline/entry.py
@@ -115,15 +115,17 @@
             entry.cut("second signal")
         asked.set()
 
-    def on_reload() -> None:
-        entry.reload()
+    def on_signal(number: int, _frame) -> None:
+        reloads = number == early_signals.RELOAD
+        loop.call_soon_threadsafe(entry.reload if reloads else on_stop)
 
-    for number in early_signals.STOPS:
-        loop.add_signal_handler(number, on_stop)
-    loop.add_signal_handler(early_signals.RELOAD, on_reload)
+    # Not by the loop: closing, it would give them back to the system, which ends a
+    # process by them, and that would make a failure of a whole end.
+    for number in early_signals.FOLLOWED:
+        signal.signal(number, on_signal)
     # After the first step of what runs: only then is there what is reloaded or stopped.
     if early_signals.reloads:
-        loop.call_soon(on_reload)
+        loop.call_soon(entry.reload)
     if early_signals.stops:
         loop.call_soon(asked.set)
     stopping = asyncio.create_task(asked.wait())
@@ -134,22 +136,11 @@
         return
     first = min(early_signals.stops, default=time.monotonic())
     await entry.drain(time.monotonic() - first)
-    _ignore_signals(loop)
-    running.cancel()
-    await asyncio.gather(running, return_exceptions=True)
-
-
-def _ignore_signals(loop) -> None:
-    """Ignore all signals from now on, until the process has ended.
-
-    Closing, the loop would give them back to the system, which ends a process by them:
-    that would make a failure of a whole end.
-    """
-    signal.pthread_sigmask(signal.SIG_BLOCK, early_signals.FOLLOWED)
+    # Until the process has ended; the interpreter gives back what it handles itself.
     for number in early_signals.FOLLOWED:
-        loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, early_signals.FOLLOWED)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
 
 
 if __name__ == "__main__":
