Roll-outs: a version gets all traffic only if its answers show that it is good

Callers saw: bad versions that were completed, after which every request goes to them and no way leads back; one got a request 5.1 s after its 50th bad answer (5 s are promised).

Cause: little evidence against a version was taken for evidence for it, and three kinds of evidence were not seen.

Change: what still runs counts once it is slow; a test and fast answers for loaded targets, bursts of 24; a target at fault takes its own answers along only; the move needs enough compared answers and no doubt, and stops in doubt; over a fifth of bad answers shortens the verdict; 20 canary requests a second and 2 s of the move at most; targets that begin with the move are not compared by their times.

--- a/hibiscusstep/rollout/controller.py
+++ b/hibiscusstep/rollout/controller.py
@@ -1,5 +1,6 @@
 """hibiscusstep.rollout.controller: carries one order out, as a pool's dispatcher."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -13,15 +14,30 @@
 FEWEST_ANSWERS = 10
 # After so many a dispatcher goes by what it has seen itself, not by the one before.
 FEWEST_OWN_ANSWERS = 5
-# With this part of the evidence that rolls a version back, it does not get all traffic.
-DOUBTFUL_EVIDENCE = 0.7
-# Requests that the canary phase saves up: few targets run full for a while, which shows
-# what happens only under load.
-BURST = 8.0
+# With this part of the evidence that rolls a version back, seen by a dispatcher before,
+# it does not get all traffic.
+DOUBTFUL_EVIDENCE = 0.8
+# Of a dispatcher before that had so many, it is known that they were compared.
+ENOUGH_BEFORE = 20
+# Requests that the canary phase saves up: a target runs full for a while, which shows
+# what happens only under load. In a pool that saves them up slowly they are fewer, so
+# that answers come until the end.
+BURST, LEAST_BURST = 24.0, 4.0
+# Requests of the canary phase at once, and so many more a second: others would not show
+# a bad version sooner, they would only harm more callers.
+FIRST_REQUESTS, CANARY_RATE = 24, 20.0
+# Nor does all traffic for longer than this.
+MOST_MOVE_S = 2.0
 # The rate of requests is an average over so many seconds.
 RATE_SPAN_S = 2.0
-# So many targets of the version are tried, and another one comes first after so long.
+# The version gets hardly any requests before their answers can be compared with others,
+# but for the last seconds: a pool may be too quiet for that.
+LATE_S = 4.0
+# So many targets of the version are tried at the most, and another one comes first
+# after so long. The next is tried once so many requests went to the version: answers
+# of a target are compared with those that it gave before.
 CANARY_TARGETS = 3
+REQUESTS_BEFORE_NEXT = 12
 ROTATE_S = 3.0
 
 
@@ -113,11 +129,15 @@
             planned.limits, before.requests, before.exposed, slack_part
         )
         self._answers_before = before.answers
+        self._exposed_before = before.exposed
         self._rate = 0.0
         self._rate_at: float | None = None
         self._requests_at_rate = before.requests
         self._open = False
         self._moves = False
+        # Since when answers are compared, and for how long; None before.
+        self._compared_from = math.inf
+        self._compared_s: float | None = None
         self.comparison = VersionComparison(planned.test)
         self.verdict: RolloutState | None = None
         self.reason = ""
@@ -182,13 +202,26 @@
             return False
         if self._moves:
             return True
-        left = self._budget.canary_left
+        left = min(self._budget.canary_left, self._left_by_rate)
         if left < 1.0:
             self._open = False
-        elif left >= BURST or not self._budget.exposed:
+        elif left >= self._burst or not self._budget.exposed:
             self._open = True
         return self._open
 
+    @property
+    def _left_by_rate(self) -> float:
+        """Requests that the version may get now in the canary phase, by their rate."""
+        exposed = self._budget.exposed - self._exposed_before
+        if self._compared_s is None:
+            return LEAST_BURST - exposed
+        return FIRST_REQUESTS + CANARY_RATE * self._compared_s - exposed
+
+    @property
+    def _burst(self) -> float:
+        """Requests to save up; fewer in a pool that saves them up slowly."""
+        return min(BURST, max(LEAST_BURST, self._budget.exposed / 4))
+
     def tried(self, names: Iterable[str], now: float) -> list[str]:
         """Return the targets that are tried; the first one runs full, then the next.
 
@@ -196,19 +229,18 @@
         fault by itself is replaced.
         """
         sound = sorted(name for name in names if name not in self.comparison.faulty)
-        tried = sound[:CANARY_TARGETS]
+        count = 1 + self._budget.exposed // REQUESTS_BEFORE_NEXT
+        tried = sound[: min(count, CANARY_TARGETS)]
         shift = int(now / ROTATE_S) % len(tried) if tried else 0
         return tried[shift:] + tried[:shift]
 
-    def tick(self, targets: int, old_runs: int, now: float) -> None:
+    def tick(self, targets: int, now: float) -> None:
         """Decide what is a matter of time.
 
         Parameters
         ----------
         targets : int
             Targets of the version that may be used.
-        old_runs : int
-            Requests that run at targets of other versions.
         now : float
             Seconds on the dispatcher's clock.
         """
@@ -222,30 +254,45 @@
             self._conclude(RolloutState.ROLLED_BACK, reason)
             return
         left = self._planned.deadline - now
-        if targets and self._is_proved:
-            self._moves |= left <= self._seconds_to_move
-            at_end = left <= self._planned.lead
-            if self._moves and (at_end or not old_runs):
-                self._conclude(RolloutState.COMPLETED, f"{self.answers} good answers")
-        elif left <= self._planned.lead:
-            self._conclude(RolloutState.ROLLED_BACK, self._why_not_proved(targets))
-
-    @property
-    def _is_proved(self) -> bool:
-        enough = self.answers >= FEWEST_ANSWERS
-        return enough and self._evidence < DOUBTFUL_EVIDENCE
-
-    @property
-    def _seconds_to_move(self) -> float:
-        """Seconds before the deadline from which on the version may get all traffic."""
-        return max(self._planned.lead, self._budget.seconds_of_all(self._rate))
+        self._reckon_compared(left, now)
+        if not self._moves and left > self._seconds_to_move:
+            return
+        reason = self._why_not_proved(targets)
+        self._moves = not reason
+        if self._moves:
+            self.comparison.begin_move(now)
+        if left > self._planned.lead:
+            return
+        if reason:
+            self._conclude(RolloutState.ROLLED_BACK, reason)
+        else:
+            self._conclude(RolloutState.COMPLETED, f"{self.answers} good answers")
 
     def _why_not_proved(self, targets: int) -> str:
         if not targets:
             return "no targets of the version"
         if self.answers < FEWEST_ANSWERS:
             return f"only {self.answers} answers"
-        return "doubtful answers"
+        if doubt := self.comparison.doubt(targets):
+            return f"doubtful answers: {doubt}"
+        if self._evidence >= DOUBTFUL_EVIDENCE:
+            return "doubtful answers"
+        known_before = self._answers_before >= ENOUGH_BEFORE
+        if not (known_before or self.comparison.has_compared_enough):
+            return "too few answers that could be compared"
+        return ""
+
+    @property
+    def _seconds_to_move(self) -> float:
+        """Seconds before the deadline from which on the version may get all traffic."""
+        seconds = min(MOST_MOVE_S, self._budget.seconds_of_all(self._rate))
+        return max(self._planned.lead, seconds)
+
+    def _reckon_compared(self, left: float, now: float) -> None:
+        """Reckon for how long the version's answers can be compared."""
+        if self.comparison.can_begin or left <= LATE_S:
+            self._compared_from = min(self._compared_from, now)
+            self._compared_s = now - self._compared_from
 
     def _reckon_rate(self, now: float) -> None:
         if self._rate_at is None:
--- a/hibiscusstep/routing/slot_choice.py
+++ b/hibiscusstep/routing/slot_choice.py
@@ -140,6 +140,18 @@
         expected = run.expected_first + steps * STEP_S if steps else run.cost
         return (now - run.granted) / max(STEP_S, expected)
 
+    def ratio_so_far(self, run: Run, now: float) -> float:
+        """Return the same of a request that still runs, whose end is not known.
+
+        An answer may be longer than its caller told, so most of its likely length is
+        taken for expected.
+        """
+        if not self._engine:
+            return (now - run.granted) / PLAIN_SERVICE_S
+        tokens = self._lengths.cautious(run.work.output_tokens)
+        expected = run.expected_first + tokens * STEP_S
+        return (now - run.granted) / max(STEP_S, expected)
+
     def learn(
         self, target: SlotTarget, run: Run, finished: m.Finished, now: float
     ) -> None:
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -28,6 +28,8 @@
 # this many times more.
 FAILURE_LEARN = 0.25
 FAILURE_COST = 3.0
+# From this part of its slots on, a target is loaded.
+LOADED_PART = 0.7
 # Seconds for which the load that a target reported counts.
 FOREIGN_LOAD_VALID_S = 1.0
 
@@ -54,6 +56,8 @@
         The most guessed seconds of prompts that were to be read while it ran.
     adopted : bool
         Whether it was granted by another dispatcher, some time before `granted`.
+    loaded : bool
+        Whether most of the target's slots were taken when it was granted.
     """
 
     work: m.Work
@@ -65,6 +69,7 @@
     expected_first: float = 1.0
     beside: float = 0.0
     adopted: bool = False
+    loaded: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -124,6 +129,7 @@
             other.beside = max(other.beside, to_read)
         run.alone = not reading
         self.running[ask] = run
+        run.loaded = len(self.running) >= LOADED_PART * self.slots
         self._changed()
 
     def remove(self, ask: str) -> Run | None:
--- a/hibiscusstep/routing/version_split.py
+++ b/hibiscusstep/routing/version_split.py
@@ -175,21 +175,34 @@
             outcome is m.Outcome.BROKEN,
             self._choice.ratio(run, finished.tokens, now),
             outcome is m.Outcome.CANCELLED,
+            run.loaded,
         )
         new = self._roles.get(target.name) is _Role.CANARY
         self.rollout.comparison.observe(answer, new=new, now=now)
 
+    def _running_canaries(self, targets: dict[str, SlotTarget], now: float):
+        """Yield what runs at the new version's targets."""
+        for name in self._canary_names:
+            for run in targets[name].running.values():
+                if not (run.work.suspect or run.adopted):
+                    ratio = self._choice.ratio_so_far(run, now)
+                    yield Answer(
+                        name,
+                        run.work.route,
+                        failed=False,
+                        ratio=ratio,
+                        cut_short=True,
+                        loaded=run.loaded,
+                    )
+
     def tick(self, targets: dict[str, SlotTarget], now: float) -> m.Conclude | None:
         """Decide what is a matter of time; return a conclusion that is new."""
         if self.rollout is None:
             return None
+        running = self._running_canaries(targets, now)
+        self.rollout.comparison.take_running(running, now)
         usable = len(self._canaries.usable(now))
-        old_runs = sum(
-            len(target.running)
-            for target in targets.values()
-            if self._roles.get(target.name) is not _Role.CANARY
-        )
-        self.rollout.tick(usable, old_runs, now)
+        self.rollout.tick(usable, now)
         if self.rollout.verdict is None or self._told:
             return None
         self._told = True
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -64,6 +64,14 @@
         for _ in range(count):
             self._one("old", False, fails, slow)
 
+    def run_on(self, count, ratio):
+        """Let so many requests still run at the new version that took so long."""
+        running = [
+            Answer(f"new{n % self.targets}", "r0", False, ratio=ratio, cut_short=True)
+            for n in range(count)
+        ]
+        self.comparison.take_running(running, self.now)
+
     def play(self, count, fails=0.01, slow=0.0, old_fails=0.01, only=None):
         """Play a version's answers, each among four of the other one."""
         for number in range(count):
@@ -120,6 +128,77 @@
             assert reason, seed
             assert later * 0.3 < 50
 
+    def test_runs_that_do_not_end_condemn_a_version(self):
+        """A slow version was completed: its slow answers ended after the deadline."""
+        answers = _Answers(1)
+        assert answers.play(300)[1] == ""
+        answers.run_on(5, ratio=0.5)
+        assert answers.comparison.judge(4, answers.now) == ""
+        answers.run_on(15, ratio=60.0)
+        assert answers.comparison.judge(4, answers.now).startswith("slow")
+
+    def test_runs_that_end_well_are_forgotten(self):
+        answers = _Answers(1)
+        answers.play(300)
+        before = answers.comparison.evidence
+        answers.run_on(8, ratio=60.0)
+        assert answers.comparison.evidence > before
+        answers.run_on(0, ratio=0.0)
+        assert answers.comparison.evidence == before
+
+    def test_one_that_is_bad_under_load_only_is_condemned(self):
+        """Its few bad answers were lost among all the others."""
+        comparison = VersionComparison()
+        draw = random.Random(3)
+        bad = 0
+        for number in range(600):
+            now = 0.01 * number
+            new, loaded = number % 5 == 0, number % 20 == 0
+            failed = new and loaded and draw.random() < 0.8
+            bad += failed
+            name = f"{'new' if new else 'old'}{number % 3}"
+            answer = Answer(name, f"r{number % 4}", failed, ratio=1.0, loaded=loaded)
+            comparison.observe(answer, new=new, now=now)
+            if comparison.judge(3, now):
+                break
+        assert "under load" in comparison.judge(3, now)
+        assert bad < 15
+
+    def test_few_bad_answers_are_doubts(self):
+        """With too little evidence to condemn it, a bad version was completed."""
+        answers = _Answers(1)
+        answers.play(200)
+        assert answers.comparison.doubt(4) == ""
+        for number in range(3):
+            failed = Answer(f"new{number}", "r0", True)
+            answers.comparison.observe(failed, new=True, now=answers.now)
+        assert answers.comparison.judge(4, answers.now) == ""
+        assert answers.comparison.doubt(4)
+
+    def test_a_target_at_fault_takes_its_own_answers_along_only(self):
+        """What told against the version's other targets was forgotten with them."""
+        answers = _Answers(2, targets=2)
+        answers.play(100, fails=0.5, only=0)
+        assert answers.comparison.faulty == {"new0"}
+        assert answers.comparison.doubt(2)
+        _count, reason = answers.play(100, fails=0.5, only=1)
+        assert reason
+
+    def test_the_answers_that_end_first_do_not_tell_what_fast_ones_take(self):
+        """As all targets began at once, good versions seemed to slow down."""
+        comparison = VersionComparison()
+        draw = random.Random(1)
+        for number in range(400):
+            ratio = draw.lognormvariate(0.0, 0.6)
+            old = Answer(f"old{number % 4}", "r", False, ratio=ratio)
+            comparison.observe(old, new=False, now=0.01 * number)
+        comparison.begin_move(4.0)
+        ratios = sorted(draw.lognormvariate(0.0, 0.6) for _ in range(400))
+        for number, ratio in enumerate(ratios):
+            new = Answer(f"new{number % 40}", "r", False, ratio=ratio)
+            comparison.observe(new, new=True, now=4.0 + 0.005 * number)
+        assert comparison.evidence < 0.1
+
     def test_one_target_at_fault_does_not_condemn_its_version(self):
         for seed in self.SEEDS:
             answers = _Answers(seed)
@@ -180,7 +259,7 @@
             answer = Answer(f"{name}{number % 3}", "r", failed, ratio=1.0)
             rollout.comparison.observe(answer, new=exposed, now=now)
             if number % 5 == 0:
-                rollout.tick(3, 1, now)
+                rollout.tick(3, now)
             if rollout.verdict:
                 return now
         return None
@@ -203,18 +282,45 @@
         assert rollout.verdict is RolloutState.ROLLED_BACK
         assert not rollout.may_expose()
 
+    def test_it_does_not_move_all_traffic_while_in_doubt(self):
+        rollout = _rollout()
+        self._serve(rollout, 18.5)
+        for number in range(4):
+            bad = Answer(f"new{number % 3}", "r", number % 2 == 0, ratio=1.0)
+            rollout.comparison.observe(bad, new=True, now=18.5)
+        assert rollout.comparison.judge(3, 18.5) == ""
+        rollout.tick(3, 19.6)
+        assert not rollout.moves_all
+        rollout.tick(3, 19.71)
+        assert rollout.verdict is RolloutState.ROLLED_BACK
+
+    def test_answers_that_could_not_be_compared_prove_nothing(self):
+        rollout = _rollout()
+        for number in range(20):
+            rollout.count(True)
+            answer = Answer("new", "r", False, ratio=1.0)
+            rollout.comparison.observe(answer, new=True, now=0.1 * number)
+        rollout.tick(3, 19.8)
+        assert rollout.verdict is RolloutState.ROLLED_BACK
+        assert "compared" in rollout.reason
+
+    def test_a_bad_version_harms_no_more_callers_than_it_takes_to_see_it(self):
+        rollout = _rollout(40.0)
+        self._serve(rollout, 30.0, rate=1000)
+        assert rollout.progress.exposed <= 20 * 30 + 24
+
     def test_without_targets_it_is_rolled_back_at_the_deadline(self):
         rollout = _rollout(5.0)
-        rollout.tick(0, 1, 4.0)
+        rollout.tick(0, 4.0)
         assert rollout.verdict is None
-        rollout.tick(0, 1, 4.8)
+        rollout.tick(0, 4.8)
         assert rollout.verdict is RolloutState.ROLLED_BACK
         assert "no targets" in rollout.reason
 
     def test_with_too_few_answers_it_is_rolled_back(self):
         rollout = _rollout(5.0)
         rollout.count(True)
-        rollout.tick(2, 1, 4.8)
+        rollout.tick(2, 4.8)
         assert rollout.verdict is RolloutState.ROLLED_BACK
         assert "answers" in rollout.reason
 
@@ -231,12 +337,12 @@
     def test_doubts_of_a_dispatcher_that_ended_count(self):
         before = RolloutProgress(1000, 40, 40, evidence=0.9)
         rollout = _rollout(progress=before)
-        rollout.tick(3, 0, 19.8)
+        rollout.tick(3, 19.8)
         assert rollout.verdict is RolloutState.ROLLED_BACK
 
     def test_the_version_in_force_is_completed_at_once(self):
         rollout = _rollout(is_in_force=True)
-        rollout.tick(3, 5, 0.0)
+        rollout.tick(3, 0.0)
         assert rollout.verdict is RolloutState.COMPLETED
 
 
--- a/tests/test_rollout_emulator.py
+++ b/tests/test_rollout_emulator.py
@@ -6,6 +6,7 @@
 from hibiscusstep.cmdline.load import main
 from hibiscusstep.load.drawn_rollout import draw_rollout
 from hibiscusstep.load.rollout_report import play_rollout, rollout_table
+from hibiscusstep.rollout.order import RolloutState
 
 
 class TestDrawnOrders:
@@ -17,6 +18,15 @@
         result = play_rollout(seed)
         assert result.findings(draw_rollout(seed).duration) == []
 
+    # Bad versions that were completed: bad later, under load, or on one route only.
+    COMPLETED_ONCE = (1, 19, 29, 37, 114, 178, 196)
+
+    @pytest.mark.parametrize("seed", COMPLETED_ONCE)
+    def test_a_bad_version_is_rolled_back_in_time(self, seed):
+        result = play_rollout(seed)
+        assert result.state is RolloutState.ROLLED_BACK
+        assert result.findings(draw_rollout(seed).duration) == []
+
     def test_a_seed_gives_one_run(self):
         assert play_rollout(3) == play_rollout(3)
 
