--- a/hibiscusstep/load/plot.py
+++ b/hibiscusstep/load/plot.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from hibiscusstep.load.account import Account, Fate
-from hibiscusstep.load.rollout_emulator import RolloutResult
+from hibiscusstep.load.rollout_result import RolloutResult
 
 __all__ = ["plot_account", "plot_rollouts", "plot_summary"]
 
--- a/hibiscusstep/load/rollout_emulator.py
+++ b/hibiscusstep/load/rollout_emulator.py
@@ -7,14 +7,12 @@
 import heapq
 import itertools
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
 
 import numpy as np
 
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.rollout_book import RolloutBook
 from hibiscusstep.load.drawn_rollout import (
-    CROWDING,
     NEW,
     OLD,
     ORDER_AT_S,
@@ -23,105 +21,32 @@
     DrawnRollout,
     Route,
 )
+from hibiscusstep.load.emulated_target import (
+    PATIENCE_S,
+    PROMPT_TOKENS,
+    TOKENS_PER_EVENT,
+    EmulatedRun,
+    EmulatedTarget,
+)
+from hibiscusstep.load.rollout_result import BAD_ANSWERS, RolloutResult
 from hibiscusstep.rollout.budget import ExposureLimits
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.engine_model import STEP_S
 from hibiscusstep.routing.plan import Plan, PlannedPool, PlannedTarget
-from hibiscusstep.routing.slot_choice import PLAIN_SERVICE_S
 from hibiscusstep.routing.slots import SlotDispatcher
 
-__all__ = ["RolloutEmulator", "RolloutResult"]
+__all__ = ["RolloutEmulator"]
 
 POOL = "pool"
 TICK_S = 0.05
 HOP_S = 0.001
 AFTER_S = 3.0
-TOKENS_PER_EVENT = 6
-# A version that was taken back gets nothing later than this after its last bad answer
-# that is tolerated.
-BAD_ANSWERS = 50
-ROLLBACK_S = 5.0
-# Callers are gone after so many seconds.
-PATIENCE_S = 8.0
 # A dispatcher that takes over after another one's end.
 TAKE_OVER_S = 1.2
 PROGRESS_S = 1.0
 CALL_S = 0.004
 
 
-@dataclass(slots=True)
-class RolloutResult:
-    """What came of an order.
-
-    Parameters
-    ----------
-    bad : bool
-        Whether the version is bad.
-    state : RolloutState or None
-        How it ended; None if it did not.
-    reason : str
-        Why.
-    concluded_after : float
-        Seconds from the order to the status in the store; 0 if it did not end.
-    requests, exposed : int
-        That reached targets between the order and its deadline, and those of them that
-        reached the version.
-    allowed : float
-        Most that a bad version may get.
-    bad_answers : int
-        Bad answers of the version.
-    late_ms : float
-        From its 50th bad answer to the last request to it; 0 if there are fewer.
-    cut : int
-        Requests that ran at old targets when those were stopped.
-    asked, refused : int
-        Requests that callers sent, and those that were refused.
-    parts : list of tuple
-        Seconds since the order, and the part of the requests that the version gets.
-    """
-
-    bad: bool
-    state: RolloutState | None = None
-    reason: str = ""
-    concluded_after: float = 0.0
-    requests: int = 0
-    exposed: int = 0
-    allowed: float = 0.0
-    bad_answers: int = 0
-    late_ms: float = 0.0
-    cut: int = 0
-    asked: int = 0
-    refused: int = 0
-    parts: list[tuple[float, float]] = field(default_factory=list)
-
-    def findings(self, duration: float) -> list[str]:
-        """Return what should not have been."""
-        found = []
-        if self.bad and self.exposed > self.allowed:
-            found.append("EXPOSURE")
-        if self.bad and self.late_ms > 1000 * ROLLBACK_S:
-            found.append("late roll-back")
-        if self.bad and self.bad_answers >= BAD_ANSWERS:
-            if self.state is not RolloutState.ROLLED_BACK:
-                found.append("bad version not rolled back")
-        if not self.bad:
-            if self.state is RolloutState.ROLLED_BACK:
-                found.append("good version rolled back")
-            elif self.state is None or self.concluded_after > duration:
-                found.append("not completed in time")
-        return found
-
-
-@dataclass(slots=True, eq=False)
-class _Target:
-    name: str
-    version: str
-    slowness: float
-    running: dict[str, m.Work] = field(default_factory=dict)
-    down_until: float = 0.0
-
-
 class RolloutEmulator:
     """Plays one order.
 
@@ -143,7 +68,9 @@
         self._ticket = itertools.count()
         self._now = 0.0
         self._targets = {
-            f"{version}-{n}": _Target(f"{version}-{n}", version, slowness)
+            f"{version}-{n}": EmulatedTarget(
+                f"{version}-{n}", version, slowness, drawn, self._draw
+            )
             for version, of in ((OLD, drawn.old), (NEW, drawn.new))
             for n, slowness in enumerate(of)
         }
@@ -291,7 +218,7 @@
         size = route.size * self._draw.lognormal(-(route.spread**2) / 2, route.spread)
         now = self._now
         work = m.Work(
-            ask, ask, f"i{instance}", "c", "0", 0, 500 if drawn.engine else 0,
+            ask, ask, f"i{instance}", "c", "0", 0, PROMPT_TOKENS if drawn.engine else 0,
             max(1, round(size)) if drawn.engine else 1, now + 1.5, now,
             due=now + 1.5, data_centre="z", ends=now + PATIENCE_S, route=route.name,
         )  # fmt: skip
@@ -332,61 +259,39 @@
         self._feed(dispatcher, m.Held(instance, held))
 
     def _send(self, dispatcher: SlotDispatcher, grant: m.Grant) -> None:
-        drawn, work = self._drawn, grant.work
-        target = self._targets[grant.target]
+        work, target = grant.work, self._targets[grant.target]
         if self._now < target.down_until or (self._completed and target.version == OLD):
             self._feed(dispatcher, m.Finished(work.ask, m.Outcome.UNREACHABLE))
             return
         self._note_arrival(target)
         route, size, _ = self._asks[work.ask]
-        bad = self._is_bad(target, route)
-        target.running[work.ask] = work
-        crowd = 1 + CROWDING * (len(target.running) - 1)
-        pace = target.slowness * crowd * self._slowed(target)
-        if bad and drawn.badness is Badness.SLOW:
-            pace *= drawn.factor
-        if drawn.engine:
-            first = (0.014 + 500 / 48_200) * pace
-            tokens = max(1, round(size / TOKENS_PER_EVENT))
-            seconds = first + tokens * TOKENS_PER_EVENT * STEP_S * pace
-        else:
-            first, tokens = 0.0, 0
-            seconds = max(0.005, size) * pace
-        failed = self._draw.random() < route.error_share or self._is_grey(target)
-        failed |= bad and drawn.badness is Badness.FAILS
-        if failed:
-            seconds = min(seconds, max(0.01, 0.5 * PLAIN_SERVICE_S))
-        elif drawn.engine:
-            self._at(self._now + first, self._first, dispatcher, work.ask, first)
-        is_bad_answer = bad and target.version == NEW
-        ends = m.Outcome.FAILED if failed else m.Outcome.DONE
-        if seconds > PATIENCE_S:
-            seconds, ends = PATIENCE_S, m.Outcome.CANCELLED
-        events = 0 if failed else tokens
+        run = target.begin(work, route, size, self._now)
+        if run.first and run.outcome is not m.Outcome.FAILED:
+            self._at(
+                self._now + run.first, self._first, dispatcher, work.ask, run.first
+            )
         self._at(
-            self._now + seconds, self._finish, dispatcher, target, work.ask, ends,
-            events, max(0.0, seconds - first), is_bad_answer,
-        )  # fmt: skip
+            self._now + run.seconds, self._finish, dispatcher, target, work.ask, run
+        )
 
     def _first(self, dispatcher: SlotDispatcher, ask: str, seconds: float) -> None:
         self._feed(dispatcher, m.FirstToken(ask, seconds))
 
-    def _finish(
-        self, dispatcher, target, ask, outcome, events, decode_seconds, is_bad
-    ) -> None:
+    def _finish(self, dispatcher, target, ask: str, run: EmulatedRun) -> None:
         if target.running.pop(ask, None) is None:
             return
-        if is_bad:
+        if run.is_bad:
             self._result.bad_answers += 1
             if self._result.bad_answers == BAD_ANSWERS:
                 self._fiftieth = self._now
         if dispatcher is not self._dispatcher and not dispatcher.is_alone:
             dispatcher = self._dispatcher
         if dispatcher:
-            finished = m.Finished(ask, outcome, events, decode_seconds)
+            decoding = max(0.0, run.seconds - run.first)
+            finished = m.Finished(ask, run.outcome, run.events, decoding)
             self._feed(dispatcher, finished)
 
-    def _note_arrival(self, target: _Target) -> None:
+    def _note_arrival(self, target: EmulatedTarget) -> None:
         result = self._result
         self._counts[int(self._now)][target.version] += 1
         if ORDER_AT_S <= self._now <= self._deadline:
@@ -399,36 +304,6 @@
 
     # Targets.
 
-    def _is_bad(self, target: _Target, route: Route) -> bool:
-        drawn = self._drawn
-        if target.version == OLD or drawn.badness is Badness.NONE:
-            return False
-        if self._now < ORDER_AT_S + drawn.begins:
-            return False
-        if drawn.under_load and len(target.running) < 0.7 * drawn.slots:
-            return False
-        if drawn.route and route.name != drawn.route:
-            return False
-        return bool(self._draw.random() < drawn.part)
-
-    def _slowed(self, target: _Target) -> float:
-        slow = 3.0 if self._is_hit(target, "slow") else 1.0
-        drawn = self._drawn
-        if target.version == NEW and self._now < ORDER_AT_S - 1.0 + drawn.cold_s:
-            slow *= drawn.cold
-        return slow
-
-    def _is_grey(self, target: _Target) -> bool:
-        return self._is_hit(target, "grey") and self._draw.random() < 0.4
-
-    def _is_hit(self, target: _Target, kind: str) -> bool:
-        return any(
-            d.kind == kind
-            and d.at <= self._now < d.at + d.seconds
-            and target.name in d.targets
-            for d in self._drawn.disturbances
-        )
-
     def _crash(self, disturbance: Disturbance) -> None:
         for name in sorted(disturbance.targets):
             target = self._targets[name]
--- a/hibiscusstep/load/rollout_report.py
+++ b/hibiscusstep/load/rollout_report.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterator
 
 from hibiscusstep.load.drawn_rollout import draw_rollout
-from hibiscusstep.load.rollout_emulator import RolloutEmulator, RolloutResult
+from hibiscusstep.load.rollout_emulator import RolloutEmulator
+from hibiscusstep.load.rollout_result import RolloutResult
 from hibiscusstep.rollout.order import RolloutState
 
 __all__ = ["play_rollout", "rollout_table"]
