Roll-outs: times under load have a spread of their own; names, one step a line

Read as a newcomer: answers under load were taken as those of a route of that name, and so counted twice in the spread of all routes; a loop had its work in its condition; "haste" was no word of the field.

--- a/hibiscusstep/rollout/answer_times.py
+++ b/hibiscusstep/rollout/answer_times.py
@@ -131,6 +131,7 @@
         self._fast_alike: dict[tuple[str, bool], _Fast] = defaultdict(_Fast)
         self._spreads: dict[str, _Spread] = defaultdict(_Spread)
         self._all = _Spread()
+        self._loaded = _Spread()
         self._admits = True
 
     def admit_no_more(self, now: float) -> None:
@@ -200,14 +201,18 @@
             if self._admits or key in fasts:
                 fasts[key].add(ratio, now)
 
-    def learn_spread(self, route: str, measured: Measured) -> None:
+    def learn_spread(self, route: str, measured: Measured, loaded: bool) -> None:
         """Take an answer of the version in force."""
         self._spreads[route].add(measured.log_time)
         self._all.add(measured.log_time)
+        if loaded:
+            self._loaded.add(measured.log_time)
 
-    def log_ratio(self, route: str, measured: Measured, part: float) -> float:
+    def log_ratio(
+        self, route: str, measured: Measured, part: float, loaded: bool = False
+    ) -> float:
         """Return the logarithm of how much likelier a time is if a part is slow."""
-        own = self._spreads[route]
+        own = self._loaded if loaded else self._spreads[route]
         spread = own if own.count >= SPREAD_FEWEST else self._all
         return spread.log_ratio(measured, part)
 
--- a/hibiscusstep/rollout/comparison.py
+++ b/hibiscusstep/rollout/comparison.py
@@ -26,9 +26,9 @@
 # what the others take: one target may run on slow hardware.
 SLOW_THROUGHOUT = 5.0
 TARGETS_THROUGHOUT = 3
-# So many more bad answers than this part of all are a haste: a version has to be taken
-# back soon after its fiftieth bad answer, and part of the evidence is enough.
-EXPECTED_BAD, HASTE_FROM, HASTE_PART = 0.2, 18.0, 0.5
+# A version has to be taken back soon after its fiftieth bad answer. With so many bad
+# ones beyond this part of all, less of the evidence condemns it.
+USUAL_BAD, MANY_BAD, REDUCED_PART = 0.2, 18.0, 0.5
 # Targets that have just started are cold: they are compared after so many seconds.
 COLD_S = 6.0
 # One target is at fault, and not its version, if its answers are bad so many times as
@@ -134,9 +134,7 @@
         if not new:
             self._rates.add(answer.route, failed, now)
             if measured is not None:
-                self._times.learn_spread(answer.route, measured)
-                if answer.loaded:
-                    self._times.learn_spread(UNDER_LOAD, measured)
+                self._times.learn_spread(answer.route, measured, answer.loaded)
             return
         self._new.add(answer.target)
         self.answers += 1
@@ -191,9 +189,9 @@
         failures = tuple(log_ratio_of_failure(failed, rate, p) for p in EXCESSES)
         slowness = ()
         if measured is not None:
-            spread = UNDER_LOAD if answer.loaded else route
             slowness = tuple(
-                self._times.log_ratio(spread, measured, part) for part in EXCESSES
+                self._times.log_ratio(route, measured, part, answer.loaded)
+                for part in EXCESSES
             )
         return WeighedAnswer(answer.target, keys, failures, slowness)
 
@@ -223,12 +221,11 @@
         if len(self.faulty) >= _tolerated_faults(targets):
             return False
         worst = self._worst_target()
-        answers = self._answers_at.total() - self._answers_at[worst]
-        if answers < fewest_of_others:
+        of_others = self._answers_at.total() - self._answers_at[worst]
+        if not worst or of_others < fewest_of_others:
             return False
-        if worst:
-            self._set_aside(worst)
-        return bool(worst)
+        self._set_aside(worst)
+        return True
 
     def doubt(self, targets: int) -> str:
         """Return what hints that the new version is worse; empty if nothing does.
@@ -238,10 +235,9 @@
         targets : int
             How many the new version has.
         """
-        while (doubt := self._evidence.doubt()) and self._set_worst_aside(
-            targets, FEWEST_SOUND
-        ):
-            pass
+        doubt = self._evidence.doubt()
+        while doubt and self._set_worst_aside(targets, FEWEST_SOUND):
+            doubt = self._evidence.doubt()
         faulty = len(self.faulty)
         if not doubt and 2 * faulty >= max(2, targets):
             return "half of its targets are at fault"
@@ -279,8 +275,8 @@
     @property
     def _needed_part(self) -> float:
         """Part of the evidence that condemns the version now."""
-        excess = self.bad - EXPECTED_BAD * self.answers
-        return HASTE_PART if excess >= HASTE_FROM else 1.0
+        beyond = self.bad - USUAL_BAD * self.answers
+        return REDUCED_PART if beyond >= MANY_BAD else 1.0
 
     def _is_of_same_crash(self, target: str, now: float) -> bool:
         """Whether a broken connection is not the first of a target's crash."""
