--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -78,6 +78,7 @@
 class TestKill:
     @pytest.mark.parametrize("role", ["dispatcher", "other"])
     def test_loses_no_request_of_the_others(self, fleet, role):
+        """A charge was refused whose claim the killed instance had been asked for."""
         chosen = dispatcher(fleet)
         others = [name for name in fleet.instances if name != chosen]
         victim = chosen if role == "dispatcher" else others[0]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,8 +25,7 @@
     # A target that had said it leaves started again under its id and was used: rightly,
     # the soak's own mistake.
     (319, Faults.NEWEST_KINDS),
-    # SIGHUP ended a process 10.6 s after its start, before it had logged a line, on a
-    # machine with four processes a core; cause open.
+    # SIGHUP ended a process that was loading its libraries.
     (334, Faults.NEWEST_KINDS),
 ]
 
