Log the rate limit that a target names, and fields of targets that nobody reads

Nothing acts on the new values.

Cause of the change: neither lines nor metrics told whether an answer had named a limit (`Server-Limit`), so "not read" could not be told from "read and not kept to". Change: the dialect reads the field of any answer but a misdirected one (421, the word of another target) as a finite decimal number of zero or more; all else is reported as malformed. `attempt` lines have `rate_limit`.

--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -97,6 +97,11 @@
     retry_after : float
         Seconds for which the target asks this instance to send no requests; 0 if not
         declared.
+    rate_limit : float or None
+        Requests per second that the target accepts from all instances together; None
+        if not declared.
+    malformed_rate_limit : str
+        Text of a declared rate limit that is not a number; "" if there is none.
     """
 
     request: str
@@ -109,6 +114,8 @@
     idle_timeout: float
     leaving: bool = False
     retry_after: float = 0.0
+    rate_limit: float | None = None
+    malformed_rate_limit: str = ""
 
 
 class Dialect(ABC):
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -221,6 +221,7 @@
             says_it_leaves=self._response_head is not None
             and self._response_head.leaving,
             stay_away=self._response_head.retry_after if self._response_head else 0.0,
+            rate_limit=self._response_head.rate_limit if self._response_head else None,
             routine=outcome is m.GrantOutcome.DONE,
         )
 
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -1,11 +1,15 @@
 """hibiscusstep.platform.headers: the platform's header fields."""
 
+import math
+import re
+
 from hibiscusstep.forwarding.dialect import (
     Dialect,
     RequestFields,
     TargetRequestHead,
     TargetResponseHead,
 )
+from hibiscusstep.log import decision
 
 __all__ = ["PlatformDialect"]
 
@@ -24,11 +28,24 @@
 )
 _DROPPED_FIELDS = _HOP_BY_HOP | _RESERVED_FIELDS
 _BEARER = "bearer "
+# Fields that only targets set, by their prefixes. Those read here or only meant for
+# callers are known.
+_TARGET_FIELD_PREFIXES = ("server-", "x-", "kv-")
+_KNOWN_TARGET_FIELDS = frozenset(
+    "server-leaving server-limit x-request-id x-response-seal x-not-executed "
+    "x-server-load x-instance-id x-weight-versions".split()
+)
+# Number of unknown field names that are logged; targets may send any names.
+MAX_LOGGED_FIELDS = 20
+_DECIMAL_NUMBER = re.compile(r"(\d+\.?\d*|\.\d+)(e[+-]?\d+)?", re.ASCII | re.IGNORECASE)
 
 
 class PlatformDialect(Dialect):
     """Dialect of the users' platform."""
 
+    def __init__(self) -> None:
+        self._logged_fields: set[str] = set()
+
     def read_request(self, headers) -> RequestFields:
         """Parse a caller's fields; malformed ones count as absent."""
         usage = headers.get("X-Token-Usage", "")
@@ -62,7 +79,11 @@
         return fields
 
     def read_response(self, status: int, headers) -> TargetResponseHead:
-        """Parse a target's fields."""
+        """Parse a target's fields; log the first use of an unknown one."""
+        self._log_unknown_fields(headers)
+        rate_limit, malformed_rate_limit = None, ""
+        if status != _MISDIRECTED_REQUEST:
+            rate_limit, malformed_rate_limit = _parse_rate_limit(headers)
         running, waiting = _parse_int_pair(headers.get("X-Server-Load", ""), -1)
         return TargetResponseHead(
             request=headers.get("X-Request-Id", ""),
@@ -77,8 +98,27 @@
             leaving=headers.get("Server-Leaving") == "1"
             and status != _MISDIRECTED_REQUEST,
             retry_after=_parse_retry_after(status, headers),
+            rate_limit=rate_limit,
+            malformed_rate_limit=malformed_rate_limit,
         )
 
+    def _log_unknown_fields(self, headers) -> None:
+        for name in map(str.lower, headers):
+            if (
+                name in _KNOWN_TARGET_FIELDS
+                or name in self._logged_fields
+                or not name.startswith(_TARGET_FIELD_PREFIXES)
+                or len(self._logged_fields) >= MAX_LOGGED_FIELDS
+            ):
+                continue
+            self._logged_fields.add(name)
+            decision(
+                "target-field-unknown",
+                field=name,
+                value=headers[name],
+                request=headers.get("X-Request-Id", ""),
+            )
+
     def caller_response_fields(self, raw):
         """Return the target's fields without hop-by-hop ones."""
         return [
@@ -113,6 +153,16 @@
     return min(seconds, MAX_RETRY_AFTER_S)
 
 
+def _parse_rate_limit(headers) -> tuple[float | None, str]:
+    """Return the requests per second of ``Server-Limit``, and a malformed value."""
+    values = headers.getall("Server-Limit", ())
+    if not values:
+        return None, ""
+    text = ",".join(values).strip()
+    rate_limit = float(text) if _DECIMAL_NUMBER.fullmatch(text) else math.inf
+    return (rate_limit, "") if math.isfinite(rate_limit) else (None, text or "empty")
+
+
 def _parse_keep_alive_timeout(text: str) -> float:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -3,7 +3,11 @@
 import pytest
 from multidict import CIMultiDict
 
-from hibiscusstep.platform.headers import MAX_RETRY_AFTER_S, PlatformDialect
+from hibiscusstep.platform.headers import (
+    MAX_LOGGED_FIELDS,
+    MAX_RETRY_AFTER_S,
+    PlatformDialect,
+)
 
 
 def _read(status=200, **fields):
@@ -40,3 +44,62 @@
     @pytest.mark.parametrize("value", ["1e9", "inf"])
     def test_the_time_is_bounded(self, value):
         assert _read(503, Retry_After=value).retry_after == MAX_RETRY_AFTER_S
+
+
+class TestRateLimit:
+    @pytest.mark.parametrize("status", [200, 404, 500, 503])
+    def test_any_status_may_carry_it(self, status):
+        assert _read(status, Server_Limit="1.2").rate_limit == 1.2
+
+    @pytest.mark.parametrize(
+        ("value", "rate"), [("0", 0.0), ("0.0", 0.0), (" 8 ", 8.0), ("1e2", 100.0)]
+    )
+    def test_a_decimal_number_is_read(self, value, rate):
+        assert _read(Server_Limit=value).rate_limit == rate
+
+    @pytest.mark.parametrize(
+        "value", ["", "-1", "nan", "inf", "1e999", "few", "1,2", "1_0", "0x1", "1 2"]
+    )
+    def test_a_malformed_value_counts_as_absent_and_is_reported(self, value):
+        head = _read(Server_Limit=value)
+        assert head.rate_limit is None
+        assert head.malformed_rate_limit == (value or "empty")
+
+    def test_several_values_are_malformed(self):
+        headers = CIMultiDict([("Server-Limit", "1"), ("Server-Limit", "2")])
+        head = PlatformDialect().read_response(200, headers)
+        assert (head.rate_limit, head.malformed_rate_limit) == (None, "1,2")
+
+    def test_a_misdirected_answer_is_ignored(self):
+        assert _read(421, Server_Limit="1.2").rate_limit is None
+        assert _read(421, Server_Limit="few").malformed_rate_limit == ""
+
+    def test_without_it_there_is_none(self):
+        assert (_read().rate_limit, _read().malformed_rate_limit) == (None, "")
+
+
+class TestUnknownFields:
+    def _logged(self, caplog):
+        return [r.field for r in caplog.records if r.message == "target-field-unknown"]
+
+    def test_are_logged_when_first_seen(self, caplog):
+        caplog.set_level("INFO")
+        dialect = PlatformDialect()
+        for value in ("1", "2"):
+            headers = CIMultiDict({"Server-New": value, "X-Request-Id": "r"})
+            dialect.read_response(200, headers)
+        assert self._logged(caplog) == ["server-new"]
+
+    def test_known_and_general_fields_are_not(self, caplog):
+        caplog.set_level("INFO")
+        _read(
+            Server_Limit="1", X_Response_Seal="s", Content_Type="text/plain", Date="d"
+        )
+        assert not self._logged(caplog)
+
+    def test_their_number_is_bounded(self, caplog):
+        caplog.set_level("INFO")
+        dialect = PlatformDialect()
+        for number in range(2 * MAX_LOGGED_FIELDS):
+            dialect.read_response(200, CIMultiDict({f"X-New-{number}": "1"}))
+        assert len(self._logged(caplog)) == MAX_LOGGED_FIELDS
