--- a/hibiscusstep/codec.py
+++ b/hibiscusstep/codec.py
@@ -2,7 +2,7 @@
 
 import typing
 from collections.abc import Callable
-from dataclasses import fields, is_dataclass
+from dataclasses import MISSING, fields, is_dataclass
 from functools import cache
 
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
@@ -37,10 +37,14 @@
 def decode(cls: type, data: bytes):
     """Decode bytes from `encode` into an instance of a data class.
 
+    Fields that this version does not know are ignored, and a field with a default may
+    be absent, so that versions that differ by such fields understand each other.
+
     Raises
     ------
     CodecError
-        If the bytes are truncated, do not match the schema, or lack a field.
+        If the bytes are truncated, do not match the schema, or lack a field without a
+        default.
     """
     try:
         struct = deserialize(_struct_class(cls.__name__)(), data, _FACTORY)
@@ -114,9 +118,11 @@
 
 
 def _from_struct(cls: type, struct):
-    values = []
+    values = {}
     for name, nested in _nested_classes(cls):
         value = getattr(struct, name)
+        if value is None and name in _optional_fields(cls):
+            continue
         if value is None:
             raise ValueError(f"{name} is missing")
         if nested is not None:
@@ -125,8 +131,18 @@
                 if isinstance(value, list)
                 else _from_struct(nested, value)
             )
-        values.append(value)
-    return cls(*values)
+        values[name] = value
+    return cls(**values)
+
+
+@cache
+def _optional_fields(cls: type) -> frozenset[str]:
+    """Return the names of the fields of a data class that have a default."""
+    return frozenset(
+        field.name
+        for field in fields(cls)
+        if field.default is not MISSING or field.default_factory is not MISSING
+    )
 
 
 @cache
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -354,9 +354,10 @@
             self._feed(hosted, m.Recovered())
         self._schedule_tick(TICK_S)
         hosted = self._standby_hosted[pool]
-        hosted.dispatcher.capacity_share = min(
-            1.0, STANDBY_SHARES / max(1, self._view.expected_size)
-        )
+        instances = max(1, self._view.expected_size)
+        hosted.dispatcher.capacity_share = min(1.0, STANDBY_SHARES / instances)
+        now = asyncio.get_running_loop().time()
+        hosted.dispatcher.set_limit_share(1.0 / instances, now)
         return hosted
 
     def _handle_pool_message(self, sender: str, body) -> None:
@@ -404,6 +405,8 @@
         self._feed(hosted, m.InstanceGone(body.instance))
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
+        if hosted is self._standby_hosted.get(body.pool):
+            self._feed(hosted, m.Recovered())
         for info in body.waiting:
             self._feed(hosted, m.RequestGrant(to_work(info, now)))
         hosted.registered_incarnations.add(body.incarnation)
@@ -432,7 +435,9 @@
         previous, self._view = self._view.members, view
         removed = previous.keys() - view.members.keys()
         self._update_hosted()
+        now = asyncio.get_running_loop().time()
         for pool, hosted in self._hosted.items():
+            hosted.dispatcher.set_limit_share(_limit_share(view), now)
             # In a large region a relay missing from the view may have become a follower
             # of another relay, and keeps its requests.
             for name in removed if view.is_mesh else ():
@@ -478,6 +483,7 @@
             )
             if self._polls_load:
                 hosted.poller = asyncio.create_task(self._poll_load_reports(pool))
+            dispatcher.set_limit_share(_limit_share(self._view), hosted.created_at)
             self._hosted[pool] = hosted
             if pool in self._estimates:
                 self._feed(hosted, self._estimates[pool])
@@ -530,10 +536,12 @@
         }
         match action:
             case m.Grant(target=target, candidates=candidates):
+                fields |= _limited_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
                 waited = now - work.received_at
                 self._send(address, PoolGrant(pool, work.ask, target, waited))
             case m.Refuse(reason=reason, retry_after=retry_after):
+                fields |= _limited_field(action)
                 decision("refuse", **fields, reason=reason, retry_after=retry_after)
                 self._send(address, PoolRefuse(pool, work.ask, reason, retry_after))
             case m.Stop(target=target):
@@ -553,3 +561,17 @@
             self._deliver_local(Received(address, message))
         else:
             self._links.tell(Send(address, message))
+
+
+def _limit_share(view: View) -> float:
+    """Return the share of the rate limits that a dispatcher may grant.
+
+    Beyond a partition of the network, another dispatcher may grant the rest.
+    """
+    return view.size / max(1, view.size + view.unreachable)
+
+
+def _limited_field(action: m.Grant | m.Refuse) -> dict[str, int]:
+    """Return the log field that says that rate limits affect a decision, if so."""
+    count = action.limited_targets
+    return {"limited_targets": count} if count else {}
--- /dev/null
+++ b/hibiscusstep/forwarding/announcement.py
@@ -0,0 +1,99 @@
+"""hibiscusstep.forwarding.announcement: what targets say of themselves in responses."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from hibiscusstep.forwarding.dialect import TargetResponseHead
+from hibiscusstep.forwarding.model import DiscoveredTarget, RateLimit
+from hibiscusstep.log import decision
+
+__all__ = ["AnnouncementReader"]
+
+# Malformed values that are remembered, so that each is logged once.
+MAX_MALFORMED = 1000
+MAX_LOGGED_CHARACTERS = 80
+
+
+class AnnouncementReader:
+    """Reads from responses that a target is leaving, and its rate limit.
+
+    Parameters
+    ----------
+    targets : dict of str to DiscoveredTarget
+        All known targets by name; updated by its owner.
+    on_announced : callable of DiscoveredTarget
+        Receives a target with what it announced, if that is not known yet.
+    """
+
+    def __init__(
+        self,
+        targets: dict[str, DiscoveredTarget],
+        on_announced: Callable[[DiscoveredTarget], None],
+    ) -> None:
+        self._targets = targets
+        self._on_announced = on_announced
+        self._malformed: set[tuple[str, str]] = set()
+
+    def read(
+        self, target: DiscoveredTarget, head: TargetResponseHead, *, is_own: bool
+    ) -> None:
+        """Read the head of a response.
+
+        Parameters
+        ----------
+        target : DiscoveredTarget
+            The target as known when the request was sent.
+        head : TargetResponseHead
+            Parsed head of the response.
+        is_own : bool
+            Whether it responds to that request, not to an earlier one on the same
+            connection.
+        """
+        if head.malformed_rate_limit:
+            self._log_malformed(target, head)
+        before = target.rate_limit if is_own else RateLimit()
+        announced = replace(
+            target,
+            leaving=target.leaving or head.leaving,
+            rate_limit=_rate_limit_after(before, head),
+        )
+        known = self._targets.get(target.name)
+        if known is None or known.merge_announced(announced) == known:
+            return
+        decision(
+            "target-announced",
+            target=target.name,
+            pool=target.pool,
+            request=head.request,
+            leaving=announced.leaving,
+            rate_limit=announced.rate_limit.per_second,
+            rate_limit_before=before.per_second,
+        )
+        self._on_announced(announced)
+
+    def _log_malformed(
+        self, target: DiscoveredTarget, head: TargetResponseHead
+    ) -> None:
+        value = head.malformed_rate_limit[:MAX_LOGGED_CHARACTERS]
+        if (target.name, value) in self._malformed:
+            return
+        if len(self._malformed) >= MAX_MALFORMED:
+            self._malformed.clear()
+        self._malformed.add((target.name, value))
+        decision(
+            "rate-limit-malformed",
+            target=target.name,
+            value=value,
+            request=head.request,
+        )
+
+
+def _rate_limit_after(before: RateLimit, head: TargetResponseHead) -> RateLimit:
+    """Return the rate limit after a response to a request sent when `before` held.
+
+    Only a response of a target that handled the request ends a limit by naming none.
+    """
+    is_silent = head.malformed_rate_limit or head.not_run or not head.sealed
+    if head.rate_limit == before.per_second or (head.rate_limit is None and is_silent):
+        return before
+    return RateLimit(head.rate_limit, before.version + 1)
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -13,11 +13,11 @@
 
 __all__ = [
     "Catalog",
-    "LeavingAnnounced",
     "SetFollowing",
     "TableUpdate",
     "TargetListing",
     "TargetUpdate",
+    "TargetsAnnounced",
 ]
 
 _LOG = logging.getLogger(__name__)
@@ -58,16 +58,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeavingAnnounced:
-    """A target announced in a response that it accepts no new work.
+class TargetsAnnounced:
+    """Targets announced in responses that they are leaving, or their rate limits.
+
+    This says nothing of the entries in the store.
 
     Parameters
     ----------
-    target : DiscoveredTarget
-        The target as known when the request was sent.
+    targets : tuple of DiscoveredTarget
+        The targets as known when the requests were sent, with what they announced.
     """
 
-    target: DiscoveredTarget
+    targets: tuple[DiscoveredTarget, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,11 +96,12 @@
     """Current routing table and targets, from the store's feeds and from peers.
 
     The table's version only increases. A target's state is that of the highest revision
-    of its newest incarnation. A target that was seen leaving, or announced it in a
-    response to any instance, stays leaving until it restarts: the store may be
-    unavailable, and its entry is then older than the announcement. A target that
-    disappears around an outage of the store, or around a restore from an older copy,
-    is kept until `EXPIRY_GRACE_S` after it.
+    of its newest incarnation. What an incarnation announced in a response to any
+    instance holds in addition, whatever its entry says: that it is leaving, until it
+    restarts, and its rate limit, until a response changes it. The store may be
+    unavailable, and an entry never has the limit. A target that disappears around an
+    outage of the store, or around a restore from an older copy, is kept until
+    `EXPIRY_GRACE_S` after it.
 
     Parameters
     ----------
@@ -107,9 +110,12 @@
     on_table : callable of RoutingTable
         Receives each new version.
     on_targets : callable of dict, list of Change
-        Receives all targets by name and the changes, whenever a target changes.
+        Receives all targets by name and the changes of entries, whenever a target
+        changes.
     on_restart : callable of str
         Receives the name of an incarnation that ended because the target restarted.
+    on_announced : callable of list of DiscoveredTarget
+        Receives the targets of which something new was announced.
     """
 
     def __init__(
@@ -119,6 +125,7 @@
         on_table: Callable[[RoutingTable], None],
         on_targets: Callable[[dict[str, DiscoveredTarget], list[Change]], None],
         on_restart: Callable[[str], None],
+        on_announced: Callable[[list[DiscoveredTarget]], None],
     ) -> None:
         super().__init__("catalog", tick_interval=TICK_S)
         self._feeds = (tables, targets)
@@ -126,14 +133,15 @@
         self._on_table = on_table
         self._on_targets = on_targets
         self._on_restart = on_restart
+        self._on_announced = on_announced
         self._table: RoutingTable | None = None
         # By ID. `_last_seen` also holds removed targets, as they were seen last;
         # `_removed` holds the revisions of the removals.
         self._targets: dict[str, DiscoveredTarget] = {}
         self._last_seen: dict[str, DiscoveredTarget] = {}
         self._removed: dict[str, int] = {}
-        # Names of incarnations that are leaving, by their entry or announcement.
-        self._leaving_names: set[str] = set()
+        # By name, incarnations with what they announced, by their entry or a response.
+        self._announced: dict[str, DiscoveredTarget] = {}
         # By ID, when to remove a target whose entry may only have expired.
         self._pending_removals: dict[str, float] = {}
         self._removals_trusted_at = 0.0
@@ -196,8 +204,8 @@
                 self._apply_changes(changes)
             case TargetListing(listing=listing):
                 self._apply_listing(listing, recovered=False)
-            case LeavingAnnounced(target=target):
-                self._apply_announcement(target)
+            case TargetsAnnounced(targets=targets):
+                self._apply_announced(targets)
             case SetFollowing(store=follows):
                 self._set_following(follows)
             case Tick():
@@ -301,56 +309,69 @@
                 if self._remove(change, now):
                     applied.append(change)
             elif self._apply_target(change.name, change.item):
-                applied.append(change)
+                merged = self._targets[change.name]
+                applied.append(Change(change.name, merged, merged.revision))
         if applied:
             self._publish(applied)
 
     def _apply_target(self, name: str, target: DiscoveredTarget) -> bool:
         last = self._last_seen.get(name)
-        if last and last.incarnation and not target.incarnation:
-            target = replace(target, incarnation=last.incarnation)
+        target = _with_known_incarnation(target, last)
         if last and target.incarnation < last.incarnation:
             return False
         self._pending_removals.pop(name, None)
-        if target.leaving:
-            self._leaving_names.add(target.name)
-        elif target.name in self._leaving_names:
-            target = replace(target, leaving=True)
+        target = self._merge_announced(target)
         known = self._targets.get(name)
-        if known and self._only_leaving_is_new(known, target):
-            self._set_leaving(name, known)
-            return True
-        if known == target or self._removed.get(name, -1) >= target.revision:
+        if known and self._only_announced_is_new(known, target):
+            target = known.merge_announced(target)
+        elif known == target or self._removed.get(name, -1) >= target.revision:
             return False
-        if known and known.revision >= target.revision:
+        elif known and known.revision >= target.revision:
             return False
         if last and target.incarnation > last.incarnation:
             self._report_restart(last, target)
             known = None
         self._targets[name] = self._last_seen[name] = target
-        if known is None or known.leaving != target.leaving:
-            _log_state(target)
+        _log_changes(known, target)
         return True
 
-    def _only_leaving_is_new(
+    def _merge_announced(self, target: DiscoveredTarget) -> DiscoveredTarget:
+        """Return a target with all that its incarnation has announced so far."""
+        announced = self._announced.get(target.name)
+        if announced:
+            target = target.merge_announced(announced)
+        if target.leaving or target.rate_limit.version:
+            self._announced[target.name] = target
+        return target
+
+    def _only_announced_is_new(
         self, known: DiscoveredTarget, update: DiscoveredTarget
     ) -> bool:
-        """Return whether only the target's own announcement to leave is new."""
-        older = update.revision <= known.revision
-        same = update.name == known.name
-        return same and older and update.leaving and not known.leaving
-
-    def _set_leaving(self, name: str, known: DiscoveredTarget) -> None:
-        target = replace(known, leaving=True)
-        self._targets[name] = self._last_seen[name] = target
-        _log_state(target)
-
-    def _apply_announcement(self, target: DiscoveredTarget) -> None:
-        """Mark a target as leaving by its own announcement, unless it has restarted."""
-        last = self._last_seen.get(target.id)
-        if last and last.name == target.name:
-            leaving = replace(target, leaving=True)
-            self._apply_changes([Change(target.id, leaving, target.revision)])
+        """Return whether only what the incarnation announced is new in an update."""
+        is_older = update.revision <= known.revision
+        is_same = update.name == known.name
+        return is_same and is_older and known.merge_announced(update) != known
+
+    def _apply_announced(self, targets: tuple[DiscoveredTarget, ...]) -> None:
+        """Apply what incarnations announced, also of ones that are not known yet."""
+        changed = []
+        for target in targets:
+            last = self._last_seen.get(target.id)
+            target = _with_known_incarnation(target, last)
+            if last and target.incarnation < last.incarnation:
+                continue
+            self._merge_announced(target)
+            known = self._targets.get(target.id)
+            if known is None or known.name != target.name:
+                continue
+            merged = known.merge_announced(target)
+            if merged != known:
+                self._targets[target.id] = self._last_seen[target.id] = merged
+                _log_changes(known, merged)
+                changed.append(merged)
+        if changed:
+            self._publish([])
+            self._on_announced(changed)
 
     def _report_restart(self, last: DiscoveredTarget, target: DiscoveredTarget) -> None:
         """Report that an incarnation ended, with every request that ran on it."""
@@ -401,11 +422,30 @@
         self._on_targets(targets, changes)
 
 
-def _log_state(target: DiscoveredTarget) -> None:
-    decision(
-        "target-leaving" if target.leaving else "target-seen",
-        target=target.name,
-        pool=target.pool,
-        address=target.address,
-        revision=target.revision,
-    )
+def _with_known_incarnation(
+    target: DiscoveredTarget, last: DiscoveredTarget | None
+) -> DiscoveredTarget:
+    """Return a target; one whose start is not given, with the start seen last."""
+    if last and last.incarnation and not target.incarnation:
+        return replace(target, incarnation=last.incarnation)
+    return target
+
+
+def _log_changes(before: DiscoveredTarget | None, target: DiscoveredTarget) -> None:
+    """Log a new state of a target; `before` is None if its incarnation is new."""
+    fields = {
+        "target": target.name,
+        "pool": target.pool,
+        "address": target.address,
+        "revision": target.revision,
+    }
+    if before is None or before.leaving != target.leaving:
+        decision("target-leaving" if target.leaving else "target-seen", **fields)
+    limit, limit_before = target.rate_limit, before.rate_limit if before else None
+    if limit.per_second != (limit_before.per_second if limit_before else None):
+        decision(
+            "target-unlimited" if limit.per_second is None else "target-limited",
+            **fields,
+            rate_limit=limit.per_second,
+            rate_limit_before=limit_before.per_second if limit_before else None,
+        )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -251,9 +251,9 @@
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
                 )
-                if response_head.leaving and not target.leaving:
-                    self._context.on_target_leaving(target)
-                if response_head.request == incoming.head.request:
+                is_own = response_head.request == incoming.head.request
+                self._context.announcements.read(target, response_head, is_own=is_own)
+                if is_own:
                     self._response_head = response_head
                     self._report_load(target, response_head)
                     if response_head.retry_after:
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -1,6 +1,5 @@
 """hibiscusstep.forwarding.incoming_request: admitted requests and shared services."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import xxhash
@@ -8,6 +7,7 @@
 
 from hibiscusstep.dispatch_client import DispatchClient
 from hibiscusstep.dispatcher_host import DispatcherHost
+from hibiscusstep.forwarding.announcement import AnnouncementReader
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect, RequestFields
 from hibiscusstep.forwarding.fingerprint import fingerprint
@@ -132,8 +132,8 @@
         Records which requests crash targets.
     target_backoff : TargetBackoff
         Targets that asked this instance to back off.
-    on_target_leaving : callable of DiscoveredTarget
-        Called with a target whose response says that it is leaving.
+    announcements : AnnouncementReader
+        Reads what targets announce in their responses.
     """
 
     instance: str
@@ -147,4 +147,4 @@
     metrics: ForwardingMetrics
     quarantine: Quarantine
     target_backoff: TargetBackoff
-    on_target_leaving: Callable[[DiscoveredTarget], None]
+    announcements: AnnouncementReader
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -15,13 +15,14 @@
 from hibiscusstep.dispatch_client import DispatchClient
 from hibiscusstep.dispatcher_host import DispatcherHost
 from hibiscusstep.errors import ConfigurationError
+from hibiscusstep.forwarding.announcement import AnnouncementReader
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.caller_frontend import CallerFrontend
 from hibiscusstep.forwarding.catalog import (
     Catalog,
-    LeavingAnnounced,
     SetFollowing,
     TableUpdate,
+    TargetsAnnounced,
 )
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.environment import InstanceEnvironment
@@ -286,6 +287,7 @@
             self._on_table,
             self._on_targets,
             lambda name: self._connections.close_all(name),
+            lambda targets: self._distributor.send_announced(targets),
         )
         self._distributor = StateDistributor(
             incarnation,
@@ -354,7 +356,10 @@
             self._metrics,
             self._quarantine,
             TargetBackoff(),
-            lambda target: self._catalog.tell(LeavingAnnounced(target)),
+            AnnouncementReader(
+                self._targets,
+                lambda target: self._catalog.tell(TargetsAnnounced((target,))),
+            ),
         )
         self._frontend = CallerFrontend(self._context, self._quotas)
         self._workers: list[Worker] = [
@@ -523,6 +528,7 @@
             self._record_suspension(suspensions.check())
             self._choose_target_source()
             self._distributor.request_newer_table()
+            self._distributor.resend_announced()
             if sweep_number % SWEEPS_PER_TARGET_RESEND == 0:
                 self._distributor.send_all_targets_to_followers()
             if self._uptime() >= ELIGIBLE_AFTER_S and not eligible and self.ready:
@@ -592,6 +598,13 @@
             (target.pool, "leaving" if target.leaving else "ready")
             for target in self._targets.values()
         )
+        limited = Counter(
+            target.pool
+            for target in self._targets.values()
+            if target.rate_limit.per_second is not None
+        )
+        for pool in {target.pool for target in self._targets.values()}:
+            metrics.set_gauge("targets_limited", limited[pool], pool=pool)
         now = asyncio.get_running_loop().time()
         for (pool, state), count in states.items():
             metrics.set_gauge("targets", count, pool=pool, state=state)
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -1,8 +1,9 @@
 """hibiscusstep.forwarding.model: validated routes, customers, pools and targets."""
 
 import enum
+import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import cached_property
 
 __all__ = [
@@ -13,6 +14,7 @@
     "PoolRule",
     "PoolShare",
     "Quota",
+    "RateLimit",
     "RetryMode",
     "RoutingTable",
 ]
@@ -197,6 +199,34 @@
         return self._by_key.get(key)
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """The requests per second that a target accepts from all instances together.
+
+    Instances hear changes in responses, and tell each other. A value that was heard in
+    response to a request replaces the one that was known when the request was sent.
+    Versions count these replacements, so merging gives the same result in any order.
+
+    Parameters
+    ----------
+    per_second : float or None
+        Requests per second; None if there is no limit.
+    version : int
+        Number of changes so far; 0 if the target has never announced a limit.
+    """
+
+    per_second: float | None = None
+    version: int = 0
+
+    def merge(self, other: "RateLimit") -> "RateLimit":
+        """Return the newer one; of two that replaced the same one, the lower one."""
+        return max(self, other, key=lambda limit: (limit.version, -limit._upper_bound))
+
+    @property
+    def _upper_bound(self) -> float:
+        return math.inf if self.per_second is None else self.per_second
+
+
 @dataclass(frozen=True, slots=True)
 class DiscoveredTarget:
     """One incarnation of a target, as it registered itself.
@@ -217,6 +247,8 @@
         Unix time of its start in milliseconds; 0 if its entry does not say.
     version : str
         Software version.
+    rate_limit : RateLimit
+        The limit that it announced in responses.
     """
 
     id: str
@@ -228,6 +260,15 @@
     revision: int
     incarnation: int = 0
     version: str = ""
+    rate_limit: RateLimit = RateLimit()
+
+    def merge_announced(self, other: "DiscoveredTarget") -> "DiscoveredTarget":
+        """Return this target with what another state of its incarnation announced."""
+        leaving = self.leaving or other.leaving
+        rate_limit = self.rate_limit.merge(other.rate_limit)
+        if (leaving, rate_limit) == (self.leaving, self.rate_limit):
+            return self
+        return replace(self, leaving=leaving, rate_limit=rate_limit)
 
     @property
     def name(self) -> str:
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -67,7 +67,11 @@
                 self._ignore(target)
                 continue
             pool.targets[name] = PlannedTarget(
-                target.slots, target.leaving, target.data_centre, target.version
+                target.slots,
+                target.leaving,
+                target.data_centre,
+                target.version,
+                target.rate_limit.per_second,
             )
         return DispatchPlan(pools)
 
--- a/hibiscusstep/forwarding/state_distributor.py
+++ b/hibiscusstep/forwarding/state_distributor.py
@@ -24,7 +24,9 @@
 class StateDistributor:
     """Sends targets and configurations to peers and requests newer configurations.
 
-    Changes of targets are sent to the neighbours immediately. A configuration is sent
+    Changes of targets are sent to the neighbours immediately. What targets announced
+    in responses is not in the store, so it is also sent to members that appear, and
+    repeatedly to a random neighbour in case a message was lost. A configuration is sent
     on request only; heartbeats carry its version.
 
     Parameters
@@ -61,11 +63,16 @@
 
     def apply_view(self, view: View) -> None:
         """Send targets to new members that may lack them; request a newer table."""
-        known = {member.incarnation for member in _may_lack_targets(self._view)}
-        self._view = view
+        before, self._view = self._view, view
+        lacking = {member.incarnation for member in _may_lack_targets(before)}
         for member in _may_lack_targets(view):
-            if member.incarnation not in {self._incarnation, *known}:
+            if member.incarnation not in {self._incarnation, *lacking}:
                 self._send_all_targets(member.peer_address)
+        # A member that was cut off may have missed announcements.
+        present = {member.incarnation for member in before.members.values()}
+        for member in view.members.values():
+            if member.ready and member.incarnation not in {self._incarnation, *present}:
+                self._send_announced(member.peer_address, self._announced_targets())
         delay = 0.0 if view.parent else REQUEST_DELAY_S
         asyncio.get_running_loop().call_later(delay, self.request_newer_table)
 
@@ -76,6 +83,33 @@
             for address in self._view.neighbours(self._address):
                 self._links.tell(Send(address, TargetStates(states)))
 
+    def send_announced(self, targets: list[DiscoveredTarget]) -> None:
+        """Send what targets announced in responses to the neighbours."""
+        message = _announcement_of(targets)
+        for address in self._view.neighbours(self._address):
+            self._links.tell(Send(address, message))
+
+    def resend_announced(self) -> None:
+        """Send all that targets announced to a random neighbour.
+
+        Lost messages are made up for within a few calls, at a cost that does not depend
+        on the number of instances.
+        """
+        neighbours = self._view.neighbours(self._address)
+        if neighbours:
+            self._send_announced(random.choice(neighbours), self._announced_targets())
+
+    def _announced_targets(self) -> list[DiscoveredTarget]:
+        return [
+            target
+            for target in self._targets.values()
+            if target.leaving or target.rate_limit.version
+        ]
+
+    def _send_announced(self, address: str, targets: list[DiscoveredTarget]) -> None:
+        if targets:
+            self._links.tell(Send(address, _announcement_of(targets)))
+
     def send_all_targets_to_followers(self) -> None:
         """Send all targets again: a broken connection may have lost a change."""
         for follower in self._view.followers.values():
@@ -123,6 +157,12 @@
         return random.choice(parents or local or holders)
 
 
+def _announcement_of(targets: list[DiscoveredTarget]) -> TargetStates:
+    """Return a message with what targets announced in responses."""
+    states = [to_target_state(Change(item.id, item, item.revision)) for item in targets]
+    return TargetStates(states, announced=True)
+
+
 def _may_lack_targets(view: View) -> list[Member]:
     """Return the members that may not have read the targets from the store."""
     starting = [member for member in view.members.values() if not member.ready]
--- a/hibiscusstep/forwarding/target_messages.py
+++ b/hibiscusstep/forwarding/target_messages.py
@@ -1,16 +1,29 @@
 """hibiscusstep.forwarding.target_messages: peer messages about targets."""
 
-from hibiscusstep.forwarding.catalog import TargetListing, TargetUpdate
-from hibiscusstep.forwarding.model import DiscoveredTarget
-from hibiscusstep.peer import TargetState, TargetStates
+import math
+
+from hibiscusstep.forwarding.catalog import (
+    TargetListing,
+    TargetsAnnounced,
+    TargetUpdate,
+)
+from hibiscusstep.forwarding.model import DiscoveredTarget, RateLimit
+from hibiscusstep.peer import NO_LIMIT, TargetState, TargetStates
 from hibiscusstep.store import Change, Listing
 
 __all__ = ["from_target_states", "to_target_state"]
 
 
-def from_target_states(message: TargetStates) -> TargetUpdate | TargetListing:
-    """Return a peer's message as changes, or as a list if it carries a revision."""
+def from_target_states(
+    message: TargetStates,
+) -> TargetUpdate | TargetListing | TargetsAnnounced:
+    """Return a peer's message as announcements, as changes, or as a complete list.
+
+    A list carries a revision.
+    """
     changes = tuple(_to_change(state) for state in message.states)
+    if message.announced:
+        return TargetsAnnounced(tuple(c.item for c in changes if c.item))
     if not message.revision:
         return TargetUpdate(changes)
     items = {change.name: change.item for change in changes if change.item}
@@ -33,6 +46,8 @@
         item.leaving,
         item.incarnation,
         item.version,
+        NO_LIMIT if item.rate_limit.per_second is None else item.rate_limit.per_second,
+        item.rate_limit.version,
     )
 
 
@@ -50,5 +65,9 @@
         state.revision,
         state.incarnation,
         state.version,
+        RateLimit(
+            state.rate_limit if 0 <= state.rate_limit < math.inf else None,
+            state.rate_limit_version,
+        ),
     )
     return Change(state.name, target, state.revision)
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -49,9 +49,12 @@
 struct TargetState {
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
   5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving,
-  9: i64 incarnation, 10: string version
+  9: i64 incarnation, 10: string version, 11: double rate_limit,
+  12: i64 rate_limit_version
+}
+struct TargetStates {
+  1: list<TargetState> states, 2: i64 revision, 3: bool announced
 }
-struct TargetStates { 1: list<TargetState> states, 2: i64 revision }
 struct SuspectState {
   1: i64 fingerprint, 2: list<string> targets, 3: list<double> weights,
   4: list<double> spans, 5: list<double> ages, 6: list<string> cleared
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -13,6 +13,7 @@
     "ConfigurationReply",
     "Heartbeat",
     "MESSAGES",
+    "NO_LIMIT",
     "NotDispatcher",
     "PoolAsk",
     "PoolFinished",
@@ -413,6 +414,10 @@
     instances: int = 0
 
 
+# Value of `TargetState.rate_limit` of a target without a limit.
+NO_LIMIT = -1.0
+
+
 @dataclass(slots=True)
 class TargetState:
     """The state of a target at a revision of the store.
@@ -427,6 +432,10 @@
         Start of the target in Unix milliseconds; 0 if the target does not report it.
     version : str
         Software version of the target.
+    rate_limit : float
+        Requests per second that it accepts; `NO_LIMIT` if it has no limit.
+    rate_limit_version : int
+        Number of changes of the limit so far.
     """
 
     name: str
@@ -439,6 +448,8 @@
     leaving: bool
     incarnation: int = 0
     version: str = ""
+    rate_limit: float = NO_LIMIT
+    rate_limit_version: int = 0
 
 
 @dataclass(slots=True)
@@ -446,10 +457,13 @@
     """New states of targets.
 
     If `revision` is not 0, `states` holds all targets at that revision of the store.
+    If `announced` is set, only what the targets announced in responses is new; it says
+    nothing of their entries in the store.
     """
 
     states: list[TargetState]
     revision: int = 0
+    announced: bool = False
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -9,12 +9,26 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedTarget:
-    """A target that may be granted requests, and how many it serves at a time."""
+    """A target that may be granted requests.
+
+    Parameters
+    ----------
+    slots : int
+        Number of requests that it serves at a time.
+    leaving : bool
+        Whether it accepts no new requests.
+    data_centre, version : str
+        Location, and version of its software.
+    rate_limit : float or None
+        Requests per second that it accepts from all dispatchers together; None if
+        there is no limit.
+    """
 
     slots: int
     leaving: bool = False
     data_centre: str = ""
     version: str = ""
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -288,21 +288,28 @@
     candidates : dict of str to float
         Estimated seconds to the end of the answer, by candidate target; from a slot
         dispatcher the weighted cost in seconds.
+    limited_targets : int
+        Number of targets of the pool with a rate limit.
     """
 
     work: Work
     target: str
     wait: float
     candidates: dict[str, float]
+    limited_targets: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """A request is not run; the caller may retry after `retry_after` seconds."""
+    """A request is not run; the caller may retry after `retry_after` seconds.
+
+    `limited_targets` is the number of targets of the pool with a rate limit.
+    """
 
     work: Work
     reason: RefusalReason
     retry_after: float
+    limited_targets: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hibiscusstep/routing/pool_capacity.py
@@ -0,0 +1,118 @@
+"""hibiscusstep.routing.pool_capacity: how fast a pool serves its requests."""
+
+import math
+from collections.abc import Iterable
+
+from hibiscusstep.routing.slot_target import SlotTarget
+
+__all__ = ["PoolCapacity"]
+
+# Weight of a new request in the mean service time.
+LEARNING_RATE = 0.05
+
+
+class PoolCapacity:
+    """Service rate of a pool's usable targets, some of which limit their requests.
+
+    A target without a limit serves as many requests at a time as it has slots. One with
+    a limit serves no more than that many requests per second, however short they are.
+
+    Attributes
+    ----------
+    limited_count : int
+        Number of usable targets with a limit.
+    min_slowness : float
+        Slowness of the fastest target that is not slowed down by its limit.
+    mean_slowness : float
+        Expected slowness of the target whose slot is free next: the mean of the usable
+        targets, weighted by their service rates.
+    """
+
+    def __init__(self) -> None:
+        self._request_seconds = 0.0
+        # Seconds of service at slowness 1 per second, of targets without a limit.
+        self._unlimited_rate = 0.0
+        # Requests per second of targets with a limit, and when one accepts the next.
+        self._limited_per_s = 0.0
+        self._next_limited_at = math.inf
+        self.limited_count = 0
+        self.min_slowness = 1.0
+        self.mean_slowness = 1.0
+
+    def record_request(self, seconds: float) -> None:
+        """Record the estimated service time of a new request at slowness 1."""
+        weight = LEARNING_RATE if self._request_seconds else 1.0
+        self._request_seconds += weight * (seconds - self._request_seconds)
+
+    def update(self, usable: Iterable[SlotTarget]) -> None:
+        """Update the rates.
+
+        Parameters
+        ----------
+        usable : iterable of SlotTarget
+            The targets that may be granted requests.
+        """
+        unlimited, limited, bound = [], [], set()
+        for target in usable:
+            if target.limiter is None:
+                unlimited.append(target)
+            else:
+                limited.append(target)
+                if target.limiter.rate * self._request_seconds < target.service_rate:
+                    bound.add(target)
+        self.limited_count = len(limited)
+        self._unlimited_rate = sum(t.service_rate for t in unlimited)
+        self._limited_per_s = sum(map(self._requests_per_s, limited))
+        self._next_limited_at = min(
+            (t.limiter.next_at for t in limited), default=math.inf
+        )
+        self._update_slowness(unlimited, limited, bound)
+
+    def _requests_per_s(self, target: SlotTarget) -> float:
+        """Return how many requests a target with a limit serves per second."""
+        if not self._request_seconds:
+            return target.limiter.rate
+        by_slots = target.service_rate / self._request_seconds
+        return min(by_slots, target.limiter.rate)
+
+    def _update_slowness(
+        self,
+        unlimited: list[SlotTarget],
+        limited: list[SlotTarget],
+        bound: set[SlotTarget],
+    ) -> None:
+        fast = [t for t in (*unlimited, *limited) if t not in bound] or bound
+        self.min_slowness = min((t.slowness for t in fast), default=1.0)
+        weights = [(t, t.service_rate) for t in unlimited]
+        weights += [
+            (t, self._requests_per_s(t) * self._request_seconds) for t in limited
+        ]
+        total = sum(weight for _target, weight in weights)
+        self.mean_slowness = (
+            sum(weight * t.slowness for t, weight in weights) / total if total else 1.0
+        )
+
+    def wait_seconds(self, count: int, seconds: float, now: float) -> float | None:
+        """Return the seconds until a request is granted; None without usable targets.
+
+        Parameters
+        ----------
+        count : int
+            Number of requests that are granted before it.
+        seconds : float
+            Their estimated service time at slowness 1.
+        now : float
+            Seconds on the dispatcher's clock.
+        """
+        if not self._unlimited_rate and not self.limited_count:
+            return None
+        if not self._unlimited_rate:
+            return self.start_delay(now) + count / self._limited_per_s
+        mean_seconds = seconds / count if count else 0.0
+        return seconds / (self._unlimited_rate + self._limited_per_s * mean_seconds)
+
+    def start_delay(self, now: float) -> float:
+        """Return the seconds until any target accepts a request by its limit."""
+        if self._unlimited_rate or not self.limited_count:
+            return 0.0
+        return max(0.0, self._next_limited_at - now)
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -53,6 +53,7 @@
         self._target_by_ask: dict[str, str] = {}
         self._recovered = False
         self._decisions: list[m.Decision] = []
+        self._limit_share = 1.0
         self.counts = PoolCounts()
         self.capacity_share = 1.0
 
@@ -86,6 +87,18 @@
         """Slots of requests that run past their expected end; 0 if not known."""
         return 0
 
+    def set_limit_share(self, share: float, now: float) -> None:
+        """Set the share of the targets' rate limits that this dispatcher may grant.
+
+        Parameters
+        ----------
+        share : float
+            Between 0 and 1; other dispatchers of the pool may grant the rest.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        self._limit_share = share
+
     @property
     def rollout(self) -> Rollout | None:
         """The rollout to another version in progress; None if there is none."""
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -11,8 +11,10 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool
 from hibiscusstep.routing.grant_monitor import GrantMonitor, LostRequests
+from hibiscusstep.routing.pool_capacity import PoolCapacity
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
+from hibiscusstep.routing.rate_limiter import RateLimiter, initial_tokens
 from hibiscusstep.routing.slot_queue import RefusedRequests, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_isolation import exclude_suspect_targets
@@ -35,8 +37,8 @@
 # Maximum time in which a grant reaches its instance. A younger grant may be missing
 # from the instance's report of the grants that it holds.
 MAX_GRANT_TRANSIT_S = 0.7
-# The overall service rate changes slowly compared with this interval.
-RATE_UPDATE_INTERVAL_S = 0.05
+# The capacity of the pool changes slowly compared with this interval.
+CAPACITY_UPDATE_INTERVAL_S = 0.05
 
 
 # Messages that may lengthen the wait of queued requests or let their deadlines pass.
@@ -101,8 +103,8 @@
         # Slowness by target, learned by other dispatchers. It includes targets that are
         # not in the plan yet.
         self._imported_slowness: dict[str, float] = {}
-        self._service_rate = 0.0
-        self._service_rate_updated_at = -math.inf
+        self._capacity = PoolCapacity()
+        self._capacity_updated_at = -math.inf
         self._partition = VersionPartition(self._selector, bool(standby_instance))
         # A dict lookup: a dispatching decorator costs 7 us per message.
         self._handlers = {
@@ -152,6 +154,16 @@
         """The rollout in progress; None if there is none."""
         return self._partition.rollout
 
+    def set_limit_share(self, share: float, now: float) -> None:
+        """Set the share of the targets' rate limits that this dispatcher may grant."""
+        if share == self._limit_share:
+            return
+        super().set_limit_share(share, now)
+        for target in self._targets.values():
+            if target.limiter:
+                target.limiter.update(target.limiter.limit, share, now)
+                self._partition.update(target, now)
+
     def instances_waiting(self) -> set[str]:
         """Return the instances with queued requests."""
         return {work.instance for work in self._queue}
@@ -178,7 +190,7 @@
         elif isinstance(message, _GRANT_TRIGGERS):
             self._schedule(now)
         if isinstance(message, _EXPIRY_TRIGGERS):
-            self._update_service_rate(now)
+            self._update_capacity(now)
             self._expire(now)
 
     def _update_state(self, message, now: float) -> None:
@@ -207,9 +219,14 @@
         )
         bound = self._selector.serve_time_bound(work)
         deadline = wait_deadline(work, bound, late, self._switches)
-        self._queue.add(work, self._selector.service_seconds(work), deadline, late)
+        seconds = self._selector.service_seconds(work)
+        self._capacity.record_request(seconds)
+        self._queue.add(work, seconds, deadline, late)
 
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
+        target = self._targets.get(self._target_by_ask.get(message.ask, ""))
+        if target:
+            _give_back(target, target.running[message.ask])
         self._remove_request(message.ask, now)
 
     def _first_token(self, message: m.FirstToken, now: float) -> None:
@@ -234,6 +251,9 @@
                 target.record_failure(now)
             case m.GrantOutcome.UNREACHABLE:
                 target.record_unreachable(now)
+                _give_back(target, run)
+            case m.GrantOutcome.UNUSED:
+                _give_back(target, run)
             case m.GrantOutcome.REJECTED:
                 target.record_rejection(now)
             case m.GrantOutcome.LEAVING:
@@ -287,7 +307,19 @@
             target.running[message.work.ask].adopted = True
 
     def _recover(self, message: m.Recovered, now: float) -> None:
+        """Allow decisions, and again when a standby dispatcher is used again."""
         self._recovered = True
+        for target in self._targets.values():
+            if target.limiter:
+                # Other dispatchers have granted requests until now.
+                target.limiter.restart(now, self._initial_tokens(target))
+                self._partition.update(target, now)
+
+    def _initial_tokens(self, target: SlotTarget) -> float:
+        """Return the tokens with which a target's rate limiter starts."""
+        if not self.is_standby:
+            return 0.0
+        return initial_tokens(self._standby_instance, target.name)
 
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
         gone = [work.ask for work in self._queue if work.instance == message.instance]
@@ -320,7 +352,7 @@
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._selector.configure(pool)
         self._partition.configure(pool)
-        self._service_rate_updated_at = -math.inf
+        self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
             target = self._targets.get(name)
@@ -332,6 +364,7 @@
                 self._apply_imported_slowness(target)
             target.slots = planned.slots
             target.leaving |= planned.leaving
+            self._set_rate_limit(target, planned.rate_limit, now)
             self._partition.assign(target, now)
         for name in self._targets.keys() - pool.targets.keys():
             gone = self._targets.pop(name)
@@ -340,6 +373,17 @@
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
 
+    def _set_rate_limit(
+        self, target: SlotTarget, limit: float | None, now: float
+    ) -> None:
+        if limit is None:
+            target.limiter = None
+        elif target.limiter is None:
+            tokens = self._initial_tokens(target)
+            target.limiter = RateLimiter(limit, self._limit_share, now, tokens)
+        elif limit != target.limiter.limit:
+            target.limiter.update(limit, self._limit_share, now)
+
     def _schedule(self, now: float) -> None:
         """Grant queued requests in order; some may wait for a better target."""
         if not self._queue:
@@ -403,14 +447,21 @@
         if self._target_subset is None:
             index = self._partition.serving
             return index.candidates(work.data_centre, now), index.fastest(now)
-        if now >= self._subset_updated_at + RATE_UPDATE_INTERVAL_S:
+        if now >= self._subset_updated_at + CAPACITY_UPDATE_INTERVAL_S:
             self._subset_updated_at = now
-            self._subset_targets = self._target_subset.choose(
-                self._partition.serving.usable(now), self.capacity_share
-            )
-        return [
-            target for target in self._subset_targets if target.available_slots(now) > 0
-        ], self._subset_targets
+            self._subset_targets = self._choose_subset(now)
+        may_start = [t for t in self._subset_targets if now >= t.next_start_at]
+        return [t for t in may_start if t.available_slots(now) > 0], may_start
+
+    def _choose_subset(self, now: float) -> list[SlotTarget]:
+        """Return the targets of this standby dispatcher.
+
+        Those with a rate limit are in every subset, since the limit is divided evenly.
+        """
+        usable = self._partition.serving.usable(now)
+        unlimited = [target for target in usable if target.limiter is None]
+        chosen = self._target_subset.choose(unlimited, self.capacity_share)
+        return chosen + [target for target in usable if target.limiter]
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self._queue.remove(work.ask)
@@ -418,9 +469,12 @@
         self._partition.record_grant(target)
         self._rank_floor.record_grant(work.rank, now)
         costs = self._selector.candidate_costs(work, free, now)
+        if target.limiter:
+            target.limiter.take(now)
         self._start(target, work, now)
         wait = round(now - work.received_at, 4)
-        self._decisions.append(m.Grant(work, target.name, wait, costs))
+        limited = self._capacity.limited_count
+        self._decisions.append(m.Grant(work, target.name, wait, costs, limited))
 
     def _start(self, target: SlotTarget, work: m.Work, now: float) -> None:
         selector = self._selector
@@ -444,44 +498,45 @@
         ranks can have delayed it, and the last one is the first to miss its deadline.
         """
         for work in self._queue.expired(now):
-            self._refuse(work, self._estimated_wait(work))
+            self._refuse(work, self._estimated_wait(work, now), now)
         for priority in self._queue.priority_classes():
             while work := self._queue.last_of_class(priority):
-                wait = self._estimated_wait(work)
+                wait = self._estimated_wait(work, now)
                 if now + wait < self._queue.deadline(work.ask):
                     break
-                self._refuse(work, wait)
+                self._refuse(work, wait, now)
 
-    def _estimated_wait(self, work: m.Work) -> float:
+    def _estimated_wait(self, work: m.Work, now: float) -> float:
         """Return the estimated seconds until a queued request is granted."""
-        ahead = self._queue.seconds_ahead(work.ask)
-        wait = ahead / self._service_rate if self._service_rate else MAX_RETRY_AFTER_S
+        wait = self._capacity.wait_seconds(*self._queue.ahead_of(work.ask), now)
+        if wait is None:
+            wait = MAX_RETRY_AFTER_S
         min_rate = (
             self._rank_floor.min_grant_rate(work.rank)
             if self._switches.rank_floor
             else 0.0
         )
         if min_rate:
-            wait = min(wait, (self._queue.position_in_rank(work.ask) + 1) / min_rate)
+            position = self._queue.position_in_rank(work.ask)
+            by_floor = self._capacity.start_delay(now) + (position + 1) / min_rate
+            wait = min(wait, by_floor)
         return wait
 
-    def _update_service_rate(self, now: float) -> None:
+    def _update_capacity(self, now: float) -> None:
         """Update the pool's service rate and slowness, at most once per interval."""
-        if now >= self._service_rate_updated_at + RATE_UPDATE_INTERVAL_S:
-            self._service_rate_updated_at = now
-            usable = self._partition.serving.usable(now)
-            self._service_rate = sum(t.slots / t.slowness for t in usable)
-            self._selector.min_slowness = min((t.slowness for t in usable), default=1.0)
-            slots = sum(t.slots for t in usable)
-            self._selector.mean_slowness = (
-                slots / self._service_rate if self._service_rate else 1.0
-            )
+        if now >= self._capacity_updated_at + CAPACITY_UPDATE_INTERVAL_S:
+            self._capacity_updated_at = now
+            self._capacity.update(self._partition.serving.usable(now))
+            self._selector.min_slowness = self._capacity.min_slowness
+            self._selector.mean_slowness = self._capacity.mean_slowness
 
-    def _refuse(self, work: m.Work, wait: float) -> None:
+    def _refuse(self, work: m.Work, wait: float, now: float) -> None:
         self._queue.remove(work.ask)
         self._refused_requests.record(work)
         self.counts.refused += 1
-        self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, retry_after(wait)))
+        seconds = retry_after(wait, self._capacity.start_delay(now))
+        limited = self._capacity.limited_count
+        self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, seconds, limited))
 
     def _remove_request(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
@@ -490,3 +545,9 @@
         if target:
             target.remove(ask)
             self._partition.update(target, now)
+
+
+def _give_back(target: SlotTarget, run: Run) -> None:
+    """Take back the count of a request that was granted here and was not sent."""
+    if target.limiter and not run.adopted:
+        target.limiter.give_back()
--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -38,6 +38,7 @@
         self._by_ask: dict[str, _QueuedRequest] = {}
         self._deadlines: list[tuple[float, int, str]] = []
         self._backlog: dict[tuple[int, bool], float] = defaultdict(float)
+        self._counts: Counter[tuple[int, bool]] = Counter()
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -108,6 +109,7 @@
         self._order.add(sort_key)
         self._by_ask[work.ask] = _QueuedRequest(sort_key, cost, deadline)
         self._backlog[sort_key[:2]] += cost
+        self._counts[sort_key[:2]] += 1
         heapq.heappush(self._deadlines, (deadline, number, work.ask))
 
     def remove(self, ask: str) -> Work | None:
@@ -117,20 +119,21 @@
             return None
         self._order.remove(queued.sort_key)
         self._backlog[queued.sort_key[:2]] -= queued.cost
+        self._counts[queued.sort_key[:2]] -= 1
         return queued.sort_key[-1]
 
-    def seconds_ahead(self, ask: str) -> float:
-        """Return the estimated seconds of the requests before a queued request.
+    def ahead_of(self, ask: str) -> tuple[int, float]:
+        """Return the number and estimated seconds of requests before a queued request.
 
         All other requests of its class (rank, and whether late) and of the classes
         before count, since few requests of its class are behind it.
         """
         queued = self._by_ask[ask]
         own_class = queued.sort_key[:2]
-        total = sum(
-            cost for priority, cost in self._backlog.items() if priority <= own_class
-        )
-        return max(0.0, total - queued.cost)
+        classes = [priority for priority in self._backlog if priority <= own_class]
+        count = sum(self._counts[priority] for priority in classes) - 1
+        seconds = sum(self._backlog[priority] for priority in classes) - queued.cost
+        return count, max(0.0, seconds) if count else 0.0
 
     def deadline(self, ask: str) -> float:
         """Return when a queued request expires, on the dispatcher's clock."""
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.rate_limiter import RateLimiter
 
 __all__ = ["Run", "SlotTarget"]
 
@@ -103,6 +104,8 @@
         Where it runs.
     version : str
         Version of its software.
+    limiter : RateLimiter or None
+        Limits the requests per second; None if the target accepts any number.
     """
 
     name: str
@@ -117,6 +120,7 @@
     external_reported_at: float = -10.0
     data_centre: str = ""
     version: str = ""
+    limiter: RateLimiter | None = None
     running: dict[str, Run] = field(default_factory=dict)
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
@@ -163,6 +167,16 @@
         """Return whether the target may be granted new requests."""
         return not self.leaving and now >= self.backoff_until
 
+    @property
+    def service_rate(self) -> float:
+        """Seconds of service at slowness 1 per second, with all slots in use."""
+        return self.slots / self.slowness
+
+    @property
+    def next_start_at(self) -> float:
+        """Time from which on its rate limit permits the next request."""
+        return self.limiter.next_at if self.limiter else 0.0
+
     @property
     def unassigned_slots(self) -> int:
         """Number of slots that are not taken by granted requests."""
@@ -170,7 +184,12 @@
         return (1 if self._is_failing else self.slots) - len(self.running)
 
     def available_slots(self, now: float) -> int:
-        """Return the number of further requests that the target can serve."""
+        """Return the number of further requests that the target can serve.
+
+        Its rate limit permits at least one of them now, or the number is 0.
+        """
+        if now < self.next_start_at:
+            return 0
         external = (
             self.external_requests
             if now - self.external_reported_at < EXTERNAL_LOAD_TTL_S
@@ -251,4 +270,6 @@
             parts.append("leaving")
         if now < self.backoff_until:
             parts.append("resting")
+        if self.limiter:
+            parts.append(f"limit {self.limiter.limit:g}/s")
         return " ".join(parts)
--- a/hibiscusstep/routing/target_index.py
+++ b/hibiscusstep/routing/target_index.py
@@ -29,7 +29,11 @@
 
 @dataclass(slots=True)
 class _Entry:
-    """A target's contribution to the totals and its keys in the sorted lists."""
+    """A target's contribution to the totals and its keys in the sorted lists.
+
+    `waits_until` is the time of its entry in the heap of targets whose rate limit
+    permits no request now; 0 if it has none.
+    """
 
     target: SlotTarget
     number: int
@@ -37,6 +41,7 @@
     slots: int = 0
     is_staying: bool = False
     is_healthy: bool = False
+    waits_until: float = 0.0
     cost_key: tuple[float, int] | None = None
     slowness_key: tuple[float, int] | None = None
 
@@ -56,6 +61,7 @@
         self._by_cost: dict[str, SortedList] = defaultdict(SortedList)
         self._by_slowness = SortedList()
         self._backoffs: list[tuple[float, int]] = []
+        self._rate_waits: list[tuple[float, int]] = []
         self._healthy_count = 0
         self._staying_count = 0
         self._slots = 0
@@ -79,7 +85,7 @@
         if entry is None:
             return
         if entry.is_healthy and target.usable(now) and self._is_config_current(entry):
-            self._reposition(entry)
+            self._reposition(entry, now)
             return
         self._unlink(entry)
         if target.leaving:
@@ -93,9 +99,9 @@
         entry.is_healthy = True
         self._healthy_count += 1
         self._slots += target.slots
-        self._reposition(entry)
+        self._reposition(entry, now)
 
-    def _reposition(self, entry: _Entry) -> None:
+    def _reposition(self, entry: _Entry, now: float) -> None:
         """Move a healthy target to its current position in the sorted lists."""
         target = entry.target
         slowness_key = target.slowness, entry.number
@@ -104,9 +110,13 @@
                 self._by_slowness.remove(entry.slowness_key)
             self._by_slowness.add(slowness_key)
             entry.slowness_key = slowness_key
+        may_start = now >= target.next_start_at
+        if not may_start and entry.waits_until != target.next_start_at:
+            entry.waits_until = target.next_start_at
+            heapq.heappush(self._rate_waits, (entry.waits_until, entry.number))
         cost_key = (
             (target.cost(TYPICAL_REQUEST_S), entry.number)
-            if target.unassigned_slots > 0
+            if may_start and target.unassigned_slots > 0
             else None
         )
         if cost_key != entry.cost_key:
@@ -131,16 +141,22 @@
         target = entry.target
         return (entry.slots, entry.data_centre) == (target.slots, target.data_centre)
 
-    def _end_backoffs(self, now: float) -> None:
-        """Add the targets whose backoff has ended."""
+    def _end_waits(self, now: float) -> None:
+        """Add the targets whose backoff has ended or whose rate limit permits more."""
         while self._backoffs and self._backoffs[0][0] <= now:
             _until, number = heapq.heappop(self._backoffs)
             target = self._by_number.get(number)
             if target and not self._entries[target.name].is_healthy:
                 self.update(target, now)
+        while self._rate_waits and self._rate_waits[0][0] <= now:
+            _until, number = heapq.heappop(self._rate_waits)
+            target = self._by_number.get(number)
+            if target:
+                self._entries[target.name].waits_until = 0.0
+                self.update(target, now)
 
     def _in_panic_mode(self, now: float) -> bool:
-        self._end_backoffs(now)
+        self._end_waits(now)
         return self._healthy_count < PANIC_THRESHOLD * self._staying_count
 
     def _staying_targets(self) -> list[SlotTarget]:
@@ -187,10 +203,16 @@
         return [target for target in targets if target.available_slots(now) > 0]
 
     def fastest(self, now: float) -> list[SlotTarget]:
-        """Return the fastest usable targets, with or without a free slot."""
+        """Return the fastest usable targets, with or without a free slot.
+
+        Those whose rate limit permits no request now are left out: many requests would
+        wait for the same next one.
+        """
         if self._in_panic_mode(now):
-            return self._staying_targets()
-        return [
-            self._by_number[number]
-            for _slowness, number in self._by_slowness[:MAX_FASTEST]
-        ]
+            targets = self._staying_targets()
+        else:
+            targets = [
+                self._by_number[number]
+                for _slowness, number in self._by_slowness[:MAX_FASTEST]
+            ]
+        return [target for target in targets if now >= target.next_start_at]
--- a/hibiscusstep/routing/wait_limits.py
+++ b/hibiscusstep/routing/wait_limits.py
@@ -44,9 +44,19 @@
     return max(work.received_at, work.first_token_due - serve_seconds)
 
 
-def retry_after(wait: float) -> float:
-    """Return the seconds after which a refused caller should retry."""
-    return round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait)), 2)
+def retry_after(wait: float, start_delay: float = 0.0) -> float:
+    """Return the seconds after which a refused caller should retry.
+
+    Parameters
+    ----------
+    wait : float
+        Expected seconds until the request would have been granted.
+    start_delay : float
+        Seconds in which no target accepts any request, by their rate limits. An earlier
+        retry would be in vain.
+    """
+    longest = max(MAX_RETRY_AFTER_S, start_delay)
+    return round(min(longest, max(MIN_RETRY_AFTER_S, wait)), 2)
 
 
 def _remaining_time(work: m.Work) -> float:
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -142,10 +142,13 @@
         (8, "bool", "leaving"),
         (9, "i64", "incarnation"),
         (10, "string", "version"),
+        (11, "double", "rate_limit"),
+        (12, "i64", "rate_limit_version"),
     ),
     "TargetStates": (
         (1, "list<TargetState>", "states"),
         (2, "i64", "revision"),
+        (3, "bool", "announced"),
     ),
     "SuspectState": (
         (1, "i64", "fingerprint"),
--- a/hibiscusstep/timeline.py
+++ b/hibiscusstep/timeline.py
@@ -16,6 +16,8 @@
     "target-leaving": "target",
     "target-gone": "target",
     "target-seen": "target",
+    "target-limited": "pool",
+    "target-unlimited": "pool",
     "dispatcher-silent": "pool",
     "dispatcher-taken": "pool",
     "dispatcher-recovered": "pool",
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -96,6 +96,7 @@
             self._on_table,
             self._on_targets,
             self.ended.append,
+            lambda _targets: None,
         )
         self.catalog.tell(module.SetFollowing(True))
 
@@ -329,6 +330,7 @@
             None,
             lambda all_, _: published.update(now=all_),
             lambda _name: None,
+            lambda _targets: None,
         )
         changes = [Change("t", None, 3), Change("t", _target(1, 2), 2)]
         asyncio.run(_handle_all(catalog, changes))
@@ -357,6 +359,7 @@
             None,
             lambda all_, _: published.update(now=all_),
             lambda _name: None,
+            lambda _targets: None,
         )
         asyncio.run(_handle_all(catalog, data.draw(st.permutations(with_repeats))))
         newest = history[-1].item
@@ -390,6 +393,7 @@
             None,
             lambda all_, _: published.update(now=all_),
             lambda _name: None,
+            lambda _targets: None,
         )
         asyncio.run(_handle_all(catalog, data.draw(st.permutations(history))))
         newest = listed[-1].item
