Limits: those that wait for one come first, standbys take half a share, ranks keep their floor

- A request that waited for a limited target was passed by one that came between the moment at which the limit permitted a request and the next tick, and refused 0.97 s after it came (objective 1 s): a new request was granted without a look at the queue.
Where a pool has limits the queue is served in order also when a request comes.
- The pool's dispatcher and standby dispatchers together granted 142 requests in 4 s at a limit of 20 (allowed 125) and 38 at 5 (allowed 35), with up to seven of eight instances alone.
A standby dispatcher now takes half an even share: it can't know what the pool's dispatcher still grants to others.
- A rank that is underserved got nothing where all targets are limited (0 of 24): the mean interval between its requests was longer than any of them may wait, so each was refused.
The first one of such a rank now waits for the next request that a limit permits.
- The bucket kept one request only, so the time until the next tick was lost each time: 19 of 20 requests in 20 s at a limit of 1.
It keeps a quarter of a second more.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -69,6 +69,9 @@
 # A standby dispatcher grants at most this multiple of an even share of the slots: its
 # instance's load may be above average, and all others may use standby dispatchers too.
 STANDBY_SHARES = 2.0
+# The same for the targets' rate limits: less than an even share, since the pool's
+# dispatcher may still grant the whole limit to the other instances.
+STANDBY_LIMIT_SHARES = 0.5
 # In a region without a full mesh, an instance whose `PoolHeld` message is absent for
 # this long (three were missed) is considered dead and its requests are dropped.
 INSTANCE_TIMEOUT_S = 4.5
@@ -357,7 +360,7 @@
         instances = max(1, self._view.expected_size)
         hosted.dispatcher.capacity_share = min(1.0, STANDBY_SHARES / instances)
         now = asyncio.get_running_loop().time()
-        hosted.dispatcher.set_limit_share(1.0 / instances, now)
+        hosted.dispatcher.set_limit_share(STANDBY_LIMIT_SHARES / instances, now)
         return hosted
 
     def _handle_pool_message(self, sender: str, body) -> None:
--- a/hibiscusstep/routing/pool_capacity.py
+++ b/hibiscusstep/routing/pool_capacity.py
@@ -104,15 +104,18 @@
         now : float
             Seconds on the dispatcher's clock.
         """
-        if not self._unlimited_rate and not self.limited_count:
-            return None
-        if not self._unlimited_rate:
+        if self.is_limited:
             return self.start_delay(now) + count / self._limited_per_s
+        if not self._unlimited_rate:
+            return None
         mean_seconds = seconds / count if count else 0.0
         return seconds / (self._unlimited_rate + self._limited_per_s * mean_seconds)
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether all usable targets have a limit."""
+        return self.limited_count > 0 and not self._unlimited_rate
+
     def start_delay(self, now: float) -> float:
         """Return the seconds until any target accepts a request by its limit."""
-        if self._unlimited_rate or not self.limited_count:
-            return 0.0
-        return max(0.0, self._next_limited_at - now)
+        return max(0.0, self._next_limited_at - now) if self.is_limited else 0.0
--- a/hibiscusstep/routing/rate_limiter.py
+++ b/hibiscusstep/routing/rate_limiter.py
@@ -4,7 +4,8 @@
 
 __all__ = ["RateLimiter", "initial_tokens"]
 
-# Seconds of the rate that may be granted at once; covers several ticks of a dispatcher.
+# Seconds of the rate that may be saved up beyond one request. Without it the time until
+# a dispatcher's next tick would be lost for each request.
 BURST_S = 0.25
 # A target announces the end of its limit in a response, so it is sent a request every
 # few seconds even if it accepts none.
@@ -37,7 +38,7 @@
     def _set_rate(self, limit: float, share: float) -> None:
         self._limit = limit
         self._rate = max(limit, MIN_RATE_PER_S) * share
-        self._capacity = max(1.0, self._rate * BURST_S)
+        self._capacity = 1.0 + self._rate * BURST_S
 
     @property
     def limit(self) -> float:
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -185,8 +185,12 @@
         }
 
     def _make_decisions(self, message, now: float) -> None:
-        if isinstance(message, m.RequestGrant):
+        if isinstance(message, m.RequestGrant) and not self._capacity.limited_count:
             self._schedule_new(message.work.ask, now)
+        elif isinstance(message, m.RequestGrant):
+            # A rate limit may permit a request since the last tick; those that wait
+            # for it come first.
+            self._schedule(now)
         elif isinstance(message, _GRANT_TRIGGERS):
             self._schedule(now)
         if isinstance(message, _EXPIRY_TRIGGERS):
@@ -517,11 +521,23 @@
             else 0.0
         )
         if min_rate:
-            position = self._queue.position_in_rank(work.ask)
-            by_floor = self._capacity.start_delay(now) + (position + 1) / min_rate
-            wait = min(wait, by_floor)
+            wait = min(wait, self._wait_by_floor(work, min_rate, now))
         return wait
 
+    def _wait_by_floor(self, work: m.Work, min_rate: float, now: float) -> float:
+        """Return the seconds until the minimum service of its rank reaches a request.
+
+        Where rate limits permit few requests, the mean interval between those of a rank
+        is longer than any of them waits. The first one of a rank that is underserved is
+        granted as soon as a limit permits it.
+        """
+        position = self._queue.position_in_rank(work.ask)
+        start_delay = self._capacity.start_delay(now)
+        is_next = position == 0 and self._capacity.is_limited
+        if is_next and work.rank in self._rank_floor.underserved(now):
+            return start_delay
+        return start_delay + (position + 1) / min_rate
+
     def _update_capacity(self, now: float) -> None:
         """Update the pool's service rate and slowness, at most once per interval."""
         if now >= self._capacity_updated_at + CAPACITY_UPDATE_INTERVAL_S:
