--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,6 +26,7 @@
 from soak_environment import (  # noqa: E402
     CRASH_FIELD,
     LEAVING_FIELD,
+    LIMIT_FIELD,
     POOL,
     SLOTS,
     START_FIELD,
@@ -46,6 +47,10 @@
 # Time that a rollout may take beyond its deadline, as its dispatcher may be lost or the
 # store unreachable.
 ROLLOUT_GRACE_S = 20.0
+# Requests per second that targets name as their limits, and how long each lasts at
+# least: the bound counts from 3 s on, over 4 s.
+LIMITS = (0, 0.7, 1.2, 5, 20)
+LIMIT_S = 8.0
 INVALID_ENTRIES = (
     None,
     "text",
@@ -95,6 +100,7 @@
         }
         url = f"http://{instance.callers.address}/{kind}/p"
         process, sent_at = instance.process.pid, time.monotonic()
+        result.process = process
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 await self._exchange(session, url, fields, result)
@@ -102,6 +108,8 @@
             target, now = result.seal.rpartition(".")[2], time.monotonic()
             target = f"{target}@{result.start}"
             self._ledger.record_answer(process, target, sent_at, now, result.leaves)
+            if result.limited:
+                self._ledger.limits.record_passed_on(process, target)
         return result
 
     async def _exchange(self, session, url, fields, result):
@@ -110,6 +118,7 @@
             result.status = response.status
             result.seal = response.headers.get("X-Response-Seal", "")
             result.leaves = LEAVING_FIELD in response.headers
+            result.limited = LIMIT_FIELD in response.headers
             result.start = response.headers.get(START_FIELD, "")
             leaves = self._rng.random() < 0.03
             async for data in response.content.iter_any():
@@ -306,6 +315,17 @@
         world.store.put("servers", target.name, leaving)
         target.left_at = time.monotonic()
 
+    async def _names_limit(self, span):
+        """Let targets name a limit in their answers, change it and end it."""
+        staying = [t for t in self._world.targets if not t.left_at]
+        count = self._rng.choice((1, 1, 2, len(staying)))
+        limited = self._rng.sample(staying, min(count, len(staying)))
+        for limit in (*self._rng.sample(LIMITS, 2), None):
+            for target in limited:
+                target.set_limit(limit)
+            if limit is not None:
+                await asyncio.sleep(LIMIT_S + span)
+
     async def _rollout(self, span):
         """Order a rollout of a good or bad version."""
         world, ledger = self._world, self._world.ledger
@@ -359,6 +379,7 @@
         _says_it_leaves, _store_restored, _store_restored,
     )  # fmt: skip
     WITH_ROLLOUTS = (*NEWEST_KINDS, _rollout, _rollout, _rollout)
+    WITH_LIMITS = (*WITH_ROLLOUTS, *[_names_limit] * 5)
 
 
 async def soak(
@@ -437,7 +458,7 @@
     for seed in _parse(seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         findings, faults_run = asyncio.run(
-            soak(seed, folder, instances, seconds, kinds=Faults.WITH_ROLLOUTS)
+            soak(seed, folder, instances, seconds, kinds=Faults.WITH_LIMITS)
         )
         click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {faults_run[0]}")
         for line in findings[:20]:
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -25,6 +25,7 @@
 # Crashes the target that receives it; the value identifies the request.
 CRASH_FIELD = "x-crash"
 LEAVING_FIELD = "Server-Leaving"
+LIMIT_FIELD = "Server-Limit"
 # Identifies the start of the target that answered, as ids are reused.
 START_FIELD = "X-Start"
 GRACE_S = 2
@@ -47,6 +48,8 @@
         Time at which its entry reported that it leaves; 0 if it does not.
     announces_leaving : bool
         Whether all its answers announce that it leaves.
+    limit : float or None
+        Requests per second that all its answers name; None if they name no limit.
     """
 
     def __init__(self, name, ledger, rng, started_ms=0, version="v1"):
@@ -54,11 +57,13 @@
         self.fault = ""
         self.left_at = 0.0
         self.announces_leaving = False
+        self.limit = None
         self._ledger = ledger
         self._rng = rng
 
     def _work(self, _number, fields, _body):
         name = fields.get("x-request-id", "")
+        self._ledger.limits.record_arrival(self.start_name, name)
         if CRASH_FIELD in fields:
             self._ledger.crashes[fields[CRASH_FIELD]].append(time.monotonic())
             self._ledger.crashed.add(self.name)
@@ -75,10 +80,22 @@
         pause = [self._rng.uniform(0.0, 0.05) + (0.5 if hit == "slow" else 0.0)]
         return [*pause, *self._answer(name, fields, self.fault if hit else "")]
 
+    @property
+    def start_name(self):
+        """Name of this start of the target."""
+        return f"{self.name}@{self.started_ms}"
+
+    def set_limit(self, limit):
+        """Name a limit from now on, or none."""
+        self.limit = limit
+        self._ledger.limits.record_limit(self.start_name, limit)
+
     def _answer(self, name, fields, fault):
         seal = f"X-Response-Seal: {name}.{self.name}\n{START_FIELD}: {self.started_ms}"
         if self.announces_leaving:
             seal += f"\n{LEAVING_FIELD}: 1"
+        if self.limit is not None:
+            seal += f"\n{LIMIT_FIELD}: {self.limit}"
         if fault == "grey":
             yield answer(fields, b"failed", status=500, sealed=False, extra=seal)
         elif self._is_stream(fields):
@@ -179,6 +196,8 @@
             self.paused = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(
                 number, self.paused
             )
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self._world.ledger.limits.record_pause(self.process.pid, self.paused)
 
     def _record_action(self, what):
         """Record an action on the process, for findings."""
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -4,6 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from soak_limits import LimitLedger
+
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 REPEATABLE_KINDS = {"safe", "resume"}
 # Configured maximum of attempts per request, counted on targets that did not crash.
@@ -49,6 +51,10 @@
         Whether the target announced in the answer that it leaves.
     start : str
         Identifies the start of the target that answered.
+    limited : bool
+        Whether the target named a limit in the answer.
+    process : int
+        Process id of the instance.
     """
 
     kind: str
@@ -60,6 +66,8 @@
     where: str = ""
     leaves: bool = False
     start: str = ""
+    limited: bool = False
+    process: int = 0
 
 
 @dataclass
@@ -78,6 +86,7 @@
     # Versions that may get requests, and times at which others were rolled back.
     versions: set[str] = field(default_factory=lambda: {"v1"})
     rolled_back_at: dict[str, float] = field(default_factory=dict)
+    limits: LimitLedger = field(default_factory=LimitLedger)
 
     def record_run(self, name, version):
         """Record a run of a request on a target of a version."""
@@ -97,6 +106,8 @@
     def findings(self):
         """Return a line per broken promise."""
         lines = [f"sent too late: {what}" for what in self.late_requests]
+        processes = {name: result.process for name, result in self.results.items()}
+        lines += self.limits.findings(processes)
         for request, times in self.crashes.items():
             lines += self._check_crashes(request, sorted(times))
         for name, runs in self.runs.items():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from soak import Faults, soak
 from soak_environment import SoakEnvironment
 from soak_ledger import CallerResult, Ledger, TargetRun, body_of, events
+from soak_limits import LimitLedger
 
 # Seeds that broke a promise once, with the cause.
 REGRESSIONS = [
@@ -100,6 +101,23 @@
         assert not findings, faults_run
 
 
+class TestSoakOfLimits:
+    """Targets that name, change and end limits, with other faults."""
+
+    KINDS = (
+        Faults._names_limit, Faults._names_limit, Faults._names_limit, Faults._kill,
+        Faults._term, Faults._pause, Faults._store_down,
+    )  # fmt: skip
+
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [501, 502])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, faults_run = await soak(
+            seed, tmp_path, 3, seconds=4.0, faults=6, callers=8, kinds=self.KINDS
+        )
+        assert not findings, faults_run
+
+
 class TestSignalsUntilTheEnd:
     """A second signal at the end must not change the exit code of a clean exit.
 
@@ -125,6 +143,58 @@
             await world.stop()
 
 
+class TestLimitLedger:
+    """The ledger reports a target that was sent more than its limit allows."""
+
+    ALLOWED = 11
+
+    def _findings(self, count, *, limit=1.0, first=10.0, apart=0.3, change=None):
+        """Return the findings of requests that one process sent to one target."""
+        ledger = LimitLedger()
+        ledger.record_limit("t", limit, 1.0)
+        ledger.record_passed_on(7, "t", 1.5)
+        for number in range(count):
+            ledger.record_arrival("t", f"r{number}", first + apart * number)
+        if change:
+            change(ledger)
+        return list(ledger.findings({f"r{n}": 7 for n in range(count)}))
+
+    def test_as_many_as_allowed(self):
+        assert not self._findings(self.ALLOWED)
+        assert not self._findings(100, apart=0.4)
+
+    def test_one_more(self):
+        assert self._findings(self.ALLOWED + 1)
+
+    def test_a_limit_of_zero(self):
+        assert not self._findings(5, limit=0)
+        assert self._findings(6, limit=0)
+
+    def test_requests_before_the_notice_has_passed(self):
+        assert not self._findings(100, first=1.0, apart=0.02)
+
+    def test_requests_after_the_end(self):
+        def change(ledger):
+            ledger.record_limit("t", None, 9.0)
+
+        assert not self._findings(100, change=change)
+
+    @pytest.mark.parametrize(("told_at", "broken"), [(9.4, True), (20.0, False)])
+    def test_requests_of_instances_that_were_not_told(self, told_at, broken):
+        def change(ledger):
+            ledger.passed_on[7, "t"] = told_at
+
+        assert bool(self._findings(self.ALLOWED + 1, change=change)) is broken
+
+    @pytest.mark.parametrize(("until", "broken"), [(6.0, True), (11.0, False)])
+    def test_requests_of_a_paused_instance(self, until, broken):
+        def change(ledger):
+            ledger.record_pause(7, True, 5.0)
+            ledger.record_pause(7, False, until)
+
+        assert bool(self._findings(self.ALLOWED + 1, change=change)) is broken
+
+
 class TestLedger:
     """The ledger reports each promise that a history breaks."""
 
