Limits: ignore small raises, and let a standby dispatcher name no long time to callers

- A target that computes its limit anew for each answer would have cost a message to all instances and a new plan for each.
A raise by less than a twentieth is ignored; a lower limit never is, so the lowest of the recent ones holds.
- At a limit of 0 callers of a standby dispatcher were told to come back after 10 s in the end-to-end trial: the time by its own small share, which it has for some seconds only.
It names 5 s at most; the pool's dispatcher still names the whole time.

--- a/hibiscusstep/forwarding/announcement.py
+++ b/hibiscusstep/forwarding/announcement.py
@@ -9,6 +9,9 @@
 
 __all__ = ["AnnouncementReader"]
 
+# A limit may be computed anew for each response. A raise by less than this share is
+# ignored, since each change is told to all instances.
+MIN_RAISE = 0.05
 # Malformed values that are remembered, so that each is logged once.
 MAX_MALFORMED = 1000
 MAX_LOGGED_CHARACTERS = 80
@@ -93,7 +96,12 @@
 
     Only a response of a target that handled the request ends a limit by naming none.
     """
-    is_silent = head.malformed_rate_limit or head.not_run or not head.sealed
-    if head.rate_limit == before.per_second or (head.rate_limit is None and is_silent):
-        return before
-    return RateLimit(head.rate_limit, before.version + 1)
+    if head.rate_limit is None:
+        is_silent = head.malformed_rate_limit or head.not_run or not head.sealed
+        is_changed = before.per_second is not None and not is_silent
+    elif before.per_second is None:
+        is_changed = True
+    else:
+        raised_by = head.rate_limit - before.per_second
+        is_changed = raised_by < 0 or raised_by > MIN_RAISE * before.per_second
+    return RateLimit(head.rate_limit, before.version + 1) if is_changed else before
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -550,7 +550,9 @@
         self._queue.remove(work.ask)
         self._refused_requests.record(work)
         self.counts.refused += 1
-        seconds = retry_after(wait, self._capacity.start_delay(now))
+        # A standby dispatcher is used for a short time only.
+        start_delay = 0.0 if self.is_standby else self._capacity.start_delay(now)
+        seconds = retry_after(wait, start_delay)
         limited = self._capacity.limited_count
         self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, seconds, limited))
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -28,6 +28,7 @@
 )
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
 from hibiscusstep.routing.slot_target import SlotTarget
+from hibiscusstep.routing.wait_limits import MAX_RETRY_AFTER_S
 
 TICK_S = 0.05
 SERVICE_S = 0.05
@@ -371,6 +372,13 @@
         assert refusal.retry_after == pytest.approx(1 / MIN_RATE_PER_S - 1.0)
         assert refusal.limited_targets == 1
 
+    def test_a_standby_dispatcher_names_no_long_time(self):
+        dispatcher = _dispatcher(0.1, standby_instance="i0")
+        dispatcher.set_limit_share(0.01, 0.0)
+        dispatcher.handle(m.TimePassed(), 1.0)
+        (refusal,) = dispatcher.handle(m.RequestGrant(_work(0, 1.0)), 1.0)
+        assert refusal.retry_after == MAX_RETRY_AFTER_S
+
     def test_granted_requests_were_in_time(self):
         load = Load(_dispatcher(1.0, 1.0)).run(20.0)
         assert len(load.waits) >= 35
