--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -528,8 +528,9 @@
             self._record_suspension(suspensions.check())
             self._choose_target_source()
             self._distributor.request_newer_table()
-            self._distributor.resend_announced()
-            if sweep_number % SWEEPS_PER_TARGET_RESEND == 0:
+            resends_all = sweep_number % SWEEPS_PER_TARGET_RESEND == 0
+            self._distributor.resend_announced(only_recent=not resends_all)
+            if resends_all:
                 self._distributor.send_all_targets_to_followers()
             if self._uptime() >= ELIGIBLE_AFTER_S and not eligible and self.ready:
                 eligible = True
--- a/hibiscusstep/forwarding/state_distributor.py
+++ b/hibiscusstep/forwarding/state_distributor.py
@@ -19,6 +19,8 @@
 REQUEST_DELAY_S = 0.15
 # Interval at which an unanswered request for a configuration is repeated.
 REQUEST_RETRY_S = 1.0
+# Time in which lost messages about a new announcement are most likely.
+RECENT_S = 10.0
 
 
 class StateDistributor:
@@ -59,6 +61,8 @@
         self._view = View()
         self._requested_version = 0
         self._request_again_at = 0.0
+        # When targets announced something new in responses, by name.
+        self._announced_at: dict[str, float] = {}
         self.table: RoutingTable | None = None
 
     def apply_view(self, view: View) -> None:
@@ -84,20 +88,36 @@
                 self._links.tell(Send(address, TargetStates(states)))
 
     def send_announced(self, targets: list[DiscoveredTarget]) -> None:
-        """Send what targets announced in responses to the neighbours."""
+        """Send what targets newly announced in responses to the neighbours."""
+        now = asyncio.get_running_loop().time()
+        self._announced_at |= {target.name: now for target in targets}
         message = _announcement_of(targets)
         for address in self._view.neighbours(self._address):
             self._links.tell(Send(address, message))
 
-    def resend_announced(self) -> None:
-        """Send all that targets announced to a random neighbour.
+    def resend_announced(self, *, only_recent: bool) -> None:
+        """Send what targets announced to a random neighbour, in case it was lost.
 
         Lost messages are made up for within a few calls, at a cost that does not depend
         on the number of instances.
+
+        Parameters
+        ----------
+        only_recent : bool
+            Whether to leave out what was announced more than `RECENT_S` ago.
         """
+        now = asyncio.get_running_loop().time()
+        self._announced_at = {
+            name: at for name, at in self._announced_at.items() if at > now - RECENT_S
+        }
+        targets = [
+            target
+            for target in self._announced_targets()
+            if not only_recent or target.name in self._announced_at
+        ]
         neighbours = self._view.neighbours(self._address)
-        if neighbours:
-            self._send_announced(random.choice(neighbours), self._announced_targets())
+        if targets and neighbours:
+            self._send_announced(random.choice(neighbours), targets)
 
     def _announced_targets(self) -> list[DiscoveredTarget]:
         return [
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from hibiscusstep import codec
+from hibiscusstep.forwarding import state_distributor
 from hibiscusstep.forwarding.announcement import MIN_RAISE, AnnouncementReader
 from hibiscusstep.forwarding.catalog import Catalog, TargetsAnnounced, TargetUpdate
 from hibiscusstep.forwarding.dialect import TargetResponseHead
@@ -420,12 +421,26 @@
         distributor.apply_view(_view("own", "a", "b"))
         links.sent.clear()
         for _ in range(64):
-            distributor.resend_announced()
+            distributor.resend_announced(only_recent=False)
         assert {to for to, _ in self._limits(links)} == {"a", "b"}
         assert len(links.sent) == 64
 
+    async def test_what_is_recent_is_sent_more_often(self, monkeypatch):
+        old, new = _target(1.2, 1), _target(5.0, 1, id="u")
+        distributor, links = self._distributor(old, new)
+        distributor.apply_view(_view("own", "a"))
+        distributor.send_announced([new])
+        links.sent.clear()
+        distributor.resend_announced(only_recent=True)
+        distributor.resend_announced(only_recent=False)
+        assert self._limits(links) == [("a", [5.0]), ("a", [1.2, 5.0])]
+        links.sent.clear()
+        monkeypatch.setattr(state_distributor, "RECENT_S", 0.0)
+        distributor.resend_announced(only_recent=True)
+        assert not links.sent
+
     async def test_without_announcements_nothing_is_sent(self):
         distributor, links = self._distributor(_target())
         distributor.apply_view(_view("own", "a"))
-        distributor.resend_announced()
+        distributor.resend_announced(only_recent=False)
         assert self._limits(links) == []
