Limits: decisions without limits cost what they did

Cause: properties and list comprehensions on the way of each decision. SlotTarget keeps next_start_at as an attribute and its limiter to itself, the capacity has a way without limits, is_limited is computed once per update.

--- a/examples/decision_cost.py
+++ b/examples/decision_cost.py
@@ -1,6 +1,6 @@
 """Measures the dispatcher's processor time per request, by the number of waiting ones.
 
-Usage: python examples/decision_cost.py [--targets 30] [--requests 4000]
+Usage: python examples/decision_cost.py [--targets 30] [--requests 4000] [--limit 100]
 
 A pool with no free slots gets requests of three ranks in turn, at a rate that keeps the
 given number of them waiting. Prints the microseconds of processor time for all messages
@@ -22,9 +22,14 @@
 REQUESTS_PER_ANSWER = 2
 
 
-def measure(targets: int, waiting: int, requests: int) -> float:
-    """Return the microseconds per request with a number of waiting requests."""
-    pool = {f"t{n}": PlannedTarget(SLOTS) for n in range(targets)}
+def measure(
+    targets: int, waiting: int, requests: int, limit: float | None = None
+) -> float:
+    """Return the microseconds per request with a number of waiting requests.
+
+    `limit` is the requests per second that each target accepts; None for any number.
+    """
+    pool = {f"t{n}": PlannedTarget(SLOTS, rate_limit=limit) for n in range(targets)}
     dispatcher = SlotDispatcher(
         "p", DispatchPlan({"p": PlannedPool(True, 6, 0.3, targets=pool)})
     )
@@ -58,10 +63,11 @@
 @click.command()
 @click.option("--targets", default=30, show_default=True)
 @click.option("--requests", default=4000, show_default=True)
-def main(targets: int, requests: int) -> None:
+@click.option("--limit", type=float, help="Requests per second of each target.")
+def main(targets: int, requests: int, limit: float | None) -> None:
     """Print a line per number of waiting requests."""
     for waiting in (10, 100, 1000):
-        spent = measure(targets, waiting, requests)
+        spent = measure(targets, waiting, requests, limit)
         click.echo(f"{targets} targets, {waiting} waiting: {spent:.0f} us a request")
 
 
--- a/hibiscusstep/routing/pool_capacity.py
+++ b/hibiscusstep/routing/pool_capacity.py
@@ -21,6 +21,8 @@
     ----------
     limited_count : int
         Number of usable targets with a limit.
+    is_limited : bool
+        Whether all usable targets have a limit.
     min_slowness : float
         Slowness of the fastest target that is not slowed down by its limit.
     mean_slowness : float
@@ -36,6 +38,7 @@
         self._limited_per_s = 0.0
         self._next_limited_at = math.inf
         self.limited_count = 0
+        self.is_limited = False
         self.min_slowness = 1.0
         self.mean_slowness = 1.0
 
@@ -52,44 +55,53 @@
         usable : iterable of SlotTarget
             The targets that may be granted requests.
         """
-        unlimited, limited, bound = [], [], set()
-        for target in usable:
-            if target.limiter is None:
-                unlimited.append(target)
-            else:
-                limited.append(target)
-                if target.limiter.rate * self._request_seconds < target.service_rate:
-                    bound.add(target)
+        targets = list(usable)
+        limited = [target for target in targets if target.limiter]
         self.limited_count = len(limited)
+        self.is_limited = 0 < len(limited) == len(targets)
+        if not limited:
+            self._update_without_limits(targets)
+            return
+        unlimited = [target for target in targets if not target.limiter]
         self._unlimited_rate = sum(t.service_rate for t in unlimited)
         self._limited_per_s = sum(map(self._requests_per_s, limited))
-        self._next_limited_at = min(
-            (t.limiter.next_at for t in limited), default=math.inf
-        )
-        self._update_slowness(unlimited, limited, bound)
+        self._next_limited_at = min(target.next_start_at for target in limited)
+        self._update_slowness(unlimited, limited)
+
+    def _update_without_limits(self, targets: list[SlotTarget]) -> None:
+        self._unlimited_rate = sum(t.slots / t.slowness for t in targets)
+        self._limited_per_s = 0.0
+        self.min_slowness = min((t.slowness for t in targets), default=1.0)
+        slots = sum(t.slots for t in targets)
+        rate = self._unlimited_rate
+        self.mean_slowness = slots / rate if rate else 1.0
+
+    def _is_bound_by_limit(self, target: SlotTarget) -> bool:
+        """Return whether its limit rather than its slots determines a target's rate."""
+        return target.limiter.rate * self._request_seconds < target.service_rate
 
     def _requests_per_s(self, target: SlotTarget) -> float:
         """Return how many requests a target with a limit serves per second."""
-        if not self._request_seconds:
+        if self._is_bound_by_limit(target):
             return target.limiter.rate
-        by_slots = target.service_rate / self._request_seconds
-        return min(by_slots, target.limiter.rate)
+        return target.service_rate / self._request_seconds
 
     def _update_slowness(
-        self,
-        unlimited: list[SlotTarget],
-        limited: list[SlotTarget],
-        bound: set[SlotTarget],
+        self, unlimited: list[SlotTarget], limited: list[SlotTarget]
     ) -> None:
-        fast = [t for t in (*unlimited, *limited) if t not in bound] or bound
-        self.min_slowness = min((t.slowness for t in fast), default=1.0)
-        weights = [(t, t.service_rate) for t in unlimited]
-        weights += [
-            (t, self._requests_per_s(t) * self._request_seconds) for t in limited
+        rates = [(target, target.service_rate) for target in unlimited]
+        rates += [
+            (target, self._requests_per_s(target) * self._request_seconds)
+            for target in limited
         ]
-        total = sum(weight for _target, weight in weights)
+        unaffected = [t for t in limited if not self._is_bound_by_limit(t)]
+        fast = [*unlimited, *unaffected] or limited
+        self.min_slowness = min(target.slowness for target in fast)
+        total = sum(rate for _target, rate in rates)
         self.mean_slowness = (
-            sum(weight * t.slowness for t, weight in weights) / total if total else 1.0
+            sum(rate * target.slowness for target, rate in rates) / total
+            if total
+            else self.min_slowness
         )
 
     def wait_seconds(self, count: int, seconds: float, now: float) -> float | None:
@@ -111,11 +123,6 @@
         mean_seconds = seconds / count if count else 0.0
         return seconds / (self._unlimited_rate + self._limited_per_s * mean_seconds)
 
-    @property
-    def is_limited(self) -> bool:
-        """Whether all usable targets have a limit."""
-        return self.limited_count > 0 and not self._unlimited_rate
-
     def start_delay(self, now: float) -> float:
         """Return the seconds until any target accepts a request by its limit."""
         return max(0.0, self._next_limited_at - now) if self.is_limited else 0.0
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -14,7 +14,7 @@
 from hibiscusstep.routing.pool_capacity import PoolCapacity
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
-from hibiscusstep.routing.rate_limiter import RateLimiter, initial_tokens
+from hibiscusstep.routing.rate_limiter import initial_tokens
 from hibiscusstep.routing.slot_queue import RefusedRequests, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_isolation import exclude_suspect_targets
@@ -161,7 +161,7 @@
         super().set_limit_share(share, now)
         for target in self._targets.values():
             if target.limiter:
-                target.limiter.update(target.limiter.limit, share, now)
+                target.set_rate_limit(target.limiter.limit, share, now)
                 self._partition.update(target, now)
 
     def instances_waiting(self) -> set[str]:
@@ -230,7 +230,7 @@
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
         target = self._targets.get(self._target_by_ask.get(message.ask, ""))
         if target:
-            _give_back(target, target.running[message.ask])
+            target.uncount_grant(target.running[message.ask])
         self._remove_request(message.ask, now)
 
     def _first_token(self, message: m.FirstToken, now: float) -> None:
@@ -255,9 +255,9 @@
                 target.record_failure(now)
             case m.GrantOutcome.UNREACHABLE:
                 target.record_unreachable(now)
-                _give_back(target, run)
+                target.uncount_grant(run)
             case m.GrantOutcome.UNUSED:
-                _give_back(target, run)
+                target.uncount_grant(run)
             case m.GrantOutcome.REJECTED:
                 target.record_rejection(now)
             case m.GrantOutcome.LEAVING:
@@ -315,8 +315,7 @@
         self._recovered = True
         for target in self._targets.values():
             if target.limiter:
-                # Other dispatchers have granted requests until now.
-                target.limiter.restart(now, self._initial_tokens(target))
+                target.restart_rate_limit(now, self._initial_tokens(target))
                 self._partition.update(target, now)
 
     def _initial_tokens(self, target: SlotTarget) -> float:
@@ -368,7 +367,11 @@
                 self._apply_imported_slowness(target)
             target.slots = planned.slots
             target.leaving |= planned.leaving
-            self._set_rate_limit(target, planned.rate_limit, now)
+            if planned.rate_limit != target.rate_limit:
+                tokens = self._initial_tokens(target)
+                target.set_rate_limit(
+                    planned.rate_limit, self._limit_share, now, tokens
+                )
             self._partition.assign(target, now)
         for name in self._targets.keys() - pool.targets.keys():
             gone = self._targets.pop(name)
@@ -377,17 +380,6 @@
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
 
-    def _set_rate_limit(
-        self, target: SlotTarget, limit: float | None, now: float
-    ) -> None:
-        if limit is None:
-            target.limiter = None
-        elif target.limiter is None:
-            tokens = self._initial_tokens(target)
-            target.limiter = RateLimiter(limit, self._limit_share, now, tokens)
-        elif limit != target.limiter.limit:
-            target.limiter.update(limit, self._limit_share, now)
-
     def _schedule(self, now: float) -> None:
         """Grant queued requests in order; some may wait for a better target."""
         if not self._queue:
@@ -473,8 +465,7 @@
         self._partition.record_grant(target)
         self._rank_floor.record_grant(work.rank, now)
         costs = self._selector.candidate_costs(work, free, now)
-        if target.limiter:
-            target.limiter.take(now)
+        target.count_grant(now)
         self._start(target, work, now)
         wait = round(now - work.received_at, 4)
         limited = self._capacity.limited_count
@@ -521,22 +512,26 @@
             else 0.0
         )
         if min_rate:
-            wait = min(wait, self._wait_by_floor(work, min_rate, now))
+            position = self._queue.position_in_rank(work.ask)
+            by_floor = (position + 1) / min_rate
+            if self._capacity.is_limited:
+                by_floor = self._wait_by_floor(work, position, by_floor, now)
+            wait = min(wait, by_floor)
         return wait
 
-    def _wait_by_floor(self, work: m.Work, min_rate: float, now: float) -> float:
-        """Return the seconds until the minimum service of its rank reaches a request.
+    def _wait_by_floor(
+        self, work: m.Work, position: int, interval: float, now: float
+    ) -> float:
+        """Return the seconds until a request is granted, where all targets are limited.
 
-        Where rate limits permit few requests, the mean interval between those of a rank
-        is longer than any of them waits. The first one of a rank that is underserved is
+        Limits permit few requests, so the mean interval between those of a rank is
+        longer than any of them waits. The first one of a rank that is underserved is
         granted as soon as a limit permits it.
         """
-        position = self._queue.position_in_rank(work.ask)
         start_delay = self._capacity.start_delay(now)
-        is_next = position == 0 and self._capacity.is_limited
-        if is_next and work.rank in self._rank_floor.underserved(now):
+        if position == 0 and work.rank in self._rank_floor.underserved(now):
             return start_delay
-        return start_delay + (position + 1) / min_rate
+        return start_delay + interval
 
     def _update_capacity(self, now: float) -> None:
         """Update the pool's service rate and slowness, at most once per interval."""
@@ -563,9 +558,3 @@
         if target:
             target.remove(ask)
             self._partition.update(target, now)
-
-
-def _give_back(target: SlotTarget, run: Run) -> None:
-    """Take back the count of a request that was granted here and was not sent."""
-    if target.limiter and not run.adopted:
-        target.limiter.give_back()
--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -130,10 +130,12 @@
         """
         queued = self._by_ask[ask]
         own_class = queued.sort_key[:2]
-        classes = [priority for priority in self._backlog if priority <= own_class]
-        count = sum(self._counts[priority] for priority in classes) - 1
-        seconds = sum(self._backlog[priority] for priority in classes) - queued.cost
-        return count, max(0.0, seconds) if count else 0.0
+        count, seconds = -1, -queued.cost
+        for priority, backlog in self._backlog.items():
+            if priority <= own_class:
+                count += self._counts[priority]
+                seconds += backlog
+        return count, max(0.0, seconds)
 
     def deadline(self, ask: str) -> float:
         """Return when a queued request expires, on the dispatcher's clock."""
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -106,6 +106,9 @@
         Version of its software.
     limiter : RateLimiter or None
         Limits the requests per second; None if the target accepts any number.
+    next_start_at : float
+        Time from which on its rate limit permits the next request, on the dispatcher's
+        clock; 0 without a limit. An attribute, since decisions read it often.
     """
 
     name: str
@@ -121,6 +124,7 @@
     data_centre: str = ""
     version: str = ""
     limiter: RateLimiter | None = None
+    next_start_at: float = 0.0
     running: dict[str, Run] = field(default_factory=dict)
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
@@ -173,9 +177,54 @@
         return self.slots / self.slowness
 
     @property
-    def next_start_at(self) -> float:
-        """Time from which on its rate limit permits the next request."""
-        return self.limiter.next_at if self.limiter else 0.0
+    def rate_limit(self) -> float | None:
+        """Requests per second that it accepts from all dispatchers; None if any."""
+        return self.limiter.limit if self.limiter else None
+
+    def set_rate_limit(
+        self, limit: float | None, share: float, now: float, tokens: float = 0.0
+    ) -> None:
+        """Set or end the limit on requests per second.
+
+        Parameters
+        ----------
+        limit : float or None
+            Requests per second from all dispatchers; None for no limit.
+        share : float
+            Share of the limit that this dispatcher may grant.
+        now : float
+            Seconds on the dispatcher's clock.
+        tokens : float
+            Requests that may be granted at once if there was no limit before.
+        """
+        if limit is None:
+            self.limiter = None
+        elif self.limiter is None:
+            self.limiter = RateLimiter(limit, share, now, tokens)
+        else:
+            self.limiter.update(limit, share, now)
+        self._update_next_start()
+
+    def restart_rate_limit(self, now: float, tokens: float) -> None:
+        """Forget what the limit permits; other dispatchers granted requests."""
+        if self.limiter:
+            self.limiter.restart(now, tokens)
+            self._update_next_start()
+
+    def count_grant(self, now: float) -> None:
+        """Count a granted request against the limit."""
+        if self.limiter:
+            self.limiter.take(now)
+            self._update_next_start()
+
+    def uncount_grant(self, run: Run) -> None:
+        """Take back the count of a request that was granted here and was not sent."""
+        if self.limiter and not run.adopted:
+            self.limiter.give_back()
+            self._update_next_start()
+
+    def _update_next_start(self) -> None:
+        self.next_start_at = self.limiter.next_at if self.limiter else 0.0
 
     @property
     def unassigned_slots(self) -> int:
--- a/hibiscusstep/routing/target_index.py
+++ b/hibiscusstep/routing/target_index.py
@@ -111,9 +111,8 @@
             self._by_slowness.add(slowness_key)
             entry.slowness_key = slowness_key
         may_start = now >= target.next_start_at
-        if not may_start and entry.waits_until != target.next_start_at:
-            entry.waits_until = target.next_start_at
-            heapq.heappush(self._rate_waits, (entry.waits_until, entry.number))
+        if not may_start:
+            self._wait_for_rate_limit(entry)
         cost_key = (
             (target.cost(TYPICAL_REQUEST_S), entry.number)
             if may_start and target.unassigned_slots > 0
@@ -126,6 +125,12 @@
                 self._by_cost[entry.data_centre].add(cost_key)
             entry.cost_key = cost_key
 
+    def _wait_for_rate_limit(self, entry: _Entry) -> None:
+        """Update a target again when its rate limit permits the next request."""
+        if entry.waits_until != entry.target.next_start_at:
+            entry.waits_until = entry.target.next_start_at
+            heapq.heappush(self._rate_waits, (entry.waits_until, entry.number))
+
     def _unlink(self, entry: _Entry) -> None:
         self._staying_count -= entry.is_staying
         if entry.is_healthy:
@@ -215,4 +220,6 @@
                 self._by_number[number]
                 for _slowness, number in self._by_slowness[:MAX_FASTEST]
             ]
+        if not self._rate_waits:
+            return targets
         return [target for target in targets if now >= target.next_start_at]
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -197,7 +197,7 @@
     def _targets(self, *limits, slots=4):
         targets = [SlotTarget(f"t{n}", slots) for n in range(len(limits))]
         for target, limit in zip(targets, limits, strict=True):
-            target.limiter = None if limit is None else RateLimiter(limit, 1.0, 0.0)
+            target.set_rate_limit(limit, 1.0, 0.0)
         return targets
 
     def _capacity(self, *limits, seconds=0.5, **options):
--- a/tests/test_target_index.py
+++ b/tests/test_target_index.py
@@ -6,7 +6,6 @@
 
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
-from hibiscusstep.routing.rate_limiter import RateLimiter
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.target_index import (
@@ -48,11 +47,11 @@
         case "grow":
             target.slots = number % 4
         case "limit" if target.limiter is None:
-            target.limiter = RateLimiter(number % 40, 1.0, now)
-        case "limit" if now >= target.limiter.next_at:
-            target.limiter.take(now)
+            target.set_rate_limit(number % 40, 1.0, now)
+        case "limit" if now >= target.next_start_at:
+            target.count_grant(now)
         case "unlimit":
-            target.limiter = None
+            target.set_rate_limit(None, 1.0, now)
         case "foreign":
             target.external_requests, target.external_reported_at = number % 3, now
 
