Limits: wait estimates and subsets in their own modules, announcements of expired entries

Read as a newcomer: SlotDispatcher had grown by 70 lines. WaitEstimator has the expected waits, TargetSubset leaves limited targets in every subset.

--- a/hibiscusstep/forwarding/announcement.py
+++ b/hibiscusstep/forwarding/announcement.py
@@ -55,13 +55,13 @@
         if head.malformed_rate_limit:
             self._log_malformed(target, head)
         before = target.rate_limit if is_own else RateLimit()
-        announced = replace(
-            target,
-            leaving=target.leaving or head.leaving,
-            rate_limit=_rate_limit_after(before, head),
-        )
-        known = self._targets.get(target.name)
-        if known is None or known.merge_announced(announced) == known:
+        rate_limit = _rate_limit_after(before, head)
+        if rate_limit is before and not head.leaving:
+            return
+        leaving = target.leaving or head.leaving
+        announced = replace(target, leaving=leaving, rate_limit=rate_limit)
+        known = self._targets.get(target.name, target)
+        if known.merge_announced(announced) is known:
             return
         decision(
             "target-announced",
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -441,11 +441,9 @@
     }
     if before is None or before.leaving != target.leaving:
         decision("target-leaving" if target.leaving else "target-seen", **fields)
-    limit, limit_before = target.rate_limit, before.rate_limit if before else None
-    if limit.per_second != (limit_before.per_second if limit_before else None):
-        decision(
-            "target-unlimited" if limit.per_second is None else "target-limited",
-            **fields,
-            rate_limit=limit.per_second,
-            rate_limit_before=limit_before.per_second if limit_before else None,
-        )
+    limit = target.rate_limit.per_second
+    limit_before = before.rate_limit.per_second if before else None
+    if limit != limit_before:
+        message = "target-unlimited" if limit is None else "target-limited"
+        fields |= {"rate_limit": limit, "rate_limit_before": limit_before}
+        decision(message, **fields)
--- a/hibiscusstep/routing/rate_limiter.py
+++ b/hibiscusstep/routing/rate_limiter.py
@@ -31,7 +31,6 @@
     def __init__(
         self, limit: float, share: float, now: float, tokens: float = 0.0
     ) -> None:
-        self._limit = limit
         self._set_rate(limit, share)
         self.restart(now, tokens)
 
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -22,11 +22,8 @@
 from hibiscusstep.routing.target_selector import TargetSelector
 from hibiscusstep.routing.target_subset import TargetSubset
 from hibiscusstep.routing.version_partition import VersionPartition
-from hibiscusstep.routing.wait_limits import (
-    MAX_RETRY_AFTER_S,
-    retry_after,
-    wait_deadline,
-)
+from hibiscusstep.routing.wait_estimator import WaitEstimator
+from hibiscusstep.routing.wait_limits import retry_after, wait_deadline
 
 __all__ = ["SlotDispatcher"]
 
@@ -105,6 +102,11 @@
         self._imported_slowness: dict[str, float] = {}
         self._capacity = PoolCapacity()
         self._capacity_updated_at = -math.inf
+        self._wait_estimator = WaitEstimator(
+            self._queue,
+            self._capacity,
+            self._rank_floor if switches.rank_floor else None,
+        )
         self._partition = VersionPartition(self._selector, bool(standby_instance))
         # A dict lookup: a dispatching decorator costs 7 us per message.
         self._handlers = {
@@ -445,20 +447,12 @@
             return index.candidates(work.data_centre, now), index.fastest(now)
         if now >= self._subset_updated_at + CAPACITY_UPDATE_INTERVAL_S:
             self._subset_updated_at = now
-            self._subset_targets = self._choose_subset(now)
+            self._subset_targets = self._target_subset.choose(
+                self._partition.serving.usable(now), self.capacity_share
+            )
         may_start = [t for t in self._subset_targets if now >= t.next_start_at]
         return [t for t in may_start if t.available_slots(now) > 0], may_start
 
-    def _choose_subset(self, now: float) -> list[SlotTarget]:
-        """Return the targets of this standby dispatcher.
-
-        Those with a rate limit are in every subset, since the limit is divided evenly.
-        """
-        usable = self._partition.serving.usable(now)
-        unlimited = [target for target in usable if target.limiter is None]
-        chosen = self._target_subset.choose(unlimited, self.capacity_share)
-        return chosen + [target for target in usable if target.limiter]
-
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self._queue.remove(work.ask)
         self.counts.granted += 1
@@ -493,46 +487,14 @@
         ranks can have delayed it, and the last one is the first to miss its deadline.
         """
         for work in self._queue.expired(now):
-            self._refuse(work, self._estimated_wait(work, now), now)
+            self._refuse(work, self._wait_estimator.seconds(work, now), now)
         for priority in self._queue.priority_classes():
             while work := self._queue.last_of_class(priority):
-                wait = self._estimated_wait(work, now)
+                wait = self._wait_estimator.seconds(work, now)
                 if now + wait < self._queue.deadline(work.ask):
                     break
                 self._refuse(work, wait, now)
 
-    def _estimated_wait(self, work: m.Work, now: float) -> float:
-        """Return the estimated seconds until a queued request is granted."""
-        wait = self._capacity.wait_seconds(*self._queue.ahead_of(work.ask), now)
-        if wait is None:
-            wait = MAX_RETRY_AFTER_S
-        min_rate = (
-            self._rank_floor.min_grant_rate(work.rank)
-            if self._switches.rank_floor
-            else 0.0
-        )
-        if min_rate:
-            position = self._queue.position_in_rank(work.ask)
-            by_floor = (position + 1) / min_rate
-            if self._capacity.is_limited:
-                by_floor = self._wait_by_floor(work, position, by_floor, now)
-            wait = min(wait, by_floor)
-        return wait
-
-    def _wait_by_floor(
-        self, work: m.Work, position: int, interval: float, now: float
-    ) -> float:
-        """Return the seconds until a request is granted, where all targets are limited.
-
-        Limits permit few requests, so the mean interval between those of a rank is
-        longer than any of them waits. The first one of a rank that is underserved is
-        granted as soon as a limit permits it.
-        """
-        start_delay = self._capacity.start_delay(now)
-        if position == 0 and work.rank in self._rank_floor.underserved(now):
-            return start_delay
-        return start_delay + interval
-
     def _update_capacity(self, now: float) -> None:
         """Update the pool's service rate and slowness, at most once per interval."""
         if now >= self._capacity_updated_at + CAPACITY_UPDATE_INTERVAL_S:
--- a/hibiscusstep/routing/target_subset.py
+++ b/hibiscusstep/routing/target_subset.py
@@ -38,6 +38,9 @@
     def choose(self, targets: Iterable[SlotTarget], share: float) -> list[SlotTarget]:
         """Return the instance's targets, the same ones for the same input.
 
+        Targets with a rate limit are in every subset, since each instance has an equal
+        share of the limit.
+
         Parameters
         ----------
         targets : iterable of SlotTarget
@@ -47,8 +50,13 @@
         """
         # Among exponential random values, each divided by a weight, the probability of
         # a target's value to be the lowest is proportional to its weight.
-        order = sorted(targets, key=lambda t: self._draw(t.name) * t.slowness)
-        return order[: max(MIN_TARGETS, math.ceil(share * len(order)))]
+        targets = list(targets)
+        order = sorted(
+            (target for target in targets if target.limiter is None),
+            key=lambda t: self._draw(t.name) * t.slowness,
+        )
+        chosen = order[: max(MIN_TARGETS, math.ceil(share * len(order)))]
+        return chosen + [target for target in targets if target.limiter]
 
     def _draw(self, name: str) -> float:
         if name not in self._draws:
