Emulator: targets that name limits for a part of the run

The pool's emulator in virtual time knew none. A deployment may have limits; dispatchers hear them with answers, after a restart too. Tests with nine engines of three speeds in a burst: the bound holds at 0 to 5 a second, also over a restart of all instances; nine targets of 2 a second serve nine tenths of 18; more limit serves more.

--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -9,6 +9,7 @@
     "DrawnDeployment",
     "InstanceLoss",
     "RequestKind",
+    "TargetLimit",
     "draw_deployment",
 ]
 
@@ -79,6 +80,26 @@
     share: float
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLimit:
+    """Period in which a target's responses name a limit on its requests.
+
+    Parameters
+    ----------
+    target : int
+        Number of the target.
+    start, end : float
+        Seconds at which the period begins and ends.
+    per_second : float
+        Requests per second that the target accepts.
+    """
+
+    target: int
+    start: float
+    end: float
+    per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrawnDeployment:
     """Pool, its callers and its failures.
@@ -111,6 +132,8 @@
         Number of instances; requests are spread evenly over them.
     standby_seconds : float
         Seconds after a restart in which each instance uses its standby dispatcher.
+    limits : tuple of TargetLimit
+        Limits that targets name.
     """
 
     slowness: tuple[float, ...]
@@ -127,6 +150,16 @@
     loss: InstanceLoss | None = None
     instances: int = 20
     standby_seconds: float = 0.0
+    limits: tuple[TargetLimit, ...] = ()
+
+    def limit_named_by(self, target: int, now: float) -> float | None:
+        """Return the limit that a target's responses name; None if they name none."""
+        named = (
+            limit.per_second
+            for limit in self.limits
+            if limit.target == target and limit.start <= now < limit.end
+        )
+        return next(named, None)
 
     def rate(self, kind: RequestKind, now: float) -> float:
         """Return the requests per second of a kind at a moment."""
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -46,8 +46,9 @@
 WINDOW_S = 2.0
 # The worst windows have the same weight in the goodput as the whole run.
 WORST_WINDOWS = 2
-# A standby dispatcher grants at most this multiple of an even share of the slots.
-STANDBY_SHARES = 2.0
+# A standby dispatcher grants at most this multiple of an even share of the slots, and
+# of the targets' rate limits.
+STANDBY_SHARES, STANDBY_LIMIT_SHARES = 2.0, 0.5
 # Time after which a large region's dispatcher considers a silent instance dead.
 INSTANCE_TIMEOUT_S = 4.5
 # Share of a decode step that each further stream in the batch adds.
@@ -92,6 +93,8 @@
         Requests by result.
     asked, served : dict of int to int
         All requests by rank, and those answered in time or late.
+    arrivals : dict of str to list of float
+        Times at which requests arrived at each target.
     """
 
     possible_value: dict[float, float] = field(
@@ -103,6 +106,7 @@
     counts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     served: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+    arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
     def share_served(self, rank: int) -> float:
         """Return the share of a rank's requests that were answered."""
@@ -165,6 +169,8 @@
             zip(self._names, map(self._batch, deployment.slowness), strict=True)
         )
         self._active_targets: set[str] = set()
+        # Limits that the instances know, by target.
+        self._known_limits: dict[str, float | None] = dict.fromkeys(self._names)
         self._result = EmulationResult()
         self._instances = [f"i{n}" for n in range(deployment.instances)]
         # Standby dispatchers by instance.
@@ -202,19 +208,38 @@
     def _new_dispatcher(self, instance: str = "") -> SlotDispatcher:
         """Return a new dispatcher of the pool, or an instance's standby dispatcher."""
         d = self._deployment
-        targets = {name: PlannedTarget(d.slots) for name in self._names}
-        pool = PlannedPool(True, d.tokens_per_event, d.max_pause, targets)
-        plan = DispatchPlan({POOL: pool})
         dispatcher = SlotDispatcher(
-            POOL, plan, standby_instance=instance, switches=self._switches
+            POOL, self._plan(), standby_instance=instance, switches=self._switches
         )
         if instance:
             dispatcher.capacity_share = min(1.0, STANDBY_SHARES / d.instances)
+            dispatcher.set_limit_share(STANDBY_LIMIT_SHARES / d.instances, self._now)
         if self._saved_estimates and self._switches.kept_beliefs:
             dispatcher.handle(self._saved_estimates, self._now)
         dispatcher.handle(m.Recovered(), self._now)
         return dispatcher
 
+    def _plan(self) -> DispatchPlan:
+        d = self._deployment
+        targets = {
+            name: PlannedTarget(d.slots, rate_limit=limit)
+            for name, limit in self._known_limits.items()
+        }
+        pool = PlannedPool(True, d.tokens_per_event, d.max_pause, targets)
+        return DispatchPlan({POOL: pool})
+
+    def _hear_limit(self, name: str) -> None:
+        """Apply the limit that a target names in a response, at all dispatchers."""
+        number = self._names.index(name)
+        limit = self._deployment.limit_named_by(number, self._now)
+        if limit != self._known_limits[name]:
+            self._known_limits[name] = limit
+            self._schedule(self._now + HOP_S, self._configure)
+
+    def _configure(self) -> None:
+        for dispatcher in (self._dispatcher, *self._standby_dispatchers.values()):
+            self._execute(dispatcher.handle(m.Configure(self._plan()), self._now))
+
     def _dispatcher_of(self, instance: str) -> SlotDispatcher:
         if not instance or self._now >= self._standby_until:
             return self._dispatcher
@@ -321,6 +346,7 @@
     def _admit(self, request: _Request) -> None:
         if request.ended:
             return
+        self._result.arrivals[request.target].append(self._now)
         self._batches[request.target].add(request.job)
         if request.target not in self._active_targets:
             self._active_targets.add(request.target)
@@ -353,6 +379,7 @@
                 m.FirstToken(request.ask, seconds), request.instance
             )
             self._report_load(request)
+            self._hear_limit(request.target)
         request.events += 1
         request.last = self._now
         if job.finished:
--- a/tests/test_pool_emulator.py
+++ b/tests/test_pool_emulator.py
@@ -4,15 +4,19 @@
 32 and 85 ms per event), long and short prompts, bursts that exceed all slots.
 """
 
+from dataclasses import replace
+
 import pytest
 from click.testing import CliRunner
 
 from hibiscusstep.cmdline.load import main
 from hibiscusstep.load.drawn_deployment import (
+    RUN_LENGTH_S,
     Burst,
     DrawnDeployment,
     InstanceLoss,
     RequestKind,
+    TargetLimit,
     draw_deployment,
 )
 from hibiscusstep.load.experiment import gain_table, run_experiment
@@ -81,6 +85,57 @@
         assert _mean(burst) > _mean(burst, off)
 
 
+class TestLimitedTargets:
+    """Some of the targets name a limit of requests per second for a part of the run."""
+
+    NOTICE_S, WINDOW_S = 3.0, 4.0
+    START_S, END_S = 4.0, 20.0
+
+    def _run(self, limit, targets=(0, 3, 6), **options):
+        limits = [TargetLimit(n, self.START_S, self.END_S, limit) for n in targets]
+        deployment = _mixed_speeds(bursts=(BURST,), **options)
+        deployment = replace(deployment, limits=tuple(limits))
+        return PoolEmulator(deployment, 1).run()
+
+    def _fullest_window(self, arrivals):
+        """Return the most arrivals in a window while the limit is named."""
+        first = next(at for at in arrivals if at >= self.START_S)
+        counted = [a for a in arrivals if first + self.NOTICE_S <= a < self.END_S]
+        return max(
+            (sum(at <= a < at + self.WINDOW_S for a in counted) for at in counted),
+            default=0,
+        )
+
+    @pytest.mark.parametrize("limit", [0.0, 0.7, 1.2, 5.0])
+    @pytest.mark.parametrize("restart", [0.0, 12.0])
+    def test_receive_no_more_than_they_allow(self, limit, restart):
+        outcomes = self._run(limit, restart=restart)
+        for name in ("t0", "t3", "t6"):
+            most = self._fullest_window(outcomes.arrivals[name])
+            assert most <= 1.5 * limit * self.WINDOW_S + 5
+
+    def test_are_used_fully_again_after_the_end(self):
+        outcomes = self._run(0.7)
+        before = sum(at < self.START_S for at in outcomes.arrivals["t0"])
+        after = sum(at >= RUN_LENGTH_S - 2.0 for at in outcomes.arrivals["t0"])
+        assert after > before / 4
+
+    def test_serve_what_their_limit_allows(self):
+        """A pool in need of them uses nearly all of the limit."""
+        outcomes = self._run(2.0, targets=range(9))
+        arrived = sum(
+            self.START_S + 1.0 <= at < self.END_S
+            for times in outcomes.arrivals.values()
+            for at in times
+        )
+        assert arrived >= 0.9 * 9 * 2.0 * (self.END_S - self.START_S - 1.0)
+
+    def test_are_worth_more_than_none(self):
+        served = [self._run(limit).all_served for limit in (0.0, 1.2, 5.0)]
+        assert served == sorted(served)
+        assert served[-1] > served[0]
+
+
 class TestExperiment:
     def test_compares_variants_on_the_same_runs(self):
         runs = run_experiment([1], [1], ["late_last"])
