Test limits in a region with relays

A follower hears a limit, its relay tells the others; the bound holds with five instances of which a few are relays.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -64,6 +64,8 @@
         self._tasks = []
         self.session = None
         self.seeds = ()
+        # Further settings of instances that start.
+        self.settings = {}
         self.next_store_address = ""
 
     async def start(self, *targets, pool="pool-a", document=None):
@@ -105,7 +107,9 @@
 
     def make_instance(self, path):
         environment = load_environment(path)
-        settings = dataclasses.replace(environment.settings, seeds=self.seeds)
+        settings = dataclasses.replace(
+            environment.settings, seeds=self.seeds, **self.settings
+        )
         return ForwardingInstance(dataclasses.replace(environment, settings=settings))
 
     async def call(self, path, method="POST", instance=0, **fields):
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -346,3 +346,33 @@
         await site.end_instance(number)
         await calls
         limited.assert_limit_is_kept()
+
+
+class TestRegionWithRelays:
+    """Followers hear from one relay only; a pool's dispatcher is a relay."""
+
+    INSTANCES = 5
+
+    async def _start(self, site, target):
+        site.settings = {"max_mesh_size": 2}
+        await site.start(target)
+        for _ in range(self.INSTANCES - 1):
+            await site.add_instance()
+        await _until(lambda: any(self._followers(site)))
+        await _until(lambda: all(i.view.size == self.INSTANCES for i in site.instances))
+
+    def _followers(self, site):
+        return [n for n, i in enumerate(site.instances) if i.view.parent]
+
+    async def test_all_know_a_limit_that_a_follower_has_heard(self, site):
+        await self._start(site, AnsweringTarget("t0", 50))
+        await site.call("/once/", instance=self._followers(site)[0])
+        await _until(
+            lambda: all(_limit_known(site, n) == 50 for n in range(self.INSTANCES))
+        )
+
+    async def test_a_target_receives_no_more_than_it_allows(self, site):
+        limited = LimitedTarget("t0", 1.2)
+        await self._start(site, limited)
+        await load(site, LOAD_S)
+        limited.assert_limit_is_kept()
