--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -14,6 +14,7 @@
 import itertools
 
 import pytest
+from cluster import wait_until
 from platform_standin import TargetStandIn, answer, chunk, event, stream_head
 from test_forwarding import BOUND_S, Site
 
@@ -96,9 +97,7 @@
     await site.start(*targets)
     for _ in range(instances - 1):
         await site.add_instance()
-    async with asyncio.timeout(BOUND_S):
-        while not all(i.view.size == instances for i in site.instances):
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: all(i.view.size == instances for i in site.instances))
 
 
 async def load(site, seconds, path="/once/", ends_early=False):
@@ -118,6 +117,7 @@
     return await asyncio.gather(*calls, return_exceptions=ends_early)
 
 
+# Guards against sending a target that limits its requests as many as any other.
 class TestLimitedTarget:
     """A target that names a limit in each answer, under more load than it allows."""
 
@@ -148,12 +148,6 @@
             target.assert_limit_is_kept()
 
 
-async def _until(condition):
-    async with asyncio.timeout(BOUND_S):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def _limit_known(site, number, name="t0"):
     """Return the limit of a target as an instance knows it."""
     target = site.instances[number].targets.get(name)
@@ -219,7 +213,7 @@
     async def test_any_answer_of_the_target_tells_it(self, site, kind, path):
         await start_region(site, [AnsweringTarget("t0", 50, kind)], instances=1)
         await site.call(path)
-        await _until(lambda: _limit_known(site, 0) == 50)
+        await wait_until(lambda: _limit_known(site, 0) == 50)
 
     async def test_an_answer_of_another_target_does_not(self, site):
         """The address may have been given to another target, which answers 421."""
@@ -249,13 +243,13 @@
         for limit in (50, 80, 30, None, 40):
             target.limit = limit
             await _call_until(site, lambda limit=limit: _limit_known(site, 0) == limit)
-            await _until(lambda limit=limit: _limit_known(site, 1) == limit)
+            await wait_until(lambda limit=limit: _limit_known(site, 1) == limit)
 
     async def test_a_rejection_without_it_does_not_end_it(self, site):
         target = AnsweringTarget("t0", 50)
         await start_region(site, [target], instances=1)
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0) == 50)
+        await wait_until(lambda: _limit_known(site, 0) == 50)
         target.limit, target.kind = None, "rejection"
         count = len(target.requests)
         await _call_until(site, lambda: len(target.requests) > count)
@@ -265,7 +259,7 @@
         target = AnsweringTarget("t0", 0)
         await start_region(site, [target], instances=1)
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0) == 0)
+        await wait_until(lambda: _limit_known(site, 0) == 0)
         target.limit = None
         await _call_until(site, lambda: _limit_known(site, 0) is None)
 
@@ -273,10 +267,10 @@
         target = AnsweringTarget("t0", 1, started_ms=1000)
         await start_region(site, [target], instances=1)
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0, "t0@1000") == 1)
+        await wait_until(lambda: _limit_known(site, 0, "t0@1000") == 1)
         restarted = AnsweringTarget("t0", None, started_ms=2000)
         await site.add_target(restarted)
-        await _until(lambda: "t0@2000" in site.instances[0].targets)
+        await wait_until(lambda: "t0@2000" in site.instances[0].targets)
         answers = [await site.call("/once/") for _ in range(10)]
         assert {status for status, _fields, _body in answers} == {200}
         assert _limit_known(site, 0, "t0@2000") is None
@@ -291,43 +285,43 @@
     async def test_the_others_are_told(self, site):
         await self._start(site, 3)
         await site.call("/once/")
-        await _until(lambda: all(_limit_known(site, n) == 50 for n in range(3)))
+        await wait_until(lambda: all(_limit_known(site, n) == 50 for n in range(3)))
 
     async def test_so_is_an_instance_that_starts_later(self, site):
         await self._start(site, 1)
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0) == 50)
+        await wait_until(lambda: _limit_known(site, 0) == 50)
         await site.add_instance()
-        await _until(lambda: _limit_known(site, 1) == 50)
+        await wait_until(lambda: _limit_known(site, 1) == 50)
 
     async def test_and_while_the_store_is_away(self, site):
         await self._start(site)
         site.store.down = True
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 1) == 50)
+        await wait_until(lambda: _limit_known(site, 1) == 50)
 
     async def test_a_lost_message_is_made_up_for(self, site):
         await self._start(site)
         one, other = site.instances
         one._links.block({other.peer_address})
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0) == 50)
+        await wait_until(lambda: _limit_known(site, 0) == 50)
         assert _limit_known(site, 1) is None
         one._links.block(set())
-        await _until(lambda: _limit_known(site, 1) == 50)
+        await wait_until(lambda: _limit_known(site, 1) == 50)
 
     async def test_a_part_that_was_cut_off_is_told(self, site):
         await self._start(site)
         one, other = site.instances
         one._links.block({other.peer_address})
         other._links.block({one.peer_address})
-        await _until(lambda: all(i.view.size == 1 for i in site.instances))
+        await wait_until(lambda: all(i.view.size == 1 for i in site.instances))
         await site.call("/once/")
-        await _until(lambda: _limit_known(site, 0) == 50)
+        await wait_until(lambda: _limit_known(site, 0) == 50)
         assert _limit_known(site, 1) is None
         for instance in site.instances:
             instance._links.block(set())
-        await _until(lambda: _limit_known(site, 1) == 50)
+        await wait_until(lambda: _limit_known(site, 1) == 50)
 
 
 class TestTakeOver:
@@ -358,8 +352,10 @@
         await site.start(target)
         for _ in range(self.INSTANCES - 1):
             await site.add_instance()
-        await _until(lambda: any(self._followers(site)))
-        await _until(lambda: all(i.view.size == self.INSTANCES for i in site.instances))
+        await wait_until(lambda: any(self._followers(site)))
+        await wait_until(
+            lambda: all(i.view.size == self.INSTANCES for i in site.instances)
+        )
 
     def _followers(self, site):
         return [n for n, i in enumerate(site.instances) if i.view.parent]
@@ -367,7 +363,7 @@
     async def test_all_know_a_limit_that_a_follower_has_heard(self, site):
         await self._start(site, AnsweringTarget("t0", 50))
         await site.call("/once/", instance=self._followers(site)[0])
-        await _until(
+        await wait_until(
             lambda: all(_limit_known(site, n) == 50 for n in range(self.INSTANCES))
         )
 
