--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -5,13 +5,18 @@
 import pytest
 
 from hibiscusstep.configuration.in_force import ConfigurationInForce
-from hibiscusstep.dispatcher_host import KEEPALIVES_PER_S, DispatcherHost
+from hibiscusstep.dispatcher_host import (
+    KEEPALIVES_PER_S,
+    STANDBY_LIMIT_SHARES,
+    DispatcherHost,
+)
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import (
     NotDispatcher,
     PoolAsk,
+    PoolFinished,
     PoolGrant,
     PoolInquire,
     PoolQueued,
@@ -165,3 +170,92 @@
         assert {keepalive.again_in for keepalive in keepalives} == {
             instances / KEEPALIVES_PER_S
         }
+
+
+class TestRateLimits:
+    """Which share of a target's rate limit a dispatcher on this instance grants."""
+
+    LIMIT, INSTANCES = 4.0, 8
+
+    def _view(self, dispatcher, unreachable=0):
+        """Return a view of all instances but the unreachable ones."""
+        members = {
+            name: Member(name, name, "dc", "r", f"{name}:1", "o", 1, name == dispatcher,
+                         False)
+            for name in [f"i{n}" for n in range(self.INSTANCES - unreachable)]
+        }  # fmt: skip
+        return ViewChanged(View(members, unreachable=unreachable))
+
+    async def _host(self, view):
+        """Return the host of instance i0, and the messages that it gets."""
+        grants = []
+        worker = DispatcherHost(
+            "i0", "i0:1", _Links(), grants.append, None,
+            dispatcher_class=SlotDispatcher, polls_load=False, has_standby=True,
+        )  # fmt: skip
+        await worker.handle(view)
+        targets = {"t": PlannedTarget(4, rate_limit=self.LIMIT)}
+        plan = DispatchPlan({POOL: PlannedPool(False, targets=targets)})
+        await worker.handle(ConfigurationInForce(1, b"", plan))
+        return worker, grants
+
+    async def _use(self, worker, grants, start, seconds):
+        """Register, and ask for a grant at each tick; return the times of grants."""
+        loop, granted = asyncio.get_running_loop(), []
+        register = PoolRegister(POOL, "i0", "i0", [], [], [])
+        try:
+            for tick in range(round(seconds / 0.05)):
+                now = start + 0.05 * tick
+                loop.time = lambda now=now: now
+                if tick == 0:
+                    await worker.handle(Received("i0:1", register))
+                work = WorkInfo(
+                    f"a{now}", "r", "i0", "c", "0", 0, 0, 1, 0.04, 0.0, False, [], []
+                )
+                await worker.handle(Received("i0:1", PoolAsk(POOL, work)))
+                await worker.handle(Tick())
+                for message in grants:
+                    if isinstance(message.message, PoolGrant):
+                        granted.append(now)
+                        ended = PoolFinished(
+                            POOL, message.message.ask, "done", 0, 0.0, -1
+                        )
+                        await worker.handle(Received("i0:1", ended))
+                grants.clear()
+        finally:
+            del loop.time
+        return granted
+
+    async def test_the_pools_dispatcher_grants_the_limit(self):
+        worker, grants = await self._host(self._view("i0"))
+        start = asyncio.get_running_loop().time()
+        granted = await self._use(worker, grants, start, 20.0)
+        assert 0.95 * self.LIMIT * 20.0 <= len(granted) <= self.LIMIT * 20.0 + 1
+        assert granted[0] >= start + 1 / self.LIMIT
+
+    async def test_in_a_part_of_a_partition_it_grants_the_parts_share(self):
+        worker, grants = await self._host(self._view("i0", unreachable=6))
+        start = asyncio.get_running_loop().time()
+        granted = await self._use(worker, grants, start, 20.0)
+        share = self.LIMIT * 2 / 8
+        assert 0.9 * share * 20.0 <= len(granted) <= share * 20.0 + 1
+        await worker.handle(self._view("i0"))
+        granted = await self._use(worker, grants, start + 20.0, 10.0)
+        assert len(granted) >= 0.9 * self.LIMIT * 10.0
+
+    async def test_a_standby_dispatcher_grants_half_an_even_share(self):
+        worker, grants = await self._host(self._view("i1"))
+        start = asyncio.get_running_loop().time()
+        granted = await self._use(worker, grants, start, 40.0)
+        share = self.LIMIT * STANDBY_LIMIT_SHARES / self.INSTANCES
+        assert 0.9 * share * 40.0 - 1 <= len(granted) <= share * 40.0 + 1
+
+    async def test_a_standby_dispatcher_saves_up_nothing_while_it_is_not_used(self):
+        worker, grants = await self._host(self._view("i1"))
+        start = asyncio.get_running_loop().time()
+        first = await self._use(worker, grants, start, 8.0)
+        again = await self._use(worker, grants, start + 1000.0, 8.0)
+        assert [round(at - start - 1000.0, 2) for at in again] == [
+            round(at - start, 2) for at in first
+        ]
+        assert first[0] > start
