Plans and messages for contended pools: what a configuration calls for, and default fields

Cause: fair shares of customers, planned returns, the pace of the targets' machines and the memory of engines need values that plans and messages between instances do not have. Change: PlannedPool says which of them a configuration calls for, by Planner; a pool of engines with two customers or more and a stream with an objective below 0.5 s. KvCapacity is read. New fields of peer messages have defaults, so the previous build ignores or lacks them. Nothing uses them yet.

--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -203,6 +203,7 @@
             suspect=self._quarantine_status.suspect_fingerprint,
             resting=self._context.target_backoff.names_backing_off(self._now()),
             route=incoming.route.name,
+            memory_tokens=head.prompt_tokens + head.output_tokens,
         )
         grant_request = GrantRequest(
             incoming.pool,
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -128,12 +128,15 @@
         Tokens per event of its streams.
     max_connections : int
         Connections that a target accepts from all instances together.
+    memory_tokens : int
+        Tokens that the memory of each target holds; 0 if not known.
     """
 
     name: str
     is_engine: bool
     tokens_per_event: int
     max_connections: int
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -13,6 +13,10 @@
 __all__ = ["PlannedVersions", "Planner"]
 
 _LOG = logging.getLogger(__name__)
+# Callers of a route with a shorter objective are late by several objectives if they
+# return after the shortest unplanned delay, 2 s, and most of them return once only.
+MAX_PLANNED_OBJECTIVE_S = 0.5
+MIN_SHARING_CUSTOMERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,17 +94,39 @@
 
 def _pools_of(table: RoutingTable) -> dict[str, PlannedPool]:
     """Return the pools of a routing table, without targets."""
-    pauses = {
-        share.pool: route.max_pause
+    streams = [
+        (share.pool, route)
         for route in table.routes
         if route.streaming
         for share in route.shares
+    ]
+    pauses = {pool: route.max_pause for pool, route in streams}
+    short = {
+        pool for pool, route in streams if route.objective < MAX_PLANNED_OBJECTIVE_S
     }
     routed = {share.pool: PlannedPool(True) for r in table.routes for share in r.shares}
-    named = {
-        pool.name: PlannedPool(
-            pool.is_engine, pool.tokens_per_event, pauses.get(pool.name, 1.0)
+    named = {}
+    for pool in table.pools:
+        is_contended = (
+            pool.is_engine
+            and pool.name in short
+            and len(table.customers) >= MIN_SHARING_CUSTOMERS
+        )
+        named[pool.name] = PlannedPool(
+            pool.is_engine,
+            pool.tokens_per_event,
+            pauses.get(pool.name, 1.0),
+            fair_shares=is_contended,
+            planned_returns=is_contended,
+            customer_weights=_customer_weights(table) if is_contended else {},
+            memory_tokens=pool.memory_tokens,
         )
-        for pool in table.pools
-    }
     return routed | named
+
+
+def _customer_weights(table: RoutingTable) -> dict[str, float]:
+    """Return the customers' quota rates; one without a quota has the mean of them."""
+    rates = {rule.name: rule.quota.rate for rule in table.customers}
+    limited = [rate for rate in rates.values() if rate > 0]
+    mean = sum(limited) / len(limited) if limited else 1.0
+    return {name: rate if rate > 0 else mean for name, rate in rates.items()}
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -7,7 +7,7 @@
   9: double deadline_in, 10: double waited, 11: bool stoppable,
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
   15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect,
-  19: list<string> resting, 20: string route
+  19: list<string> resting, 20: string route, 21: i64 memory_tokens
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
@@ -19,17 +19,27 @@
 struct Beat { 1: string incarnation, 2: i64 version }
 struct PoolAsk { 1: string pool, 2: WorkInfo work }
 struct PoolWithdraw { 1: string pool, 2: string ask }
-struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds }
+struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds, 4: double pace }
 struct PoolFinished {
   1: string pool, 2: string ask, 3: string outcome, 4: i32 tokens,
-  5: double decode_seconds, 6: i32 computed, 7: double longest_pause
+  5: double decode_seconds, 6: i32 computed, 7: double longest_pause,
+  8: double pace, 9: double pace_age
+}
+struct PlaceInfo {
+  1: i64 identity, 2: string customer, 3: i32 rank, 4: double seconds,
+  5: double starts_in, 6: bool used
 }
 struct PoolRegister {
   1: string pool, 2: string instance, 3: string incarnation,
-  4: list<WorkInfo> waiting, 5: list<WorkInfo> running, 6: list<string> targets
+  4: list<WorkInfo> waiting, 5: list<WorkInfo> running, 6: list<string> targets, 7: list<PlaceInfo> places
+}
+struct PoolGrant {
+  1: string pool, 2: string ask, 3: string target, 4: double waited, 5: bool used_place
+}
+struct PoolRefuse {
+  1: string pool, 2: string ask, 3: string reason, 4: double retry_after,
+  5: double place_s, 6: double place_seconds
 }
-struct PoolGrant { 1: string pool, 2: string ask, 3: string target, 4: double waited }
-struct PoolRefuse { 1: string pool, 2: string ask, 3: string reason, 4: double retry_after }
 struct PoolLearnt {
   1: string pool, 2: list<string> targets, 3: list<double> slowness, 4: double first,
   5: double token, 6: double share
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -72,4 +72,5 @@
         info.suspect,
         tuple(info.resting),
         info.route,
+        info.memory_tokens,
     )
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -15,6 +15,7 @@
     "MESSAGES",
     "NO_LIMIT",
     "NotDispatcher",
+    "PlaceInfo",
     "PoolAsk",
     "PoolFinished",
     "PoolFirstToken",
@@ -70,6 +71,7 @@
     suspect: int = 0
     resting: list[str] = field(default_factory=list)
     route: str = ""
+    memory_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -142,11 +144,15 @@
 
 @dataclass(slots=True)
 class PoolFirstToken:
-    """Reports that the first token arrived `seconds` after the dispatch."""
+    """Reports that the first token arrived `seconds` after the dispatch.
+
+    `pace` is as in ``FirstToken``.
+    """
 
     pool: str
     ask: str
     seconds: float
+    pace: float = 0.0
 
 
 @dataclass(slots=True)
@@ -160,13 +166,44 @@
     decode_seconds: float
     computed: int
     longest_pause: float = 0.0
+    pace: float = 0.0
+    pace_age: float = 0.0
+
+
+@dataclass(slots=True)
+class PlaceInfo:
+    """A place that a refusal named, or that a returning request used.
+
+    Parameters
+    ----------
+    identity : int
+        Identity of the refused request.
+    customer : str
+        Name of its customer.
+    rank : int
+        Rank of the request.
+    seconds : float
+        Booked seconds of service at slowness 1.
+    starts_in : float
+        Seconds until the named time; negative if it has passed.
+    used : bool
+        Whether the request returned and was granted a target.
+    """
+
+    identity: int
+    customer: str
+    rank: int
+    seconds: float
+    starts_in: float
+    used: bool = False
 
 
 @dataclass(slots=True)
 class PoolRegister:
     """All requests of an instance for a pool, sent to a newly chosen dispatcher.
 
-    `targets` holds the target of each entry of `running`.
+    `targets` holds the target of each entry of `running`, `places` the places for
+    returning requests that the instance knows of.
     """
 
     pool: str
@@ -175,16 +212,18 @@
     waiting: list[WorkInfo]
     running: list[WorkInfo]
     targets: list[str]
+    places: list[PlaceInfo] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class PoolGrant:
-    """Assigns `target` to an ask."""
+    """Assigns `target` to an ask; `used_place` if it returned in its planned place."""
 
     pool: str
     ask: str
     target: str
     waited: float
+    used_place: bool = False
 
 
 @dataclass(slots=True)
@@ -228,12 +267,18 @@
 
 @dataclass(slots=True)
 class PoolRefuse:
-    """Refuses an ask; `reason` is a value of ``RefusalReason``."""
+    """Refuses an ask; `reason` is a value of ``RefusalReason``.
+
+    `place_s` is the seconds until a planned place for its return, 0 for none, and
+    `place_seconds` the booked seconds of service.
+    """
 
     pool: str
     ask: str
     reason: str
     retry_after: float
+    place_s: float = 0.0
+    place_seconds: float = 0.0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -214,6 +214,7 @@
         is_engine=bool(entry.get("Engine")),
         tokens_per_event=int((entry.get("Engine") or {}).get("Stride") or 1),
         max_connections=int(entry.get("MaxConns") or 0),
+        memory_tokens=int((entry.get("Engine") or {}).get("KvCapacity") or 0),
     )
 
 
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -49,6 +49,14 @@
         Current versions, whose targets receive requests; empty if all targets do.
     rollout : PlannedRollout or None
         A rollout that moves its traffic to another version.
+    fair_shares : bool
+        Whether its customers share each rank by weight.
+    planned_returns : bool
+        Whether its refusals name times at which there is room.
+    customer_weights : dict of str to float
+        Weights of the customers, relative to each other; a missing one has weight 1.
+    memory_tokens : int
+        Tokens that the memory of each target holds; 0 if not known.
     """
 
     is_engine: bool
@@ -57,6 +65,10 @@
     targets: dict[str, PlannedTarget] = field(default_factory=dict)
     current_versions: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
+    fair_shares: bool = False
+    planned_returns: bool = False
+    customer_weights: dict[str, float] = field(default_factory=dict)
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -111,6 +111,8 @@
         Targets that accept no requests from the instance for now; none is granted.
     route : str
         Name of the route.
+    memory_tokens : int
+        Maximum tokens that it takes of a target's memory; 0 if not known.
     """
 
     ask: str
@@ -133,6 +135,7 @@
     suspect: int = 0
     avoided_by_backoff: tuple[str, ...] = ()
     route: str = ""
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +154,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstToken:
-    """The first token of the answer arrived `seconds` after the dispatch."""
+    """The first token of the answer arrived `seconds` after the dispatch.
+
+    `pace` is the factor by which work takes longer than usual on the target's machine;
+    0 if the target does not tell.
+    """
 
     ask: str
     seconds: float
+    pace: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +184,8 @@
         Prompt tokens that the target reports as computed; -1 if not reported.
     longest_pause : float
         Longest pause between two stream events in seconds; 0 if not known.
+    pace, pace_age : float
+        As `FirstToken.pace`, and the seconds since it was received.
     """
 
     ask: str
@@ -184,6 +194,8 @@
     decode_seconds: float = 0.0
     computed: int = -1
     longest_pause: float = 0.0
+    pace: float = 0.0
+    pace_age: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/switches.py
+++ b/hibiscusstep/routing/switches.py
@@ -35,6 +35,14 @@
         Whether a rank of short requests is granted as often as those above it.
     service_times : bool
         Whether a plain service's request waits until most requests would end late.
+    fair_shares : bool
+        Whether customers share a rank by weight, where the pool's plan says so.
+    planned_returns : bool
+        Whether refusals name times with room, where the pool's plan says so.
+    host_pace : bool
+        Whether the pace of the targets' machines that they report is used.
+    memory_bound : bool
+        Whether a target is granted no more tokens than its memory holds.
     """
 
     engine_model: bool = True
@@ -48,6 +56,10 @@
     spread_alone: bool = True
     short_ranks: bool = True
     service_times: bool = True
+    fair_shares: bool = True
+    planned_returns: bool = True
+    host_pace: bool = True
+    memory_bound: bool = True
 
     @classmethod
     def disabling(cls, names: str) -> "Switches":
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -29,6 +29,7 @@
         (18, "i64", "suspect"),
         (19, "list<string>", "resting"),
         (20, "string", "route"),
+        (21, "i64", "memory_tokens"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
@@ -67,6 +68,7 @@
         (1, "string", "pool"),
         (2, "string", "ask"),
         (3, "double", "seconds"),
+        (4, "double", "pace"),
     ),
     "PoolFinished": (
         (1, "string", "pool"),
@@ -76,6 +78,16 @@
         (5, "double", "decode_seconds"),
         (6, "i32", "computed"),
         (7, "double", "longest_pause"),
+        (8, "double", "pace"),
+        (9, "double", "pace_age"),
+    ),
+    "PlaceInfo": (
+        (1, "i64", "identity"),
+        (2, "string", "customer"),
+        (3, "i32", "rank"),
+        (4, "double", "seconds"),
+        (5, "double", "starts_in"),
+        (6, "bool", "used"),
     ),
     "PoolRegister": (
         (1, "string", "pool"),
@@ -84,18 +96,22 @@
         (4, "list<WorkInfo>", "waiting"),
         (5, "list<WorkInfo>", "running"),
         (6, "list<string>", "targets"),
+        (7, "list<PlaceInfo>", "places"),
     ),
     "PoolGrant": (
         (1, "string", "pool"),
         (2, "string", "ask"),
         (3, "string", "target"),
         (4, "double", "waited"),
+        (5, "bool", "used_place"),
     ),
     "PoolRefuse": (
         (1, "string", "pool"),
         (2, "string", "ask"),
         (3, "string", "reason"),
         (4, "double", "retry_after"),
+        (5, "double", "place_s"),
+        (6, "double", "place_seconds"),
     ),
     "PoolLearnt": (
         (1, "string", "pool"),
