--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -15,7 +15,7 @@
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
 from hibiscusstep.routing.rate_limiter import initial_tokens
-from hibiscusstep.routing.slot_queue import RefusedRequests, SlotQueue
+from hibiscusstep.routing.slot_queue import QueueClass, RefusedRequests, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_isolation import exclude_suspect_targets
 from hibiscusstep.routing.switches import ALL_ENABLED, Switches
@@ -227,7 +227,8 @@
         deadline = wait_deadline(work, bound, late, self._switches)
         seconds = self._selector.service_seconds(work)
         self._capacity.record_request(seconds)
-        self._queue.add(work, seconds, deadline, late)
+        queue_class = QueueClass.LATE if late else QueueClass.ON_TIME
+        self._queue.add(work, seconds, deadline, queue_class)
 
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
         target = self._targets.get(self._target_by_ask.get(message.ask, ""))
--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -1,5 +1,6 @@
 """hibiscusstep.routing.slot_queue: the queue of requests that wait for a slot."""
 
+import enum
 import heapq
 import itertools
 import math
@@ -11,24 +12,36 @@
 
 from hibiscusstep.routing.messages import Work
 
-__all__ = ["RefusedRequests", "SlotQueue"]
+__all__ = ["QueueClass", "RefusedRequests", "SlotQueue"]
 
 # Callers retry within a few seconds or not at all: their maximum waiting time is below
 # this.
 REFUSAL_MEMORY_S = 20.0
 
 
+class QueueClass(enum.IntEnum):
+    """Class of a queued request within its rank; a lower one goes first.
+
+    `RETURNING`: it returned at the time that its refusal named. `ON_TIME`: it can still
+    be served in time. `LATE`: it can no longer be served in time.
+    """
+
+    RETURNING = 0
+    ON_TIME = 1
+    LATE = 2
+
+
 @dataclass(frozen=True, slots=True)
 class _QueuedRequest:
     """A queued request with its sort key, estimated seconds and deadline."""
 
-    sort_key: tuple[int, bool, float, int, Work]
+    sort_key: tuple[int, QueueClass, float, int, Work]
     cost: float
     deadline: float
 
 
 class SlotQueue:
-    """Queue by rank; within a rank late requests last, then by time of arrival.
+    """Queue by rank; within a rank by class, then by time of arrival.
 
     The cost of an operation hardly grows with the number of queued requests.
     """
@@ -37,8 +50,8 @@
         self._order: SortedList = SortedList()
         self._by_ask: dict[str, _QueuedRequest] = {}
         self._deadlines: list[tuple[float, int, str]] = []
-        self._backlog: dict[tuple[int, bool], float] = defaultdict(float)
-        self._counts: Counter[tuple[int, bool]] = Counter()
+        self._backlog: dict[tuple[int, QueueClass], float] = defaultdict(float)
+        self._counts: Counter[tuple[int, QueueClass]] = Counter()
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -69,11 +82,11 @@
             return None
         return self._order[position][-1]
 
-    def priority_classes(self) -> list[tuple[int, bool]]:
-        """Return the classes (rank, whether late) used so far, the last first."""
+    def priority_classes(self) -> list[tuple[int, QueueClass]]:
+        """Return the pairs of rank and class used so far, the last first."""
         return sorted(self._backlog, reverse=True)
 
-    def last_of_class(self, priority: tuple[int, bool]) -> Work | None:
+    def last_of_class(self, priority: tuple[int, QueueClass]) -> Work | None:
         """Return the last request of a class; None if there is none."""
         end_index = self._order.bisect_left((*priority, math.inf))
         if not end_index or self._order[end_index - 1][:2] != priority:
@@ -90,7 +103,9 @@
         """Number of queued requests by tier."""
         return dict(Counter(work.tier for work in self))
 
-    def add(self, work: Work, cost: float, deadline: float, late: bool) -> None:
+    def add(
+        self, work: Work, cost: float, deadline: float, queue_class: QueueClass
+    ) -> None:
         """Add a request.
 
         Parameters
@@ -101,11 +116,11 @@
             Its estimated service time in seconds, at slowness 1.
         deadline : float
             When it expires, on the dispatcher's clock.
-        late : bool
-            Whether it can no longer be served in time.
+        queue_class : QueueClass
+            Its class within its rank.
         """
         number = next(self._sequence)
-        sort_key = (work.rank, late, work.received_at, number, work)
+        sort_key = (work.rank, queue_class, work.received_at, number, work)
         self._order.add(sort_key)
         self._by_ask[work.ask] = _QueuedRequest(sort_key, cost, deadline)
         self._backlog[sort_key[:2]] += cost
@@ -125,8 +140,8 @@
     def ahead_of(self, ask: str) -> tuple[int, float]:
         """Return the number and estimated seconds of requests before a queued request.
 
-        All other requests of its class (rank, and whether late) and of the classes
-        before count, since few requests of its class are behind it.
+        All other requests of its rank and class and of the classes before count, since
+        few requests of its class are behind it.
         """
         queued = self._by_ask[ask]
         own_class = queued.sort_key[:2]
