--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -101,17 +101,11 @@
         for share in route.shares
     ]
     pauses = {pool: route.max_pause for pool, route in streams}
-    short = {
-        pool for pool, route in streams if route.objective < MAX_PLANNED_OBJECTIVE_S
-    }
+    contended = _contended_pools(table)
     routed = {share.pool: PlannedPool(True) for r in table.routes for share in r.shares}
     named = {}
     for pool in table.pools:
-        is_contended = (
-            pool.is_engine
-            and pool.name in short
-            and len(table.customers) >= MIN_SHARING_CUSTOMERS
-        )
+        is_contended = pool.name in contended
         named[pool.name] = PlannedPool(
             pool.is_engine,
             pool.tokens_per_event,
@@ -124,6 +118,22 @@
     return routed | named
 
 
+def _contended_pools(table: RoutingTable) -> set[str]:
+    """Return the pools in which customers share by weight and returns are planned.
+
+    If one stream has a short objective, callers of the plain services beside it have
+    short ones too, and the same customers compete there.
+    """
+    if len(table.customers) < MIN_SHARING_CUSTOMERS:
+        return set()
+    if not any(
+        route.streaming and route.objective < MAX_PLANNED_OBJECTIVE_S
+        for route in table.routes
+    ):
+        return set()
+    return {pool.name for pool in table.pools}
+
+
 def _customer_weights(table: RoutingTable) -> dict[str, float]:
     """Return the customers' quota rates; one without a quota has the mean of them."""
     rates = {rule.name: rule.quota.rate for rule in table.customers}
