Fair shares: customers of a rank are ordered by weighted start-time fair queueing

Cause: the dispatcher did not distinguish customers. Change: FairShares keeps a virtual time and a backlog for each customer of a rank. FairSlotQueue orders the requests in time by customer. The last request of each customer is checked for its expected wait: the asking one with each request, all of them with each tick. Adopted requests charge their customers. Grant and refuse lines have the share, pool-state the longest backlogs. SlotQueue is used unchanged in order where fair shares are off.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -539,12 +539,12 @@
         }
         match action:
             case m.Grant(target=target, candidates=candidates):
-                fields |= _limited_field(action)
+                fields |= _limited_field(action) | _share_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
                 waited = now - work.received_at
                 self._send(address, PoolGrant(pool, work.ask, target, waited))
             case m.Refuse(reason=reason, retry_after=retry_after):
-                fields |= _limited_field(action)
+                fields |= _limited_field(action) | _share_field(action)
                 decision("refuse", **fields, reason=reason, retry_after=retry_after)
                 self._send(address, PoolRefuse(pool, work.ask, reason, retry_after))
             case m.Stop(target=target):
@@ -578,3 +578,8 @@
     """Return the log field that says that rate limits affect a decision, if so."""
     count = action.limited_targets
     return {"limited_targets": count} if count else {}
+
+
+def _share_field(action: m.Grant | m.Refuse) -> dict[str, float]:
+    """Return the log field with the customer's share of its rank, if it has one."""
+    return {} if action.share is None else {"share": action.share}
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -302,6 +302,9 @@
         dispatcher the weighted cost in seconds.
     limited_targets : int
         Number of targets of the pool with a rate limit.
+    share : float or None
+        Customer's recent share of the seconds granted in its rank; None where customers
+        do not share the rank by weight.
     """
 
     work: Work
@@ -309,19 +312,21 @@
     wait: float
     candidates: dict[str, float]
     limited_targets: int = 0
+    share: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """A request is not run; the caller may retry after `retry_after` seconds.
 
-    `limited_targets` is the number of targets of the pool with a rate limit.
+    `limited_targets` and `share` are as in `Grant`.
     """
 
     work: Work
     reason: RefusalReason
     retry_after: float
     limited_targets: int = 0
+    share: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -10,6 +10,8 @@
 from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool
+from hibiscusstep.routing.fair_queue import FairSlotQueue
+from hibiscusstep.routing.fair_shares import FairShares
 from hibiscusstep.routing.grant_monitor import GrantMonitor, LostRequests
 from hibiscusstep.routing.pool_capacity import PoolCapacity
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
@@ -36,6 +38,8 @@
 MAX_GRANT_TRANSIT_S = 0.7
 # The capacity of the pool changes slowly compared with this interval.
 CAPACITY_UPDATE_INTERVAL_S = 0.05
+# Maximum number of customers whose backlogs are logged.
+MAX_LOGGED_BACKLOGS = 5
 
 
 # Messages that may lengthen the wait of queued requests or let their deadlines pass.
@@ -63,6 +67,9 @@
     a refusal, is placed behind those that can. A request is refused as soon as it is
     expected not to be granted by its deadline.
 
+    Where the pool's plan says so, the customers share a rank by weight: requests in
+    time are ordered by customer instead of by arrival.
+
     Parameters
     ----------
     pool_name : str
@@ -92,6 +99,8 @@
         self._standby_instance = standby_instance
         self._switches = switches
         self._queue = SlotQueue()
+        # None where customers do not share the ranks.
+        self._shares: FairShares | None = None
         self._refused_requests = RefusedRequests()
         self._rank_floor = RankFloor(protect_short=switches.short_ranks)
         self._selector = TargetSelector(switches)
@@ -179,12 +188,15 @@
         targets = {name: target.summary(now) for name, target in self._targets.items()}
         shares = self._rank_floor.grant_shares(now)
         granted = {str(rank): round(shares[rank], 2) for rank in sorted(shares)}
-        return {
+        summary = {
             "waiting": self.waiting,
             "granted": granted,
             "overdue": self.overdue_slots,
             "targets": targets,
         }
+        if self._shares:
+            summary["backlogs"] = self._shares.longest_backlogs(MAX_LOGGED_BACKLOGS)
+        return summary
 
     def _make_decisions(self, message, now: float) -> None:
         if isinstance(message, m.RequestGrant) and not self._capacity.limited_count:
@@ -197,7 +209,8 @@
             self._schedule(now)
         if isinstance(message, _EXPIRY_TRIGGERS):
             self._update_capacity(now)
-            self._expire(now)
+            asking = message.work if isinstance(message, m.RequestGrant) else None
+            self._expire(now, asking)
 
     def _update_state(self, message, now: float) -> None:
         handler = self._handlers.get(type(message))
@@ -228,6 +241,8 @@
         seconds = self._selector.service_seconds(work)
         self._capacity.record_request(seconds)
         queue_class = QueueClass.LATE if late else QueueClass.ON_TIME
+        if self._shares and queue_class is not QueueClass.LATE:
+            self._shares.record_request(work.rank, work.customer, seconds, now)
         self._queue.add(work, seconds, deadline, queue_class)
 
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
@@ -307,11 +322,18 @@
             target.external_reported_at = now
 
     def _adopt(self, message: m.AdoptRunning, now: float) -> None:
-        self._remove_request(message.work.ask, now)
+        work = message.work
+        is_known = work.ask in self._target_by_ask
+        self._remove_request(work.ask, now)
         target = self._targets.get(message.target)
         if target:
-            self._start(target, message.work, now)
-            target.running[message.work.ask].adopted = True
+            self._start(target, work, now)
+            run = target.running[work.ask]
+            run.adopted = True
+            if self._shares and not is_known:
+                self._shares.record_grant(
+                    work.rank, work.customer, run.service_seconds, now, is_adopted=True
+                )
 
     def _recover(self, message: m.Recovered, now: float) -> None:
         """Allow decisions, and again when a standby dispatcher is used again."""
@@ -358,6 +380,7 @@
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._selector.configure(pool)
         self._partition.configure(pool)
+        self._configure_shares(pool)
         self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
@@ -383,6 +406,21 @@
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
 
+    def _configure_shares(self, pool: PlannedPool) -> None:
+        """Set the customers' weights; change the order if fair shares begin or end."""
+        is_shared = pool.fair_shares and self._switches.fair_shares
+        if is_shared and self._shares:
+            self._shares.configure(pool.customer_weights)
+            return
+        if is_shared == bool(self._shares):
+            return
+        self._shares = FairShares(pool.customer_weights) if is_shared else None
+        queue = FairSlotQueue(self._shares) if self._shares else SlotQueue()
+        for queued in self._queue.requests():
+            _rank, queue_class, *_, work = queued.sort_key
+            queue.add(work, queued.cost, queued.deadline, queue_class)
+        self._queue = self._wait_estimator.queue = queue
+
     def _schedule(self, now: float) -> None:
         """Grant queued requests in order; some may wait for a better target."""
         if not self._queue:
@@ -462,9 +500,13 @@
         costs = self._selector.candidate_costs(work, free, now)
         target.count_grant(now)
         self._start(target, work, now)
+        if self._shares:
+            seconds = target.running[work.ask].service_seconds
+            self._shares.record_grant(work.rank, work.customer, seconds, now)
         wait = round(now - work.received_at, 4)
         limited = self._capacity.limited_count
-        self._decisions.append(m.Grant(work, target.name, wait, costs, limited))
+        share = self._granted_share(work)
+        self._decisions.append(m.Grant(work, target.name, wait, costs, limited, share))
 
     def _start(self, target: SlotTarget, work: m.Work, now: float) -> None:
         selector = self._selector
@@ -480,17 +522,25 @@
         expected_end = now + selector.duration_bound(target, work, now)
         self._grant_monitor.register(work.ask, work.instance, expected_end)
 
-    def _expire(self, now: float) -> None:
+    def _granted_share(self, work: m.Work) -> float | None:
+        """Return the share of a request's customer, for the log; None if not shared."""
+        if self._shares is None:
+            return None
+        return round(self._shares.granted_share(work.rank, work.customer), 3)
+
+    def _expire(self, now: float, asking: m.Work | None) -> None:
         """Refuse requests that are past their deadline or expected to miss it.
 
         Only the last request of each priority class is checked for the expected wait.
         Each request was the last of its class when it arrived; since then only higher
         ranks can have delayed it, and the last one is the first to miss its deadline.
+        With fair shares it is the last request of each customer: with each tick of all
+        of them, otherwise of the customer that asks.
         """
         for work in self._queue.expired(now):
             self._refuse(work, self._wait_estimator.seconds(work, now), now)
-        for priority in self._queue.priority_classes():
-            while work := self._queue.last_of_class(priority):
+        for tail in self._queue.tails(asking):
+            while work := self._queue.last_of_tail(tail):
                 wait = self._wait_estimator.seconds(work, now)
                 if now + wait < self._queue.deadline(work.ask):
                     break
@@ -512,7 +562,10 @@
         start_delay = 0.0 if self.is_standby else self._capacity.start_delay(now)
         seconds = retry_after(wait, start_delay)
         limited = self._capacity.limited_count
-        self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, seconds, limited))
+        share = self._granted_share(work)
+        self._decisions.append(
+            m.Refuse(work, m.RefusalReason.LOAD, seconds, limited, share)
+        )
 
     def _remove_request(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -12,7 +12,7 @@
 
 from hibiscusstep.routing.messages import Work
 
-__all__ = ["QueueClass", "RefusedRequests", "SlotQueue"]
+__all__ = ["QueueClass", "QueuedRequest", "RefusedRequests", "SlotQueue", "Tail"]
 
 # Callers retry within a few seconds or not at all: their maximum waiting time is below
 # this.
@@ -31,8 +31,12 @@
     LATE = 2
 
 
+# A rank, a class, and a customer if its requests are ordered by customer.
+Tail = tuple[int, QueueClass, str]
+
+
 @dataclass(frozen=True, slots=True)
-class _QueuedRequest:
+class QueuedRequest:
     """A queued request with its sort key, estimated seconds and deadline."""
 
     sort_key: tuple[int, QueueClass, float, int, Work]
@@ -48,7 +52,7 @@
 
     def __init__(self) -> None:
         self._order: SortedList = SortedList()
-        self._by_ask: dict[str, _QueuedRequest] = {}
+        self._by_ask: dict[str, QueuedRequest] = {}
         self._deadlines: list[tuple[float, int, str]] = []
         self._backlog: dict[tuple[int, QueueClass], float] = defaultdict(float)
         self._counts: Counter[tuple[int, QueueClass]] = Counter()
@@ -88,6 +92,19 @@
 
     def last_of_class(self, priority: tuple[int, QueueClass]) -> Work | None:
         """Return the last request of a class; None if there is none."""
+        return self.last_of_tail((*priority, ""))
+
+    def tails(self, asking: Work | None = None) -> list[Tail]:
+        """Return the ends of the queue at which requests may miss their deadlines.
+
+        These are the classes, the last first; they do not depend on the request that
+        has just arrived.
+        """
+        return [(*priority, "") for priority in self.priority_classes()]
+
+    def last_of_tail(self, tail: Tail) -> Work | None:
+        """Return the last request at an end of the queue; None if there is none."""
+        priority = tail[:2]
         end_index = self._order.bisect_left((*priority, math.inf))
         if not end_index or self._order[end_index - 1][:2] != priority:
             return None
@@ -121,8 +138,9 @@
         """
         number = next(self._sequence)
         sort_key = (work.rank, queue_class, work.received_at, number, work)
-        self._order.add(sort_key)
-        self._by_ask[work.ask] = _QueuedRequest(sort_key, cost, deadline)
+        queued = QueuedRequest(sort_key, cost, deadline)
+        self._insert(queued)
+        self._by_ask[work.ask] = queued
         self._backlog[sort_key[:2]] += cost
         self._counts[sort_key[:2]] += 1
         heapq.heappush(self._deadlines, (deadline, number, work.ask))
@@ -132,11 +150,21 @@
         queued = self._by_ask.pop(ask, None)
         if queued is None:
             return None
-        self._order.remove(queued.sort_key)
+        self._take_out(queued)
         self._backlog[queued.sort_key[:2]] -= queued.cost
         self._counts[queued.sort_key[:2]] -= 1
         return queued.sort_key[-1]
 
+    def requests(self) -> Iterator[QueuedRequest]:
+        """Iterate over the queued requests in order of arrival at the queue."""
+        return iter(self._by_ask.values())
+
+    def _insert(self, queued: QueuedRequest) -> None:
+        self._order.add(queued.sort_key)
+
+    def _take_out(self, queued: QueuedRequest) -> None:
+        self._order.remove(queued.sort_key)
+
     def ahead_of(self, ask: str) -> tuple[int, float]:
         """Return the number and estimated seconds of requests before a queued request.
 
--- a/hibiscusstep/routing/wait_estimator.py
+++ b/hibiscusstep/routing/wait_estimator.py
@@ -20,18 +20,23 @@
         Service rate of the pool.
     rank_floor : RankFloor or None
         Minimum service of each rank; None if strict priority applies.
+
+    Attributes
+    ----------
+    queue : SlotQueue
+        The queued requests; replaced if their order changes.
     """
 
     def __init__(
         self, queue: SlotQueue, capacity: PoolCapacity, rank_floor: RankFloor | None
     ) -> None:
-        self._queue = queue
+        self.queue = queue
         self._capacity = capacity
         self._rank_floor = rank_floor
 
     def seconds(self, work: Work, now: float) -> float:
         """Return the estimated seconds until a queued request is granted."""
-        wait = self._capacity.wait_seconds(*self._queue.ahead_of(work.ask), now)
+        wait = self._capacity.wait_seconds(*self.queue.ahead_of(work.ask), now)
         if wait is None:
             wait = MAX_RETRY_AFTER_S
         if self._rank_floor is None:
@@ -46,7 +51,7 @@
         is longer than any of them waits. The first one of a rank that is underserved is
         granted as soon as a limit permits it.
         """
-        position = self._queue.position_in_rank(work.ask)
+        position = self.queue.position_in_rank(work.ask)
         by_rate = (position + 1) / min_rate
         if not self._capacity.is_limited:
             return by_rate
