Fair shares: waits count what heavier customers will ask for; customers in the emulator

Cause: a customer's expected wait counted only what was queued. In a flood the light customers' later requests go first, so refusals came after up to 0.67 s. Change: customers that ask for more than their share count as always queued, and what the others ask for is subtracted from the rate. A tick checks at most 32 customers of a rank in turn. Drawn deployments and the emulator have customers, one of which may flood the pool; draws and runs without customers are as before. decision_cost.py has options for customers and fair shares, and its loop has ticks.

--- a/examples/decision_cost.py
+++ b/examples/decision_cost.py
@@ -1,13 +1,15 @@
 """Measures the dispatcher's processor time per request, by the number of waiting ones.
 
 Usage: python examples/decision_cost.py [--targets 30] [--requests 4000] [--limit 100]
+[--customers 16] [--fair-shares] [--interval 0.001] [--waiting 100]
 
 A pool with no free slots gets requests of three ranks in turn, at a rate that keeps the
 given number of them waiting. Prints the microseconds of processor time for all messages
-of one request, without sockets and codecs.
+of one request, with the ticks meanwhile, without sockets and codecs.
 """
 
 import itertools
+import random
 import time
 
 import click
@@ -20,35 +22,59 @@
 RANKS = 3
 # Requests per answer that ends; the others are refused.
 REQUESTS_PER_ANSWER = 2
+TICK_S = 0.05
+WAITING = (10, 100, 1000)
 
 
 def measure(
-    targets: int, waiting: int, requests: int, limit: float | None = None
+    targets: int,
+    waiting: int,
+    requests: int,
+    limit: float | None = None,
+    customers: int = 1,
+    fair_shares: bool = False,
+    interval: float = 0.001,
 ) -> float:
     """Return the microseconds per request with a number of waiting requests.
 
-    `limit` is the requests per second that each target accepts; None for any number.
+    Parameters
+    ----------
+    targets, waiting, requests : int
+        Number of targets, of waiting requests, and of requests that are measured.
+    limit : float or None
+        Requests per second that each target accepts; None for any number.
+    customers : int
+        Number of customers, which send equally often.
+    fair_shares : bool
+        Whether the customers share the ranks.
+    interval : float
+        Seconds between two requests. It determines how many share a tick.
     """
     pool = {f"t{n}": PlannedTarget(SLOTS, rate_limit=limit) for n in range(targets)}
-    dispatcher = SlotDispatcher(
-        "p", DispatchPlan({"p": PlannedPool(True, 6, 0.3, targets=pool)})
-    )
+    planned = PlannedPool(True, 6, 0.3, targets=pool, fair_shares=fair_shares)
+    dispatcher = SlotDispatcher("p", DispatchPlan({"p": planned}))
     dispatcher.handle(m.Recovered(), 0.0)
     # The number of waiting requests is the number that arrive within the patience.
-    interval, patience = 0.001, 0.001 * waiting
+    patience = interval * waiting
+    chosen = random.Random(1)
+    next_tick = TICK_S
     running = itertools.count()
     held: list[str] = []
     spent = 0.0
     for n in range(targets * SLOTS + waiting + requests):
         now = n * interval
         work = m.Work(
-            f"a{n}", f"r{n}", "i", "c", str(n % RANKS), n % RANKS, 2000, 300,
+            f"a{n}", f"r{n}", "i", f"c{chosen.randrange(customers)}",
+            str(n % RANKS), n % RANKS, 2000, 300,
             now + patience, now, first_token_due=now + 2 * patience,
         )  # fmt: skip
         messages = [m.RequestGrant(work)]
         if len(held) >= targets * SLOTS and not n % REQUESTS_PER_ANSWER:
             ask = held.pop(next(running) % 7)
             messages.append(m.Finished(ask, m.GrantOutcome.DONE, 50, 1.0))
+        if now >= next_tick:
+            next_tick += TICK_S
+            messages.append(m.TimePassed())
         began = time.process_time()
         decisions = [d for message in messages for d in dispatcher.handle(message, now)]
         granted = [d.work.ask for d in decisions if isinstance(d, m.Grant)]
@@ -64,11 +90,29 @@
 @click.option("--targets", default=30, show_default=True)
 @click.option("--requests", default=4000, show_default=True)
 @click.option("--limit", type=float, help="Requests per second of each target.")
-def main(targets: int, requests: int, limit: float | None) -> None:
+@click.option("--customers", default=1, show_default=True)
+@click.option("--fair-shares", is_flag=True, help="Customers share the ranks.")
+@click.option("--interval", default=0.001, help="Seconds between two requests.")
+@click.option("--waiting", multiple=True, type=int, help="Number of waiting requests.")
+def main(
+    targets: int,
+    requests: int,
+    limit: float | None,
+    customers: int,
+    fair_shares: bool,
+    interval: float,
+    waiting: tuple[int, ...],
+) -> None:
     """Print a line per number of waiting requests."""
-    for waiting in (10, 100, 1000):
-        spent = measure(targets, waiting, requests, limit)
-        click.echo(f"{targets} targets, {waiting} waiting: {spent:.0f} us a request")
+    for number in waiting or WAITING:
+        spent = measure(
+            targets, number, requests, limit, customers, fair_shares, interval
+        )
+        shares = "fair shares" if fair_shares else "no shares"
+        click.echo(
+            f"{targets} targets, {customers} customers, {shares}, {number} waiting: "
+            f"{spent:.0f} us a request"
+        )
 
 
 if __name__ == "__main__":
--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -1,11 +1,12 @@
 """hibiscusstep.load.drawn_deployment: random pools and loads for the pool emulator."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import numpy as np
 
 __all__ = [
     "Burst",
+    "CustomerFlood",
     "DrawnDeployment",
     "InstanceLoss",
     "RequestKind",
@@ -34,6 +35,11 @@
 BURST_FACTOR = (1.5, 3.5)
 BURST_S = (2.0, 5.0)
 RUN_LENGTH_S = 24.0
+# A customer sends this multiple of its usual rate, for so many seconds.
+FLOOD_FACTOR = (3.0, 7.5)
+FLOOD_S = (5.5, 11.0)
+# Standard deviation of the logarithm of the customers' sizes: a few are large.
+CUSTOMER_SPREAD = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +78,26 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerFlood:
+    """Period in which a customer sends a multiple of its usual rate.
+
+    Parameters
+    ----------
+    customer : int
+        Number of the customer.
+    start, end : float
+        Seconds at which the period begins and ends.
+    factor : float
+        Its requests per second, relative to the usual rate.
+    """
+
+    customer: int
+    start: float
+    end: float
+    factor: float
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceLoss:
     """Permanent loss of a share of all instances at a moment, by a power failure."""
@@ -134,6 +160,10 @@
         Seconds after a restart in which each instance uses its standby dispatcher.
     limits : tuple of TargetLimit
         Limits that targets name.
+    customers : tuple of float
+        Usual share of the requests that each customer sends, also its weight.
+    flood : CustomerFlood or None
+        Period in which a customer sends far more, if any.
     """
 
     slowness: tuple[float, ...]
@@ -151,6 +181,8 @@
     instances: int = 20
     standby_seconds: float = 0.0
     limits: tuple[TargetLimit, ...] = ()
+    customers: tuple[float, ...] = (1.0,)
+    flood: CustomerFlood | None = None
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
@@ -164,11 +196,22 @@
     def rate(self, kind: RequestKind, now: float) -> float:
         """Return the requests per second of a kind at a moment."""
         factors = [b.factor for b in self.bursts if b.start <= now < b.end]
-        return kind.rate * max(factors, default=1.0)
+        return kind.rate * max(factors, default=1.0) * sum(self.customer_rates(now))
 
+    def customer_rates(self, now: float) -> list[float]:
+        """Return each customer's rate at a moment, relative to the usual total."""
+        rates = list(self.customers)
+        if self.flood and self.flood.start <= now < self.flood.end:
+            rates[self.flood.customer] *= self.flood.factor
+        return rates
 
-def draw_deployment(seed: int) -> DrawnDeployment:
-    """Return the random deployment of a seed."""
+
+def draw_deployment(seed: int, customers: int = 1) -> DrawnDeployment:
+    """Return the random deployment of a seed.
+
+    With several customers one of them floods the pool. The rest of the deployment does
+    not depend on their number.
+    """
     rng = np.random.default_rng(seed)
 
     def log_uniform(least: float, most: float) -> float:
@@ -199,7 +242,7 @@
         )
         for k in shapes
     )
-    return DrawnDeployment(
+    deployment = DrawnDeployment(
         slowness,
         slots,
         step,
@@ -214,6 +257,20 @@
         ),
         float(rng.choice([0.0, RUN_LENGTH_S / 2])),
     )
+    return _with_customers(deployment, rng, customers) if customers > 1 else deployment
+
+
+def _with_customers(deployment: DrawnDeployment, rng, count: int) -> DrawnDeployment:
+    sizes = rng.lognormal(0.0, CUSTOMER_SPREAD, count)
+    shares = tuple(float(size) for size in sizes / sizes.sum())
+    start = rng.uniform(2.0, RUN_LENGTH_S - FLOOD_S[1])
+    flood = CustomerFlood(
+        int(rng.choice(count, p=shares)),
+        start,
+        start + rng.uniform(*FLOOD_S),
+        rng.uniform(*FLOOD_FACTOR),
+    )
+    return replace(deployment, customers=shares, flood=flood)
 
 
 def _draw_kind(rng, log_uniform, rank: int) -> RequestKind:
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -18,7 +18,10 @@
 
 
 def run_experiment(
-    deployments: Iterable[int], seeds: Sequence[int], variants: Sequence[str] = ()
+    deployments: Iterable[int],
+    seeds: Sequence[int],
+    variants: Sequence[str] = (),
+    customers: int = 1,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -31,6 +34,8 @@
     variants : sequence of str
         Mechanisms disabled in each variant, separated by commas. Empty for one variant
         per mechanism and one with all of them disabled.
+    customers : int
+        Number of customers, of which one floods the pool; 1 for no flood.
 
     Raises
     ------
@@ -43,7 +48,7 @@
     }
     runs: dict[str, dict[str, float]] = {off: {} for off in chosen}
     for number in deployments:
-        deployment = draw_deployment(number)
+        deployment = draw_deployment(number, customers)
         for seed in seeds:
             for off, switches in chosen.items():
                 outcomes = PoolEmulator(deployment, seed, switches).run()
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -66,6 +66,7 @@
     hint: int
     began: float
     instance: str
+    customer: str
     retries: int = 0
     ask: str = ""
     job: Job | None = None
@@ -95,6 +96,8 @@
         All requests by rank, and those answered in time or late.
     arrivals : dict of str to list of float
         Times at which requests arrived at each target.
+    asked_by_customer, served_by_customer : dict of str to int
+        As `asked` and `served`, by customer.
     """
 
     possible_value: dict[float, float] = field(
@@ -107,6 +110,8 @@
     asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     served: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    asked_by_customer: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    served_by_customer: dict[str, int] = field(default_factory=lambda: defaultdict(int))
 
     def share_served(self, rank: int) -> float:
         """Return the share of a rank's requests that were answered."""
@@ -225,7 +230,14 @@
             name: PlannedTarget(d.slots, rate_limit=limit)
             for name, limit in self._known_limits.items()
         }
-        pool = PlannedPool(True, d.tokens_per_event, d.max_pause, targets)
+        pool = PlannedPool(
+            True,
+            d.tokens_per_event,
+            d.max_pause,
+            targets,
+            fair_shares=len(d.customers) > 1,
+            customer_weights={f"c{n}": share for n, share in enumerate(d.customers)},
+        )
         return DispatchPlan({POOL: pool})
 
     def _hear_limit(self, name: str) -> None:
@@ -293,7 +305,11 @@
         hint = max(1, round(output * self._rng.lognormal(0.0, HINT_SPREAD)))
         number = next(self._numbers)
         instance = self._instances[number % len(self._instances)]
-        request = _Request(number, kind, prompt, output, hint, self._now, instance)
+        customer = self._draw_customer()
+        request = _Request(
+            number, kind, prompt, output, hint, self._now, instance, customer
+        )
+        self._result.asked_by_customer[customer] += 1
         self._result.possible_value[self._window_start(request)] += 1.0
         self._result.asked[kind.rank] += 1
         self._schedule(
@@ -301,6 +317,16 @@
         )
         self._submit(request)
 
+    def _draw_customer(self) -> str:
+        """Return the customer of a request that arrives now.
+
+        There is no draw for a single customer, so that its runs are as those without.
+        """
+        rates = self._deployment.customer_rates(self._now)
+        if len(rates) == 1:
+            return "c0"
+        return f"c{self._rng.choice(len(rates), p=np.array(rates) / sum(rates))}"
+
     def _draw_tokens(self, mean: float, spread: float) -> int:
         drawn = self._rng.lognormal(np.log(mean) - spread**2 / 2, spread)
         return int(min(8 * mean, max(1, round(drawn))))
@@ -322,7 +348,8 @@
     def _work(self, request: _Request) -> m.Work:
         kind, asked = request.kind, request.asked
         return m.Work(
-            request.ask, request.ask, request.instance, "c", str(kind.rank), kind.rank,
+            request.ask, request.ask, request.instance, request.customer,
+            str(kind.rank), kind.rank,
             request.prompt, request.hint, asked + QUEUE_WAIT_SHARE * kind.objective,
             asked,
             first_token_due=asked + kind.objective,
@@ -406,6 +433,7 @@
         self._result.counts[how] += 1
         self._result.achieved_value[self._window_start(request)] += value
         self._result.served[request.kind.rank] += value > 0
+        self._result.served_by_customer[request.customer] += value > 0
         self._release(
             request, m.GrantOutcome.DONE if value else m.GrantOutcome.CANCELLED
         )
--- a/hibiscusstep/routing/fair_queue.py
+++ b/hibiscusstep/routing/fair_queue.py
@@ -15,6 +15,11 @@
 
 __all__ = ["FairSlotQueue"]
 
+# Maximum number of customers of a rank whose last request is checked with each tick, in
+# turn. A customer that sends much is checked with each of its requests; requests of the
+# others that are not checked wait until their deadline at most.
+MAX_CHECKED = 32
+
 
 class FairSlotQueue(SlotQueue):
     """Queue by rank and class, with the requests in time ordered by customer.
@@ -37,6 +42,11 @@
         self._first: list[Work] = []
         self._others: Iterator[Work] = iter(())
         self._ordered_version = -1
+        # By rank, the position of the next customer to check.
+        self._next_checked: dict[int, int] = {}
+        # The last estimate of what is served before a request, while nothing changes.
+        self._estimated = "", -1
+        self._estimate = 0, 0.0
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -67,20 +77,28 @@
     def tails(self, asking: Work | None = None) -> list[Tail]:
         """Return the ends of the queue at which requests may miss their deadlines.
 
-        These are the classes, and in place of that of requests in time its customers:
-        all of them, or only the one of a request that has just arrived.
+        These are the classes, and in place of that of requests in time some of its
+        customers: those whose turn it is, or the one of a request that has just
+        arrived.
         """
         tails: list[Tail] = []
         for rank, queue_class in self.priority_classes():
             if queue_class is not QueueClass.ON_TIME:
                 tails.append((rank, queue_class, ""))
             elif asking is None:
-                customers = [name for *_, name in self._shares.customers(rank)]
-                tails += [(rank, queue_class, name) for name in reversed(customers)]
+                tails += [(rank, queue_class, name) for name in self._turn(rank)]
             elif asking.rank == rank:
                 tails.append((rank, queue_class, asking.customer))
         return tails
 
+    def _turn(self, rank: int) -> list[str]:
+        """Return the customers of a rank to check now."""
+        first = self._next_checked.get(rank, 0)
+        entries = list(self._shares.customers(rank, first, MAX_CHECKED))
+        is_end = len(entries) < MAX_CHECKED
+        self._next_checked[rank] = 0 if is_end else first + MAX_CHECKED
+        return [customer for _time, _number, customer in reversed(entries)]
+
     def last_of_tail(self, tail: Tail) -> Work | None:
         """Return the last request at an end of the queue; None if there is none."""
         rank, queue_class, customer = tail
@@ -116,12 +134,20 @@
         return count, max(0.0, seconds)
 
     def _ahead_in_class(self, ask: str) -> tuple[int, float]:
+        """Return the number and estimated seconds of requests before one in its class.
+
+        The same request is mostly asked for twice, for its rank and for its class.
+        """
+        if self._estimated == (ask, self._shares.version):
+            return self._estimate
+        self._estimated = ask, self._shares.version
         queued = self._by_ask[ask]
         work = queued.sort_key[-1]
         priority = queued.sort_key[:2]
         seconds = self._shares.seconds_ahead(work.rank, work.customer, queued.cost)
         mean = self._backlog[priority] / self._counts[priority]
-        return (round(seconds / mean) if mean > 0 else 0), seconds
+        self._estimate = (round(seconds / mean) if mean > 0 else 0), seconds
+        return self._estimate
 
     def _in_class(self, priority: tuple[int, QueueClass]) -> Iterator[Work]:
         if priority[1] is QueueClass.ON_TIME:
--- a/hibiscusstep/routing/fair_shares.py
+++ b/hibiscusstep/routing/fair_shares.py
@@ -1,9 +1,9 @@
 """hibiscusstep.routing.fair_shares: weighted shares of a rank among customers.
 
 Made for pools in which a few customers send several times their usual rate for some
-seconds. Within a rank, customers are ordered by weighted start-time fair queueing (Goyal
-et al., "Start-time fair queueing", 1996): the requests of the others are served as if
-those customers sent no more than their share.
+seconds. Within a rank, customers are ordered by weighted start-time fair queueing
+(Goyal et al., "Start-time fair queueing", 1996): the requests of the others are served
+as if those customers sent no more than their share.
 """
 
 import itertools
@@ -28,8 +28,10 @@
 # A rank is contended if less than this share of the seconds that are asked for is
 # granted. Requests that wait at the moment account for the difference to 1.
 CONTENDED_SHARE = 0.95
-# The sums over the backlogs are updated after this share of the customers has changed.
-# The cost of a change then grows only with the logarithm of their number.
+# The sums over the backlogs are updated after so many changes, or after one for this
+# share of the customers. The cost of a change then grows only with the logarithm of
+# their number.
+MAX_CHANGES = 4
 MAX_CHANGED_SHARE = 1 / 8
 
 
@@ -42,6 +44,7 @@
     arrived. `asked` and `granted` are recent seconds, scaled.
     """
 
+    weight: float
     virtual_time: float = 0.0
     backlog: float = 0.0
     queued: int = 0
@@ -72,9 +75,9 @@
     """Sums over the backlogs of a rank's customers at one time.
 
     `possible` is the ramp of what the customers would be served until a virtual time if
-    all of them always had requests queued, `beyond` the part that exceeds their
-    backlogs. `intervals` has the start and end of each customer's backlog in virtual
-    time, and its weight.
+    all of them always had requests queued, `beyond` the part that exceeds the backlogs
+    of those that ask for less than their share. `intervals` has the start and end of
+    each customer's backlog in virtual time, and its weight.
     """
 
     possible: _Ramp
@@ -132,7 +135,10 @@
         self._default_weight = sum(known) / len(known) if known else 1.0
         self._seen_weight = sum(map(self.weight, self._seen))
         for shares in self._ranks.values():
-            self._change(shares, len(shares.accounts) + 1)
+            for name, account in shares.accounts.items():
+                account.weight = self.weight(name)
+            shares.backlogs = None
+            self._change(shares)
 
     def weight(self, customer: str) -> float:
         """Return a customer's weight."""
@@ -208,7 +214,7 @@
         start = max(account.virtual_time, shares.virtual_time)
         if account.queued:
             shares.order.remove(self._key(customer, account))
-        account.virtual_time = start + seconds / self.weight(customer)
+        account.virtual_time = start + seconds / account.weight
         if account.queued:
             shares.order.add(self._key(customer, account))
         if not is_adopted:
@@ -238,20 +244,33 @@
             shares.order.remove(self._key(customer, account))
         self._change(shares)
 
-    def customers(self, rank: int) -> Iterator[tuple[float, int, str]]:
-        """Yield the customers with queued requests, the first to be served first.
+    def customers(
+        self, rank: int, first: int = 0, count: int | None = None
+    ) -> Iterator[tuple[float, int, str]]:
+        """Iterate over the customers with queued requests, the first to serve first.
 
         Each has its virtual time and the number by which equal ones are ordered.
+
+        Parameters
+        ----------
+        rank : int
+            The rank.
+        first : int
+            Number of customers to leave out.
+        count : int or None
+            Maximum number of customers; None for all.
         """
         shares = self._ranks.get(rank)
-        return iter(shares.order) if shares else iter(())
+        if shares is None:
+            return iter(())
+        return shares.order.islice(first, None if count is None else first + count)
 
     def seconds_ahead(self, rank: int, customer: str, seconds: float) -> float:
         """Return the work of a rank that is served before a customer's last request.
 
-        Until then each other customer is served at most its backlog, and no more than
-        its weight's proportion of the difference in virtual time. Requests of customers
-        that ask for less than their share arrive meanwhile and are served first.
+        Until then each other customer is served at most its weight's proportion of the
+        difference in virtual time. One that asks for less than its share has no more
+        than its backlog, and what it asks for meanwhile.
 
         Parameters
         ----------
@@ -269,7 +288,7 @@
         """
         shares = self._ranks[rank]
         account = shares.accounts[customer]
-        weight = self.weight(customer)
+        weight = account.weight
         own = max(0.0, account.backlog - seconds)
         start = account.virtual_time + own / weight
         sums = self._backlogs(shares)
@@ -306,39 +325,49 @@
     def _account(self, shares: _RankShares, customer: str) -> _Account:
         account = shares.accounts.get(customer)
         if account is None:
-            account = shares.accounts[customer] = _Account(shares.virtual_time)
+            account = shares.accounts[customer] = _Account(
+                self.weight(customer), shares.virtual_time
+            )
         return account
 
     def _key(self, customer: str, account: _Account) -> tuple[float, int, str]:
         return account.virtual_time, account.number, customer
 
-    def _change(self, shares: _RankShares, count: int = 1) -> None:
-        shares.changes += count
+    def _change(self, shares: _RankShares) -> None:
+        shares.changes += 1
         self.version += 1
 
     def _backlogs(self, shares: _RankShares) -> _Backlogs:
         """Return the sums over the backlogs, updated if enough customers changed."""
-        limit = MAX_CHANGED_SHARE * len(shares.accounts)
+        limit = max(MAX_CHANGES, MAX_CHANGED_SHARE * len(shares.accounts))
         if shares.backlogs is None or shares.changes > limit:
             shares.backlogs = self._sum_backlogs(shares)
             shares.changes = 0
         return shares.backlogs
 
     def _sum_backlogs(self, shares: _RankShares) -> _Backlogs:
+        light_asked, light_limit = self._light_customers(shares)
         intervals = {}
         for customer, account in shares.accounts.items():
             if not account.queued and customer not in self._seen:
                 continue
-            weight = self.weight(customer)
+            weight = account.weight
             start = max(account.virtual_time, shares.virtual_time)
+            end = start
             if account.queued:
                 # Of two customers at the same virtual time either one may be first, so
                 # half of a request counts.
                 start -= account.backlog / account.queued / weight / 2
-            intervals[customer] = start, start + account.backlog / weight, weight
+                end = start + account.backlog / weight
+            if account.asked > light_limit * weight:
+                end = math.inf
+            intervals[customer] = start, end, weight
         possible = _Ramp((start, weight) for start, _end, weight in intervals.values())
-        beyond = _Ramp((end, weight) for _start, end, weight in intervals.values())
-        light_asked, light_limit = self._light_customers(shares)
+        beyond = _Ramp(
+            (end, weight)
+            for _start, end, weight in intervals.values()
+            if end < math.inf
+        )
         return _Backlogs(possible, beyond, intervals, light_asked, light_limit)
 
     def _light_customers(self, shares: _RankShares) -> tuple[float, float]:
@@ -348,19 +377,20 @@
         is divided among the others. Both values are scaled.
         """
         asked = sorted(
-            (account.asked / self.weight(name), self.weight(name))
-            for name, account in shares.accounts.items()
+            (account.asked / account.weight, account.weight)
+            for account in shares.accounts.values()
             if account.asked
         )
         weights = sum(weight for _asked, weight in asked)
+        granted = shares.granted / CONTENDED_SHARE
         light, limit = 0.0, 0.0
         for per_weight, weight in asked:
-            if per_weight * weights > shares.granted - light:
-                break
+            if per_weight * weights > granted - light:
+                return light, limit
             light += per_weight * weight
             weights -= weight
             limit = per_weight
-        return light, limit
+        return light, math.inf
 
     def _advance(self, customer: str, now: float) -> None:
         """Record that a customer was seen, and advance the scale of the amounts."""
@@ -392,4 +422,5 @@
                 is_ahead = account.virtual_time > shares.virtual_time
                 if name not in self._seen and not account.queued and not is_ahead:
                     del shares.accounts[name]
-            self._change(shares, len(shares.accounts) + 1)
+            shares.backlogs = None
+            self._change(shares)
