--- a/hibiscusstep/routing/fair_shares.py
+++ b/hibiscusstep/routing/fair_shares.py
@@ -299,6 +299,8 @@
         light = sums.light_asked
         if account.asked <= sums.light_limit * weight:
             light -= account.asked
+        if light <= 0:
+            return own + queued
         left = shares.granted - light
         with_arrivals = (own + queued) * shares.granted / left if left > 0 else math.inf
         return min(with_arrivals, own + possible)
