Planned returns: the plan and its use by the dispatcher, first version

All refused callers were told to return after 2 s and then held for up to 1.5 s; see docs/contention.md, component B. ReturnPlan books service seconds for them and recognizes them; refusals come within a fifth of the objective.

--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -23,6 +23,7 @@
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import (
     NotDispatcher,
+    PlaceInfo,
     PoolAsk,
     PoolFinished,
     PoolFirstToken,
@@ -39,6 +40,7 @@
 )
 from hibiscusstep.peerlink import LinkLost, Send
 from hibiscusstep.routing.messages import RefusalReason
+from hibiscusstep.routing.return_plan import EARLY_TOLERANCE_S, LATE_TOLERANCE_S
 
 __all__ = ["DispatchClient"]
 
@@ -59,6 +61,9 @@
 # lost before the request ends. Must be less than `grant_monitor.ANSWER_TIMEOUT_S`, the
 # time within which an instance must report that it holds a request.
 STALE_GRANT_S = 0.45
+# Places that an instance keeps for a pool: many times its part of the places that a
+# dispatcher books within the longest delay.
+MAX_KEPT_PLACES = 512
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +75,18 @@
     asked_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _KeptPlace:
+    """A place for a returning request, with its start and end on the loop's clock."""
+
+    info: PlaceInfo
+    starts_at: float
+
+    @property
+    def ends_at(self) -> float:
+        return self.starts_at + LATE_TOLERANCE_S
+
+
 @dataclass(slots=True)
 class _PoolState:
     """The waiting and running requests of one pool, by ask, and the dispatcher in use.
@@ -79,7 +96,9 @@
     `standby_until`; the next such period lasts `standby_s` seconds. `is_standby` is
     whether it was in use at the last update: the pool's dispatcher must then be sent
     the running requests, even if it is on this instance. `held_reported` is whether the
-    last `PoolHeld` listed any running request.
+    last `PoolHeld` listed any running request. `places` are the places of callers that
+    were refused here, and those used by callers that were granted a target here, by
+    identity.
     """
 
     dispatcher: Member | None = None
@@ -91,6 +110,19 @@
     waiting: dict[str, _TrackedRequest] = field(default_factory=dict)
     running: dict[str, _TrackedRequest] = field(default_factory=dict)
     held_reported: bool = False
+    places: dict[int, _KeptPlace] = field(default_factory=dict)
+
+    def keep_place(self, place: _KeptPlace, now: float) -> None:
+        """Keep a place until it is over; a new dispatcher needs it."""
+        if len(self.places) >= MAX_KEPT_PLACES:
+            self.drop_past_places(now)
+        if len(self.places) >= MAX_KEPT_PLACES:
+            del self.places[next(iter(self.places))]
+        self.places[place.info.identity] = place
+
+    def drop_past_places(self, now: float) -> None:
+        """Drop the places that are over."""
+        self.places = {i: p for i, p in self.places.items() if p.ends_at > now}
 
 
 class DispatchClient(Worker):
@@ -244,16 +276,54 @@
             self._send(grant.pool, PoolWithdraw(grant.pool, grant.ask))
             self._send_ask(grant.pool, tracked)
             return
+        if grant.used_place:
+            self._keep_used_place(state, tracked)
         tracked.target = grant.target
         state.running[grant.ask] = tracked
         tracked.call.reply(Granted(grant.ask, grant.target))
 
     def _handle_refusal(self, refusal: PoolRefuse) -> None:
-        tracked = self._pool_state(refusal.pool).waiting.pop(refusal.ask, None)
+        state = self._pool_state(refusal.pool)
+        tracked = state.waiting.pop(refusal.ask, None)
         if tracked:
+            self._keep_booked_place(state, tracked, refusal)
             reason = RefusalReason(refusal.reason)
             tracked.call.reply(Refused(reason, refusal.retry_after))
 
+    def _keep_booked_place(
+        self, state: _PoolState, tracked: _TrackedRequest, refusal: PoolRefuse
+    ) -> None:
+        """Keep the place that a refusal named, for a new dispatcher."""
+        work = tracked.grant_request.work
+        if not refusal.place_s or not work.identity:
+            return
+        now = asyncio.get_running_loop().time()
+        info = PlaceInfo(
+            work.identity, work.customer, work.rank, refusal.place_seconds, 0.0
+        )
+        state.keep_place(_KeptPlace(info, now + refusal.place_s), now)
+
+    def _keep_used_place(self, state: _PoolState, tracked: _TrackedRequest) -> None:
+        """Keep that a place was used, until it is over at the latest.
+
+        Another instance may have sent the refusal, so that its time is not known here.
+        """
+        work = tracked.grant_request.work
+        now = asyncio.get_running_loop().time()
+        known = state.places.get(work.identity)
+        latest_start = tracked.received_at + EARLY_TOLERANCE_S
+        starts_at = known.starts_at if known else latest_start
+        info = PlaceInfo(work.identity, work.customer, work.rank, 0.0, 0.0, used=True)
+        state.keep_place(_KeptPlace(info, starts_at), now)
+
+    def _places(self, state: _PoolState, now: float) -> list[PlaceInfo]:
+        """Return the places that are not over, for a new dispatcher."""
+        state.drop_past_places(now)
+        return [
+            replace(place.info, starts_in=place.starts_at - now)
+            for place in state.places.values()
+        ]
+
     def _refuse_overdue(self) -> None:
         now = asyncio.get_running_loop().time()
         for pool, state in self._pool_states.items():
@@ -402,6 +472,7 @@
             [self._work_info(ask, tracked) for ask, tracked in reissued.items()],
             [self._work_info(ask, tracked) for ask, tracked in state.running.items()],
             [tracked.target for tracked in state.running.values()],
+            self._places(state, now),
         )
         self._send(pool, message)
 
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -20,6 +20,7 @@
     TICK_S,
     HostedDispatcher,
     to_estimates,
+    to_place,
     to_work,
 )
 from hibiscusstep.log import decision
@@ -47,6 +48,7 @@
 from hibiscusstep.peerlink import Send
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.return_plan import Attempt, PlaceCounts
 from hibiscusstep.target import get_client_class
 
 if TYPE_CHECKING:
@@ -207,6 +209,15 @@
             for pool, hosted in self._hosted.items()
         }
 
+    @property
+    def place_counts(self) -> dict[str, PlaceCounts]:
+        """Numbers of places for returning requests, by pool that plans returns."""
+        return {
+            pool: counts
+            for pool, hosted in self._hosted.items()
+            if (counts := hosted.dispatcher.place_counts) is not None
+        }
+
     @property
     def rollout_summaries(self) -> dict[str, dict]:
         """Summaries of the rollouts that run here, by pool."""
@@ -406,6 +417,9 @@
         hosted.addresses[body.instance] = sender
         hosted.last_heard_at[body.instance] = now
         self._feed(hosted, m.InstanceGone(body.instance))
+        if body.places:
+            places = tuple(to_place(info, now) for info in body.places)
+            self._feed(hosted, m.ImportPlaces(places))
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
         if hosted is self._standby_hosted.get(body.pool):
@@ -539,14 +553,18 @@
         }
         match action:
             case m.Grant(target=target, candidates=candidates):
-                fields |= _limited_field(action)
+                fields |= _limited_field(action) | _attempt_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
                 waited = now - work.received_at
-                self._send(address, PoolGrant(pool, work.ask, target, waited))
+                used_place = action.used_place
+                grant = PoolGrant(pool, work.ask, target, waited, used_place)
+                self._send(address, grant)
             case m.Refuse(reason=reason, retry_after=retry_after):
-                fields |= _limited_field(action)
+                fields |= _limited_field(action) | _attempt_field(action)
                 decision("refuse", **fields, reason=reason, retry_after=retry_after)
-                self._send(address, PoolRefuse(pool, work.ask, reason, retry_after))
+                place = action.place_s, action.place_seconds
+                refusal = PoolRefuse(pool, work.ask, reason, retry_after, *place)
+                self._send(address, refusal)
             case m.Stop(target=target):
                 decision("stop", **fields, target=target)
                 self._send(address, PoolStop(pool, work.ask))
@@ -578,3 +596,19 @@
     """Return the log field that says that rate limits affect a decision, if so."""
     count = action.limited_targets
     return {"limited_targets": count} if count else {}
+
+
+def _attempt_field(action: m.Grant | m.Refuse) -> dict[str, str | float]:
+    """Return the log fields of a decision where returns are planned.
+
+    A grant of a first attempt, the usual case, has none.
+    """
+    if isinstance(action, m.Grant):
+        named = action.attempt and action.attempt != Attempt.FIRST
+        return {"attempt": str(action.attempt)} if named else {}
+    if not action.attempt:
+        return {}
+    fields: dict[str, str | float] = {"attempt": str(action.attempt)}
+    if action.place_s:
+        fields["place_in"] = round(action.place_s, 2)
+    return fields
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -586,6 +586,11 @@
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
         for pool, count in self._dispatcher_host.overdue_slots.items():
             metrics.set_gauge("slots_overdue", count, pool=pool)
+        for pool, places in self._dispatcher_host.place_counts.items():
+            metrics.set_gauge("places_booked", places.open, pool=pool)
+            for name in ("booked", "used", "expired"):
+                count = getattr(places, name)
+                metrics.set_gauge(f"places_{name}_total", count, pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -3,11 +3,11 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from hibiscusstep.peer import PoolLearnt, WorkInfo
+from hibiscusstep.peer import PlaceInfo, PoolLearnt, WorkInfo
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 
-__all__ = ["TICK_S", "HostedDispatcher", "to_estimates", "to_work"]
+__all__ = ["TICK_S", "HostedDispatcher", "to_estimates", "to_place", "to_work"]
 
 # Seconds between a dispatcher's ticks, at which it applies timeouts.
 TICK_S = 0.05
@@ -49,6 +49,18 @@
     )
 
 
+def to_place(info: PlaceInfo, now: float) -> m.KnownPlace:
+    """Convert a place's description, with its time on the dispatcher's clock."""
+    return m.KnownPlace(
+        info.identity,
+        info.customer,
+        info.rank,
+        info.seconds,
+        now + info.starts_in,
+        info.used,
+    )
+
+
 def to_work(info: WorkInfo, now: float) -> m.Work:
     """Convert a request's description, with times on the dispatcher's clock."""
     return m.Work(
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -16,7 +16,9 @@
     "GrantLost",
     "GrantOutcome",
     "HeldGrants",
+    "ImportPlaces",
     "InstanceGone",
+    "KnownPlace",
     "LearnedEstimates",
     "LoadReport",
     "QueryGrants",
@@ -250,6 +252,41 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class KnownPlace:
+    """A place for a returning request that an instance knows.
+
+    Parameters
+    ----------
+    identity : int
+        Identity of the refused request.
+    customer : str
+        Name of its customer.
+    rank : int
+        Rank of the request.
+    seconds : float
+        Booked seconds of service at slowness 1.
+    starts_at : float
+        The time named, on the dispatcher's clock.
+    used : bool
+        Whether the request returned and was granted a target.
+    """
+
+    identity: int
+    customer: str
+    rank: int
+    seconds: float
+    starts_at: float
+    used: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ImportPlaces:
+    """Places that an instance reports after a change of dispatcher."""
+
+    places: tuple[KnownPlace, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Recovered:
     """All live instances have registered; the dispatcher may decide."""
@@ -302,6 +339,10 @@
         dispatcher the weighted cost in seconds.
     limited_targets : int
         Number of targets of the pool with a rate limit.
+    attempt : str
+        Value of ``Attempt`` where returns are planned; else empty.
+    used_place : bool
+        Whether it used a planned place.
     """
 
     work: Work
@@ -309,19 +350,26 @@
     wait: float
     candidates: dict[str, float]
     limited_targets: int = 0
+    attempt: str = ""
+    used_place: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """A request is not run; the caller may retry after `retry_after` seconds.
 
-    `limited_targets` is the number of targets of the pool with a rate limit.
+    `limited_targets` is the number of targets of the pool with a rate limit. `attempt`,
+    `place_s` and `place_seconds` are set where returns are planned: the value of
+    ``Attempt``, the seconds until the booked place, and its seconds of service.
     """
 
     work: Work
     reason: RefusalReason
     retry_after: float
     limited_targets: int = 0
+    attempt: str = ""
+    place_s: float = 0.0
+    place_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/pool_capacity.py
+++ b/hibiscusstep/routing/pool_capacity.py
@@ -42,6 +42,17 @@
         self.min_slowness = 1.0
         self.mean_slowness = 1.0
 
+    @property
+    def service_rate(self) -> float:
+        """Seconds of service at slowness 1 per second, within the limits."""
+        return self._unlimited_rate + self._limited_per_s * self._request_seconds
+
+    @property
+    def slot_interval(self) -> float:
+        """Mean seconds until the next slot is free in a full pool."""
+        rate = self.service_rate
+        return self._request_seconds / rate if rate else math.inf
+
     def record_request(self, seconds: float) -> None:
         """Record the estimated service time of a new request at slowness 1."""
         weight = LEARNING_RATE if self._request_seconds else 1.0
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -5,6 +5,7 @@
 
 from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.return_plan import PlaceCounts
 
 __all__ = ["PoolCounts", "PoolDispatcher"]
 
@@ -87,6 +88,11 @@
         """Slots of requests that run past their expected end; 0 if not known."""
         return 0
 
+    @property
+    def place_counts(self) -> PlaceCounts | None:
+        """Numbers of places for returning requests; None if returns are not planned."""
+        return None
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from dataclasses import replace
 
 from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
@@ -15,6 +16,12 @@
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
 from hibiscusstep.routing.rate_limiter import initial_tokens
+from hibiscusstep.routing.return_plan import (
+    Arrival,
+    Attempt,
+    PlaceCounts,
+    ReturnPlan,
+)
 from hibiscusstep.routing.slot_queue import QueueClass, RefusedRequests, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_isolation import exclude_suspect_targets
@@ -23,7 +30,11 @@
 from hibiscusstep.routing.target_subset import TargetSubset
 from hibiscusstep.routing.version_partition import VersionPartition
 from hibiscusstep.routing.wait_estimator import WaitEstimator
-from hibiscusstep.routing.wait_limits import retry_after, wait_deadline
+from hibiscusstep.routing.wait_limits import (
+    early_deadline,
+    retry_after,
+    wait_deadline,
+)
 
 __all__ = ["SlotDispatcher"]
 
@@ -36,6 +47,8 @@
 MAX_GRANT_TRANSIT_S = 0.7
 # The capacity of the pool changes slowly compared with this interval.
 CAPACITY_UPDATE_INTERVAL_S = 0.05
+# No request is refused while this share of the slots is free and a target suits it.
+FREE_SHARE_WITHOUT_REFUSALS = 0.5
 
 
 # Messages that may lengthen the wait of queued requests or let their deadlines pass.
@@ -52,6 +65,9 @@
     m.Withdraw,
 )
 
+# Attempts that are granted a free slot or refused at once.
+_UNPLACED = (Attempt.EARLY, Attempt.RETURNED)
+
 
 class SlotDispatcher(PoolDispatcher):
     """Dispatcher that serves requests by rank, then in order of arrival within a rank.
@@ -61,7 +77,8 @@
 
     Within a rank, a request that can no longer be served in time, such as a retry after
     a refusal, is placed behind those that can. A request is refused as soon as it is
-    expected not to be granted by its deadline.
+    expected not to be granted by its deadline. Where the pool's plan says so, refusals
+    name planned times for the callers' returns.
 
     Parameters
     ----------
@@ -93,6 +110,10 @@
         self._switches = switches
         self._queue = SlotQueue()
         self._refused_requests = RefusedRequests()
+        # None where returns are not planned.
+        self._return_plan: ReturnPlan | None = None
+        # Attempts of the queued requests that are not first ones.
+        self._attempts: dict[str, Attempt] = {}
         self._rank_floor = RankFloor(protect_short=switches.short_ranks)
         self._selector = TargetSelector(switches)
         self._grant_monitor = GrantMonitor()
@@ -118,6 +139,7 @@
             m.LearnedEstimates: self._import_estimates,
             m.LoadReport: self._load_report,
             m.AdoptRunning: self._adopt,
+            m.ImportPlaces: self._import_places,
             m.Recovered: self._recover,
             m.InstanceGone: self._instance_gone,
             m.Configure: self._reconfigure,
@@ -156,6 +178,11 @@
         """The rollout in progress; None if there is none."""
         return self._partition.rollout
 
+    @property
+    def place_counts(self) -> PlaceCounts | None:
+        """Numbers of places for returning requests; None if returns are not planned."""
+        return self._return_plan.counts if self._return_plan else None
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant."""
         if share == self._limit_share:
@@ -195,6 +222,9 @@
             self._schedule(now)
         elif isinstance(message, _GRANT_TRIGGERS):
             self._schedule(now)
+        if self._return_plan:
+            self._refuse_unplaced(now)
+            self._expire_due(now)
         if isinstance(message, _EXPIRY_TRIGGERS):
             self._update_capacity(now)
             self._expire(now)
@@ -210,6 +240,9 @@
         if work.ask in self._queue:
             return
         self.counts.asked += 1
+        if self._return_plan:
+            self._enqueue_planned(work, now)
+            return
         if not self._refused_requests.was_refused(work):
             self._rank_floor.record_request(
                 work.rank, now, self._selector.service_seconds(work)
@@ -230,6 +263,45 @@
         queue_class = QueueClass.LATE if late else QueueClass.ON_TIME
         self._queue.add(work, seconds, deadline, queue_class)
 
+    def _enqueue_planned(self, work: m.Work, now: float) -> None:
+        """Queue a request by its attempt, once the places of all instances are known.
+
+        Until then a new dispatcher makes no decisions.
+        """
+        seconds = self._selector.service_seconds(work)
+        if not self._recovered:
+            self._queue.add(work, seconds, work.deadline, QueueClass.ON_TIME)
+            return
+        self._capacity.record_request(seconds)
+        self._update_capacity(now)
+        arrival = self._return_plan.admit(work, now)
+        work, attempt = arrival.work, arrival.attempt
+        late = self._is_late(work, now)
+        queue_class = QueueClass.LATE if late else QueueClass.ON_TIME
+        if attempt is Attempt.FIRST:
+            self._rank_floor.record_request(work.rank, now, seconds)
+            self._return_plan.record_demand(seconds, now)
+        else:
+            self._attempts[work.ask] = attempt
+            in_place = attempt is Attempt.IN_PLACE
+            queue_class = QueueClass.RETURNING if in_place else QueueClass.LATE
+        bound = self._selector.serve_time_bound(work)
+        deadline = early_deadline(work, bound, late, self._capacity.slot_interval)
+        self._queue.add(work, seconds, deadline, queue_class)
+
+    def _is_late(self, work: m.Work, now: float) -> bool:
+        """Whether a request would be late even on an idle target."""
+        idle_seconds = self._selector.min_slowness * self._selector.first_token_seconds(
+            work
+        )
+        return (
+            self._switches.late_last and 0 < work.first_token_due < now + idle_seconds
+        )
+
+    def _import_places(self, message: m.ImportPlaces, now: float) -> None:
+        if self._return_plan:
+            self._return_plan.import_places(message.places, now)
+
     def _withdraw(self, message: m.Withdraw, now: float) -> None:
         target = self._targets.get(self._target_by_ask.get(message.ask, ""))
         if target:
@@ -315,6 +387,11 @@
 
     def _recover(self, message: m.Recovered, now: float) -> None:
         """Allow decisions, and again when a standby dispatcher is used again."""
+        if self._return_plan and not self._recovered:
+            self._recovered = True
+            for work in list(self._queue):
+                self._queue.remove(work.ask)
+                self._enqueue_planned(work, now)
         self._recovered = True
         for target in self._targets.values():
             if target.limiter:
@@ -358,6 +435,11 @@
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._selector.configure(pool)
         self._partition.configure(pool)
+        plans_returns = pool.planned_returns and self._switches.planned_returns
+        if not plans_returns or self.is_standby:
+            self._return_plan = None
+        elif self._return_plan is None:
+            self._return_plan = ReturnPlan()
         self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
@@ -420,8 +502,13 @@
         limit = math.ceil(self.capacity_share * self._partition.slots(now))
         return len(self._target_by_ask) < limit and self._partition.has_free_slot(now)
 
-    def _try_grant(self, work: m.Work, now: float) -> bool:
-        """Grant a request if an available target suits it; return whether it was."""
+    def _try_grant(self, work: m.Work, now: float, *, force: bool = False) -> bool:
+        """Grant a request if an available target suits it; return whether it was.
+
+        With `force` it does not wait for a better target.
+        """
+        if not self._may_try(work):
+            return False
         if canary := self._partition.choose_canary(work, now):
             self._grant(work, canary, [canary], now)
             return True
@@ -434,11 +521,29 @@
         if not free:
             return False
         target = self._selector.choose(work, free, worth_waiting, now)
+        if target is None and force:
+            # As for a request that does not wait any longer: the best free target.
+            overdue = replace(work, first_token_due=0.0, deadline=now)
+            target = self._selector.choose(overdue, free, worth_waiting, now)
         if target is None or not self._partition.may_serve(work, target, now):
             return False
         self._grant(work, target, free, now)
         return True
 
+    def _may_try(self, work: m.Work) -> bool:
+        """Return whether a request may be granted before those that wait.
+
+        One without a place may not go before others of its rank or higher ranks, one
+        that returned before its place not before any.
+        """
+        match self._attempts.get(work.ask):
+            case Attempt.EARLY:
+                return len(self._queue) == 1
+            case Attempt.RETURNED:
+                return self._queue[0].ask == work.ask
+            case _:
+                return True
+
     def _candidates(
         self, work: m.Work, now: float
     ) -> tuple[list[SlotTarget], list[SlotTarget]]:
@@ -464,7 +569,12 @@
         self._start(target, work, now)
         wait = round(now - work.received_at, 4)
         limited = self._capacity.limited_count
-        self._decisions.append(m.Grant(work, target.name, wait, costs, limited))
+        grant = m.Grant(work, target.name, wait, costs, limited)
+        if self._return_plan:
+            attempt = self._attempts.pop(work.ask, Attempt.FIRST)
+            used = self._return_plan.record_grant(work)
+            grant = replace(grant, attempt=attempt, used_place=used)
+        self._decisions.append(grant)
 
     def _start(self, target: SlotTarget, work: m.Work, now: float) -> None:
         selector = self._selector
@@ -487,14 +597,42 @@
         Each request was the last of its class when it arrived; since then only higher
         ranks can have delayed it, and the last one is the first to miss its deadline.
         """
-        for work in self._queue.expired(now):
-            self._refuse(work, self._wait_estimator.seconds(work, now), now)
+        self._expire_due(now)
         for priority in self._queue.priority_classes():
             while work := self._queue.last_of_class(priority):
                 wait = self._wait_estimator.seconds(work, now)
                 if now + wait < self._queue.deadline(work.ask):
                     break
-                self._refuse(work, wait, now)
+                if not self._grant_while_half_free(work, now):
+                    self._refuse(work, wait, now)
+
+    def _expire_due(self, now: float) -> None:
+        """Refuse requests that are past their deadline."""
+        for work in self._queue.expired(now):
+            if not self._grant_while_half_free(work, now):
+                self._refuse(work, self._wait_estimator.seconds(work, now), now)
+
+    def _refuse_unplaced(self, now: float) -> None:
+        """Refuse requests that returned without a place and could not be granted.
+
+        They are not held a second time.
+        """
+        unplaced = [a for a, kind in self._attempts.items() if kind in _UNPLACED]
+        for ask in unplaced:
+            work = self._queue.get(ask)
+            if work is None:
+                del self._attempts[ask]
+            elif not self._grant_while_half_free(work, now):
+                self._refuse(work, 0.0, now)
+
+    def _grant_while_half_free(self, work: m.Work, now: float) -> bool:
+        """Grant a request rather than refuse it while half of the slots are free."""
+        if not self._return_plan or not self._has_free_slot(now):
+            return False
+        limit = FREE_SHARE_WITHOUT_REFUSALS * self._partition.slots(now)
+        return len(self._target_by_ask) <= limit and self._try_grant(
+            work, now, force=True
+        )
 
     def _update_capacity(self, now: float) -> None:
         """Update the pool's service rate and slowness, at most once per interval."""
@@ -506,16 +644,43 @@
 
     def _refuse(self, work: m.Work, wait: float, now: float) -> None:
         self._queue.remove(work.ask)
-        self._refused_requests.record(work)
         self.counts.refused += 1
+        if self._return_plan:
+            self._refuse_planned(work, now)
+            return
+        self._refused_requests.record(work)
         # A standby dispatcher is used for a short time only.
         start_delay = 0.0 if self.is_standby else self._capacity.start_delay(now)
         seconds = retry_after(wait, start_delay)
         limited = self._capacity.limited_count
         self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, seconds, limited))
 
+    def _refuse_planned(self, work: m.Work, now: float) -> None:
+        """Refuse a request with a planned time for its caller's return."""
+        attempt = self._attempts.pop(work.ask, Attempt.FIRST)
+        named = self._return_plan.refuse(
+            Arrival(work, attempt),
+            self._selector.service_seconds(work),
+            now,
+            self._capacity.service_rate,
+            start_delay=self._capacity.start_delay(now),
+            only_spare=self._is_late(work, work.received_at),
+        )
+        self._decisions.append(
+            m.Refuse(
+                work,
+                m.RefusalReason.LOAD,
+                named.retry_after,
+                self._capacity.limited_count,
+                attempt,
+                named.place_s,
+                named.place_seconds,
+            )
+        )
+
     def _remove_request(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
+        self._attempts.pop(ask, None)
         self._grant_monitor.forget(ask)
         target = self._targets.get(self._target_by_ask.pop(ask, ""))
         if target:
--- a/hibiscusstep/routing/wait_limits.py
+++ b/hibiscusstep/routing/wait_limits.py
@@ -3,7 +3,7 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.switches import Switches
 
-__all__ = ["MAX_RETRY_AFTER_S", "retry_after", "wait_deadline"]
+__all__ = ["MAX_RETRY_AFTER_S", "early_deadline", "retry_after", "wait_deadline"]
 
 # Overload occurs in bursts of some seconds; an earlier retry is refused again.
 MIN_RETRY_AFTER_S = 2.0
@@ -12,6 +12,12 @@
 # and this maximum, since callers without a first event leave after 2 s or more.
 LATE_WAIT_SHARE = 0.5
 MAX_LATE_WAIT_S = 1.5
+# Where returns are planned, a request waits for this share of its objective. Callers
+# should hear a refusal within a quarter of it; the rest is for ticks and messages.
+EARLY_WAIT_SHARE = 0.2
+# It waits at least until this many slots are expected to become free. Otherwise the
+# queue of a small pool would be empty when a slot becomes free.
+MIN_SLOTS_AWAITED = 2
 
 
 def wait_deadline(
@@ -44,6 +50,34 @@
     return max(work.received_at, work.first_token_due - serve_seconds)
 
 
+def early_deadline(
+    work: m.Work, serve_seconds: float, late: bool, slot_interval: float
+) -> float:
+    """Return until when a request waits where returns are planned.
+
+    Parameters
+    ----------
+    work : Work
+        The request.
+    serve_seconds : float
+        Seconds from its start within which most such requests are served.
+    late : bool
+        Whether it can no longer be served in time.
+    slot_interval : float
+        Mean seconds until the next slot is free.
+    """
+    objective = work.first_token_due - work.received_at
+    if not work.first_token_due or objective <= 0 or work.avoid:
+        # The instance's own limit, which does not depend on the time left.
+        return work.deadline
+    early = work.received_at + EARLY_WAIT_SHARE * objective
+    if late:
+        return early
+    latest = max(work.received_at, work.first_token_due - serve_seconds)
+    by_slots = work.received_at + MIN_SLOTS_AWAITED * slot_interval
+    return min(latest, max(early, by_slots))
+
+
 def retry_after(wait: float, start_delay: float = 0.0) -> float:
     """Return the seconds after which a refused caller should retry.
 
