--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -134,6 +134,11 @@
         Seconds after a restart in which each instance uses its standby dispatcher.
     limits : tuple of TargetLimit
         Limits that targets name.
+    plans_returns : bool
+        Whether the pool's plan calls for planned returns.
+    at_once_share : float
+        Share of the callers that ignore Retry-After: they retry at once, three times as
+        often as the others.
     """
 
     slowness: tuple[float, ...]
@@ -151,6 +156,8 @@
     instances: int = 20
     standby_seconds: float = 0.0
     limits: tuple[TargetLimit, ...] = ()
+    plans_returns: bool = False
+    at_once_share: float = 0.0
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -1,7 +1,7 @@
 """hibiscusstep.load.experiment: measures the gain of mechanisms in emulated pools."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import fields
+from dataclasses import fields, replace
 
 import numpy as np
 
@@ -18,7 +18,12 @@
 
 
 def run_experiment(
-    deployments: Iterable[int], seeds: Sequence[int], variants: Sequence[str] = ()
+    deployments: Iterable[int],
+    seeds: Sequence[int],
+    variants: Sequence[str] = (),
+    *,
+    plans_returns: bool = False,
+    at_once_share: float = 0.0,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -31,6 +36,10 @@
     variants : sequence of str
         Mechanisms disabled in each variant, separated by commas. Empty for one variant
         per mechanism and one with all of them disabled.
+    plans_returns : bool
+        Whether the pools' plans call for planned returns.
+    at_once_share : float
+        Share of the callers that retry at once instead of waiting as told.
 
     Raises
     ------
@@ -43,7 +52,11 @@
     }
     runs: dict[str, dict[str, float]] = {off: {} for off in chosen}
     for number in deployments:
-        deployment = draw_deployment(number)
+        deployment = replace(
+            draw_deployment(number),
+            plans_returns=plans_returns,
+            at_once_share=at_once_share,
+        )
         for seed in seeds:
             for off, switches in chosen.items():
                 outcomes = PoolEmulator(deployment, seed, switches).run()
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -41,6 +41,10 @@
 LATE_VALUE = 0.1
 # Retries of a refused request.
 MAX_RETRIES = 1
+# Retries of a caller that ignores Retry-After, and its delay: a new connection.
+MAX_RETRIES_AT_ONCE, AT_ONCE_S = 3, 0.02
+# Multiples of it, modulo 1, are spread evenly over the requests.
+GOLDEN_RATIO = (5**0.5 - 1) / 2
 # Share of the objective that a request may wait in the queue.
 QUEUE_WAIT_SHARE = 0.25
 WINDOW_S = 2.0
@@ -67,6 +71,7 @@
     began: float
     instance: str
     retries: int = 0
+    retries_at_once: bool = False
     ask: str = ""
     job: Job | None = None
     target: str = ""
@@ -95,6 +100,9 @@
         All requests by rank, and those answered in time or late.
     arrivals : dict of str to list of float
         Times at which requests arrived at each target.
+    refused_callers, served_after_refusal : dict of bool to int
+        Callers whose first attempt was refused, and those of them that were answered
+        later, by whether they retry at once.
     """
 
     possible_value: dict[float, float] = field(
@@ -107,11 +115,20 @@
     asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     served: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    refused_callers: dict[bool, int] = field(default_factory=lambda: defaultdict(int))
+    served_after_refusal: dict[bool, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
 
     def share_served(self, rank: int) -> float:
         """Return the share of a rank's requests that were answered."""
         return self.served[rank] / max(1, self.asked[rank])
 
+    def share_served_after_refusal(self, *, at_once: bool) -> float:
+        """Return the share of refused callers that were answered later."""
+        refused = max(1, self.refused_callers[at_once])
+        return self.served_after_refusal[at_once] / refused
+
     @property
     def all_served(self) -> float:
         """Share of all requests that were answered."""
@@ -225,7 +242,13 @@
             name: PlannedTarget(d.slots, rate_limit=limit)
             for name, limit in self._known_limits.items()
         }
-        pool = PlannedPool(True, d.tokens_per_event, d.max_pause, targets)
+        pool = PlannedPool(
+            True,
+            d.tokens_per_event,
+            d.max_pause,
+            targets,
+            planned_returns=d.plans_returns,
+        )
         return DispatchPlan({POOL: pool})
 
     def _hear_limit(self, name: str) -> None:
@@ -294,6 +317,9 @@
         number = next(self._numbers)
         instance = self._instances[number % len(self._instances)]
         request = _Request(number, kind, prompt, output, hint, self._now, instance)
+        request.retries_at_once = (
+            number * GOLDEN_RATIO % 1 < self._deployment.at_once_share
+        )
         self._result.possible_value[self._window_start(request)] += 1.0
         self._result.asked[kind.rank] += 1
         self._schedule(
@@ -406,6 +432,9 @@
         self._result.counts[how] += 1
         self._result.achieved_value[self._window_start(request)] += value
         self._result.served[request.kind.rank] += value > 0
+        if request.retries:
+            at_once = request.retries_at_once
+            self._result.served_after_refusal[at_once] += value > 0
         self._release(
             request, m.GrantOutcome.DONE if value else m.GrantOutcome.CANCELLED
         )
@@ -432,8 +461,11 @@
         if request.ended or request.ask != refusal.work.ask:
             return
         left = request.began + request.kind.deadline - self._now
-        wait = min(refusal.retry_after, left / 3)
-        if request.retries >= MAX_RETRIES or left <= 0:
+        at_once = request.retries_at_once
+        wait = AT_ONCE_S if at_once else min(refusal.retry_after, left / 3)
+        self._result.refused_callers[at_once] += not request.retries
+        max_retries = MAX_RETRIES_AT_ONCE if at_once else MAX_RETRIES
+        if request.retries >= max_retries or left <= 0:
             self._end_request(request, "refused", 0.0)
             return
         request.retries += 1
--- a/hibiscusstep/routing/return_plan.py
+++ b/hibiscusstep/routing/return_plan.py
@@ -46,6 +46,10 @@
 # Time constant of the rate of arriving work: long compared with the intervals between
 # requests, short compared with bursts of 5 to 11 s.
 DEMAND_TIME_S = 1.0
+# Time constant of the measured service of a busy pool, and the weight of the estimate,
+# in seconds of busy time.
+BUSY_TIME_S = 4.0
+BUSY_PRIOR_S = 0.5
 # Refused callers are recognized for this long. They return within `MAX_HORIZON_S`.
 MEMORY_S = 10.0
 # Refused callers that are recognized: 1,600 refusals a second for `MEMORY_S`, and some.
@@ -124,6 +128,38 @@
     bins: list[tuple[int, float]] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _BusyService:
+    """Ratio of a pool's measured to its estimated service while requests wait.
+
+    The estimates of the requests' service times may be wrong by a common factor. With
+    estimates of a third of the true times, all refused callers got places, and three
+    of ten were refused in their place.
+    """
+
+    _granted: float = 0.0
+    _estimated: float = 0.0
+    _busy_since: float = math.inf
+
+    def record_grant(
+        self, seconds: float, now: float, service_rate: float, is_busy: bool
+    ) -> None:
+        """Record a grant and whether requests wait after it."""
+        passed = now - self._busy_since
+        if passed >= 0:
+            kept = math.exp(-passed / BUSY_TIME_S)
+            self._granted = kept * self._granted + seconds
+            self._estimated = kept * self._estimated + service_rate * passed
+        self._busy_since = now if is_busy else math.inf
+
+    def ratio(self, service_rate: float) -> float:
+        """Return the ratio; 1 without observations."""
+        prior = BUSY_PRIOR_S * service_rate
+        if not prior:
+            return 1.0
+        return (self._granted + prior) / (self._estimated + prior)
+
+
 def _never_above_share(_rank: int, _customer: str) -> bool:
     return False
 
@@ -164,6 +200,7 @@
         self._refused_by_customer: Counter[str] = Counter()
         self._weights: dict[str, float] = {}
         self._booked_by_customer: dict[str, float] = defaultdict(float)
+        self._busy_service = _BusyService()
         self._demand = 0.0
         self._demand_at = 0.0
         self._current_bin = 0
@@ -209,11 +246,33 @@
         self._use(caller)
         return Arrival(work, Attempt.IN_PLACE)
 
-    def record_grant(self, work: m.Work) -> bool:
+    def record_grant(
+        self,
+        work: m.Work,
+        seconds: float,
+        now: float,
+        service_rate: float,
+        *,
+        is_busy: bool,
+    ) -> bool:
         """Record a grant; return whether the caller's place is used up.
 
         If it is granted before its place, the seconds booked are available again.
+
+        Parameters
+        ----------
+        work : Work
+            The granted request.
+        seconds : float
+            Its estimated service.
+        now : float
+            The time.
+        service_rate : float
+            Seconds of service that the pool performs a second, by the estimates.
+        is_busy : bool
+            Whether other requests wait.
         """
+        self._busy_service.record_grant(seconds, now, service_rate, is_busy)
         caller = self._callers.get(work.identity)
         if caller is None:
             return False
@@ -246,7 +305,7 @@
         now : float
             The time.
         service_rate : float
-            Seconds of service that the pool performs a second.
+            Seconds of service that the pool performs a second, by the estimates.
         start_delay : float
             Seconds in which no target accepts any request.
         only_spare : bool
@@ -344,6 +403,7 @@
         A request that needs more than a bin has takes the rest of several bins, and its
         place is in the last one.
         """
+        service_rate *= self._busy_service.ratio(service_rate)
         spare = service_rate - self.demand(now)
         if not only_spare:
             spare = max(spare, MIN_PLACE_SHARE * service_rate)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -572,7 +572,13 @@
         grant = m.Grant(work, target.name, wait, costs, limited)
         if self._return_plan:
             attempt = self._attempts.pop(work.ask, Attempt.FIRST)
-            used = self._return_plan.record_grant(work)
+            used = self._return_plan.record_grant(
+                work,
+                self._selector.service_seconds(work),
+                now,
+                self._capacity.service_rate,
+                is_busy=bool(self._queue),
+            )
             grant = replace(grant, attempt=attempt, used_place=used)
         self._decisions.append(grant)
 
--- a/tests/dispatcher_run.py
+++ b/tests/dispatcher_run.py
@@ -28,10 +28,11 @@
     customer: int
     began: float
     identity: int
+    seconds: float
     attempts: list[tuple[float, float, bool]] = field(default_factory=list)
     received: float = 0.0
-    retry_after: float = 0.0
     place_s: float = 0.0
+    retries_at_once: bool = False
 
     @property
     def served(self) -> bool:
@@ -39,16 +40,29 @@
 
 
 class DispatcherRun:
-    """One run; `retries_at_once` callers ignore Retry-After and try three times."""
-
-    def __init__(self, seed, switches, retries_at_once=0.0, plan_options=None):
-        # Two sequences, so that the arrivals do not depend on the decisions.
+    """One run; a share of the callers retries at once, three times."""
+
+    def __init__(
+        self,
+        seed,
+        switches,
+        *,
+        at_once_share=0.0,
+        targets=TARGETS,
+        slots=SLOTS,
+        load=LOAD,
+        large_factor=LARGE_FACTOR,
+        objective=OBJECTIVE_S,
+        pool_options=None,
+    ):
         self._rng = random.Random(seed)
-        self._service_rng = random.Random(seed + 1000)
-        self._retries_at_once = retries_at_once
-        targets = {f"t{n}": PlannedTarget(SLOTS) for n in range(TARGETS)}
-        options = plan_options or {"planned_returns": True}
-        pool = PlannedPool(True, targets=targets, **options)
+        self._at_once_share = at_once_share
+        self._usual_rate = load * targets * slots / CUSTOMERS
+        self._large_factor = large_factor
+        self._objective = objective
+        planned = {f"t{n}": PlannedTarget(slots) for n in range(targets)}
+        options = {"planned_returns": True} | (pool_options or {})
+        pool = PlannedPool(True, targets=planned, **options)
         self.dispatcher = SlotDispatcher(
             POOL, DispatchPlan({POOL: pool}), switches=switches
         )
@@ -78,28 +92,31 @@
 
     def _next_arrival(self, customer, now):
         """Draw at the highest rate and thin out, as the rate changes during the run."""
-        usual = LOAD * TARGETS * SLOTS / CUSTOMERS
-        while (now := now + self._rng.expovariate(LARGE_FACTOR * usual)) < RUN_S:
+        factor = self._large_factor
+        while (now := now + self._rng.expovariate(factor * self._usual_rate)) < RUN_S:
             is_large = customer < LARGE_CUSTOMERS
             is_large &= LARGE_START_S <= now < LARGE_END_S
-            if is_large or self._rng.random() < 1 / LARGE_FACTOR:
+            if is_large or self._rng.random() < 1 / factor:
                 self._at(now, self._arrive, customer)
                 return
 
     def _arrive(self, now, customer):
         self._next_arrival(customer, now)
-        call = Call(len(self.calls), customer, now, self._rng.getrandbits(62) + 1)
+        # Drawn at the arrival, so that the load does not depend on the decisions.
+        identity, seconds = self._rng.getrandbits(62) + 1, self._rng.uniform(0.6, 1.4)
+        call = Call(len(self.calls), customer, now, identity, seconds)
+        call.retries_at_once = identity % 100 < 100 * self._at_once_share
         self.calls.append(call)
         self._submit(now, call)
 
     def _submit(self, now, call):
         call.received = now
-        patience = 1.0 if call.attempts else OBJECTIVE_S
+        patience = 1.0 if call.attempts else self._objective
         ask = f"{call.number}.{len(call.attempts)}"
         self._open[ask] = call
         work = m.Work(
             ask, ask, "i", f"c{call.customer}", "0", 0, 500, 100, now + patience, now,
-            first_token_due=call.began + OBJECTIVE_S,
+            first_token_due=call.began + self._objective,
             answer_due=call.began + ANSWER_S,
             identity=call.identity,
         )  # fmt: skip
@@ -108,10 +125,10 @@
     def _execute(self, decisions, now):
         for decision in decisions:
             if isinstance(decision, m.Grant):
-                call = self._open[decision.work.ask]
-                call.attempts.append((call.received, now, True))
-                seconds = self._service_rng.uniform(0.6, 1.4)
                 ask = decision.work.ask
+                call = self._open[ask]
+                call.attempts.append((call.received, now, True))
+                seconds = call.seconds
                 self._at(now + 0.1, self._tell, m.FirstToken(ask, 0.1))
                 done = m.Finished(ask, m.GrantOutcome.DONE, 100, seconds - 0.1)
                 self._at(now + seconds, self._finish, done)
@@ -129,11 +146,11 @@
         call = self._open.pop(refusal.work.ask)
         call.attempts.append((call.received, now, False))
         self.refusals.append((len(call.attempts), refusal))
-        at_once = call.identity % 100 < 100 * self._retries_at_once
+        at_once = call.retries_at_once
         if len(call.attempts) > (3 if at_once else 1):
             return
         if not at_once:
-            call.retry_after, call.place_s = refusal.retry_after, refusal.place_s
+            call.place_s = refusal.place_s
         left = call.began + ANSWER_S - now
         wait = 0.05 if at_once else min(refusal.retry_after, left / 3)
         self._at(now + wait, self._submit, call)
@@ -147,7 +164,7 @@
         """Return the share of first attempts whose first token is in time."""
         chosen = [call for call in self.calls if call.customer >= first]
         in_time = (
-            call.served and call.attempts[-1][1] + 0.1 - call.began <= OBJECTIVE_S
+            call.served and call.attempts[-1][1] + 0.1 - call.began <= self._objective
             for call in chosen
         )
         return sum(in_time) / len(chosen)
