--- a/hibiscusstep/routing/return_plan.py
+++ b/hibiscusstep/routing/return_plan.py
@@ -198,7 +198,9 @@
         self._callers: OrderedDict[int, _RefusedCaller] = OrderedDict()
         self._place_ends: list[tuple[float, int]] = []
         self._refused_by_customer: Counter[str] = Counter()
+        # Weights of the customers with refused callers, and their sum.
         self._weights: dict[str, float] = {}
+        self._total_weight = 0.0
         self._booked_by_customer: dict[str, float] = defaultdict(float)
         self._busy_service = _BusyService()
         self._demand = 0.0
@@ -388,6 +390,7 @@
         self._refused_by_customer[caller.customer] += 1
         if caller.customer not in self._weights:
             self._weights[caller.customer] = self._weight_share(caller.customer)
+            self._total_weight = sum(self._weights.values())
 
     def _book(
         self,
@@ -438,7 +441,7 @@
         booked = self._booked_by_customer.get(caller.customer, 0.0)
         if not booked:
             return True
-        share = self._weights[caller.customer] / sum(self._weights.values())
+        share = self._weights[caller.customer] / self._total_weight
         return booked + caller.seconds <= share * available
 
     def _open(self, caller: _RefusedCaller) -> None:
@@ -495,6 +498,7 @@
         if not self._refused_by_customer[caller.customer]:
             del self._refused_by_customer[caller.customer]
             del self._weights[caller.customer]
+            self._total_weight = sum(self._weights.values())
 
     def _next_spread(self) -> float:
         """Return the next of a sequence spread evenly over 0 to 1."""
