--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -125,10 +125,20 @@
 @click.option("--seeds", default="1", show_default=True, help="Of callers, by comma.")
 @click.option("--off", "variants", multiple=True, help="Mechanisms, by comma.")
 @click.option("--customers", default=1, help="Customers, one of which floods the pool.")
+@click.option("--plan-returns", is_flag=True, help="Pools that plan returns.")
+@click.option(
+    "--at-once", default=0.0, show_default=True, help="Share of callers retrying so."
+)
 @click.option("--out", type=click.Path(path_type=Path), help="Write the runs as JSON.")
 @one_line_errors
 def experiment(
-    deployments: str, seeds: str, variants, customers: int, out: Path | None
+    deployments: str,
+    seeds: str,
+    variants,
+    customers: int,
+    plan_returns: bool,
+    at_once: float,
+    out: Path | None,
 ) -> None:
     """Emulate random deployments with mechanisms on and off.
 
@@ -137,8 +147,14 @@
     """
     first, _, last = deployments.partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    caller_seeds = [int(seed) for seed in seeds.split(",")]
-    runs = run_experiment(numbers, caller_seeds, variants, customers)
+    runs = run_experiment(
+        numbers,
+        [int(seed) for seed in seeds.split(",")],
+        variants,
+        customers,
+        plans_returns=plan_returns,
+        at_once_share=at_once,
+    )
     for line in gain_table(runs):
         click.echo(line)
     if out:
--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -164,6 +164,11 @@
         Usual share of the requests that each customer sends, also its weight.
     flood : CustomerFlood or None
         Period in which a customer sends far more, if any.
+    plans_returns : bool
+        Whether the pool's plan calls for planned returns.
+    at_once_share : float
+        Share of the callers that ignore Retry-After: they retry at once, three times as
+        often as the others.
     """
 
     slowness: tuple[float, ...]
@@ -183,6 +188,8 @@
     limits: tuple[TargetLimit, ...] = ()
     customers: tuple[float, ...] = (1.0,)
     flood: CustomerFlood | None = None
+    plans_returns: bool = False
+    at_once_share: float = 0.0
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -1,7 +1,7 @@
 """hibiscusstep.load.experiment: measures the gain of mechanisms in emulated pools."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import fields
+from dataclasses import fields, replace
 
 import numpy as np
 
@@ -22,6 +22,9 @@
     seeds: Sequence[int],
     variants: Sequence[str] = (),
     customers: int = 1,
+    *,
+    plans_returns: bool = False,
+    at_once_share: float = 0.0,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -36,6 +39,10 @@
         per mechanism and one with all of them disabled.
     customers : int
         Number of customers, of which one floods the pool; 1 for no flood.
+    plans_returns : bool
+        Whether the pools' plans call for planned returns.
+    at_once_share : float
+        Share of the callers that retry at once instead of waiting as told.
 
     Raises
     ------
@@ -48,7 +55,11 @@
     }
     runs: dict[str, dict[str, float]] = {off: {} for off in chosen}
     for number in deployments:
-        deployment = draw_deployment(number, customers)
+        deployment = replace(
+            draw_deployment(number, customers),
+            plans_returns=plans_returns,
+            at_once_share=at_once_share,
+        )
         for seed in seeds:
             for off, switches in chosen.items():
                 outcomes = PoolEmulator(deployment, seed, switches).run()
