--- a/hibiscusstep/routing/return_plan.py
+++ b/hibiscusstep/routing/return_plan.py
@@ -10,7 +10,7 @@
 import math
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from hibiscusstep.routing import messages as m
 
@@ -125,7 +125,7 @@
     has_place: bool = False
     used: bool = False
     granted_request: str = ""
-    bins: list[tuple[int, float]] = field(default_factory=list)
+    bins: tuple[tuple[int, float], ...] = ()
 
 
 @dataclass(slots=True)
@@ -362,7 +362,7 @@
         if place.used:
             return
         place_bin = max(self._current_bin, _bin_at(place.starts_at))
-        caller.bins = [(place_bin, place.seconds)]
+        caller.bins = ((place_bin, place.seconds),)
         self._open(caller)
         heapq.heappush(
             self._place_ends, (place.starts_at + LATE_TOLERANCE_S, place.identity)
@@ -426,7 +426,7 @@
             needed -= taken
             if needed <= 0:
                 caller.starts_at = (number + self._next_spread()) * BIN_S
-                caller.bins = bins
+                caller.bins = tuple(bins)
                 self._open(caller)
                 self.counts.booked += 1
                 return True
@@ -469,7 +469,7 @@
         for number, seconds in caller.bins:
             if number in self._booked:
                 self._booked[number] -= seconds
-        caller.bins = []
+        caller.bins = ()
 
     def _advance(self, now: float) -> None:
         """Drop past bins, places that are over and callers refused long ago."""
