--- a/hibiscusstep/routing/fair_shares.py
+++ b/hibiscusstep/routing/fair_shares.py
@@ -28,13 +28,6 @@
 # A rank is contended if less than this share of the seconds that are asked for is
 # granted. Requests that wait at the moment account for the difference to 1.
 CONTENDED_SHARE = 0.95
-# A customer may be this many seconds of its share behind the virtual time of the rank.
-# Requests of a customer within its share arrive in irregular groups: at 0.6 of the share
-# and without this allowance, one in eight would wait for two intervals or more.
-ALLOWANCE_S = 1.0
-# A customer that asks for more than this multiple of its share is expected to do so for
-# a while. Less is common in irregular arrivals.
-HEAVY_FACTOR = 1.3
 # The sums over the backlogs are updated after so many changes, or after one for this
 # share of the customers. The cost of a change then grows only with the logarithm of
 # their number.
@@ -218,11 +211,9 @@
         account = self._account(shares, customer)
         account.granted += seconds * self._scale
         shares.granted += seconds * self._scale
-        start = account.virtual_time
+        start = max(account.virtual_time, shares.virtual_time)
         if account.queued:
             shares.order.remove(self._key(customer, account))
-        else:
-            start = max(start, self._least(shares))
         account.virtual_time = start + seconds / account.weight
         if account.queued:
             shares.order.add(self._key(customer, account))
@@ -236,7 +227,7 @@
         shares = self._of_rank(rank)
         account = self._account(shares, customer)
         if not account.queued:
-            account.virtual_time = max(account.virtual_time, self._least(shares))
+            account.virtual_time = max(account.virtual_time, shares.virtual_time)
             account.number = next(self._numbers)
             shares.order.add(self._key(customer, account))
         account.queued += 1
@@ -305,9 +296,12 @@
         possible = sums.possible.at(start) - counted * max(0.0, start - first)
         beyond = sums.beyond.at(start) - counted * max(0.0, start - end)
         possible, queued = max(0.0, possible), max(0.0, possible - beyond)
+        light = sums.light_asked
         if account.asked <= sums.light_limit * weight:
+            light -= account.asked
+        if light <= 0:
             return own + queued
-        left = shares.granted - sums.light_asked
+        left = shares.granted - light
         with_arrivals = (own + queued) * shares.granted / left if left > 0 else math.inf
         return min(with_arrivals, own + possible)
 
@@ -324,13 +318,6 @@
         longest = sorted(backlogs, key=lambda c: -backlogs[c] / self.weight(c))
         return {name: round(backlogs[name], 2) for name in longest[:count]}
 
-    def _least(self, shares: _RankShares) -> float:
-        """Return the least virtual time at which a customer without requests starts."""
-        if self._seen_weight <= 0:
-            return shares.virtual_time
-        granted_per_s = shares.granted / self._scale / DECAY_TIME_S
-        return shares.virtual_time - ALLOWANCE_S * granted_per_s / self._seen_weight
-
     def _of_rank(self, rank: int) -> _RankShares:
         shares = self._ranks.get(rank)
         if shares is None:
@@ -362,13 +349,12 @@
 
     def _sum_backlogs(self, shares: _RankShares) -> _Backlogs:
         light_asked, light_limit = self._light_customers(shares)
-        least = self._least(shares)
         intervals = {}
         for customer, account in shares.accounts.items():
             if not account.queued and customer not in self._seen:
                 continue
             weight = account.weight
-            start = max(account.virtual_time, least)
+            start = max(account.virtual_time, shares.virtual_time)
             end = start
             if account.queued:
                 # Of two customers at the same virtual time either one may be first, so
@@ -399,12 +385,13 @@
         )
         weights = sum(weight for _asked, weight in asked)
         granted = shares.granted / CONTENDED_SHARE
-        light = 0.0
+        light, limit = 0.0, 0.0
         for per_weight, weight in asked:
             if per_weight * weights > granted - light:
-                return light, HEAVY_FACTOR * (granted - light) / weights
+                return light, limit
             light += per_weight * weight
             weights -= weight
+            limit = per_weight
         return light, math.inf
 
     def _advance(self, customer: str, now: float) -> None:
