--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -128,6 +128,11 @@
 @click.option(
     "--at-once", default=0.0, show_default=True, help="Share of callers retrying so."
 )
+@click.option(
+    "--due-from-return",
+    is_flag=True,
+    help="Returned callers are due after the last try.",
+)
 @click.option("--out", type=click.Path(path_type=Path), help="Write the runs as JSON.")
 @one_line_errors
 def experiment(
@@ -136,6 +141,7 @@
     variants,
     plan_returns: bool,
     at_once: float,
+    due_from_return: bool,
     out: Path | None,
 ) -> None:
     """Emulate random deployments with mechanisms on and off.
@@ -151,6 +157,7 @@
         variants,
         plans_returns=plan_returns,
         at_once_share=at_once,
+        due_from_return=due_from_return,
     )
     for line in gain_table(runs):
         click.echo(line)
--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -139,6 +139,9 @@
     at_once_share : float
         Share of the callers that ignore Retry-After: they retry at once, three times as
         often as the others.
+    due_from_return : bool
+        Whether an answer to a returned caller is in time within one objective of its
+        last attempt, instead of its first.
     """
 
     slowness: tuple[float, ...]
@@ -158,6 +161,7 @@
     limits: tuple[TargetLimit, ...] = ()
     plans_returns: bool = False
     at_once_share: float = 0.0
+    due_from_return: bool = False
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -24,6 +24,7 @@
     *,
     plans_returns: bool = False,
     at_once_share: float = 0.0,
+    due_from_return: bool = False,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -40,6 +41,8 @@
         Whether the pools' plans call for planned returns.
     at_once_share : float
         Share of the callers that retry at once instead of waiting as told.
+    due_from_return : bool
+        Whether an answer to a returned caller is in time by its last attempt.
 
     Raises
     ------
@@ -56,6 +59,7 @@
             draw_deployment(number),
             plans_returns=plans_returns,
             at_once_share=at_once_share,
+            due_from_return=due_from_return,
         )
         for seed in seeds:
             for off, switches in chosen.items():
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -420,7 +420,9 @@
 
     def _finish(self, request: _Request) -> None:
         kind = request.kind
-        in_time = request.first <= request.began + kind.objective
+        from_return = self._deployment.due_from_return
+        began = request.asked if from_return else request.began
+        in_time = request.first <= began + kind.objective
         in_time &= request.longest_pause <= self._deployment.max_pause
         value = 1.0 if in_time else LATE_VALUE
         self._end_request(request, "in time" if in_time else "late", value)
--- a/tests/test_planned_returns.py
+++ b/tests/test_planned_returns.py
@@ -462,6 +462,10 @@
         assert sum(run.counts.values()) == sum(run.asked.values())
         assert sum(run.refused_callers.values()) > 50
 
+    def test_returned_callers_can_be_in_time_by_their_last_attempt(self):
+        from_first = self._run().counts["in time"]
+        assert self._run(due_from_return=True).counts["in time"] > from_first
+
     def test_the_experiment_has_them(self):
         options = {"plans_returns": True, "at_once_share": 0.3}
         planned = run_experiment([1], [1], ["planned_returns"], **options)
