Planned returns with fair shares: waits within a share, and a measured service rate

Estimates of the service rate that were ten times too high gave a place to nearly every refused caller, since half a second of the estimated service counted beside what was measured; and customers within their share were refused after a fifth of their objective although their turn was near. Change: 20 requests count beside the measured service of a busy pool. A request of a customer within its share, with the allowance for irregular arrivals, waits as long as it can be in time.

--- a/hibiscusstep/routing/fair_shares.py
+++ b/hibiscusstep/routing/fair_shares.py
@@ -176,7 +176,7 @@
         if account is None or shares.granted >= CONTENDED_SHARE * shares.asked:
             return False
         share = self.weight_share(customer)
-        return share < 1 and max(account.asked, account.granted) > (
+        return share < 1 and max(account.asked, account.granted) > HEAVY_FACTOR * (
             share * shares.granted
         )
 
--- a/hibiscusstep/routing/return_plan.py
+++ b/hibiscusstep/routing/return_plan.py
@@ -46,10 +46,10 @@
 # Time constant of the rate of arriving work: long compared with the intervals between
 # requests, short compared with bursts of 5 to 11 s.
 DEMAND_TIME_S = 1.0
-# Time constant of the measured service of a busy pool, and the weight of the estimate,
-# in seconds of busy time.
+# Time constant of the measured service of a busy pool, and the number of granted
+# requests with which the estimate counts beside it.
 BUSY_TIME_S = 4.0
-BUSY_PRIOR_S = 0.5
+BUSY_PRIOR_REQUESTS = 20
 # Refused callers are recognized for this long. They return within `MAX_HORIZON_S`.
 MEMORY_S = 10.0
 # Refused callers that are recognized: 1,600 refusals a second for `MEMORY_S`, and some.
@@ -140,11 +140,14 @@
     _granted: float = 0.0
     _estimated: float = 0.0
     _busy_since: float = math.inf
+    _mean_seconds: float = 0.0
 
     def record_grant(
         self, seconds: float, now: float, service_rate: float, is_busy: bool
     ) -> None:
         """Record a grant and whether requests wait after it."""
+        weight = 1 / BUSY_PRIOR_REQUESTS if self._mean_seconds else 1.0
+        self._mean_seconds += weight * (seconds - self._mean_seconds)
         passed = now - self._busy_since
         if passed >= 0:
             kept = math.exp(-passed / BUSY_TIME_S)
@@ -154,7 +157,7 @@
 
     def ratio(self, service_rate: float) -> float:
         """Return the ratio; 1 without observations."""
-        prior = BUSY_PRIOR_S * service_rate
+        prior = BUSY_PRIOR_REQUESTS * self._mean_seconds
         if not prior:
             return 1.0
         return (self._granted + prior) / (self._estimated + prior)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -302,8 +302,18 @@
             self._attempts[work.ask] = attempt
             in_place = attempt is Attempt.IN_PLACE
             queue_class = QueueClass.RETURNING if in_place else QueueClass.LATE
-        bound = self._selector.serve_time_bound(work)
-        deadline = early_deadline(work, bound, late, self._capacity.slot_interval)
+        within_share = (
+            attempt is Attempt.FIRST
+            and self._shares is not None
+            and not self._shares.is_above_share(work.rank, work.customer)
+        )
+        deadline = early_deadline(
+            work,
+            self._selector.serve_time_bound(work),
+            late,
+            self._capacity.slot_interval,
+            within_share=within_share,
+        )
         self._queue.add(work, seconds, deadline, queue_class)
 
     def _is_late(self, work: m.Work, now: float) -> bool:
--- a/hibiscusstep/routing/target_selector.py
+++ b/hibiscusstep/routing/target_selector.py
@@ -182,7 +182,7 @@
             ratio = (now - run.granted) / run.service_seconds
             self._service_times.observe(ratio / target.slowness)
             target.observe(ratio)
-        elif finished.tokens >= MIN_EVENTS and finished.decode_seconds > 0:
+        elif finished.tokens >= MIN_EVENTS:
             # The rate of events measures the speed of the target. The rest of the
             # answer's time depends more on the target's other requests.
             steps = (finished.tokens - 1) * self._tokens_per_event
--- a/hibiscusstep/routing/wait_limits.py
+++ b/hibiscusstep/routing/wait_limits.py
@@ -51,7 +51,12 @@
 
 
 def early_deadline(
-    work: m.Work, serve_seconds: float, late: bool, slot_interval: float
+    work: m.Work,
+    serve_seconds: float,
+    late: bool,
+    slot_interval: float,
+    *,
+    within_share: bool = False,
 ) -> float:
     """Return until when a request waits where returns are planned.
 
@@ -65,6 +70,9 @@
         Whether it can no longer be served in time.
     slot_interval : float
         Mean seconds until the next slot is free.
+    within_share : bool
+        Whether its customer asks for no more than its share. It waits as long as it can
+        be in time: the wait is due to an irregular arrival, not to overload.
     """
     objective = work.first_token_due - work.received_at
     if not work.first_token_due or objective <= 0 or work.avoid:
@@ -74,6 +82,8 @@
     if late:
         return early
     latest = max(work.received_at, work.first_token_due - serve_seconds)
+    if within_share:
+        return latest
     by_slots = work.received_at + MIN_SLOTS_AWAITED * slot_interval
     return min(latest, max(early, by_slots))
 
