Host pace: value from the response head to the dispatcher, expected factor in the slowness

Cause: the slowness of a target's busy host was learned as slowness of the target. Change: the fourth field of X-Server-Load is parsed, sent with PoolFirstToken, PoolFinished and load reports, and makes up the effective slowness together with own_slowness, which is learned from times without the host's delay.

--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -124,9 +124,12 @@
 @click.option("--deployments", default="0-9", show_default=True, help="First-last.")
 @click.option("--seeds", default="1", show_default=True, help="Of callers, by comma.")
 @click.option("--off", "variants", multiple=True, help="Mechanisms, by comma.")
+@click.option("--host-changes", is_flag=True, help="Hosts of changing pace.")
 @click.option("--out", type=click.Path(path_type=Path), help="Write the runs as JSON.")
 @one_line_errors
-def experiment(deployments: str, seeds: str, variants, out: Path | None) -> None:
+def experiment(
+    deployments: str, seeds: str, variants, host_changes: bool, out: Path | None
+) -> None:
     """Emulate random deployments with mechanisms on and off.
 
     Each --off lists the mechanisms that are off in one variant. Without it, there is
@@ -134,7 +137,8 @@
     """
     first, _, last = deployments.partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    runs = run_experiment(numbers, [int(seed) for seed in seeds.split(",")], variants)
+    callers = [int(seed) for seed in seeds.split(",")]
+    runs = run_experiment(numbers, callers, variants, host_changes=host_changes)
     for line in gain_table(runs):
         click.echo(line)
     if out:
--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -137,8 +137,8 @@
         match message:
             case Call(body=GrantRequest()):
                 self._request_grant(message)
-            case FirstTokenReceived(pool=pool, ask=ask, seconds=seconds):
-                self._send(pool, PoolFirstToken(pool, ask, seconds))
+            case FirstTokenReceived(pool=pool, ask=ask, seconds=seconds, pace=pace):
+                self._send(pool, PoolFirstToken(pool, ask, seconds, pace))
             case RequestEnded():
                 self._send_finished(message)
             case Received(sender=sender, message=PoolGrant() as grant):
@@ -230,6 +230,8 @@
                     ended.decode_seconds,
                     ended.computed_prompt_tokens,
                     ended.longest_pause,
+                    ended.pace,
+                    ended.pace_age,
                 ),
             )
 
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -207,6 +207,14 @@
             for pool, hosted in self._hosted.items()
         }
 
+    @property
+    def slow_hosts(self) -> dict[str, int]:
+        """Targets whose hosts take well above the usual time, by pool."""
+        return {
+            pool: hosted.dispatcher.slow_host_count
+            for pool, hosted in self._hosted.items()
+        }
+
     @property
     def rollout_summaries(self) -> dict[str, dict]:
         """Summaries of the rollouts that run here, by pool."""
@@ -382,8 +390,8 @@
                     self._send(sender, PoolQueued(pool, hosted.keepalive_interval_s))
             case PoolWithdraw(ask=ask):
                 self._feed(hosted, m.Withdraw(ask))
-            case PoolFirstToken(ask=ask, seconds=seconds):
-                self._feed(hosted, m.FirstToken(ask, seconds))
+            case PoolFirstToken(ask=ask, seconds=seconds, pace=pace):
+                self._feed(hosted, m.FirstToken(ask, seconds, pace))
             case PoolFinished():
                 finished = m.Finished(
                     body.ask,
@@ -392,6 +400,8 @@
                     body.decode_seconds,
                     body.computed,
                     body.longest_pause,
+                    body.pace,
+                    body.pace_age,
                 )
                 self._feed(hosted, finished)
             case PoolHeld(instance=instance, asks=asks):
--- a/hibiscusstep/forwarding/announcement.py
+++ b/hibiscusstep/forwarding/announcement.py
@@ -35,7 +35,8 @@
     ) -> None:
         self._targets = targets
         self._on_announced = on_announced
-        self._malformed: set[tuple[str, str]] = set()
+        # Kind of field, target and value.
+        self._malformed: set[tuple[str, str, str]] = set()
 
     def read(
         self, target: DiscoveredTarget, head: TargetResponseHead, *, is_own: bool
@@ -53,7 +54,11 @@
             connection.
         """
         if head.malformed_rate_limit:
-            self._log_malformed(target, head)
+            self._log_malformed(
+                "rate-limit-malformed", target, head, head.malformed_rate_limit
+            )
+        if head.malformed_pace:
+            self._log_malformed("pace-malformed", target, head, head.malformed_pace)
         before = target.rate_limit if is_own else RateLimit()
         rate_limit = _rate_limit_after(before, head)
         if rate_limit is before and not head.leaving:
@@ -75,20 +80,16 @@
         self._on_announced(announced)
 
     def _log_malformed(
-        self, target: DiscoveredTarget, head: TargetResponseHead
+        self, event: str, target: DiscoveredTarget, head: TargetResponseHead, text: str
     ) -> None:
-        value = head.malformed_rate_limit[:MAX_LOGGED_CHARACTERS]
-        if (target.name, value) in self._malformed:
+        """Log a malformed value once for each target."""
+        value = text[:MAX_LOGGED_CHARACTERS]
+        if (event, target.name, value) in self._malformed:
             return
         if len(self._malformed) >= MAX_MALFORMED:
             self._malformed.clear()
-        self._malformed.add((target.name, value))
-        decision(
-            "rate-limit-malformed",
-            target=target.name,
-            value=value,
-            request=head.request,
-        )
+        self._malformed.add((event, target.name, value))
+        decision(event, target=target.name, value=value, request=head.request)
 
 
 def _rate_limit_after(before: RateLimit, head: TargetResponseHead) -> RateLimit:
--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -102,6 +102,11 @@
         if not declared.
     malformed_rate_limit : str
         Text of a declared rate limit that is not a number; "" if there is none.
+    pace : float
+        Factor by which work takes longer than usual on the target's host; 0 if not
+        declared.
+    malformed_pace : str
+        Text of a declared pace that is not a plausible number; "" if there is none.
     """
 
     request: str
@@ -116,6 +121,8 @@
     retry_after: float = 0.0
     rate_limit: float | None = None
     malformed_rate_limit: str = ""
+    pace: float = 0.0
+    malformed_pace: str = ""
 
 
 class Dialect(ABC):
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -222,6 +222,7 @@
             and self._response_head.leaving,
             stay_away=self._response_head.retry_after if self._response_head else 0.0,
             rate_limit=self._response_head.rate_limit if self._response_head else None,
+            pace=self._response_head.pace if self._response_head else 0.0,
             routine=outcome is m.GrantOutcome.DONE,
         )
 
@@ -255,6 +256,7 @@
                 self._context.announcements.read(target, response_head, is_own=is_own)
                 if is_own:
                     self._response_head = response_head
+                    self._grants.record_pace(response_head.pace)
                     self._report_load(target, response_head)
                     if response_head.retry_after:
                         self._context.target_backoff.back_off(
@@ -473,9 +475,13 @@
     def _report_load(
         self, target: DiscoveredTarget, response_head: TargetResponseHead
     ) -> None:
-        if response_head.running >= 0:
+        if response_head.running >= 0 or response_head.pace:
             report = m.LoadReport(
-                target.name, response_head.running, response_head.waiting, False
+                target.name,
+                response_head.running,
+                response_head.waiting,
+                False,
+                pace=response_head.pace,
             )
             self._context.dispatcher_host.tell(TargetLoad(target.pool, report))
 
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -86,6 +86,9 @@
         self._avoid: list[str] = []
         self._is_retry = False
         self._grant: Granted | None = None
+        # Pace of the target's host that the dispatcher was not told yet; 0 for none.
+        self._pace = 0.0
+        self._pace_received_at = 0.0
         self.granted_at = 0.0
 
     def avoid(self, target: DiscoveredTarget) -> int:
@@ -234,12 +237,17 @@
             problem=quarantine_status.problem,
         )
 
+    def record_pace(self, pace: float) -> None:
+        """Record the pace in a response's head, for the next report; 0 for none."""
+        self._pace, self._pace_received_at = pace, self._now()
+
     def report_first_event(self) -> None:
         """Report the first event of the response to the dispatcher."""
         if self._grant is not None:
             seconds = self._now() - self.granted_at
+            pace, self._pace = self._pace, 0.0
             self._context.dispatch_client.tell(
-                FirstTokenReceived(self._incoming.pool, self._grant.ask, seconds)
+                FirstTokenReceived(self._incoming.pool, self._grant.ask, seconds, pace)
             )
 
     def release_grant(
@@ -268,8 +276,10 @@
             timing.events if timing else 0,
             timing.decode_seconds if timing else 0.0,
             longest_pause=timing.longest_pause if timing and from_one_target else 0.0,
+            pace=self._pace,
+            pace_age=self._now() - self._pace_received_at if self._pace else 0.0,
         )
-        self._grant = None
+        self._grant, self._pace = None, 0.0
         self._context.dispatch_client.tell(ended)
 
     def _now(self) -> float:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -586,6 +586,8 @@
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
         for pool, count in self._dispatcher_host.overdue_slots.items():
             metrics.set_gauge("slots_overdue", count, pool=pool)
+        for pool, count in self._dispatcher_host.slow_hosts.items():
+            metrics.set_gauge("targets_on_slow_hosts", count, pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/grant_messages.py
+++ b/hibiscusstep/grant_messages.py
@@ -58,11 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstTokenReceived:
-    """The first token of a granted request came `seconds` after its dispatch."""
+    """The first token of a granted request came `seconds` after its dispatch.
+
+    `pace` is as in `routing.messages.FirstToken`.
+    """
 
     pool: str
     ask: str
     seconds: float
+    pace: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,3 +80,5 @@
     decode_seconds: float = 0.0
     computed_prompt_tokens: int = -1
     longest_pause: float = 0.0
+    pace: float = 0.0
+    pace_age: float = 0.0
--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -1,12 +1,13 @@
 """hibiscusstep.load.drawn_deployment: random pools and loads for the pool emulator."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import numpy as np
 
 __all__ = [
     "Burst",
     "DrawnDeployment",
+    "HostChanges",
     "InstanceLoss",
     "RequestKind",
     "TargetLimit",
@@ -34,6 +35,10 @@
 BURST_FACTOR = (1.5, 3.5)
 BURST_S = (2.0, 5.0)
 RUN_LENGTH_S = 24.0
+# Hosts of changing pace.
+SLOW_HOST_SHARE = (0.05, 0.3)
+SLOW_HOST_FACTOR = (1.5, 4.0)
+HOST_CHANGE_INTERVAL_S = (0.2, 5.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +105,25 @@
     per_second: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostChanges:
+    """How the pace of the targets' hosts changes; all targets tell it.
+
+    Parameters
+    ----------
+    slow_share : float
+        Share of the time in which a host is slow.
+    factor : float
+        Factor by which work takes longer on a slow host.
+    interval : float
+        Mean seconds between two draws of a host's state.
+    """
+
+    slow_share: float
+    factor: float
+    interval: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrawnDeployment:
     """Pool, its callers and its failures.
@@ -134,6 +158,8 @@
         Seconds after a restart in which each instance uses its standby dispatcher.
     limits : tuple of TargetLimit
         Limits that targets name.
+    host_changes : HostChanges or None
+        How the hosts' pace changes; None for hosts without other work.
     """
 
     slowness: tuple[float, ...]
@@ -151,6 +177,7 @@
     instances: int = 20
     standby_seconds: float = 0.0
     limits: tuple[TargetLimit, ...] = ()
+    host_changes: HostChanges | None = None
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
@@ -167,8 +194,17 @@
         return kind.rate * max(factors, default=1.0)
 
 
-def draw_deployment(seed: int) -> DrawnDeployment:
-    """Return the random deployment of a seed."""
+def draw_deployment(seed: int, *, host_changes: bool = False) -> DrawnDeployment:
+    """Return the random deployment of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the draws.
+    host_changes : bool
+        Whether the pace of the targets' hosts changes. It is drawn last: all else is
+        the same with and without it.
+    """
     rng = np.random.default_rng(seed)
 
     def log_uniform(least: float, most: float) -> float:
@@ -199,7 +235,7 @@
         )
         for k in shapes
     )
-    return DrawnDeployment(
+    deployment = DrawnDeployment(
         slowness,
         slots,
         step,
@@ -214,6 +250,14 @@
         ),
         float(rng.choice([0.0, RUN_LENGTH_S / 2])),
     )
+    if not host_changes:
+        return deployment
+    changes = HostChanges(
+        float(rng.uniform(*SLOW_HOST_SHARE)),
+        log_uniform(*SLOW_HOST_FACTOR),
+        log_uniform(*HOST_CHANGE_INTERVAL_S),
+    )
+    return replace(deployment, host_changes=changes)
 
 
 def _draw_kind(rng, log_uniform, rank: int) -> RequestKind:
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -18,7 +18,11 @@
 
 
 def run_experiment(
-    deployments: Iterable[int], seeds: Sequence[int], variants: Sequence[str] = ()
+    deployments: Iterable[int],
+    seeds: Sequence[int],
+    variants: Sequence[str] = (),
+    *,
+    host_changes: bool = False,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -31,6 +35,8 @@
     variants : sequence of str
         Mechanisms disabled in each variant, separated by commas. Empty for one variant
         per mechanism and one with all of them disabled.
+    host_changes : bool
+        Whether the pace of the targets' hosts changes.
 
     Raises
     ------
@@ -43,7 +49,7 @@
     }
     runs: dict[str, dict[str, float]] = {off: {} for off in chosen}
     for number in deployments:
-        deployment = draw_deployment(number)
+        deployment = draw_deployment(number, host_changes=host_changes)
         for seed in seeds:
             for off, switches in chosen.items():
                 outcomes = PoolEmulator(deployment, seed, switches).run()
--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -2,8 +2,8 @@
 
 The dispatcher is the real one; targets, callers and the network are emulated in one
 process without sockets. Covers batching, latency objectives, callers that disconnect
-and retry, bursts that exceed all slots, and restarts of all instances. A run is
-deterministic for a seed. The time that the dispatcher takes to decide is not included.
+and retry, bursts that exceed all slots, hosts of changing pace, and restarts of all
+instances. A run is deterministic for a seed. The time that the dispatcher takes to decide is not included.
 """
 
 import heapq
@@ -159,6 +159,8 @@
         self._deployment = deployment
         self._switches = switches
         self._rng = np.random.default_rng(seed)
+        # Not the callers' generator, so that their requests are the same without it.
+        self._host_rng = np.random.default_rng((seed, 1))
         self._events: list = []
         self._sequence = itertools.count()
         self._numbers = itertools.count()
@@ -168,6 +170,8 @@
         self._batches = dict(
             zip(self._names, map(self._batch, deployment.slowness), strict=True)
         )
+        # Pace of each target's host; empty if it does not change.
+        self._paces: dict[str, float] = {}
         self._active_targets: set[str] = set()
         # Limits that the instances know, by target.
         self._known_limits: dict[str, float | None] = dict.fromkeys(self._names)
@@ -184,6 +188,9 @@
         for kind in self._deployment.kinds:
             self._next_arrival(kind)
         self._schedule(TICK_S, self._tick)
+        if self._deployment.host_changes:
+            for number in range(len(self._names)):
+                self._change_pace(number)
         if self._deployment.restart:
             self._schedule(self._deployment.restart, self._restart)
         if self._deployment.loss:
@@ -205,6 +212,17 @@
         )
         return Batch(speed, cache_tokens=0)
 
+    def _change_pace(self, number: int) -> None:
+        """Draw the pace of a target's host, and the time of the next draw."""
+        changes, rng = self._deployment.host_changes, self._host_rng
+        pace = changes.factor if rng.random() < changes.slow_share else 1.0
+        name = self._names[number]
+        self._paces[name] = pace
+        self._batches[name].speed.slow = self._deployment.slowness[number] * pace
+        if self._now < RUN_LENGTH_S or self._by_ask:
+            moment = self._now + rng.exponential(changes.interval)
+            self._schedule(moment, self._change_pace, number)
+
     def _new_dispatcher(self, instance: str = "") -> SlotDispatcher:
         """Return a new dispatcher of the pool, or an instance's standby dispatcher."""
         d = self._deployment
@@ -375,8 +393,9 @@
         else:
             request.first = self._now
             seconds = self._now - request.granted
+            pace = self._paces.get(request.target, 0.0)
             self._send_to_dispatcher(
-                m.FirstToken(request.ask, seconds), request.instance
+                m.FirstToken(request.ask, seconds, pace), request.instance
             )
             self._report_load(request)
             self._hear_limit(request.target)
@@ -389,7 +408,13 @@
         """Report a target's load, received with an answer, to a standby dispatcher."""
         if self._now < self._standby_until:
             batch = self._batches[request.target]
-            report = m.LoadReport(request.target, batch.running, batch.waiting, False)
+            report = m.LoadReport(
+                request.target,
+                batch.running,
+                batch.waiting,
+                False,
+                pace=self._paces.get(request.target, 0.0),
+            )
             self._send_to_dispatcher(report, request.instance)
 
     def _finish(self, request: _Request) -> None:
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -10,6 +10,7 @@
     TargetResponseHead,
 )
 from hibiscusstep.log import decision
+from hibiscusstep.routing.host_pace import is_valid_pace
 
 __all__ = ["PlatformDialect"]
 
@@ -37,6 +38,9 @@
 )
 # Number of unknown field names that are logged; targets may send any names.
 MAX_LOGGED_FIELDS = 20
+# Position of the pace in ``X-Server-Load``, and its value for the usual pace.
+_PACE_FIELD = 3
+_USUAL_PACE = 100.0
 _DECIMAL_NUMBER = re.compile(r"(\d+\.?\d*|\.\d+)(e[+-]?\d+)?", re.ASCII | re.IGNORECASE)
 
 
@@ -84,7 +88,11 @@
         rate_limit, malformed_rate_limit = None, ""
         if status != _MISDIRECTED_REQUEST:
             rate_limit, malformed_rate_limit = _parse_rate_limit(headers)
-        running, waiting = _parse_int_pair(headers.get("X-Server-Load", ""), -1)
+        load = headers.get("X-Server-Load", "")
+        running, waiting = _parse_int_pair(load, -1)
+        pace, malformed_pace = 0.0, ""
+        if status != _MISDIRECTED_REQUEST:
+            pace, malformed_pace = _parse_pace(load)
         return TargetResponseHead(
             request=headers.get("X-Request-Id", ""),
             sealed="X-Response-Seal" in headers,
@@ -100,6 +108,8 @@
             retry_after=_parse_retry_after(status, headers),
             rate_limit=rate_limit,
             malformed_rate_limit=malformed_rate_limit,
+            pace=pace,
+            malformed_pace=malformed_pace,
         )
 
     def _log_unknown_fields(self, headers) -> None:
@@ -136,6 +146,19 @@
         return absent, absent
 
 
+def _parse_pace(load: str) -> tuple[float, str]:
+    """Return the factor in ``X-Server-Load``, 0 if absent, and a malformed value.
+
+    It does not depend on whether the other figures are well-formed.
+    """
+    parts = load.split(",", _PACE_FIELD + 1)
+    if len(parts) <= _PACE_FIELD:
+        return 0.0, ""
+    text = parts[_PACE_FIELD].strip()
+    pace = float(text) / _USUAL_PACE if _DECIMAL_NUMBER.fullmatch(text) else 0.0
+    return (pace, "") if is_valid_pace(pace) else (0.0, text or "empty")
+
+
 def _parse_float(text: str | None) -> float | None:
     try:
         return float(text) if text else None
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -233,13 +233,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The last load report of a target; it may be out of date."""
+    """The last load report of a target; it may be out of date.
+
+    `running` and `waiting` are -1 if not declared; `pace` is as in `FirstToken`.
+    """
 
     target: str
     running: int
     waiting: int
     leaving: bool
     reachable: bool = True
+    pace: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -87,6 +87,11 @@
         """Slots of requests that run past their expected end; 0 if not known."""
         return 0
 
+    @property
+    def slow_host_count(self) -> int:
+        """Targets whose hosts take well above the usual time; 0 if not known."""
+        return 0
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -11,6 +11,7 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool
 from hibiscusstep.routing.grant_monitor import GrantMonitor, LostRequests
+from hibiscusstep.routing.host_pace import PoolPace
 from hibiscusstep.routing.pool_capacity import PoolCapacity
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
@@ -36,6 +37,8 @@
 MAX_GRANT_TRANSIT_S = 0.7
 # The capacity of the pool changes slowly compared with this interval.
 CAPACITY_UPDATE_INTERVAL_S = 0.05
+# A host counts as slow above this multiple of the usual time.
+SLOW_HOST_FACTOR = 1.5
 
 
 # Messages that may lengthen the wait of queued requests or let their deadlines pass.
@@ -97,6 +100,7 @@
         self._selector = TargetSelector(switches)
         self._grant_monitor = GrantMonitor()
         self._lost_requests = LostRequests()
+        self._pool_pace = PoolPace()
         # Slowness by target, learned by other dispatchers. It includes targets that are
         # not in the plan yet.
         self._imported_slowness: dict[str, float] = {}
@@ -135,7 +139,7 @@
     def learned_estimates(self) -> m.LearnedEstimates | None:
         """Slowness of the targets and engine estimates; None before any observation."""
         slowness = {
-            name: t.slowness for name, t in self._targets.items() if t.observations
+            name: t.own_slowness for name, t in self._targets.items() if t.observations
         }
         if not slowness:
             return None
@@ -146,6 +150,11 @@
         """Number of slots held by requests beyond their expected end."""
         return self._grant_monitor.overdue
 
+    @property
+    def slow_host_count(self) -> int:
+        """Number of targets whose hosts take well above the usual time."""
+        return sum(t.host_factor > SLOW_HOST_FACTOR for t in self._targets.values())
+
     @property
     def is_standby(self) -> bool:
         """Whether this is the standby dispatcher of a single instance."""
@@ -240,7 +249,8 @@
         target = self._targets.get(self._target_by_ask.get(message.ask, ""))
         run = target.mark_first_token(message.ask) if target else None
         if run is not None:
-            self._selector.record_first_token(target, run, message.seconds)
+            self._record_pace(target, message.pace, 0.0, now)
+            self._selector.record_first_token(target, run, message.seconds, now)
             self._partition.update(target, now)
 
     def _finished(self, message: m.Finished, now: float) -> None:
@@ -250,6 +260,7 @@
         run = target.remove(message.ask) if target else None
         if run is None:
             return
+        self._record_pace(target, message.pace, message.pace_age, now)
         self._partition.record_end(target, run, message, now)
         match message.outcome:
             case m.GrantOutcome.DONE:
@@ -269,6 +280,13 @@
             self._subset_updated_at = -math.inf
         self._partition.update(target, now)
 
+    def _record_pace(
+        self, target: SlotTarget, pace: float, age: float, now: float
+    ) -> None:
+        """Record what a target told of its host; the index is updated after it."""
+        if pace and self._switches.host_pace:
+            self._pool_pace.record(target, pace, age, now)
+
     def _reconcile_held(self, message: m.HeldGrants, now: float) -> None:
         self._grant_monitor.confirm_held(message.asks, now)
         for lost in self._lost_requests.take(message.asks):
@@ -296,15 +314,20 @@
         """Set the slowness of a target to the value that another dispatcher learned."""
         slowness = self._imported_slowness.get(target.name)
         if slowness is not None:
-            target.slowness = slowness
+            target.own_slowness = slowness
             target.observations = max(1, target.observations)
 
     def _load_report(self, message: m.LoadReport, now: float) -> None:
         target = self._targets.get(message.target)
-        if target:
+        if target is None:
+            return
+        if message.running >= 0:
             known = len(target.running)
             target.external_requests = max(0, message.running + message.waiting - known)
             target.external_reported_at = now
+        if message.pace:
+            self._record_pace(target, message.pace, 0.0, now)
+            self._partition.update(target, now)
 
     def _adopt(self, message: m.AdoptRunning, now: float) -> None:
         self._remove_request(message.work.ask, now)
@@ -337,6 +360,8 @@
 
     def _tick(self, message: m.TimePassed, now: float) -> None:
         """Advance the rollout, inquire about overdue grants and release lost ones."""
+        for target in self._pool_pace.update(now):
+            self._partition.update(target, now)
         if self._recovered and (conclusion := self._partition.tick(self._targets, now)):
             self._decisions.append(conclusion)
         if not self._switches.ask_overdue:
@@ -379,6 +404,7 @@
         for name in self._targets.keys() - pool.targets.keys():
             gone = self._targets.pop(name)
             self._partition.remove(gone)
+            self._pool_pace.forget(gone)
             for ask in gone.running:
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.routing import messages as m
+from hibiscusstep.routing.host_pace import HostPace
 from hibiscusstep.routing.rate_limiter import RateLimiter
 
 __all__ = ["Run", "SlotTarget"]
@@ -86,7 +87,8 @@
     leaving : bool
         Whether it accepts no new requests.
     slowness : float
-        Learned ratio of service times to the initial estimates.
+        Expected ratio of service times to the initial estimates: `own_slowness` times
+        `host_factor`. An attribute, since decisions read it often.
     observations : int
         Number of observations of the slowness.
     failure_share : float
@@ -109,6 +111,10 @@
     next_start_at : float
         Time from which on its rate limit permits the next request, on the dispatcher's
         clock; 0 without a limit. An attribute, since decisions read it often.
+    host_pace : HostPace or None
+        Pace of its host; None if the target has not told it.
+    host_factor : float
+        Expected pace of its host that is part of the slowness; 1 if not told.
     """
 
     name: str
@@ -125,10 +131,40 @@
     version: str = ""
     limiter: RateLimiter | None = None
     next_start_at: float = 0.0
+    host_pace: HostPace | None = None
+    host_factor: float = 1.0
     running: dict[str, Run] = field(default_factory=dict)
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
     _remaining_prefill_at: float = -1.0
+    # Not maintained without a pace of the host: it equals the slowness then.
+    _own_slowness: float = 1.0
+
+    @property
+    def own_slowness(self) -> float:
+        """Learned slowness without the pace of its host."""
+        return self.slowness if self.host_pace is None else self._own_slowness
+
+    @own_slowness.setter
+    def own_slowness(self, value: float) -> None:
+        self._own_slowness = value
+        self.slowness = value * self.host_factor
+
+    def attach_host_pace(self, host_pace: HostPace) -> None:
+        """Start to use the pace of its host, which the target tells from now on."""
+        self._own_slowness = self.slowness
+        self.host_pace = host_pace
+
+    def apply_host_pace(self) -> None:
+        """Update the slowness after the expected pace of its host changed."""
+        self.host_factor = self.host_pace.factor
+        self.slowness = self._own_slowness * self.host_factor
+        # It was computed with the former slowness.
+        self._remaining_prefill_at = -1.0
+
+    def mean_host_factor(self, start: float, end: float) -> float:
+        """Return the factor by which its host delayed work between two times."""
+        return 1.0 if self.host_pace is None else self.host_pace.mean_factor(start, end)
 
     def add(self, ask: str, run: Run) -> None:
         """Add a granted request."""
@@ -271,17 +307,40 @@
         self.backoffs = 0
         self.failure_share *= 1 - FAILURE_LEARNING_RATE
 
-    def observe_first_token(self, ratio: float) -> None:
-        """Update the slowness by a first token, for use until an answer is complete."""
-        ratio = min(MAX_FIRST_TOKEN_RATIO, max(MIN_FIRST_TOKEN_RATIO, ratio))
-        self.slowness += FIRST_TOKEN_LEARNING_RATE * (ratio - self.slowness)
+    def observe_first_token(self, ratio: float, host_factor: float = 1.0) -> None:
+        """Update its own slowness by a first token, until an answer is complete.
 
-    def observe(self, ratio: float) -> None:
-        """Update the slowness by a ratio of observed to estimated seconds."""
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        Parameters
+        ----------
+        ratio : float
+            Ratio of observed to estimated seconds.
+        host_factor : float
+            Factor by which its host delayed the request.
+        """
+        ratio = min(
+            MAX_FIRST_TOKEN_RATIO,
+            max(MIN_FIRST_TOKEN_RATIO / host_factor, ratio / host_factor),
+        )
+        own = self.own_slowness
+        self.own_slowness = own + FIRST_TOKEN_LEARNING_RATE * (ratio - own)
+
+    def observe(self, ratio: float, host_factor: float = 1.0) -> None:
+        """Update its own slowness by a ratio of observed to estimated seconds.
+
+        Parameters
+        ----------
+        ratio : float
+            Ratio of observed to estimated seconds.
+        host_factor : float
+            Factor by which its host delayed the request.
+        """
+        # The lower bound applies to the observed time: if a host tells a pace that does
+        # not delay its work, the product is still right.
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS / host_factor, ratio / host_factor))
         self.observations += 1
         weight = max(LEARNING_RATE, 1 / (1 + self.observations))
-        self.slowness += weight * (ratio - self.slowness)
+        own = self.own_slowness
+        self.own_slowness = own + weight * (ratio - own)
 
     def record_failure(self, now: float) -> None:
         """Record a failure; a target that mostly fails backs off."""
@@ -315,6 +374,8 @@
             f"x{self.slowness:.2f}",
             f"f{self.failure_share:.2f}",
         ]
+        if round(self.host_factor, 2) != 1:
+            parts.append(f"own x{self.own_slowness:.2f} host x{self.host_factor:.2f}")
         if self.leaving:
             parts.append("leaving")
         if now < self.backoff_until:
--- a/hibiscusstep/routing/target_selector.py
+++ b/hibiscusstep/routing/target_selector.py
@@ -97,14 +97,18 @@
         ):
             self._prefill_chunk.max_seconds = imported.prefill_chunk_s
 
-    def record_first_token(self, target: SlotTarget, run: Run, seconds: float) -> None:
+    def record_first_token(
+        self, target: SlotTarget, run: Run, seconds: float, now: float
+    ) -> None:
         """Update the estimates by a first token, `seconds` after the dispatch."""
         if not self._is_engine:
             return
+        host_factor = target.mean_host_factor(now - seconds, now)
         if not target.observations:
-            target.observe_first_token(seconds / run.expected_first_token)
+            target.observe_first_token(seconds / run.expected_first_token, host_factor)
         elif run.prefilled_alone and self._switches.engine_model:
-            self._model.observe(run.work.prompt_tokens, seconds / target.slowness)
+            usual = seconds / (target.own_slowness * host_factor)
+            self._model.observe(run.work.prompt_tokens, usual)
 
     def prefill_seconds(self, work: m.Work) -> float:
         """Return the estimated prefill time of a prompt at slowness 1, in seconds."""
@@ -149,29 +153,37 @@
             )
         return max(MIN_OVERDUE_S, slowness * seconds)
 
-    def time_ratio(self, run: Run, tokens: int, now: float) -> float:
-        """Return the ratio of a request's duration to the estimate at slowness 1."""
+    def time_ratio(
+        self, target: SlotTarget, run: Run, tokens: int, now: float
+    ) -> float:
+        """Return the ratio of a request's duration to the estimate at slowness 1.
+
+        The delay by other work on the target's host is left out.
+        """
+        duration = (now - run.granted) / target.mean_host_factor(run.granted, now)
         if not self._is_engine:
-            return (now - run.granted) / PLAIN_REQUEST_S
+            return duration / PLAIN_REQUEST_S
         steps = tokens * self._tokens_per_event
         expected = (
             run.expected_first_token + steps * ENGINE_STEP_S
             if steps
             else run.service_seconds
         )
-        return (now - run.granted) / max(ENGINE_STEP_S, expected)
+        return duration / max(ENGINE_STEP_S, expected)
 
-    def running_time_ratio(self, run: Run, now: float) -> float:
+    def running_time_ratio(self, target: SlotTarget, run: Run, now: float) -> float:
         """Return the ratio of a running request's time so far to the estimate.
 
         The length of the answer is not known yet and may exceed the caller's hint, so
-        the estimate uses a length that four of five answers do not exceed.
+        the estimate uses a length that four of five answers do not exceed. The delay by
+        other work on the target's host is left out.
         """
+        duration = (now - run.granted) / target.mean_host_factor(run.granted, now)
         if not self._is_engine:
-            return (now - run.granted) / PLAIN_REQUEST_S
+            return duration / PLAIN_REQUEST_S
         tokens = self._answer_lengths.upper_bound(run.work.output_tokens)
         expected = run.expected_first_token + tokens * ENGINE_STEP_S
-        return (now - run.granted) / max(ENGINE_STEP_S, expected)
+        return duration / max(ENGINE_STEP_S, expected)
 
     def record_answer(
         self, target: SlotTarget, run: Run, finished: m.Finished, now: float
@@ -180,15 +192,21 @@
         target.record_success()
         if not self._is_engine:
             ratio = (now - run.granted) / run.service_seconds
-            self._service_times.observe(ratio / target.slowness)
-            target.observe(ratio)
+            host_factor = target.mean_host_factor(run.granted, now)
+            usual = ratio / (target.own_slowness * host_factor)
+            self._service_times.observe(usual)
+            target.observe(ratio, host_factor)
         elif finished.tokens >= MIN_EVENTS:
             # The rate of events measures the speed of the target. The rest of the
             # answer's time depends more on the target's other requests.
             steps = (finished.tokens - 1) * self._tokens_per_event
-            target.observe(finished.decode_seconds / (steps * ENGINE_STEP_S))
+            started = now - abs(finished.decode_seconds)
+            host_factor = target.mean_host_factor(started, now)
+            ratio = finished.decode_seconds / (steps * ENGINE_STEP_S)
+            target.observe(ratio, host_factor)
             if finished.longest_pause and self._switches.reading_share:
-                pause = finished.longest_pause / target.slowness
+                slowness = target.own_slowness * host_factor
+                pause = finished.longest_pause / slowness
                 steps = self._tokens_per_event * ENGINE_STEP_S
                 self._prefill_chunk.observe(pause - steps, run.max_concurrent_prefill)
         if self._is_engine and finished.tokens:
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -180,7 +180,7 @@
             run.work.route,
             outcome is m.GrantOutcome.FAILED,
             outcome is m.GrantOutcome.BROKEN,
-            self._selector.time_ratio(run, finished.tokens, now),
+            self._selector.time_ratio(target, run, finished.tokens, now),
             outcome is m.GrantOutcome.CANCELLED,
             run.target_loaded,
         )
@@ -190,9 +190,10 @@
     def _running_canaries(self, targets: dict[str, SlotTarget], now: float):
         """Yield the running requests at targets of the new version."""
         for name in self._canary_names:
-            for run in targets[name].running.values():
+            target = targets[name]
+            for run in target.running.values():
                 if not (run.work.suspect or run.adopted):
-                    ratio = self._selector.running_time_ratio(run, now)
+                    ratio = self._selector.running_time_ratio(target, run, now)
                     yield AnswerSample(
                         name,
                         run.work.route,
