--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -95,6 +95,8 @@
         All requests by rank, and those answered in time or late.
     arrivals : dict of str to list of float
         Times at which requests arrived at each target.
+    first_token_seconds : list of float
+        Seconds from each request's start to its first token, where there was one.
     """
 
     possible_value: dict[float, float] = field(
@@ -107,6 +109,7 @@
     asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     served: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    first_token_seconds: list[float] = field(default_factory=list)
 
     def share_served(self, rank: int) -> float:
         """Return the share of a rank's requests that were answered."""
@@ -392,6 +395,7 @@
             request.longest_pause = max(request.longest_pause, pause)
         else:
             request.first = self._now
+            self._result.first_token_seconds.append(self._now - request.began)
             seconds = self._now - request.granted
             pace = self._paces.get(request.target, 0.0)
             self._send_to_dispatcher(
--- a/hibiscusstep/routing/host_pace.py
+++ b/hibiscusstep/routing/host_pace.py
@@ -53,6 +53,10 @@
 # Values that are kept for each host, for the pace over a request's run: the last four
 # seconds at seven a second.
 MAX_VALUES = 32
+# Work that is granted now runs for some hundredths of a second to a second. It is
+# expected to run at the pace that the host has in the middle of a typical run to a
+# first token and the events after it.
+LEAD_S = 0.2
 # A host's expected pace that is this close to the mean, as a share of it, no longer
 # needs updates. A change below the second share does not alter decisions.
 NEGLIGIBLE_DEVIATION = 0.01
@@ -127,7 +131,9 @@
         steps = [
             (end - start, at_start, at_end)
             for (start, end), (at_start, at_end) in zip(
-                itertools.pairwise(LAGS_S), itertools.pairwise(self._values), strict=True
+                itertools.pairwise(LAGS_S),
+                itertools.pairwise(self._values),
+                strict=True,
             )
         ]
         self._slopes = [(end - start) / step for step, start, end in steps]
@@ -146,7 +152,7 @@
     Attributes
     ----------
     factor : float
-        Expected factor as of the last value or update.
+        Expected factor of work that is granted now, as of the last value or update.
     mean : float
         Mean factor over time.
     """
@@ -217,7 +223,7 @@
 
     def update(self, now: float) -> bool:
         """Update the expected factor; return whether it still differs from the mean."""
-        age = max(0.0, now - self._times[-1])
+        age = max(0.0, now - self._times[-1]) + LEAD_S
         deviation = self._correlation.at(age) * (self._value - self.mean)
         self.factor = self.mean + deviation
         return abs(deviation) > NEGLIGIBLE_DEVIATION * self.mean
@@ -294,7 +300,10 @@
         both = correlation.at(end - start)
         if both > 0.99:
             return first + (second - first) * (moment - start) / (end - start)
-        to_first, to_second = correlation.at(moment - start), correlation.at(end - moment)
+        to_first, to_second = (
+            correlation.at(moment - start),
+            correlation.at(end - moment),
+        )
         scale = 1 / (1 - both**2)
         of_first = min(1.0, max(0.0, (to_first - both * to_second) * scale))
         of_second = min(1 - of_first, max(0.0, (to_second - both * to_first) * scale))
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -10,6 +10,9 @@
 
 # Minimum weight of a new observation; the first ones weigh more.
 LEARNING_RATE = 0.1
+# The same for a target that tells the pace of its host: what remains changes seldom, and
+# the delay by the host is known only roughly for each run.
+PACED_LEARNING_RATE = 0.05
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
 # Bounds of the ratio observed at a first token, which includes the time to connect.
 MIN_FIRST_TOKEN_RATIO, MAX_FIRST_TOKEN_RATIO = 0.5, 4.0
@@ -338,7 +341,8 @@
         # not delay its work, the product is still right.
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS / host_factor, ratio / host_factor))
         self.observations += 1
-        weight = max(LEARNING_RATE, 1 / (1 + self.observations))
+        rate = LEARNING_RATE if self.host_pace is None else PACED_LEARNING_RATE
+        weight = max(rate, 1 / (1 + self.observations))
         own = self.own_slowness
         self.own_slowness = own + weight * (ratio - own)
 
