--- a/hibiscusstep/load/pool_emulator.py
+++ b/hibiscusstep/load/pool_emulator.py
@@ -3,7 +3,8 @@
 The dispatcher is the real one; targets, callers and the network are emulated in one
 process without sockets. Covers batching, latency objectives, callers that disconnect
 and retry, bursts that exceed all slots, hosts of changing pace, and restarts of all
-instances. A run is deterministic for a seed. The time that the dispatcher takes to decide is not included.
+instances. A run is deterministic for a seed. The time that the dispatcher takes to
+decide is not included.
 """
 
 import heapq
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -10,8 +10,8 @@
 
 # Minimum weight of a new observation; the first ones weigh more.
 LEARNING_RATE = 0.1
-# The same for a target that tells the pace of its host: what remains changes seldom, and
-# the delay by the host is known only roughly for each run.
+# The same for a target that tells the pace of its host: what remains changes seldom,
+# and the delay by the host is known only roughly for each run.
 PACED_LEARNING_RATE = 0.05
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 12.0
 # Bounds of the ratio observed at a first token, which includes the time to connect.
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -11,7 +11,11 @@
 
 from hibiscusstep import codec
 from hibiscusstep.forwarding import state_distributor
-from hibiscusstep.forwarding.announcement import MIN_RAISE, AnnouncementReader
+from hibiscusstep.forwarding.announcement import (
+    MAX_MALFORMED,
+    MIN_RAISE,
+    AnnouncementReader,
+)
 from hibiscusstep.forwarding.catalog import Catalog, TargetsAnnounced, TargetUpdate
 from hibiscusstep.forwarding.dialect import TargetResponseHead
 from hibiscusstep.forwarding.model import DiscoveredTarget, RateLimit
@@ -135,6 +139,25 @@
         assert [line.target for line in lines] == ["t", "t"]
         assert lines[0].value == "few" and len(lines[1].value) <= 80
 
+    def test_a_malformed_pace_is_logged_once_for_a_target(self, caplog):
+        """A target sends it with each response, many times a second."""
+        caplog.set_level("INFO")
+        targets = [_target(), _target(id="u")]
+        reader = AnnouncementReader({}, lambda _target: None)
+        for target, text in itertools.product(targets, ("few", "few", "many" * 100)):
+            head = _head(malformed_pace=text, malformed_rate_limit="few")
+            reader.read(target, head, is_own=True)
+        lines = [r for r in caplog.records if r.message == "pace-malformed"]
+        assert [line.target for line in lines] == ["t", "t", "u", "u"]
+        assert lines[0].value == "few" and len(lines[1].value) <= 80
+
+    def test_the_malformed_values_that_are_remembered_are_bounded(self):
+        reader = AnnouncementReader({}, lambda _target: None)
+        for number in range(2 * MAX_MALFORMED):
+            head = _head(malformed_pace=f"few{number}")
+            reader.read(_target(), head, is_own=True)
+        assert len(reader._malformed) <= MAX_MALFORMED
+
 
 class TestConvergence:
     """Instances hear the target's changes and tell each other, in any order."""
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -78,6 +78,52 @@
         assert (_read().rate_limit, _read().malformed_rate_limit) == (None, "")
 
 
+class TestPace:
+    """It is the fourth figure of X-Server-Load."""
+
+    @pytest.mark.parametrize(
+        ("load", "pace"),
+        [
+            ("3,1,6,100", 1.0),
+            ("3,1,6,250", 2.5),
+            ("3, 1, 6, 87.5 ", 0.875),
+            ("3,1,6,10000", 100.0),
+            ("3,1,6,250,more", 2.5),
+        ],
+    )
+    def test_a_plausible_number_is_read(self, load, pace):
+        head = _read(X_Server_Load=load)
+        assert (head.running, head.waiting, head.pace) == (3, 1, pace)
+        assert head.malformed_pace == ""
+
+    @pytest.mark.parametrize("load", ["", "3", "3,1", "3,1,6"])
+    def test_without_it_there_is_none(self, load):
+        assert (_read(X_Server_Load=load).pace, _read().pace) == (0.0, 0.0)
+        assert _read(X_Server_Load=load).malformed_pace == ""
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            "", "-250", "0", "0.0", "nan", "inf", "-inf", "1e999", "10001", "1e-9",
+            "fast", "true", "2_5", "0x64", "1 2", "[100]", "9" * 5000,
+        ],
+    )  # fmt: skip
+    def test_a_malformed_one_counts_as_absent_and_is_reported(self, value):
+        """The other figures must still count, since standby dispatchers use them."""
+        head = _read(X_Server_Load=f"3,1,6,{value}")
+        assert (head.running, head.waiting, head.pace) == (3, 1, 0.0)
+        assert head.malformed_pace == (value or "empty")
+
+    @pytest.mark.parametrize("load", ["x,1,6,250", "3,,6,250", ",,,250", "a,b,c,250"])
+    def test_malformed_other_figures_do_not_hide_it(self, load):
+        head = _read(X_Server_Load=load)
+        assert (head.running, head.waiting, head.pace) == (-1, -1, 2.5)
+
+    def test_a_misdirected_answer_is_ignored(self):
+        assert _read(421, X_Server_Load="3,1,6,250").pace == 0.0
+        assert _read(421, X_Server_Load="3,1,6,few").malformed_pace == ""
+
+
 class TestUnknownFields:
     def _logged(self, caplog):
         return [r.field for r in caplog.records if r.message == "target-field-unknown"]
