--- a/hibiscusstep/cmdline/load.py
+++ b/hibiscusstep/cmdline/load.py
@@ -134,6 +134,7 @@
     is_flag=True,
     help="Returned callers are due after the last try.",
 )
+@click.option("--host-changes", is_flag=True, help="Hosts of changing pace.")
 @click.option("--out", type=click.Path(path_type=Path), help="Write the runs as JSON.")
 @one_line_errors
 def experiment(
@@ -144,6 +145,7 @@
     plan_returns: bool,
     at_once: float,
     due_from_return: bool,
+    host_changes: bool,
     out: Path | None,
 ) -> None:
     """Emulate random deployments with mechanisms on and off.
@@ -161,6 +163,7 @@
         plans_returns=plan_returns,
         at_once_share=at_once,
         due_from_return=due_from_return,
+        host_changes=host_changes,
     )
     for line in gain_table(runs):
         click.echo(line)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -591,6 +591,8 @@
             for name in ("booked", "used", "expired"):
                 count = getattr(places, name)
                 metrics.set_gauge(f"places_{name}_total", count, pool=pool)
+        for pool, count in self._dispatcher_host.slow_hosts.items():
+            metrics.set_gauge("targets_on_slow_hosts", count, pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/load/drawn_deployment.py
+++ b/hibiscusstep/load/drawn_deployment.py
@@ -8,6 +8,7 @@
     "Burst",
     "CustomerFlood",
     "DrawnDeployment",
+    "HostChanges",
     "InstanceLoss",
     "RequestKind",
     "TargetLimit",
@@ -40,6 +41,10 @@
 FLOOD_S = (5.5, 11.0)
 # Standard deviation of the logarithm of the customers' sizes: a few are large.
 CUSTOMER_SPREAD = 0.8
+# Hosts of changing pace.
+SLOW_HOST_SHARE = (0.05, 0.3)
+SLOW_HOST_FACTOR = (1.5, 4.0)
+HOST_CHANGE_INTERVAL_S = (0.2, 5.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +131,25 @@
     per_second: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostChanges:
+    """How the pace of the targets' hosts changes; all targets tell it.
+
+    Parameters
+    ----------
+    slow_share : float
+        Share of the time in which a host is slow.
+    factor : float
+        Factor by which work takes longer on a slow host.
+    interval : float
+        Mean seconds between two draws of a host's state.
+    """
+
+    slow_share: float
+    factor: float
+    interval: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrawnDeployment:
     """Pool, its callers and its failures.
@@ -172,6 +196,8 @@
     due_from_return : bool
         Whether an answer to a returned caller is in time within one objective of its
         last attempt, instead of its first.
+    host_changes : HostChanges or None
+        How the hosts' pace changes; None for hosts without other work.
     """
 
     slowness: tuple[float, ...]
@@ -194,6 +220,7 @@
     plans_returns: bool = False
     at_once_share: float = 0.0
     due_from_return: bool = False
+    host_changes: HostChanges | None = None
 
     def limit_named_by(self, target: int, now: float) -> float | None:
         """Return the limit that a target's responses name; None if they name none."""
@@ -217,11 +244,21 @@
         return rates
 
 
-def draw_deployment(seed: int, customers: int = 1) -> DrawnDeployment:
+def draw_deployment(
+    seed: int, customers: int = 1, *, host_changes: bool = False
+) -> DrawnDeployment:
     """Return the random deployment of a seed.
 
-    With several customers one of them floods the pool. The rest of the deployment does
-    not depend on their number.
+    Parameters
+    ----------
+    seed : int
+        Seed of the draws.
+    customers : int
+        Number of customers; of several, one floods the pool. The rest of the deployment
+        does not depend on their number.
+    host_changes : bool
+        Whether the pace of the targets' hosts changes. It is drawn last: all else is
+        the same with and without it.
     """
     rng = np.random.default_rng(seed)
 
@@ -268,7 +305,16 @@
         ),
         float(rng.choice([0.0, RUN_LENGTH_S / 2])),
     )
-    return _with_customers(deployment, rng, customers) if customers > 1 else deployment
+    if customers > 1:
+        deployment = _with_customers(deployment, rng, customers)
+    if not host_changes:
+        return deployment
+    changes = HostChanges(
+        float(rng.uniform(*SLOW_HOST_SHARE)),
+        log_uniform(*SLOW_HOST_FACTOR),
+        log_uniform(*HOST_CHANGE_INTERVAL_S),
+    )
+    return replace(deployment, host_changes=changes)
 
 
 def _with_customers(deployment: DrawnDeployment, rng, count: int) -> DrawnDeployment:
--- a/hibiscusstep/load/experiment.py
+++ b/hibiscusstep/load/experiment.py
@@ -26,6 +26,7 @@
     plans_returns: bool = False,
     at_once_share: float = 0.0,
     due_from_return: bool = False,
+    host_changes: bool = False,
 ) -> dict[str, dict[str, float]]:
     """Return the goodput of each run, by variant and by deployment and seed.
 
@@ -46,6 +47,8 @@
         Share of the callers that retry at once instead of waiting as told.
     due_from_return : bool
         Whether an answer to a returned caller is in time by its last attempt.
+    host_changes : bool
+        Whether the pace of the targets' hosts changes.
 
     Raises
     ------
@@ -59,7 +62,7 @@
     runs: dict[str, dict[str, float]] = {off: {} for off in chosen}
     for number in deployments:
         deployment = replace(
-            draw_deployment(number, customers),
+            draw_deployment(number, customers, host_changes=host_changes),
             plans_returns=plans_returns,
             at_once_share=at_once_share,
             due_from_return=due_from_return,
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -93,6 +93,11 @@
         """Numbers of places for returning requests; None if returns are not planned."""
         return None
 
+    @property
+    def slow_host_count(self) -> int:
+        """Targets whose hosts take well above the usual time; 0 if not known."""
+        return 0
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
