Count the bytes held for slow callers and targets, and bound them

Nothing counted what an instance holds for callers and targets that read slowly, so a process near its memory limit was killed with all of its requests. A chunked request body grew to 64 MiB before its limit of 4 MiB was checked, and took as long as its caller liked. A caller that did not read a plain response kept it for ever.

Each exchange has an account in a budget whose bounds follow from Limits.MemoryMb. Above the soft bound windows are narrow, above the next one requests that have not run get 503, above the hard bound exchanges are cut off, those that may be repeated first. A target is not read while its caller takes no data. The handler of a request ends when the caller has taken its response, so that a stopping instance waits for it.

--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -54,6 +54,8 @@
     heartbeat_interval, suspect_after : float
         Seconds between heartbeats, and seconds of silence until a peer is taken to be
         gone.
+    memory_mb : float
+        Memory in MB above which the process is killed; 0 if there is no limit.
     capacity : int
         Capacity for work, in hundredths of a core or as limited by the link.
     max_mesh_size : int
@@ -75,6 +77,7 @@
     seeds: tuple[str, ...]
     heartbeat_interval: float
     suspect_after: float
+    memory_mb: float = 0.0
     capacity: int = 1
     max_mesh_size: int = MAX_MESH_SIZE
     switches: Switches = ALL_ENABLED
--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -6,13 +6,24 @@
 
 from aiohttp import web
 
+from hibiscusstep.forwarding.buffer_budget import (
+    REFUSED_RETRY_AFTER_S,
+    BufferAccount,
+    BufferKind,
+)
+from hibiscusstep.forwarding.caller_connection import CallerConnection
 from hibiscusstep.forwarding.exchange import Exchange
-from hibiscusstep.forwarding.incoming_request import ForwardingContext, IncomingRequest
+from hibiscusstep.forwarding.incoming_request import (
+    ForwardingContext,
+    IncomingRequest,
+    response_timeout,
+)
 from hibiscusstep.forwarding.local_response import local_response
 from hibiscusstep.forwarding.model import (
     CustomerRule,
     ForwardRoute,
     IngressLimits,
+    RetryMode,
     RoutingTable,
 )
 from hibiscusstep.forwarding.quota import QuotaLimiter
@@ -33,6 +44,8 @@
 # A stopping instance accepts requests that may outlast it for this long; after that the
 # balancer has removed it from its rotation.
 ACCEPT_ALL_AFTER_STOP_S = 2.8
+# Time for which a caller is waited for that does not take a refusal.
+REJECTION_TIMEOUT_S = 10.0
 
 
 class _RequestRejected(Exception):
@@ -117,29 +130,40 @@
         self._open += 1
         self._idle.clear()
         self._context.metrics.set_gauge("open_requests", self._open)
+        caller = CallerConnection(request, self._record_cut_off)
+        account = self._context.buffers.open(caller)
         try:
-            response = await self._respond(request)
+            response, deadline = await self._respond(request, caller, account)
             if self._draining and not response.prepared:
                 response.force_close()
+            await caller.deliver(response, account, deadline)
             return response
         finally:
+            account.close()
             self._open -= 1
             self._context.metrics.set_gauge("open_requests", self._open)
             if not self._open:
                 self._idle.set()
 
-    async def _respond(self, request: web.Request) -> web.StreamResponse:
+    async def _respond(
+        self, request: web.Request, caller: CallerConnection, account: BufferAccount
+    ) -> tuple[web.StreamResponse, float]:
+        """Return the response and the time by which the caller has to take it."""
         received = asyncio.get_running_loop().time()
         head = self._context.dialect.read_request(request.headers)
+        account.name = head.request
         if self._table is None:
             await _wait_for_startup(self._table_received.wait(), head.caller_timeout)
         try:
             route = self._find_route(request)
             customer = self._find_customer(route, head.key)
-            body = await self._read_body(request)
+            account.repeatable = route.retry_mode is not RetryMode.NEVER
+            deadline = received + response_timeout(route, head)
+            body = await self._read_body(request, account, deadline)
             quota_request = await self._request_quota(customer, head)
         except _RequestRejected as rejected:
-            return self._reject(request, head.request, rejected)
+            response = self._reject(request, head.request, rejected)
+            return response, received + REJECTION_TIMEOUT_S
         pool = route.choose_pool()
         incoming = IncomingRequest(
             request,
@@ -148,15 +172,31 @@
             route,
             pool,
             customer,
+            caller,
+            account,
             received,
             quota_request,
         )
         try:
-            return await Exchange(incoming, self._context).run()
+            return await Exchange(incoming, self._context).run(), deadline
         finally:
             if quota_request:
                 quota_request.release()
 
+    def _record_cut_off(self, account: BufferAccount, reason: str) -> None:
+        repeatable = "yes" if account.repeatable else "no"
+        self._context.metrics.cut_off.inc({"reason": reason, "repeatable": repeatable})
+        decision(
+            "cut-off",
+            request=account.name,
+            why=reason,
+            repeatable=account.repeatable,
+            held=account.held,
+            **{kind.name.lower(): account[kind] for kind in BufferKind},
+            idle=round(self._context.buffers.now() - account.progress_at, 3),
+            held_by_all=self._context.buffers.held,
+        )
+
     def _find_route(self, request: web.Request) -> ForwardRoute:
         if self._table is None:
             raise _RequestRejected(503, "no configuration yet", NOT_READY_RETRY_AFTER_S)
@@ -198,19 +238,40 @@
             raise _RequestRejected(429, "customer quota exceeded", QUOTA_RETRY_S)
         return quota_request
 
-    async def _read_body(self, request: web.Request) -> bytes:
-        limits = self.limits
-        if (request.content_length or 0) > limits.max_body_bytes:
+    async def _read_body(
+        self, request: web.Request, account: BufferAccount, deadline: float
+    ) -> bytes:
+        declared = request.content_length or 0
+        if declared > self.limits.max_body_bytes:
             raise _RequestRejected(413, "request body too long")
+        self._check_memory(declared)
         try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            raise _RequestRejected(413, "request body too long") from None
+            async with asyncio.timeout_at(deadline):
+                return await self._collect_body(request, account)
+        except TimeoutError:
+            raise _RequestRejected(504, "request body incomplete") from None
         except (ValueError, web.HTTPException) as cause:
             raise _RequestRejected(400, f"malformed body: {cause!r}") from None
-        if len(body) > limits.max_body_bytes:
-            raise _RequestRejected(413, "request body too long")
-        return body
+
+    async def _collect_body(
+        self, request: web.Request, account: BufferAccount
+    ) -> bytes:
+        parts = []
+        size = 0
+        while part := await request.content.readany():
+            size += len(part)
+            if size > self.limits.max_body_bytes:
+                raise _RequestRejected(413, "request body too long")
+            self._check_memory(len(part))
+            account.add(BufferKind.REQUEST, len(part))
+            account.record_progress()
+            parts.append(part)
+        return b"".join(parts)
+
+    def _check_memory(self, size: int) -> None:
+        """Reject a request that has not run if its body would need too much memory."""
+        if not self._context.buffers.admits(size):
+            raise _RequestRejected(503, "memory", REFUSED_RETRY_AFTER_S)
 
     def _reject(self, request, name: str, rejected: _RequestRejected) -> web.Response:
         version = self._table.version if self._table else 0
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from weakref import WeakSet
 
@@ -14,6 +15,11 @@
 
 from hibiscusstep.clock import elapsed
 from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding.buffer_budget import (
+    WINDOW_BYTES,
+    BufferAccount,
+    BufferKind,
+)
 
 __all__ = ["Connection", "ConnectionPool", "TargetResponse"]
 
@@ -27,7 +33,9 @@
 PROBE_AFTER_S = 2
 PROBE_INTERVAL_S = 1
 MAX_PROBES = 2
-READ_LIMIT_BYTES = 1 << 16
+# Bytes that the kernel may receive from a target that is not read. The kernel doubles
+# it for its own overhead; without a bound it grows to several MB.
+RECEIVE_BUFFER_BYTES = 1 << 16
 # Idle time if the target declares none: such targets close within a second.
 DEFAULT_IDLE_S = 0.4
 # Idle connections are closed this long before the target would close them, so that no
@@ -39,10 +47,21 @@
 
 @dataclass(slots=True, eq=False)
 class TargetResponse:
-    """A target's response: its head, and its body as a stream."""
+    """A target's response: its head, and its body as a stream.
+
+    Parameters
+    ----------
+    message : RawResponseMessage
+        The head.
+    body : StreamReader
+        The body.
+    taken : int
+        Bytes of the body that were read.
+    """
 
     message: RawResponseMessage
     body: StreamReader
+    taken: int = 0
 
 
 class Connection(BaseProtocol):
@@ -62,6 +81,8 @@
         self._responses: asyncio.Queue | None = None
         self._current: StreamReader | None = None
         self._unusable = False
+        self._account: BufferAccount | None = None
+        self._has_small_receive_buffer = False
         self.idle_until = 0.0
 
     @property
@@ -69,8 +90,16 @@
         """Whether another request may be sent on this connection."""
         return self.connected and not self._unusable
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of the request that the target has not taken."""
+        transport = self.transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is open."""
+        if self._account is not None:
+            self._account.add(BufferKind.FROM_TARGET, len(data))
         if self._responses is None:
             self._fail(
                 TargetError(
@@ -110,12 +139,23 @@
                 )
         self._fail(error)
 
-    def begin(self) -> None:
-        """Prepare for the responses to one request."""
+    def begin(
+        self, account: BufferAccount | None = None, window: int = WINDOW_BYTES
+    ) -> None:
+        """Prepare for the responses to one request.
+
+        Parameters
+        ----------
+        account : BufferAccount or None
+            Counts what is received and not read.
+        window : int
+            Reading pauses if more than twice this number of bytes is not read.
+        """
+        self._account = account
         self._parser = HttpResponseParser(
             self,
             self._loop,
-            READ_LIMIT_BYTES,
+            window,
             max_line_size=1 << 16,
             max_field_size=1 << 16,
             read_until_eof=True,
@@ -146,8 +186,44 @@
             if response.message.code >= _MIN_FINAL_STATUS:
                 return response
 
+    async def read(self, response: TargetResponse) -> bytes:
+        """Return the bytes of a response that have arrived, b"" at its end."""
+        data = await response.body.readany()
+        response.taken += len(data)
+        if self._account is not None:
+            unread = response.body.total_bytes - response.taken
+            self._account.set(BufferKind.FROM_TARGET, unread)
+        return data
+
+    @contextlib.contextmanager
+    def reading_paused(self) -> Iterator[None]:
+        """Read nothing from the target meanwhile; count what the kernel may receive."""
+        if not self._has_small_receive_buffer and self.transport is not None:
+            self._has_small_receive_buffer = True
+            sock = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError, AttributeError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
+        self._pause_reading_for_buffer()
+        if self._account is not None:
+            self._account.add(BufferKind.FROM_TARGET, RECEIVE_BUFFER_BYTES)
+        try:
+            yield
+        finally:
+            if self._account is not None:
+                self._account.add(BufferKind.FROM_TARGET, -RECEIVE_BUFFER_BYTES)
+            self._resume_reading_for_buffer()
+
+    def _release_account(self) -> None:
+        if self._account is not None:
+            self._account.set(BufferKind.FROM_TARGET, 0)
+            self._account.set(BufferKind.TO_TARGET, 0)
+            self._account = None
+
     def finish(self) -> None:
         """End a request with a complete response; close if more bytes arrived."""
+        self._release_account()
         extra = not self._responses.empty() or self._has_partial_response()
         self._responses = None
         self._current = None
@@ -167,6 +243,7 @@
 
     def abort(self) -> None:
         """Close at once."""
+        self._release_account()
         self._unusable = True
         if self.transport is not None:
             self.transport.abort()
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -7,6 +7,8 @@
 
 from hibiscusstep.dispatcher_host import TargetLoad
 from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding.buffer_budget import WINDOW_BYTES, BufferKind
+from hibiscusstep.forwarding.caller_connection import CollectedResponse
 from hibiscusstep.forwarding.connections import Connection, TargetResponse
 from hibiscusstep.forwarding.dialect import TargetRequestHead, TargetResponseHead
 from hibiscusstep.forwarding.event_splitter import EventSplitter
@@ -76,7 +78,9 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = incoming.head.last_event_id
         self._response: web.StreamResponse | None = None
-        self._last_failure_response: web.Response | None = None
+        self._last_failure_response: web.StreamResponse | None = None
+        self._account = incoming.account
+        self._connection: Connection | None = None
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
@@ -87,7 +91,8 @@
         try:
             response = await self._run_with_deadline()
         except asyncio.CancelledError:
-            self._log_failure(499, "caller disconnected")
+            why = self._incoming.caller.cut_off_reason
+            self._log_failure(499, f"cut off: {why}" if why else "caller disconnected")
             raise
         self._record_metrics(response.status)
         return response
@@ -142,6 +147,7 @@
             connection = await self._context.connections.acquire(
                 target.name, target.address
             )
+            self._connection = connection
             target_response, response_head = await self._send(connection, target)
             failure = await self._relay_response(
                 connection, target_response, response_head, target
@@ -242,12 +248,15 @@
         )
         if incoming.quota_request:
             incoming.quota_request.commit()
-        connection.begin()
-        connection.write(_serialize_request(incoming, fields))
+        connection.begin(self._account, self._context.buffers.window)
+        for part in _serialize_request(incoming, fields):
+            connection.write(part)
+        self._account.set(BufferKind.TO_TARGET, connection.buffered)
         self._may_have_run = True
         async with asyncio.timeout(self._silence_timeout()):
             while True:
                 target_response = await connection.next_response()
+                self._account.set(BufferKind.TO_TARGET, connection.buffered)
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
                 )
@@ -262,7 +271,7 @@
                         )
                     return target_response, response_head
                 # A late response to an earlier request on this connection is discarded.
-                await self._drain(target_response)
+                await self._drain(connection, target_response)
 
     async def _relay_response(
         self,
@@ -273,16 +282,16 @@
     ) -> _AttemptFailure | None:
         status = target_response.message.code
         if response_head.not_run:
-            await self._drain(target_response)
+            await self._drain(connection, target_response)
             return _AttemptFailure.NOT_RUN
         if status < 300 and (not response_head.sealed or response_head.is_reencoded):
             raise _InvalidResponse(
                 "response without the target's seal, or with an encoded body"
             )
         if self._incoming.route.streaming and status < 300:
-            await self._relay_events(target_response)
+            await self._relay_events(connection, target_response)
         else:
-            body = await self._read_body(target_response)
+            parts = await self._read_body(connection, target_response)
             if (
                 status >= MIN_SERVER_ERROR_STATUS
                 and self._incoming.route.retry_mode is RetryMode.FROM_START
@@ -290,15 +299,17 @@
                 self._release_connection(
                     connection, target_response, response_head, target
                 )
+                self._drop_failure_response()
                 self._last_failure_response = self._build_response(
-                    target_response, body
+                    target_response, parts
                 )
                 return _AttemptFailure.FAILED
             if self._response is not None:
                 raise _InvalidResponse(
                     "error status after part of a stream was relayed"
                 )
-            self._response = self._build_response(target_response, body)
+            self._drop_failure_response()
+            self._response = self._build_response(target_response, parts)
         self._release_connection(connection, target_response, response_head, target)
         return None
 
@@ -312,41 +323,70 @@
                 target.name, connection, response_head.idle_timeout
             )
 
-    async def _drain(self, target_response: TargetResponse) -> None:
+    async def _drain(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> None:
         while not target_response.body.at_eof():
-            await target_response.body.readany()
+            await connection.read(target_response)
 
-    async def _read_body(self, target_response: TargetResponse) -> bytes:
+    async def _read_body(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> list[bytes]:
+        """Return the parts of a body; they stay counted until they are written."""
         parts = []
         size = 0
-        while True:
-            async with asyncio.timeout(self._silence_timeout()):
-                part = await target_response.body.readany()
-            if not part and target_response.body.at_eof():
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise _InvalidResponse("response body too long")
+        try:
+            while True:
+                async with asyncio.timeout(self._silence_timeout()):
+                    part = await connection.read(target_response)
+                if not part and target_response.body.at_eof():
+                    return parts
+                parts.append(part)
+                size += len(part)
+                self._account.add(BufferKind.RESPONSE, len(part))
+                if size > MAX_BODY_BYTES:
+                    raise _InvalidResponse("response body too long")
+        except BaseException:
+            self._account.add(BufferKind.RESPONSE, -size)
+            raise
+
+    def _drop_failure_response(self) -> None:
+        """Release the response of an earlier attempt that is no longer needed."""
+        if self._last_failure_response is not None:
+            size = self._last_failure_response.content_length or 0
+            self._account.add(BufferKind.RESPONSE, -size)
+            self._last_failure_response = None
 
     def _build_response(
-        self, target_response: TargetResponse, body: bytes
-    ) -> web.Response:
-        response = web.Response(status=target_response.message.code, body=body)
+        self, target_response: TargetResponse, parts: list[bytes]
+    ) -> web.StreamResponse:
+        status = target_response.message.code
+        if sum(map(len, parts)) <= WINDOW_BYTES:
+            response = web.Response(status=status, body=b"".join(parts))
+        else:
+            response = CollectedResponse(
+                status, parts, self._incoming.caller, self._account
+            )
         self._copy_fields(target_response, response)
         return response
 
-    async def _relay_events(self, target_response: TargetResponse) -> None:
+    async def _relay_events(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> None:
         """Relay each event to the caller once it is complete."""
         splitter = self._splitter
         limit = self._silence_timeout()
         while True:
             async with asyncio.timeout(limit):
-                data = await target_response.body.readany()
+                data = await connection.read(target_response)
             if not data and target_response.body.at_eof():
                 break
             before = splitter.count
             whole = splitter.feed(data)
+            incomplete = len(splitter.remainder)
+            self._account.set(BufferKind.RESPONSE, incomplete)
+            if incomplete > MAX_BODY_BYTES:
+                raise _InvalidResponse("event too long")
             if whole:
                 await self._write_to_caller(target_response, whole)
             if splitter.count > before:
@@ -354,6 +394,7 @@
                 limit = STREAM_SILENCE_TIMEOUT_S if self._can_retry else None
         await self._write_to_caller(target_response, splitter.remainder)
         splitter.drop_remainder()
+        self._account.set(BufferKind.RESPONSE, 0)
         await self._await_caller(self._response.write_eof())
 
     def _record_events(self, count: int) -> None:
@@ -371,6 +412,17 @@
             await self._await_caller(response.prepare(self._incoming.request))
         if data:
             await self._await_caller(self._response.write(data))
+            await self._await_room()
+
+    async def _await_room(self) -> None:
+        """Wait while the caller takes no data; read nothing from the target then."""
+        caller, account = self._incoming.caller, self._account
+        account.set(BufferKind.TO_CALLER, caller.buffered)
+        if caller.is_blocked:
+            with self._connection.reading_paused():
+                await self._await_caller(caller.wait_for_room())
+            account.set(BufferKind.TO_CALLER, caller.buffered)
+            account.record_progress()
 
     async def _await_caller(self, sending) -> None:
         try:
@@ -500,10 +552,12 @@
     return status >= MIN_SERVER_ERROR_STATUS and status != GATEWAY_TIMEOUT_STATUS
 
 
-def _serialize_request(incoming: IncomingRequest, fields) -> bytes:
+def _serialize_request(incoming: IncomingRequest, fields) -> tuple[bytes, ...]:
+    """Return the bytes of a request; a long body is not copied."""
     request = incoming.request
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in fields]
     if incoming.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(b"Content-Length: %d" % len(incoming.body))
-    return b"\r\n".join([*lines, b"", b""]) + incoming.body
+    head, body = b"\r\n".join([*lines, b"", b""]), incoming.body
+    return (head, body) if len(body) > WINDOW_BYTES else (head + body,)
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -8,6 +8,8 @@
 from hibiscusstep.dispatch_client import DispatchClient
 from hibiscusstep.dispatcher_host import DispatcherHost
 from hibiscusstep.forwarding.announcement import AnnouncementReader
+from hibiscusstep.forwarding.buffer_budget import BufferAccount, BufferBudget
+from hibiscusstep.forwarding.caller_connection import CallerConnection
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect, RequestFields
 from hibiscusstep.forwarding.fingerprint import fingerprint
@@ -18,7 +20,7 @@
 from hibiscusstep.forwarding.target_backoff import TargetBackoff
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 
-__all__ = ["ForwardingContext", "IncomingRequest"]
+__all__ = ["ForwardingContext", "IncomingRequest", "response_timeout"]
 
 # Number of route ranks within one customer rank.
 ROUTE_RANKS = 16
@@ -42,6 +44,10 @@
         The chosen pool of the route.
     customer : CustomerRule or None
         The authenticated customer; None if the request needs no key.
+    caller : CallerConnection
+        The caller's connection.
+    account : BufferAccount
+        The bytes held for the request.
     received : float
         Time of receipt of its head, in seconds on the loop's clock.
     quota_request : QuotaRequest or None
@@ -54,6 +60,8 @@
     route: ForwardRoute
     pool: str
     customer: CustomerRule | None
+    caller: CallerConnection
+    account: BufferAccount
     received: float
     quota_request: QuotaRequest | None = None
 
@@ -97,11 +105,14 @@
     @property
     def deadline(self) -> float:
         """Time by which the response has to be complete, on the loop's clock."""
-        caller_timeout = self.head.caller_timeout
-        timeout = self.route.timeout
-        return self.received + (
-            timeout if caller_timeout is None else min(caller_timeout, timeout)
-        )
+        return self.received + response_timeout(self.route, self.head)
+
+
+def response_timeout(route: ForwardRoute, head: RequestFields) -> float:
+    """Return the seconds from the receipt of a request to the end of its response."""
+    if head.caller_timeout is None:
+        return route.timeout
+    return min(head.caller_timeout, route.timeout)
 
 
 @dataclass(slots=True)
@@ -134,6 +145,8 @@
         Targets that asked this instance to back off.
     announcements : AnnouncementReader
         Reads what targets announce in their responses.
+    buffers : BufferBudget
+        The bytes held for callers and targets.
     """
 
     instance: str
@@ -148,3 +161,4 @@
     quarantine: Quarantine
     target_backoff: TargetBackoff
     announcements: AnnouncementReader
+    buffers: BufferBudget
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -17,6 +17,12 @@
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.announcement import AnnouncementReader
 from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.buffer_budget import (
+    WINDOW_BYTES,
+    BufferBounds,
+    BufferBudget,
+    resident_bytes,
+)
 from hibiscusstep.forwarding.caller_frontend import CallerFrontend
 from hibiscusstep.forwarding.catalog import (
     Catalog,
@@ -344,6 +350,8 @@
             address, self._links, self._connections, self._environment.suspect_store
         )
         self._retries = WindowedRetryBudget(bounds, self._started_at)
+        memory = BufferBounds.of_memory(settings.memory_mb, resident_bytes())
+        self._buffers = BufferBudget(memory, asyncio.get_running_loop().time)
         self._context = ForwardingContext(
             name,
             settings.data_centre,
@@ -360,6 +368,7 @@
                 self._targets,
                 lambda target: self._catalog.tell(TargetsAnnounced((target,))),
             ),
+            self._buffers,
         )
         self._frontend = CallerFrontend(self._context, self._quotas)
         self._workers: list[Worker] = [
@@ -584,6 +593,9 @@
         metrics.set_gauge("log_lines_dropped", count_dropped_lines())
         metrics.set_gauge("requests_suspected", self._quarantine.suspected_count)
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
+        for kind, size in self._buffers.held_by_kind.items():
+            metrics.set_gauge("held_bytes", size, kind=kind)
+        metrics.set_gauge("held_bytes_limit", self._buffers.bounds.hard)
         for pool, count in self._dispatcher_host.overdue_slots.items():
             metrics.set_gauge("slots_overdue", count, pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
@@ -622,4 +634,5 @@
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
+            read_bufsize=WINDOW_BYTES,
         )
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -29,6 +29,8 @@
         The longest pause between events of a response, by route, in seconds.
     queue_wait : aioprometheus.Histogram
         Seconds of waiting for a grant, by pool.
+    cut_off : aioprometheus.Counter
+        Exchanges cut off, by reason and whether the request may be repeated.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,7 @@
         self.first_event = self._histogram("first_event_seconds", "To first event.")
         self.stream_pause = self._histogram("longest_pause_seconds", "Longest pause.")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
+        self.cut_off = self._counter("cut_off_total", "Exchanges cut off.")
         self._gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -84,6 +84,7 @@
         seeds=tuple(f"{host}:{port}" for host in hosts if host != ip),
         heartbeat_interval=HEARTBEAT_INTERVAL_S,
         suspect_after=SUSPECT_AFTER_S,
+        memory_mb=_memory_mb(document.get("Limits") or {}),
         capacity=_capacity(document.get("Limits") or {}),
         switches=Switches.disabling(os.environ.get(DISABLED_MECHANISMS_VARIABLE, "")),
     )
@@ -96,6 +97,14 @@
     )
 
 
+def _memory_mb(limits: dict) -> float:
+    """Return the memory limit in MB; 0 if there is none."""
+    limit = float(limits.get("MemoryMb") or 0)
+    if not 0 <= limit < float("inf"):
+        raise ValueError(f"MemoryMb: {limit}")
+    return limit
+
+
 def _capacity(limits: dict) -> int:
     """Return the capacity in hundredths of a core, reduced for a slow link.
 
