--- a/hibiscusstep/forwarding/buffer_budget.py
+++ b/hibiscusstep/forwarding/buffer_budget.py
@@ -41,7 +41,7 @@
 # Another instance may have room at once; slow readers keep theirs for longer.
 REFUSED_RETRY_AFTER_S = 0.5
 # Resident size of a started instance, used where it cannot be measured.
-DEFAULT_RESIDENT_BYTES = 90_000_000
+DEFAULT_RESIDENT_BYTES = 60_000_000
 _STATM = Path("/proc/self/statm")
 
 
--- a/hibiscusstep/forwarding/caller_connection.py
+++ b/hibiscusstep/forwarding/caller_connection.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 from collections import deque
 from collections.abc import Callable, Iterable
 
@@ -62,11 +64,11 @@
             part = memoryview(self._parts.popleft())
             for start in range(0, len(part), WINDOW_BYTES):
                 piece = part[start : start + WINDOW_BYTES]
-                await self.write(piece)
+                await self._caller.write(piece)
                 account.add(BufferKind.RESPONSE, -len(piece))
                 account.set(BufferKind.TO_CALLER, self._caller.buffered)
                 if self._caller.is_blocked:
-                    await self.drain()
+                    await self._caller.wait_for_room()
                     account.set(BufferKind.TO_CALLER, self._caller.buffered)
                     account.record_progress()
         await super().write_eof(data)
@@ -133,6 +135,10 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._transport.abort()
 
+    async def write(self, data: bytes | memoryview) -> None:
+        """Write part of a response that was prepared, without waiting for room."""
+        await self._request.writer.write(data, drain=False)
+
     async def wait_for_room(self) -> None:
         """Wait until the caller has taken part of its window."""
         self.set_window(self._window)  # The default resumes later than RESUME_SHARE.
@@ -172,7 +178,7 @@
             self.set_window(self._window)
 
     def _check_progress(self, loop: asyncio.AbstractEventLoop, deadline: float) -> None:
-        taken = self._request.writer.output_size - self.buffered
+        taken = self._request.writer.output_size - self.buffered - self._unacknowledged
         if taken != self._taken_before:
             self._taken_before = taken
             self._account.record_progress()
@@ -181,6 +187,19 @@
             return
         self._timer = loop.call_later(STALL_S, self._check_progress, loop, deadline)
 
+    @property
+    def _unacknowledged(self) -> int:
+        """Bytes in the kernel that the caller's machine has not acknowledged.
+
+        The kernel takes several MB, and more only once a third of them is gone: without
+        this, a caller that reads slowly would seem not to read.
+        """
+        with contextlib.suppress(OSError, AttributeError, ValueError):
+            sock = self._transport.get_extra_info("socket")
+            answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+            return struct.unpack("i", answer)[0]
+        return 0
+
     def _set_limits(self, high: int, low: int) -> None:
         transport = self._transport
         if transport is not None and not transport.is_closing():
--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -192,7 +192,7 @@
             why=reason,
             repeatable=account.repeatable,
             held=account.held,
-            **{kind.name.lower(): account[kind] for kind in BufferKind},
+            **{f"held_{kind.name.lower()}": account[kind] for kind in BufferKind},
             idle=round(self._context.buffers.now() - account.progress_at, 3),
             held_by_all=self._context.buffers.held,
         )
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -383,6 +383,7 @@
                 break
             before = splitter.count
             whole = splitter.feed(data)
+            del data
             incomplete = len(splitter.remainder)
             self._account.set(BufferKind.RESPONSE, incomplete)
             if incomplete > MAX_BODY_BYTES:
@@ -410,13 +411,25 @@
             self._copy_fields(target_response, response)
             self._response = response
             await self._await_caller(response.prepare(self._incoming.request))
-        if data:
-            await self._await_caller(self._response.write(data))
-            await self._await_room()
-
-    async def _await_room(self) -> None:
-        """Wait while the caller takes no data; read nothing from the target then."""
+        if len(data) > WINDOW_BYTES:
+            await self._write_in_pieces(data)
+        elif data:
+            await self._write_piece(data)
+
+    async def _write_in_pieces(self, data: bytes) -> None:
+        """Write many events, so that only a window of them is copied to a transport."""
+        account = self._account
+        account.add(BufferKind.RESPONSE, len(data))
+        for start in range(0, len(data), WINDOW_BYTES):
+            piece = data[start : start + WINDOW_BYTES]
+            account.add(BufferKind.RESPONSE, -len(piece))
+            await self._write_piece(piece)
+
+    async def _write_piece(self, data: bytes) -> None:
+        """Write; while the caller takes no data, read nothing from the target."""
         caller, account = self._incoming.caller, self._account
+        # A wait within this call would go on reading from the target.
+        await self._await_caller(caller.write(data))
         account.set(BufferKind.TO_CALLER, caller.buffered)
         if caller.is_blocked:
             with self._connection.reading_paused():
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -182,6 +182,11 @@
         """The HTTP server for callers."""
         return self._frontend
 
+    @property
+    def buffers(self) -> BufferBudget:
+        """The bytes held for callers and targets."""
+        return self._buffers
+
     @property
     def quarantine(self) -> Quarantine:
         """The requests that crashed targets and are not forwarded."""
@@ -595,7 +600,8 @@
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
         for kind, size in self._buffers.held_by_kind.items():
             metrics.set_gauge("held_bytes", size, kind=kind)
-        metrics.set_gauge("held_bytes_limit", self._buffers.bounds.hard)
+        hard = self._buffers.bounds.hard
+        metrics.set_gauge("held_bytes_limit", hard if hard < float("inf") else 0)
         for pool, count in self._dispatcher_host.overdue_slots.items():
             metrics.set_gauge("slots_overdue", count, pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -146,6 +146,8 @@
         self.process = None
         self.paused = False
         self.bad_exit_codes = []
+        # Limits in the settings, such as MemoryMb.
+        self.limits = {}
         self.actions = []
         self._log = world.folder / f"{self.name}.log"
         self._logged = 0
@@ -162,6 +164,7 @@
             "Seeds": [f"127.77.{self._world.network}.{n}:1" for n in (1, 2, 3)],
             "Bounds": {"GraceS": GRACE_S, "RetryBudgetSlack": slack},
             "Platform": {"Address": self.store.address},
+            "Limits": self.limits,
         }
         self._path.write_bytes(orjson.dumps(settings))
 
@@ -253,6 +256,7 @@
         self._numbers_to_start = instances, targets
         self.targets = []
         self.instances = []
+        self.limits = {}
 
     async def start(self):
         await self.store.start()
@@ -261,6 +265,7 @@
             await self.add_target()
         self.instances = [Instance(self, n) for n in range(self._numbers_to_start[0])]
         for instance in self.instances:
+            instance.limits = self.limits
             await instance.store.start()
             await instance.callers.start()
             instance.write_settings()
