A caller that does not read its stream is not learnt as slowness of the target

The rate of a stream includes the time for which its caller takes no data, and a target that cuts off a stream that is not read counted as failing: a few such callers made the dispatcher take targets for slow. The rate of a stream that waited for its caller is not reported any more, and a break after one second of such waiting counts as cancelled. Three tests show what the dispatcher is told.

The soak has callers that read large responses slowly or not at all, at a memory limit that they reach (--slow-callers, 4 by default).

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -33,6 +33,9 @@
 MIN_SILENCE_TIMEOUT_S = 1.0
 # A target that sends no event for this long within a stream is taken to be lost.
 STREAM_SILENCE_TIMEOUT_S = 2.0
+# A target cuts off a stream that is not read for some seconds: a break after this much
+# waiting for the caller is not the target's fault.
+UNREAD_STREAM_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
@@ -81,6 +84,8 @@
         self._last_failure_response: web.StreamResponse | None = None
         self._account = incoming.account
         self._connection: Connection | None = None
+        # Seconds for which the last attempt's stream was not read for its caller.
+        self._caller_wait = 0.0
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
@@ -139,6 +144,7 @@
         """Send the request to a target; return None if a response was relayed."""
         connection = None
         self._response_head = None
+        self._caller_wait = 0.0
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
         cause = ""
@@ -167,6 +173,8 @@
             if not error.sent:
                 outcome = m.GrantOutcome.UNREACHABLE
                 return _AttemptFailure.NOT_SENT
+            if self._caller_wait >= UNREAD_STREAM_S:
+                return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
                 target, self._grants.granted_at, not self._timing.events
@@ -185,7 +193,10 @@
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
                 connection.abort()
-            self._grants.release_grant(outcome, self._timing, self._attempts == 1)
+            # The rate of a stream that waited for its caller does not tell the
+            # target's speed.
+            timing = None if self._caller_wait else self._timing
+            self._grants.release_grant(outcome, timing, self._attempts == 1)
             self._record_attempt(target, outcome, cause, started)
 
     def _record_attempt(
@@ -388,11 +399,11 @@
             self._account.set(BufferKind.RESPONSE, incomplete)
             if incomplete > MAX_BODY_BYTES:
                 raise _InvalidResponse("event too long")
-            if whole:
-                await self._write_to_caller(target_response, whole)
             if splitter.count > before:
                 self._record_events(splitter.count - before)
                 limit = STREAM_SILENCE_TIMEOUT_S if self._can_retry else None
+            if whole:
+                await self._write_to_caller(target_response, whole)
         await self._write_to_caller(target_response, splitter.remainder)
         splitter.drop_remainder()
         self._account.set(BufferKind.RESPONSE, 0)
@@ -432,8 +443,12 @@
         await self._await_caller(caller.write(data))
         account.set(BufferKind.TO_CALLER, caller.buffered)
         if caller.is_blocked:
-            with self._connection.reading_paused():
-                await self._await_caller(caller.wait_for_room())
+            started = self._now()
+            try:
+                with self._connection.reading_paused():
+                    await self._await_caller(caller.wait_for_room())
+            finally:
+                self._caller_wait += self._now() - started
             account.set(BufferKind.TO_CALLER, caller.buffered)
             account.record_progress()
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,7 +32,12 @@
     START_FIELD,
     SoakEnvironment,
 )
-from soak_ledger import ROLLBACK_S, CallerResult, Ledger  # noqa: E402
+from soak_ledger import (  # noqa: E402
+    LARGE_SUFFIX,
+    ROLLBACK_S,
+    CallerResult,
+    Ledger,
+)
 from soak_proxy import Mode  # noqa: E402
 
 KINDS = ("safe", "once", "resume", "stream")
@@ -40,6 +45,11 @@
 FORGED_FIELDS = {"X-Tenant": "forged", "X-Target-Instance": "forged", "X-Hold": "h"}
 CALLER_TIMEOUT_S = 20.0
 DEADLINE_MS = 4000
+# Callers that read slowly pause between reads; some take nothing for longer than the
+# deadline.
+SLOW_PAUSES_S = (0.0, 0.02, 6.0)
+# Limit of the instances' memory while callers read slowly: a few responses reach it.
+SLOW_MEMORY_MB = 80
 SERVING_CALLS = 5
 CRASHING_CALLS = 30
 CRASHING_PAUSE_S = 0.4
@@ -61,11 +71,15 @@
 
 
 class Callers:
-    """Callers with persistent connections that send requests of all kinds."""
+    """Callers with persistent connections that send requests of all kinds.
+
+    Slow callers ask for large responses and read them slowly or not at all.
+    """
 
-    def __init__(self, world, ledger, rng, count):
+    def __init__(self, world, ledger, rng, count, slow_count=0):
         self._world, self._ledger, self._rng = world, ledger, rng
         self._count = count
+        self._slow_count = slow_count
         self._number = 0
         self.stopping = False
 
@@ -73,6 +87,8 @@
         async with asyncio.TaskGroup() as group:
             for _ in range(self._count):
                 group.create_task(self._caller())
+            for _ in range(self._slow_count):
+                group.create_task(self._slow_caller())
 
     async def _caller(self):
         instance = self._rng.choice(self._world.instances)
@@ -83,10 +99,21 @@
                 if result.status in (0, 503):
                     instance = self._rng.choice(self._world.instances)
 
-    async def call(self, session, instance, kind, key=None):
-        """Send one request and return its result."""
+    async def _slow_caller(self):
+        while not self.stopping:
+            instance = self._rng.choice(self._world.instances)
+            async with aiohttp.ClientSession(read_bufsize=1 << 14) as session:
+                pause = self._rng.choice(SLOW_PAUSES_S)
+                kind = self._rng.choice(KINDS)
+                await self.call(session, instance, kind, pause=pause)
+
+    async def call(self, session, instance, kind, key=None, pause=None):
+        """Send one request and return its result.
+
+        Large responses are asked for with a pause in seconds between reads.
+        """
         self._number += 1
-        name = f"r{self._number}-{kind}"
+        name = f"r{self._number}-{kind}" + (LARGE_SUFFIX if pause is not None else "")
         key = key or self._rng.choice(list(CUSTOMERS))
         result = CallerResult(kind, CUSTOMERS[key], where=instance.name)
         self._ledger.results[name] = result
@@ -98,12 +125,14 @@
             "Authorization": f"Bearer {key}",
             **(FORGED_FIELDS if self._rng.random() < 0.2 else {}),
         }
-        url = f"http://{instance.callers.address}/{kind}/p"
+        # A proxy would take the responses of callers that do not read.
+        address = instance.callers.address if pause is None else instance.caller_address
+        url = f"http://{address}/{kind}/p"
         process, sent_at = instance.process.pid, time.monotonic()
         result.process = process
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(CALLER_TIMEOUT_S):
-                await self._exchange(session, url, fields, result)
+                await self._exchange(session, url, fields, result, pause)
         if result.seal:
             target, now = result.seal.rpartition(".")[2], time.monotonic()
             target = f"{target}@{result.start}"
@@ -112,7 +141,7 @@
                 self._ledger.limits.record_passed_on(process, target)
         return result
 
-    async def _exchange(self, session, url, fields, result):
+    async def _exchange(self, session, url, fields, result, pause):
         body = b"b" * self._rng.randrange(2000)
         async with session.post(url, headers=fields, data=body) as response:
             result.status = response.status
@@ -126,6 +155,8 @@
                 if leaves:
                     response.close()
                     return
+                if pause:
+                    await asyncio.sleep(pause)
             result.whole = True
 
 
@@ -383,14 +414,23 @@
 
 
 async def soak(
-    seed, folder, instances=None, seconds=8.0, faults=None, callers=12, kinds=None
+    seed,
+    folder,
+    instances=None,
+    seconds=8.0,
+    faults=None,
+    callers=12,
+    kinds=None,
+    slow_callers=0,
 ):
     """Run one seed; return the findings and a summary with the injected faults."""
     rng = random.Random(seed)
     count = instances or rng.choice((3, 5, 8, 14))
     ledger = Ledger()
     world = SoakEnvironment(folder, rng, ledger, count, targets=4)
-    caller_group = Callers(world, ledger, rng, callers)
+    if slow_callers:
+        world.limits = {"MemoryMb": SLOW_MEMORY_MB}
+    caller_group = Callers(world, ledger, rng, callers, slow_callers)
     fault_schedule = Faults(world, rng, kinds)
     try:
         await world.start()
@@ -451,14 +491,22 @@
     "--instances", type=int, help="Number of instances; default: by the seed."
 )
 @click.option("--seconds", default=8.0, help="Seconds within which faults start.")
+@click.option("--slow-callers", default=4, help="Number of callers that read slowly.")
 @click.option("--keep", is_flag=True, help="Keep the folders with settings and logs.")
-def main(seeds, instances, seconds, keep):
+def main(seeds, instances, seconds, slow_callers, keep):
     """Run seeds; exit with 1 if a promise was broken."""
     failed = []
     for seed in _parse(seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         findings, faults_run = asyncio.run(
-            soak(seed, folder, instances, seconds, kinds=Faults.WITH_LIMITS)
+            soak(
+                seed,
+                folder,
+                instances,
+                seconds,
+                kinds=Faults.WITH_LIMITS,
+                slow_callers=slow_callers,
+            )
         )
         click.echo(f"seed {seed}: {'BROKEN' if findings else 'ok'}; {faults_run[0]}")
         for line in findings[:20]:
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -6,6 +6,10 @@
 
 from soak_limits import LimitLedger
 
+# Requests whose names end so have large responses, which do not fit into the kernel.
+LARGE_SUFFIX = "-large"
+LARGE_BODY_BYTES = 12 << 20
+LARGE_EVENT_BYTES = 1 << 20
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 REPEATABLE_KINDS = {"safe", "resume"}
 # Configured maximum of attempts per request, counted on targets that did not crash.
@@ -173,10 +177,18 @@
 
 def body_of(name, target):
     """Return the body of a target's answer to a request."""
-    return f"{name} by {target}".encode()
+    return f"{name} by {target}".encode() + _padding(name, LARGE_BODY_BYTES)
 
 
 def events(name):
     """Return the events of a stream, the same from any target."""
     count = 5 + sum(name.encode()) % 12
-    return [f"id: {n}\ndata: {name} {n}\n\n".encode() for n in range(1, count + 1)]
+    padding = _padding(name, LARGE_EVENT_BYTES)
+    return [
+        f"id: {n}\ndata: {name} {n}".encode() + padding + b"\n\n"
+        for n in range(1, count + 1)
+    ]
+
+
+def _padding(name, size):
+    return b"." * size if name.endswith(LARGE_SUFFIX) else b""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -15,8 +15,10 @@
 from slow_peers import LimitedInstance, StalledCaller, endless_events, until_steady
 from test_forwarding import BOUND_S, Site
 
-from hibiscusstep.forwarding import caller_connection
+from hibiscusstep.forwarding import caller_connection, exchange
 from hibiscusstep.forwarding.buffer_budget import MIN_HARD_BYTES, WINDOW_BYTES
+from hibiscusstep.grant_messages import RequestEnded
+from hibiscusstep.routing.messages import GrantOutcome
 
 # The smallest bounds: the test process itself uses more than this limit.
 SMALL_MEMORY_MB = 1
@@ -130,6 +132,44 @@
         assert site.buffers.highest < 20 << 20
 
 
+class TestWhatIsLearntOfTargets:
+    """A few callers that did not read made all targets look slow or failing."""
+
+    async def _finished(self, site, monkeypatch, script, *, reset=False):
+        """Let a caller pause; return what the dispatcher was told of the stream."""
+        await site.start(TargetStandIn("t1", script), document=_document())
+        client, told = site.instances[0]._dispatch_client, []
+        tell = client.tell
+        monkeypatch.setattr(client, "tell", lambda m: (told.append(m), tell(m))[1])
+        caller = await site.stall("/stream/")
+        await until_steady(lambda: site.buffers.held, times=5)
+        if reset:
+            site.targets[0].reset()
+        reading = asyncio.create_task(caller.read_all(b"\r\n0\r\n\r\n"))
+        await site.until(lambda: any(isinstance(m, RequestEnded) for m in told))
+        caller.reset()
+        await reading
+        return next(m for m in told if isinstance(m, RequestEnded))
+
+    async def test_the_rate_of_a_stream_that_was_read_counts(self, site, monkeypatch):
+        script = endless_events(100, 20)
+        ended = await self._finished(site, monkeypatch, script)
+        assert (ended.outcome, ended.tokens) == (GrantOutcome.DONE, 20)
+
+    async def test_that_of_a_stream_that_waited_does_not(self, site, monkeypatch):
+        script = endless_events(100_000, 200)
+        ended = await self._finished(site, monkeypatch, script)
+        assert (ended.outcome, ended.tokens) == (GrantOutcome.DONE, 0)
+
+    async def test_a_target_that_cuts_off_an_unread_stream_has_not_failed(
+        self, site, monkeypatch
+    ):
+        monkeypatch.setattr(exchange, "UNREAD_STREAM_S", 0.1)
+        script = endless_events(100_000, 200)
+        ended = await self._finished(site, monkeypatch, script, reset=True)
+        assert ended.outcome is GrantOutcome.CANCELLED
+
+
 class TestPlainResponses:
     """The handler ended before the response was written: nothing bounded its time."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -118,6 +118,27 @@
         assert not findings, faults_run
 
 
+class TestSoakOfSlowReaders:
+    """Callers that read slowly or not at all, at a low memory limit."""
+
+    KINDS = (Faults._kill, Faults._term, Faults._pause, Faults._resets)
+
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [601, 602])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, faults_run = await soak(
+            seed,
+            tmp_path,
+            3,
+            seconds=4.0,
+            faults=4,
+            callers=6,
+            kinds=self.KINDS,
+            slow_callers=6,
+        )
+        assert not findings, faults_run
+
+
 class TestSignalsUntilTheEnd:
     """A second signal at the end must not change the exit code of a clean exit.
 
