--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -24,7 +24,7 @@
 SMALL_MEMORY_MB = 1
 # More than the kernel takes of a response, 4 MB here.
 LARGE = 7 << 20
-# The most that may be held of a stream whose caller does not read: 248 kB were measured,
+# The most held of a stream whose caller does not read: 248 kB were measured,
 # and 444 kB if its target is read on. It is more until the first wait.
 MAX_STREAM_BYTES = 6 * WINDOW_BYTES
 MAX_STREAM_BYTES_BEFORE = 10 * WINDOW_BYTES
