--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -267,12 +267,18 @@
         """A target whose slots stay taken would get no more requests."""
         caplog.set_level(logging.INFO, "hibiscusstep.decision")
         site.settings = {"memory_mb": SMALL_MEMORY_MB}
-        script = endless_events(100_000, 10)
+
+        def script(number, fields, body):
+            count = 200 if number < 4 else 10
+            return endless_events(100_000, count)(number, fields, body)
+
         target = TargetStandIn("t1", script)
         await site.start(target, document=_document())
         for _ in range(4):
             await site.stall("/resume/")
-        await site.until(lambda: len(target.requests) == 4)
+        await site.until(
+            lambda: sum(a.held > WINDOW_BYTES for a in site.buffers._accounts) == 4
+        )
         for account in list(site.buffers._accounts):
             account.connection.cut_off(account, "memory")
         status, _fields, body = await site.call("/resume/")
