--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -7,6 +7,8 @@
 
 from hibiscusstep.dispatcher_host import TargetLoad
 from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding.buffer_budget import WINDOW_BYTES, BufferKind
+from hibiscusstep.forwarding.caller_connection import CollectedResponse
 from hibiscusstep.forwarding.connections import Connection, TargetResponse
 from hibiscusstep.forwarding.dialect import TargetRequestHead, TargetResponseHead
 from hibiscusstep.forwarding.event_splitter import EventSplitter
@@ -31,6 +33,9 @@
 MIN_SILENCE_TIMEOUT_S = 1.0
 # A target that sends no event for this long within a stream is taken to be lost.
 STREAM_SILENCE_TIMEOUT_S = 2.0
+# A target cuts off a stream that is not read for some seconds: a break after this much
+# waiting for the caller is not the target's fault.
+UNREAD_STREAM_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
@@ -76,7 +81,11 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = incoming.head.last_event_id
         self._response: web.StreamResponse | None = None
-        self._last_failure_response: web.Response | None = None
+        self._last_failure_response: web.StreamResponse | None = None
+        self._account = incoming.account
+        self._connection: Connection | None = None
+        # Seconds for which the last attempt's stream was not read for its caller.
+        self._caller_wait = 0.0
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
@@ -87,7 +96,8 @@
         try:
             response = await self._run_with_deadline()
         except asyncio.CancelledError:
-            self._log_failure(499, "caller disconnected")
+            why = self._incoming.caller.cut_off_reason
+            self._log_failure(499, f"cut off: {why}" if why else "caller disconnected")
             raise
         self._record_metrics(response.status)
         return response
@@ -134,6 +144,7 @@
         """Send the request to a target; return None if a response was relayed."""
         connection = None
         self._response_head = None
+        self._caller_wait = 0.0
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
         cause = ""
@@ -142,6 +153,7 @@
             connection = await self._context.connections.acquire(
                 target.name, target.address
             )
+            self._connection = connection
             target_response, response_head = await self._send(connection, target)
             failure = await self._relay_response(
                 connection, target_response, response_head, target
@@ -161,6 +173,8 @@
             if not error.sent:
                 outcome = m.GrantOutcome.UNREACHABLE
                 return _AttemptFailure.NOT_SENT
+            if self._caller_wait >= UNREAD_STREAM_S:
+                return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
                 target, self._grants.granted_at, not self._timing.events
@@ -179,7 +193,10 @@
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
                 connection.abort()
-            self._grants.release_grant(outcome, self._timing, self._attempts == 1)
+            # The rate of a stream that waited for its caller does not tell the
+            # target's speed.
+            timing = None if self._caller_wait else self._timing
+            self._grants.release_grant(outcome, timing, self._attempts == 1)
             self._record_attempt(target, outcome, cause, started)
 
     def _record_attempt(
@@ -243,12 +260,15 @@
         )
         if incoming.quota_request:
             incoming.quota_request.commit()
-        connection.begin()
-        connection.write(_serialize_request(incoming, fields))
+        connection.begin(self._account, self._context.buffers.window)
+        for part in _serialize_request(incoming, fields):
+            connection.write(part)
+        self._account.set(BufferKind.TO_TARGET, connection.buffered)
         self._may_have_run = True
         async with asyncio.timeout(self._silence_timeout()):
             while True:
                 target_response = await connection.next_response()
+                self._account.set(BufferKind.TO_TARGET, connection.buffered)
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
                 )
@@ -264,7 +284,7 @@
                         )
                     return target_response, response_head
                 # A late response to an earlier request on this connection is discarded.
-                await self._drain(target_response)
+                await self._drain(connection, target_response)
 
     async def _relay_response(
         self,
@@ -275,16 +295,16 @@
     ) -> _AttemptFailure | None:
         status = target_response.message.code
         if response_head.not_run:
-            await self._drain(target_response)
+            await self._drain(connection, target_response)
             return _AttemptFailure.NOT_RUN
         if status < 300 and (not response_head.sealed or response_head.is_reencoded):
             raise _InvalidResponse(
                 "response without the target's seal, or with an encoded body"
             )
         if self._incoming.route.streaming and status < 300:
-            await self._relay_events(target_response)
+            await self._relay_events(connection, target_response)
         else:
-            body = await self._read_body(target_response)
+            parts = await self._read_body(connection, target_response)
             if (
                 status >= MIN_SERVER_ERROR_STATUS
                 and self._incoming.route.retry_mode is RetryMode.FROM_START
@@ -292,15 +312,17 @@
                 self._release_connection(
                     connection, target_response, response_head, target
                 )
+                self._drop_failure_response()
                 self._last_failure_response = self._build_response(
-                    target_response, body
+                    target_response, parts
                 )
                 return _AttemptFailure.FAILED
             if self._response is not None:
                 raise _InvalidResponse(
                     "error status after part of a stream was relayed"
                 )
-            self._response = self._build_response(target_response, body)
+            self._drop_failure_response()
+            self._response = self._build_response(target_response, parts)
         self._release_connection(connection, target_response, response_head, target)
         return None
 
@@ -314,48 +336,79 @@
                 target.name, connection, response_head.idle_timeout
             )
 
-    async def _drain(self, target_response: TargetResponse) -> None:
+    async def _drain(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> None:
         while not target_response.body.at_eof():
-            await target_response.body.readany()
+            await connection.read(target_response)
 
-    async def _read_body(self, target_response: TargetResponse) -> bytes:
+    async def _read_body(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> list[bytes]:
+        """Return the parts of a body; they stay counted until they are written."""
         parts = []
         size = 0
-        while True:
-            async with asyncio.timeout(self._silence_timeout()):
-                part = await target_response.body.readany()
-            if not part and target_response.body.at_eof():
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise _InvalidResponse("response body too long")
+        try:
+            while True:
+                async with asyncio.timeout(self._silence_timeout()):
+                    part = await connection.read(target_response)
+                if not part and target_response.body.at_eof():
+                    return parts
+                parts.append(part)
+                size += len(part)
+                self._account.add(BufferKind.RESPONSE, len(part))
+                if size > MAX_BODY_BYTES:
+                    raise _InvalidResponse("response body too long")
+        except BaseException:
+            self._account.add(BufferKind.RESPONSE, -size)
+            raise
+
+    def _drop_failure_response(self) -> None:
+        """Release the response of an earlier attempt that is no longer needed."""
+        if self._last_failure_response is not None:
+            size = self._last_failure_response.content_length or 0
+            self._account.add(BufferKind.RESPONSE, -size)
+            self._last_failure_response = None
 
     def _build_response(
-        self, target_response: TargetResponse, body: bytes
-    ) -> web.Response:
-        response = web.Response(status=target_response.message.code, body=body)
+        self, target_response: TargetResponse, parts: list[bytes]
+    ) -> web.StreamResponse:
+        status = target_response.message.code
+        if sum(map(len, parts)) <= WINDOW_BYTES:
+            response = web.Response(status=status, body=b"".join(parts))
+        else:
+            response = CollectedResponse(
+                status, parts, self._incoming.caller, self._account
+            )
         self._copy_fields(target_response, response)
         return response
 
-    async def _relay_events(self, target_response: TargetResponse) -> None:
+    async def _relay_events(
+        self, connection: Connection, target_response: TargetResponse
+    ) -> None:
         """Relay each event to the caller once it is complete."""
         splitter = self._splitter
         limit = self._silence_timeout()
         while True:
             async with asyncio.timeout(limit):
-                data = await target_response.body.readany()
+                data = await connection.read(target_response)
             if not data and target_response.body.at_eof():
                 break
             before = splitter.count
             whole = splitter.feed(data)
-            if whole:
-                await self._write_to_caller(target_response, whole)
+            del data
+            incomplete = len(splitter.remainder)
+            self._account.set(BufferKind.RESPONSE, incomplete)
+            if incomplete > MAX_BODY_BYTES:
+                raise _InvalidResponse("event too long")
             if splitter.count > before:
                 self._record_events(splitter.count - before)
                 limit = STREAM_SILENCE_TIMEOUT_S if self._can_retry else None
+            if whole:
+                await self._write_to_caller(target_response, whole)
         await self._write_to_caller(target_response, splitter.remainder)
         splitter.drop_remainder()
+        self._account.set(BufferKind.RESPONSE, 0)
         await self._await_caller(self._response.write_eof())
 
     def _record_events(self, count: int) -> None:
@@ -371,8 +424,35 @@
             self._copy_fields(target_response, response)
             self._response = response
             await self._await_caller(response.prepare(self._incoming.request))
-        if data:
-            await self._await_caller(self._response.write(data))
+        if len(data) > WINDOW_BYTES:
+            await self._write_in_pieces(data)
+        elif data:
+            await self._write_piece(data)
+
+    async def _write_in_pieces(self, data: bytes) -> None:
+        """Write many events, so that only a window of them is copied to a transport."""
+        account = self._account
+        account.add(BufferKind.RESPONSE, len(data))
+        for start in range(0, len(data), WINDOW_BYTES):
+            piece = data[start : start + WINDOW_BYTES]
+            account.add(BufferKind.RESPONSE, -len(piece))
+            await self._write_piece(piece)
+
+    async def _write_piece(self, data: bytes) -> None:
+        """Write; while the caller takes no data, read nothing from the target."""
+        caller, account = self._incoming.caller, self._account
+        # A wait within this call would go on reading from the target.
+        await self._await_caller(caller.write(data))
+        account.set(BufferKind.TO_CALLER, caller.buffered)
+        if caller.is_blocked:
+            started = self._now()
+            try:
+                with self._connection.reading_paused():
+                    await self._await_caller(caller.wait_for_room())
+            finally:
+                self._caller_wait += self._now() - started
+            account.set(BufferKind.TO_CALLER, caller.buffered)
+            account.record_progress()
 
     async def _await_caller(self, sending) -> None:
         try:
@@ -506,10 +586,12 @@
     return status >= MIN_SERVER_ERROR_STATUS and status != GATEWAY_TIMEOUT_STATUS
 
 
-def _serialize_request(incoming: IncomingRequest, fields) -> bytes:
+def _serialize_request(incoming: IncomingRequest, fields) -> tuple[bytes, ...]:
+    """Return the bytes of a request; a long body is not copied."""
     request = incoming.request
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in fields]
     if incoming.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(b"Content-Length: %d" % len(incoming.body))
-    return b"\r\n".join([*lines, b"", b""]) + incoming.body
+    head, body = b"\r\n".join([*lines, b"", b""]), incoming.body
+    return (head, body) if len(body) > WINDOW_BYTES else (head + body,)
