Tests of customers in the emulator, of log fields and of the use of the pool

Cause: emulated customers, the log fields and the rule that nothing waits or is refused while a slot is free had no tests. Change: those tests. The plan's page of weights says what a missing one is. Result: test_dispatcher_host, TestCustomers and TestUseOfThePool pass.

--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -54,7 +54,8 @@
     planned_returns : bool
         Whether its refusals name times at which there is room.
     customer_weights : dict of str to float
-        Weights of the customers, relative to each other; a missing one has weight 1.
+        Weights of the customers, relative to each other. A missing one has the mean of
+        them, or 1 if there are none.
     memory_tokens : int
         Tokens that the memory of each target holds; 0 if not known.
     """
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -534,8 +534,8 @@
         Only the last request of each priority class is checked for the expected wait.
         Each request was the last of its class when it arrived; since then only higher
         ranks can have delayed it, and the last one is the first to miss its deadline.
-        With fair shares it is the last request of each customer: with each tick of all
-        of them, otherwise of the customer that asks.
+        With fair shares it is the last request of each customer: of the one that asks,
+        and with the ticks of all of them in turn.
         """
         for work in self._queue.expired(now):
             self._refuse(work, self._wait_estimator.seconds(work, now), now)
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -259,3 +259,29 @@
             round(at - start, 2) for at in first
         ]
         assert first[0] > start
+
+
+class TestFairShareFields:
+    """Operators must see in the log whose share a decision was made for."""
+
+    async def test_grants_and_refusals_have_the_share(
+        self, dispatcher_host, monkeypatch
+    ):
+        worker, _links = dispatcher_host
+        lines = []
+        monkeypatch.setattr(
+            "hibiscusstep.dispatcher_host.decision",
+            lambda kind, **fields: lines.append((kind, fields)),
+        )
+        pool = PlannedPool(True, targets={"t": PlannedTarget(1)}, fair_shares=True)
+        plan = DispatchPlan({POOL: pool})
+        await worker.handle(ConfigurationInForce(2, b"", plan))
+        own = PoolRegister(POOL, "d", "d-1", [], [], [])
+        await worker.handle(Received("d:1", own))
+        for ask in ("a", "b"):
+            info = WorkInfo(ask, ask, "e", "c", "0", 0, 10, 10, 0.0, 0.0, False, [], [])
+            await worker.handle(Received("e:1", PoolAsk(POOL, info)))
+        (_, granted), (_, refused) = (
+            line for line in lines if line[0] in ("grant", "refuse")
+        )
+        assert granted["share"] == refused["share"] == 1.0
--- a/tests/test_flooding_customers.py
+++ b/tests/test_flooding_customers.py
@@ -449,3 +449,32 @@
             granted[switches] = Counter(d.work.rank for d in pool.decisions[before:])
         assert granted[ALL_ENABLED] == granted[NOT_SHARED]
         assert granted[ALL_ENABLED][1] > 0
+
+
+class TestUseOfThePool:
+    """Fair shares must refuse and hold back nothing that the pool has room for."""
+
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.just("ask"), st.sampled_from("abcd"), st.floats(0.2, 3.0)),
+                st.tuples(st.just("end"), st.just(""), st.floats(0.01, 0.5)),
+                st.tuples(st.just("tick"), st.just(""), st.floats(0.01, 0.5)),
+            ),
+            max_size=80,
+        )
+    )
+    def test_nothing_waits_or_is_refused_while_a_slot_is_free(self, steps):
+        pool = _Pool((3, 3), a=5.0, b=1.0)
+        for action, customer, value in steps:
+            seen, running = len(pool.decisions), len(pool.running)
+            if action == "ask":
+                pool.ask(customer, deadline=value)
+            elif action == "end" and running:
+                pool.end()
+            else:
+                pool.now += value
+                pool.handle(m.TimePassed())
+            refused = [d for d in pool.decisions[seen:] if isinstance(d, m.Refuse)]
+            assert not refused or running == 6
+            assert not pool.dispatcher.waiting or len(pool.running) == 6
--- a/tests/test_pool_emulator.py
+++ b/tests/test_pool_emulator.py
@@ -13,6 +13,7 @@
 from hibiscusstep.load.drawn_deployment import (
     RUN_LENGTH_S,
     Burst,
+    CustomerFlood,
     DrawnDeployment,
     InstanceLoss,
     RequestKind,
@@ -262,3 +263,42 @@
         """Two seeds gave 0.98 with `spread_alone` and 0.49 without."""
         assert self._share_after(ALL_ENABLED) > 0.95
         assert self._share_after(Switches.disabling("spread_alone")) < 0.6
+
+
+class TestCustomers:
+    """One of the customers sends far more than usual for some seconds."""
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_do_not_change_what_a_seed_draws(self, seed):
+        """Measurements of earlier builds must stay comparable."""
+        alone, drawn = draw_deployment(seed), draw_deployment(seed, 16)
+        assert len(drawn.customers) == 16
+        assert drawn.flood is not None
+        assert replace(drawn, customers=(1.0,), flood=None) == alone
+
+    def test_flood_raises_the_rate_of_its_customer(self):
+        flood = CustomerFlood(1, 4.0, 10.0, 5.0)
+        deployment = replace(_mixed_speeds(), customers=(0.5, 0.5), flood=flood)
+        assert deployment.rate(LONG, 3.9) == LONG.rate
+        assert deployment.rate(LONG, 4.0) == pytest.approx(3.0 * LONG.rate)
+        assert deployment.customer_rates(4.0) == [0.5, 2.5]
+        assert deployment.customer_rates(10.0) == [0.5, 0.5]
+
+    def test_the_others_are_served_in_a_flood(self):
+        """Without fair shares the others' requests are refused as often."""
+        flood = CustomerFlood(0, 4.0, 15.0, 7.5)
+        customers = (0.25, *[0.05] * 15)
+        deployment = replace(_mixed_speeds(), customers=customers, flood=flood)
+        served = {}
+        for off in ("", "fair_shares"):
+            runs = [
+                PoolEmulator(deployment, seed, Switches.disabling(off)).run()
+                for seed in (1, 2)
+            ]
+            asked = sum(sum(run.asked_by_customer.values()) for run in runs)
+            assert asked == sum(sum(run.asked.values()) for run in runs)
+            others = [f"c{n}" for n in range(1, 16)]
+            served[off] = sum(
+                run.served_by_customer[name] for run in runs for name in others
+            ) / sum(run.asked_by_customer[name] for run in runs for name in others)
+        assert served[""] > served["fair_shares"] + 0.05
