--- a/tests/test_host_pace.py
+++ b/tests/test_host_pace.py
@@ -18,6 +18,7 @@
     RequestKind,
     draw_deployment,
 )
+from hibiscusstep.load.experiment import run_experiment
 from hibiscusstep.load.pool_emulator import PoolEmulator
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
@@ -651,6 +652,16 @@
             assert draw_deployment(seed).kinds == with_changes.kinds
             assert draw_deployment(seed).restart == with_changes.restart
 
+    def test_an_experiment_may_have_changing_hosts(self):
+        """Runs must be comparable, so they are deterministic for their seeds."""
+        steady = run_experiment([2], [1], ["host_pace"])
+        changing = [
+            run_experiment([2], [1], ["host_pace"], host_changes=True) for _ in range(2)
+        ]
+        assert changing[0] == changing[1]
+        assert steady[""] == steady["host_pace"]
+        assert changing[0][""] != changing[0]["host_pace"] != steady["host_pace"]
+
     def test_without_changing_hosts_the_switch_has_no_effect(self):
         runs = [
             PoolEmulator(draw_deployment(2), 2, s).run() for s in (ALL_ENABLED, OFF)
