--- a/hibiscusstep/routing/slot_queue.py
+++ b/hibiscusstep/routing/slot_queue.py
@@ -90,10 +90,6 @@
         """Return the pairs of rank and class used so far, the last first."""
         return sorted(self._backlog, reverse=True)
 
-    def last_of_class(self, priority: tuple[int, QueueClass]) -> Work | None:
-        """Return the last request of a class; None if there is none."""
-        return self.last_of_tail((*priority, ""))
-
     def tails(self, asking: Work | None = None) -> list[Tail]:
         """Return the ends of the queue at which requests may miss their deadlines.
 
