--- a/hibiscusstep/routing/fair_shares.py
+++ b/hibiscusstep/routing/fair_shares.py
@@ -167,9 +167,9 @@
     def is_above_share(self, rank: int, customer: str) -> bool:
         """Return whether a customer exceeds its share of a contended rank.
 
-        It does if it recently asked for or got more than its weighted share of the
-        seconds that were granted, while others were seen and less was granted than
-        asked for.
+        It does if it recently asked for or got more than `HEAVY_FACTOR` times its
+        weighted share of the seconds that were granted, while others were seen and less
+        was granted than asked for.
         """
         shares = self._ranks.get(rank)
         account = shares.accounts.get(customer) if shares else None
