Memory of engines: no target is granted more tokens than its memory holds

Cause: an engine that holds requests beyond KvCapacity crashes, and the dispatcher bounded only the number of its requests. A request larger than the memory would wait for ever. Canary targets, suspects, panic mode, underserved ranks, retries and standby dispatchers go by it; a standby dispatcher, and the dispatcher of a part of the network, grants its share, or one request to an empty target. A request larger than the memory is refused at once with IMPOSSIBLE. The index offers other targets where the cheapest have no room. Grant lines have memory_tokens above half of the bound; gauge memory_highest_share, counter memory_waits_total.

--- a/examples/decision_cost.py
+++ b/examples/decision_cost.py
@@ -1,6 +1,7 @@
 """Measures the dispatcher's processor time per request, by the number of waiting ones.
 
 Usage: python examples/decision_cost.py [--targets 30] [--requests 4000] [--limit 100]
+           [--memory 400000]
 
 A pool with no free slots gets requests of three ranks in turn, at a rate that keeps the
 given number of them waiting. Prints the microseconds of processor time for all messages
@@ -23,16 +24,21 @@
 
 
 def measure(
-    targets: int, waiting: int, requests: int, limit: float | None = None
+    targets: int,
+    waiting: int,
+    requests: int,
+    limit: float | None = None,
+    memory: int = 0,
 ) -> float:
     """Return the microseconds per request with a number of waiting requests.
 
     `limit` is the requests per second that each target accepts; None for any number.
+    `memory` is the number of tokens that each target's memory holds; 0 for no bound.
+    A request takes 1,000 to 15,000 tokens.
     """
     pool = {f"t{n}": PlannedTarget(SLOTS, rate_limit=limit) for n in range(targets)}
-    dispatcher = SlotDispatcher(
-        "p", DispatchPlan({"p": PlannedPool(True, 6, 0.3, targets=pool)})
-    )
+    planned = PlannedPool(True, 6, 0.3, targets=pool, memory_tokens=memory)
+    dispatcher = SlotDispatcher("p", DispatchPlan({"p": planned}))
     dispatcher.handle(m.Recovered(), 0.0)
     # The number of waiting requests is the number that arrive within the patience.
     interval, patience = 0.001, 0.001 * waiting
@@ -44,9 +50,10 @@
         work = m.Work(
             f"a{n}", f"r{n}", "i", "c", str(n % RANKS), n % RANKS, 2000, 300,
             now + patience, now, first_token_due=now + 2 * patience,
+            memory_tokens=1000 * (1 + n % 15),
         )  # fmt: skip
         messages = [m.RequestGrant(work)]
-        if len(held) >= targets * SLOTS and not n % REQUESTS_PER_ANSWER:
+        if n >= targets * SLOTS and held and not n % REQUESTS_PER_ANSWER:
             ask = held.pop(next(running) % 7)
             messages.append(m.Finished(ask, m.GrantOutcome.DONE, 50, 1.0))
         began = time.process_time()
@@ -64,10 +71,11 @@
 @click.option("--targets", default=30, show_default=True)
 @click.option("--requests", default=4000, show_default=True)
 @click.option("--limit", type=float, help="Requests per second of each target.")
-def main(targets: int, requests: int, limit: float | None) -> None:
+@click.option("--memory", default=0, help="Tokens of each target's memory.")
+def main(targets: int, requests: int, limit: float | None, memory: int) -> None:
     """Print a line per number of waiting requests."""
     for waiting in (10, 100, 1000):
-        spent = measure(targets, waiting, requests, limit)
+        spent = measure(targets, waiting, requests, limit, memory)
         click.echo(f"{targets} targets, {waiting} waiting: {spent:.0f} us a request")
 
 
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -207,6 +207,23 @@
             for pool, hosted in self._hosted.items()
         }
 
+    @property
+    def memory_shares(self) -> dict[str, float]:
+        """Highest share of a target's memory that is granted, by pool with a bound."""
+        shares = (
+            (pool, hosted.dispatcher.memory_share)
+            for pool, hosted in self._hosted.items()
+        )
+        return {pool: share for pool, share in shares if share is not None}
+
+    @property
+    def memory_waits(self) -> dict[str, int]:
+        """Requests that waited for memory, by pool with a bound."""
+        return {
+            pool: self._hosted[pool].dispatcher.counts.waited_for_memory
+            for pool in self.memory_shares
+        }
+
     @property
     def rollout_summaries(self) -> dict[str, dict]:
         """Summaries of the rollouts that run here, by pool."""
@@ -539,7 +556,7 @@
         }
         match action:
             case m.Grant(target=target, candidates=candidates):
-                fields |= _limited_field(action)
+                fields |= _limited_field(action) | _memory_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
                 waited = now - work.received_at
                 self._send(address, PoolGrant(pool, work.ask, target, waited))
@@ -578,3 +595,9 @@
     """Return the log field that says that rate limits affect a decision, if so."""
     count = action.limited_targets
     return {"limited_targets": count} if count else {}
+
+
+def _memory_field(action: m.Grant) -> dict[str, int]:
+    """Return the log field for a target's memory if more than half is in use."""
+    tokens = action.memory_tokens
+    return {"memory_tokens": tokens} if tokens else {}
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -586,6 +586,10 @@
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
         for pool, count in self._dispatcher_host.overdue_slots.items():
             metrics.set_gauge("slots_overdue", count, pool=pool)
+        for pool, share in self._dispatcher_host.memory_shares.items():
+            metrics.set_gauge("memory_highest_share", share, pool=pool)
+        for pool, count in self._dispatcher_host.memory_waits.items():
+            metrics.memory_waits.set({"pool": pool}, count)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -29,6 +29,8 @@
         The longest pause between events of a response, by route, in seconds.
     queue_wait : aioprometheus.Histogram
         Seconds of waiting for a grant, by pool.
+    memory_waits : aioprometheus.Counter
+        Requests that waited for memory of a target, by pool dispatched here.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,7 @@
         self.first_event = self._histogram("first_event_seconds", "To first event.")
         self.stream_pause = self._histogram("longest_pause_seconds", "Longest pause.")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
+        self.memory_waits = self._counter("memory_waits_total", "Waited for memory.")
         self._gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -57,9 +57,10 @@
 
     `LOAD`: the pool is overloaded. `DEADLINE`: it was not granted in time.
     `HIGHER_TIER`: requests of higher tiers need the pool. `IMPOSSIBLE`: it would be
-    late on an idle target too. `CUSTOMER_LIMIT`: its customer has too many waiting
-    requests. `NO_TARGET`: no target accepts requests. `UNAVAILABLE`: its tier is not
-    known, or part of the system cannot be reached.
+    late on an idle target too, or is larger than the memory of a target.
+    `CUSTOMER_LIMIT`: its customer has too many waiting requests. `NO_TARGET`: no target
+    accepts requests. `UNAVAILABLE`: its tier is not known, or part of the system cannot
+    be reached.
     """
 
     LOAD = "load"
@@ -302,6 +303,9 @@
         dispatcher the weighted cost in seconds.
     limited_targets : int
         Number of targets of the pool with a rate limit.
+    memory_tokens : int
+        Tokens in use of the target's memory after the grant; 0 if they are less than
+        half of it.
     """
 
     work: Work
@@ -309,6 +313,7 @@
     wait: float
     candidates: dict[str, float]
     limited_targets: int = 0
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -15,7 +15,8 @@
 
     `refused_with_room` counts refusals for load while a target had a free slot and was
     not blocked by a long prefill; these refusals may have been unnecessary. `lost`
-    counts granted requests whose end was never reported.
+    counts granted requests whose end was never reported, `waited_for_memory` those that
+    waited since they did not fit the memory of a target with a free slot.
     """
 
     asked: int = 0
@@ -24,6 +25,7 @@
     refused_with_room: int = 0
     stopped: int = 0
     lost: int = 0
+    waited_for_memory: int = 0
 
 
 class PoolDispatcher(ABC):
@@ -87,6 +89,11 @@
         """Slots of requests that run past their expected end; 0 if not known."""
         return 0
 
+    @property
+    def memory_share(self) -> float | None:
+        """Highest share of a target's memory that is granted; None without a bound."""
+        return None
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -15,15 +15,22 @@
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 from hibiscusstep.routing.rank_floor import RankFloor
 from hibiscusstep.routing.rate_limiter import initial_tokens
+from hibiscusstep.routing.release_estimate import memory_fits_at
 from hibiscusstep.routing.slot_queue import QueueClass, RefusedRequests, SlotQueue
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.suspect_isolation import exclude_suspect_targets
 from hibiscusstep.routing.switches import ALL_ENABLED, Switches
+from hibiscusstep.routing.target_index import MAX_FASTEST
+from hibiscusstep.routing.target_memory import MemoryBound, MemoryNeed
 from hibiscusstep.routing.target_selector import TargetSelector
 from hibiscusstep.routing.target_subset import TargetSubset
 from hibiscusstep.routing.version_partition import VersionPartition
 from hibiscusstep.routing.wait_estimator import WaitEstimator
-from hibiscusstep.routing.wait_limits import retry_after, wait_deadline
+from hibiscusstep.routing.wait_limits import (
+    MAX_RETRY_AFTER_S,
+    retry_after,
+    wait_deadline,
+)
 
 __all__ = ["SlotDispatcher"]
 
@@ -95,6 +102,10 @@
         self._refused_requests = RefusedRequests()
         self._rank_floor = RankFloor(protect_short=switches.short_ranks)
         self._selector = TargetSelector(switches)
+        self._memory = MemoryBound()
+        # Underserved ranks at a moment, for requests that wait for memory.
+        self._memory_ranks: list[int] = []
+        self._memory_ranks_at = -math.inf
         self._grant_monitor = GrantMonitor()
         self._lost_requests = LostRequests()
         # Slowness by target, learned by other dispatchers. It includes targets that are
@@ -146,6 +157,13 @@
         """Number of slots held by requests beyond their expected end."""
         return self._grant_monitor.overdue
 
+    @property
+    def memory_share(self) -> float | None:
+        """Highest share of a target's memory that is granted; None without a bound."""
+        if not self._memory.tokens:
+            return None
+        return self._memory.highest_share(self._targets.values())
+
     @property
     def is_standby(self) -> bool:
         """Whether this is the standby dispatcher of a single instance."""
@@ -210,6 +228,9 @@
         if work.ask in self._queue:
             return
         self.counts.asked += 1
+        if self._memory.exceeded_by(work):
+            self._refuse_impossible(work)
+            return
         if not self._refused_requests.was_refused(work):
             self._rank_floor.record_request(
                 work.rank, now, self._selector.service_seconds(work)
@@ -358,6 +379,7 @@
         pool = plan.pools.get(self._pool_name, PlannedPool(True))
         self._selector.configure(pool)
         self._partition.configure(pool)
+        self._configure_memory(pool)
         self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
@@ -369,6 +391,7 @@
                 self._targets[name] = target
                 self._apply_imported_slowness(target)
             target.slots = planned.slots
+            target.memory_tokens = self._memory.tokens
             target.leaving |= planned.leaving
             if planned.rate_limit != target.rate_limit:
                 tokens = self._initial_tokens(target)
@@ -383,6 +406,11 @@
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
 
+    def _configure_memory(self, pool: PlannedPool) -> None:
+        self._memory.configure(pool.memory_tokens if self._switches.memory_bound else 0)
+        for work in [w for w in self._queue if self._memory.exceeded_by(w)]:
+            self._refuse_impossible(work)
+
     def _schedule(self, now: float) -> None:
         """Grant queued requests in order; some may wait for a better target."""
         if not self._queue:
@@ -394,10 +422,13 @@
             work = self._queue[skipped]
             if not self._try_grant(work, now):
                 skipped += 1
-                if work.suspect or work.avoided_by_backoff:
+                waits_for_memory = self._memory.is_waiting(work.ask)
+                if work.suspect or work.avoided_by_backoff or waits_for_memory:
                     # A request that may not run on the available targets does not block
                     # those behind it.
                     limit = min(MAX_EXAMINED_RESTRICTED, limit + 1)
+        if self._memory.has_waiting:
+            self._grant_reserved(now)
 
     def _try_underserved(self, now: float) -> bool:
         """Grant a request of an underserved rank; return whether one was granted."""
@@ -422,23 +453,122 @@
 
     def _try_grant(self, work: m.Work, now: float) -> bool:
         """Grant a request if an available target suits it; return whether it was."""
-        if canary := self._partition.choose_canary(work, now):
+        need = self._memory_need(work, now)
+        if self._is_memory_full(need, now):
+            self._wait_for_memory(work, need, now)
+            return False
+        if canary := self._partition.choose_canary(work, need, now):
             self._grant(work, canary, [canary], now)
             return True
-        free, worth_waiting = self._candidates(work, now)
-        free = exclude_suspect_targets(work, free, self._targets.values())
-        if work.avoided_by_backoff:
-            free = [
-                target for target in free if target.name not in work.avoided_by_backoff
-            ]
-        if not free:
-            return False
-        target = self._selector.choose(work, free, worth_waiting, now)
+        available, worth_waiting = self._candidates(work, now)
+        free = self._permitted(work, self._fitting(available, need, now))
+        target = self._selector.choose(work, free, worth_waiting, now) if free else None
         if target is None or not self._partition.may_serve(work, target, now):
+            if need is not None and not all(map(need.has_room, available)):
+                self._wait_for_memory(work, need, now)
             return False
         self._grant(work, target, free, now)
         return True
 
+    def _permitted(self, work: m.Work, targets: list[SlotTarget]) -> list[SlotTarget]:
+        """Return the targets that a request does not have to avoid."""
+        targets = exclude_suspect_targets(work, targets, self._targets.values())
+        if not work.avoided_by_backoff:
+            return targets
+        return [t for t in targets if t.name not in work.avoided_by_backoff]
+
+    def _memory_need(self, work: m.Work, now: float) -> MemoryNeed | None:
+        """Return what a request needs of a target's memory; None without a bound.
+
+        A dispatcher beyond a partition of the network may grant the rest of the memory.
+        """
+        if not self._memory.tokens:
+            return None
+        share = self.capacity_share
+        if not self.is_standby:
+            share = min(share, self._limit_share)
+        return self._memory.need(work, share, self._ranks_before_memory(now))
+
+    def _is_memory_full(self, need: MemoryNeed | None, now: float) -> bool:
+        """Return whether no target with a free slot can have room for a request."""
+        if need is None or self._target_subset is not None:
+            return False
+        return not self._partition.may_fit(need, now)
+
+    def _ranks_before_memory(self, now: float) -> list[int]:
+        """Return the underserved ranks if a request waits for memory."""
+        if not (self._memory.has_waiting and self._switches.rank_floor):
+            return []
+        if now != self._memory_ranks_at:
+            self._memory_ranks_at = now
+            self._memory_ranks = self._rank_floor.underserved(now)
+        return self._memory_ranks
+
+    def _fitting(
+        self, free: list[SlotTarget], need: MemoryNeed | None, now: float
+    ) -> list[SlotTarget]:
+        """Return the available targets with enough memory for a request."""
+        if self._target_subset is None:
+            return self._partition.serving.fitting(free, need, now)
+        return free if need is None else need.select(free)
+
+    def _wait_for_memory(self, work: m.Work, need: MemoryNeed, now: float) -> None:
+        """Record that a request waits for memory; reserve a target if it is due."""
+        if self._memory.record_wait(work):
+            self.counts.waited_for_memory += 1
+        considered = (
+            min(len(self._targets), MAX_FASTEST)
+            if self._target_subset is None
+            else len(self._subset_targets)
+        )
+        if not self._memory.may_reserve(work.ask, considered):
+            return
+        reserved = self._memory.reserved_targets
+        targets = [
+            target
+            for target in self._permitted(work, self._candidates(work, now)[1])
+            if target.name not in reserved
+            and self._partition.may_serve(work, target, now)
+        ]
+        targets = [t for t in targets if t.name not in work.avoid] or targets
+        if targets:
+            seconds = self._selector.service_seconds(work)
+            target = min(
+                targets,
+                key=lambda t: (
+                    max(t.next_start_at, memory_fits_at(t, need.max_used, now))
+                    + t.slowness * seconds
+                ),
+            )
+            self._memory.reserve(work.ask, target.name)
+
+    def _grant_reserved(self, now: float) -> None:
+        """Grant the requests that fit their reserved targets.
+
+        This comes after the requests in order, since those of higher ranks may use a
+        reserved target.
+        """
+        for work, name in self._memory.reservations:
+            target = self._targets.get(name)
+            if target is None or not self._may_reserve(work, target, now):
+                self._memory.release(name)
+            elif (
+                self._has_free_slot(now)
+                and target.available_slots(now) > 0
+                and self._memory_need(work, now).fits(target)
+            ):
+                self._grant(work, target, [target], now)
+
+    def _may_reserve(self, work: m.Work, target: SlotTarget, now: float) -> bool:
+        """Return whether a request may run on its reserved target."""
+        if self._target_subset is not None and target not in self._subset_targets:
+            return False
+        return (
+            self._partition.serves(target, now)
+            and self._permitted(work, [target]) != []
+            and self._partition.may_serve(work, target, now)
+        )
+
     def _candidates(
         self, work: m.Work, now: float
     ) -> tuple[list[SlotTarget], list[SlotTarget]]:
@@ -456,6 +586,9 @@
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self._queue.remove(work.ask)
+        self._memory.forget(work.ask)
+        if self._memory.has_waiting:
+            self._memory.record_grant(work, self._ranks_before_memory(now))
         self.counts.granted += 1
         self._partition.record_grant(target)
         self._rank_floor.record_grant(work.rank, now)
@@ -464,7 +597,10 @@
         self._start(target, work, now)
         wait = round(now - work.received_at, 4)
         limited = self._capacity.limited_count
-        self._decisions.append(m.Grant(work, target.name, wait, costs, limited))
+        memory_tokens = self._memory.logged_tokens(target)
+        self._decisions.append(
+            m.Grant(work, target.name, wait, costs, limited, memory_tokens)
+        )
 
     def _start(self, target: SlotTarget, work: m.Work, now: float) -> None:
         selector = self._selector
@@ -506,6 +642,7 @@
 
     def _refuse(self, work: m.Work, wait: float, now: float) -> None:
         self._queue.remove(work.ask)
+        self._memory.forget(work.ask)
         self._refused_requests.record(work)
         self.counts.refused += 1
         # A standby dispatcher is used for a short time only.
@@ -514,8 +651,18 @@
         limited = self._capacity.limited_count
         self._decisions.append(m.Refuse(work, m.RefusalReason.LOAD, seconds, limited))
 
+    def _refuse_impossible(self, work: m.Work) -> None:
+        """Refuse a request that fits no target; a retry would be refused as well."""
+        self._queue.remove(work.ask)
+        self._memory.forget(work.ask)
+        self.counts.refused += 1
+        self._decisions.append(
+            m.Refuse(work, m.RefusalReason.IMPOSSIBLE, MAX_RETRY_AFTER_S)
+        )
+
     def _remove_request(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
+        self._memory.forget(ask)
         self._grant_monitor.forget(ask)
         target = self._targets.get(self._target_by_ask.pop(ask, ""))
         if target:
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -31,6 +31,8 @@
 FAILURE_COST_FACTOR = 3.0
 # A target counts as loaded if at least this share of its slots is taken.
 LOADED_SHARE = 0.7
+# Share of the memory up to which targets count as equally free.
+CROWDED_SHARE = 0.25
 # Validity of the load that a target reported.
 EXTERNAL_LOAD_TTL_S = 1.0
 
@@ -109,6 +111,8 @@
     next_start_at : float
         Time from which on its rate limit permits the next request, on the dispatcher's
         clock; 0 without a limit. An attribute, since decisions read it often.
+    memory_tokens, memory_used : int
+        Tokens that its memory holds (0 for no bound), and those of its requests.
     """
 
     name: str
@@ -125,6 +129,8 @@
     version: str = ""
     limiter: RateLimiter | None = None
     next_start_at: float = 0.0
+    memory_tokens: int = 0
+    memory_used: int = 0
     running: dict[str, Run] = field(default_factory=dict)
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
@@ -143,6 +149,9 @@
                 other.max_concurrent_prefill, pending_prefill
             )
         run.prefilled_alone = not prefilling
+        if replaced := self.running.get(ask):
+            self.memory_used -= replaced.work.memory_tokens
+        self.memory_used += run.work.memory_tokens
         self.running[ask] = run
         run.target_loaded = len(self.running) >= LOADED_SHARE * self.slots
         self._invalidate()
@@ -150,6 +159,8 @@
     def remove(self, ask: str) -> Run | None:
         """Remove and return a request; None if it does not run here."""
         run = self.running.pop(ask, None)
+        if run:
+            self.memory_used -= run.work.memory_tokens
         self._invalidate()
         return run
 
@@ -171,6 +182,16 @@
         """Return whether the target may be granted new requests."""
         return not self.leaving and now >= self.backoff_until
 
+    @property
+    def crowded_memory(self) -> int:
+        """Tokens in use, 0 while they are a small part of the memory.
+
+        An order of the targets by this value seldom changes while none is near its
+        bound.
+        """
+        used = self.memory_used
+        return used if used > CROWDED_SHARE * self.memory_tokens else 0
+
     @property
     def service_rate(self) -> float:
         """Seconds of service at slowness 1 per second, with all slots in use."""
--- a/hibiscusstep/routing/target_index.py
+++ b/hibiscusstep/routing/target_index.py
@@ -2,12 +2,15 @@
 
 import heapq
 import itertools
+import math
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from sortedcontainers import SortedList
 
 from hibiscusstep.routing.slot_target import SlotTarget
+from hibiscusstep.routing.target_memory import MemoryNeed
 
 __all__ = ["TargetIndex"]
 
@@ -25,6 +28,9 @@
 # Maximum number of fastest targets that are checked for one worth waiting for. If none
 # of them serves in time, a slower one rarely does.
 MAX_FASTEST = 24
+# Maximum number of further targets that are evaluated for a request that does not fit
+# the memory of some of the cheapest.
+MAX_ROOMY = 8
 
 
 @dataclass(slots=True)
@@ -44,6 +50,7 @@
     waits_until: float = 0.0
     cost_key: tuple[float, int] | None = None
     slowness_key: tuple[float, int] | None = None
+    crowded_memory: int | None = None
 
 
 class TargetIndex:
@@ -60,6 +67,10 @@
         self._numbers = itertools.count()
         self._by_cost: dict[str, SortedList] = defaultdict(SortedList)
         self._by_slowness = SortedList()
+        # The targets with a free slot and a bound on their memory: those with little in
+        # use by number, the others sorted by the tokens in use.
+        self._uncrowded: dict[int, SlotTarget] = {}
+        self._crowded = SortedList()
         self._backoffs: list[tuple[float, int]] = []
         self._rate_waits: list[tuple[float, int]] = []
         self._healthy_count = 0
@@ -124,6 +135,24 @@
             if cost_key:
                 self._by_cost[entry.data_centre].add(cost_key)
             entry.cost_key = cost_key
+        if target.memory_tokens or entry.crowded_memory is not None:
+            is_listed = cost_key and target.memory_tokens
+            self._move_by_memory(entry, target.crowded_memory if is_listed else None)
+
+    def _move_by_memory(self, entry: _Entry, crowded_memory: int | None) -> None:
+        """Move a target in the order by memory; None removes it."""
+        previous = entry.crowded_memory
+        if crowded_memory == previous:
+            return
+        if previous:
+            self._crowded.remove((previous, entry.number))
+        elif previous == 0:
+            del self._uncrowded[entry.number]
+        if crowded_memory:
+            self._crowded.add((crowded_memory, entry.number))
+        elif crowded_memory == 0:
+            self._uncrowded[entry.number] = entry.target
+        entry.crowded_memory = crowded_memory
 
     def _wait_for_rate_limit(self, entry: _Entry) -> None:
         """Update a target again when its rate limit permits the next request."""
@@ -139,6 +168,7 @@
             self._by_slowness.remove(entry.slowness_key)
         if entry.cost_key:
             self._by_cost[entry.data_centre].remove(entry.cost_key)
+        self._move_by_memory(entry, None)
         entry.is_staying = entry.is_healthy = False
         entry.cost_key = entry.slowness_key = None
 
@@ -207,6 +237,46 @@
             ]
         return [target for target in targets if target.available_slots(now) > 0]
 
+    def fitting(
+        self, candidates: list[SlotTarget], need: MemoryNeed | None, now: float
+    ) -> list[SlotTarget]:
+        """Return those of a request's candidates that fit it, and others if some don't.
+
+        Parameters
+        ----------
+        candidates : list of SlotTarget
+            Targets with a free slot, as from `candidates`.
+        need : MemoryNeed or None
+            What the request needs; None if it fits everywhere.
+        now : float
+            Seconds on the dispatcher's clock.
+        """
+        if need is None:
+            return candidates
+        fitting = need.select(candidates)
+        if len(fitting) == len(candidates) or self._in_panic_mode(now):
+            return fitting
+        others = (t for t in self._roomy(need, now) if t not in fitting)
+        return fitting + list(itertools.islice(others, MAX_ROOMY))
+
+    def _roomy(self, need: MemoryNeed, now: float) -> Iterator[SlotTarget]:
+        """Yield targets with a free slot that fit a request, the least used first."""
+        crowded = (
+            self._by_number[number]
+            for _used, number in self._crowded.irange(
+                maximum=(max(0.0, need.max_used), math.inf)
+            )
+        )
+        for target in itertools.chain(self._uncrowded.values(), crowded):
+            if need.fits(target) and target.available_slots(now) > 0:
+                yield target
+
+    def may_fit(self, need: MemoryNeed, now: float) -> bool:
+        """Return whether a usable target seems to have a slot and memory free."""
+        if self._uncrowded or self._in_panic_mode(now):
+            return True
+        return bool(self._crowded) and self._crowded[0][0] <= need.max_used
+
     def fastest(self, now: float) -> list[SlotTarget]:
         """Return the fastest usable targets, with or without a free slot.
 
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -8,6 +8,7 @@
 from hibiscusstep.routing.dispatch_plan import PlannedPool
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.target_index import TargetIndex
+from hibiscusstep.routing.target_memory import MemoryNeed
 from hibiscusstep.routing.target_selector import TargetSelector
 
 __all__ = ["VersionPartition"]
@@ -102,6 +103,11 @@
         if index is not None:
             index.update(target, now)
 
+    def serves(self, target: SlotTarget, now: float) -> bool:
+        """Return whether a target of a current version is usable."""
+        is_serving = self._index_by_target.get(target.name) is self.serving
+        return is_serving and target.usable(now)
+
     def remove(self, target: SlotTarget) -> None:
         """Remove a target."""
         self._roles.pop(target.name, None)
@@ -124,8 +130,16 @@
             return False
         return self._canaries.has_free_slot(now)
 
-    def choose_canary(self, work: m.Work, now: float) -> SlotTarget | None:
-        """Return a target of the new version for a request.
+    def may_fit(self, need: MemoryNeed, now: float) -> bool:
+        """Return whether a usable target seems to have a slot and memory free."""
+        if self.rollout is not None and self._canaries.may_fit(need, now):
+            return True
+        return self.serving.may_fit(need, now)
+
+    def choose_canary(
+        self, work: m.Work, need: MemoryNeed | None, now: float
+    ) -> SlotTarget | None:
+        """Return a target of the new version for a request that needs some memory.
 
         None if the new version may not receive it or has no suitable target free.
         """
@@ -135,9 +149,10 @@
             return None
         if self.rollout.sends_all_traffic:
             free = self._canaries.candidates(work.data_centre, now)
+            free = self._canaries.fitting(free, need, now)
             worth_waiting = self._canaries.fastest(now)
         else:
-            free = self._next_canary(now)
+            free = self._next_canary(need, now)
             worth_waiting = []
         excluded = {*work.avoided_by_backoff, *work.avoid}
         free = [target for target in free if target.name not in excluded]
@@ -145,10 +160,12 @@
             return None
         return self._selector.choose(work, free, worth_waiting, now)
 
-    def _next_canary(self, now: float) -> list[SlotTarget]:
+    def _next_canary(self, need: MemoryNeed | None, now: float) -> list[SlotTarget]:
         """Return at most one target: the preferred canary target with a free slot."""
         free = {
-            t.name: t for t in self._canaries.usable(now) if t.available_slots(now) > 0
+            t.name: t
+            for t in self._canaries.usable(now)
+            if t.available_slots(now) > 0 and (need is None or need.fits(t))
         }
         canaries = self.rollout.canary_targets(self._canary_names, now)
         return [free[name] for name in canaries if name in free][:1]
