--- a/tests/test_target_memory.py
+++ b/tests/test_target_memory.py
@@ -218,6 +218,12 @@
         assert dispatcher.waiting == {}
         assert (dispatcher.counts.asked, dispatcher.counts.refused) == (1, 1)
 
+    def test_is_refused_before_all_instances_have_registered(self):
+        """Its refusal depends on no other request, so its caller need not wait."""
+        dispatcher = SlotDispatcher(POOL, _plan())
+        decisions = dispatcher.handle(m.RequestGrant(_work("a", BOUND + 1)), 0.0)
+        assert _refusals(decisions) == {"a": m.RefusalReason.IMPOSSIBLE}
+
     def test_one_that_fills_the_memory_is_granted(self):
         assert _ask(_dispatcher(), "a", BOUND) is not None
 
