--- a/examples/decision_cost.py
+++ b/examples/decision_cost.py
@@ -1,7 +1,7 @@
 """Measures the dispatcher's processor time per request, by the number of waiting ones.
 
 Usage: python examples/decision_cost.py [--targets 30] [--requests 4000] [--limit 100]
-[--customers 16] [--fair-shares] [--interval 0.001] [--waiting 100]
+[--customers 16] [--fair-shares] [--interval 0.001] [--waiting 100] [--memory 400000]
 
 A pool with no free slots gets requests of three ranks in turn, at a rate that keeps the
 given number of them waiting. Prints the microseconds of processor time for all messages
@@ -34,6 +34,7 @@
     customers: int = 1,
     fair_shares: bool = False,
     interval: float = 0.001,
+    memory: int = 0,
 ) -> float:
     """Return the microseconds per request with a number of waiting requests.
 
@@ -49,9 +50,14 @@
         Whether the customers share the ranks.
     interval : float
         Seconds between two requests. It determines how many share a tick.
+    memory : int
+        Tokens that each target's memory holds, 0 for no bound. A request takes 1,000 to
+        15,000.
     """
     pool = {f"t{n}": PlannedTarget(SLOTS, rate_limit=limit) for n in range(targets)}
-    planned = PlannedPool(True, 6, 0.3, targets=pool, fair_shares=fair_shares)
+    planned = PlannedPool(
+        True, 6, 0.3, targets=pool, fair_shares=fair_shares, memory_tokens=memory
+    )
     dispatcher = SlotDispatcher("p", DispatchPlan({"p": planned}))
     dispatcher.handle(m.Recovered(), 0.0)
     # The number of waiting requests is the number that arrive within the patience.
@@ -67,9 +73,10 @@
             f"a{n}", f"r{n}", "i", f"c{chosen.randrange(customers)}",
             str(n % RANKS), n % RANKS, 2000, 300,
             now + patience, now, first_token_due=now + 2 * patience,
+            memory_tokens=1000 * (1 + n % 15),
         )  # fmt: skip
         messages = [m.RequestGrant(work)]
-        if len(held) >= targets * SLOTS and not n % REQUESTS_PER_ANSWER:
+        if n >= targets * SLOTS and held and not n % REQUESTS_PER_ANSWER:
             ask = held.pop(next(running) % 7)
             messages.append(m.Finished(ask, m.GrantOutcome.DONE, 50, 1.0))
         if now >= next_tick:
@@ -94,6 +101,7 @@
 @click.option("--fair-shares", is_flag=True, help="Customers share the ranks.")
 @click.option("--interval", default=0.001, help="Seconds between two requests.")
 @click.option("--waiting", multiple=True, type=int, help="Number of waiting requests.")
+@click.option("--memory", default=0, help="Tokens of each target's memory.")
 def main(
     targets: int,
     requests: int,
@@ -102,11 +110,12 @@
     fair_shares: bool,
     interval: float,
     waiting: tuple[int, ...],
+    memory: int,
 ) -> None:
     """Print a line per number of waiting requests."""
     for number in waiting or WAITING:
         spent = measure(
-            targets, number, requests, limit, customers, fair_shares, interval
+            targets, number, requests, limit, customers, fair_shares, interval, memory
         )
         shares = "fair shares" if fair_shares else "no shares"
         click.echo(
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -611,6 +611,10 @@
                 metrics.set_gauge(f"places_{name}_total", count, pool=pool)
         for pool, count in self._dispatcher_host.slow_hosts.items():
             metrics.set_gauge("targets_on_slow_hosts", count, pool=pool)
+        for pool, share in self._dispatcher_host.memory_shares.items():
+            metrics.set_gauge("memory_highest_share", share, pool=pool)
+        for pool, count in self._dispatcher_host.memory_waits.items():
+            metrics.memory_waits.set({"pool": pool}, count)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -31,6 +31,8 @@
         Seconds of waiting for a grant, by pool.
     cut_off : aioprometheus.Counter
         Exchanges cut off, by reason and whether the request may be repeated.
+    memory_waits : aioprometheus.Counter
+        Requests that waited for memory of a target, by pool dispatched here.
     """
 
     def __init__(self) -> None:
@@ -42,6 +44,7 @@
         self.stream_pause = self._histogram("longest_pause_seconds", "Longest pause.")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
         self.cut_off = self._counter("cut_off_total", "Exchanges cut off.")
+        self.memory_waits = self._counter("memory_waits_total", "Waited for memory.")
         self._gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -59,9 +59,10 @@
 
     `LOAD`: the pool is overloaded. `DEADLINE`: it was not granted in time.
     `HIGHER_TIER`: requests of higher tiers need the pool. `IMPOSSIBLE`: it would be
-    late on an idle target too. `CUSTOMER_LIMIT`: its customer has too many waiting
-    requests. `NO_TARGET`: no target accepts requests. `UNAVAILABLE`: its tier is not
-    known, or part of the system cannot be reached.
+    late on an idle target too, or is larger than the memory of a target.
+    `CUSTOMER_LIMIT`: its customer has too many waiting requests. `NO_TARGET`: no target
+    accepts requests. `UNAVAILABLE`: its tier is not known, or part of the system cannot
+    be reached.
     """
 
     LOAD = "load"
@@ -350,6 +351,9 @@
         Value of ``Attempt`` where returns are planned; else empty.
     used_place : bool
         Whether it used a planned place.
+    memory_tokens : int
+        Tokens in use of the target's memory after the grant; 0 if they are less than
+        half of it.
     """
 
     work: Work
@@ -360,6 +364,7 @@
     share: float | None = None
     attempt: str = ""
     used_place: bool = False
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
