Ignore short waits for a caller in what is learnt of a target

A wait of 1 ms withheld the rate of a stream and made the connection's receive buffer small. Waits now count if they are more than a tenth of the attempt's time and 0.1 s, and the receive buffer is made small once one wait has lasted 0.1 s.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -36,6 +36,9 @@
 # Bytes that the kernel may receive from a target that is not read. The kernel doubles
 # it for its own overhead; without a bound it grows to several MB.
 RECEIVE_BUFFER_BYTES = 1 << 16
+# Shorter waits for a caller are part of ordinary service, and the bound would limit the
+# connection to 128 KiB for each round trip.
+SMALL_RECEIVE_BUFFER_AFTER_S = 0.1
 # Idle time if the target declares none: such targets close within a second.
 DEFAULT_IDLE_S = 0.4
 # Idle connections are closed this long before the target would close them, so that no
@@ -198,23 +201,28 @@
     @contextlib.contextmanager
     def reading_paused(self) -> Iterator[None]:
         """Read nothing from the target meanwhile; count what the kernel may receive."""
-        if not self._has_small_receive_buffer and self.transport is not None:
-            self._has_small_receive_buffer = True
-            sock = self.transport.get_extra_info("socket")
-            with contextlib.suppress(OSError, AttributeError):
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-                )
+        timer = self._loop.call_later(
+            SMALL_RECEIVE_BUFFER_AFTER_S, self._shrink_receive_buffer
+        )
         self._pause_reading_for_buffer()
         if self._account is not None:
             self._account.add(BufferKind.FROM_TARGET, RECEIVE_BUFFER_BYTES)
         try:
             yield
         finally:
+            timer.cancel()
             if self._account is not None:
                 self._account.add(BufferKind.FROM_TARGET, -RECEIVE_BUFFER_BYTES)
             self._resume_reading_for_buffer()
 
+    def _shrink_receive_buffer(self) -> None:
+        if self._has_small_receive_buffer or self.transport is None:
+            return
+        self._has_small_receive_buffer = True
+        sock = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError, AttributeError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def _release_account(self) -> None:
         if self._account is not None:
             self._account.set(BufferKind.FROM_TARGET, 0)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -9,6 +9,7 @@
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.buffer_budget import WINDOW_BYTES, BufferKind
 from hibiscusstep.forwarding.caller_connection import CollectedResponse
+from hibiscusstep.forwarding.caller_waits import CallerWaits
 from hibiscusstep.forwarding.connections import Connection, TargetResponse
 from hibiscusstep.forwarding.dialect import TargetRequestHead, TargetResponseHead
 from hibiscusstep.forwarding.event_splitter import EventSplitter
@@ -84,8 +85,7 @@
         self._last_failure_response: web.StreamResponse | None = None
         self._account = incoming.account
         self._connection: Connection | None = None
-        # Seconds for which the last attempt's stream was not read for its caller.
-        self._caller_wait = 0.0
+        self._caller_waits = CallerWaits()
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
@@ -144,7 +144,7 @@
         """Send the request to a target; return None if a response was relayed."""
         connection = None
         self._response_head = None
-        self._caller_wait = 0.0
+        self._caller_waits = CallerWaits()
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
         cause = ""
@@ -173,7 +173,7 @@
             if not error.sent:
                 outcome = m.GrantOutcome.UNREACHABLE
                 return _AttemptFailure.NOT_SENT
-            if self._caller_wait >= UNREAD_STREAM_S:
+            if self._caller_waits.total >= UNREAD_STREAM_S:
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
@@ -193,9 +193,8 @@
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
                 connection.abort()
-            # The rate of a stream that waited for its caller does not tell the
-            # target's speed.
-            timing = None if self._caller_wait else self._timing
+            distorted = self._caller_waits.distort_rate(self._now() - started)
+            timing = None if distorted else self._timing
             self._grants.release_grant(outcome, timing, self._attempts == 1)
             self._record_attempt(target, outcome, cause, started)
 
@@ -450,7 +449,7 @@
                 with self._connection.reading_paused():
                     await self._await_caller(caller.wait_for_room())
             finally:
-                self._caller_wait += self._now() - started
+                self._caller_waits.add(self._now() - started)
             account.set(BufferKind.TO_CALLER, caller.buffered)
             account.record_progress()
 
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -92,6 +92,44 @@
         pool.close()
 
 
+def _receive_buffer(connection):
+    sock = connection.transport.get_extra_info("socket")
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+
+async def _wait_until_small(connection, size):
+    """Pause reading until the receive buffer is smaller."""
+    async with asyncio.timeout(BOUND_S):
+        with connection.reading_paused():
+            while _receive_buffer(connection) >= size:
+                await asyncio.sleep(0.01)
+
+
+class TestReceiveBuffer:
+    @pytest.fixture(autouse=True)
+    def _smaller_than_the_default(self, monkeypatch):
+        """The kernel starts with 128 KiB, the bound with its overhead."""
+        monkeypatch.setattr(module, "RECEIVE_BUFFER_BYTES", 1 << 13)
+
+    async def test_a_short_wait_leaves_it_large(self, target):
+        """A wait of 1 ms limited an ordinary stream to 128 KiB for each round trip."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        size = _receive_buffer(connection)
+        with connection.reading_paused():
+            await asyncio.sleep(0)
+        assert _receive_buffer(connection) == size
+        connection.abort()
+
+    async def test_a_long_wait_makes_it_small(self, target):
+        """The kernel would take several MB from a target that is not read."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        await _wait_until_small(connection, _receive_buffer(connection))
+        assert _receive_buffer(connection) <= 2 * module.RECEIVE_BUFFER_BYTES
+        connection.abort()
+
+
 class TestConnectionEnd:
     async def test_an_unframed_response_ends_with_a_clean_close(self, target):
         target.script = lambda n, f, b: [answer(f, b"all of it", framed=False), "close"]
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -1,6 +1,7 @@
 """Callers and targets that read slowly or not at all."""
 
 import asyncio
+import itertools
 import logging
 import signal
 
@@ -163,6 +164,16 @@
         ended = await self._finished(site, monkeypatch, script)
         assert (ended.outcome, ended.tokens) == (GrantOutcome.DONE, 0)
 
+    async def test_that_of_a_stream_with_short_waits_does(self, site, monkeypatch):
+        """One wait of 1 ms withheld the rate of an ordinary stream."""
+        started, calls = asyncio.get_running_loop().time(), itertools.count()
+        monkeypatch.setattr(
+            exchange.Exchange, "_now", lambda _: started + next(calls) * 1e-6
+        )
+        script = endless_events(100_000, 200)
+        ended = await self._finished(site, monkeypatch, script)
+        assert (ended.outcome, ended.tokens) == (GrantOutcome.DONE, 200)
+
     async def test_a_target_that_cuts_off_an_unread_stream_has_not_failed(
         self, site, monkeypatch
     ):
