--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -230,12 +230,16 @@
             self._account = None
 
     def finish(self) -> None:
-        """End a request with a complete response; close if more bytes arrived."""
+        """End a request with a complete response.
+
+        The connection is closed if more bytes arrived, or if its receive buffer is
+        small, which would limit the rate of the next response.
+        """
         self._release_account()
         extra = not self._responses.empty() or self._has_partial_response()
         self._responses = None
         self._current = None
-        if extra:
+        if extra or self._has_small_receive_buffer:
             self.abort()
 
     def _has_partial_response(self) -> bool:
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -129,6 +129,16 @@
         assert _receive_buffer(connection) <= 2 * module.RECEIVE_BUFFER_BYTES
         connection.abort()
 
+    async def test_a_connection_with_a_small_one_is_not_reused(self, target):
+        """The next request would be limited to 128 KiB for each round trip."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        await _wait_until_small(connection, _receive_buffer(connection))
+        pool.release("t", connection, 5.0)
+        next_connection = await pool.acquire("t", target.address)
+        assert next_connection is not connection
+        next_connection.abort()
+
 
 class TestConnectionEnd:
     async def test_an_unframed_response_ends_with_a_clean_close(self, target):
