Excuse a target's break only while its stream is not read

After 1 s of waiting in total, every later break of the target was excused, although the caller had caught up, and the quarantine did not record it. A break is now excused if nothing was read since the last wait, or within 1 s of it: a target that closes in order is seen to do so only after its kernel has delivered up to 4 MB.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -34,9 +34,6 @@
 MIN_SILENCE_TIMEOUT_S = 1.0
 # A target that sends no event for this long within a stream is taken to be lost.
 STREAM_SILENCE_TIMEOUT_S = 2.0
-# A target cuts off a stream that is not read for some seconds: a break after this much
-# waiting for the caller is not the target's fault.
-UNREAD_STREAM_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
@@ -173,7 +170,7 @@
             if not error.sent:
                 outcome = m.GrantOutcome.UNREACHABLE
                 return _AttemptFailure.NOT_SENT
-            if self._caller_waits.total >= UNREAD_STREAM_S:
+            if self._caller_waits.excuse_break(self._now()):
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
@@ -393,6 +390,7 @@
                 data = await connection.read(target_response)
             if not data and target_response.body.at_eof():
                 break
+            self._caller_waits.record_read()
             before = splitter.count
             whole = splitter.feed(data)
             del data
@@ -449,7 +447,8 @@
                 with self._connection.reading_paused():
                     await self._await_caller(caller.wait_for_room())
             finally:
-                self._caller_waits.add(self._now() - started)
+                now = self._now()
+                self._caller_waits.add(now - started, now)
             account.set(BufferKind.TO_CALLER, caller.buffered)
             account.record_progress()
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -16,7 +16,7 @@
 from slow_peers import LimitedInstance, StalledCaller, endless_events, until_steady
 from test_forwarding import BOUND_S, Site
 
-from hibiscusstep.forwarding import caller_connection, exchange
+from hibiscusstep.forwarding import caller_connection, caller_waits, exchange
 from hibiscusstep.forwarding.buffer_budget import MIN_HARD_BYTES, WINDOW_BYTES
 from hibiscusstep.grant_messages import RequestEnded
 from hibiscusstep.routing.messages import GrantOutcome
@@ -81,6 +81,14 @@
     await site.stop()
 
 
+def _told(site, monkeypatch):
+    """Return a list that receives what the dispatcher is told."""
+    client, told = site.instances[0]._dispatch_client, []
+    tell = client.tell
+    monkeypatch.setattr(client, "tell", lambda m: (told.append(m), tell(m))[1])
+    return told
+
+
 def _cut_off(caplog):
     return [line for line in caplog.records if line.message == "cut-off"]
 
@@ -141,9 +149,7 @@
     async def _finished(self, site, monkeypatch, script, *, reset=False):
         """Let a caller pause; return what the dispatcher was told of the stream."""
         await site.start(TargetStandIn("t1", script), document=_document())
-        client, told = site.instances[0]._dispatch_client, []
-        tell = client.tell
-        monkeypatch.setattr(client, "tell", lambda m: (told.append(m), tell(m))[1])
+        told = _told(site, monkeypatch)
         caller = await site.stall("/stream/")
         await until_steady(lambda: site.buffers.held, times=5)
         if reset:
@@ -177,11 +183,36 @@
     async def test_a_target_that_cuts_off_an_unread_stream_has_not_failed(
         self, site, monkeypatch
     ):
-        monkeypatch.setattr(exchange, "UNREAD_STREAM_S", 0.1)
+        monkeypatch.setattr(caller_waits, "UNREAD_STREAM_S", 0.1)
         script = endless_events(100_000, 200)
         ended = await self._finished(site, monkeypatch, script, reset=True)
         assert ended.outcome is GrantOutcome.CANCELLED
 
+    async def test_one_that_breaks_off_after_the_caller_has_caught_up_has(
+        self, site, monkeypatch
+    ):
+        """After one wait of 1 s, every later break was excused."""
+        monkeypatch.setattr(caller_waits, "UNREAD_STREAM_S", 0.1)
+        monkeypatch.setattr(caller_waits, "CATCH_UP_S", 0.0)
+
+        def script(number, fields, body):
+            *parts, _end = endless_events(100_000, 200)(number, fields, body)
+            return [*parts, chunk(b"data: last\n\n"), "hang"]
+
+        target = TargetStandIn("t1", script)
+        await site.start(target, document=_document())
+        told = _told(site, monkeypatch)
+        caller = await site.stall("/stream/")
+        await until_steady(lambda: site.buffers.held, times=5)
+        await caller.read_all(b"last\n\n\r\n")
+        (writer,) = target._writers
+        writer.write(chunk(b"data: later\n\n"))
+        await caller.read_all(b"later\n\n\r\n")
+        target.reset()
+        await site.until(lambda: any(isinstance(m, RequestEnded) for m in told))
+        (ended,) = [m for m in told if isinstance(m, RequestEnded)]
+        assert ended.outcome is GrantOutcome.BROKEN
+
 
 class TestPlainResponses:
     """The handler ended before the response was written: nothing bounded its time."""
