Count an unsent request only until the target has taken it

What a transport held was counted until the response's head, so that later requests got 503 for memory that was free. A body that is counted as the request is not counted again where the transport keeps a reference to it, as uvloop does.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -86,6 +86,10 @@
         self._unusable = False
         self._account: BufferAccount | None = None
         self._has_small_receive_buffer = False
+        # The transports of asyncio copy what they cannot send at once; those of uvloop
+        # keep a reference.
+        self._copies_writes = isinstance(loop, asyncio.BaseEventLoop)
+        self._counted_tail = 0
         self.idle_until = 0.0
 
     @property
@@ -99,6 +103,16 @@
         transport = self.transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask to be told as soon as the target has taken everything."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=0)
+
+    def resume_writing(self) -> None:
+        """Release what the target has taken."""
+        super().resume_writing()
+        self._count_buffered()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is open."""
         if self._account is not None:
@@ -166,12 +180,29 @@
         )
         self._responses = asyncio.Queue()
         self._current = None
+        self._counted_tail = 0
 
-    def write(self, data: bytes) -> None:
-        """Send bytes of the request."""
+    def write(self, data: bytes, *, is_counted: bool = False) -> None:
+        """Send bytes of the request.
+
+        Parameters
+        ----------
+        data : bytes
+            The bytes.
+        is_counted : bool
+            Whether the account counts them already; they must be the request's last.
+        """
         if not self.usable:
             raise TargetError("closed", step="send", peer=self._peer, sent=False)
+        if is_counted and not self._copies_writes:
+            self._counted_tail = len(data)
         self.transport.write(data)
+        self._count_buffered()
+
+    def _count_buffered(self) -> None:
+        if self._account is not None:
+            size = max(0, self.buffered - self._counted_tail)
+            self._account.set(BufferKind.TO_TARGET, size)
 
     async def next_response(self) -> TargetResponse:
         """Return the next response on this connection.
@@ -183,6 +214,7 @@
         """
         while True:
             response = await self._responses.get()
+            self._count_buffered()
             if isinstance(response, TargetError):
                 self._responses.put_nowait(response)
                 raise response
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -258,13 +258,11 @@
             incoming.quota_request.commit()
         connection.begin(self._account, self._context.buffers.window)
         for part in _serialize_request(incoming, fields):
-            connection.write(part)
-        self._account.set(BufferKind.TO_TARGET, connection.buffered)
+            connection.write(part, is_counted=part is incoming.body)
         self._may_have_run = True
         async with asyncio.timeout(self._silence_timeout()):
             while True:
                 target_response = await connection.next_response()
-                self._account.set(BufferKind.TO_TARGET, connection.buffered)
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
                 )
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -4,11 +4,18 @@
 import socket
 
 import pytest
+import uvloop
 from platform_standin import TargetStandIn, answer
 
 from hibiscusstep.clock import elapsed
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding import connections as module
+from hibiscusstep.forwarding.buffer_budget import (
+    BufferBounds,
+    BufferBudget,
+    BufferKind,
+    HeldConnection,
+)
 from hibiscusstep.forwarding.connections import ConnectionPool
 
 BOUND_S = 10
@@ -140,6 +147,50 @@
         next_connection.abort()
 
 
+class _CallerStandIn(HeldConnection):
+    def set_window(self, size):
+        pass
+
+    def cut_off(self, account, reason):
+        raise AssertionError(reason)
+
+
+async def _unsent(body):
+    """Send a body that is counted to a target that does not read.
+
+    Returns the bytes in the transport, and those counted for it.
+    """
+    server = await asyncio.start_server(
+        lambda _reader, writer: writer.transport.pause_reading(), "127.0.0.1", 0
+    )
+    host, port = server.sockets[0].getsockname()
+    connection = await ConnectionPool().acquire("t", f"{host}:{port}")
+    account = BufferBudget(BufferBounds(), elapsed).open(_CallerStandIn())
+    account.add(BufferKind.REQUEST, len(body))
+    connection.begin(account)
+    connection.write(b"POST / HTTP/1.1\r\n\r\n")
+    connection.write(body, is_counted=True)
+    result = connection.buffered, account[BufferKind.TO_TARGET]
+    connection.abort()
+    server.close()
+    return result
+
+
+class TestCounting:
+    """A body was counted twice although uvloop's transport holds no copy of it."""
+
+    BODY = bytes(32 << 20)
+
+    def test_a_body_without_a_copy_is_counted_once(self):
+        buffered, counted = uvloop.run(_unsent(self.BODY))
+        assert buffered > 1 << 20
+        assert counted == 0
+
+    def test_a_copy_is_counted(self):
+        buffered, counted = asyncio.run(_unsent(self.BODY))
+        assert counted == buffered > 1 << 20
+
+
 class TestConnectionEnd:
     async def test_an_unframed_response_ends_with_a_clean_close(self, target):
         target.script = lambda n, f, b: [answer(f, b"all of it", framed=False), "close"]
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -457,6 +457,17 @@
         await site.until(lambda: not site.buffers.held)
 
 
+class TestTargetsThatHaveTakenTheirRequest:
+    async def test_it_is_not_counted_as_unsent(self, site):
+        """Its bytes stayed counted until the response: later requests got 503."""
+        await site.start(TargetStandIn("t1", lambda *_: ["hang"]), document=_document())
+        call = asyncio.create_task(site.call("/once/", body=b"b" * (4 << 20)))
+        await site.until(lambda: site.targets[0].requests)
+        await site.until(lambda: not site.buffers.held_by_kind["transport"])
+        assert site.buffers.held_by_kind["request"] == 4 << 20
+        call.cancel()
+
+
 class TestStop:
     """An instance waited for no plain response that its caller was still reading."""
 
