--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -36,6 +36,9 @@
 # Bytes that the kernel may receive from a target that is not read. The kernel doubles
 # it for its own overhead; without a bound it grows to several MB.
 RECEIVE_BUFFER_BYTES = 1 << 16
+# Shorter waits for a caller are part of ordinary service, and the bound would limit the
+# connection to 128 KiB for each round trip.
+SMALL_RECEIVE_BUFFER_AFTER_S = 0.1
 # Idle time if the target declares none: such targets close within a second.
 DEFAULT_IDLE_S = 0.4
 # Idle connections are closed this long before the target would close them, so that no
@@ -83,6 +86,10 @@
         self._unusable = False
         self._account: BufferAccount | None = None
         self._has_small_receive_buffer = False
+        # The transports of asyncio copy what they cannot send at once; those of uvloop
+        # keep a reference.
+        self._copies_writes = isinstance(loop, asyncio.BaseEventLoop)
+        self._counted_tail = 0
         self.idle_until = 0.0
 
     @property
@@ -96,6 +103,16 @@
         transport = self.transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask to be told as soon as the target has taken everything."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=0)
+
+    def resume_writing(self) -> None:
+        """Release what the target has taken."""
+        super().resume_writing()
+        self._count_buffered()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is open."""
         if self._account is not None:
@@ -163,12 +180,29 @@
         )
         self._responses = asyncio.Queue()
         self._current = None
+        self._counted_tail = 0
 
-    def write(self, data: bytes) -> None:
-        """Send bytes of the request."""
+    def write(self, data: bytes, *, is_counted: bool = False) -> None:
+        """Send bytes of the request.
+
+        Parameters
+        ----------
+        data : bytes
+            The bytes.
+        is_counted : bool
+            Whether the account counts them already; they must be the request's last.
+        """
         if not self.usable:
             raise TargetError("closed", step="send", peer=self._peer, sent=False)
+        if is_counted and not self._copies_writes:
+            self._counted_tail = len(data)
         self.transport.write(data)
+        self._count_buffered()
+
+    def _count_buffered(self) -> None:
+        if self._account is not None:
+            size = max(0, self.buffered - self._counted_tail)
+            self._account.set(BufferKind.TO_TARGET, size)
 
     async def next_response(self) -> TargetResponse:
         """Return the next response on this connection.
@@ -180,6 +214,7 @@
         """
         while True:
             response = await self._responses.get()
+            self._count_buffered()
             if isinstance(response, TargetError):
                 self._responses.put_nowait(response)
                 raise response
@@ -198,23 +233,28 @@
     @contextlib.contextmanager
     def reading_paused(self) -> Iterator[None]:
         """Read nothing from the target meanwhile; count what the kernel may receive."""
-        if not self._has_small_receive_buffer and self.transport is not None:
-            self._has_small_receive_buffer = True
-            sock = self.transport.get_extra_info("socket")
-            with contextlib.suppress(OSError, AttributeError):
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-                )
+        timer = self._loop.call_later(
+            SMALL_RECEIVE_BUFFER_AFTER_S, self._shrink_receive_buffer
+        )
         self._pause_reading_for_buffer()
         if self._account is not None:
             self._account.add(BufferKind.FROM_TARGET, RECEIVE_BUFFER_BYTES)
         try:
             yield
         finally:
+            timer.cancel()
             if self._account is not None:
                 self._account.add(BufferKind.FROM_TARGET, -RECEIVE_BUFFER_BYTES)
             self._resume_reading_for_buffer()
 
+    def _shrink_receive_buffer(self) -> None:
+        if self._has_small_receive_buffer or self.transport is None:
+            return
+        self._has_small_receive_buffer = True
+        sock = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError, AttributeError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def _release_account(self) -> None:
         if self._account is not None:
             self._account.set(BufferKind.FROM_TARGET, 0)
@@ -222,12 +262,16 @@
             self._account = None
 
     def finish(self) -> None:
-        """End a request with a complete response; close if more bytes arrived."""
+        """End a request with a complete response.
+
+        The connection is closed if more bytes arrived, or if its receive buffer is
+        small, which would limit the rate of the next response.
+        """
         self._release_account()
         extra = not self._responses.empty() or self._has_partial_response()
         self._responses = None
         self._current = None
-        if extra:
+        if extra or self._has_small_receive_buffer:
             self.abort()
 
     def _has_partial_response(self) -> bool:
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -9,6 +9,7 @@
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding.buffer_budget import WINDOW_BYTES, BufferKind
 from hibiscusstep.forwarding.caller_connection import CollectedResponse
+from hibiscusstep.forwarding.caller_waits import CallerWaits
 from hibiscusstep.forwarding.connections import Connection, TargetResponse
 from hibiscusstep.forwarding.dialect import TargetRequestHead, TargetResponseHead
 from hibiscusstep.forwarding.event_splitter import EventSplitter
@@ -33,9 +34,6 @@
 MIN_SILENCE_TIMEOUT_S = 1.0
 # A target that sends no event for this long within a stream is taken to be lost.
 STREAM_SILENCE_TIMEOUT_S = 2.0
-# A target cuts off a stream that is not read for some seconds: a break after this much
-# waiting for the caller is not the target's fault.
-UNREAD_STREAM_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
@@ -84,8 +82,7 @@
         self._last_failure_response: web.StreamResponse | None = None
         self._account = incoming.account
         self._connection: Connection | None = None
-        # Seconds for which the last attempt's stream was not read for its caller.
-        self._caller_wait = 0.0
+        self._caller_waits = CallerWaits()
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
@@ -144,7 +141,7 @@
         """Send the request to a target; return None if a response was relayed."""
         connection = None
         self._response_head = None
-        self._caller_wait = 0.0
+        self._caller_waits = CallerWaits()
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
         cause = ""
@@ -173,7 +170,7 @@
             if not error.sent:
                 outcome = m.GrantOutcome.UNREACHABLE
                 return _AttemptFailure.NOT_SENT
-            if self._caller_wait >= UNREAD_STREAM_S:
+            if self._caller_waits.excuse_break(self._now()):
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
@@ -193,9 +190,8 @@
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
                 connection.abort()
-            # The rate of a stream that waited for its caller does not tell the
-            # target's speed.
-            timing = None if self._caller_wait else self._timing
+            distorted = self._caller_waits.distort_rate(self._now() - started)
+            timing = None if distorted else self._timing
             self._grants.release_grant(outcome, timing, self._attempts == 1)
             self._record_attempt(target, outcome, cause, started)
 
@@ -262,13 +258,11 @@
             incoming.quota_request.commit()
         connection.begin(self._account, self._context.buffers.window)
         for part in _serialize_request(incoming, fields):
-            connection.write(part)
-        self._account.set(BufferKind.TO_TARGET, connection.buffered)
+            connection.write(part, is_counted=part is incoming.body)
         self._may_have_run = True
         async with asyncio.timeout(self._silence_timeout()):
             while True:
                 target_response = await connection.next_response()
-                self._account.set(BufferKind.TO_TARGET, connection.buffered)
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
                 )
@@ -394,6 +388,7 @@
                 data = await connection.read(target_response)
             if not data and target_response.body.at_eof():
                 break
+            self._caller_waits.record_read()
             before = splitter.count
             whole = splitter.feed(data)
             del data
@@ -450,7 +445,8 @@
                 with self._connection.reading_paused():
                     await self._await_caller(caller.wait_for_room())
             finally:
-                self._caller_wait += self._now() - started
+                now = self._now()
+                self._caller_waits.add(now - started, now)
             account.set(BufferKind.TO_CALLER, caller.buffered)
             account.record_progress()
 
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -4,11 +4,18 @@
 import socket
 
 import pytest
+import uvloop
 from platform_standin import TargetStandIn, answer
 
 from hibiscusstep.clock import elapsed
 from hibiscusstep.errors import TargetError
 from hibiscusstep.forwarding import connections as module
+from hibiscusstep.forwarding.buffer_budget import (
+    BufferBounds,
+    BufferBudget,
+    BufferKind,
+    HeldConnection,
+)
 from hibiscusstep.forwarding.connections import ConnectionPool
 
 BOUND_S = 10
@@ -92,6 +99,98 @@
         pool.close()
 
 
+def _receive_buffer(connection):
+    sock = connection.transport.get_extra_info("socket")
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+
+async def _wait_until_small(connection, size):
+    """Pause reading until the receive buffer is smaller."""
+    async with asyncio.timeout(BOUND_S):
+        with connection.reading_paused():
+            while _receive_buffer(connection) >= size:
+                await asyncio.sleep(0.01)
+
+
+class TestReceiveBuffer:
+    @pytest.fixture(autouse=True)
+    def _smaller_than_the_default(self, monkeypatch):
+        """The kernel starts with 128 KiB, the bound with its overhead."""
+        monkeypatch.setattr(module, "RECEIVE_BUFFER_BYTES", 1 << 13)
+
+    async def test_a_short_wait_leaves_it_large(self, target):
+        """A wait of 1 ms limited an ordinary stream to 128 KiB for each round trip."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        size = _receive_buffer(connection)
+        with connection.reading_paused():
+            await asyncio.sleep(0)
+        assert _receive_buffer(connection) == size
+        connection.abort()
+
+    async def test_a_long_wait_makes_it_small(self, target):
+        """The kernel would take several MB from a target that is not read."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        await _wait_until_small(connection, _receive_buffer(connection))
+        assert _receive_buffer(connection) <= 2 * module.RECEIVE_BUFFER_BYTES
+        connection.abort()
+
+    async def test_a_connection_with_a_small_one_is_not_reused(self, target):
+        """The next request would be limited to 128 KiB for each round trip."""
+        pool = ConnectionPool()
+        connection, _response, _body = await _exchange(pool, target)
+        await _wait_until_small(connection, _receive_buffer(connection))
+        pool.release("t", connection, 5.0)
+        next_connection = await pool.acquire("t", target.address)
+        assert next_connection is not connection
+        next_connection.abort()
+
+
+class _CallerStandIn(HeldConnection):
+    def set_window(self, size):
+        pass
+
+    def cut_off(self, account, reason):
+        raise AssertionError(reason)
+
+
+async def _unsent(body):
+    """Send a body that is counted to a target that does not read.
+
+    Returns the bytes in the transport, and those counted for it.
+    """
+    server = await asyncio.start_server(
+        lambda _reader, writer: writer.transport.pause_reading(), "127.0.0.1", 0
+    )
+    host, port = server.sockets[0].getsockname()
+    connection = await ConnectionPool().acquire("t", f"{host}:{port}")
+    account = BufferBudget(BufferBounds(), elapsed).open(_CallerStandIn())
+    account.add(BufferKind.REQUEST, len(body))
+    connection.begin(account)
+    connection.write(b"POST / HTTP/1.1\r\n\r\n")
+    connection.write(body, is_counted=True)
+    result = connection.buffered, account[BufferKind.TO_TARGET]
+    connection.abort()
+    server.close()
+    return result
+
+
+class TestCounting:
+    """A body was counted twice although uvloop's transport holds no copy of it."""
+
+    BODY = bytes(32 << 20)
+
+    def test_a_body_without_a_copy_is_counted_once(self):
+        buffered, counted = uvloop.run(_unsent(self.BODY))
+        assert buffered > 1 << 20
+        assert counted == 0
+
+    def test_a_copy_is_counted(self):
+        buffered, counted = asyncio.run(_unsent(self.BODY))
+        assert counted == buffered > 1 << 20
+
+
 class TestConnectionEnd:
     async def test_an_unframed_response_ends_with_a_clean_close(self, target):
         target.script = lambda n, f, b: [answer(f, b"all of it", framed=False), "close"]
