Search only the new bytes for the end of an event

Each read copied and searched the whole unfinished event: one of 16 MiB in pieces of 16 KiB took 19 s of processor time, and takes 0.1 s now.

--- a/hibiscusstep/forwarding/event_splitter.py
+++ b/hibiscusstep/forwarding/event_splitter.py
@@ -3,6 +3,8 @@
 __all__ = ["EventSplitter"]
 
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# A terminator may end in new data with all but one of its bytes before them.
+_MAX_OVERLAP = max(map(len, _EVENT_TERMINATORS)) - 1
 
 
 class EventSplitter:
@@ -17,26 +19,47 @@
     """
 
     def __init__(self) -> None:
-        self._remainder = b""
+        # One array, since many small parts would take more memory than their bytes.
+        self._remainder = bytearray()
         self.last_id = ""
         self.count = 0
 
     @property
     def remainder(self) -> bytes:
         """The bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
+
+    @property
+    def remainder_size(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
 
     def drop_remainder(self) -> None:
         """Discard an incomplete event."""
-        self._remainder = b""
+        self._remainder = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the events that it completes."""
-        data = self._remainder + data
+        start = max(0, len(self._remainder) - _MAX_OVERLAP)
+        joined = data
+        if self._remainder:
+            self._remainder += data
+            joined = self._remainder
         end = max(
-            _end_of_last_event(data, terminator) for terminator in _EVENT_TERMINATORS
+            _end_of_last_event(joined, terminator, start)
+            for terminator in _EVENT_TERMINATORS
         )
-        whole, self._remainder = data[:end], data[end:]
+        if not end:
+            if joined is data:
+                self._remainder += data
+            return b""
+        if joined is data:
+            whole = data[:end]
+            self._remainder += data[end:]
+        else:
+            with memoryview(joined) as view:
+                whole = bytes(view[:end])
+                self._remainder = bytearray(view[end:])
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
@@ -45,6 +68,6 @@
         return whole
 
 
-def _end_of_last_event(data: bytes, terminator: bytes) -> int:
-    position = data.rfind(terminator)
+def _end_of_last_event(data: bytes | bytearray, terminator: bytes, start: int) -> int:
+    position = data.rfind(terminator, start)
     return position + len(terminator) if position >= 0 else 0
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -392,7 +392,7 @@
             before = splitter.count
             whole = splitter.feed(data)
             del data
-            incomplete = len(splitter.remainder)
+            incomplete = splitter.remainder_size
             self._account.set(BufferKind.RESPONSE, incomplete)
             if incomplete > MAX_BODY_BYTES:
                 raise _InvalidResponse("event too long")
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -1,5 +1,8 @@
 """Tests of hibiscusstep.forwarding.event_splitter."""
 
+import tracemalloc
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -27,3 +30,28 @@
         assert splitter.last_id == "1"
         splitter.drop_remainder()
         assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+    def test_a_long_incomplete_event_is_not_copied_at_each_read(self):
+        """An event of 16 MiB in pieces of 16 KiB took 19 s of processor time."""
+        splitter, piece, copied = EventSplitter(), b"x" * (1 << 14), []
+        splitter.feed(b"x" * (8 << 20))
+        tracemalloc.start()
+        try:
+            for _ in range(3):
+                before, _peak = tracemalloc.get_traced_memory()
+                tracemalloc.reset_peak()
+                splitter.feed(piece)
+                _current, peak = tracemalloc.get_traced_memory()
+                copied.append(peak - before)
+        finally:
+            tracemalloc.stop()
+        assert min(copied) < 1 << 20
+
+    @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
+    def test_a_terminator_may_arrive_in_single_bytes(self, end):
+        """Only the new bytes and a few before them are searched."""
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: " + b"x" * 100)
+        events = [splitter.feed(end[n : n + 1]) for n in range(len(end))]
+        assert [bool(event) for event in events] == [False] * (len(end) - 1) + [True]
+        assert splitter.remainder_size == 0
