Test of refusals for memory waits until the large response has arrived

Cause: test_its_connection_stays_usable failed once with 503 for the small request. Traced: after the fill 2.6 to 3.8 MB are held and 3.7 MB in the end, but 7.0 MB for a moment while the response of 7 MiB arrives and is not yet written on, above the bound of 6.7 MB for new requests. The refusal is right then. Change: the test waits until the number of bytes held is steady; its checks are the same.

--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -370,6 +370,8 @@
         await site.start(TargetStandIn("t1", script), document=_document())
         caller = await site.stall("/once/")
         await site.until(lambda: not site.buffers.admits(4 << 20))
+        # While the response arrives, the bytes held pass the bound for a moment.
+        await until_steady(lambda: site.buffers.held, times=5)
         return caller
 
     async def test_a_new_request_gets_503_and_a_time_to_retry(self, site, caplog):
