Reach targets through another instance where the direct path is lost

Callers of instances that were partitioned from all targets were refused or timed out: a request had one way only, and each connection that hung took 0.4 s.

A connection is now made directly or, if that fails or takes longer than usual, through another instance of the mesh, whichever is there first. That instance connects to the target and copies bytes; request, seal, deadline, events and at-most-once are the affair of the instance that the caller chose, as before. A target is unreachable for all only if another instance did not reach it either; what breaks on a lost path is not reported as the target's failure nor examined as a crash. The hop is asked for over the authenticated peer port and only of instances whose heartbeats say that they serve it, so the build before is never asked.

Ruled out: the dispatcher's place (peers reach it during the partition) and the load (untouched code serves the same requests without a cut).

--- a/hibiscusstep/errors.py
+++ b/hibiscusstep/errors.py
@@ -109,6 +109,9 @@
         Whether the target reported that it accepts no new requests.
     refused : bool, default=False
         Whether the target refused the connection.
+    in_path : bool, default=False
+        Whether the failure is one of the path from this instance to the target, or may
+        be: it says nothing about the target.
     """
 
     def __init__(
@@ -120,8 +123,10 @@
         sent: bool,
         leaving: bool = False,
         refused: bool = False,
+        in_path: bool = False,
     ) -> None:
         super().__init__(detail, step=step, peer=peer)
         self.sent = sent
         self.leaving = leaving
         self.refused = refused
+        self.in_path = in_path
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -21,7 +22,16 @@
     BufferKind,
 )
 
-__all__ = ["Connection", "ConnectionPool", "TargetResponse"]
+__all__ = [
+    "Connection",
+    "ConnectionPool",
+    "Connector",
+    "DirectConnector",
+    "TargetResponse",
+    "connect_directly",
+    "enable_keepalive",
+    "set_receive_buffer",
+]
 
 # A TCP handshake takes a few milliseconds and a lost SYN is retransmitted only after a
 # second, so another target is tried before that.
@@ -76,6 +86,17 @@
         The event loop.
     peer : str
         The target's name, for error messages.
+
+    Attributes
+    ----------
+    idle_until : float
+        Until when it may be used again, on the clock of `elapsed`.
+    is_reused : bool
+        Whether it has carried a request before.
+    relay : str
+        Peer address of the instance that it leads through; "" if it is direct.
+    is_path_broken : bool
+        Whether that instance was lost; this says nothing about the target.
     """
 
     def __init__(self, loop, peer: str) -> None:
@@ -91,6 +112,9 @@
         self._copies_writes = isinstance(loop, asyncio.BaseEventLoop)
         self._counted_tail = 0
         self.idle_until = 0.0
+        self.is_reused = False
+        self.relay = ""
+        self.is_path_broken = False
 
     @property
     def usable(self) -> bool:
@@ -251,9 +275,7 @@
         if self._has_small_receive_buffer or self.transport is None:
             return
         self._has_small_receive_buffer = True
-        sock = self.transport.get_extra_info("socket")
-        with contextlib.suppress(OSError, AttributeError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        set_receive_buffer(self.transport.get_extra_info("socket"))
 
     def _release_account(self) -> None:
         if self._account is not None:
@@ -304,7 +326,52 @@
             self.transport.abort()
 
     def _error_context(self, step: str) -> dict:
-        return {"step": step, "peer": self._peer, "sent": True}
+        return {
+            "step": step,
+            "peer": self._peer,
+            "sent": True,
+            "in_path": self.is_path_broken,
+        }
+
+
+class Connector(ABC):
+    """Opens connections to targets.
+
+    Attributes
+    ----------
+    opened : int
+        Number of connection attempts so far.
+    """
+
+    def __init__(self) -> None:
+        self.opened = 0
+
+    @abstractmethod
+    async def connect(self, name: str, address: str) -> Connection:
+        """Return a connection to a target.
+
+        Raises
+        ------
+        TargetError
+            If no connection can be made.
+        """
+
+    @abstractmethod
+    async def is_path_lost(self, name: str, address: str) -> bool:
+        """Return whether other instances reach a target and this one does not."""
+
+
+class DirectConnector(Connector):
+    """Opens direct connections only."""
+
+    async def connect(self, name: str, address: str) -> Connection:
+        """Return a direct connection."""
+        self.opened += 1
+        return await connect_directly(name, address)
+
+    async def is_path_lost(self, name: str, address: str) -> bool:
+        """Return False: there is no other path."""
+        return False
 
 
 class ConnectionPool:
@@ -313,16 +380,22 @@
     The idle time includes time in which the machine was suspended, since the target
     closes an idle connection meanwhile.
 
-    Attributes
+    Parameters
     ----------
-    opened : int
-        Number of connection attempts so far.
+    connector : Connector or None
+        Opens the connections; None for direct ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, connector: Connector | None = None) -> None:
+        self._connector = connector or DirectConnector()
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._in_use: dict[str, WeakSet[Connection]] = defaultdict(WeakSet)
-        self.opened = 0
+        self._path_checks: set[asyncio.Task] = set()
+
+    @property
+    def opened(self) -> int:
+        """Number of connection attempts so far."""
+        return self._connector.opened
 
     async def acquire(self, name: str, address: str) -> Connection:
         """Return a connection to a target.
@@ -332,33 +405,53 @@
         TargetError
             If no connection can be made; nothing was sent.
         """
-        loop = asyncio.get_running_loop()
         connection = self._pop_idle(name)
         if connection is None:
-            connection = await self._connect(loop, name, address)
+            connection = await self._connector.connect(name, address)
         self._in_use[name].add(connection)
         return connection
 
+    async def is_path_lost(self, name: str, address: str) -> bool:
+        """Return whether a target is reached by other instances only."""
+        return await self._connector.is_path_lost(name, address)
+
+    def check_path(self, name: str, address: str) -> None:
+        """Check in the background whether this instance still reaches a target."""
+        task = asyncio.create_task(self._connector.is_path_lost(name, address))
+        self._path_checks.add(task)
+        task.add_done_callback(self._path_checks.discard)
+
     async def probe_refused(self, name: str, address: str) -> bool:
         """Probe whether a target's address refuses connections.
 
         A successful connection is kept as idle. Returns False if the result is unknown,
         for example in a network partition.
         """
-        loop = asyncio.get_running_loop()
         try:
-            connection = await self._connect(loop, name, address)
+            connection = await self._connector.connect(name, address)
         except TargetError as error:
-            return error.refused
-        connection.idle_until = elapsed() + DEFAULT_IDLE_S
-        self._idle[name].append(connection)
+            return error.refused and not error.in_path
+        self.keep_unused(name, connection)
         return False
 
+    def keep_unused(self, name: str, connection: Connection) -> None:
+        """Keep a connection that no request needs, for a short time."""
+        connection.idle_until = elapsed() + DEFAULT_IDLE_S
+        self._keep(name, connection)
+
+    def _keep(self, name: str, connection: Connection) -> None:
+        """Keep a direct connection as idle; a tunnel serves one request only."""
+        if connection.relay:
+            connection.abort()
+        else:
+            self._idle[name].append(connection)
+
     def _pop_idle(self, name: str) -> Connection | None:
         idle = self._idle[name]
         while idle:
             connection = idle.pop()
             if connection.usable and elapsed() < connection.idle_until:
+                connection.is_reused = True
                 return connection
             connection.abort()
         return None
@@ -381,7 +474,7 @@
             return
         span = idle_timeout - IDLE_SAFETY_MARGIN_S if idle_timeout else DEFAULT_IDLE_S
         connection.idle_until = elapsed() + min(MAX_IDLE_S, max(span, 0.0))
-        self._idle[name].append(connection)
+        self._keep(name, connection)
 
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a target."""
@@ -419,26 +512,39 @@
         for name in list(self._idle):
             self.close_idle(name)
 
-    async def _connect(self, loop, name: str, address: str) -> Connection:
-        host, _, port = address.rpartition(":")
-        self.opened += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _transport, connection = await loop.create_connection(
-                    lambda: Connection(loop, name), host, int(port)
-                )
-        except (OSError, TimeoutError) as cause:
-            detail = f"{type(cause).__name__}"
-            refused = isinstance(cause, ConnectionRefusedError)
-            raise TargetError(
-                detail, step="connect", peer=name, sent=False, refused=refused
-            ) from None
-        sock = connection.transport.get_extra_info("socket")
-        _enable_keepalive(sock)
-        return connection
+
+async def connect_directly(name: str, address: str) -> Connection:
+    """Return a connection to a target from this instance.
+
+    Raises
+    ------
+    TargetError
+        If no connection can be made within `CONNECT_TIMEOUT_S`; nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _transport, connection = await loop.create_connection(
+                lambda: Connection(loop, name), host, int(port)
+            )
+    except (OSError, TimeoutError) as cause:
+        detail = f"{type(cause).__name__}"
+        refused = isinstance(cause, ConnectionRefusedError)
+        raise TargetError(
+            detail, step="connect", peer=name, sent=False, refused=refused
+        ) from None
+    enable_keepalive(connection.transport.get_extra_info("socket"))
+    return connection
+
+
+def set_receive_buffer(sock) -> None:
+    """Bound the bytes that the kernel receives while a connection is not read."""
+    with contextlib.suppress(OSError, AttributeError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
-def _enable_keepalive(sock) -> None:
+def enable_keepalive(sock) -> None:
     """Enable TCP timeouts that end a connection whose peer no longer responds."""
     with contextlib.suppress(OSError, AttributeError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -168,10 +168,13 @@
         except TargetError as error:
             cause = str(error)
             if not error.sent:
-                outcome = m.GrantOutcome.UNREACHABLE
+                unused, failed = m.GrantOutcome.UNUSED, m.GrantOutcome.UNREACHABLE
+                outcome = unused if error.in_path else failed
                 return _AttemptFailure.NOT_SENT
             if self._caller_waits.excuse_break(self._now()):
                 return _AttemptFailure.BROKEN
+            if error.in_path or await self._is_path_lost(connection, target):
+                return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
                 target, self._grants.granted_at, not self._timing.events
@@ -181,6 +184,9 @@
             if self._now() >= self._incoming.deadline:
                 raise
             cause = str(error) or "hangs"
+            if isinstance(error, TimeoutError):
+                if await self._is_path_lost(connection, target):
+                    return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             return _AttemptFailure.BROKEN
         except _CallerDisconnected:
@@ -189,14 +195,26 @@
             return None
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
+                if connection.is_reused and self._response_head is None:
+                    self._context.connections.check_path(target.name, target.address)
                 connection.abort()
             distorted = self._caller_waits.distort_rate(self._now() - started)
             timing = None if distorted else self._timing
             self._grants.release_grant(outcome, timing, self._attempts == 1)
-            self._record_attempt(target, outcome, cause, started)
+            relay = connection.relay if connection else ""
+            self._record_attempt(target, outcome, cause, started, relay)
+
+    async def _is_path_lost(
+        self, connection: Connection, target: DiscoveredTarget
+    ) -> bool:
+        """Whether an attempt failed since this instance does not reach the target."""
+        if connection.relay:
+            return False
+        connections = self._context.connections
+        return await connections.is_path_lost(target.name, target.address)
 
     def _record_attempt(
-        self, target, outcome: m.GrantOutcome, cause: str, started
+        self, target, outcome: m.GrantOutcome, cause: str, started, relay: str
     ) -> None:
         metrics, pool = self._context.metrics, target.pool
         broken = outcome is m.GrantOutcome.BROKEN
@@ -215,6 +233,7 @@
             number=self._attempts,
             outcome=outcome,
             cause=cause,
+            relay=relay,
             seconds=round(self._now() - started, 4),
             waited=round(started - self._incoming.received, 4),
             due_in=round(self._incoming.due - self._incoming.received, 3),
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -171,17 +171,27 @@
         context, now = self._context, self._now()
         if not context.target_backoff.names_backing_off(now):
             return 0.0
-        names = [
-            name
-            for name, target in context.targets.items()
-            if target.pool == self._incoming.pool and not target.leaving
-        ]
-        seconds = context.target_backoff.seconds_until_any(names, now)
+        seconds = context.target_backoff.seconds_until_any(self._pool_targets(), now)
         if now + seconds > self._grant_deadline:
             return seconds
         await asyncio.sleep(seconds)
         return 0.0
 
+    def _pool_targets(self) -> list[str]:
+        return [
+            name
+            for name, target in self._context.targets.items()
+            if target.pool == self._incoming.pool and not target.leaving
+        ]
+
+    def _names_to_avoid(self) -> list[str]:
+        """Return the targets that asked for a pause or are not reached from here."""
+        context, now = self._context, self._now()
+        names = context.target_backoff.names_backing_off(now)
+        if context.paths.has_unreachable(now):
+            names += context.paths.names_unreachable(self._pool_targets(), now)
+        return names
+
     async def _request_grant(self) -> Granted | Refused:
         incoming = self._incoming
         head, grant_deadline = incoming.head, self._grant_deadline
@@ -204,7 +214,7 @@
             data_centre=self._context.data_centre,
             identity=incoming.identity,
             suspect=self._quarantine_status.suspect_fingerprint,
-            resting=self._context.target_backoff.names_backing_off(self._now()),
+            resting=self._names_to_avoid(),
             route=incoming.route.name,
             memory_tokens=head.prompt_tokens + head.output_tokens,
         )
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -18,6 +18,7 @@
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quota_request import QuotaRequest
 from hibiscusstep.forwarding.target_backoff import TargetBackoff
+from hibiscusstep.forwarding.target_paths import TargetPaths
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 
 __all__ = ["ForwardingContext", "IncomingRequest", "response_timeout"]
@@ -133,6 +134,8 @@
         Receives the load that targets report.
     connections : ConnectionPool
         Connections to targets.
+    paths : TargetPaths
+        Which targets this instance reaches.
     retries : WindowedRetryBudget
         Limits retries.
     targets : dict of str to DiscoveredTarget
@@ -155,6 +158,7 @@
     dispatch_client: DispatchClient
     dispatcher_host: DispatcherHost
     connections: ConnectionPool
+    paths: TargetPaths
     retries: WindowedRetryBudget
     targets: dict[str, DiscoveredTarget]
     metrics: ForwardingMetrics
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -39,6 +39,7 @@
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaLimiter
+from hibiscusstep.forwarding.relaying_connector import RelayingConnector
 from hibiscusstep.forwarding.rollout_routes import add_rollout_routes
 from hibiscusstep.forwarding.rollouts import RolloutCoordinator, TargetsChanged
 from hibiscusstep.forwarding.saved_usage import SavedUsageWorker
@@ -47,6 +48,8 @@
 from hibiscusstep.forwarding.target_backoff import TargetBackoff
 from hibiscusstep.forwarding.target_estimates import SavedEstimatesWorker
 from hibiscusstep.forwarding.target_messages import from_target_states
+from hibiscusstep.forwarding.target_paths import TargetPaths
+from hibiscusstep.forwarding.tunnel import TunnelServer
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
 from hibiscusstep.mailbox import Worker
@@ -136,6 +139,7 @@
         self._planner = Planner()
         self._targets_known = False
         self._leaving = False
+        self._accepts_tunnels = False
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
         self._registration_needed = asyncio.Event()
@@ -248,6 +252,7 @@
         self._leaving = True
         self._membership.tell(OwnStateChange(leaving=True))
         self._frontend.begin_drain(now, now + grace - STOP_MARGIN_S)
+        self._tunnels.begin_drain()
         await asyncio.sleep(min(MAX_DRAIN_LISTEN_S, grace / 2))
         try:
             async with asyncio.timeout_at(now + grace - STOP_MARGIN_S):
@@ -258,6 +263,7 @@
     async def _finish_requests(self) -> None:
         """Serve until idle, then refuse new requests and wait for the open ones."""
         await self._frontend.wait_idle()
+        await self._tunnels.wait_idle()
         self._frontend.refuse_requests()
         await self._caller_site.stop()
         await asyncio.sleep(FINAL_REQUESTS_S)
@@ -350,7 +356,14 @@
             incarnation, address, self._links, bounds, self._saved_usage
         )
         self._metrics = ForwardingMetrics()
-        self._connections = ConnectionPool()
+        self._paths = TargetPaths(address, settings.data_centre)
+        connector = RelayingConnector(
+            self._links,
+            self._paths,
+            lambda name, connection: self._connections.keep_unused(name, connection),
+            self._on_path_lost,
+        )
+        self._connections = ConnectionPool(connector)
         self._quarantine = Quarantine(
             address, self._links, self._connections, self._environment.suspect_store
         )
@@ -364,6 +377,7 @@
             self._dispatch_client,
             self._dispatcher_host,
             self._connections,
+            self._paths,
             self._retries,
             self._targets,
             self._metrics,
@@ -375,6 +389,13 @@
             ),
             self._buffers,
         )
+        self._tunnels = TunnelServer(
+            self._targets,
+            self._paths,
+            self._buffers,
+            lambda count: self._metrics.set_gauge("tunnels_served", count),
+        )
+        self._links.accept_tunnels(self._tunnels.serve)
         self._frontend = CallerFrontend(self._context, self._quotas)
         self._workers: list[Worker] = [
             self._links,
@@ -437,6 +458,7 @@
     def _on_view(self, changed: ViewChanged) -> None:
         self._view = changed.view
         self._retries.instances = changed.view.expected_size
+        self._paths.apply_view(changed.view)
         for worker in (
             self._dispatcher_host,
             self._dispatch_client,
@@ -479,11 +501,19 @@
         self._targets_known = True
         for name in inactive:
             self._connections.close_idle(name)
+        self._paths.keep(targets)
         if self._catalog.revision:
             self._rollouts.tell(TargetsChanged(tuple(targets.values())))
         self._publish_plan()
         self._distributor.send_changes(changes)
 
+    def _on_path_lost(self, name: str) -> None:
+        """Close the idle connections on which a request would hang."""
+        if self._paths.is_partitioned:
+            self._connections.close()
+        else:
+            self._connections.close_idle(name)
+
     def _publish_plan(self) -> None:
         """Send the current plan to the dispatchers."""
         if self._table is None:
@@ -546,10 +576,19 @@
             self._distributor.resend_announced(only_recent=not resends_all)
             if resends_all:
                 self._distributor.send_all_targets_to_followers()
+            self._announce_tunnels(eligible)
             if self._uptime() >= ELIGIBLE_AFTER_S and not eligible and self.ready:
                 eligible = True
                 self._membership.tell(OwnStateChange(ready=True))
 
+    def _announce_tunnels(self, is_eligible: bool) -> None:
+        """Tell the other instances whether this one may relay their requests."""
+        self._paths.expire(asyncio.get_running_loop().time())
+        accepts = is_eligible and not self._leaving and not self._paths.is_partitioned
+        if accepts != self._accepts_tunnels:
+            self._accepts_tunnels = accepts
+            self._membership.tell(OwnStateChange(accepts_tunnels=accepts))
+
     def _record_suspension(self, seconds: float) -> None:
         if seconds:
             self._suspended_s += seconds
@@ -595,6 +634,8 @@
         metrics.set_gauge("followers", len(self._view.followers))
         metrics.set_gauge("silent_members", self._view.unreachable)
         metrics.set_gauge("connections_opened", self._connections.opened)
+        metrics.set_gauge("paths_lost", self._paths.lost_count)
+        metrics.set_gauge("partitioned_from_targets", int(self._paths.is_partitioned))
         metrics.set_gauge("log_lines_dropped", count_dropped_lines())
         metrics.set_gauge("requests_suspected", self._quarantine.suspected_count)
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
--- /dev/null
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -0,0 +1,279 @@
+"""hibiscusstep.forwarding.target_paths: which targets this instance reaches, and how.
+
+A direct connection that fails while another instance reaches the same target shows that
+the path from here is lost, not the target. What is recorded here concerns this instance
+only. It does no I/O.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from hibiscusstep.log import decision
+from hibiscusstep.membership.view import Member, View
+
+__all__ = ["TargetPaths"]
+
+# Another instance is asked if a direct connection takes longer than this multiple of
+# the usual time, within bounds. A lost packet is repeated after a second.
+SLOW_CONNECT_FACTOR = 3.0
+MIN_SLOW_CONNECT_S = 0.04
+MAX_SLOW_CONNECT_S = 0.2
+INITIAL_SLOW_CONNECT_S = 0.06
+CONNECT_LEARNING_RATE = 0.2
+# A lost path is tried again, beside the way through another instance, at this interval;
+# all paths together at the shorter one.
+RETRY_INTERVAL_S = 0.5
+RETRY_INTERVAL_OF_ALL_S = 0.1
+# Lost paths without any success after which all paths count as lost.
+MIN_LOST_PATHS = 2
+# An attempt through another instance within this time is compared with a direct one.
+COMPARED_WITHIN_S = 1.0
+# A target that was reached neither directly nor through others is not tried again from
+# here within this time.
+UNREACHABLE_S = 0.5
+# Without requests nothing shows the end of a partition; it is assumed after this time.
+PARTITION_MEMORY_S = 5.0
+# An instance that could not help is asked last within this time.
+RELAY_PENALTY_S = 0.5
+MAX_RELAYS = 3
+
+
+@dataclass(slots=True)
+class _Path:
+    """The direct path to a target; times are in seconds on the loop's clock.
+
+    `failed_at` is the time of the first failure since the last success, infinity if
+    there is none. `relayed_at` is when another instance reached the target last, and
+    `is_lost` whether one did while this instance failed.
+    """
+
+    connect_s: float = INITIAL_SLOW_CONNECT_S / SLOW_CONNECT_FACTOR
+    failed_at: float = math.inf
+    error: str = ""
+    relayed_at: float = -math.inf
+    is_lost: bool = False
+    retry_at: float = 0.0
+    unreachable_until: float = 0.0
+
+
+class TargetPaths:
+    """The paths from this instance to the targets, and the instances that may relay.
+
+    Parameters
+    ----------
+    own_address : str
+        Own peer address.
+    data_centre : str
+        Own data centre.
+    seed : int or None
+        Seed of the choice among equal relays.
+    """
+
+    def __init__(
+        self, own_address: str = "", data_centre: str = "", seed: int | None = None
+    ) -> None:
+        self._own_address = own_address
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._view = View()
+        self._paths: dict[str, _Path] = {}
+        self._last_success_at = -math.inf
+        # Targets that failed since the last success on any path, and those of them that
+        # other instances reached.
+        self._failed_since_success: set[str] = set()
+        self._lost_since_success: set[str] = set()
+        self._partitioned_at = math.inf
+        self._last_failure_at = -math.inf
+        self._next_retry_at = 0.0
+        self._unreachable_until = -math.inf
+        self._relay_penalty_until: dict[str, float] = {}
+
+    @property
+    def is_partitioned(self) -> bool:
+        """Whether this instance seems to reach no target."""
+        return self._partitioned_at < math.inf
+
+    @property
+    def lost_count(self) -> int:
+        """Number of targets whose direct path is lost."""
+        return sum(path.is_lost for path in self._paths.values())
+
+    def apply_view(self, view: View) -> None:
+        """Apply the live instances."""
+        self._view = view
+
+    def keep(self, names: Iterable[str]) -> None:
+        """Forget the paths to all targets but these."""
+        known = set(names)
+        self._paths = {n: path for n, path in self._paths.items() if n in known}
+        self._failed_since_success &= known
+        self._lost_since_success &= known
+
+    def fails_elsewhere(self, name: str) -> bool:
+        """Return whether another target failed and nothing has succeeded since.
+
+        A failure at this target then says little about it.
+        """
+        return bool(self._failed_since_success - {name})
+
+    def is_lost(self, name: str) -> bool:
+        """Return whether a target is better reached through another instance."""
+        path = self._paths.get(name)
+        if path is not None and path.is_lost:
+            return True
+        return self.is_partitioned and self.has_relay
+
+    def slow_connect_s(self, name: str) -> float:
+        """Return the seconds after which a direct connection counts as slow."""
+        path = self._paths.get(name)
+        if path is None:
+            return INITIAL_SLOW_CONNECT_S
+        usual = SLOW_CONNECT_FACTOR * path.connect_s
+        return min(MAX_SLOW_CONNECT_S, max(MIN_SLOW_CONNECT_S, usual))
+
+    def take_retry(self, name: str, now: float) -> bool:
+        """Return whether to try the direct path; a lost one is tried at intervals."""
+        if not self.is_lost(name):
+            return True
+        path = self._path(name)
+        if now < max(path.retry_at, self._next_retry_at):
+            return False
+        path.retry_at = now + RETRY_INTERVAL_S
+        self._next_retry_at = now + RETRY_INTERVAL_OF_ALL_S
+        return True
+
+    def record_success(self, name: str, seconds: float, now: float) -> None:
+        """Record a direct connection that took some seconds."""
+        path = self._path(name)
+        path.connect_s += CONNECT_LEARNING_RATE * (seconds - path.connect_s)
+        if path.is_lost:
+            decision("path-regained", target=name, after=round(now - path.failed_at, 3))
+        path.failed_at, path.is_lost, path.unreachable_until = math.inf, False, 0.0
+        self._last_success_at = now
+        self._failed_since_success.clear()
+        self._lost_since_success.clear()
+        if self.is_partitioned:
+            self._end_partition(name, now)
+            for other in self._paths.values():
+                other.retry_at = now
+            self._next_retry_at = now
+
+    def _end_partition(self, name: str, now: float) -> None:
+        seconds = round(now - self._partitioned_at, 3)
+        decision("targets-reached-again", target=name, after=seconds)
+        self._partitioned_at = math.inf
+
+    def expire(self, now: float) -> None:
+        """Assume the end of a partition if no connection has been tried for a while."""
+        if self.is_partitioned and now > self._last_failure_at + PARTITION_MEMORY_S:
+            self._failed_since_success.clear()
+            self._lost_since_success.clear()
+            self._end_partition("", now)
+
+    def record_failure(self, name: str, error: str, now: float) -> None:
+        """Record a direct connection that failed."""
+        path = self._path(name)
+        path.failed_at, path.error = min(path.failed_at, now), error
+        self._last_failure_at = now
+        self._failed_since_success.add(name)
+        if path.is_lost or now < path.relayed_at + COMPARED_WITHIN_S:
+            self._set_lost(name, now)
+
+    def record_relayed(self, name: str, relay: str, now: float) -> None:
+        """Record that another instance reached a target."""
+        self._relay_penalty_until.pop(relay, None)
+        path = self._path(name)
+        path.relayed_at, path.unreachable_until = now, 0.0
+        if path.failed_at < math.inf:
+            self._set_lost(name, now)
+
+    def _set_lost(self, name: str, now: float) -> None:
+        path = self._path(name)
+        if not path.is_lost:
+            path.is_lost, path.retry_at = True, now + RETRY_INTERVAL_S
+            decision("path-lost", target=name, error=path.error)
+        self._lost_since_success.add(name)
+        lost = len(self._lost_since_success)
+        if not self.is_partitioned and lost >= min(MIN_LOST_PATHS, len(self._paths)):
+            self._partitioned_at = now
+            decision(
+                "targets-unreachable-from-here",
+                lost=sorted(self._lost_since_success),
+                last_success=round(now - max(0.0, self._last_success_at), 3),
+            )
+
+    def record_unreachable(self, name: str, now: float) -> None:
+        """Record that a target was reached neither directly nor through others."""
+        self._path(name).unreachable_until = now + UNREACHABLE_S
+        self._unreachable_until = now + UNREACHABLE_S
+
+    def has_unreachable(self, now: float) -> bool:
+        """Return whether any target may be left alone for now."""
+        return now < self._unreachable_until
+
+    def names_unreachable(self, names: Iterable[str], now: float) -> list[str]:
+        """Return which of a pool's targets to leave alone; none if it is all of them.
+
+        Parameters
+        ----------
+        names : iterable of str
+            The targets of the pool.
+        now : float
+            Seconds on the loop's clock.
+        """
+        names = list(names)
+        found = [n for n in names if self._is_unreachable(n, now)]
+        return found if len(found) < len(names) else []
+
+    def _is_unreachable(self, name: str, now: float) -> bool:
+        path = self._paths.get(name)
+        return path is not None and now < path.unreachable_until
+
+    def relays(self, now: float, used: Mapping[str, int]) -> list[Member]:
+        """Return the instances to ask for a connection, the best first.
+
+        Those of the own data centre come first, then by tunnels in use and capacity.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the loop's clock.
+        used : dict of str to int
+            Number of tunnels in use by the relay's peer address.
+        """
+        candidates = list(self._candidates())
+        self._random.shuffle(candidates)
+        candidates.sort(
+            key=lambda member: (
+                now < self._relay_penalty_until.get(member.peer_address, 0.0),
+                member.data_centre != self._data_centre,
+                used.get(member.peer_address, 0) / max(1, member.capacity),
+            )
+        )
+        return candidates[:MAX_RELAYS]
+
+    def _candidates(self) -> Iterable[Member]:
+        known = (*self._view.members.values(), *self._view.followers.values())
+        return (
+            member
+            for member in known
+            if member.accepts_tunnels
+            and not member.leaving
+            and member.peer_address != self._own_address
+        )
+
+    @property
+    def has_relay(self) -> bool:
+        """Whether any other instance may be asked."""
+        return any(True for _member in self._candidates())
+
+    def penalize_relay(self, relay: str, now: float) -> None:
+        """Ask an instance last for a while; it could not help."""
+        self._relay_penalty_until[relay] = now + RELAY_PENALTY_S
+
+    def _path(self, name: str) -> _Path:
+        if name not in self._paths:
+            self._paths[name] = _Path()
+        return self._paths[name]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -13,7 +13,8 @@
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
   5: string peer_address, 6: string operator_address, 7: i64 version,
   8: bool ready, 9: bool leaving, 10: list<string> known, 11: bool greet,
-  12: bool relay, 13: i32 capacity, 14: i32 followers, 15: string parent
+  12: bool relay, 13: i32 capacity, 14: i32 followers, 15: string parent,
+  16: bool accepts_tunnels
 }
 struct Relays { 1: list<Heartbeat> relays, 2: i32 instances }
 struct Beat { 1: string incarnation, 2: i64 version }
@@ -81,6 +82,7 @@
 struct RolloutWrite {
   1: string pool, 2: i64 revision, 3: string version, 4: string state
 }
+struct TunnelOpen { 1: string target, 2: string address }
 struct PoolStop { 1: string pool, 2: string ask }
 struct NotDispatcher { 1: string pool }
 struct ClaimAsk {
--- a/hibiscusstep/membership/mesh.py
+++ b/hibiscusstep/membership/mesh.py
@@ -34,6 +34,7 @@
     version: int | None = None
     ready: bool | None = None
     leaving: bool | None = None
+    accepts_tunnels: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +132,7 @@
     def _update_own_state(self, state: OwnStateChange) -> None:
         changes = {
             name: value
-            for name in ("version", "ready", "leaving")
+            for name in ("version", "ready", "leaving", "accepts_tunnels")
             if (value := getattr(state, name)) is not None
         }
         self._own = replace(self._own, **changes)
@@ -237,4 +238,5 @@
         member.capacity,
         member.followers,
         parent,
+        member.accepts_tunnels,
     )
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -28,6 +28,8 @@
         Work capacity, as in `hibiscusstep.store.InstanceRecord`.
     followers : int
         Number of instances that follow it.
+    accepts_tunnels : bool
+        Whether it serves tunnels to targets for other instances.
     """
 
     name: str
@@ -42,6 +44,7 @@
     relay: bool = True
     capacity: int = 1
     followers: int = 0
+    accepts_tunnels: bool = False
 
     @classmethod
     def from_heartbeat(cls, beat: Heartbeat) -> "Member":
@@ -59,6 +62,7 @@
             beat.relay,
             beat.capacity,
             beat.followers,
+            beat.accepts_tunnels,
         )
 
 
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -39,6 +39,7 @@
     "SuspectStates",
     "TargetState",
     "TargetStates",
+    "TunnelOpen",
     "Usage",
     "UsageAsk",
     "UsageHistory",
@@ -91,6 +92,8 @@
     parent : str
         Peer address of the relay that the sender follows; empty if the sender is a
         relay.
+    accepts_tunnels : bool
+        Whether the sender serves tunnels to targets for other instances.
     """
 
     instance: str
@@ -108,6 +111,7 @@
     capacity: int = 1
     followers: int = 0
     parent: str = ""
+    accepts_tunnels: bool = False
 
 
 @dataclass(slots=True)
@@ -621,6 +625,22 @@
     state: str
 
 
+@dataclass(slots=True)
+class TunnelOpen:
+    """Asks for a tunnel to a target; the rest of the connection belongs to it.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    address : str
+        Its IP address and port as the sender knows it.
+    """
+
+    target: str
+    address: str
+
+
 @dataclass(slots=True)
 class Received:
     """A message from a peer.
@@ -670,4 +690,5 @@
     SuspectStates,
     RolloutRecords,
     RolloutWrite,
+    TunnelOpen,
 )
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -7,13 +7,13 @@
 import logging
 import secrets
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from hibiscusstep import codec
 from hibiscusstep.errors import PeerError
 from hibiscusstep.mailbox import Worker
-from hibiscusstep.peer import MESSAGES, Received
+from hibiscusstep.peer import MESSAGES, Received, TunnelOpen
 
 __all__ = ["Authenticator", "LinkLost", "PeerLinks", "Send", "read_frame"]
 
@@ -133,6 +133,7 @@
         self._deliver = deliver
         self._server: asyncio.Server | None = None
         self._links: dict[str, _Link] = {}
+        self._serve_tunnel: Callable[..., Awaitable[None]] | None = None
         self._receive_tasks: set[asyncio.Task] = set()
         self._blocked: set[str] = set()
         # The last encoded message and its bytes.
@@ -164,6 +165,23 @@
             self._links[message.address] = link
         link.put(self._encode(message.message))
 
+    def accept_tunnels(self, serve: Callable[..., Awaitable[None]]) -> None:
+        """Serve the tunnels that peers ask for.
+
+        Parameters
+        ----------
+        serve : callable of str, TunnelOpen, asyncio.Transport
+            Serves a tunnel for the peer at an address until it ends.
+        """
+        self._serve_tunnel = serve
+
+    def handshake(self, peer_nonce: bytes, message) -> bytes:
+        """Return the bytes that answer a peer's nonce and send a first message."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        authenticator = Authenticator(self._key, nonce + peer_nonce)
+        address = authenticator.frame(self._address.encode())
+        return nonce + address + authenticator.frame(self._encode(message))
+
     def _encode(self, message) -> bytes:
         """Return the frame body of a message; cached, as one message may go to many."""
         if message is not self._last_encoded:
@@ -206,6 +224,10 @@
         try:
             while True:
                 body = await read_frame(reader, authenticator)
+                if MESSAGES[body[0]] is TunnelOpen:
+                    request = codec.decode(TunnelOpen, body[1:])
+                    await self._accept_tunnel(sender, request, writer.transport)
+                    return
                 if acknowledgement is None or acknowledgement.when() <= loop.time():
                     acknowledgement = loop.call_later(
                         ACKNOWLEDGE_AFTER_S, writer.write, _ACKNOWLEDGEMENT
@@ -217,6 +239,12 @@
             if acknowledgement:
                 acknowledgement.cancel()
 
+    async def _accept_tunnel(self, sender: str, request: TunnelOpen, transport) -> None:
+        if self._serve_tunnel is None:
+            raise PeerError("tunnels are not served here", step="read")
+        if sender not in self._blocked:
+            await self._serve_tunnel(sender, request, transport)
+
     async def connect(self, address: str):
         """Do the handshake with a peer; return reader, writer and authenticator."""
         host, _, port = address.rpartition(":")
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -47,6 +47,7 @@
         (13, "i32", "capacity"),
         (14, "i32", "followers"),
         (15, "string", "parent"),
+        (16, "bool", "accepts_tunnels"),
     ),
     "Relays": (
         (1, "list<Heartbeat>", "relays"),
@@ -202,6 +203,10 @@
         (3, "string", "version"),
         (4, "string", "state"),
     ),
+    "TunnelOpen": (
+        (1, "string", "target"),
+        (2, "string", "address"),
+    ),
     "PoolStop": (
         (1, "string", "pool"),
         (2, "string", "ask"),
