Let answers to others refute that a target is unreachable

An instance that did not reach a target had it rested for all instances, also while the target answered the others. The dispatcher now counts a target as unreachable only if it has answered no other instance since the grant.

--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -264,6 +264,7 @@
                     ended.longest_pause,
                     ended.pace,
                     ended.pace_age,
+                    ended.in_path,
                 ),
             )
 
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -430,6 +430,7 @@
                     body.longest_pause,
                     body.pace,
                     body.pace_age,
+                    body.in_path,
                 )
                 self._feed(hosted, finished)
             case PoolHeld(instance=instance, asks=asks):
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -145,6 +145,7 @@
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
         cause = ""
+        in_path = False
         may_have_run_earlier = self._may_have_run
         try:
             connection = await self._context.connections.acquire(
@@ -167,13 +168,15 @@
             return failure
         except TargetError as error:
             cause = str(error)
+            in_path = error.in_path
             if not error.sent:
                 unused, failed = m.GrantOutcome.UNUSED, m.GrantOutcome.UNREACHABLE
-                outcome = unused if error.in_path else failed
+                outcome = unused if in_path else failed
                 return _AttemptFailure.NOT_SENT
             if self._caller_waits.excuse_break(self._now()):
                 return _AttemptFailure.BROKEN
-            if error.in_path or await self._is_path_lost(connection, target):
+            in_path = in_path or await self._is_path_lost(connection, target)
+            if in_path:
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             self._quarantine_status.record_interruption(
@@ -185,8 +188,9 @@
                 raise
             cause = str(error) or "hangs"
             if isinstance(error, TimeoutError):
-                if await self._is_path_lost(connection, target):
-                    return _AttemptFailure.BROKEN
+                in_path = await self._is_path_lost(connection, target)
+            if in_path:
+                return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
             return _AttemptFailure.BROKEN
         except _CallerDisconnected:
@@ -200,9 +204,11 @@
                 connection.abort()
             distorted = self._caller_waits.distort_rate(self._now() - started)
             timing = None if distorted else self._timing
-            self._grants.release_grant(outcome, timing, self._attempts == 1)
+            self._grants.release_grant(
+                outcome, timing, self._attempts == 1, in_path=in_path
+            )
             relay = connection.relay if connection else ""
-            self._record_attempt(target, outcome, cause, started, relay)
+            self._record_attempt(target, outcome, cause, started, relay, in_path)
 
     async def _is_path_lost(
         self, connection: Connection, target: DiscoveredTarget
@@ -214,7 +220,13 @@
         return await connections.is_path_lost(target.name, target.address)
 
     def _record_attempt(
-        self, target, outcome: m.GrantOutcome, cause: str, started, relay: str
+        self,
+        target,
+        outcome: m.GrantOutcome,
+        cause: str,
+        started: float,
+        relay: str,
+        in_path: bool,
     ) -> None:
         metrics, pool = self._context.metrics, target.pool
         broken = outcome is m.GrantOutcome.BROKEN
@@ -233,6 +245,7 @@
             number=self._attempts,
             outcome=outcome,
             cause=cause,
+            in_path=in_path,
             relay=relay,
             seconds=round(self._now() - started, 4),
             waited=round(started - self._incoming.received, 4),
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -265,6 +265,8 @@
         outcome: m.GrantOutcome,
         timing: StreamTiming | None = None,
         from_one_target: bool = False,
+        *,
+        in_path: bool = False,
     ) -> None:
         """Return the grant to the dispatcher.
 
@@ -276,6 +278,8 @@
             Timing of the response's events; None if nothing was sent.
         from_one_target : bool
             Whether all of these events came from one target.
+        in_path : bool
+            Whether it failed on the path from this instance to the target.
         """
         if self._grant is None:
             return
@@ -288,6 +292,7 @@
             longest_pause=timing.longest_pause if timing and from_one_target else 0.0,
             pace=self._pace,
             pace_age=self._now() - self._pace_received_at if self._pace else 0.0,
+            in_path=in_path,
         )
         self._grant, self._pace = None, 0.0
         self._context.dispatch_client.tell(ended)
--- a/hibiscusstep/grant_messages.py
+++ b/hibiscusstep/grant_messages.py
@@ -82,3 +82,4 @@
     longest_pause: float = 0.0
     pace: float = 0.0
     pace_age: float = 0.0
+    in_path: bool = False
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -24,7 +24,7 @@
 struct PoolFinished {
   1: string pool, 2: string ask, 3: string outcome, 4: i32 tokens,
   5: double decode_seconds, 6: i32 computed, 7: double longest_pause,
-  8: double pace, 9: double pace_age
+  8: double pace, 9: double pace_age, 10: bool in_path
 }
 struct PlaceInfo {
   1: i64 identity, 2: string customer, 3: i32 rank, 4: double seconds,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -172,6 +172,7 @@
     longest_pause: float = 0.0
     pace: float = 0.0
     pace_age: float = 0.0
+    in_path: bool = False
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -189,6 +189,9 @@
         Longest pause between two stream events in seconds; 0 if not known.
     pace, pace_age : float
         As `FirstToken.pace`, and the seconds since it was received.
+    in_path : bool
+        Whether it failed on the path from its instance, which says nothing about the
+        target.
     """
 
     ask: str
@@ -199,6 +202,7 @@
     longest_pause: float = 0.0
     pace: float = 0.0
     pace_age: float = 0.0
+    in_path: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -79,6 +79,13 @@
     m.Withdraw,
 )
 
+# Outcomes that show that an instance reached the target.
+_ANSWERS = (
+    m.GrantOutcome.DONE,
+    m.GrantOutcome.FAILED,
+    m.GrantOutcome.REJECTED,
+    m.GrantOutcome.LEAVING,
+)
 # Attempts that are granted a free slot or refused at once.
 _UNPLACED = (Attempt.EARLY, Attempt.RETURNED)
 
@@ -372,6 +379,7 @@
         target = self._targets.get(self._target_by_ask.get(message.ask, ""))
         run = target.mark_first_token(message.ask) if target else None
         if run is not None:
+            target.record_answer(run.work.instance, now)
             self._record_pace(target, message.pace, 0.0, now)
             self._selector.record_first_token(target, run, message.seconds, now)
             self._partition.update(target, now)
@@ -385,13 +393,17 @@
             return
         self._record_pace(target, message.pace, message.pace_age, now)
         self._partition.record_end(target, run, message, now)
+        if message.outcome in _ANSWERS:
+            target.record_answer(run.work.instance, now)
         match message.outcome:
             case m.GrantOutcome.DONE:
                 self._selector.record_answer(target, run, message, now)
             case m.GrantOutcome.FAILED | m.GrantOutcome.BROKEN:
                 target.record_failure(now)
             case m.GrantOutcome.UNREACHABLE:
-                target.record_unreachable(now)
+                # Otherwise the path from that instance is lost, not the target.
+                if not target.has_answered_others(run.work.instance, run.granted):
+                    target.record_unreachable(now)
                 target.uncount_grant(run)
             case m.GrantOutcome.UNUSED:
                 target.uncount_grant(run)
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -1,5 +1,6 @@
 """hibiscusstep.routing.slot_target: state and learned speed of a target with slots."""
 
+import math
 from dataclasses import dataclass, field
 
 from hibiscusstep.routing import messages as m
@@ -146,6 +147,9 @@
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
     _remaining_prefill_at: float = -1.0
+    # The last two instances that it answered, and when.
+    _last_answer: tuple[str, float] = ("", -math.inf)
+    _last_other_answer: tuple[str, float] = ("", -math.inf)
     # Not maintained without a pace of the host: it equals the slowness then.
     _own_slowness: float = 1.0
 
@@ -326,6 +330,17 @@
         spent = self.slowness * (own + RUNNING_WEIGHT * self._running_seconds)
         return spent * (1 + FAILURE_COST_FACTOR * self.failure_share)
 
+    def record_answer(self, instance: str, now: float) -> None:
+        """Record that an instance received anything from the target."""
+        if instance != self._last_answer[0]:
+            self._last_other_answer = self._last_answer
+        self._last_answer = (instance, now)
+
+    def has_answered_others(self, instance: str, since: float) -> bool:
+        """Return whether the target answered another instance after a time."""
+        answers = (self._last_answer, self._last_other_answer)
+        return any(at > since for name, at in answers if name != instance)
+
     def record_success(self) -> None:
         """Record a complete answer."""
         self.backoffs = 0
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -190,7 +190,7 @@
         outcome = finished.outcome
         if not self.rollout or outcome not in _COMPARED_OUTCOMES:
             return
-        if run.work.suspect or run.adopted:
+        if run.work.suspect or run.adopted or finished.in_path:
             return
         answer = AnswerSample(
             target.name,
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -81,6 +81,7 @@
         (7, "double", "longest_pause"),
         (8, "double", "pace"),
         (9, "double", "pace_age"),
+        (10, "bool", "in_path"),
     ),
     "PlaceInfo": (
         (1, "i64", "identity"),
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -189,6 +189,36 @@
             grants |= _grants(dispatcher.handle(m.RequestGrant(_work(f"b{n}")), 0.2))
         assert "t0" not in grants.values()
 
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            m.FirstToken("b", 0.05),
+            m.Finished("b", m.GrantOutcome.DONE, 1, 0.0),
+            m.Finished("b", m.GrantOutcome.REJECTED),
+        ],
+        ids=["first token", "answer", "rejection"],
+    )
+    def test_answers_to_others_refute_that_it_is_unreachable(self, answer):
+        """Guards against resting a target for all since one instance is partitioned."""
+        dispatcher = _dispatcher((4,))
+        for ask, instance in (("a", "partitioned"), ("b", "other")):
+            work = _work(ask, instance=instance)
+            dispatcher.handle(m.RequestGrant(work), 0.0)
+        dispatcher.handle(answer, 0.1)
+        dispatcher.handle(m.Finished("a", m.GrantOutcome.UNREACHABLE), 0.2)
+        rested_s = 0.15 if answer.__class__ is m.Finished else 0.0
+        state = dispatcher.summary(0.2 + rested_s)["targets"]["t0"]
+        assert "f0.00" in state
+        assert "resting" not in state
+
+    def test_an_answer_before_the_grant_refutes_nothing(self):
+        dispatcher = _dispatcher((4,))
+        dispatcher.handle(m.RequestGrant(_work("b")), 0.0)
+        dispatcher.handle(m.Finished("b", m.GrantOutcome.DONE, 1, 0.0), 0.1)
+        dispatcher.handle(m.RequestGrant(_work("a")), 0.2)
+        dispatcher.handle(m.Finished("a", m.GrantOutcome.UNREACHABLE), 0.3)
+        assert "resting" in dispatcher.summary(0.3)["targets"]["t0"]
+
     def test_all_targets_are_used_when_most_are_unreachable(self):
         """An instance that is cut off must not remove the targets from all others."""
         dispatcher = _dispatcher((1, 1, 1))
