--- a/hibiscusstep/forwarding/tunnel.py
+++ b/hibiscusstep/forwarding/tunnel.py
@@ -146,6 +146,8 @@
         """Fail the handshake, or the open response: the peer is lost."""
         if not self.status.done():
             self.status.set_exception(exc or ConnectionResetError())
+            # Nobody waits for it after the attempt was given up.
+            self.status.exception()
         elif self._is_open:
             self._connection.is_path_broken = True
             self._end(exc or ConnectionResetError())
--- a/tests/partitioned_network.py
+++ b/tests/partitioned_network.py
@@ -21,6 +21,7 @@
 
     HANG = "all connections hang"
     RESET = "all connections are reset"
+    REFUSE = "open connections are reset, new ones are refused, as after a crash"
     NEW_REFUSED = "open connections work, new ones are refused"
     NEW_HANG = "open connections work, new ones hang"
 
@@ -53,7 +54,7 @@
                     await asyncio.Event().wait()
                 case Cut.RESET:
                     raise ConnectionResetError(port)
-                case Cut.NEW_REFUSED:
+                case Cut.REFUSE | Cut.NEW_REFUSED:
                     raise ConnectionRefusedError(port)
         transport, protocol = await self._create(factory, host, port, **options)
         if port in self.ports:
@@ -64,7 +65,7 @@
         """Partition these instances from all targets."""
         self.cuts |= dict.fromkeys(instances, kind)
         for transport in (t for number in instances for t in self._open[number]):
-            if kind is Cut.RESET:
+            if kind in (Cut.RESET, Cut.REFUSE):
                 transport.abort()
             elif kind is Cut.HANG and not transport.is_closing():
                 transport.pause_reading()
@@ -84,12 +85,14 @@
         Number of runs by request id.
     """
 
-    async def begin(self, monkeypatch, instances=4, targets=4, work_s=0.05):
-        """Start instances and targets; return once all know each other."""
+    async def begin(
+        self, monkeypatch, instances=4, targets=4, work_s=0.05, script=None
+    ):
+        """Start instances and targets; return once all may relay requests."""
         self.network = PartitionedNetwork(monkeypatch)
         self.runs = collections.Counter()
 
-        def script(_number, fields, _body):
+        def run(_number, fields, _body):
             self.runs[fields["x-request-id"]] += 1
             if "events" in fields:
                 numbers = range(int(fields["events"]))
@@ -99,15 +102,20 @@
             return [work_s, answer(fields).replace(b"timeout=5", b"timeout=1")]
 
         with self.network.as_instance(0):
-            await self.start(*(TargetStandIn(f"t{n}", script) for n in range(targets)))
+            names = [f"t{number}" for number in range(targets)]
+            await self.start(*(TargetStandIn(name, script or run) for name in names))
         self.network.ports = {int(t.address.rpartition(":")[2]) for t in self.targets}
         for number in range(1, instances):
             with self.network.as_instance(number):
                 await self.add_instance()
         async with asyncio.timeout(BOUND_S):
-            while not all(i.view.size == instances for i in self.instances):
+            while not all(map(self._knows_all_relays, self.instances)):
                 await asyncio.sleep(0.02)
 
+    def _knows_all_relays(self, instance):
+        relays = [m for m in instance.view.members.values() if m.accepts_tunnels]
+        return len(relays) == len(self.instances)
+
     async def call_in_time(self, instance, path="/once/", **fields):
         """Return the status of a request; 0 if the caller gives up."""
         deadline = {"X-Request-Deadline-Ms": str(int(DEADLINE_S * 1000))}
