Wait through pauses of sound targets before another one is tried

A target that sent nothing for max(1 s, twice the objective) was taken to hang, and the request was sent to another one while the first went on after its pause: two runs at the same time. The limit is now the objective (within a stream: the longest pause that is on time) and 1.5 s.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -31,9 +31,9 @@
 # A target that has sent nothing after this many times the route's objective is taken to
 # hang. Another target is tried if the request may be retried.
 SILENCE_FACTOR = 2.0
-MIN_SILENCE_TIMEOUT_S = 1.0
-# A target that sends no event for this long within a stream is taken to be lost.
-STREAM_SILENCE_TIMEOUT_S = 2.0
+# Sound targets may pause for a second or so beyond the time that their work takes. The
+# request would run twice if another target were tried within a pause.
+MAX_SOUND_PAUSE_S = 1.5
 MIN_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
@@ -430,7 +430,7 @@
                 raise _InvalidResponse("event too long")
             if splitter.count > before:
                 self._record_events(splitter.count - before)
-                limit = STREAM_SILENCE_TIMEOUT_S if self._can_retry else None
+                limit = self._stream_silence_timeout()
             if whole:
                 await self._write_to_caller(target_response, whole)
         await self._write_to_caller(target_response, splitter.remainder)
@@ -512,9 +512,14 @@
         """Return the seconds to wait for a target's data; None if no retry is left."""
         if not self._can_retry:
             return None
-        return max(
-            MIN_SILENCE_TIMEOUT_S, SILENCE_FACTOR * self._incoming.route.objective
-        )
+        objective = self._incoming.route.objective
+        return max(SILENCE_FACTOR * objective, objective + MAX_SOUND_PAUSE_S)
+
+    def _stream_silence_timeout(self) -> float | None:
+        """Return the seconds to wait for the next event; None if no retry is left."""
+        if not self._can_retry:
+            return None
+        return self._incoming.route.max_pause + MAX_SOUND_PAUSE_S
 
     def _may_retry(self, failure: _AttemptFailure) -> bool:
         route = self._incoming.route
