Grant brittle targets no more than they show room for

A target that announces Server-Brittle = N ends once it has rejected more than N requests in a second. The field was logged as unknown; a rejection rested the target for 0.1 s, and while most targets rested all were granted their whole slots.

The field is an announcement like the limit: read by the dialect, merged by version, told to all instances, ended by an answer without it. While it holds, the dispatcher grants as many requests at a time as answers have shown to be accepted, and beyond that no more than may be rejected in a second; a rejection lowers the room until 3 s have passed without one. Grants are spaced so that no more than N can be rejected before the first rejection is known. A target of the pool that has not answered yet, such as one that is back, is taken to be like the others. Each dispatcher risks its share, as for the limit.

--- a/hibiscusstep/forwarding/announcement.py
+++ b/hibiscusstep/forwarding/announcement.py
@@ -18,7 +18,7 @@
 
 
 class AnnouncementReader:
-    """Reads from responses that a target is leaving, and its rate limit.
+    """Reads from responses that a target is leaving, and its limits.
 
     Parameters
     ----------
@@ -57,14 +57,37 @@
             self._log_malformed(
                 "rate-limit-malformed", target, head, head.malformed_rate_limit
             )
+        if head.malformed_rejection_limit:
+            self._log_malformed(
+                "rejection-limit-malformed",
+                target,
+                head,
+                head.malformed_rejection_limit,
+            )
         if head.malformed_pace:
             self._log_malformed("pace-malformed", target, head, head.malformed_pace)
         before = target.rate_limit if is_own else RateLimit()
-        rate_limit = _rate_limit_after(before, head)
-        if rate_limit is before and not head.leaving:
+        rejections_before = target.rejection_limit if is_own else RateLimit()
+        has_handled = head.sealed and not head.not_run
+        rate_limit = _limit_after(
+            before, head.rate_limit, has_handled and not head.malformed_rate_limit
+        )
+        rejection_limit = _limit_after(
+            rejections_before,
+            head.rejection_limit,
+            has_handled and not head.malformed_rejection_limit,
+        )
+        is_changed = (
+            rate_limit is not before or rejection_limit is not rejections_before
+        )
+        if not is_changed and not head.leaving:
             return
-        leaving = target.leaving or head.leaving
-        announced = replace(target, leaving=leaving, rate_limit=rate_limit)
+        announced = replace(
+            target,
+            leaving=target.leaving or head.leaving,
+            rate_limit=rate_limit,
+            rejection_limit=rejection_limit,
+        )
         known = self._targets.get(target.name, target)
         if known.merge_announced(announced) is known:
             return
@@ -76,6 +99,8 @@
             leaving=announced.leaving,
             rate_limit=announced.rate_limit.per_second,
             rate_limit_before=before.per_second,
+            rejection_limit=announced.rejection_limit.per_second,
+            rejection_limit_before=rejections_before.per_second,
         )
         self._on_announced(announced)
 
@@ -92,17 +117,18 @@
         decision(event, target=target.name, value=value, request=head.request)
 
 
-def _rate_limit_after(before: RateLimit, head: TargetResponseHead) -> RateLimit:
-    """Return the rate limit after a response to a request sent when `before` held.
+def _limit_after(
+    before: RateLimit, announced: float | None, may_end: bool
+) -> RateLimit:
+    """Return a limit after a response to a request sent when `before` held.
 
     Only a response of a target that handled the request ends a limit by naming none.
     """
-    if head.rate_limit is None:
-        is_silent = head.malformed_rate_limit or head.not_run or not head.sealed
-        is_changed = before.per_second is not None and not is_silent
+    if announced is None:
+        is_changed = before.per_second is not None and may_end
     elif before.per_second is None:
         is_changed = True
     else:
-        raised_by = head.rate_limit - before.per_second
+        raised_by = announced - before.per_second
         is_changed = raised_by < 0 or raised_by > MIN_RAISE * before.per_second
-    return RateLimit(head.rate_limit, before.version + 1) if is_changed else before
+    return RateLimit(announced, before.version + 1) if is_changed else before
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -340,7 +340,7 @@
         announced = self._announced.get(target.name)
         if announced:
             target = target.merge_announced(announced)
-        if target.leaving or target.rate_limit.version:
+        if target.has_announced:
             self._announced[target.name] = target
         return target
 
@@ -445,5 +445,11 @@
     limit_before = before.rate_limit.per_second if before else None
     if limit != limit_before:
         message = "target-unlimited" if limit is None else "target-limited"
-        fields |= {"rate_limit": limit, "rate_limit_before": limit_before}
-        decision(message, **fields)
+        limits = {"rate_limit": limit, "rate_limit_before": limit_before}
+        decision(message, **fields, **limits)
+    limit = target.rejection_limit.per_second
+    limit_before = before.rejection_limit.per_second if before else None
+    if limit != limit_before:
+        message = "target-sturdy" if limit is None else "target-brittle"
+        limits = {"rejection_limit": limit, "rejection_limit_before": limit_before}
+        decision(message, **fields, **limits)
--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -102,6 +102,11 @@
         if not declared.
     malformed_rate_limit : str
         Text of a declared rate limit that is not a number; "" if there is none.
+    rejection_limit : float or None
+        Requests per second of all instances together that the target bears to reject;
+        None if not declared.
+    malformed_rejection_limit : str
+        As `malformed_rate_limit`.
     pace : float
         Factor by which work takes longer than usual on the target's host; 0 if not
         declared.
@@ -121,6 +126,8 @@
     retry_after: float = 0.0
     rate_limit: float | None = None
     malformed_rate_limit: str = ""
+    rejection_limit: float | None = None
+    malformed_rejection_limit: str = ""
     pace: float = 0.0
     malformed_pace: str = ""
 
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -204,7 +204,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
-    """The requests per second that a target accepts from all instances together.
+    """The requests per second that a target accepts, or bears to reject, in all.
 
     Instances hear changes in responses, and tell each other. A value that was heard in
     response to a request replaces the one that was known when the request was sent.
@@ -252,6 +252,8 @@
         Software version.
     rate_limit : RateLimit
         The limit that it announced in responses.
+    rejection_limit : RateLimit
+        The rejections that it bears, announced in the same way while it is brittle.
     """
 
     id: str
@@ -264,14 +266,28 @@
     incarnation: int = 0
     version: str = ""
     rate_limit: RateLimit = RateLimit()
+    rejection_limit: RateLimit = RateLimit()
 
     def merge_announced(self, other: "DiscoveredTarget") -> "DiscoveredTarget":
         """Return this target with what another state of its incarnation announced."""
         leaving = self.leaving or other.leaving
         rate_limit = self.rate_limit.merge(other.rate_limit)
-        if (leaving, rate_limit) == (self.leaving, self.rate_limit):
+        rejection_limit = self.rejection_limit.merge(other.rejection_limit)
+        merged = (leaving, rate_limit, rejection_limit)
+        if merged == (self.leaving, self.rate_limit, self.rejection_limit):
             return self
-        return replace(self, leaving=leaving, rate_limit=rate_limit)
+        return replace(
+            self,
+            leaving=leaving,
+            rate_limit=rate_limit,
+            rejection_limit=rejection_limit,
+        )
+
+    @property
+    def has_announced(self) -> bool:
+        """Whether it announced anything in responses."""
+        versions = self.rate_limit.version, self.rejection_limit.version
+        return self.leaving or any(versions)
 
     @property
     def name(self) -> str:
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from hibiscusstep.forwarding.ignored_objects import IgnoredRevisions
@@ -65,6 +65,7 @@
             pools[name] = replace(
                 pools[name], current_versions=planned.serving, rollout=planned.rollout
             )
+        brittle = _rejection_limits(targets.values())
         for name, target in targets.items():
             pool = pools.get(target.pool)
             if pool is None:
@@ -76,6 +77,7 @@
                 target.data_centre,
                 target.version,
                 target.rate_limit.per_second,
+                _rejection_limit(target, brittle),
             )
         return DispatchPlan(pools)
 
@@ -92,6 +94,29 @@
         )
 
 
+def _rejection_limits(targets: Iterable[DiscoveredTarget]) -> dict[str, float]:
+    """Return the lowest rejection limit by pool with brittle targets."""
+    limits: dict[str, float] = {}
+    for target in targets:
+        limit = target.rejection_limit.per_second
+        if limit is not None:
+            limits[target.pool] = min(limit, limits.get(target.pool, limit))
+    return limits
+
+
+def _rejection_limit(
+    target: DiscoveredTarget, brittle: dict[str, float]
+) -> float | None:
+    """Return a target's rejection limit.
+
+    The targets of a pool become brittle together, so one that has not responded yet,
+    for example after a restart, is taken to be like the others.
+    """
+    if target.rejection_limit.version:
+        return target.rejection_limit.per_second
+    return brittle.get(target.pool)
+
+
 def _pools_of(table: RoutingTable) -> dict[str, PlannedPool]:
     """Return the pools of a routing table, without targets."""
     streams = [
--- a/hibiscusstep/forwarding/state_distributor.py
+++ b/hibiscusstep/forwarding/state_distributor.py
@@ -120,11 +120,7 @@
             self._send_announced(random.choice(neighbours), targets)
 
     def _announced_targets(self) -> list[DiscoveredTarget]:
-        return [
-            target
-            for target in self._targets.values()
-            if target.leaving or target.rate_limit.version
-        ]
+        return [target for target in self._targets.values() if target.has_announced]
 
     def _send_announced(self, address: str, targets: list[DiscoveredTarget]) -> None:
         if targets:
--- a/hibiscusstep/forwarding/target_messages.py
+++ b/hibiscusstep/forwarding/target_messages.py
@@ -46,11 +46,21 @@
         item.leaving,
         item.incarnation,
         item.version,
-        NO_LIMIT if item.rate_limit.per_second is None else item.rate_limit.per_second,
+        _to_number(item.rate_limit),
         item.rate_limit.version,
+        _to_number(item.rejection_limit),
+        item.rejection_limit.version,
     )
 
 
+def _to_number(limit: RateLimit) -> float:
+    return NO_LIMIT if limit.per_second is None else limit.per_second
+
+
+def _to_limit(number: float, version: int) -> RateLimit:
+    return RateLimit(number if 0 <= number < math.inf else None, version)
+
+
 def _to_change(state: TargetState) -> Change:
     """Return the change that a peer message carries."""
     if state.removed:
@@ -65,9 +75,7 @@
         state.revision,
         state.incarnation,
         state.version,
-        RateLimit(
-            state.rate_limit if 0 <= state.rate_limit < math.inf else None,
-            state.rate_limit_version,
-        ),
+        _to_limit(state.rate_limit, state.rate_limit_version),
+        _to_limit(state.rejection_limit, state.rejection_limit_version),
     )
     return Change(state.name, target, state.revision)
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -61,7 +61,8 @@
   1: string name, 2: i64 revision, 3: bool removed, 4: string pool,
   5: string address, 6: string data_centre, 7: i32 slots, 8: bool leaving,
   9: i64 incarnation, 10: string version, 11: double rate_limit,
-  12: i64 rate_limit_version
+  12: i64 rate_limit_version,
+  13: double rejection_limit, 14: i64 rejection_limit_version
 }
 struct TargetStates {
   1: list<TargetState> states, 2: i64 revision, 3: bool announced
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -486,6 +486,9 @@
         Requests per second that it accepts; `NO_LIMIT` if it has no limit.
     rate_limit_version : int
         Number of changes of the limit so far.
+    rejection_limit, rejection_limit_version : float, int
+        The same for the requests per second that it bears to reject while it is
+        brittle.
     """
 
     name: str
@@ -500,6 +503,8 @@
     version: str = ""
     rate_limit: float = NO_LIMIT
     rate_limit_version: int = 0
+    rejection_limit: float = NO_LIMIT
+    rejection_limit_version: int = 0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -33,8 +33,8 @@
 # callers are known.
 _TARGET_FIELD_PREFIXES = ("server-", "x-", "kv-")
 _KNOWN_TARGET_FIELDS = frozenset(
-    "server-leaving server-limit x-request-id x-response-seal x-not-executed "
-    "x-server-load x-instance-id x-weight-versions".split()
+    "server-leaving server-limit server-brittle x-request-id x-response-seal "
+    "x-not-executed x-server-load x-instance-id x-weight-versions".split()
 )
 # Number of unknown field names that are logged; targets may send any names.
 MAX_LOGGED_FIELDS = 20
@@ -86,8 +86,12 @@
         """Parse a target's fields; log the first use of an unknown one."""
         self._log_unknown_fields(headers)
         rate_limit, malformed_rate_limit = None, ""
+        rejection_limit, malformed_rejection_limit = None, ""
         if status != _MISDIRECTED_REQUEST:
-            rate_limit, malformed_rate_limit = _parse_rate_limit(headers)
+            rate_limit, malformed_rate_limit = _parse_rate(headers, "Server-Limit")
+            rejection_limit, malformed_rejection_limit = _parse_rate(
+                headers, "Server-Brittle"
+            )
         load = headers.get("X-Server-Load", "")
         running, waiting = _parse_int_pair(load, -1)
         pace, malformed_pace = 0.0, ""
@@ -108,6 +112,8 @@
             retry_after=_parse_retry_after(status, headers),
             rate_limit=rate_limit,
             malformed_rate_limit=malformed_rate_limit,
+            rejection_limit=rejection_limit,
+            malformed_rejection_limit=malformed_rejection_limit,
             pace=pace,
             malformed_pace=malformed_pace,
         )
@@ -176,14 +182,14 @@
     return min(seconds, MAX_RETRY_AFTER_S)
 
 
-def _parse_rate_limit(headers) -> tuple[float | None, str]:
-    """Return the requests per second of ``Server-Limit``, and a malformed value."""
-    values = headers.getall("Server-Limit", ())
+def _parse_rate(headers, name: str) -> tuple[float | None, str]:
+    """Return the requests per second in a field, and a malformed value."""
+    values = headers.getall(name, ())
     if not values:
         return None, ""
     text = ",".join(values).strip()
-    rate_limit = float(text) if _DECIMAL_NUMBER.fullmatch(text) else math.inf
-    return (rate_limit, "") if math.isfinite(rate_limit) else (None, text or "empty")
+    rate = float(text) if _DECIMAL_NUMBER.fullmatch(text) else math.inf
+    return (rate, "") if math.isfinite(rate) else (None, text or "empty")
 
 
 def _parse_keep_alive_timeout(text: str) -> float:
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -22,6 +22,8 @@
     rate_limit : float or None
         Requests per second that it accepts from all dispatchers together; None if
         there is no limit.
+    rejection_limit : float or None
+        Requests per second of all dispatchers that it bears to reject; None if any.
     """
 
     slots: int
@@ -29,6 +31,7 @@
     data_centre: str = ""
     version: str = ""
     rate_limit: float | None = None
+    rejection_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -11,7 +11,11 @@
 
 from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
-from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool
+from hibiscusstep.routing.dispatch_plan import (
+    DispatchPlan,
+    PlannedPool,
+    PlannedTarget,
+)
 from hibiscusstep.routing.fair_queue import FairSlotQueue
 from hibiscusstep.routing.fair_shares import FairShares
 from hibiscusstep.routing.grant_monitor import GrantMonitor, LostRequests
@@ -152,6 +156,7 @@
         self._grant_monitor = GrantMonitor()
         self._lost_requests = LostRequests()
         self._pool_pace = PoolPace()
+        self._brittle: dict[str, SlotTarget] = {}
         # Slowness by target, learned by other dispatchers. It includes targets that are
         # not in the plan yet.
         self._imported_slowness: dict[str, float] = {}
@@ -238,6 +243,8 @@
             if target.limiter:
                 target.set_rate_limit(target.limiter.limit, share, now)
                 self._partition.update(target, now)
+        for target in self._brittle.values():
+            target.room.share = share
 
     def instances_waiting(self) -> set[str]:
         """Return the instances with queued requests."""
@@ -380,6 +387,9 @@
         run = target.mark_first_token(message.ask) if target else None
         if run is not None:
             target.record_answer(run.work.instance, now)
+            if target.room:
+                target.room.record_accepted(run.level, run.granted, now)
+                target.update_slots(now)
             self._record_pace(target, message.pace, 0.0, now)
             self._selector.record_first_token(target, run, message.seconds, now)
             self._partition.update(target, now)
@@ -395,6 +405,8 @@
         self._partition.record_end(target, run, message, now)
         if message.outcome in _ANSWERS:
             target.record_answer(run.work.instance, now)
+        if target.room:
+            self._record_room(target, run, message.outcome, now)
         match message.outcome:
             case m.GrantOutcome.DONE:
                 self._selector.record_answer(target, run, message, now)
@@ -415,6 +427,16 @@
             self._subset_updated_at = -math.inf
         self._partition.update(target, now)
 
+    def _record_room(
+        self, target: SlotTarget, run: Run, outcome: m.GrantOutcome, now: float
+    ) -> None:
+        """Record whether a brittle target had room for a request."""
+        if outcome is m.GrantOutcome.REJECTED:
+            target.room.record_rejected(len(target.running), now)
+        elif outcome in _ANSWERS:
+            target.room.record_accepted(run.level, run.granted, now)
+        target.update_slots(now)
+
     def _record_pace(
         self, target: SlotTarget, pace: float, age: float, now: float
     ) -> None:
@@ -527,6 +549,9 @@
         """Advance the rollout, inquire about overdue grants and release lost ones."""
         for target in self._pool_pace.update(now):
             self._partition.update(target, now)
+        for target in self._brittle.values():
+            if target.update_slots(now):
+                self._partition.update(target, now)
         if self._recovered and (conclusion := self._partition.tick(self._targets, now)):
             self._decisions.append(conclusion)
         if not self._switches.ask_overdue:
@@ -561,7 +586,7 @@
                 target.version = planned.version
                 self._targets[name] = target
                 self._apply_imported_slowness(target)
-            target.slots = planned.slots
+            self._set_rejection_limit(target, planned, now)
             target.memory_tokens = self._memory.tokens
             target.leaving |= planned.leaving
             if planned.rate_limit != target.rate_limit:
@@ -574,10 +599,21 @@
             gone = self._targets.pop(name)
             self._partition.remove(gone)
             self._pool_pace.forget(gone)
+            self._brittle.pop(name, None)
             for ask in gone.running:
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
 
+    def _set_rejection_limit(
+        self, target: SlotTarget, planned: PlannedTarget, now: float
+    ) -> None:
+        limit = planned.rejection_limit
+        target.set_rejection_limit(planned.slots, limit, self._limit_share, now)
+        if target.room:
+            self._brittle[target.name] = target
+        else:
+            self._brittle.pop(target.name, None)
+
     def _configure_shares(self, pool: PlannedPool) -> None:
         """Set the customers' weights; change the order if fair shares begin or end."""
         is_shared = pool.fair_shares and self._switches.fair_shares
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -6,6 +6,7 @@
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.host_pace import HostPace
 from hibiscusstep.routing.rate_limiter import RateLimiter
+from hibiscusstep.routing.target_room import TargetRoom
 
 __all__ = ["Run", "SlotTarget"]
 
@@ -66,6 +67,8 @@
         Whether another dispatcher granted it, some time before `granted`.
     target_loaded : bool
         Whether most of the target's slots were taken when it was granted.
+    level : int
+        Number of requests at the target when it was granted, with it.
     """
 
     work: m.Work
@@ -78,6 +81,7 @@
     max_concurrent_prefill: float = 0.0
     adopted: bool = False
     target_loaded: bool = False
+    level: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -89,7 +93,8 @@
     name : str
         The target.
     slots : int
-        Number of requests that it serves at the same time.
+        Number of requests that it serves at the same time; fewer than its entry says
+        if it is brittle and shows less room.
     leaving : bool
         Whether it accepts no new requests.
     slowness : float
@@ -115,7 +120,7 @@
     limiter : RateLimiter or None
         Limits the requests per second; None if the target accepts any number.
     next_start_at : float
-        Time from which on its rate limit permits the next request, on the dispatcher's
+        Time from which on its limits permit the next request, on the dispatcher's
         clock; 0 without a limit. An attribute, since decisions read it often.
     host_pace : HostPace or None
         Pace of its host; None if the target has not told it.
@@ -123,6 +128,8 @@
         Expected pace of its host that is part of the slowness; 1 if not told.
     memory_tokens, memory_used : int
         Tokens that its memory holds (0 for no bound), and those of its requests.
+    room : TargetRoom or None
+        The room that it shows; None if it is not brittle.
     """
 
     name: str
@@ -143,10 +150,12 @@
     host_factor: float = 1.0
     memory_tokens: int = 0
     memory_used: int = 0
+    room: TargetRoom | None = None
     running: dict[str, Run] = field(default_factory=dict)
     _running_seconds: float = 0.0
     _remaining_prefill: float = 0.0
     _remaining_prefill_at: float = -1.0
+    _declared_slots: int = 0
     # The last two instances that it answered, and when.
     _last_answer: tuple[str, float] = ("", -math.inf)
     _last_other_answer: tuple[str, float] = ("", -math.inf)
@@ -196,7 +205,8 @@
             self.memory_used -= replaced.work.memory_tokens
         self.memory_used += run.work.memory_tokens
         self.running[ask] = run
-        run.target_loaded = len(self.running) >= LOADED_SHARE * self.slots
+        run.level = len(self.running)
+        run.target_loaded = run.level >= LOADED_SHARE * self.slots
         self._invalidate()
 
     def remove(self, ask: str) -> Run | None:
@@ -245,6 +255,39 @@
         """Requests per second that it accepts from all dispatchers; None if any."""
         return self.limiter.limit if self.limiter else None
 
+    def set_rejection_limit(
+        self, declared: int, per_s: float | None, share: float, now: float
+    ) -> None:
+        """Set the slots and what the target bears of rejections.
+
+        Parameters
+        ----------
+        declared : int
+            Slots in the target's entry.
+        per_s : float or None
+            Rejections per second from all dispatchers; None if it is not brittle.
+        share : float
+            Part of them that this dispatcher may cause.
+        now : float
+            Seconds on the dispatcher's clock.
+        """
+        self._declared_slots = declared
+        if per_s is None:
+            self.room, self.slots = None, declared
+            self._update_next_start()
+            return
+        if self.room is None:
+            self.room = TargetRoom(per_s, share, len(self.running), now)
+        self.room.rejections_per_s, self.room.share = per_s, share
+        self.update_slots(now)
+
+    def update_slots(self, now: float) -> bool:
+        """Update the slots of a brittle target; return whether they changed."""
+        before = self.slots
+        running = len(self.running)
+        self.slots = self.room.slots(self._declared_slots, running, now)
+        return self.slots != before
+
     def set_rate_limit(
         self, limit: float | None, share: float, now: float, tokens: float = 0.0
     ) -> None:
@@ -276,10 +319,12 @@
             self._update_next_start()
 
     def count_grant(self, now: float) -> None:
-        """Count a granted request against the limit."""
+        """Count a granted request against the limits."""
         if self.limiter:
             self.limiter.take(now)
-            self._update_next_start()
+        if self.room:
+            self.room.record_grant(now)
+        self._update_next_start()
 
     def uncount_grant(self, run: Run) -> None:
         """Take back the count of a request that was granted here and was not sent."""
@@ -288,7 +333,8 @@
             self._update_next_start()
 
     def _update_next_start(self) -> None:
-        self.next_start_at = self.limiter.next_at if self.limiter else 0.0
+        next_at = self.limiter.next_at if self.limiter else 0.0
+        self.next_start_at = max(next_at, self.room.next_start_at if self.room else 0.0)
 
     @property
     def unassigned_slots(self) -> int:
@@ -420,6 +466,8 @@
             parts.append("leaving")
         if now < self.backoff_until:
             parts.append("resting")
+        if self.room:
+            parts.append(f"brittle, {self.room.rejections_per_s:g} rejections/s")
         if self.limiter:
             parts.append(f"limit {self.limiter.limit:g}/s")
         return " ".join(parts)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -162,6 +162,8 @@
         (10, "string", "version"),
         (11, "double", "rate_limit"),
         (12, "i64", "rate_limit_version"),
+        (13, "double", "rejection_limit"),
+        (14, "i64", "rejection_limit_version"),
     ),
     "TargetStates": (
         (1, "list<TargetState>", "states"),
