--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 
+import aiohttp
 import pytest
 import uvloop
+from aiohttp import web
 from platform_standin import TargetStandIn, answer
 
 from hibiscusstep.clock import elapsed
@@ -17,6 +19,7 @@
     HeldConnection,
 )
 from hibiscusstep.forwarding.connections import ConnectionPool
+from hibiscusstep.listening import listen
 
 BOUND_S = 10
 
@@ -275,3 +278,63 @@
         assert 0 < option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 4000
         connection.abort()
         server.close()
+
+
+class TestKeepalive:
+    """Guards against a user time-out that ends connections before the probes do.
+
+    As soon as it is set it also decides when keepalive probes give up.
+    """
+
+    async def test_time_outs_of_a_connection_agree(self):
+        target = TargetStandIn("t")
+        await target.start()
+        connection = await ConnectionPool().acquire("t", target.address)
+        sock = connection.transport.get_extra_info("socket")
+        seconds = {
+            option: sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+                socket.TCP_USER_TIMEOUT,
+            )
+        }
+        idle, interval, count, user_timeout_ms = seconds.values()
+        assert user_timeout_ms == 1000 * (idle + interval * count)
+        connection.abort()
+        await target.stop()
+
+    async def test_the_http_library_sets_none(self, monkeypatch):
+        """Its connections would end by it where probes are not expected to give up."""
+        opened = []
+
+        async def handle(request):
+            opened.append(request.transport.get_extra_info("socket"))
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_get("/", handle)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        listener = listen("127.0.0.1:0")
+        await web.SockSite(runner, listener).start()
+        connector = aiohttp.TCPConnector()
+        create = asyncio.get_running_loop().create_connection
+
+        async def create_connection(*args, **options):
+            transport, protocol = await create(*args, **options)
+            opened.append(transport.get_extra_info("socket"))
+            return transport, protocol
+
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", create_connection)
+        port = listener.getsockname()[1]
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await session.get(f"http://127.0.0.1:{port}/")
+            timeouts = [
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                for sock in opened
+            ]
+        await runner.cleanup()
+        assert timeouts == [0, 0]
