--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -280,7 +280,7 @@
         server.close()
 
 
-class TestKeepalive:
+class TestUserTimeout:
     """Guards against a user time-out that ends connections before the probes do.
 
     As soon as it is set it also decides when keepalive probes give up.
