Do not end a relayed stream while its caller pauses

The relay's connection to the origin had the user time-out of connections to targets. The time-out of that connection is now beyond any request's time, which the origin keeps.

Also found by reading: an account of bytes was kept if opening a tunnel was cancelled; a relay that does not answer is asked last from then on; where no relay can tell, one unreachable target beside reached ones counts as unreachable again, so that a crash is still seen; the path of a broken attempt is checked once; readiness for tunnels is announced with the first heartbeat that says ready.

test_a_pause_does_not_end_their_streams failed before and passes.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -544,12 +544,20 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
-def enable_keepalive(sock) -> None:
-    """Enable TCP timeouts that end a connection whose peer no longer responds."""
+def enable_keepalive(sock, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+    """Enable TCP timeouts that end a connection whose peer no longer responds.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket of the connection.
+    user_timeout_ms : int
+        Milliseconds for which bytes may be unacknowledged, or a peer may take none.
+    """
     with contextlib.suppress(OSError, AttributeError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in (
-            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            (socket.TCP_USER_TIMEOUT, user_timeout_ms),
             (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
             (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
             (socket.TCP_KEEPCNT, MAX_PROBES),
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -199,7 +199,9 @@
             return None
         finally:
             if connection is not None and outcome not in _CONNECTION_RELEASED:
-                if connection.is_reused and self._response_head is None:
+                is_silent = connection.is_reused and self._response_head is None
+                if is_silent and outcome is m.GrantOutcome.CANCELLED and not in_path:
+                    # The connection may hang since the path is lost.
                     self._context.connections.check_path(target.name, target.address)
                 connection.abort()
             distorted = self._caller_waits.distort_rate(self._now() - started)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -576,15 +576,16 @@
             self._distributor.resend_announced(only_recent=not resends_all)
             if resends_all:
                 self._distributor.send_all_targets_to_followers()
-            self._announce_tunnels(eligible)
-            if self._uptime() >= ELIGIBLE_AFTER_S and not eligible and self.ready:
-                eligible = True
-                self._membership.tell(OwnStateChange(ready=True))
+            if eligible:
+                self._announce_tunnels()
+            elif self._uptime() >= ELIGIBLE_AFTER_S and self.ready:
+                eligible = self._accepts_tunnels = True
+                self._membership.tell(OwnStateChange(ready=True, accepts_tunnels=True))
 
-    def _announce_tunnels(self, is_eligible: bool) -> None:
+    def _announce_tunnels(self) -> None:
         """Tell the other instances whether this one may relay their requests."""
         self._paths.expire(asyncio.get_running_loop().time())
-        accepts = is_eligible and not self._leaving and not self._paths.is_partitioned
+        accepts = not self._paths.is_partitioned
         if accepts != self._accepts_tunnels:
             self._accepts_tunnels = accepts
             self._membership.tell(OwnStateChange(accepts_tunnels=accepts))
--- a/hibiscusstep/forwarding/relaying_connector.py
+++ b/hibiscusstep/forwarding/relaying_connector.py
@@ -37,7 +37,8 @@
 
     `next_relay_at` is when the next relay is asked, `confirmations` how many relays
     did not reach the target, `error` the last of these failures, and `path_error` the
-    last failure that may be one of the path from here.
+    last failure that may be one of the path from here. `last_relay` is the address of
+    the relay that was asked last.
     """
 
     name: str
@@ -50,6 +51,7 @@
     confirmations: int = 0
     error: TargetError | None = None
     path_error: TargetError | None = None
+    last_relay: str = ""
 
 
 class RelayingConnector(Connector):
@@ -92,8 +94,8 @@
         Raises
         ------
         TargetError
-            If there is none. Its `in_path` is set unless another instance did not reach
-            the target either, or there is no other instance.
+            If there is none. Its `in_path` is set if no other instance failed to reach
+            the target too and this one seems to have lost its links.
         """
         now = _now()
         relays = self._paths.relays(now, self._used_relays())
@@ -143,7 +145,9 @@
         """Wait for an attempt or for the time of the next one; return a connection."""
         now = _now()
         if race.relays and (now >= race.next_relay_at or not race.pending):
-            relay = race.relays.pop(0).peer_address
+            if race.last_relay and now >= race.next_relay_at:
+                self._paths.penalize_relay(race.last_relay, now)
+            relay = race.last_relay = race.relays.pop(0).peer_address
             race.next_relay_at = now + NEXT_RELAY_AFTER_S
             self._start(race, self._connect_through(relay, race))
         wake_at = race.next_relay_at if race.relays else race.deadline
@@ -187,7 +191,11 @@
         race.next_relay_at = _now()
 
     def _failure(self, race: _Race) -> TargetError:
-        """Return the error of a race that nobody won."""
+        """Return the error of a race that nobody won.
+
+        Where no relay told whether it reaches the target, other failures of this
+        instance tell whether its own links are lost.
+        """
         now = _now()
         self._paths.record_unreachable(race.name, now)
         if race.error is not None:
@@ -199,7 +207,7 @@
             peer=race.name,
             sent=False,
             refused=error is not None and error.refused,
-            in_path=self._paths.has_relay,
+            in_path=self._paths.has_relay and self._paths.fails_elsewhere(race.name),
         )
 
     def _settle(self, race: _Race) -> None:
--- a/hibiscusstep/forwarding/tunnel.py
+++ b/hibiscusstep/forwarding/tunnel.py
@@ -36,6 +36,9 @@
 
 # Less than the time in which the other instance needs its answer.
 RELAY_CONNECT_TIMEOUT_S = 0.75 * CONNECT_TIMEOUT_S
+# The origin takes no bytes while its caller takes none. Like a target, the relay does
+# not end the stream for that; the origin does when the request's time is over.
+ORIGIN_USER_TIMEOUT_MS = 120_000
 # A bound on the descriptors that other instances may use here, two for each tunnel.
 MAX_TUNNELS = 256
 _LENGTH = struct.Struct(">I")
@@ -411,9 +414,14 @@
         tunnel = None
         status = TunnelStatus.DECLINED
         if self._accepts(request):
-            enable_keepalive(transport.get_extra_info("socket"))
+            sock = transport.get_extra_info("socket")
+            enable_keepalive(sock, ORIGIN_USER_TIMEOUT_MS)
             tunnel = _Tunnel(transport, self._budget, request.target)
-            status = await self._connect(tunnel, request)
+            try:
+                status = await self._connect(tunnel, request)
+            finally:
+                if status is not TunnelStatus.CONNECTED:
+                    tunnel.end_origin()
         transport.write(bytes([status]))
         if status is not TunnelStatus.CONNECTED:
             decision(
@@ -454,7 +462,6 @@
                     lambda: _TargetSide(tunnel), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
-            tunnel.end_origin()
             detail = type(error).__name__
             self._paths.record_failure(request.target, detail, loop.time())
             if self._paths.fails_elsewhere(request.target):
--- a/tests/partitioned_network.py
+++ b/tests/partitioned_network.py
@@ -86,7 +86,13 @@
     """
 
     async def begin(
-        self, monkeypatch, instances=4, targets=4, work_s=0.05, script=None
+        self,
+        monkeypatch,
+        instances=4,
+        targets=4,
+        work_s=0.05,
+        script=None,
+        document=None,
     ):
         """Start instances and targets; return once all may relay requests."""
         self.network = PartitionedNetwork(monkeypatch)
@@ -103,7 +109,8 @@
 
         with self.network.as_instance(0):
             names = [f"t{number}" for number in range(targets)]
-            await self.start(*(TargetStandIn(name, script or run) for name in names))
+            stand_ins = [TargetStandIn(name, script or run) for name in names]
+            await self.start(*stand_ins, document=document)
         self.network.ports = {int(t.address.rpartition(":")[2]) for t in self.targets}
         for number in range(1, instances):
             with self.network.as_instance(number):
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -5,10 +5,19 @@
 
 import pytest
 from partitioned_network import Cut, PartitionedSite
-from platform_standin import answer, chunk, event, free_port, stream_head
+from platform_standin import (
+    answer,
+    chunk,
+    configuration,
+    event,
+    free_port,
+    stream_head,
+)
+from slow_peers import StalledCaller
 from test_forwarding import BOUND_S
 
 from hibiscusstep.errors import TargetError
+from hibiscusstep.forwarding.connections import USER_TIMEOUT_MS
 from hibiscusstep.forwarding.tunnel import open_tunnel
 from hibiscusstep.peerlink import PeerLinks
 
@@ -199,3 +208,43 @@
                 await open_tunnel(links, links._address, "t0", "127.0.0.1:1")
         await links.stop()
         assert raised.value.in_path
+
+
+async def _read_chunked(reader):
+    """Return the bytes of a chunked response, less if the connection ends before."""
+    received = b""
+    while not received.endswith(b"\r\n0\r\n\r\n"):
+        data = await reader.read(1 << 16)
+        if not data:
+            break
+        received += data
+    return received
+
+
+class TestSlowCallers:
+    EVENTS = 1500
+
+    async def test_a_pause_does_not_end_their_streams(self, site, monkeypatch):
+        """Guards against a user time-out of the relay, which counts a full window."""
+        line = b"id: %d\ndata: " + b"x" * 8000 + b"\n\n"
+
+        def script(_number, fields, _body):
+            events = [chunk(line % number) for number in range(self.EVENTS)]
+            return [stream_head(fields), *events, chunk(b"")]
+
+        document = configuration()
+        for route in document["Routes"]:
+            route["TimeoutMs"] = 60_000
+        await site.begin(
+            monkeypatch, instances=2, targets=1, script=script, document=document
+        )
+        site.network.cut(Cut.RESET, {0})
+        caller = StalledCaller(site.instances[0].url.removeprefix("http://"))
+        await caller.send("/stream/", name="slow")
+        await site.targets[0].arrived.wait()
+        await asyncio.sleep(USER_TIMEOUT_MS / 1000 + 2.0)
+        caller.writer.transport.resume_reading()
+        async with asyncio.timeout(4 * BOUND_S):
+            received = await _read_chunked(caller.reader)
+        assert received.count(b"id: ") == self.EVENTS
+        assert len(site.targets[0].requests) == 1
