Refuse at once where neither this instance nor others reach the targets

With all instances partitioned each request tried up to five targets, 0.4 s each where connections hang, and held a slot meanwhile. After the first one a request is refused now (not run, Retry-After 0.5 s) while most targets failed and nothing has succeeded.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -38,6 +38,9 @@
 GATEWAY_TIMEOUT_STATUS = 504
 # Retry-After where every tried target rejected the request; one may accept it soon.
 REJECTED_RETRY_AFTER_S = 0.2
+# Retry-After where no target can be reached, directly or through others. Lost paths are
+# tried again at about this interval.
+UNREACHABLE_RETRY_AFTER_S = 0.5
 # An unreachable target does not count as an attempt until a request avoids more targets
 # than this.
 MAX_UNREACHABLE_TARGETS = 4
@@ -128,10 +131,11 @@
             if failure is None:
                 return self._response
             avoided = self._grants.avoid(target)
-            if (
-                failure is _AttemptFailure.NOT_SENT
-                and avoided <= MAX_UNREACHABLE_TARGETS
-            ):
+            is_unreachable = failure is _AttemptFailure.NOT_SENT
+            if is_unreachable and context.paths.reaches_nothing:
+                reason = "neither this instance nor others reach the targets"
+                return self._refuse(Refusal(UNREACHABLE_RETRY_AFTER_S, reason))
+            if is_unreachable and avoided <= MAX_UNREACHABLE_TARGETS:
                 self._attempts -= 1
                 continue
             if not self._may_retry(failure):
--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -95,6 +95,12 @@
         """Whether this instance seems to reach no target."""
         return self._partitioned_at < math.inf
 
+    @property
+    def reaches_nothing(self) -> bool:
+        """Whether most targets failed and nothing has succeeded since."""
+        failed = len(self._failed_since_success)
+        return failed >= max(MIN_LOST_PATHS, len(self._paths) / 2)
+
     @property
     def lost_count(self) -> int:
         """Number of targets whose direct path is lost."""
--- a/tests/partitioned_network.py
+++ b/tests/partitioned_network.py
@@ -32,6 +32,8 @@
     def __init__(self, monkeypatch):
         self.cuts = {}
         self.ports = set()
+        # Direct connections that were tried by each instance.
+        self.tried = collections.Counter()
         self._open = collections.defaultdict(list)
         loop = asyncio.get_running_loop()
         self._create = loop.create_connection
@@ -49,6 +51,7 @@
     async def _create_connection(self, factory, host=None, port=None, **options):
         instance = _INSTANCE.get()
         if port in self.ports:
+            self.tried[instance] += 1
             match self.cuts.get(instance):
                 case Cut.HANG | Cut.NEW_HANG:
                     await asyncio.Event().wait()
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -141,6 +141,16 @@
         assert float(fields["Retry-After"]) > 0
         assert not site.runs
 
+    async def test_they_try_one_target_each_once_that_is_known(self, site, monkeypatch):
+        """Guards against slots that are held for one target after another."""
+        await site.begin(monkeypatch, instances=2, targets=4)
+        site.network.cut(Cut.HANG, {0, 1})
+        await site.call("/once/")
+        tried = site.network.tried[0]
+        status, fields, _body = await site.call("/once/")
+        assert (status, float(fields["Retry-After"]) > 0) == (503, True)
+        assert site.network.tried[0] <= tried + 1
+
     async def test_an_instance_without_peers_connects_directly(self, site, monkeypatch):
         await site.begin(monkeypatch, instances=1, targets=1)
         assert (await site.call("/once/"))[0] == 200
