--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -93,7 +93,7 @@
         Until when it may be used again, on the clock of `elapsed`.
     is_reused : bool
         Whether it has carried a request before.
-    relay : str
+    via : str
         Peer address of the instance that it leads through; "" if it is direct.
     is_path_broken : bool
         Whether that instance was lost; this says nothing about the target.
@@ -113,7 +113,7 @@
         self._counted_tail = 0
         self.idle_until = 0.0
         self.is_reused = False
-        self.relay = ""
+        self.via = ""
         self.is_path_broken = False
 
     @property
@@ -441,7 +441,7 @@
 
     def _keep(self, name: str, connection: Connection) -> None:
         """Keep a direct connection as idle; a tunnel serves one request only."""
-        if connection.relay:
+        if connection.via:
             connection.abort()
         else:
             self._idle[name].append(connection)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -213,14 +213,14 @@
             self._grants.release_grant(
                 outcome, timing, self._attempts == 1, in_path=in_path
             )
-            relay = connection.relay if connection else ""
-            self._record_attempt(target, outcome, cause, started, relay, in_path)
+            via = connection.via if connection else ""
+            self._record_attempt(target, outcome, cause, started, via, in_path)
 
     async def _is_path_lost(
         self, connection: Connection, target: DiscoveredTarget
     ) -> bool:
         """Whether an attempt failed since this instance does not reach the target."""
-        if connection.relay:
+        if connection.via:
             return False
         connections = self._context.connections
         return await connections.is_path_lost(target.name, target.address)
@@ -231,7 +231,7 @@
         outcome: m.GrantOutcome,
         cause: str,
         started: float,
-        relay: str,
+        via: str,
         in_path: bool,
     ) -> None:
         metrics, pool = self._context.metrics, target.pool
@@ -252,7 +252,7 @@
             outcome=outcome,
             cause=cause,
             in_path=in_path,
-            relay=relay,
+            via=via,
             seconds=round(self._now() - started, 4),
             waited=round(started - self._incoming.received, 4),
             due_in=round(self._incoming.due - self._incoming.received, 3),
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -39,7 +39,6 @@
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaLimiter
-from hibiscusstep.forwarding.relaying_connector import RelayingConnector
 from hibiscusstep.forwarding.rollout_routes import add_rollout_routes
 from hibiscusstep.forwarding.rollouts import RolloutCoordinator, TargetsChanged
 from hibiscusstep.forwarding.saved_usage import SavedUsageWorker
@@ -50,6 +49,7 @@
 from hibiscusstep.forwarding.target_messages import from_target_states
 from hibiscusstep.forwarding.target_paths import TargetPaths
 from hibiscusstep.forwarding.tunnel import TunnelServer
+from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
 from hibiscusstep.mailbox import Worker
@@ -357,7 +357,7 @@
         )
         self._metrics = ForwardingMetrics()
         self._paths = TargetPaths(address, settings.data_centre)
-        connector = RelayingConnector(
+        connector = TunnelingConnector(
             self._links,
             self._paths,
             lambda name, connection: self._connections.keep_unused(name, connection),
--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -36,8 +36,8 @@
 # Without requests nothing shows the end of a partition; it is assumed after this time.
 PARTITION_MEMORY_S = 5.0
 # An instance that could not help is asked last within this time.
-RELAY_PENALTY_S = 0.5
-MAX_RELAYS = 3
+PEER_PENALTY_S = 0.5
+MAX_PEERS = 3
 
 
 @dataclass(slots=True)
@@ -45,21 +45,21 @@
     """The direct path to a target; times are in seconds on the loop's clock.
 
     `failed_at` is the time of the first failure since the last success, infinity if
-    there is none. `relayed_at` is when another instance reached the target last, and
-    `is_lost` whether one did while this instance failed.
+    there is none. `reached_by_peer_at` is when another instance reached the target
+    last, and `is_lost` whether one did while this instance failed.
     """
 
     connect_s: float = INITIAL_SLOW_CONNECT_S / SLOW_CONNECT_FACTOR
     failed_at: float = math.inf
     error: str = ""
-    relayed_at: float = -math.inf
+    reached_by_peer_at: float = -math.inf
     is_lost: bool = False
     retry_at: float = 0.0
     unreachable_until: float = 0.0
 
 
 class TargetPaths:
-    """The paths from this instance to the targets, and the instances that may relay.
+    """The paths from this instance to the targets, and the instances to tunnel through.
 
     Parameters
     ----------
@@ -68,7 +68,7 @@
     data_centre : str
         Own data centre.
     seed : int or None
-        Seed of the choice among equal relays.
+        Seed of the choice among equal instances.
     """
 
     def __init__(
@@ -88,7 +88,7 @@
         self._last_failure_at = -math.inf
         self._next_retry_at = 0.0
         self._unreachable_until = -math.inf
-        self._relay_penalty_until: dict[str, float] = {}
+        self._peer_penalty_until: dict[str, float] = {}
 
     @property
     def is_partitioned(self) -> bool:
@@ -129,7 +129,7 @@
         path = self._paths.get(name)
         if path is not None and path.is_lost:
             return True
-        return self.is_partitioned and self.has_relay
+        return self.is_partitioned and self.has_peer
 
     def slow_connect_s(self, name: str) -> float:
         """Return the seconds after which a direct connection counts as slow."""
@@ -184,14 +184,14 @@
         path.failed_at, path.error = min(path.failed_at, now), error
         self._last_failure_at = now
         self._failed_since_success.add(name)
-        if path.is_lost or now < path.relayed_at + COMPARED_WITHIN_S:
+        if path.is_lost or now < path.reached_by_peer_at + COMPARED_WITHIN_S:
             self._set_lost(name, now)
 
-    def record_relayed(self, name: str, relay: str, now: float) -> None:
+    def record_reached_by_peer(self, name: str, peer: str, now: float) -> None:
         """Record that another instance reached a target."""
-        self._relay_penalty_until.pop(relay, None)
+        self._peer_penalty_until.pop(peer, None)
         path = self._path(name)
-        path.relayed_at, path.unreachable_until = now, 0.0
+        path.reached_by_peer_at, path.unreachable_until = now, 0.0
         if path.failed_at < math.inf:
             self._set_lost(name, now)
 
@@ -237,7 +237,7 @@
         path = self._paths.get(name)
         return path is not None and now < path.unreachable_until
 
-    def relays(self, now: float, used: Mapping[str, int]) -> list[Member]:
+    def peers(self, now: float, used: Mapping[str, int]) -> list[Member]:
         """Return the instances to ask for a connection, the best first.
 
         Those of the own data centre come first, then by tunnels in use and capacity.
@@ -247,18 +247,18 @@
         now : float
             Seconds on the loop's clock.
         used : dict of str to int
-            Number of tunnels in use by the relay's peer address.
+            Number of tunnels in use by the peer address that they lead through.
         """
         candidates = list(self._candidates())
         self._random.shuffle(candidates)
         candidates.sort(
             key=lambda member: (
-                now < self._relay_penalty_until.get(member.peer_address, 0.0),
+                now < self._peer_penalty_until.get(member.peer_address, 0.0),
                 member.data_centre != self._data_centre,
                 used.get(member.peer_address, 0) / max(1, member.capacity),
             )
         )
-        return candidates[:MAX_RELAYS]
+        return candidates[:MAX_PEERS]
 
     def _candidates(self) -> Iterable[Member]:
         known = (*self._view.members.values(), *self._view.followers.values())
@@ -271,13 +271,13 @@
         )
 
     @property
-    def has_relay(self) -> bool:
+    def has_peer(self) -> bool:
         """Whether any other instance may be asked."""
         return any(True for _member in self._candidates())
 
-    def penalize_relay(self, relay: str, now: float) -> None:
+    def penalize_peer(self, peer: str, now: float) -> None:
         """Ask an instance last for a while; it could not help."""
-        self._relay_penalty_until[relay] = now + RELAY_PENALTY_S
+        self._peer_penalty_until[peer] = now + PEER_PENALTY_S
 
     def _path(self, name: str) -> _Path:
         if name not in self._paths:
--- a/hibiscusstep/forwarding/tunnel.py
+++ b/hibiscusstep/forwarding/tunnel.py
@@ -35,8 +35,8 @@
 __all__ = ["TunnelServer", "TunnelStatus", "open_tunnel"]
 
 # Less than the time in which the other instance needs its answer.
-RELAY_CONNECT_TIMEOUT_S = 0.75 * CONNECT_TIMEOUT_S
-# The origin takes no bytes while its caller takes none. Like a target, the relay does
+PEER_CONNECT_TIMEOUT_S = 0.75 * CONNECT_TIMEOUT_S
+# The origin takes no bytes while its caller takes none. Like a target, the peer does
 # not end the stream for that; the origin does when the request's time is over.
 ORIGIN_USER_TIMEOUT_MS = 120_000
 # A bound on the descriptors that other instances may use here, two for each tunnel.
@@ -169,7 +169,7 @@
 
 
 async def open_tunnel(
-    links: PeerLinks, relay: str, target: str, address: str
+    links: PeerLinks, peer: str, target: str, address: str
 ) -> Connection:
     """Return a connection to a target through the instance at a peer address.
 
@@ -181,8 +181,8 @@
     """
     loop = asyncio.get_running_loop()
     connection = Connection(loop, target)
-    connection.relay = relay
-    host, _, port = relay.rpartition(":")
+    connection.via = peer
+    host, _, port = peer.rpartition(":")
     transport = None
     try:
         request = TunnelOpen(target, address)
@@ -195,7 +195,7 @@
             transport.abort()
         if isinstance(cause, OSError):
             raise TargetError(
-                f"relay {relay}: {type(cause).__name__}",
+                f"peer {peer}: {type(cause).__name__}",
                 step="connect",
                 peer=target,
                 sent=False,
@@ -206,7 +206,7 @@
         return connection
     transport.abort()
     raise TargetError(
-        f"relay {relay}: {_status_name(status)}",
+        f"peer {peer}: {_status_name(status)}",
         step="connect",
         peer=target,
         sent=False,
@@ -457,7 +457,7 @@
         host, _, port = request.address.rpartition(":")
         started = loop.time()
         try:
-            async with asyncio.timeout(RELAY_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
                 transport, _side = await loop.create_connection(
                     lambda: _TargetSide(tunnel), host, int(port)
                 )
--- a/hibiscusstep/forwarding/relaying_connector.py
+++ b/hibiscusstep/forwarding/tunneling_connector.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.forwarding.relaying_connector: connects directly or through a peer."""
+"""hibiscusstep.forwarding.tunneling_connector: connects directly or through a peer."""
 
 import asyncio
 from collections import defaultdict
@@ -18,10 +18,10 @@
 from hibiscusstep.membership.view import Member
 from hibiscusstep.peerlink import PeerLinks
 
-__all__ = ["RelayingConnector"]
+__all__ = ["TunnelingConnector"]
 
 # The next instance is asked if one has not answered within this time.
-NEXT_RELAY_AFTER_S = 0.08
+NEXT_PEER_AFTER_S = 0.08
 # A timer that fires later than this shows that this process was held up, not the
 # connection.
 MAX_TIMER_DELAY_S = 0.02
@@ -35,26 +35,26 @@
 class _Race:
     """Attempts to connect to one target; the first that succeeds wins.
 
-    `next_relay_at` is when the next relay is asked, `confirmations` how many relays
+    `next_peer_at` is when the next peer is asked, `confirmations` how many peers
     did not reach the target, `error` the last of these failures, and `path_error` the
-    last failure that may be one of the path from here. `last_relay` is the address of
-    the relay that was asked last.
+    last failure that may be one of the path from here. `last_peer` is the address of
+    the peer that was asked last.
     """
 
     name: str
     address: str
-    relays: list[Member]
-    next_relay_at: float
+    peers: list[Member]
+    next_peer_at: float
     deadline: float
     direct: asyncio.Task | None = None
     pending: set[asyncio.Task] = field(default_factory=set)
     confirmations: int = 0
     error: TargetError | None = None
     path_error: TargetError | None = None
-    last_relay: str = ""
+    last_peer: str = ""
 
 
-class RelayingConnector(Connector):
+class TunnelingConnector(Connector):
     """Connects directly; through another instance if that fails or takes too long.
 
     A target whose direct path is lost is reached through another instance at once, and
@@ -98,10 +98,10 @@
             the target too and this one seems to have lost its links.
         """
         now = _now()
-        relays = self._paths.relays(now, self._used_relays())
-        is_lost = bool(relays) and self._paths.is_lost(name)
+        peers = self._paths.peers(now, self._used_peers())
+        is_lost = bool(peers) and self._paths.is_lost(name)
         wait = 0.0 if is_lost else self._paths.slow_connect_s(name)
-        race = _Race(name, address, relays, now + wait, now + CONNECT_TIMEOUT_S)
+        race = _Race(name, address, peers, now + wait, now + CONNECT_TIMEOUT_S)
         if not is_lost or self._paths.take_retry(name, now):
             race.direct = self._start(race, self._connect_directly(name, address))
         try:
@@ -109,14 +109,14 @@
                 connection = await self._next_result(race)
                 if connection is not None:
                     return connection
-                if not race.pending and not race.relays:
+                if not race.pending and not race.peers:
                     raise self._failure(race)
         finally:
             self._settle(race)
 
     async def is_path_lost(self, name: str, address: str) -> bool:
         """Return whether other instances reach a target and this one does not."""
-        if not self._paths.has_relay:
+        if not self._paths.has_peer:
             return False
         if self._paths.is_lost(name):
             return True
@@ -132,7 +132,7 @@
             connection = await self.connect(name, address)
         except TargetError:
             return False
-        is_lost = bool(connection.relay)
+        is_lost = bool(connection.via)
         self._keep(name, connection)
         return is_lost
 
@@ -144,13 +144,13 @@
     async def _next_result(self, race: _Race) -> Connection | None:
         """Wait for an attempt or for the time of the next one; return a connection."""
         now = _now()
-        if race.relays and (now >= race.next_relay_at or not race.pending):
-            if race.last_relay and now >= race.next_relay_at:
-                self._paths.penalize_relay(race.last_relay, now)
-            relay = race.last_relay = race.relays.pop(0).peer_address
-            race.next_relay_at = now + NEXT_RELAY_AFTER_S
-            self._start(race, self._connect_through(relay, race))
-        wake_at = race.next_relay_at if race.relays else race.deadline
+        if race.peers and (now >= race.next_peer_at or not race.pending):
+            if race.last_peer and now >= race.next_peer_at:
+                self._paths.penalize_peer(race.last_peer, now)
+            peer = race.last_peer = race.peers.pop(0).peer_address
+            race.next_peer_at = now + NEXT_PEER_AFTER_S
+            self._start(race, self._connect_through(peer, race))
+        wake_at = race.next_peer_at if race.peers else race.deadline
         wake_at = min(wake_at, race.deadline)
         done, race.pending = await asyncio.wait(
             race.pending,
@@ -171,10 +171,10 @@
         now = _now()
         if now >= race.deadline:
             self._settle(race)
-            race.relays.clear()
+            race.peers.clear()
             race.pending.clear()
         elif now > wake_at + MAX_TIMER_DELAY_S:
-            race.next_relay_at = now + self._paths.slow_connect_s(race.name)
+            race.next_peer_at = now + self._paths.slow_connect_s(race.name)
 
     def _record_error(self, race: _Race, task: asyncio.Task) -> None:
         error = task.exception()
@@ -186,14 +186,14 @@
             race.error = error
             race.confirmations += 1
             if race.confirmations >= MAX_CONFIRMATIONS:
-                race.relays.clear()
+                race.peers.clear()
         # The next instance is asked at once.
-        race.next_relay_at = _now()
+        race.next_peer_at = _now()
 
     def _failure(self, race: _Race) -> TargetError:
         """Return the error of a race that nobody won.
 
-        Where no relay told whether it reaches the target, other failures of this
+        Where no peer told whether it reaches the target, other failures of this
         instance tell whether its own links are lost.
         """
         now = _now()
@@ -207,7 +207,7 @@
             peer=race.name,
             sent=False,
             refused=error is not None and error.refused,
-            in_path=self._paths.has_relay and self._paths.fails_elsewhere(race.name),
+            in_path=self._paths.has_peer and self._paths.fails_elsewhere(race.name),
         )
 
     def _settle(self, race: _Race) -> None:
@@ -237,22 +237,22 @@
         self._paths.record_success(name, _now() - started, _now())
         return connection
 
-    async def _connect_through(self, relay: str, race: _Race) -> Connection:
+    async def _connect_through(self, peer: str, race: _Race) -> Connection:
         self.opened += 1
         try:
-            connection = await open_tunnel(self._links, relay, race.name, race.address)
+            connection = await open_tunnel(self._links, peer, race.name, race.address)
         except TargetError as error:
             if not error.refused:
-                self._paths.penalize_relay(relay, _now())
+                self._paths.penalize_peer(peer, _now())
             raise
-        self._paths.record_relayed(race.name, relay, _now())
-        self._tunnels[relay].add(connection)
+        self._paths.record_reached_by_peer(race.name, peer, _now())
+        self._tunnels[peer].add(connection)
         return connection
 
-    def _used_relays(self) -> dict[str, int]:
+    def _used_peers(self) -> dict[str, int]:
         return {
-            relay: sum(connection.usable for connection in tunnels)
-            for relay, tunnels in self._tunnels.items()
+            peer: sum(connection.usable for connection in tunnels)
+            for peer, tunnels in self._tunnels.items()
         }
 
 
