--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -65,3 +65,27 @@
         await asyncio.sleep(1.0)
         results = await site.load(1.0)
         assert all(status == 200 for _number, status in results)
+
+
+class TestChangingPartition:
+    """Partitions that move on or come and go faster than they are noticed."""
+
+    @pytest.mark.parametrize(
+        "cuts, pause_s",
+        [([{0}, {1}, {2}, {0, 1}], 0.8), ([{0, 1}, set()] * 8, 0.1)],
+        ids=["moves", "flaps"],
+    )
+    @pytest.mark.parametrize("cut", [Cut.RESET, Cut.REFUSE, Cut.HANG])
+    async def test_no_request_runs_twice(self, site, monkeypatch, cut, cuts, pause_s):
+        await site.begin(monkeypatch)
+        load = asyncio.create_task(site.load(len(cuts) * pause_s + 0.5))
+        for partitioned in cuts:
+            site.network.heal()
+            site.network.cut(cut, partitioned)
+            await asyncio.sleep(pause_s)
+        site.network.heal()
+        await load
+        assert max(site.runs.values()) == 1
+        await asyncio.sleep(1.0)
+        results = await site.load(1.0)
+        assert all(status == 200 for _number, status in results)
--- /dev/null
+++ b/tests/test_target_paths.py
@@ -0,0 +1,151 @@
+"""Tests of hibiscusstep.forwarding.target_paths: which targets are reached, and how."""
+
+import pytest
+
+from hibiscusstep.forwarding.target_paths import (
+    PARTITION_MEMORY_S,
+    PEER_PENALTY_S,
+    RETRY_INTERVAL_S,
+    UNREACHABLE_S,
+    TargetPaths,
+)
+from hibiscusstep.membership.view import Member, View
+
+OWN = "10.0.0.1:1"
+
+
+def _member(number, data_centre="here", accepts=True, leaving=False, capacity=1):
+    address = f"10.0.0.{number}:1"
+    return Member(
+        f"n{number}", "", data_centre, "r", address, "", 1, True, leaving,
+        capacity=capacity, accepts_tunnels=accepts,
+    )  # fmt: skip
+
+
+def _paths(*members):
+    paths = TargetPaths(OWN, "here", seed=1)
+    paths.apply_view(View({m.name: m for m in (_member(1), *members)}))
+    return paths
+
+
+def _lose(paths, *names, now=0.0):
+    for name in names:
+        paths.record_failure(name, "ConnectionResetError", now)
+        paths.record_reached_by_peer(name, "10.0.0.2:1", now)
+
+
+class TestLostPaths:
+    def test_a_failure_alone_is_no_lost_path(self):
+        paths = _paths(_member(2))
+        paths.record_failure("t", "ConnectionRefusedError", 0.0)
+        assert not paths.is_lost("t")
+
+    @pytest.mark.parametrize("peer_first", [False, True])
+    def test_it_is_lost_if_a_peer_reaches_the_target(self, peer_first):
+        paths = _paths(_member(2))
+        steps = [
+            lambda: paths.record_failure("t", "TimeoutError", 0.4),
+            lambda: paths.record_reached_by_peer("t", "10.0.0.2:1", 0.1),
+        ]
+        for step in reversed(steps) if peer_first else steps:
+            step()
+        assert paths.is_lost("t")
+
+    def test_success_ends_it(self):
+        paths = _paths(_member(2))
+        _lose(paths, "t")
+        paths.record_success("t", 0.001, 1.0)
+        assert not paths.is_lost("t")
+
+    def test_it_is_tried_again_at_intervals(self):
+        paths = _paths(_member(2))
+        _lose(paths, "t")
+        assert not paths.take_retry("t", 0.1)
+        assert paths.take_retry("t", RETRY_INTERVAL_S)
+        assert not paths.take_retry("t", RETRY_INTERVAL_S + 0.1)
+
+    def test_slow_is_several_times_the_usual(self):
+        paths = _paths()
+        for _ in range(50):
+            paths.record_success("far", 0.05, 0.0)
+            paths.record_success("near", 0.001, 0.0)
+        assert paths.slow_connect_s("far") == pytest.approx(0.15, rel=0.01)
+        assert paths.slow_connect_s("near") < paths.slow_connect_s("far")
+
+
+class TestPartition:
+    def test_all_paths_count_as_lost_after_two(self):
+        paths = _paths(_member(2))
+        _lose(paths, "a", "b")
+        assert paths.is_partitioned
+        assert paths.is_lost("never tried")
+
+    def test_one_target_in_reach_prevents_that(self):
+        paths = _paths(_member(2))
+        _lose(paths, "a")
+        paths.record_success("b", 0.001, 0.1)
+        _lose(paths, "c", now=0.2)
+        assert not paths.is_partitioned
+        assert [paths.is_lost(name) for name in "abc"] == [True, False, True]
+
+    def test_ends_with_a_success_and_all_are_tried_again(self):
+        paths = _paths(_member(2))
+        _lose(paths, "a", "b")
+        paths.record_success("a", 0.001, 0.1)
+        assert not paths.is_partitioned
+        assert paths.take_retry("b", 0.1)
+
+    def test_ends_without_attempts(self):
+        paths = _paths(_member(2))
+        _lose(paths, "a", "b")
+        paths.expire(PARTITION_MEMORY_S)
+        assert paths.is_partitioned
+        paths.expire(PARTITION_MEMORY_S + 0.1)
+        assert not paths.is_partitioned
+
+    def test_failures_elsewhere_make_a_failure_doubtful(self):
+        paths = _paths(_member(2))
+        paths.record_failure("a", "TimeoutError", 0.0)
+        assert not paths.fails_elsewhere("a")
+        assert paths.fails_elsewhere("b")
+        paths.record_success("c", 0.001, 0.1)
+        assert not paths.fails_elsewhere("b")
+
+
+class TestPeers:
+    def _names(self, paths, now=0.0, used=()):
+        return [member.name for member in paths.peers(now, dict(used))]
+
+    def test_only_instances_that_serve_tunnels_are_asked(self):
+        """Guards against asking a build that does not know tunnels."""
+        paths = _paths(_member(2, accepts=False), _member(3, leaving=True), _member(4))
+        assert self._names(paths) == ["n4"]
+
+    def test_the_own_data_centre_comes_first(self):
+        paths = _paths(_member(2, "there"), _member(3))
+        assert self._names(paths) == ["n3", "n2"]
+
+    def test_then_the_one_with_the_fewest_tunnels_by_capacity(self):
+        paths = _paths(_member(2, capacity=4), _member(3, capacity=1))
+        used = {"10.0.0.2:1": 3, "10.0.0.3:1": 1}
+        assert self._names(paths, used=used) == ["n2", "n3"]
+
+    def test_one_that_failed_comes_last_for_a_while(self):
+        paths = _paths(_member(2), _member(3, "there"))
+        paths.penalize_peer("10.0.0.2:1", 0.0)
+        assert self._names(paths) == ["n3", "n2"]
+        assert self._names(paths, PEER_PENALTY_S) == ["n2", "n3"]
+
+
+class TestUnreachableTargets:
+    def test_are_left_alone_for_a_while(self):
+        paths = _paths()
+        paths.record_unreachable("a", 0.0)
+        assert paths.names_unreachable(["a", "b"], 0.1) == ["a"]
+        assert not paths.has_unreachable(UNREACHABLE_S)
+
+    def test_not_if_they_are_all_of_the_pool(self):
+        paths = _paths()
+        for name in "ab":
+            paths.record_unreachable(name, 0.0)
+        assert paths.names_unreachable(["a", "b"], 0.1) == []
