Ask the next peer only if the one before has failed or does not answer

A direct attempt that failed while a peer was being asked had the next peer asked at once and the first one put last. Found by reading; no other test shows it than the number of tunnels.

--- a/hibiscusstep/forwarding/tunneling_connector.py
+++ b/hibiscusstep/forwarding/tunneling_connector.py
@@ -37,8 +37,8 @@
 
     `next_peer_at` is when the next peer is asked, `confirmations` how many peers
     did not reach the target, `error` the last of these failures, and `path_error` the
-    last failure that may be one of the path from here. `last_peer` is the address of
-    the peer that was asked last.
+    last failure that may be one of the path from here. `awaited_peer` is the
+    address of the peer that was asked last and has not failed.
     """
 
     name: str
@@ -51,7 +51,7 @@
     confirmations: int = 0
     error: TargetError | None = None
     path_error: TargetError | None = None
-    last_peer: str = ""
+    awaited_peer: str = ""
 
 
 class TunnelingConnector(Connector):
@@ -145,9 +145,9 @@
         """Wait for an attempt or for the time of the next one; return a connection."""
         now = _now()
         if race.peers and (now >= race.next_peer_at or not race.pending):
-            if race.last_peer and now >= race.next_peer_at:
-                self._paths.penalize_peer(race.last_peer, now)
-            peer = race.last_peer = race.peers.pop(0).peer_address
+            if race.awaited_peer:
+                self._paths.penalize_peer(race.awaited_peer, now)
+            peer = race.awaited_peer = race.peers.pop(0).peer_address
             race.next_peer_at = now + NEXT_PEER_AFTER_S
             self._start(race, self._connect_through(peer, race))
         wake_at = race.next_peer_at if race.peers else race.deadline
@@ -187,8 +187,10 @@
             race.confirmations += 1
             if race.confirmations >= MAX_CONFIRMATIONS:
                 race.peers.clear()
-        # The next instance is asked at once.
-        race.next_peer_at = _now()
+        if task is not race.direct:
+            race.awaited_peer = ""
+        if not race.awaited_peer:
+            race.next_peer_at = _now()
 
     def _failure(self, race: _Race) -> TargetError:
         """Return the error of a race that nobody won.
