--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -450,6 +450,6 @@
     limit = target.rejection_limit.per_second
     limit_before = before.rejection_limit.per_second if before else None
     if limit != limit_before:
-        message = "target-sturdy" if limit is None else "target-brittle"
+        message = f"target-rejections-{'unlimited' if limit is None else 'limited'}"
         limits = {"rejection_limit": limit, "rejection_limit_before": limit_before}
         decision(message, **fields, **limits)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -675,14 +675,15 @@
             for target in self._targets.values()
             if target.rate_limit.per_second is not None
         )
-        brittle = Counter(
+        rejection_limited = Counter(
             target.pool
             for target in self._targets.values()
             if target.rejection_limit.per_second is not None
         )
         for pool in {target.pool for target in self._targets.values()}:
             metrics.set_gauge("targets_limited", limited[pool], pool=pool)
-            metrics.set_gauge("targets_brittle", brittle[pool], pool=pool)
+            count = rejection_limited[pool]
+            metrics.set_gauge("targets_rejection_limited", count, pool=pool)
         now = asyncio.get_running_loop().time()
         for (pool, state), count in states.items():
             metrics.set_gauge("targets", count, pool=pool, state=state)
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -253,7 +253,7 @@
     rate_limit : RateLimit
         The limit that it announced in responses.
     rejection_limit : RateLimit
-        The rejections that it bears, announced in the same way while it is brittle.
+        The rejections that it bears, announced in the same way.
     """
 
     id: str
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -65,7 +65,7 @@
             pools[name] = replace(
                 pools[name], current_versions=planned.serving, rollout=planned.rollout
             )
-        brittle = _rejection_limits(targets.values())
+        rejection_limits = _rejection_limits(targets.values())
         for name, target in targets.items():
             pool = pools.get(target.pool)
             if pool is None:
@@ -77,7 +77,7 @@
                 target.data_centre,
                 target.version,
                 target.rate_limit.per_second,
-                _rejection_limit(target, brittle),
+                _rejection_limit(target, rejection_limits),
             )
         return DispatchPlan(pools)
 
@@ -95,7 +95,7 @@
 
 
 def _rejection_limits(targets: Iterable[DiscoveredTarget]) -> dict[str, float]:
-    """Return the lowest rejection limit by pool with brittle targets."""
+    """Return the lowest rejection limit by pool, where any target has one."""
     limits: dict[str, float] = {}
     for target in targets:
         limit = target.rejection_limit.per_second
@@ -105,16 +105,16 @@
 
 
 def _rejection_limit(
-    target: DiscoveredTarget, brittle: dict[str, float]
+    target: DiscoveredTarget, pool_limits: dict[str, float]
 ) -> float | None:
     """Return a target's rejection limit.
 
-    The targets of a pool become brittle together, so one that has not responded yet,
+    The targets of a pool announce it together, so one that has not responded yet,
     for example after a restart, is taken to be like the others.
     """
     if target.rejection_limit.version:
         return target.rejection_limit.per_second
-    return brittle.get(target.pool)
+    return pool_limits.get(target.pool)
 
 
 def _pools_of(table: RoutingTable) -> dict[str, PlannedPool]:
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -487,8 +487,7 @@
     rate_limit_version : int
         Number of changes of the limit so far.
     rejection_limit, rejection_limit_version : float, int
-        The same for the requests per second that it bears to reject while it is
-        brittle.
+        The same for the requests per second that it bears to reject.
     """
 
     name: str
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -156,7 +156,7 @@
         self._grant_monitor = GrantMonitor()
         self._lost_requests = LostRequests()
         self._pool_pace = PoolPace()
-        self._brittle: dict[str, SlotTarget] = {}
+        self._rejection_limited: dict[str, SlotTarget] = {}
         # Slowness by target, learned by other dispatchers. It includes targets that are
         # not in the plan yet.
         self._imported_slowness: dict[str, float] = {}
@@ -243,7 +243,7 @@
             if target.limiter:
                 target.set_rate_limit(target.limiter.limit, share, now)
                 self._partition.update(target, now)
-        for target in self._brittle.values():
+        for target in self._rejection_limited.values():
             target.room.share = share
 
     def instances_waiting(self) -> set[str]:
@@ -430,7 +430,7 @@
     def _record_room(
         self, target: SlotTarget, run: Run, outcome: m.GrantOutcome, now: float
     ) -> None:
-        """Record whether a brittle target had room for a request."""
+        """Record whether a target with a rejection limit had room for a request."""
         if outcome is m.GrantOutcome.REJECTED:
             target.room.record_rejected(len(target.running), now)
         elif outcome in _ANSWERS:
@@ -549,7 +549,7 @@
         """Advance the rollout, inquire about overdue grants and release lost ones."""
         for target in self._pool_pace.update(now):
             self._partition.update(target, now)
-        for target in self._brittle.values():
+        for target in self._rejection_limited.values():
             if target.update_slots(now):
                 self._partition.update(target, now)
         if self._recovered and (conclusion := self._partition.tick(self._targets, now)):
@@ -599,7 +599,7 @@
             gone = self._targets.pop(name)
             self._partition.remove(gone)
             self._pool_pace.forget(gone)
-            self._brittle.pop(name, None)
+            self._rejection_limited.pop(name, None)
             for ask in gone.running:
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
@@ -610,9 +610,9 @@
         limit = planned.rejection_limit
         target.set_rejection_limit(planned.slots, limit, self._limit_share, now)
         if target.room:
-            self._brittle[target.name] = target
+            self._rejection_limited[target.name] = target
         else:
-            self._brittle.pop(target.name, None)
+            self._rejection_limited.pop(target.name, None)
 
     def _configure_shares(self, pool: PlannedPool) -> None:
         """Set the customers' weights; change the order if fair shares begin or end."""
--- a/hibiscusstep/routing/slot_target.py
+++ b/hibiscusstep/routing/slot_target.py
@@ -94,7 +94,7 @@
         The target.
     slots : int
         Number of requests that it serves at the same time; fewer than its entry says
-        if it is brittle and shows less room.
+        if it has a rejection limit and shows less room.
     leaving : bool
         Whether it accepts no new requests.
     slowness : float
@@ -129,7 +129,7 @@
     memory_tokens, memory_used : int
         Tokens that its memory holds (0 for no bound), and those of its requests.
     room : TargetRoom or None
-        The room that it shows; None if it is not brittle.
+        The room that it shows; None without a rejection limit.
     """
 
     name: str
@@ -265,7 +265,7 @@
         declared : int
             Slots in the target's entry.
         per_s : float or None
-            Rejections per second from all dispatchers; None if it is not brittle.
+            Rejections per second from all dispatchers; None without a limit.
         share : float
             Part of them that this dispatcher may cause.
         now : float
@@ -282,7 +282,7 @@
         self.update_slots(now)
 
     def update_slots(self, now: float) -> bool:
-        """Update the slots of a brittle target; return whether they changed."""
+        """Update the slots by the room that it shows; return whether they changed."""
         before = self.slots
         running = len(self.running)
         self.slots = self.room.slots(self._declared_slots, running, now)
@@ -467,7 +467,7 @@
         if now < self.backoff_until:
             parts.append("resting")
         if self.room:
-            parts.append(f"brittle, {self.room.rejections_per_s:g} rejections/s")
+            parts.append(f"rejection limit {self.room.rejections_per_s:g}/s")
         if self.limiter:
             parts.append(f"limit {self.limiter.limit:g}/s")
         return " ".join(parts)
--- a/hibiscusstep/routing/target_room.py
+++ b/hibiscusstep/routing/target_room.py
@@ -1,7 +1,7 @@
-"""hibiscusstep.routing.target_room: how many requests a brittle target accepts.
+"""hibiscusstep.routing.target_room: the room of targets with a rejection limit.
 
-A brittle target fails if it has to reject more than some requests within a second, and
-it may accept fewer at a time than its entry says. Requests then wait at the dispatcher
+Such a target ends if it has to reject more than some requests within a second, and it
+may accept fewer at a time than its entry says. Requests then wait at the dispatcher
 instead of being rejected there.
 """
 
