Refuse for unreachable targets only where nobody reaches them

Callers of an instance that reached targets through others only were refused with 503 as soon as one target was down: the attempt at that target failed, and the rule that spares callers several attempts where nothing is reached looked at direct connections alone, which all fail in a partition. A direct path would have tried the next target.

Now counted: targets that were reached neither directly nor through another instance, since any target was reached in either way or responded on any connection.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -308,6 +308,7 @@
                 self._context.announcements.read(target, response_head, is_own=is_own)
                 if is_own:
                     self._response_head = response_head
+                    self._context.paths.record_response()
                     self._grants.record_pace(response_head.pace)
                     self._report_load(target, response_head)
                     if response_head.retry_after:
--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -84,6 +84,9 @@
         # other instances reached.
         self._failed_since_success: set[str] = set()
         self._lost_since_success: set[str] = set()
+        # Targets that were reached neither directly nor through others since any target
+        # was reached in either way.
+        self._unreached: set[str] = set()
         self._partitioned_at = math.inf
         self._last_failure_at = -math.inf
         self._next_retry_at = 0.0
@@ -97,9 +100,8 @@
 
     @property
     def reaches_nothing(self) -> bool:
-        """Whether most targets failed and nothing has succeeded since."""
-        failed = len(self._failed_since_success)
-        return failed >= max(MIN_LOST_PATHS, len(self._paths) / 2)
+        """Whether neither this instance nor others reach most of the targets."""
+        return len(self._unreached) >= max(MIN_LOST_PATHS, len(self._paths) / 2)
 
     @property
     def lost_count(self) -> int:
@@ -116,6 +118,7 @@
         self._paths = {n: path for n, path in self._paths.items() if n in known}
         self._failed_since_success &= known
         self._lost_since_success &= known
+        self._unreached &= known
 
     def fails_elsewhere(self, name: str) -> bool:
         """Return whether another target failed and nothing has succeeded since.
@@ -160,6 +163,7 @@
         self._last_success_at = now
         self._failed_since_success.clear()
         self._lost_since_success.clear()
+        self._unreached.clear()
         if self.is_partitioned:
             self._end_partition(name, now)
             for other in self._paths.values():
@@ -192,6 +196,7 @@
         self._peer_penalty_until.pop(peer, None)
         path = self._path(name)
         path.reached_by_peer_at, path.unreachable_until = now, 0.0
+        self._unreached.clear()
         if path.failed_at < math.inf:
             self._set_lost(name, now)
 
@@ -210,9 +215,14 @@
                 last_success=round(now - max(0.0, self._last_success_at), 3),
             )
 
+    def record_response(self) -> None:
+        """Record that a target responded, on whichever connection."""
+        self._unreached.clear()
+
     def record_unreachable(self, name: str, now: float) -> None:
         """Record that a target was reached neither directly nor through others."""
         self._path(name).unreachable_until = now + UNREACHABLE_S
+        self._unreached.add(name)
         self._unreachable_until = now + UNREACHABLE_S
 
     def has_unreachable(self, now: float) -> bool:
--- a/tests/test_target_paths.py
+++ b/tests/test_target_paths.py
@@ -149,3 +149,43 @@
         for name in "ab":
             paths.record_unreachable(name, 0.0)
         assert paths.names_unreachable(["a", "b"], 0.1) == []
+
+
+class TestNothingInReach:
+    """Requests are refused at once only where nobody reaches the targets."""
+
+    def _fail_everywhere(self, paths, *names):
+        for name in names:
+            paths.record_failure(name, "TimeoutError", 0.0)
+            paths.record_unreachable(name, 0.0)
+
+    def test_after_half_of_the_targets(self):
+        paths = _paths()
+        for name in "abcd":
+            paths.record_success(name, 0.001, 0.0)
+        self._fail_everywhere(paths, "a")
+        assert not paths.reaches_nothing
+        self._fail_everywhere(paths, "b")
+        assert paths.reaches_nothing
+
+    def test_not_while_other_instances_reach_some(self):
+        """Guards against refusals as soon as one target is down in a partition."""
+        paths = _paths(_member(2))
+        _lose(paths, "a", "b", "c")
+        self._fail_everywhere(paths, "d")
+        assert not paths.reaches_nothing
+
+    @pytest.mark.parametrize(
+        "event",
+        [
+            lambda paths: paths.record_response(),
+            lambda paths: paths.record_reached_by_peer("c", "10.0.0.2:1", 0.1),
+            lambda paths: paths.record_success("c", 0.001, 0.1),
+        ],
+    )
+    def test_ends_when_any_target_is_reached(self, event):
+        paths = _paths(_member(2))
+        self._fail_everywhere(paths, "a", "b")
+        assert paths.reaches_nothing
+        event(paths)
+        assert not paths.reaches_nothing
