Ask instances of different data centres for a way to a target

All instances of a data centre may lose their links at the same moment. Each asked up to three others, all of its own data centre while that has as many: these did not know yet that they were partitioned too, so two of them confirmed that the target was unreachable and the request ended, or declined, and were asked again half a second later. Nobody elsewhere was asked, so nobody learnt that the links were lost, and that lasted.

Data centres now take turns among the instances asked, the own one first, and one in which an instance could not help comes last for half a second.

--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -7,8 +7,10 @@
 
 import math
 import random
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from itertools import chain, islice, zip_longest
 
 from hibiscusstep.log import decision
 from hibiscusstep.membership.view import Member, View
@@ -92,6 +94,7 @@
         self._next_retry_at = 0.0
         self._unreachable_until = -math.inf
         self._peer_penalty_until: dict[str, float] = {}
+        self._data_centre_penalty_until: dict[str, float] = {}
 
     @property
     def is_partitioned(self) -> bool:
@@ -194,6 +197,8 @@
     def record_reached_by_peer(self, name: str, peer: str, now: float) -> None:
         """Record that another instance reached a target."""
         self._peer_penalty_until.pop(peer, None)
+        for data_centre in self._data_centres_of(peer):
+            self._data_centre_penalty_until.pop(data_centre, None)
         path = self._path(name)
         path.reached_by_peer_at, path.unreachable_until = now, 0.0
         self._unreached.clear()
@@ -250,7 +255,9 @@
     def peers(self, now: float, used: Mapping[str, int]) -> list[Member]:
         """Return the instances to ask for a connection, the best first.
 
-        Those of the own data centre come first, then by tunnels in use and capacity.
+        Data centres take turns, the own one first, since all instances of one may have
+        lost their links at the same moment. Within one, they come by tunnels in use and
+        capacity.
 
         Parameters
         ----------
@@ -264,11 +271,23 @@
         candidates.sort(
             key=lambda member: (
                 now < self._peer_penalty_until.get(member.peer_address, 0.0),
-                member.data_centre != self._data_centre,
                 used.get(member.peer_address, 0) / max(1, member.capacity),
             )
         )
-        return candidates[:MAX_PEERS]
+        by_data_centre = defaultdict(list)
+        for member in candidates:
+            by_data_centre[member.data_centre].append(member)
+        data_centres = sorted(
+            by_data_centre,
+            key=lambda name: (
+                now < self._data_centre_penalty_until.get(name, 0.0),
+                name != self._data_centre,
+                candidates.index(by_data_centre[name][0]),
+            ),
+        )
+        turns = zip_longest(*(by_data_centre[name] for name in data_centres))
+        in_turn = filter(None, chain.from_iterable(turns))
+        return list(islice(in_turn, MAX_PEERS))
 
     def _candidates(self) -> Iterable[Member]:
         known = (*self._view.members.values(), *self._view.followers.values())
@@ -286,8 +305,14 @@
         return any(True for _member in self._candidates())
 
     def penalize_peer(self, peer: str, now: float) -> None:
-        """Ask an instance last for a while; it could not help."""
+        """Ask an instance last for a while, and its data centre; it could not help."""
         self._peer_penalty_until[peer] = now + PEER_PENALTY_S
+        for data_centre in self._data_centres_of(peer):
+            self._data_centre_penalty_until[data_centre] = now + PEER_PENALTY_S
+
+    def _data_centres_of(self, peer: str) -> Iterable[str]:
+        candidates = self._candidates()
+        return (m.data_centre for m in candidates if m.peer_address == peer)
 
     def _path(self, name: str) -> _Path:
         if name not in self._paths:
--- a/tests/test_target_paths.py
+++ b/tests/test_target_paths.py
@@ -136,6 +136,22 @@
         assert self._names(paths) == ["n3", "n2"]
         assert self._names(paths, PEER_PENALTY_S) == ["n2", "n3"]
 
+    def test_data_centres_take_turns(self):
+        """Guards against asking only instances that lost their links together."""
+        members = [_member(n) for n in (2, 3, 4)] + [
+            _member(n, "there") for n in (5, 6)
+        ]
+        names = self._names(_paths(*members))
+        here = {"n2", "n3", "n4"}
+        assert [name in here for name in names] == [True, False, True]
+
+    def test_a_data_centre_in_which_one_failed_comes_last_for_a_while(self):
+        paths = _paths(_member(2), _member(3), _member(4, "there"))
+        paths.penalize_peer("10.0.0.2:1", 0.0)
+        assert self._names(paths) == ["n4", "n3", "n2"]
+        paths.record_reached_by_peer("t", "10.0.0.3:1", 0.1)
+        assert self._names(paths) == ["n3", "n4", "n2"]
+
 
 class TestUnreachableTargets:
     def test_are_left_alone_for_a_while(self):
