Ignore failed connections that began before the last success

A direct connection that began in a partition fails up to 0.4 s later. Where the partition had ended meanwhile, and other attempts had succeeded, it marked the path as lost again: half a second of detours, seen in logs as path-regained twice.

An attempt that began before the path's last success no longer says anything about it. The new case of tests/test_target_paths.py failed before (no such argument, and the path was lost).

--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -46,12 +46,14 @@
 class _Path:
     """The direct path to a target; times are in seconds on the loop's clock.
 
-    `failed_at` is the time of the first failure since the last success, infinity if
-    there is none. `reached_by_peer_at` is when another instance reached the target
-    last, and `is_lost` whether one did while this instance failed.
+    `succeeded_at` is the time of the last success, and `failed_at` that of the first
+    failure since, infinity if there is none. `reached_by_peer_at` is when another
+    instance reached the target last, and `is_lost` whether one did while this instance
+    failed.
     """
 
     connect_s: float = INITIAL_SLOW_CONNECT_S / SLOW_CONNECT_FACTOR
+    succeeded_at: float = -math.inf
     failed_at: float = math.inf
     error: str = ""
     reached_by_peer_at: float = -math.inf
@@ -163,7 +165,7 @@
         if path.is_lost:
             decision("path-regained", target=name, after=round(now - path.failed_at, 3))
         path.failed_at, path.is_lost, path.unreachable_until = math.inf, False, 0.0
-        self._last_success_at = now
+        path.succeeded_at = self._last_success_at = now
         self._failed_since_success.clear()
         self._lost_since_success.clear()
         self._unreached.clear()
@@ -185,9 +187,26 @@
             self._lost_since_success.clear()
             self._end_partition("", now)
 
-    def record_failure(self, name: str, error: str, now: float) -> None:
-        """Record a direct connection that failed."""
+    def record_failure(
+        self, name: str, error: str, now: float, started: float = math.inf
+    ) -> None:
+        """Record a direct connection that failed.
+
+        Parameters
+        ----------
+        name : str
+            The target.
+        error : str
+            What failed.
+        now : float
+            Seconds on the loop's clock.
+        started : float
+            When the attempt began. One that began before the last success may have
+            failed in a partition that has ended since, so it is ignored.
+        """
         path = self._path(name)
+        if started < path.succeeded_at:
+            return
         path.failed_at, path.error = min(path.failed_at, now), error
         self._last_failure_at = now
         self._failed_since_success.add(name)
--- a/hibiscusstep/forwarding/tunnel.py
+++ b/hibiscusstep/forwarding/tunnel.py
@@ -463,7 +463,7 @@
                 )
         except (OSError, TimeoutError) as error:
             detail = type(error).__name__
-            self._paths.record_failure(request.target, detail, loop.time())
+            self._paths.record_failure(request.target, detail, loop.time(), started)
             if self._paths.fails_elsewhere(request.target):
                 return TunnelStatus.DECLINED
             if isinstance(error, ConnectionRefusedError):
--- a/hibiscusstep/forwarding/tunneling_connector.py
+++ b/hibiscusstep/forwarding/tunneling_connector.py
@@ -232,7 +232,7 @@
         try:
             connection = await connect_directly(name, address)
         except TargetError as error:
-            self._paths.record_failure(name, error.detail, _now())
+            self._paths.record_failure(name, error.detail, _now(), started)
             if error.detail == _PARTITION_ERROR and self._paths.is_lost(name):
                 self._on_path_lost(name)
             raise
--- a/tests/test_target_paths.py
+++ b/tests/test_target_paths.py
@@ -57,6 +57,17 @@
         paths.record_success("t", 0.001, 1.0)
         assert not paths.is_lost("t")
 
+    def test_an_attempt_that_began_before_a_success_says_nothing(self):
+        """Guards against a path that counts as lost again when its partition ends."""
+        paths = _paths(_member(2))
+        paths.record_success("t", 0.001, 1.0)
+        paths.record_failure("t", "TimeoutError", 1.3, started=0.9)
+        paths.record_reached_by_peer("t", "10.0.0.2:1", 1.3)
+        assert not paths.is_lost("t")
+        assert not paths.fails_elsewhere("other")
+        paths.record_failure("t", "TimeoutError", 1.5, started=1.1)
+        assert paths.is_lost("t")
+
     def test_it_is_tried_again_at_intervals(self):
         paths = _paths(_member(2))
         _lose(paths, "t")
