--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -122,3 +122,37 @@
         site.targets[0].crash()
         results = await site.load(1.0, per_s=60.0)
         assert all(status == 200 for _number, status in results)
+
+
+class TestHeldSlots:
+    """Guards against slots that are held by requests that hang on lost paths.
+
+    Their targets have ended them long before, but instances that reached the targets
+    were refused for load meanwhile, for up to four seconds.
+    """
+
+    AFTER_S = 1.0
+
+    @pytest.mark.parametrize(
+        "path, fields", [("/once/", {}), ("/stream/", {"events": "3"})]
+    )
+    async def test_are_free_for_others_soon(self, site, monkeypatch, path, fields):
+        await site.begin(monkeypatch, instances=2, targets=2, work_s=0.2)
+        await site.load(2.0, path=path)
+        runs = site.runs.total()
+        fields = {**fields, "X-Request-Deadline-Ms": "20000"}
+        hanging = [asyncio.create_task(site.call(path, **fields)) for _ in range(8)]
+        async with asyncio.timeout(CONTACT_S):
+            while site.runs.total() < runs + len(hanging):
+                await asyncio.sleep(0.01)
+        site.network.cut(Cut.HANG, {0})
+        await asyncio.sleep(self.AFTER_S)
+        try:
+            statuses = await asyncio.gather(
+                *(site.call_in_time(1, path) for _ in range(len(hanging)))
+            )
+        finally:
+            for call in hanging:
+                call.cancel()
+            await asyncio.gather(*hanging, return_exceptions=True)
+        assert statuses == [200] * len(hanging)
