Free the slots of overdue requests that hang on lost paths

Callers of instances that reached all targets were refused for load in the first seconds of a partition: a request that hung at a partitioned instance held its slot for up to four seconds, although its target had ended it long before.

An instance that is asked about overdue requests now says which of them have received nothing since their path was lost, and the dispatcher counts these no longer, as it does with those of an instance that does not answer. A path on which such a request is silent and that is not known to be lost is checked by a connection, at most five a second and only when asked. Requests that are not overdue keep their slots: their targets may still be at work on them. The new field has a default, so builds can be mixed.

--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -185,8 +185,7 @@
                 )
             case Received(sender=sender, message=PoolInquire(pool=pool)):
                 self._record_dispatcher_message(pool, sender)
-                tracked = list(self._pool_state(pool).running)
-                self._send_to(sender, PoolHeld(pool, self._own_name, tracked))
+                self._send_to(sender, self._answer_inquiry(pool))
             case Received(message=PoolStop(pool=pool, ask=ask)):
                 tracked = self._pool_state(pool).running.get(ask)
                 if tracked:
@@ -250,6 +249,13 @@
             else 0.0,
         )
 
+    def _answer_inquiry(self, pool: str) -> PoolHeld:
+        running = self._pool_state(pool).running
+        hanging = [
+            ask for ask, held in running.items() if held.grant_request.on_inquiry()
+        ]
+        return PoolHeld(pool, self._own_name, list(running), hanging)
+
     def _send_finished(self, ended: RequestEnded) -> None:
         if self._pool_state(ended.pool).running.pop(ended.ask, None):
             self._send(
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -433,9 +433,10 @@
                     body.in_path,
                 )
                 self._feed(hosted, finished)
-            case PoolHeld(instance=instance, asks=asks):
+            case PoolHeld(instance=instance, asks=asks, hanging=hanging):
                 hosted.last_heard_at[instance] = now
-                self._feed(hosted, m.HeldGrants(instance, frozenset(asks)))
+                held = m.HeldGrants(instance, frozenset(asks), frozenset(hanging))
+                self._feed(hosted, held)
             case PoolRegister():
                 self._register(hosted, sender, body, now)
 
--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -97,6 +97,8 @@
         Peer address of the instance that it leads through; "" if it is direct.
     is_path_broken : bool
         Whether that instance was lost; this says nothing about the target.
+    received_at : float
+        When bytes arrived last, or else when it was made, on the loop's clock.
     """
 
     def __init__(self, loop, peer: str) -> None:
@@ -115,6 +117,7 @@
         self.is_reused = False
         self.via = ""
         self.is_path_broken = False
+        self.received_at = loop.time()
 
     @property
     def usable(self) -> bool:
@@ -139,6 +142,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is open."""
+        self.received_at = self._loop.time()
         if self._account is not None:
             self._account.add(BufferKind.FROM_TARGET, len(data))
         if self._responses is None:
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -155,7 +155,7 @@
             connection = await self._context.connections.acquire(
                 target.name, target.address
             )
-            self._connection = connection
+            self._connection = self._grants.connection = connection
             target_response, response_head = await self._send(connection, target)
             failure = await self._relay_response(
                 connection, target_response, response_head, target
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -1,8 +1,10 @@
 """hibiscusstep.forwarding.grant_client: obtains a target for a request."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 
+from hibiscusstep.forwarding.connections import Connection
 from hibiscusstep.forwarding.incoming_request import ForwardingContext, IncomingRequest
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.quarantine_status import QuarantineStatus
@@ -29,6 +31,8 @@
 # instance without a connection to the store receives new targets from its peers, later.
 MAX_UNKNOWN_TARGETS = 3
 UNKNOWN_TARGET_RETRY_AFTER_S = 0.5
+# Time without a byte after which the path of an overdue request is checked.
+SILENT_AFTER_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,8 @@
     ----------
     granted_at : float
         Time of the last grant, on the loop's clock.
+    connection : Connection or None
+        The connection on which the granted request was sent.
     """
 
     def __init__(
@@ -90,6 +96,7 @@
         self._pace = 0.0
         self._pace_received_at = 0.0
         self.granted_at = 0.0
+        self.connection: Connection | None = None
 
     def avoid(self, target: DiscoveredTarget) -> int:
         """Prefer other targets from now on; return how many are avoided."""
@@ -226,6 +233,7 @@
             _ignore_stop,
             incoming.due,
             incoming.deadline,
+            self._is_hanging,
         )
         try:
             reply = await self._context.dispatch_client.ask(grant_request)
@@ -238,6 +246,21 @@
             self.granted_at = self._now()
         return reply
 
+    def _is_hanging(self) -> bool:
+        """Return whether nothing has arrived on a lost path; check a silent one."""
+        connection, grant = self.connection, self._grant
+        if connection is None or connection.via or grant is None:
+            return False
+        context, now = self._context, self._now()
+        lost_since = context.paths.lost_since(grant.target)
+        if lost_since < math.inf:
+            return connection.received_at < lost_since
+        is_silent = now - connection.received_at > SILENT_AFTER_S
+        target = context.targets.get(grant.target)
+        if is_silent and target and context.paths.take_check(now):
+            context.connections.check_path(target.name, target.address)
+        return False
+
     def _quarantine_refusal(self) -> Refusal:
         """Return a refusal with the cause and the remaining time of the quarantine."""
         quarantine_status = self._quarantine_status
@@ -294,7 +317,7 @@
             pace_age=self._now() - self._pace_received_at if self._pace else 0.0,
             in_path=in_path,
         )
-        self._grant, self._pace = None, 0.0
+        self._grant, self.connection, self._pace = None, None, 0.0
         self._context.dispatch_client.tell(ended)
 
     def _now(self) -> float:
--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -28,6 +28,8 @@
 # all paths together at the shorter one.
 RETRY_INTERVAL_S = 0.5
 RETRY_INTERVAL_OF_ALL_S = 0.1
+# Interval at which the paths of silent overdue requests are checked, one at a time.
+CHECK_INTERVAL_S = 0.2
 # Lost paths without any success after which all paths count as lost.
 MIN_LOST_PATHS = 2
 # An attempt through another instance within this time is compared with a direct one.
@@ -94,6 +96,7 @@
         self._partitioned_at = math.inf
         self._last_failure_at = -math.inf
         self._next_retry_at = 0.0
+        self._next_check_at = 0.0
         self._unreachable_until = -math.inf
         self._peer_penalty_until: dict[str, float] = {}
         self._data_centre_penalty_until: dict[str, float] = {}
@@ -139,6 +142,13 @@
             return True
         return self.is_partitioned and self.has_peer
 
+    def lost_since(self, name: str) -> float:
+        """Return when the direct path to a target was lost; infinity if it was not."""
+        path = self._paths.get(name)
+        if path is not None and path.is_lost:
+            return path.failed_at
+        return self._partitioned_at
+
     def slow_connect_s(self, name: str) -> float:
         """Return the seconds after which a direct connection counts as slow."""
         path = self._paths.get(name)
@@ -147,6 +157,13 @@
         usual = SLOW_CONNECT_FACTOR * path.connect_s
         return min(MAX_SLOW_CONNECT_S, max(MIN_SLOW_CONNECT_S, usual))
 
+    def take_check(self, now: float) -> bool:
+        """Return whether to check a path on which an overdue request is silent."""
+        if now < self._next_check_at:
+            return False
+        self._next_check_at = now + CHECK_INTERVAL_S
+        return True
+
     def take_retry(self, name: str, now: float) -> bool:
         """Return whether to try the direct path; a lost one is tried at intervals."""
         if not self.is_lost(name):
--- a/hibiscusstep/grant_messages.py
+++ b/hibiscusstep/grant_messages.py
@@ -29,6 +29,9 @@
         Latest time at which the first token is on time, on the loop's clock.
     answer_due : float
         Latest time of the complete answer, on the loop's clock; 0 if not known.
+    on_inquiry : callable
+        Called if the dispatcher asks for requests that should have ended; returns
+        whether the granted request hangs on a lost path.
     """
 
     pool: str
@@ -38,6 +41,7 @@
     on_stop: Callable[[], None]
     first_token_due: float = 0.0
     answer_due: float = 0.0
+    on_inquiry: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -45,7 +45,9 @@
   1: string pool, 2: list<string> targets, 3: list<double> slowness, 4: double first,
   5: double token, 6: double share
 }
-struct PoolHeld { 1: string pool, 2: string instance, 3: list<string> asks }
+struct PoolHeld {
+  1: string pool, 2: string instance, 3: list<string> asks, 4: list<string> hanging
+}
 struct PoolQueued { 1: string pool, 2: double again_in }
 struct PoolInquire { 1: string pool }
 struct Usage {
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -251,11 +251,22 @@
 
 @dataclass(slots=True)
 class PoolHeld:
-    """The grants of a pool that an instance still holds; all others are void."""
+    """The grants of a pool that an instance still holds; all others are void.
+
+    Parameters
+    ----------
+    pool, instance : str
+        The pool, and the name of the instance.
+    asks : list of str
+        The grants.
+    hanging : list of str
+        Those on whose lost path nothing has arrived; their targets may have ended them.
+    """
 
     pool: str
     instance: str
     asks: list[str]
+    hanging: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/grant_monitor.py
+++ b/hibiscusstep/routing/grant_monitor.py
@@ -74,6 +74,11 @@
         """Number of requests held beyond their expected end."""
         return sum(grant.overdue for grant in self._grants.values())
 
+    def is_overdue(self, ask: str) -> bool:
+        """Return whether a request is held beyond its expected end."""
+        grant = self._grants.get(ask)
+        return grant is not None and grant.overdue
+
     def grants_of_instance(self, instance: str) -> set[str]:
         """Return the ids (`Work.ask`) of an instance's grants."""
         return set(self._asks_by_instance.get(instance, ()))
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -207,10 +207,22 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldGrants:
-    """All grants that an instance holds; others counted for it are lost."""
+    """All grants that an instance holds; others counted for it are lost.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    asks : frozenset of str
+        The grants.
+    hanging : frozenset of str
+        Those whose ends cannot reach the instance, since it lost the path to their
+        targets.
+    """
 
     instance: str
     asks: frozenset[str]
+    hanging: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -446,7 +446,7 @@
 
     def _reconcile_held(self, message: m.HeldGrants, now: float) -> None:
         self._grant_monitor.confirm_held(message.asks, now)
-        for lost in self._lost_requests.take(message.asks):
+        for lost in self._lost_requests.take(message.asks - message.hanging):
             if lost.target in self._targets:
                 self._start(self._targets[lost.target], lost.work, now)
         for ask in (
@@ -455,6 +455,9 @@
             run = self._targets[self._target_by_ask[ask]].running[ask]
             if run.granted < now - MAX_GRANT_TRANSIT_S:
                 self._remove_request(ask, now)
+        for ask in message.hanging:
+            if self._grant_monitor.is_overdue(ask):
+                self._release_lost(ask, now)
 
     def _import_estimates(self, message: m.LearnedEstimates, now: float) -> None:
         if not message.is_fallback:
@@ -559,12 +562,16 @@
         result = self._grant_monitor.check(now)
         self._decisions += [m.QueryGrants(name) for name in sorted(result.instances)]
         for ask in result.lost:
-            target = self._targets[self._target_by_ask[ask]]
-            lost = m.GrantLost(target.running[ask].work, target.name)
-            self._remove_request(ask, now)
-            self.counts.lost += 1
-            self._lost_requests.add(lost, now)
-            self._decisions.append(lost)
+            self._release_lost(ask, now)
+
+    def _release_lost(self, ask: str, now: float) -> None:
+        """Release the slot of an overdue request whose end is not reported."""
+        target = self._targets[self._target_by_ask[ask]]
+        lost = m.GrantLost(target.running[ask].work, target.name)
+        self._remove_request(ask, now)
+        self.counts.lost += 1
+        self._lost_requests.add(lost, now)
+        self._decisions.append(lost)
 
     def _ignore(self, message: m.SuspectPartition, now: float) -> None:
         """Ignore the message; refusals do not depend on other dispatchers."""
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -127,6 +127,7 @@
         (1, "string", "pool"),
         (2, "string", "instance"),
         (3, "list<string>", "asks"),
+        (4, "list<string>", "hanging"),
     ),
     "PoolQueued": (
         (1, "string", "pool"),
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -174,6 +174,25 @@
         assert dispatcher.handle(held, 0.2) == []
         assert _grants(dispatcher.handle(held, 2.0)) == {"next": "t0"}
 
+    def test_slots_of_overdue_requests_that_hang_are_freed(self):
+        """Guards against slots held by requests on the lost paths of an instance."""
+        dispatcher = _dispatcher((1,))
+        dispatcher.handle(m.RequestGrant(_work("hangs")), 0.0)
+        dispatcher.handle(m.RequestGrant(_work("next", received=0.1)), 0.1)
+        held = m.HeldGrants("i", frozenset(["hangs"]), frozenset(["hangs"]))
+        # It is not overdue yet, so its target may still be at work on it.
+        assert dispatcher.handle(held, 0.2) == []
+        now, asked = 0.2, False
+        while not asked:
+            now += 0.05
+            asked = m.QueryGrants("i") in dispatcher.handle(m.TimePassed(), now)
+        assert _grants(dispatcher.handle(held, now)) == {"next": "t0"}
+        # Its instance still holds it, which must not take the slot again.
+        dispatcher.handle(held, now + 0.1)
+        dispatcher.handle(m.Finished("next", m.GrantOutcome.DONE), now + 0.2)
+        later = m.RequestGrant(_work("later", received=now + 0.3))
+        assert _grants(dispatcher.handle(later, now + 0.3)) == {"later": "t0"}
+
     def test_slots_of_a_dead_instance_are_freed(self):
         dispatcher = _dispatcher((1,))
         dispatcher.handle(m.RequestGrant(_work("a", instance="dead")), 0.0)
