Remember rejections of brittle targets for as long as they count

Two ways by which a target could be made to reject more than it bears, both read in the code and shown by a test that failed before:

- The time of the last rejection was dropped with the count of the last second, so a long request that was granted before a rejection confirmed the level of before it once a second had passed.
- A new dispatcher risked N rejections at once, although the one before may have caused N in the same second.
It now risks none in its first second, on each recovery, as with rate limits.

--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -517,6 +517,10 @@
         for target in self._targets.values():
             if target.limiter:
                 target.restart_rate_limit(now, self._initial_tokens(target))
+            if target.room:
+                target.room.restart(len(target.running), now)
+                target.update_slots(now)
+            if target.limiter or target.room:
                 self._partition.update(target, now)
 
     def _initial_tokens(self, target: SlotTarget) -> float:
--- a/hibiscusstep/routing/target_room.py
+++ b/hibiscusstep/routing/target_room.py
@@ -49,6 +49,8 @@
     ) -> None:
         self._limit = math.inf
         self._rejected_at: list[float] = []
+        self._last_rejected_at = -math.inf
+        self._risk_from = -math.inf
         self._confirmed = max(1, running)
         self._confirmed_at = now
         self._raise_at = now
@@ -77,9 +79,15 @@
         oldest = now - REJECTION_WINDOW_S
         self._rejected_at = [at for at in self._rejected_at if at > oldest]
         allowed = self.share * self.rejections_per_s - len(self._rejected_at)
-        bound = min(declared, self._limit, self._confirmed + max(0.0, allowed))
+        risked = max(0.0, allowed) if now >= self._risk_from else 0.0
+        bound = min(declared, self._limit, self._confirmed + risked)
         return max(1, math.floor(bound))
 
+    def restart(self, running: int, now: float) -> None:
+        """Risk no rejections for a while; another dispatcher may have caused some."""
+        self._risk_from = now + REJECTION_WINDOW_S
+        self._confirmed, self._confirmed_at = max(1, running), now
+
     def record_grant(self, now: float) -> None:
         """Record a granted request."""
         most = max(1, math.floor(self.share * self.rejections_per_s))
@@ -101,7 +109,7 @@
         now : float
             Seconds on the dispatcher's clock.
         """
-        if self._rejected_at and granted <= self._rejected_at[-1]:
+        if granted <= self._last_rejected_at:
             return
         if level >= self._confirmed:
             self._confirmed = int(min(level, self._limit))
@@ -110,6 +118,7 @@
     def record_rejected(self, running: int, now: float) -> None:
         """Record that a request was rejected, with the number of those that run on."""
         self._rejected_at.append(now)
+        self._last_rejected_at = now
         self._limit = max(1, min(self._limit, running))
         # Others that were granted at the same time may be rejected as well.
         self._confirmed, self._confirmed_at = max(1, running // 2), now
