Do not ignore a restarted instance for good after an old report of it

It took the old start for the later one and ignored the new one for good. n10 dispatched the pool; the follower asked n8 instead, which said that it was not the dispatcher, and asked it again until the caller's deadline.

A relay's report no longer shows that another incarnation has ended, and one that a direct heartbeat superseded is heard again once the later one is silent. Late heartbeats of an ended start are ignored for as long as the later one speaks, as before.

Two of the three new cases of tests/test_membership.py failed before; the third guards what held before.

--- a/hibiscusstep/membership/hierarchical.py
+++ b/hibiscusstep/membership/hierarchical.py
@@ -154,7 +154,7 @@
         self._parent_selector.record_message(now)
         self._region_size = relay_list.instances
         for heartbeat in relay_list.relays:
-            self._tracker.record_heartbeat(heartbeat, now)
+            self._tracker.record_report(heartbeat, now)
         relay_names = {heartbeat.instance for heartbeat in relay_list.relays}
         for name in self._tracker.members.keys() - relay_names:
             self._tracker.remove(name)
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -37,6 +37,8 @@
         self._name_by_incarnation: dict[str, str] = {}
         # Time until which messages of an incarnation are ignored, as it is dead.
         self._ignored_until: dict[str, float] = {}
+        # Incarnations after which another one of the same instance was heard.
+        self._superseded: set[str] = set()
         self._last_check_at: float | None = None
 
     def record_heartbeat(self, beat: Heartbeat, now: float) -> bool:
@@ -44,16 +46,42 @@
 
         Heartbeats of earlier incarnations and late ones of dead instances are ignored.
         """
-        if beat.instance == self._name or self._is_ignored(beat.incarnation, now):
-            return False
         tracked = self._tracked.get(beat.instance)
+        if self._is_superseded(beat.incarnation, tracked, now):
+            return False
+        if not self.record_report(beat, now):
+            return False
+        self._superseded.discard(beat.incarnation)
         if tracked and tracked.member.incarnation != beat.incarnation:
-            self._ignored_until[tracked.member.incarnation] = math.inf
+            self._superseded.add(tracked.member.incarnation)
+        return True
+
+    def record_report(self, beat: Heartbeat, now: float) -> bool:
+        """Record a heartbeat that a relay reports; return whether it is a member now.
+
+        A report may be older than what was heard directly, so it does not show that
+        another incarnation has ended.
+        """
+        if beat.instance == self._name or self._is_ignored(beat.incarnation, now):
+            return False
         self._tracked[beat.instance] = _TrackedMember(Member.from_heartbeat(beat), now)
         self._name_by_incarnation[beat.incarnation] = beat.instance
         self._unreachable_since.pop(beat.instance, None)
         return True
 
+    def _is_superseded(
+        self, incarnation: str, tracked: _TrackedMember | None, now: float
+    ) -> bool:
+        """Return whether another incarnation was heard later, and is not silent.
+
+        If that one is silent, its last message may have been late and the earlier one
+        is alive.
+        """
+        if tracked is None or tracked.member.incarnation == incarnation:
+            return False
+        is_silent = now - tracked.at > self._suspect_after / 2
+        return incarnation in self._superseded and not is_silent
+
     def _is_ignored(self, incarnation: str, now: float) -> bool:
         return now < self._ignored_until.get(incarnation, -math.inf)
 
@@ -64,7 +92,9 @@
         """
         tracked = self._tracked.get(self._name_by_incarnation.get(incarnation, ""))
         if tracked is None or tracked.member.incarnation != incarnation:
-            return self._is_ignored(incarnation, now)
+            return self._is_ignored(incarnation, now) or self._is_superseded(
+                incarnation, tracked, now
+            )
         tracked.at = now
         if version > tracked.member.version:
             tracked.member = replace(tracked.member, version=version)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,6 +60,37 @@
         view = tracker.view(OWN)
         assert view.has_incarnation("x", "i2") and not view.has_incarnation("x", "i1")
 
+    def test_an_old_report_of_a_relay_does_not_exclude_the_new_incarnation(self):
+        """Guards against a follower that ignores a restarted relay for good.
+
+        It heard the relay's new start first, and then a list of relays that its parent
+        had sent before. It took the start before for the later one and never asked the
+        new one, which dispatched a pool: all its callers' requests ran out of time.
+        """
+        tracker = HeartbeatTracker("own", 3.0)
+        tracker.record_heartbeat(heartbeat(incarnation="new"), 0.0)
+        tracker.record_report(heartbeat(incarnation="old"), 0.1)
+        tracker.record_report(heartbeat(incarnation="new"), 0.2)
+        assert [m.incarnation for m in tracker.members.values()] == ["new"]
+
+    def test_a_late_heartbeat_excludes_the_new_incarnation_for_a_while_only(self):
+        tracker = HeartbeatTracker("own", 3.0)
+        tracker.record_heartbeat(heartbeat(incarnation="new"), 0.0)
+        tracker.record_heartbeat(heartbeat(incarnation="old"), 0.1)
+        assert not tracker.record_heartbeat(heartbeat(incarnation="new"), 0.2)
+        assert not tracker.record_beat("new", 1, 2.0), "greeted, as the old is silent"
+        assert tracker.record_heartbeat(heartbeat(incarnation="new"), 2.0)
+        assert [m.incarnation for m in tracker.members.values()] == ["new"]
+
+    def test_late_heartbeats_of_a_start_before_are_ignored_while_the_later_speaks(self):
+        tracker = HeartbeatTracker("own", 3.0)
+        tracker.record_heartbeat(heartbeat(incarnation="old"), 0.0)
+        tracker.record_heartbeat(heartbeat(incarnation="new"), 1.0)
+        for now in range(2, 60):
+            tracker.record_beat("new", 1, float(now))
+        assert not tracker.record_heartbeat(heartbeat(incarnation="old"), 60.0)
+        assert tracker.record_beat("old", 1, 60.0), "known as dead: not greeted"
+
     def test_a_beat_refreshes_a_member_and_reports_an_unknown_sender(self):
         tracker = HeartbeatTracker("own", 3.0)
         tracker.record_heartbeat(heartbeat(), 0.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,8 @@
     # A stop signal arrived before an instance had started: a fault of the soak.
     (18, Faults.KINDS),
     # One of 14 instances was not ready after 60 s, once; not reproduced, cause unknown.
+    # Later a follower served nothing: an old list of relays made it ignore a relay that
+    # had restarted, and that dispatched the pool.
     (63, Faults.KINDS),
     # A second stop signal at the very end turned a clean exit into a failure.
     (119, Faults.ALL_KINDS),
