Risk a share of one rejection more rarely instead of never

While an instance is unreachable a dispatcher may cause only its share of the rejections that a brittle target bears. With a limit of one per second the share was rounded down to none, and since what answers have shown is forgotten after a second, such targets stayed at one request at a time. One unconfirmed request is now risked as rarely as the share of the rate says; with a limit of zero none is, as before.

The new case of tests/test_brittle_targets.py failed before.

--- a/hibiscusstep/routing/target_room.py
+++ b/hibiscusstep/routing/target_room.py
@@ -76,12 +76,18 @@
         if self._confirmed >= self._limit and now >= self._raise_at:
             self._limit += 1
             self._raise_at = now + RAISE_AFTER_S
+        risked = self._risked(now) if now >= self._risk_from else 0
+        return max(1, min(declared, self._limit, self._confirmed + risked))
+
+    def _risked(self, now: float) -> int:
+        """Return the number of requests that may be granted although unconfirmed."""
         oldest = now - REJECTION_WINDOW_S
         self._rejected_at = [at for at in self._rejected_at if at > oldest]
-        allowed = self.share * self.rejections_per_s - len(self._rejected_at)
-        risked = max(0.0, allowed) if now >= self._risk_from else 0.0
-        bound = min(declared, self._limit, self._confirmed + risked)
-        return max(1, math.floor(bound))
+        allowed = self.share * self.rejections_per_s
+        if 0.0 < allowed < 1.0:
+            # One, as rarely as the rate says.
+            return int(now >= self._last_rejected_at + REJECTION_WINDOW_S / allowed)
+        return max(0, math.floor(allowed - len(self._rejected_at)))
 
     def restart(self, running: int, now: float) -> None:
         """Risk no rejections for a while; another dispatcher may have caused some."""
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -171,6 +171,18 @@
         room = TargetRoom(4.0, 0.5, running=1, now=0.0)
         assert room.slots(8, 1, 0.0) == 3
 
+    def test_less_than_one_rejection_per_second_is_risked_more_rarely(self):
+        """Guards against targets that stay at one request while an instance is away.
+
+        A dispatcher may then cause only its share of the rejections, and a share of one
+        was rounded down to none.
+        """
+        room = TargetRoom(1.0, 0.8, running=1, now=0.0)
+        assert room.slots(8, 1, 0.0) == 2
+        room.record_rejected(3, 0.1)
+        assert room.slots(8, 1, 1.2) == 1
+        assert room.slots(8, 1, 1.4) == 2
+
     def test_a_request_of_before_a_rejection_shows_nothing_however_long_it_takes(self):
         """Guards against a rejection that is forgotten after a second."""
         room = TargetRoom(1.0, 1.0, running=4, now=0.0)
