--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -255,9 +255,9 @@
         lost_since = context.paths.lost_since(grant.target)
         if lost_since < math.inf:
             return connection.received_at < lost_since
-        is_silent = now - connection.received_at > SILENT_AFTER_S
+        due = connection.received_at + SILENT_AFTER_S
         target = context.targets.get(grant.target)
-        if is_silent and target and context.paths.take_check(now):
+        if target and context.paths.take_check(target.name, due, now):
             context.connections.check_path(target.name, target.address)
         return False
 
--- a/hibiscusstep/forwarding/target_paths.py
+++ b/hibiscusstep/forwarding/target_paths.py
@@ -32,7 +32,8 @@
 CHECK_INTERVAL_S = 0.2
 # Lost paths without any success after which all paths count as lost.
 MIN_LOST_PATHS = 2
-# An attempt through another instance within this time is compared with a direct one.
+# An attempt through another instance within this time is compared with a direct one,
+# and silent targets with each other.
 COMPARED_WITHIN_S = 1.0
 # A target that was reached neither directly nor through others is not tried again from
 # here within this time.
@@ -51,7 +52,7 @@
     `succeeded_at` is the time of the last success, and `failed_at` that of the first
     failure since, infinity if there is none. `reached_by_peer_at` is when another
     instance reached the target last, and `is_lost` whether one did while this instance
-    failed.
+    failed. `silent_at` is when an overdue request was silent last.
     """
 
     connect_s: float = INITIAL_SLOW_CONNECT_S / SLOW_CONNECT_FACTOR
@@ -62,6 +63,7 @@
     is_lost: bool = False
     retry_at: float = 0.0
     unreachable_until: float = 0.0
+    silent_at: float = -math.inf
 
 
 class TargetPaths:
@@ -157,9 +159,26 @@
         usual = SLOW_CONNECT_FACTOR * path.connect_s
         return min(MAX_SLOW_CONNECT_S, max(MIN_SLOW_CONNECT_S, usual))
 
-    def take_check(self, now: float) -> bool:
-        """Return whether to check a path on which an overdue request is silent."""
-        if now < self._next_check_at:
+    def take_check(self, name: str, due: float, now: float) -> bool:
+        """Return whether to check a path on which an overdue request is silent.
+
+        One silent target alone is likely to be at fault itself.
+
+        Parameters
+        ----------
+        name : str
+            The target.
+        due, now : float
+            When the silence became too long, and the current time, on the loop's clock.
+            A path that has succeeded since needs no check.
+        """
+        path = self._path(name)
+        if now < due or path.succeeded_at > due:
+            return False
+        path.silent_at = now
+        oldest = now - COMPARED_WITHIN_S
+        silent = sum(other.silent_at > oldest for other in self._paths.values())
+        if silent < MIN_LOST_PATHS or now < self._next_check_at:
             return False
         self._next_check_at = now + CHECK_INTERVAL_S
         return True
--- a/tests/test_target_paths.py
+++ b/tests/test_target_paths.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hibiscusstep.forwarding.target_paths import (
+    CHECK_INTERVAL_S,
     PARTITION_MEMORY_S,
     PEER_PENALTY_S,
     RETRY_INTERVAL_S,
@@ -216,3 +217,34 @@
         assert paths.reaches_nothing
         event(paths)
         assert not paths.reaches_nothing
+
+
+class TestChecks:
+    """Paths on which overdue requests are silent are checked, but not without need."""
+
+    def test_two_silent_targets_are_checked_one_at_a_time(self):
+        paths = _paths()
+        assert not paths.take_check("a", 0.5, 1.0)
+        assert paths.take_check("b", 0.5, 1.0)
+        assert not paths.take_check("a", 0.5, 1.0)
+        assert paths.take_check("a", 0.5, 1.0 + CHECK_INTERVAL_S)
+
+    def test_one_silent_target_is_not(self):
+        """Guards against connections where answers of a target are late or lost."""
+        paths = _paths()
+        for now in (1.0, 2.0, 3.0):
+            assert not paths.take_check("a", 0.5, now)
+
+    def test_none_if_the_path_has_succeeded_since(self):
+        paths = _paths()
+        for name in "ab":
+            paths.record_success(name, 0.001, 1.0)
+        for name in "ab":
+            assert not paths.take_check(name, 0.5, 2.0)
+        assert not paths.take_check("a", 1.5, 2.5)
+        assert paths.take_check("b", 1.5, 2.5)
+
+    def test_none_before_the_silence_is_long(self):
+        paths = _paths()
+        for name in "ab":
+            assert not paths.take_check(name, 1.5, 1.0)
