--- a/tests/soak.py
+++ b/tests/soak.py
@@ -266,7 +266,7 @@
         world.store.put("servers", target.name, leaving)
         target.left_at = time.monotonic()
         await asyncio.sleep(span)
-        world.store.remove("servers", target.name)
+        world.remove_entry(target)
 
     async def _target_dies(self, span):
         """Crash a target; its entry is removed later."""
@@ -277,7 +277,7 @@
         world.ledger.crashed.add(target.name)
         await target.stop()
         await asyncio.sleep(span)
-        world.store.remove("servers", target.name)
+        world.remove_entry(target)
 
     async def _target_restarts(self, span):
         """Restart targets under their ids, one after the other."""
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -338,6 +338,11 @@
         self.store.put("servers", target.name, target.entry(POOL, slots=SLOTS))
         return target
 
+    def remove_entry(self, target):
+        """Remove a target's entry, unless another fault has removed it."""
+        if ("servers", target.name) in self.store.objects:
+            self.store.remove("servers", target.name)
+
     async def replace_crashed(self, after):
         """Replace crashed targets until cancelled."""
         while True:
@@ -350,7 +355,7 @@
         """Replace all crashed targets."""
         for target in [t for t in self.targets if t.crashed.is_set()]:
             self.targets.remove(target)
-            self.store.remove("servers", target.name)
+            self.remove_entry(target)
             await self.add_target()
 
     async def restore_store(self, span):
@@ -382,8 +387,7 @@
             self.ledger.crashed.add(target.name)
             self.targets.remove(target)
             target.crash()
-            if ("servers", target.name) in self.store.objects:
-                self.store.remove("servers", target.name)
+            self.remove_entry(target)
 
     def drain_version(self, version):
         """Mark all targets of a version as leaving in their entries."""
