Log what tells the end of a target's response

The line of an attempt whose stream was cut in the midst of an event and the line of a whole one were the same.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 from abc import ABC, abstractmethod
 from collections import defaultdict
@@ -27,6 +28,7 @@
     "ConnectionPool",
     "Connector",
     "DirectConnector",
+    "Framing",
     "TargetResponse",
     "connect_directly",
     "enable_keepalive",
@@ -58,6 +60,14 @@
 _MIN_FINAL_STATUS = 200
 
 
+class Framing(enum.StrEnum):
+    """What tells the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @dataclass(slots=True, eq=False)
 class TargetResponse:
     """A target's response: its head, and its body as a stream.
@@ -76,6 +86,15 @@
     body: StreamReader
     taken: int = 0
 
+    @property
+    def framing(self) -> Framing:
+        """What tells the end of the body."""
+        if self.message.chunked:
+            return Framing.CHUNKS
+        if "Content-Length" in self.message.headers or self.body is EMPTY_PAYLOAD:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
 
 class Connection(BaseProtocol):
     """A connection that carries one request at a time.
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -88,6 +88,8 @@
         self._caller_waits = CallerWaits()
         self._timing = StreamTiming(incoming.received)
         self._response_head: TargetResponseHead | None = None
+        self._framing = ""
+        self._incomplete_bytes = 0
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
         self._grants = GrantClient(incoming, context, self._quarantine_status)
 
@@ -145,6 +147,7 @@
         """Send the request to a target; return None if a response was relayed."""
         connection = None
         self._response_head = None
+        self._framing, self._incomplete_bytes = "", 0
         self._caller_waits = CallerWaits()
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
@@ -259,6 +262,8 @@
             max_pause=self._incoming.route.max_pause,
             events=self._splitter.count,
             last_event=self._splitter.last_id,
+            framing=self._framing,
+            incomplete=self._incomplete_bytes,
             first_event=round(self._timing.first_event, 4),
             longest_pause=round(self._timing.longest_pause, 4),
             tokens=self._incoming.head.prompt_tokens,
@@ -308,6 +313,7 @@
                 self._context.announcements.read(target, response_head, is_own=is_own)
                 if is_own:
                     self._response_head = response_head
+                    self._framing = target_response.framing
                     self._context.paths.record_response()
                     self._grants.record_pace(response_head.pace)
                     self._report_load(target, response_head)
@@ -431,9 +437,9 @@
             before = splitter.count
             whole = splitter.feed(data)
             del data
-            incomplete = splitter.remainder_size
-            self._account.set(BufferKind.RESPONSE, incomplete)
-            if incomplete > MAX_BODY_BYTES:
+            self._incomplete_bytes = splitter.remainder_size
+            self._account.set(BufferKind.RESPONSE, self._incomplete_bytes)
+            if self._incomplete_bytes > MAX_BODY_BYTES:
                 raise _InvalidResponse("event too long")
             if splitter.count > before:
                 self._record_events(splitter.count - before)
