Take no stream for complete that ends inside an event

Cause: the end of a connection was taken for the end of what it carried. A response with neither a length nor chunks ends with its connection, so a target's crash completed its body; Exchange._relay_events wrote the rest of an event and ended the caller's response. The attempt counted as done: it cleared the request of crashes and reported a sound target.

A stream of events ends between two of them, whatever its framing; else the attempt is broken like one whose connection is reset: resumed where the route allows it, cut or 502 elsewhere, and a crash is counted against the request. One that brought no event and has no frame shows nothing of its end and is broken too. Lines may end with CR, which the splitter did not know: such a stream would have been cut always. Answers of other types on a streaming route end as before.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -138,6 +138,11 @@
         self.is_path_broken = False
         self.received_at = loop.time()
 
+    @property
+    def peer(self) -> str:
+        """The target's name."""
+        return self._peer
+
     @property
     def usable(self) -> bool:
         """Whether another request may be sent on this connection."""
--- a/hibiscusstep/forwarding/event_splitter.py
+++ b/hibiscusstep/forwarding/event_splitter.py
@@ -1,10 +1,16 @@
-"""hibiscusstep.forwarding.event_splitter: splitting of a stream into events."""
+"""hibiscusstep.forwarding.event_splitter: splitting of a stream into events.
+
+Lines end with LF, CR or CRLF, and a blank line ends an event (WHATWG HTML, "Server-sent
+events").
+"""
+
+from itertools import takewhile
 
 __all__ = ["EventSplitter"]
 
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
-# A terminator may end in new data with all but one of its bytes before them.
-_MAX_OVERLAP = max(map(len, _EVENT_TERMINATORS)) - 1
+# A blank line may end in new data with this many of its bytes before them.
+_MAX_OVERLAP = 2
+_LINE_ENDS = b"\r\n"
 
 
 class EventSplitter:
@@ -34,6 +40,16 @@
         """Number of bytes after the last complete event."""
         return len(self._remainder)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes after the last complete event are part of another one.
+
+        Blank lines and complete comments belong to no event.
+        """
+        lines = self._remainder.splitlines(keepends=True)
+        unfinished = takewhile(lambda line: line.strip(_LINE_ENDS), reversed(lines))
+        return not all(map(_is_comment, unfinished))
+
     def drop_remainder(self) -> None:
         """Discard an incomplete event."""
         self._remainder = bytearray()
@@ -45,10 +61,7 @@
         if self._remainder:
             self._remainder += data
             joined = self._remainder
-        end = max(
-            _end_of_last_event(joined, terminator, start)
-            for terminator in _EVENT_TERMINATORS
-        )
+        end = _end_of_last_event(joined, start)
         if not end:
             if joined is data:
                 self._remainder += data
@@ -60,14 +73,29 @@
             with memoryview(joined) as view:
                 whole = bytes(view[:end])
                 self._remainder = bytearray(view[end:])
+        previous = b""
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
-            elif not line:
+            elif not line and previous:
                 self.count += 1
+            previous = line
         return whole
 
 
-def _end_of_last_event(data: bytes | bytearray, terminator: bytes, start: int) -> int:
-    position = data.rfind(terminator, start)
-    return position + len(terminator) if position >= 0 else 0
+def _end_of_last_event(data: bytes | bytearray, start: int) -> int:
+    """Return the position after the last blank line; 0 if there is none."""
+    position = max(
+        data.rfind(b"\n\n", start),
+        data.rfind(b"\r\r", start),
+        # The next byte tells whether the blank line ends with CR or CRLF.
+        data.rfind(b"\n\r", start, len(data) - 1),
+    )
+    if position < 0:
+        return 0
+    end = position + 2
+    return end + 1 if data[end - 1 : end + 1] == b"\r\n" else end
+
+
+def _is_comment(line: bytes | bytearray) -> bool:
+    return line.startswith(b":") and line.endswith((b"\n", b"\r"))
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -10,7 +10,7 @@
 from hibiscusstep.forwarding.buffer_budget import WINDOW_BYTES, BufferKind
 from hibiscusstep.forwarding.caller_connection import CollectedResponse
 from hibiscusstep.forwarding.caller_waits import CallerWaits
-from hibiscusstep.forwarding.connections import Connection, TargetResponse
+from hibiscusstep.forwarding.connections import Connection, Framing, TargetResponse
 from hibiscusstep.forwarding.dialect import TargetRequestHead, TargetResponseHead
 from hibiscusstep.forwarding.event_splitter import EventSplitter
 from hibiscusstep.forwarding.grant_client import GrantClient, Refusal
@@ -28,6 +28,7 @@
 __all__ = ["Exchange"]
 
 MAX_BODY_BYTES = 16 << 20
+EVENT_STREAM = "text/event-stream"
 # A target that has sent nothing after this many times the route's objective is taken to
 # hang. Another target is tried if the request may be retried.
 SILENCE_FACTOR = 2.0
@@ -427,6 +428,7 @@
     ) -> None:
         """Relay each event to the caller once it is complete."""
         splitter = self._splitter
+        count_before = splitter.count
         limit = self._silence_timeout()
         while True:
             async with asyncio.timeout(limit):
@@ -446,11 +448,40 @@
                 limit = self._stream_silence_timeout()
             if whole:
                 await self._write_to_caller(target_response, whole)
+        self._check_stream_end(target_response, splitter.count > count_before)
         await self._write_to_caller(target_response, splitter.remainder)
         splitter.drop_remainder()
         self._account.set(BufferKind.RESPONSE, 0)
         await self._await_caller(self._response.write_eof())
 
+    def _check_stream_end(
+        self, target_response: TargetResponse, has_events: bool
+    ) -> None:
+        """Check that a stream of events has not ended within one of them.
+
+        Raises
+        ------
+        TargetError
+            If it was broken off with its connection.
+        _InvalidResponse
+            If its framing is complete.
+        """
+        media_type = _media_type(target_response)
+        if target_response.framing is not Framing.CONNECTION:
+            if media_type == EVENT_STREAM and self._splitter.is_inside_event:
+                raise _InvalidResponse("stream ended within an event")
+            return
+        if media_type not in ("", EVENT_STREAM):
+            return
+        is_resumed_by_caller = self._attempts == 1 and self._splitter.last_id
+        if self._splitter.is_inside_event or not (has_events or is_resumed_by_caller):
+            raise TargetError(
+                "connection closed within the stream",
+                step="read",
+                peer=self._connection.peer,
+                sent=True,
+            )
+
     def _record_events(self, count: int) -> None:
         """Record the time of events; report an attempt's first to the dispatcher."""
         if self._timing.record(count, self._now()):
@@ -627,6 +658,12 @@
 _CONNECTION_RELEASED = (m.GrantOutcome.DONE, m.GrantOutcome.FAILED)
 
 
+def _media_type(target_response: TargetResponse) -> str:
+    """Return the type that a response names; "" if it names none."""
+    content_type = target_response.message.headers.get("Content-Type", "")
+    return content_type.partition(";")[0].strip().lower()
+
+
 def _is_target_failure(status: int) -> bool:
     """Whether a status is the target's failure; 504 means the caller's deadline."""
     return status >= MIN_SERVER_ERROR_STATUS and status != GATEWAY_TIMEOUT_STATUS
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -3,14 +3,16 @@
 import tracemalloc
 
 import pytest
-from hypothesis import given
+from hypothesis import assume, given
 from hypothesis import strategies as st
 
 from hibiscusstep.forwarding.event_splitter import EventSplitter
 
 
 class TestEventSplitter:
-    @given(st.lists(st.integers(1, 60), max_size=12), st.sampled_from(["\n", "\r\n"]))
+    @given(
+        st.lists(st.integers(1, 60), max_size=12), st.sampled_from(["\n", "\r\n", "\r"])
+    )
     def test_any_split_yields_the_same_complete_events(self, sizes, end):
         stream = "".join(f"id: {n}{end}data: x{end}{end}" for n in range(8)).encode()
         splitter, events, position = EventSplitter(), b"", 0
@@ -47,6 +49,49 @@
             tracemalloc.stop()
         assert min(copied) < 1 << 20
 
+    @given(
+        st.lists(st.sampled_from(["\n", "\r\n", "\r"]), min_size=12, max_size=12),
+        st.lists(st.integers(1, 9), max_size=40),
+    )
+    def test_lines_may_end_in_different_ways(self, ends, sizes):
+        lines = [line for n in range(4) for line in (f"id: {n}", "data: x", "")]
+        stream = "".join(map(str.__add__, lines, ends)).encode()
+        # CR and LF of two lines would be the end of one.
+        assume(len(stream.splitlines()) == len(lines))
+        splitter, position, events = EventSplitter(), 0, b""
+        for size in [*sizes, len(stream)]:
+            events += splitter.feed(stream[position : position + size])
+            position += size
+        assert not splitter.is_inside_event
+        assert events + splitter.remainder == stream
+        splitter.feed(b"\n")
+        assert (splitter.last_id, splitter.count) == ("3", 4)
+
+    @pytest.mark.parametrize(
+        ("rest", "is_inside"),
+        [
+            (b"", False),
+            (b"\n", False),
+            (b"\r\n\n", False),
+            (b": a comment\n", False),
+            (b": a comment\r\n: another\r\n", False),
+            (b": a comm", True),
+            (b"i", True),
+            (b"id: 2", True),
+            (b"id: 2\ndata: b", True),
+            (b"id: 2\ndata: b\n", True),
+            (b": a comment\nid: 2\n", True),
+            (b"id: 2\r\ndata: b\r\n", True),
+            (b"id: 2\r\ndata: b\r\n\r", False),
+        ],
+    )
+    def test_it_tells_whether_a_stream_ends_inside_an_event(self, rest, is_inside):
+        splitter = EventSplitter()
+        assert not splitter.is_inside_event
+        splitter.feed(b"id: 1\ndata: a\n\n" + rest)
+        assert splitter.is_inside_event is is_inside
+        assert splitter.count == 1
+
     @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
     def test_a_terminator_may_arrive_in_single_bytes(self, end):
         """Only the new bytes and a few before them are searched."""
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -35,9 +35,9 @@
 by_cut = pytest.mark.parametrize("cut", CUTS.values(), ids=CUTS)
 
 
-def unframed_head(fields, content_type="text/event-stream"):
+def unframed_head(fields, content_type="Content-Type: text/event-stream\r\n"):
     return (
-        f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nConnection: close\r\n"
+        f"HTTP/1.1 200 OK\r\n{content_type}Connection: close\r\n"
         f"X-Request-Id: {fields['x-request-id']}\r\nX-Response-Seal: s.e.a.l\r\n\r\n"
     ).encode()
 
@@ -134,6 +134,14 @@
         status, _fields, body = await site.call("/stream/")
         assert not is_complete(status, body)
 
+    async def test_is_not_complete_if_it_names_no_type(self, site):
+        def script(_number, fields, _body):
+            return [unframed_head(fields, ""), WHOLE[:-10], 0.02, "close"]
+
+        await site.start(*targets(script))
+        status, _fields, body = await site.call("/stream/")
+        assert not is_complete(status, body)
+
     async def test_is_not_complete_through_another_instance(
         self, partitioned_site, monkeypatch
     ):
@@ -216,7 +224,7 @@
         """Only a stream of events has events in which it may end."""
 
         def script(_number, fields, _body):
-            head = unframed_head(fields, "application/json")
+            head = unframed_head(fields, "Content-Type: application/json\r\n")
             return [head, b'{"whole": true}', 0.02, "close"]
 
         await site.start(*targets(script))
