Reset the connections of HTTP/1.0 callers whose stream fails

A failed stream was ended with transport.abort(), which closes in order where nothing is unread, and a killed instance closes in order too. Such a connection is set to be reset on close before the first event, until the caller has taken the whole stream.

--- a/hibiscusstep/answer_sink.py
+++ b/hibiscusstep/answer_sink.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from hibiscusstep import sockets
 from hibiscusstep.problem import Problem
 
 __all__ = ["AnswerSink"]
@@ -110,7 +111,7 @@
             )
             await self.end()
         elif self._request.transport:
-            self._request.transport.abort()
+            sockets.reset(self._request.transport)
 
     def _headers(self, content_type: str, headers: dict) -> dict:
         return {
--- a/hibiscusstep/forwarding/caller_connection.py
+++ b/hibiscusstep/forwarding/caller_connection.py
@@ -3,14 +3,14 @@
 import asyncio
 import contextlib
 import fcntl
-import socket
 import struct
 import termios
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
+from hibiscusstep import sockets
 from hibiscusstep.forwarding.buffer_budget import (
     WINDOW_BYTES,
     BufferAccount,
@@ -26,7 +26,6 @@
 # Resuming below this share of the window lets a target write on while its caller reads
 # slowly; asyncio resumes at a quarter.
 RESUME_SHARE = 0.75
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CollectedResponse(web.StreamResponse):
@@ -121,19 +120,32 @@
     def cut_off(self, account: BufferAccount, reason: str) -> None:
         """Reset the connection, so that no response can look complete.
 
-        A caller that does not frame its response by its length would take an orderly
-        close for the end. The reset also frees what the kernel holds for the caller.
+        The reset also frees what the kernel holds for the caller.
         """
         if self.cut_off_reason:
             return
         self.cut_off_reason = reason
         self._on_cut_off(account, reason)
-        if self._transport is None:
-            return
-        sock = self._transport.get_extra_info("socket")
-        with contextlib.suppress(OSError, AttributeError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._transport.abort()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset the connection: a response that was begun is not complete."""
+        if self._transport is not None:
+            sockets.reset(self._transport)
+
+    async def begin_stream(self, response: web.StreamResponse) -> None:
+        """Send the head of a stream, whose connection is reset until it is complete.
+
+        That holds for callers of HTTP/1.0, who are sent no chunks.
+        """
+        if self._ends_with_connection:
+            sockets.reset_on_close(self._transport, True)
+        await response.prepare(self._request)
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether the caller takes the end of its connection for that of a stream."""
+        return self._transport is not None and self._request.version < HttpVersion11
 
     async def write(self, data: bytes | memoryview) -> None:
         """Write part of a response that was prepared, without waiting for room."""
@@ -166,6 +178,8 @@
                 account.set(BufferKind.TO_CALLER, self.buffered)
                 if self.buffered:
                     await self._flush()
+                if self._ends_with_connection and not self._transport.is_closing():
+                    sockets.reset_on_close(self._transport, False)
         finally:
             self._timer.cancel()
 
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -494,7 +494,7 @@
             response = web.StreamResponse(status=target_response.message.code)
             self._copy_fields(target_response, response)
             self._response = response
-            await self._await_caller(response.prepare(self._incoming.request))
+            await self._await_caller(self._incoming.caller.begin_stream(response))
         if len(data) > WINDOW_BYTES:
             await self._write_in_pieces(data)
         elif data:
@@ -611,9 +611,7 @@
             if self._last_failure_response is not None:
                 return self._last_failure_response
             return local_response(status, problem)
-        transport = self._incoming.request.transport
-        if transport is not None:
-            transport.abort()
+        self._incoming.caller.reset()
         return self._response
 
     def _log_failure(self, status: int, why: str) -> None:
--- a/tests/test_answer_sink.py
+++ b/tests/test_answer_sink.py
@@ -1,5 +1,9 @@
 import asyncio
 
+import pytest
+from aiohttp import web
+from slow_peers import StalledCaller
+
 from hibiscusstep.answer_sink import MAX_KEPT_BYTES, AnswerSink
 from hibiscusstep.problem import Problem
 
@@ -43,3 +47,25 @@
         assert sink.status == 503
         assert sink.content_type == "application/problem+json"
         assert sink.response.headers["Retry-After"] == "3"
+
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    async def test_a_problem_within_an_answer_resets_the_connection(self, version):
+        """A caller of HTTP/1.0 would take a close for the end of the answer."""
+
+        async def handle(request):
+            sink = AnswerSink(request, "request", keep=False)
+            await sink.begin(200, "text/plain")
+            await sink.write(b"part")
+            await asyncio.sleep(0.05)
+            await sink.send_problem(Problem(502, "failed", "The target broke off."))
+            return sink.response
+
+        server = web.Server(handle)
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1")
+        host, port = listener.sockets[0].getsockname()
+        caller = StalledCaller(f"{host}:{port}")
+        await caller.send("/", version=version)
+        received, is_reset = await caller.read_all()
+        listener.close()
+        await server.shutdown()
+        assert is_reset
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -17,6 +17,7 @@
     event,
     stream_head,
 )
+from slow_peers import LimitedInstance, StalledCaller
 from test_crashing_requests import CRASHING, MAX_CRASHES, CrashingSite
 from test_forwarding import Site
 
@@ -232,6 +233,50 @@
         assert (status, body) == (200, b'{"whole": true}')
 
 
+class TestCallersOfHttp10:
+    """Their streams end with their connection, so that only a reset tells a cut."""
+
+    async def _read(self, site):
+        """Return what a caller receives, and whether its connection is reset."""
+        caller = StalledCaller(site.instances[0].url.removeprefix("http://"))
+        await caller.send("/stream/", version="1.0", deadline_ms=500)
+        return await caller.read_all()
+
+    @pytest.mark.parametrize("end", ["close", "reset", "hang"])
+    async def test_tell_a_cut_from_an_end(self, site, end):
+        def script(_number, fields, _body):
+            return [stream_head(fields), chunk(event(0)), 0.05, end]
+
+        await site.start(*targets(script))
+        _received, is_reset = await self._read(site)
+        assert is_reset
+
+    async def test_tell_the_kill_of_an_instance_from_an_end(self, tmp_path):
+        def script(number, fields, _body):
+            if "old" not in fields["x-request-id"]:
+                return answer(fields)
+            return [stream_head(fields), chunk(event(0)), "hang"]
+
+        async with LimitedInstance(tmp_path, 0, script) as limited:
+            caller = StalledCaller(limited.instance.caller_address)
+            await caller.send("/stream/", name="old", version="1.0")
+            received, _is_reset = await caller.read_all(end=event(0))
+            assert received.endswith(event(0))
+            limited.instance.process.kill()
+            assert (await caller.read_all())[1]
+
+    async def test_receive_whole_streams(self, site):
+        long_event = b"data: " + b"x" * 3_000_000 + b"\n\n"
+
+        def script(_number, fields, _body):
+            return [stream_head(fields), chunk(event(0)), chunk(long_event), chunk(b"")]
+
+        await site.start(*targets(script))
+        received, is_reset = await self._read(site)
+        assert received.endswith(event(0) + long_event)
+        assert not is_reset
+
+
 class TestLog:
     async def test_an_attempt_tells_how_its_stream_ended(self, site, caplog):
         """Guards against lines that are the same for a whole stream and a cut one."""
