Take no body for complete whose connection is reset, in HTTP clients

A service's answer that was reset reached its caller as whole, and a value of the object service could be a part of itself. The connections of these clients fail such a body now; a close in order still ends it.

Before: the cases of a service's answer and of a stored value failed. After: all pass.

--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -18,6 +18,7 @@
     PlatformUnavailable,
 )
 from hibiscusstep.forwarding.ignored_objects import IgnoredRevisions
+from hibiscusstep.http_client import make_connector
 from hibiscusstep.platform import fields as f
 from hibiscusstep.platform.documents import ROLLOUT_KIND, rollout_status
 from hibiscusstep.platform.eras import EraTracker, join_revision, split_revision
@@ -104,7 +105,7 @@
     ) -> Result[_Answer, PlatformError]:
         """Return the decoded answer of one call and its era; see `call`."""
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
+            connector = make_connector(limit=0, keepalive_timeout=10.0)
             self._session = aiohttp.ClientSession(connector=connector)
         step = f"{method} {path.split('/')[0]}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S + extra_wait)
--- a/hibiscusstep/stores/http.py
+++ b/hibiscusstep/stores/http.py
@@ -12,6 +12,7 @@
     PlatformNotFound,
     PlatformUnavailable,
 )
+from hibiscusstep.http_client import make_connector
 from hibiscusstep.store import InstanceRecord, Platform, VersionedObject
 
 __all__ = ["HttpPlatform"]
@@ -95,7 +96,7 @@
 
     async def _call(self, method, url, *, step, extra_s=0.0, **options):
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=make_connector())
         timeout = aiohttp.ClientTimeout(total=self._timeout + extra_s)
         try:
             async with self._session.request(
--- a/hibiscusstep/targets/http.py
+++ b/hibiscusstep/targets/http.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from hibiscusstep.errors import TargetError
+from hibiscusstep.http_client import make_connector
 from hibiscusstep.routing.messages import LoadReport
 from hibiscusstep.target import TargetClient, TargetRequest
 
@@ -40,7 +41,7 @@
 
 def _make_session(**options) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, **options),
+        connector=make_connector(limit=0, **options),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
     )
