Soak: streams without chunks that targets break off; bodies that callers cut

Every third stream of the soak ends with its connection now. Broken ones are closed in order within an event; targets that end reset their connections, since a close between two events can't be told from the end of a stream.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -5,13 +5,13 @@
 import copy
 import itertools
 import json
-import socket
-import struct
 
 import orjson
 from aiohttp import web
 from fleet import free_ports
 
+from hibiscusstep.sockets import reset
+
 ROOT = "/hibiscusstep/objects"
 
 
@@ -312,7 +312,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            reset(writer.transport)
 
     def entry(self, pool: str, state: str = "ready", slots: int = 4) -> dict:
         """Return the entry that the target writes about itself."""
@@ -358,10 +358,7 @@
             if self.silent:
                 return await self._hang(reader)
             if part == "reset":
-                sock = writer.get_extra_info("socket")
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                writer.transport.abort()
+                reset(writer.transport)
                 return False
             if part == "close":
                 return False
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -21,6 +21,8 @@
 from soak_ledger import TargetRun, body_of, events
 from soak_proxy import Proxy
 
+from hibiscusstep.sockets import reset_on_close
+
 POOL = "pool-a"
 # Crashes the target that receives it; the value identifies the request.
 CRASH_FIELD = "x-crash"
@@ -35,6 +37,8 @@
 MALFORMED_SHARE, ABSENT_SHARE = 0.1, 0.1
 # Identifies the start of the target that answered, as ids are reused.
 START_FIELD = "X-Start"
+# Every third stream or so ends with its connection, without chunks.
+UNFRAMED_EVERY = 3
 GRACE_S = 2
 SLOTS = 6
 READY_PATH = "/hibiscusstep/ready"
@@ -146,16 +150,27 @@
 
     def _stream(self, name, fields, seal, fault):
         lines = seal.replace("\n", "\r\n").encode()
-        yield stream_head(fields).replace(b"X-Response-Seal: seal-of-{}", lines)
+        head = stream_head(fields).replace(b"X-Response-Seal: seal-of-{}", lines)
+        is_framed = sum(name.encode()) % UNFRAMED_EVERY
+        if not is_framed:
+            head = head.replace(b"Transfer-Encoding: chunked", b"Connection: close")
+        frame = chunk if is_framed else bytes
+        yield head
         after = int(fields.get("last-event-id", 0))
         for event in events(name)[after:]:
             if fault in ("reset", "garble") and self._rng.random() < 0.1:
-                yield chunk(event[: len(event) // 2])
-                yield "reset"
+                yield frame(event[: len(event) // 2])
+                yield "reset" if is_framed else "close"
                 return
             yield self._rng.uniform(0.0, 0.03)
-            yield chunk(event)
-        yield chunk(b"")
+            yield frame(event)
+        yield chunk(b"") if is_framed else "close"
+
+    def crash(self):
+        """End the target; a close between two events would look like a stream's end."""
+        for writer in self._writers:
+            reset_on_close(writer.transport, True)
+        super().crash()
 
     @staticmethod
     def _is_stream(fields):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -436,6 +436,31 @@
         assert data.startswith(b"HTTP/1.1 413 ")
         assert site.buffers.highest <= 4 << 20
 
+    @pytest.mark.parametrize("end", ["close", "half-close", "reset"])
+    @pytest.mark.parametrize("chunked", [True, False])
+    async def test_one_that_ends_with_its_connection_is_not_sent(
+        self, site, chunked, end
+    ):
+        """Guards against the end of a connection that is taken for a body's end."""
+        await site.start(TargetStandIn("t1"), document=_document())
+        caller = await site.stall("/once/", body=b"b" * 1000, chunked=chunked)
+        if not chunked:
+            # A request behind a complete one, of which 100 bytes never come.
+            await site.until(lambda: site.targets[0].requests)
+            head = b"POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: cut\r\n"
+            head += b"Authorization: Bearer key-one\r\nContent-Length: 1100\r\n\r\n"
+            caller.writer.write(head + b"b" * 1000)
+        await site.until(lambda: site.buffers.held_by_kind["request"] == 1000)
+        match end:
+            case "close":
+                caller.writer.close()
+            case "half-close":
+                caller.writer.write_eof()
+            case "reset":
+                caller.reset()
+        await site.until(lambda: not site.buffers.held)
+        assert len(site.targets[0].requests) == (0 if chunked else 1)
+
 
 class _DeafTarget(TargetStandIn):
     """Target that accepts connections and reads nothing."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,6 +69,19 @@
         assert not findings, faults_run
 
 
+class TestSoakOfStreams:
+    """Streams with and without chunks whose targets break them off."""
+
+    KINDS = (Faults._target_fault, Faults._kill)
+
+    @pytest.mark.timeout(240)
+    async def test_no_promise_is_broken(self, tmp_path):
+        findings, faults_run = await soak(
+            1, tmp_path, 3, seconds=6.0, faults=8, kinds=self.KINDS
+        )
+        assert not findings, faults_run
+
+
 class TestSoakOfWhatTargetsSay:
     """Requests that crash targets, targets that announce to leave, a restored store."""
 
