Log the shared parts of the prompts of broken attempts

Lines of attempts that broke named their request by a fingerprint of the whole body. They have the fingerprints of all parts but the last now, which belongs to the request itself.

--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -37,6 +37,10 @@
         Id of the event after which a stream resumes, "" to start at its beginning.
     prompt_parts : str
         Names of the prompt's parts, "" if not declared.
+    shared_parts : tuple of str
+        IDs of the parts that other requests may have too: all but the last.
+    model : str
+        Name of the model, "" if not declared.
     """
 
     request: str
@@ -48,6 +52,8 @@
     declares_tokens: bool
     last_event_id: str
     prompt_parts: str = ""
+    shared_parts: tuple[str, ...] = ()
+    model: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -275,6 +275,7 @@
             target_revision=target.revision,
             version=target.version,
             fingerprint=self._quarantine_status.fingerprint if broken else "",
+            parts=self._quarantine_status.parts if broken else [],
             says_it_leaves=self._response_head is not None
             and self._response_head.leaving,
             stay_away=self._response_head.retry_after if self._response_head else 0.0,
--- a/hibiscusstep/forwarding/fingerprint.py
+++ b/hibiscusstep/forwarding/fingerprint.py
@@ -1,8 +1,8 @@
-"""hibiscusstep.forwarding.fingerprint: identifies attempts of the same request."""
+"""hibiscusstep.forwarding.fingerprint: identifies requests and parts of prompts."""
 
 import hashlib
 
-__all__ = ["fingerprint"]
+__all__ = ["fingerprint", "part_fingerprint"]
 
 _DIGEST_BYTES = 8
 
@@ -29,8 +29,33 @@
     int
         At least 1; fits a signed 64-bit integer.
     """
+    return _hash(method, host.lower(), target, customer, body=body)
+
+
+def part_fingerprint(pool: str, model: str, part: str) -> int:
+    """Return a hash of a part of a prompt, equal for all requests that have it.
+
+    Customers are not hashed, since they share parts.
+
+    Parameters
+    ----------
+    pool, model : str
+        The pool and the model that read the prompt; another model may read the same
+        part well.
+    part : str
+        ID of the part.
+
+    Returns
+    -------
+    int
+        At least 1; fits a signed 64-bit integer.
+    """
+    return _hash(pool, model, part)
+
+
+def _hash(*texts: str, body: bytes = b"") -> int:
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (method, host.lower(), target, customer):
-        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
+    for text in texts:
+        digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
     digest.update(body)
     return int.from_bytes(digest.digest(), "big") >> 1 or 1
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -12,7 +12,7 @@
 from hibiscusstep.forwarding.caller_connection import CallerConnection
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.dialect import Dialect, RequestFields
-from hibiscusstep.forwarding.fingerprint import fingerprint
+from hibiscusstep.forwarding.fingerprint import fingerprint, part_fingerprint
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
 from hibiscusstep.forwarding.model import CustomerRule, DiscoveredTarget, ForwardRoute
 from hibiscusstep.forwarding.quarantine import Quarantine
@@ -23,6 +23,8 @@
 
 __all__ = ["ForwardingContext", "IncomingRequest", "response_timeout"]
 
+# Bounds the work for a request that names many parts.
+MAX_SHARED_PARTS = 64
 # Number of route ranks within one customer rank.
 ROUTE_RANKS = 16
 
@@ -96,6 +98,12 @@
         customer = self.customer.name if self.customer else ""
         return fingerprint(request.method, host, request.raw_path, customer, self.body)
 
+    def part_fingerprints(self) -> tuple[int, ...]:
+        """Return the hashes of the parts that other requests may have too."""
+        head = self.head
+        parts = dict.fromkeys(head.shared_parts[:MAX_SHARED_PARTS])
+        return tuple(part_fingerprint(self.pool, head.model, part) for part in parts)
+
     @property
     def rank(self) -> int:
         """Priority, 0 the highest: the customer's rank, then the route's."""
--- a/hibiscusstep/forwarding/quarantine_status.py
+++ b/hibiscusstep/forwarding/quarantine_status.py
@@ -40,6 +40,15 @@
         """Fingerprint that all attempts of the request share, in hexadecimal."""
         return f"{self._fingerprint:016x}"
 
+    @cached_property
+    def _parts(self) -> tuple[int, ...]:
+        return self._incoming.part_fingerprints()
+
+    @property
+    def parts(self) -> list[str]:
+        """Fingerprints of the prompt's shared parts, in hexadecimal."""
+        return [f"{part:016x}" for part in self._parts]
+
     @property
     def is_quarantined(self) -> bool:
         """Whether the request must not be sent to any target."""
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -58,6 +58,7 @@
         deadline_ms = _parse_float(headers.get("X-Request-Deadline-Ms"))
         authorization = headers.get("Authorization", "")
         bearer = authorization[: len(_BEARER)].lower() == _BEARER
+        prompt_parts = headers.get("X-Prompt-Prefix", "")
         return RequestFields(
             request=headers.get("X-Request-Id", ""),
             key=authorization[len(_BEARER) :].strip() if bearer else "",
@@ -67,7 +68,9 @@
             expected_output=output if hint is None else min(output, int(hint)),
             declares_tokens=bool(usage),
             last_event_id=headers.get("Last-Event-Id", ""),
-            prompt_parts=headers.get("X-Prompt-Prefix", ""),
+            prompt_parts=prompt_parts,
+            shared_parts=_parse_shared_parts(prompt_parts),
+            model=headers.get("X-Model", ""),
         )
 
     def target_request_fields(self, raw, head: TargetRequestHead):
@@ -152,6 +155,12 @@
         return absent, absent
 
 
+def _parse_shared_parts(prompt_parts: str) -> tuple[str, ...]:
+    """Return the IDs of all ``ID:TOKENS`` entries but the last."""
+    *shared, _own = prompt_parts.split(",")
+    return tuple(entry.partition(":")[0].strip().lower() for entry in shared)
+
+
 def _parse_pace(load: str) -> tuple[float, str]:
     """Return the factor in ``X-Server-Load``, 0 if absent, and a malformed value.
 
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -1,8 +1,8 @@
-"""hibiscusstep.forwarding.fingerprint: identifies attempts of the same request."""
+"""hibiscusstep.forwarding.fingerprint: identifies requests and parts."""
 
 import pytest
 
-from hibiscusstep.forwarding.fingerprint import fingerprint
+from hibiscusstep.forwarding.fingerprint import fingerprint, part_fingerprint
 
 PARTS = {
     "method": "POST",
@@ -39,3 +39,17 @@
     def test_fits_a_signed_64_bit_integer(self):
         numbers = [fingerprint(**{**PARTS, "body": b"%d" % n}) for n in range(100)]
         assert all(0 < number < 1 << 63 for number in numbers)
+
+
+class TestPartFingerprint:
+    def test_is_that_of_the_part_for_one_model_in_one_pool(self):
+        one = part_fingerprint("pool", "model", "part")
+        assert one == part_fingerprint("pool", "model", "part")
+        others = {
+            part_fingerprint("other", "model", "part"),
+            part_fingerprint("pool", "other", "part"),
+            part_fingerprint("pool", "model", "other"),
+            part_fingerprint("pool", "modelpart", ""),
+        }
+        assert len(others | {one}) == 5
+        assert all(0 < number < 1 << 63 for number in others)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -149,3 +149,21 @@
         for number in range(2 * MAX_LOGGED_FIELDS):
             dialect.read_response(200, CIMultiDict({f"X-New-{number}": "1"}))
         assert len(self._logged(caplog)) == MAX_LOGGED_FIELDS
+
+
+class TestPromptParts:
+    @pytest.mark.parametrize(
+        ("field", "shared"),
+        [
+            ("", ()),
+            ("5c1e07a2:800", ()),
+            ("5c1e07a2:800,91bd3f06:410", ("5c1e07a2",)),
+            ("5C1E07A2:800, 91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            ("a,b,c", ("a", "b")),
+        ],
+    )
+    def test_all_but_the_last_are_shared(self, field, shared):
+        fields = CIMultiDict({"X-Prompt-Prefix": field, "X-Model": "m"})
+        head = PlatformDialect().read_request(fields)
+        assert (head.prompt_parts, head.shared_parts) == (field, shared)
+        assert head.model == "m"
