Detect crashes of targets while others are down

Cause: a refused connection counts as a crash only if a peer is refused too, and a peer that failed to reach any other target since its last new connection declines to tell. That guards against a partition, but targets that crash one after the other look the same. The peer's answer also hid that the direct connection was refused.

A connection that was interrupted and is refused counts as a crash now also without a peer's word if bytes of another target arrive after it. A partition that refuses ends or silences the open connections to all targets; one that only refuses new connections interrupts nothing.

The test of it was wrong: its four requests had one body, so the fourth was quarantined, and it did not wait until instances may ask each other, so it failed for other reasons than the fault. A partition of all instances still accuses nobody (new test).

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -57,6 +57,9 @@
 # request is sent to a closing connection.
 IDLE_SAFETY_MARGIN_S = 0.6
 MAX_IDLE_S = 10.0
+# Targets at work send events at shorter intervals.
+HEARD_WITHIN_S = 0.5
+HEARD_CHECK_INTERVAL_S = 0.02
 _MIN_FINAL_STATUS = 200
 
 
@@ -455,13 +458,35 @@
         A successful connection is kept as idle. Returns False if the result is unknown,
         for example in a network partition.
         """
+        started = asyncio.get_running_loop().time()
         try:
             connection = await self._connector.connect(name, address)
         except TargetError as error:
-            return error.refused and not error.in_path
+            if error.in_path:
+                # Other targets may be down as well.
+                return error.refused and await self._hears_others(name, started)
+            return error.refused
         self.keep_unused(name, connection)
         return False
 
+    async def _hears_others(self, name: str, since: float) -> bool:
+        """Wait for bytes of another target, which show that the links work."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + HEARD_WITHIN_S
+        while not self._has_heard_others(name, since):
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(HEARD_CHECK_INTERVAL_S)
+        return True
+
+    def _has_heard_others(self, name: str, since: float) -> bool:
+        return any(
+            connection.received_at > since and not connection.via
+            for other, connections in self._in_use.items()
+            if other != name
+            for connection in connections
+        )
+
     def keep_unused(self, name: str, connection: Connection) -> None:
         """Keep a connection that no request needs, for a short time."""
         connection.idle_until = elapsed() + DEFAULT_IDLE_S
--- a/hibiscusstep/forwarding/tunneling_connector.py
+++ b/hibiscusstep/forwarding/tunneling_connector.py
@@ -37,8 +37,9 @@
 
     `next_peer_at` is when the next peer is asked, `confirmations` how many peers
     did not reach the target, `error` the last of these failures, and `path_error` the
-    last failure that may be one of the path from here. `awaited_peer` is the
-    address of the peer that was asked last and has not failed.
+    last failure that may be one of the path from here. `is_refused` tells whether the
+    direct connection was refused. `awaited_peer` is the address of the peer that was
+    asked last and has not failed.
     """
 
     name: str
@@ -51,6 +52,7 @@
     confirmations: int = 0
     error: TargetError | None = None
     path_error: TargetError | None = None
+    is_refused: bool = False
     awaited_peer: str = ""
 
 
@@ -180,6 +182,8 @@
         error = task.exception()
         if not isinstance(error, TargetError):
             raise error
+        if task is race.direct:
+            race.is_refused = error.refused
         if task is race.direct or error.in_path:
             race.path_error = error
         else:
@@ -208,7 +212,7 @@
             step="connect",
             peer=race.name,
             sent=False,
-            refused=error is not None and error.refused,
+            refused=race.is_refused,
             in_path=self._paths.has_peer and self._paths.fails_elsewhere(race.name),
         )
 
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -277,6 +277,9 @@
         caplog.set_level(logging.INFO, "hibiscusstep.decision")
         site.run = run
         await site.begin(instances=2)
+        async with asyncio.timeout(BOUND_S):
+            while not all(map(self._may_ask_a_peer, site.instances)):
+                await asyncio.sleep(0.01)
         streams = [
             asyncio.create_task(site.call("/stream/", instance=number % 2))
             for number in range(8)
@@ -286,7 +289,8 @@
                 await asyncio.sleep(0.01)
         names = {f"crashing-{number}" for number in range(4)}
         for name in sorted(names):
-            await site.call("/stream/", body=b"crash", request=name)
+            body = b"crash " + name.encode()
+            await site.call("/stream/", body=body, request=name)
 
         def accused():
             crashed = [r for r in caplog.records if r.message == "target-crashed"]
@@ -299,6 +303,10 @@
             task.cancel()
         await asyncio.gather(*streams, return_exceptions=True)
 
+    def _may_ask_a_peer(self, instance):
+        relays = [m for m in instance.view.members.values() if m.accepts_tunnels]
+        return len(relays) == 2
+
 
 class TestSoundParts:
     async def test_are_not_refused_when_targets_crash_by_themselves(self, site):
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -17,7 +17,7 @@
 from test_forwarding import BOUND_S
 
 from hibiscusstep.errors import TargetError
-from hibiscusstep.forwarding.connections import USER_TIMEOUT_MS
+from hibiscusstep.forwarding.connections import HEARD_WITHIN_S, USER_TIMEOUT_MS
 from hibiscusstep.forwarding.tunnel import open_tunnel
 from hibiscusstep.peerlink import PeerLinks
 
@@ -173,6 +173,20 @@
         for instance in site.instances:
             assert not instance.quarantine.suspected_count
 
+    async def test_one_of_all_instances_accuses_none(self, site, monkeypatch):
+        """Guards against refusals that no peer can confirm and nothing contradicts."""
+        await site.begin(monkeypatch, work_s=0.5)
+        calls = [
+            asyncio.create_task(site.call("/resume/", instance=n, body=b"same"))
+            for n in range(4)
+        ]
+        await _until(lambda: len(site.runs) == 4)
+        site.network.cut(Cut.REFUSE, {0, 1, 2, 3})
+        await asyncio.gather(*calls)
+        await asyncio.sleep(2 * HEARD_WITHIN_S)
+        for instance in site.instances:
+            assert not instance.quarantine.suspected_count
+
     async def test_it_is_served_directly_after_the_partition(self, site, monkeypatch):
         await site.begin(monkeypatch, instances=2)
         site.network.cut(Cut.RESET, {1})
