Quarantine parts of prompts under which targets crash

Cause: evidence was counted by an identity finer than its cause. The fingerprint of a request hashes its whole body, so each request was suspected of one crash and nothing added up.

Parts are counted by themselves now (PartTable), with the states, messages and the stored document of requests. What differs: only runs that a target had begun to answer less than half a second before count; crashes within a quarter of a second are one event; an answer that was sent after the run that crashed clears its parts, also while it is being written; crashes count after a second, in which answers clear what sound requests share. Parts that only came together are equally suspect: a request with all of them is refused, one with some of them is tried, one at a time. One instance tries a quarantined part again after a minute and then ever more seldom.

Two tests of these cases are changed: without any sound request the common part is as suspect as the crashing one, so they send one first; they read the new count of parts.

--- a/hibiscusstep/forwarding/crash_detector.py
+++ b/hibiscusstep/forwarding/crash_detector.py
@@ -30,12 +30,18 @@
         When the request was sent to the target, on the event loop's clock.
     before_first_event : bool
         Whether the connection ended before the first event of the response.
+    ended_at : float
+        When the connection ended, on the event loop's clock.
+    parts : tuple of int
+        Fingerprints of the parts of the prompt on which the target may have crashed.
     """
 
     attempt_id: str
     fingerprint: int
     started_at: float
     before_first_event: bool
+    ended_at: float = 0.0
+    parts: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -22,6 +22,7 @@
 )
 from hibiscusstep.forwarding.quarantine_status import QuarantineStatus
 from hibiscusstep.forwarding.stream_timing import StreamTiming
+from hibiscusstep.forwarding.suspect_parts import SOUND_AFTER_S
 from hibiscusstep.log import decision
 from hibiscusstep.routing import messages as m
 
@@ -130,6 +131,7 @@
                 return self._refuse(target)
             self._attempts += 1
             self._timing.begin_attempt()
+            self._quarantine_status.begin_attempt()
             failure = await self._attempt(target)
             if failure is None:
                 return self._response
@@ -168,7 +170,7 @@
             if failure is None and _is_target_failure(target_response.message.code):
                 outcome = m.GrantOutcome.FAILED
             elif failure is None:
-                self._quarantine_status.clear_request()
+                self._quarantine_status.record_answer(self._grants.granted_at)
             if failure is _AttemptFailure.NOT_RUN:
                 self._may_have_run = may_have_run_earlier
                 if response_head.misdirected:
@@ -487,6 +489,8 @@
         """Record the time of events; report an attempt's first to the dispatcher."""
         if self._timing.record(count, self._now()):
             self._grants.report_first_event()
+        elif self._timing.seconds_since_first(self._now()) >= SOUND_AFTER_S:
+            self._quarantine_status.record_progress(self._grants.granted_at)
 
     async def _write_to_caller(
         self, target_response: TargetResponse, data: bytes
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -112,6 +112,7 @@
             Whether the request was sent to a target before.
         """
         self._is_retry = is_retry
+        self._quarantine_status.take_trial()
         while True:
             if self._quarantine_status.is_quarantined:
                 return self._quarantine_refusal()
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -98,11 +98,11 @@
         customer = self.customer.name if self.customer else ""
         return fingerprint(request.method, host, request.raw_path, customer, self.body)
 
-    def part_fingerprints(self) -> tuple[int, ...]:
-        """Return the hashes of the parts that other requests may have too."""
+    def shared_parts(self) -> dict[int, str]:
+        """Return the parts that other requests may have too, by their hashes."""
         head = self.head
-        parts = dict.fromkeys(head.shared_parts[:MAX_SHARED_PARTS])
-        return tuple(part_fingerprint(self.pool, head.model, part) for part in parts)
+        parts = head.shared_parts[:MAX_SHARED_PARTS]
+        return {part_fingerprint(self.pool, head.model, part): part for part in parts}
 
     @property
     def rank(self) -> int:
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -640,6 +640,8 @@
         metrics.set_gauge("log_lines_dropped", count_dropped_lines())
         metrics.set_gauge("requests_suspected", self._quarantine.suspected_count)
         metrics.set_gauge("requests_quarantined", self._quarantine.quarantined_count)
+        quarantined_parts = self._quarantine.quarantined_part_count
+        metrics.set_gauge("prompt_parts_quarantined", quarantined_parts)
         for kind, size in self._buffers.held_by_kind.items():
             metrics.set_gauge("held_bytes", size, kind=kind)
         hard = self._buffers.bounds.hard
--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -1,16 +1,27 @@
 """hibiscusstep.forwarding.quarantine: quarantine of requests that crash targets."""
 
 import asyncio
+import math
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.crash_detector import CrashDetector, InterruptedAttempt
 from hibiscusstep.forwarding.model import DiscoveredTarget
-from hibiscusstep.forwarding.saved_suspects import from_document, to_document
+from hibiscusstep.forwarding.saved_suspects import (
+    PARTS,
+    from_document,
+    to_document,
+)
+from hibiscusstep.forwarding.suspect_parts import (
+    MIN_TRIAL_INTERVAL_S,
+    PartTable,
+    PartVerdict,
+)
 from hibiscusstep.forwarding.suspects import (
     EARLY_WEIGHT,
     LATE_WEIGHT,
+    Suspect,
     SuspectTable,
 )
 from hibiscusstep.log import decision
@@ -33,10 +44,11 @@
     """Quarantine of requests that crash targets, shared by all instances.
 
     No instance sends a request to another target once several targets have crashed in
-    sequence while running it, because each crash interrupts every other request on that
-    target. Crash states are sent to all instances immediately, to instances that start,
-    and through relays. Quarantined requests are also written to the store, so that they
-    survive a restart of all instances.
+    sequence while running it, or while beginning to answer requests with one of its
+    parts, because each crash interrupts every other request on that target. Crash
+    states are sent to all instances immediately, to instances that start, and through
+    relays. What is quarantined is also written to the store, so that it survives a
+    restart of all instances.
 
     Parameters
     ----------
@@ -62,6 +74,9 @@
         self._store = store
         self._detector = CrashDetector(connections, self._record_crash)
         self._table = SuspectTable()
+        self._parts = PartTable()
+        self._logged_parts: frozenset[int] = frozenset()
+        self._tried_at: dict[int, float] = {}
         self._view = View(role_known=False)
         self._neighbours = Neighbours(address, links)
         self._ticks = 0
@@ -71,8 +86,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no request is suspected or was cleared recently."""
-        return not len(self._table)
+        """Whether nothing is suspected or was cleared recently."""
+        return not len(self._table) and not len(self._parts)
 
     @property
     def suspected_count(self) -> int:
@@ -84,6 +99,11 @@
         """Number of quarantined requests."""
         return len(self._table.quarantined)
 
+    @property
+    def quarantined_part_count(self) -> int:
+        """Number of quarantined parts of prompts."""
+        return len(self._parts.settled(_now()))
+
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether any crash counts against a request."""
         return self._table.is_suspected(fingerprint)
@@ -96,28 +116,65 @@
         """Return whether an instance may retry a request on another target."""
         return self._table.may_retry(fingerprint)
 
+    def may_retry_parts(self, parts: Iterable[int]) -> bool:
+        """Return whether an instance may retry a request with these parts."""
+        return all(map(self._parts.may_retry, parts))
+
+    def judge_parts(self, parts: Sequence[int]) -> PartVerdict:
+        """Return whether a request with these parts may be sent to a target."""
+        return self._parts.judge(parts, _now())
+
+    def take_trial(self, part: int) -> bool:
+        """Return whether to try a quarantined part now, with one request.
+
+        One instance tries it, and seldom: each trial may cost a target.
+        """
+        now = _now()
+        tried_at = self._tried_at.get(part, -math.inf)
+        is_due = now >= self._parts.next_trial_at(part)
+        if not is_due or now < tried_at + MIN_TRIAL_INTERVAL_S or not self._has_duty:
+            return False
+        self._tried_at[part] = now
+        return True
+
     def expires_in(self, fingerprint: int) -> float:
         """Return the seconds until a request may be served again."""
         return self._table.expires_in(fingerprint, _now())
 
+    def trial_in(self, part: int) -> float:
+        """Return the seconds until a quarantined part may be tried again."""
+        return max(0.0, self._parts.next_trial_at(part) - _now())
+
     def list_suspects(self) -> list[dict]:
         """Return all requests with crashes counted against them, for operators."""
-        now = _now()
+        return [
+            self._to_entry(suspect, self._table.is_quarantined(suspect.fingerprint))
+            for suspect in self._table.suspected
+        ]
+
+    def list_parts(self) -> list[dict]:
+        """Return all parts with crashes counted against them, for operators."""
+        quarantined = self._parts.settled(_now())
         return [
             {
-                "fingerprint": f"{suspect.fingerprint:016x}",
-                "quarantined": self._table.is_quarantined(suspect.fingerprint),
-                "seconds_since": {
-                    target: round(now - crash.crashed_at, 1)
-                    for target, crash in suspect.crashes.items()
-                },
-                "expires_in": round(
-                    self._table.expires_in(suspect.fingerprint, now), 1
-                ),
+                **self._to_entry(suspect, suspect in quarantined),
+                "trial_in": round(self.trial_in(suspect.fingerprint), 1),
             }
-            for suspect in self._table.suspected
+            for suspect in self._parts.suspected
         ]
 
+    def _to_entry(self, suspect: Suspect, is_quarantined: bool) -> dict:
+        now = _now()
+        return {
+            "fingerprint": f"{suspect.fingerprint:016x}",
+            "quarantined": is_quarantined,
+            "seconds_since": {
+                target: round(now - crash.crashed_at, 1)
+                for target, crash in suspect.crashes.items()
+            },
+            "expires_in": round(suspect.expires_in(now), 1),
+        }
+
     def record_interruption(
         self, target: DiscoveredTarget, attempt: InterruptedAttempt
     ) -> None:
@@ -130,39 +187,85 @@
         if state is None:
             return False
         decision("request-cleared", fingerprint=f"{fingerprint:016x}", why=why)
-        self._send([state], self._neighbours.addresses)
+        self._send(SuspectStates([state]), self._neighbours.addresses)
+        return True
+
+    def clear_parts(
+        self, parts: Iterable[int], began: float = math.inf, why: str = "answered"
+    ) -> bool:
+        """Clear parts of which a target writes an answer that began at a time.
+
+        Parameters
+        ----------
+        parts : iterable of int
+            Fingerprints of the parts.
+        began : float
+            When the request was sent, on the event loop's clock.
+        why : str
+            For the log.
+
+        Returns
+        -------
+        bool
+            Whether any crash counted against any of them.
+        """
+        now = _now()
+        cleared = [self._parts.clear_request(part, now, began) for part in parts]
+        states = [state for state in cleared if state is not None]
+        if not states:
+            return False
+        names = [f"{state.fingerprint:016x}" for state in states]
+        decision("parts-cleared", parts=names, why=why)
+        self._send(SuspectStates([], states), self._neighbours.addresses)
         return True
 
     def _record_crash(self, target: str, attempts: list[InterruptedAttempt]) -> None:
         now = _now()
-        states = []
-        for attempt in attempts:
-            weight = EARLY_WEIGHT if attempt.before_first_event else LATE_WEIGHT
-            was_quarantined = self.is_quarantined(attempt.fingerprint)
-            state = self._table.record_crash(
-                attempt.fingerprint, target, weight, attempt.started_at, now
+        states = [self._record_request_crash(target, a, now) for a in attempts]
+        parts = [
+            self._parts.record_part_crash(
+                part, target, attempt.started_at, attempt.ended_at, now
             )
-            if state is None:
-                continue
-            states.append(state)
-            is_quarantined_now = self.is_quarantined(attempt.fingerprint)
+            for attempt in attempts
+            for part in attempt.parts
+        ]
+        changed = SuspectStates(list(filter(None, states)), list(filter(None, parts)))
+        if changed.parts:
             decision(
-                "request-quarantined"
-                if is_quarantined_now and not was_quarantined
-                else "request-suspected",
-                request=attempt.attempt_id,
-                fingerprint=f"{attempt.fingerprint:016x}",
+                "parts-suspected",
                 target=target,
-                weight=weight,
-                crashes=dict(zip(state.targets, state.weights, strict=True)),
+                parts={f"{s.fingerprint:016x}": len(s.targets) for s in changed.parts},
             )
-        self._send(states, self._neighbours.addresses)
+        self._send(changed, self._neighbours.addresses)
+
+    def _record_request_crash(
+        self, target: str, attempt: InterruptedAttempt, now: float
+    ) -> SuspectState | None:
+        weight = EARLY_WEIGHT if attempt.before_first_event else LATE_WEIGHT
+        was_quarantined = self.is_quarantined(attempt.fingerprint)
+        state = self._table.record_crash(
+            attempt.fingerprint, target, weight, attempt.started_at, now
+        )
+        if state is None:
+            return None
+        is_quarantined_now = self.is_quarantined(attempt.fingerprint)
+        decision(
+            "request-quarantined"
+            if is_quarantined_now and not was_quarantined
+            else "request-suspected",
+            request=attempt.attempt_id,
+            fingerprint=f"{attempt.fingerprint:016x}",
+            target=target,
+            weight=weight,
+            crashes=dict(zip(state.targets, state.weights, strict=True)),
+        )
+        return state
 
     async def handle(self, message) -> None:
         """Handle a peer's crash states, a view change, a store restore or a tick."""
         match message:
-            case Received(sender=sender, message=SuspectStates(states=states)):
-                self._merge_states(states, sender)
+            case Received(sender=sender, message=SuspectStates() as received):
+                self._merge_states(received, sender)
             case ViewChanged(view=view):
                 self._apply_view(view)
             case StoreRestored():
@@ -170,15 +273,20 @@
             case Tick():
                 self._on_tick()
 
-    def _merge_states(self, states: list[SuspectState], sender: str) -> None:
+    def _merge_states(self, received: SuspectStates, sender: str) -> None:
         """Merge peer states; send new ones to peers that the sender cannot reach."""
         now = _now()
-        received = dict.fromkeys(state.fingerprint for state in states)
+        fingerprints = dict.fromkeys(state.fingerprint for state in received.states)
         previous = {
-            fingerprint for fingerprint in received if self.is_quarantined(fingerprint)
+            fingerprint
+            for fingerprint in fingerprints
+            if self.is_quarantined(fingerprint)
         }
-        changed = [state for state in states if self._table.merge(state, now)]
-        for fingerprint in received:
+        changed = SuspectStates(
+            [state for state in received.states if self._table.merge(state, now)],
+            [state for state in received.parts if self._parts.merge(state, now)],
+        )
+        for fingerprint in fingerprints:
             if fingerprint not in previous and self.is_quarantined(fingerprint):
                 decision(
                     "request-quarantined",
@@ -191,34 +299,62 @@
     def _apply_view(self, view: View) -> None:
         """Apply a view and send all states to new neighbours."""
         self._view = view
-        new = self._neighbours.apply_view(view)
-        self._send(self._table.all_states(_now()), new)
+        now, new = _now(), self._neighbours.apply_view(view)
+        states = SuspectStates(self._table.all_states(now), self._parts.all_states(now))
+        self._send(states, new)
 
-    def _send(self, states: list[SuspectState], addresses: Iterable[str]) -> None:
-        if states:
-            self._neighbours.send(SuspectStates(states), addresses)
+    def _send(self, states: SuspectStates, addresses: Iterable[str]) -> None:
+        if states.states or states.parts:
+            self._neighbours.send(states, addresses)
+
+    @property
+    def _has_duty(self) -> bool:
+        """Whether this instance writes to the store and tries quarantined parts."""
+        return self._view.role_known and self._view.has_duty(_DUTY, self._address)
 
     def _on_tick(self) -> None:
         now = _now()
         self._ticks += 1
         self._table.forget_old(now)
+        self._parts.forget_old(now)
         self._detector.forget_old(now)
+        self._log_parts(now)
         if self._ticks % RESEND_INTERVAL_TICKS == 0:
-            self._send(self._table.recent_states(now), self._neighbours.addresses)
-        is_writer = self._view.role_known and self._view.has_duty(_DUTY, self._address)
-        if is_writer and (self._store_task is None or self._store_task.done()):
+            states = SuspectStates(
+                self._table.recent_states(now), self._parts.recent_states(now)
+            )
+            self._send(states, self._neighbours.addresses)
+        if self._has_duty and (self._store_task is None or self._store_task.done()):
             # A task, so that a store that does not answer blocks no peer messages.
             self._store_task = asyncio.create_task(self._sync_with_store())
 
+    def _log_parts(self, now: float) -> None:
+        """Log the parts that were quarantined since the last tick."""
+        settled = self._parts.settled(now)
+        for suspect in settled:
+            if suspect.fingerprint not in self._logged_parts:
+                decision(
+                    "part-quarantined",
+                    part=f"{suspect.fingerprint:016x}",
+                    crashes=self._parts.weights(suspect.fingerprint),
+                )
+        self._logged_parts = frozenset(suspect.fingerprint for suspect in settled)
+
     async def _sync_with_store(self) -> None:
-        """Read the stored requests once; write them when they change."""
+        """Read what is stored once; write the quarantine when it changes."""
         if not self._is_read:
             await self._read_stored()
-        current = frozenset(s.fingerprint for s in self._table.quarantined)
+        now = _now()
+        requests, parts = self._table.quarantined, self._parts.settled(now)
+        current = frozenset(s.fingerprint for s in (*requests, *parts))
         if not self._is_read or current == self._stored_fingerprints:
             return
-        states = [self._table.state(s, _now()) for s in self._table.quarantined]
-        written = await self._store.write(to_document(states, time.time()))
+        document = to_document(
+            [self._table.state(suspect, now) for suspect in requests],
+            time.time(),
+            [self._parts.state(suspect, now) for suspect in parts],
+        )
+        written = await self._store.write(document)
         if written.is_err():
             decision("quarantine-not-kept", error=str(written.unwrap_err()))
             return
@@ -230,12 +366,21 @@
             decision("quarantine-not-read", error=str(reply.unwrap_err()))
             return
         self._is_read = True
-        states = from_document(reply.unwrap(), time.time())
+        document, time_of_day = reply.unwrap(), time.time()
+        stored = SuspectStates(
+            from_document(document, time_of_day),
+            from_document(document, time_of_day, PARTS),
+        )
+        states = (*stored.states, *stored.parts)
         self._stored_fingerprints = frozenset(state.fingerprint for state in states)
         if states:
-            decision("quarantine-read", requests=len(states))
-            self._merge_states(states, "")
-            self._send(states, self._neighbours.addresses)
+            decision(
+                "quarantine-read",
+                requests=len(stored.states),
+                parts=len(stored.parts),
+            )
+            self._merge_states(stored, "")
+            self._send(stored, self._neighbours.addresses)
 
     async def stop(self) -> None:
         """Cancel running crash checks and store calls."""
--- a/hibiscusstep/forwarding/saved_suspects.py
+++ b/hibiscusstep/forwarding/saved_suspects.py
@@ -1,55 +1,71 @@
-"""hibiscusstep.forwarding.saved_suspects: quarantined requests as a stored document."""
+"""hibiscusstep.forwarding.saved_suspects: the quarantine as a stored document."""
 
 import logging
+from collections.abc import Sequence
 
 from hibiscusstep.forwarding.suspects import CRASH_LIFETIME_S
 from hibiscusstep.peer import SuspectState
 
-__all__ = ["from_document", "to_document"]
+__all__ = ["PARTS", "REQUESTS", "from_document", "to_document"]
 
 _LOG = logging.getLogger(__name__)
-# Bounds the document's size; the latest requests to crash targets are kept, since they
-# are the likeliest to be sent again.
-MAX_STORED_REQUESTS = 200
+# Names of the lists in a document.
+REQUESTS, PARTS = "requests", "parts"
+# Bounds the document's size; the latest ones to crash targets are kept, since they are
+# the likeliest to be sent again.
+MAX_STORED_SUSPECTS = 200
 _MAX_FINGERPRINT = (1 << 63) - 1
 
 
-def to_document(states: list[SuspectState], time_of_day: float) -> dict:
-    """Return a document of quarantined requests; its times are Unix seconds.
+def to_document(
+    requests: list[SuspectState], time_of_day: float, parts: Sequence[SuspectState] = ()
+) -> dict:
+    """Return a document of quarantined requests and parts; its times are Unix seconds.
 
     Parameters
     ----------
-    states : list of SuspectState
-        States of the requests.
+    requests, parts : sequence of SuspectState
+        States of the requests and of the parts of prompts.
     time_of_day : float
         Current time in Unix seconds.
     """
-    newest = sorted(states, key=lambda state: min(state.ages, default=CRASH_LIFETIME_S))
     return {
-        "requests": [
-            {
-                "fingerprint": f"{state.fingerprint:016x}",
-                "targets": state.targets,
-                "weights": state.weights,
-                "spans": state.spans,
-                "crashed_at": [time_of_day - age for age in state.ages],
-            }
-            for state in newest[:MAX_STORED_REQUESTS]
-        ]
+        REQUESTS: _to_entries(requests, time_of_day),
+        PARTS: _to_entries(parts, time_of_day),
     }
 
 
-def from_document(document: dict | None, time_of_day: float) -> list[SuspectState]:
-    """Return the requests of a document; log an error and return none if malformed.
+def _to_entries(states: Sequence[SuspectState], time_of_day: float) -> list[dict]:
+    newest = sorted(states, key=lambda state: min(state.ages, default=CRASH_LIFETIME_S))
+    return [
+        {
+            "fingerprint": f"{state.fingerprint:016x}",
+            "targets": state.targets,
+            "weights": state.weights,
+            "spans": state.spans,
+            "crashed_at": [time_of_day - age for age in state.ages],
+        }
+        for state in newest[:MAX_STORED_SUSPECTS]
+    ]
+
+
+def from_document(
+    document: dict | None, time_of_day: float, kind: str = REQUESTS
+) -> list[SuspectState]:
+    """Return a list of a document; log an error and return none if malformed.
 
     The system clock may have been set back since: a crash in the future is dated now.
+    Documents of earlier versions have no list of parts.
     """
     if document is None:
         return []
     try:
-        return [_parse_state(entry, time_of_day) for entry in document["requests"]]
-    except (KeyError, TypeError, ValueError, OverflowError) as cause:
-        _LOG.error("kept quarantine ignored", extra={"error": repr(cause)})
+        entries = document.get(kind, []) if kind == PARTS else document[kind]
+        return [_parse_state(entry, time_of_day) for entry in entries]
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as cause:
+        _LOG.error(
+            "kept quarantine ignored", extra={"kind": kind, "error": repr(cause)}
+        )
         return []
 
 
--- a/hibiscusstep/forwarding/stream_timing.py
+++ b/hibiscusstep/forwarding/stream_timing.py
@@ -46,6 +46,10 @@
         self._last_event_at = now
         return is_first
 
+    def seconds_since_first(self, now: float) -> float:
+        """Return the seconds since the attempt's first event, 0 if there is none."""
+        return now - self._attempt_first_event_at if self.events else 0.0
+
     @property
     def decode_seconds(self) -> float:
         """Seconds between the first and the last event of the last attempt."""
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -1,12 +1,22 @@
 """hibiscusstep.forwarding.suspects: requests that were running when targets crashed."""
 
 import bisect
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from hibiscusstep.peer import SuspectState
 
-__all__ = ["CRASH_LIFETIME_S", "EARLY_WEIGHT", "LATE_WEIGHT", "Suspect", "SuspectTable"]
+__all__ = [
+    "CRASH_LIFETIME_S",
+    "EARLY_WEIGHT",
+    "LATE_WEIGHT",
+    "QUARANTINE_WEIGHT",
+    "Crash",
+    "Suspect",
+    "SuspectTable",
+    "total_weight",
+]
 
 # A target that crashes before a request's first event was more likely crashed by that
 # request than by those that had been running for a while.
@@ -34,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Crash:
+class Crash:
     """A target's crash while it ran a request.
 
     Parameters
@@ -51,6 +61,24 @@
     crashed_at: float
 
 
+def total_weight(crashes: Iterable[Crash]) -> float:
+    """Return the largest total weight of crashes whose runs did not overlap.
+
+    Of overlapping runs only one counts: an event that ends many targets at once, such
+    as a power loss, is no evidence against a request that ran on several.
+    """
+    crashes = sorted(crashes, key=lambda crash: crash.crashed_at)
+    ends = [crash.crashed_at for crash in crashes]
+    # Element i: the largest total weight among the first i crashes.
+    best = [0.0]
+    for crash in crashes:
+        before = bisect.bisect_right(
+            ends, crash.started_at + MESSAGE_DELAY_S, hi=len(best) - 1
+        )
+        best.append(max(best[-1], best[before] + crash.weight))
+    return best[-1]
+
+
 @dataclass(slots=True, eq=False)
 class Suspect:
     """A request that was running when targets crashed.
@@ -59,7 +87,7 @@
     ----------
     fingerprint : int
         Fingerprint that all attempts of the request share.
-    crashes : dict of str to _Crash
+    crashes : dict of str to Crash
         Crashes by target; an incarnation of a target crashes once.
     cleared : dict of str to None
         Targets whose crash no longer counts, in the order in which they were cleared.
@@ -68,34 +96,25 @@
     """
 
     fingerprint: int
-    crashes: dict[str, _Crash] = field(default_factory=dict)
+    crashes: dict[str, Crash] = field(default_factory=dict)
     cleared: dict[str, None] = field(default_factory=dict)
     cleared_at: float = 0.0
 
     @property
     def weight(self) -> float:
-        """Largest total weight of crashes whose runs did not overlap.
-
-        Of overlapping runs only one counts: an event that ends many targets at once,
-        such as a power loss, is no evidence against a request that ran on several.
-        """
-        crashes = sorted(self.crashes.values(), key=lambda crash: crash.crashed_at)
-        ends = [crash.crashed_at for crash in crashes]
-        # Element i: the largest total weight among the first i crashes.
-        best = [0.0]
-        for crash in crashes:
-            before = bisect.bisect_right(
-                ends, crash.started_at + MESSAGE_DELAY_S, hi=len(best) - 1
-            )
-            best.append(max(best[-1], best[before] + crash.weight))
-        return best[-1]
+        """Largest total weight of crashes whose runs did not overlap."""
+        return total_weight(self.crashes.values())
 
     @property
     def last_crash_at(self) -> float:
         """When the latest crash was, on the event loop's clock; 0 without crashes."""
         return max((crash.crashed_at for crash in self.crashes.values()), default=0.0)
 
-    def add_crash(self, target: str, crash: _Crash) -> bool:
+    def expires_in(self, now: float) -> float:
+        """Return the seconds until no crash counts any more."""
+        return max(0.0, self.last_crash_at + CRASH_LIFETIME_S - now)
+
+    def add_crash(self, target: str, crash: Crash) -> bool:
         """Add a crash and return whether it is new or weighs more than before."""
         previous = self.crashes.get(target)
         if target in self.cleared or (previous and previous.weight >= crash.weight):
@@ -107,6 +126,10 @@
             ]
         return True
 
+    def targets_before(self, began: float) -> list[str]:
+        """Return the targets whose crash was of a run that began before a time."""
+        return [t for t, crash in self.crashes.items() if crash.started_at < began]
+
     def clear(self, targets: Iterable[str], now: float) -> bool:
         """Clear the crashes of some targets and return whether any was new."""
         new = [target for target in targets if target not in self.cleared]
@@ -136,6 +159,10 @@
     def __init__(self) -> None:
         self._suspects: dict[int, Suspect] = {}
 
+    def __iter__(self) -> Iterator[Suspect]:
+        """Iterate over the known requests, including cleared ones."""
+        return iter(self._suspects.values())
+
     def __len__(self) -> int:
         """Return the number of known requests, including cleared ones."""
         return len(self._suspects)
@@ -151,6 +178,10 @@
         """Requests with at least one crash counted against them."""
         return [suspect for suspect in self._suspects.values() if suspect.crashes]
 
+    def get(self, fingerprint: int) -> Suspect | None:
+        """Return a known request, or None."""
+        return self._suspects.get(fingerprint)
+
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether any crash counts against a request."""
         suspect = self._suspects.get(fingerprint)
@@ -177,28 +208,41 @@
     def expires_in(self, fingerprint: int, now: float) -> float:
         """Return the seconds until no crash counts against a request any more."""
         suspect = self._suspects.get(fingerprint)
-        return (
-            max(0.0, suspect.last_crash_at + CRASH_LIFETIME_S - now) if suspect else 0.0
-        )
+        return suspect.expires_in(now) if suspect else 0.0
 
     def record_crash(
-        self, fingerprint: int, target: str, weight: float, began: float, now: float
+        self,
+        fingerprint: int,
+        target: str,
+        weight: float,
+        began: float,
+        now: float,
+        *,
+        crashed_at: float | None = None,
     ) -> SuspectState | None:
         """Record a target's crash while it ran a request sent to it at `began`.
 
+        It crashed now unless `crashed_at` is given.
+
         Returns
         -------
         SuspectState or None
             The request's new state, to send to peers; None if it did not change.
         """
         suspect = self._get_or_create(fingerprint)
-        changed = suspect.add_crash(target, _Crash(weight, began, now))
+        at = now if crashed_at is None else crashed_at
+        changed = suspect.add_crash(target, Crash(weight, began, at))
         return self.state(suspect, now) if changed else None
 
-    def clear_request(self, fingerprint: int, now: float) -> SuspectState | None:
-        """Clear a request that a target answered; see `record_crash`."""
+    def clear_request(
+        self, fingerprint: int, now: float, began: float = math.inf
+    ) -> SuspectState | None:
+        """Clear a request that a target answered; see `record_crash`.
+
+        Crashes of runs that began at `began` or later still count.
+        """
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.clear(list(suspect.crashes), now):
+        if suspect is None or not suspect.clear(suspect.targets_before(began), now):
             return None
         return self.state(suspect, now)
 
@@ -210,7 +254,7 @@
         for target, weight, span, age in rows:
             if 0 <= age < CRASH_LIFETIME_S:
                 at = now - age
-                changed |= suspect.add_crash(target, _Crash(weight, at - span, at))
+                changed |= suspect.add_crash(target, Crash(weight, at - span, at))
         if not suspect.crashes and not suspect.cleared:
             del self._suspects[state.fingerprint]
         return changed
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -73,7 +73,9 @@
   1: i64 fingerprint, 2: list<string> targets, 3: list<double> weights,
   4: list<double> spans, 5: list<double> ages, 6: list<string> cleared
 }
-struct SuspectStates { 1: list<SuspectState> states }
+struct SuspectStates {
+  1: list<SuspectState> states, 2: list<SuspectState> parts
+}
 struct RolloutRecord {
   1: string pool, 2: string version, 3: i64 revision, 4: bool removed,
   5: double duration, 6: string state, 7: string state_version, 8: i64 number,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -533,12 +533,12 @@
 
 @dataclass(slots=True)
 class SuspectState:
-    """A request that was running on targets when they crashed.
+    """A request, or a part of prompts, that targets were running when they crashed.
 
     Parameters
     ----------
     fingerprint : int
-        Hash that is equal for all attempts at the request.
+        Hash that is equal for all attempts at the request, or all uses of the part.
     targets : list of str
         Targets whose crash is attributed to the request.
     weights, spans, ages : list of float
@@ -558,9 +558,16 @@
 
 @dataclass(slots=True)
 class SuspectStates:
-    """The sender's records of requests that may have crashed targets."""
+    """The sender's records of requests and parts that may have crashed targets.
+
+    Parameters
+    ----------
+    states, parts : list of SuspectState
+        Requests, and parts of their prompts.
+    """
 
     states: list[SuspectState]
+    parts: list[SuspectState] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -179,7 +179,10 @@
         (5, "list<double>", "ages"),
         (6, "list<string>", "cleared"),
     ),
-    "SuspectStates": ((1, "list<SuspectState>", "states"),),
+    "SuspectStates": (
+        (1, "list<SuspectState>", "states"),
+        (2, "list<SuspectState>", "parts"),
+    ),
     "RolloutRecord": (
         (1, "string", "pool"),
         (2, "string", "version"),
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -18,6 +18,8 @@
 from platform_standin import TargetStandIn, chunk, event, stream_head
 from test_forwarding import BOUND_S, Site
 
+from hibiscusstep.forwarding import quarantine, suspect_parts
+
 COMMON, BAD = "c0c0c0c0", "bad0bad0"
 DOWN_S = 2.0
 DEADLINE_MS = 3000
@@ -218,6 +220,7 @@
         await site.begin(instances=1)
         statuses = await send_bad(site, 12)
         assert statuses[-1] == 503
+        assert await site.send([COMMON, "a1"]) == 200
         status, fields, body = await site.call(
             "/stream/", **{"X-Prompt-Prefix": f"{COMMON}:1,{BAD}:1,f:1", "X-Model": "m"}
         )
@@ -227,6 +230,17 @@
         assert problem["part"] == BAD
         assert 0 < float(fields["Retry-After"]) <= 60
 
+    async def test_is_served_again_once_it_does_no_harm(self, site, monkeypatch):
+        """One request tries it; its answer clears the part at all instances."""
+        for module in (quarantine, suspect_parts):
+            monkeypatch.setattr(module, "MIN_TRIAL_INTERVAL_S", 1.0)
+        await site.begin(instances=2)
+        await send_bad(site, 12)
+        site.bad = set()
+        async with asyncio.timeout(BOUND_S):
+            while set(await send_bad(site, 2)) != {200}:
+                pass
+
     async def test_is_known_to_a_new_instance(self, site):
         await site.begin(instances=2)
         await send_bad(site, 12)
@@ -246,7 +260,7 @@
             await site.end_instance(number)
         await site.add_instance()
         async with asyncio.timeout(BOUND_S):
-            while not site.instances[2].quarantine.quarantined_count:
+            while not site.instances[2].quarantine.quarantined_part_count:
                 await asyncio.sleep(0.01)
         assert set(await send_bad(site, 3, instances=[2])) == {503}
         assert len(site.crashes) == crashes
@@ -254,6 +268,7 @@
     async def test_an_operator_can_list_and_clear_it(self, site):
         await site.begin(instances=1)
         await send_bad(site, 12)
+        assert await site.send([COMMON, "a1"]) == 200
         url = f"http://{site.instances[0].metrics_address}/quarantine"
         async with site.session.get(url) as response:
             parts = (await response.json())["parts"]
@@ -261,7 +276,7 @@
         assert len(entry["seconds_since"]) >= 3
         async with site.session.delete(f"{url}/{entry['fingerprint']}") as response:
             assert response.status == 204
-        assert not site.instances[0].quarantine.quarantined_count
+        assert not site.instances[0].quarantine.quarantined_part_count
 
 
 class TestCrashesOfSeveralTargets:
@@ -318,7 +333,8 @@
             random.Random(len(site.crashes)).choice(running).crash()
         results = await load
         assert len(site.crashes) >= 8
-        assert not sum(i.quarantine.quarantined_count for i in site.instances)
+        counts = [i.quarantine.quarantined_part_count for i in site.instances]
+        assert counts == [0] * 3
         assert sum(status == 200 for _at, status in results) > 0.8 * len(results)
 
     async def test_that_only_came_with_a_crashing_one_are_served(self, site):
