Quarantine a part of prompts from the fifth crash on, without a delay

Hypothesis: three crashes, settled for a second, are too little where many targets crash by themselves.

Five crashes, a quarter of a second apart, need no delay, since an answer clears what sound requests share within that time; the rule is simpler and costs as many targets (five instead of three and those of the next second). A quarantined part is tried after 30 s instead of 60 s.

--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable
 
 from hibiscusstep.forwarding.connections import ConnectionPool
 from hibiscusstep.forwarding.crash_detector import CrashDetector, InterruptedAttempt
@@ -102,7 +102,7 @@
     @property
     def quarantined_part_count(self) -> int:
         """Number of quarantined parts of prompts."""
-        return len(self._parts.settled(_now()))
+        return len(self._parts.quarantined)
 
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether any crash counts against a request."""
@@ -120,9 +120,9 @@
         """Return whether an instance may retry a request with these parts."""
         return all(map(self._parts.may_retry, parts))
 
-    def judge_parts(self, parts: Sequence[int]) -> PartVerdict:
+    def judge_parts(self, parts: Collection[int]) -> PartVerdict:
         """Return whether a request with these parts may be sent to a target."""
-        return self._parts.judge(parts, _now())
+        return self._parts.judge(parts)
 
     def take_trial(self, part: int) -> bool:
         """Return whether to try a quarantined part now, with one request.
@@ -154,10 +154,11 @@
 
     def list_parts(self) -> list[dict]:
         """Return all parts with crashes counted against them, for operators."""
-        quarantined = self._parts.settled(_now())
         return [
             {
-                **self._to_entry(suspect, suspect in quarantined),
+                **self._to_entry(
+                    suspect, self._parts.is_quarantined(suspect.fingerprint)
+                ),
                 "trial_in": round(self.trial_in(suspect.fingerprint), 1),
             }
             for suspect in self._parts.suspected
@@ -318,7 +319,7 @@
         self._table.forget_old(now)
         self._parts.forget_old(now)
         self._detector.forget_old(now)
-        self._log_parts(now)
+        self._log_parts()
         if self._ticks % RESEND_INTERVAL_TICKS == 0:
             states = SuspectStates(
                 self._table.recent_states(now), self._parts.recent_states(now)
@@ -328,24 +329,24 @@
             # A task, so that a store that does not answer blocks no peer messages.
             self._store_task = asyncio.create_task(self._sync_with_store())
 
-    def _log_parts(self, now: float) -> None:
+    def _log_parts(self) -> None:
         """Log the parts that were quarantined since the last tick."""
-        settled = self._parts.settled(now)
-        for suspect in settled:
+        quarantined = self._parts.quarantined
+        for suspect in quarantined:
             if suspect.fingerprint not in self._logged_parts:
                 decision(
                     "part-quarantined",
                     part=f"{suspect.fingerprint:016x}",
                     crashes=self._parts.weights(suspect.fingerprint),
                 )
-        self._logged_parts = frozenset(suspect.fingerprint for suspect in settled)
+        self._logged_parts = frozenset(s.fingerprint for s in quarantined)
 
     async def _sync_with_store(self) -> None:
         """Read what is stored once; write the quarantine when it changes."""
         if not self._is_read:
             await self._read_stored()
         now = _now()
-        requests, parts = self._table.quarantined, self._parts.settled(now)
+        requests, parts = self._table.quarantined, self._parts.quarantined
         current = frozenset(s.fingerprint for s in (*requests, *parts))
         if not self._is_read or current == self._stored_fingerprints:
             return
--- a/hibiscusstep/forwarding/suspect_parts.py
+++ b/hibiscusstep/forwarding/suspect_parts.py
@@ -5,16 +5,10 @@
 begins to write an answer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
-from hibiscusstep.forwarding.suspects import (
-    EARLY_WEIGHT,
-    QUARANTINE_WEIGHT,
-    Suspect,
-    SuspectTable,
-    total_weight,
-)
+from hibiscusstep.forwarding.suspects import EARLY_WEIGHT, SuspectTable, total_weight
 from hibiscusstep.peer import SuspectState
 
 __all__ = ["SOUND_AFTER_S", "PartTable", "PartVerdict"]
@@ -24,12 +18,12 @@
 # Crashes within this time count once: a power loss ends many targets at once, and
 # requests with a common part run on all of them.
 SAME_EVENT_S = 0.25
-# Crashes count after this time only, in which answers of other requests clear the parts
-# that these share with a crashing request.
-SETTLE_S = 1.0
+# More than for a request, which an answer clears sooner: with fewer, seldom parts of
+# sound requests were refused where many targets crashed by themselves.
+PART_QUARANTINE_WEIGHT = 5.0
 # A quarantined part is tried again after this time, and then after as long as it has
 # been known to crash targets.
-MIN_TRIAL_INTERVAL_S = 60.0
+MIN_TRIAL_INTERVAL_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +35,8 @@
     refused : int
         Fingerprint of the part for which the request is refused; 0 if it is not.
     trial : int
-        Fingerprint of a quarantined part on which another one may throw light: the
-        request may run, but not beside another request with the part; 0 for none.
+        Fingerprint of a quarantined part on which the request may throw light: it may
+        run, but not beside another request with the part; 0 for none.
     """
 
     refused: int = 0
@@ -56,6 +50,8 @@
     contrary. Parts that came together in all crashes are equally suspect.
     """
 
+    quarantine_weight = PART_QUARANTINE_WEIGHT
+
     def record_part_crash(
         self, part: int, target: str, began: float, crashed_at: float, now: float
     ) -> SuspectState | None:
@@ -81,35 +77,27 @@
             part, target, EARLY_WEIGHT, began, now, crashed_at=crashed_at
         )
 
-    def settled(self, now: float) -> list[Suspect]:
-        """Return the quarantined parts."""
-        return [suspect for suspect in self if _is_settled(suspect, now)]
-
-    def judge(self, parts: Iterable[int], now: float) -> PartVerdict:
+    def judge(self, parts: Collection[int]) -> PartVerdict:
         """Return whether a request with these parts may be sent.
 
         A part is no reason to refuse a request if quarantined parts that the request
         does not have explain too many of its crashes.
         """
-        held = [
-            suspect
-            for suspect in map(self.get, parts)
-            if suspect is not None and _is_settled(suspect, now)
-        ]
+        held = [part for part in parts if self.is_quarantined(part)]
         if not held:
             return PartVerdict()
         explained = {
             target
-            for suspect in self.settled(now)
+            for suspect in self.quarantined
             if suspect.fingerprint not in parts
             for target in suspect.crashes
         }
-        for suspect in held:
-            unexplained = suspect.crashes.keys() - explained
-            crashes = [suspect.crashes[target] for target in unexplained]
-            if total_weight(crashes) >= QUARANTINE_WEIGHT:
-                return PartVerdict(refused=suspect.fingerprint)
-        return PartVerdict(trial=held[0].fingerprint)
+        for part in held:
+            crashes = self.get(part).crashes
+            unexplained = [crashes[target] for target in crashes.keys() - explained]
+            if total_weight(unexplained) >= self.quarantine_weight:
+                return PartVerdict(refused=part)
+        return PartVerdict(trial=held[0])
 
     def next_trial_at(self, part: int) -> float:
         """Return when a quarantined part may be tried again, on the loop's clock."""
@@ -119,12 +107,3 @@
         first = min(crash.crashed_at for crash in suspect.crashes.values())
         last = suspect.last_crash_at
         return last + max(MIN_TRIAL_INTERVAL_S, last - first)
-
-
-def _is_settled(suspect: Suspect, now: float) -> bool:
-    """Whether crashes that are old enough suffice to quarantine a part."""
-    if len(suspect.crashes) < QUARANTINE_WEIGHT:
-        return False
-    crashes = suspect.crashes.values()
-    settled = [crash for crash in crashes if crash.crashed_at <= now - SETTLE_S]
-    return total_weight(settled) >= QUARANTINE_WEIGHT
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -2,7 +2,7 @@
 
 import bisect
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from hibiscusstep.peer import SuspectState
@@ -11,7 +11,6 @@
     "CRASH_LIFETIME_S",
     "EARLY_WEIGHT",
     "LATE_WEIGHT",
-    "QUARANTINE_WEIGHT",
     "Crash",
     "Suspect",
     "SuspectTable",
@@ -154,15 +153,18 @@
 
     An answer clears a request at all instances. Without that, frequent requests that
     occasionally ran beside a crash were eventually refused.
+
+    Attributes
+    ----------
+    quarantine_weight : float
+        Total weight of crashes from which on a request is sent to no target.
     """
 
+    quarantine_weight = QUARANTINE_WEIGHT
+
     def __init__(self) -> None:
         self._suspects: dict[int, Suspect] = {}
 
-    def __iter__(self) -> Iterator[Suspect]:
-        """Iterate over the known requests, including cleared ones."""
-        return iter(self._suspects.values())
-
     def __len__(self) -> int:
         """Return the number of known requests, including cleared ones."""
         return len(self._suspects)
@@ -171,7 +173,7 @@
     def quarantined(self) -> list[Suspect]:
         """Quarantined requests, which are not sent to any target."""
         suspects = self._suspects.values()
-        return [s for s in suspects if s.weight >= QUARANTINE_WEIGHT]
+        return [s for s in suspects if s.weight >= self.quarantine_weight]
 
     @property
     def suspected(self) -> list[Suspect]:
@@ -189,7 +191,7 @@
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request must not be sent to any target."""
-        return self._weight(fingerprint) >= QUARANTINE_WEIGHT
+        return self._weight(fingerprint) >= self.quarantine_weight
 
     def may_retry(self, fingerprint: int) -> bool:
         """Return whether an instance may retry a request on another target."""
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -273,7 +273,7 @@
         async with site.session.get(url) as response:
             parts = (await response.json())["parts"]
         (entry,) = [part for part in parts if part["quarantined"]]
-        assert len(entry["seconds_since"]) >= 3
+        assert len(entry["seconds_since"]) >= 5
         async with site.session.delete(f"{url}/{entry['fingerprint']}") as response:
             assert response.status == 204
         assert not site.instances[0].quarantine.quarantined_part_count
