Soak: parts of prompts that crash targets

Requests with one part under which each target ends, thirty in twelve seconds at random instances, beside sound ones that share the common part. The ledger checks that three at most come later than five seconds after the fifth crash, and that no sound request is refused for a part.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 
 from soak_environment import (  # noqa: E402
     CRASH_FIELD,
+    CRASHING_PART,
     LEAVING_FIELD,
     LIMIT_FIELD,
     POOL,
@@ -43,6 +44,7 @@
 KINDS = ("safe", "once", "resume", "stream")
 CUSTOMERS = {"key-one": "one", "key-uno": "one", "key-two": "two", "key-none": ""}
 FORGED_FIELDS = {"X-Tenant": "forged", "X-Target-Instance": "forged", "X-Hold": "h"}
+COMMON_PART = "common:60"
 CALLER_TIMEOUT_S = 20.0
 DEADLINE_MS = 4000
 # Callers that read slowly pause between reads; some take nothing for longer than the
@@ -123,6 +125,7 @@
             "X-Kind": kind,
             "X-Request-Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Bearer {key}",
+            "X-Prompt-Prefix": f"{COMMON_PART},{name}:10",
             **(FORGED_FIELDS if self._rng.random() < 0.2 else {}),
         }
         # A proxy would take the responses of callers that do not read.
@@ -305,31 +308,45 @@
 
     async def _crashing_request(self, span):
         """Send a request that crashes targets repeatedly, to random instances."""
-        replacing = asyncio.create_task(self._world.replace_crashed(span / 4))
         name = f"crash{len(self.timeline)}"
+        await self._crash_repeatedly(span, name, lambda _number: {CRASH_FIELD: name})
+
+    async def _crashing_part(self, span):
+        """Send different requests with a part that crashes targets."""
+        name = f"{CRASHING_PART}{len(self.timeline)}"
+
+        def fields(number):
+            return {"X-Prompt-Prefix": f"{COMMON_PART},{name}:60,{number}:10"}
+
+        await self._crash_repeatedly(span, name, fields)
+
+    async def _crash_repeatedly(self, span, name, fields):
+        replacing = asyncio.create_task(self._world.replace_crashed(span / 4))
         try:
             async with aiohttp.ClientSession() as session:
                 for number in range(CRASHING_CALLS):
-                    await self._send_crashing(session, name, number)
+                    await self._send_crashing(session, name, number, fields(number))
                     await asyncio.sleep(CRASHING_PAUSE_S)
         finally:
             replacing.cancel()
             await self._world.replace_all_crashed()
 
-    async def _send_crashing(self, session, name, number):
+    async def _send_crashing(self, session, name, number, crashing_fields):
         instance = self._instance()
         fields = {
             "Host": "h.example",
             "X-Request-Id": f"{name}-{number}",
             "Authorization": "Bearer key-one",
             "X-Request-Deadline-Ms": "2000",
-            CRASH_FIELD: name,
+            **crashing_fields,
         }
+        # Requests that share a part have different bodies.
+        body = name if CRASH_FIELD in fields else f"{name}-{number}"
         url = f"http://{instance.caller_address}/once/{name}"
         with contextlib.suppress(OSError, TimeoutError, aiohttp.ClientError):
             async with (
                 asyncio.timeout(2.0),
-                session.post(url, headers=fields, data=name.encode()) as response,
+                session.post(url, headers=fields, data=body.encode()) as response,
             ):
                 await response.read()
 
@@ -411,6 +428,7 @@
     )  # fmt: skip
     WITH_ROLLOUTS = (*NEWEST_KINDS, _rollout, _rollout, _rollout)
     WITH_LIMITS = (*WITH_ROLLOUTS, *[_names_limit] * 5)
+    WITH_PARTS = (*WITH_LIMITS, *[_crashing_part] * 3)
 
 
 async def soak(
@@ -504,7 +522,7 @@
                 folder,
                 instances,
                 seconds,
-                kinds=Faults.WITH_LIMITS,
+                kinds=Faults.WITH_PARTS,
                 slow_callers=slow_callers,
             )
         )
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -26,6 +26,8 @@
 POOL = "pool-a"
 # Crashes the target that receives it; the value identifies the request.
 CRASH_FIELD = "x-crash"
+# Shared parts of prompts that crash the targets that answer them begin so.
+CRASHING_PART = "bad"
 LEAVING_FIELD = "Server-Leaving"
 LIMIT_FIELD = "Server-Limit"
 LOAD_FIELD = "X-Server-Load"
@@ -83,6 +85,11 @@
             self._ledger.crashes[fields[CRASH_FIELD]].append(time.monotonic())
             self._ledger.crashed.add(self.name)
             return ["crash"]
+        for part in _shared_parts(fields):
+            if part.startswith(CRASHING_PART):
+                self._ledger.part_crashes[part].append(time.monotonic())
+                self._ledger.crashed.add(self.name)
+                return ["crash"]
         hit = self.fault and self._rng.random() < 0.4
         if hit and self.fault == "shed":
             return answer(fields, b"", status=503, sealed=False, not_run=True)
@@ -177,6 +184,11 @@
         return fields.get("x-kind") in ("resume", "stream")
 
 
+def _shared_parts(fields):
+    parts = fields.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 class Instance:
     """Process of an instance, with its settings and proxies to callers and store."""
 
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -20,6 +20,8 @@
 # Later than this after its third crash, a request may crash few further targets.
 QUARANTINE_SPREAD_S = 5.0
 MAX_LATE_CRASHES = 3
+# The same for a part of prompts, after its fifth crash.
+CRASHES_OF_PART = 5
 # A rolled-back version gets no requests after this time; five seconds are promised.
 ROLLBACK_S = 5.0
 
@@ -84,6 +86,9 @@
     late_requests: list[str] = field(default_factory=list)
     # Times of target crashes, by the request that caused them.
     crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    part_crashes: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     # Time at which an instance first forwarded that a target leaves, by process and
     # start of the target.
     leaving_forwarded_at: dict[tuple[int, str], float] = field(default_factory=dict)
@@ -113,17 +118,21 @@
         processes = {name: result.process for name, result in self.results.items()}
         lines += self.limits.findings(processes)
         for request, times in self.crashes.items():
-            lines += self._check_crashes(request, sorted(times))
+            lines += self._check_crashes(request, sorted(times), 3)
+        for part, times in self.part_crashes.items():
+            lines += self._check_crashes(part, sorted(times), CRASHES_OF_PART)
         for name, runs in self.runs.items():
             lines += self._check_runs(name, runs)
         for name, result in self.results.items():
             lines += self._check_answer(name, result)
         return lines
 
-    def _check_crashes(self, request, times):
-        late = [at for at in times[3:] if at > times[2] + QUARANTINE_SPREAD_S]
+    def _check_crashes(self, name, times, count):
+        late = [
+            at for at in times[count:] if at > times[count - 1] + QUARANTINE_SPREAD_S
+        ]
         if len(late) > MAX_LATE_CRASHES:
-            yield f"{request}: {len(late)} late crashes after the third of {len(times)}"
+            yield f"{name}: {len(late)} late crashes after {count} of {len(times)}"
 
     def record_answer(self, process, target, sent_at, now, leaves):
         """Record an answer of a target; report it if its request was sent too late."""
@@ -156,6 +165,8 @@
         runs = self.runs.get(name, [])
         if result.status in NOT_RUN_STATUSES and runs:
             yield f"{name}: status {result.status}, but it ran"
+        if result.status == 503 and b'"part"' in result.body:
+            yield f"{name}: refused for a part that crashes no target"
         if result.status == 401 and result.customer:
             yield f"{name}: status 401 for a valid key from {result.where}"
         if result.status == 404:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -99,6 +99,23 @@
         assert not findings, faults_run
 
 
+class TestSoakOfCrashingParts:
+    """Parts of prompts that crash targets, with other faults."""
+
+    KINDS = (
+        Faults._crashing_part, Faults._crashing_part, Faults._kill, Faults._term,
+        Faults._pause, Faults._store_down,
+    )  # fmt: skip
+
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [801, 802])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        findings, faults_run = await soak(
+            seed, tmp_path, 3, seconds=4.0, faults=5, callers=6, kinds=self.KINDS
+        )
+        assert not findings, faults_run
+
+
 class TestSoakOfRollouts:
     """Rollouts of good and bad versions of the pool, with other faults."""
 
