--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -2,7 +2,7 @@
 
 Usage: worker.py JSON, with the keys id, service, address, zone, version, slots, store,
 heartbeat_ms, stride, event_ms and record (a file, one JSON line for each thing seen);
-crash_part may name a part of prompts on which the worker crashes as it begins to write.
+crash_body may be the body of a request that crashes the worker with its first event.
 
 It follows the pages: it echoes X-Request-Id, signs with X-Response-Seal, answers 421 to
 a request for another worker, goes on behind Last-Event-Id, stops at the deadline that it
@@ -140,11 +140,6 @@
             after=request.fields.get("last-event-id", ""),
         )
         ended = "left"
-        shared = request.fields.get("x-prompt-prefix", "").split(",")[:-1]
-        if self.s.get("crash_part") in [part.partition(":")[0] for part in shared]:
-            await asyncio.sleep(self.s["event_ms"] / 1000)
-            self.record("crashes", request=name, run=run)
-            os._exit(1)
         try:
             if usage:
                 ended = await self.stream(request, run, fields, deadline, writer)
@@ -184,6 +179,10 @@
             text = f"id: {number}\ndata: {json.dumps(data)}\n\n".encode()
             writer.write(chunk(text))
             await writer.drain()
+            if request.body == self.s.get("crash_body", "").encode() != b"":
+                await asyncio.sleep(0.005)  # The event leaves the machine.
+                self.record("crashes", request=name, run=run)
+                os._exit(1)
         writer.write(chunk(b""))
         return "whole"
 
