Log which stream an attempt resumes, and after which event

The attempt line has `resumed_after` and `resumed_request` beside the target's `version`; Resumes is read for the first time.

--- a/hibiscusstep/forwarding/dialect.py
+++ b/hibiscusstep/forwarding/dialect.py
@@ -41,6 +41,9 @@
         IDs of the parts that other requests may have too: all but the last.
     model : str
         Name of the model, "" if not declared.
+    resumed_request : str
+        The caller's id of the attempt that received the first event of the stream that
+        resumes, "" if not declared.
     """
 
     request: str
@@ -54,6 +57,7 @@
     prompt_parts: str = ""
     shared_parts: tuple[str, ...] = ()
     model: str = ""
+    resumed_request: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -92,6 +92,8 @@
         self._response_head: TargetResponseHead | None = None
         self._framing = ""
         self._incomplete_bytes = 0
+        # Id of the event after which the last attempt resumed the stream.
+        self._resumed_after = ""
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
         self._grants = GrantClient(incoming, context, self._quarantine_status)
 
@@ -151,6 +153,7 @@
         connection = None
         self._response_head = None
         self._framing, self._incomplete_bytes = "", 0
+        self._resumed_after = self._splitter.last_id
         self._caller_waits = CallerWaits()
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
@@ -264,6 +267,8 @@
             due_in=round(self._incoming.due - self._incoming.received, 3),
             max_pause=self._incoming.route.max_pause,
             events=self._splitter.count,
+            resumed_after=self._resumed_after,
+            resumed_request=self._incoming.head.resumed_request,
             last_event=self._splitter.last_id,
             framing=self._framing,
             incomplete=self._incomplete_bytes,
--- a/hibiscusstep/platform/headers.py
+++ b/hibiscusstep/platform/headers.py
@@ -71,6 +71,7 @@
             prompt_parts=prompt_parts,
             shared_parts=_parse_shared_parts(prompt_parts),
             model=headers.get("X-Model", ""),
+            resumed_request=",".join(headers.getall("Resumes", ())),
         )
 
     def target_request_fields(self, raw, head: TargetRequestHead):
