Continue a broken stream only at the version that began it

Cause: the retry of a stream asked for a grant like a new request. The exchange knew the version of the target that wrote the first event and forgot it, and neither the message to the dispatcher nor its queue had a place for it, so the dispatcher chose among the targets of the current version.

Change: the first bytes of a response bind it to the version of their target. Requests for further grants carry the version. The dispatcher keeps them beside its queue, so that they neither block others nor count as work for all targets, grants targets of that version only (also if it receives no new requests, within the budget if it is in its rollout), and refuses them at once when none is left or the version was rolled back. The instance compares the version of the target that it was granted with its own list before it sends. The response is then reset, so that its caller sees that it is incomplete.

Ruled out: the choice among targets (it was right for a new request), the unordered end of the old targets (two killed at once while the order ran joined streams too).

A message without the field means no condition, as from an older build.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -94,6 +94,8 @@
         self._incomplete_bytes = 0
         # Id of the event after which the last attempt resumed the stream.
         self._resumed_after = ""
+        # Software version of the last attempt's target.
+        self._target_version = ""
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
         self._grants = GrantClient(incoming, context, self._quarantine_status)
 
@@ -154,6 +156,7 @@
         self._response_head = None
         self._framing, self._incomplete_bytes = "", 0
         self._resumed_after = self._splitter.last_id
+        self._target_version = target.version
         self._caller_waits = CallerWaits()
         outcome = m.GrantOutcome.CANCELLED
         started = self._now()
@@ -504,6 +507,7 @@
             response = web.StreamResponse(status=target_response.message.code)
             self._copy_fields(target_response, response)
             self._response = response
+            self._grants.bound_version = self._target_version
             await self._await_caller(self._incoming.caller.begin_stream(response))
         if len(data) > WINDOW_BYTES:
             await self._write_in_pieces(data)
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -78,6 +78,8 @@
         Time of the last grant, on the loop's clock.
     connection : Connection or None
         The connection on which the granted request was sent.
+    bound_version : str or None
+        Software version that began the response; only its targets may continue it.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self._pace_received_at = 0.0
         self.granted_at = 0.0
         self.connection: Connection | None = None
+        self.bound_version: str | None = None
 
     def avoid(self, target: DiscoveredTarget) -> int:
         """Prefer other targets from now on; return how many are avoided."""
@@ -126,8 +129,8 @@
                 self.release_grant(m.GrantOutcome.UNUSED)
                 return self._quarantine_refusal()
             target = self._context.targets.get(reply.target)
-            if target is None:
-                # The dispatcher already knows a target that is not yet known here.
+            if target is None or not self._is_of_bound_version(target):
+                # The dispatcher knows another state of the pool's targets.
                 self.release_grant(m.GrantOutcome.UNUSED)
                 self._avoid.append(reply.target)
                 if len(self._avoid) > MAX_UNKNOWN_TARGETS:
@@ -145,6 +148,9 @@
                 return Refusal(QUOTA_RETRY_S, "customer quota exceeded", 429)
             return target
 
+    def _is_of_bound_version(self, target: DiscoveredTarget) -> bool:
+        return self.bound_version in (None, target.version)
+
     def _accepts_work(self, target: DiscoveredTarget) -> bool:
         """Whether a target accepts work by its latest state; else release the grant."""
         if target.leaving:
@@ -225,6 +231,7 @@
             resting=self._names_to_avoid(),
             route=incoming.route.name,
             memory_tokens=head.prompt_tokens + head.output_tokens,
+            bound_version=self.bound_version,
         )
         grant_request = GrantRequest(
             incoming.pool,
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -534,7 +534,9 @@
             pool, self.bounds.exposure, coordinator.completion_lead_s
         )
         return PlannedVersions(
-            version_table.serving_versions(pool, present_versions), planned
+            version_table.serving_versions(pool, present_versions),
+            planned,
+            version_table.rejected_version(pool),
         )
 
     def _apply_peer_configuration(self, value: bytes) -> None:
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -21,10 +21,21 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedVersions:
-    """A pool's current versions (empty: all may serve) and its order in progress."""
+    """A pool's current versions and its order.
+
+    Parameters
+    ----------
+    serving : frozenset of str
+        Current versions; empty if all may serve.
+    rollout : PlannedRollout or None
+        Order in progress.
+    rejected : str or None
+        Version whose order was rolled back.
+    """
 
     serving: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
+    rejected: str | None = None
 
 
 class Planner:
@@ -63,7 +74,10 @@
         for name in pools if versions else ():
             planned = versions(name, present_versions[name])
             pools[name] = replace(
-                pools[name], current_versions=planned.serving, rollout=planned.rollout
+                pools[name],
+                current_versions=planned.serving,
+                rollout=planned.rollout,
+                rejected_version=planned.rejected,
             )
         rejection_limits = _rejection_limits(targets.values())
         for name, target in targets.items():
--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -224,6 +224,13 @@
         several = len({*seen, *self._discovered.get(pool, ())}) > 1
         return NO_VERSIONS if several else frozenset()
 
+    def rejected_version(self, pool: str) -> str | None:
+        """Return the version whose order was rolled back; None if there is none."""
+        entry = self._pools.get(pool)
+        if entry is None or entry.order is None or not entry.is_rejected:
+            return None
+        return entry.order.version
+
     def barred_versions(self, pool: str) -> frozenset[str]:
         """Return the versions of a pool that are neither current nor ordered."""
         entry = self._pools[pool]
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -7,7 +7,8 @@
   9: double deadline_in, 10: double waited, 11: bool stoppable,
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
   15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect,
-  19: list<string> resting, 20: string route, 21: i64 memory_tokens
+  19: list<string> resting, 20: string route, 21: i64 memory_tokens,
+  22: string bound_version
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -85,4 +85,5 @@
         tuple(info.resting),
         info.route,
         info.memory_tokens,
+        info.bound_version,
     )
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -73,6 +73,7 @@
     resting: list[str] = field(default_factory=list)
     route: str = ""
     memory_tokens: int = 0
+    bound_version: str | None = None
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -52,6 +52,8 @@
         Current versions, whose targets receive requests; empty if all targets do.
     rollout : PlannedRollout or None
         A rollout that moves its traffic to another version.
+    rejected_version : str or None
+        The version whose rollout was rolled back; None if there is none.
     fair_shares : bool
         Whether its customers share each rank by weight.
     planned_returns : bool
@@ -69,6 +71,7 @@
     targets: dict[str, PlannedTarget] = field(default_factory=dict)
     current_versions: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
+    rejected_version: str | None = None
     fair_shares: bool = False
     planned_returns: bool = False
     customer_weights: dict[str, float] = field(default_factory=dict)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -62,7 +62,8 @@
     late on an idle target too, or is larger than the memory of a target.
     `CUSTOMER_LIMIT`: its customer has too many waiting requests. `NO_TARGET`: no target
     accepts requests. `UNAVAILABLE`: its tier is not known, or part of the system cannot
-    be reached.
+    be reached. `VERSION_GONE`: it continues a stream, and no target of the version that
+    began the stream accepts requests.
     """
 
     LOAD = "load"
@@ -72,6 +73,7 @@
     CUSTOMER_LIMIT = "customer-limit"
     NO_TARGET = "no-target"
     UNAVAILABLE = "unavailable"
+    VERSION_GONE = "version-gone"
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,9 @@
         Name of the route.
     memory_tokens : int
         Maximum tokens that it takes of a target's memory; 0 if not known.
+    bound_version : str or None
+        Software version that began the stream that it continues; None if any may run
+        it.
     """
 
     ask: str
@@ -139,6 +144,7 @@
     avoided_by_backoff: tuple[str, ...] = ()
     route: str = ""
     memory_tokens: int = 0
+    bound_version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -5,8 +5,10 @@
 slots.
 """
 
+import itertools
 import math
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
 from hibiscusstep.rollout.controller import Rollout
@@ -65,6 +67,8 @@
 REGISTRATION_S = 5.0
 # No request is refused while this share of the slots is free and a target suits it.
 FREE_SHARE_WITHOUT_REFUSALS = 0.5
+# Retry-After of a refused request that continues a stream.
+CONTINUATION_RETRY_AFTER_S = 0.5
 # A host counts as slow above this multiple of the usual time.
 SLOW_HOST_FACTOR = 1.5
 
@@ -137,6 +141,10 @@
         self._standby_instance = standby_instance
         self._switches = switches
         self._queue = SlotQueue()
+        # Requests that continue a stream, which only targets of its version may run.
+        # They are not in the queue: they neither delay the requests in it nor count as
+        # work for all targets.
+        self._continuations: dict[str, m.Work] = {}
         # None where customers do not share the ranks.
         self._shares: FairShares | None = None
         self._refused_requests = RefusedRequests()
@@ -189,8 +197,10 @@
 
     @property
     def waiting(self) -> dict[str, int]:
-        """Number of queued requests by tier."""
-        return self._queue.count_by_tier
+        """Number of waiting requests by tier."""
+        waiting = Counter(self._queue.count_by_tier)
+        waiting.update(work.tier for work in self._continuations.values())
+        return dict(waiting)
 
     @property
     def learned_estimates(self) -> m.LearnedEstimates | None:
@@ -248,11 +258,14 @@
 
     def instances_waiting(self) -> set[str]:
         """Return the instances with queued requests."""
-        return {work.instance for work in self._queue}
+        return {work.instance for work in self._waiting_requests()}
 
     def is_undecided(self, ask: str) -> bool:
-        """Return whether a request is queued."""
-        return ask in self._queue
+        """Return whether a request waits."""
+        return ask in self._queue or ask in self._continuations
+
+    def _waiting_requests(self) -> Iterator[m.Work]:
+        return itertools.chain(self._queue, self._continuations.values())
 
     def summary(self, now: float) -> dict:
         """Return a short summary of the queue and of each target's state."""
@@ -270,6 +283,8 @@
         return summary
 
     def _make_decisions(self, message, now: float) -> None:
+        if self._continuations:
+            self._serve_continuations(now)
         if isinstance(message, m.RequestGrant) and not self._capacity.limited_count:
             self._schedule_new(message.work.ask, now)
         elif isinstance(message, m.RequestGrant):
@@ -294,12 +309,16 @@
 
     def _enqueue(self, message: m.RequestGrant, now: float) -> None:
         work = message.work
-        if work.ask in self._queue:
+        if self.is_undecided(work.ask):
             return
         self.counts.asked += 1
         if self._memory.exceeded_by(work):
             self._refuse_impossible(work)
             return
+        version = work.bound_version
+        if version is not None and not self._partition.serves_only(version):
+            self._continuations[work.ask] = work
+            return
         if self._return_plan:
             self._enqueue_planned(work, now)
             return
@@ -530,7 +549,11 @@
         return initial_tokens(self._standby_instance, target.name)
 
     def _instance_gone(self, message: m.InstanceGone, now: float) -> None:
-        gone = [work.ask for work in self._queue if work.instance == message.instance]
+        gone = [
+            work.ask
+            for work in self._waiting_requests()
+            if work.instance == message.instance
+        ]
         running = self._grant_monitor.grants_of_instance(message.instance)
         self._remember_removed(running, now)
         for ask in (*gone, *running):
@@ -664,6 +687,52 @@
         for work in [w for w in self._queue if self._memory.exceeded_by(w)]:
             self._refuse_impossible(work)
 
+    def _serve_continuations(self, now: float) -> None:
+        """Grant the requests that continue streams, or refuse them.
+
+        A stream whose version has no target left cannot be completed, so its caller is
+        told at once.
+        """
+        for work in list(self._continuations.values()):
+            if not self._may_continue(work.bound_version):
+                self._refuse_continuation(work, m.RefusalReason.VERSION_GONE)
+            elif target := self._choose_for_continuation(work, now):
+                self._grant(work, target, [target], now)
+            elif now >= work.deadline:
+                self._refuse_continuation(work, m.RefusalReason.LOAD)
+
+    def _may_continue(self, version: str) -> bool:
+        """Return whether a target may continue the streams of a version."""
+        return self._partition.is_open(version) and any(
+            target.version == version and not target.leaving
+            for target in self._targets.values()
+        )
+
+    def _choose_for_continuation(self, work: m.Work, now: float) -> SlotTarget | None:
+        """Return a target of the version that began a stream; None if none is free."""
+        if self._queue and self._queue[0].rank < work.rank:
+            return None
+        limit = math.ceil(self.capacity_share * self._partition.slots(now))
+        if self.is_standby and len(self._target_by_ask) >= limit:
+            return None
+        free = [
+            target
+            for target in self._targets.values()
+            if target.version == work.bound_version
+            and target.usable(now)
+            and now >= target.next_start_at
+            and target.available_slots(now) > 0
+            and self._partition.may_expose(target)
+        ]
+        free = self._permitted(work, free)
+        need = self._memory_need(work, now)
+        free = free if need is None else need.select(free)
+        if not free:
+            return None
+        # It does not wait for a target that is less busy.
+        overdue = replace(work, first_token_due=0.0, deadline=now)
+        return self._selector.choose(overdue, free, [], now)
+
     def _schedule(self, now: float) -> None:
         """Grant queued requests in order; some may wait for a better target."""
         if not self._queue:
@@ -862,6 +931,7 @@
 
     def _grant(self, work: m.Work, target: SlotTarget, free, now: float) -> None:
         self._queue.remove(work.ask)
+        self._continuations.pop(work.ask, None)
         self._memory.forget(work.ask)
         if self._memory.has_waiting:
             self._memory.record_grant(work, self._ranks_before_memory(now))
@@ -1016,6 +1086,12 @@
             )
         )
 
+    def _refuse_continuation(self, work: m.Work, reason: m.RefusalReason) -> None:
+        """Refuse a request that continues a stream."""
+        del self._continuations[work.ask]
+        self.counts.refused += 1
+        self._decisions.append(m.Refuse(work, reason, CONTINUATION_RETRY_AFTER_S))
+
     def _refuse_impossible(self, work: m.Work) -> None:
         """Refuse a request that fits no target; a retry would be refused as well."""
         self._queue.remove(work.ask)
@@ -1028,6 +1104,7 @@
 
     def _remove_request(self, ask: str, now: float) -> None:
         self._queue.remove(ask)
+        self._continuations.pop(ask, None)
         self._attempts.pop(ask, None)
         self._memory.forget(ask)
         self._grant_monitor.forget(ask)
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -58,6 +58,8 @@
         # Index of each target that is not barred.
         self._index_by_target: dict[str, TargetIndex] = {}
         self._serving_versions: frozenset[str] = frozenset()
+        # Versions that receive nothing, not even streams that began there.
+        self._closed_versions: frozenset[str] = frozenset()
         self._reported = False
         self.serving = TargetIndex()
         self.rollout: Rollout | None = None
@@ -76,6 +78,10 @@
         """Apply the current versions and the rollout, before targets are assigned."""
         self._serving_versions = pool.current_versions
         planned = None if self._is_standby else pool.rollout
+        closed = {pool.rejected_version}
+        if self._is_standby and pool.rollout:
+            closed.add(pool.rollout.version)
+        self._closed_versions = frozenset(closed - {None}) - pool.current_versions
         if planned is None:
             self.rollout = None
         elif self.rollout and self.rollout.planned.number == planned.number:
@@ -178,6 +184,24 @@
         ends = now + self._selector.duration_bound(target, work, now)
         return ends < planned.deadline - planned.lead_s
 
+    def serves_only(self, version: str) -> bool:
+        """Return whether all new requests go to a version."""
+        return self.rollout is None and self._serving_versions == {version}
+
+    def is_open(self, version: str) -> bool:
+        """Return whether streams that began at a version may continue there.
+
+        They may at a version that receives no new requests, since no other version can
+        continue them. One that was rolled back receives nothing, and a standby
+        dispatcher cannot count what a version in its rollout receives.
+        """
+        return version not in self._closed_versions
+
+    def may_expose(self, target: SlotTarget) -> bool:
+        """Return whether the rollout's budget permits another request at a target."""
+        is_canary = self._roles.get(target.name) is _Role.CANARY
+        return not is_canary or self.rollout is None or self.rollout.may_expose()
+
     def record_grant(self, target: SlotTarget) -> None:
         """Count a granted request for the rollout."""
         if self.rollout:
@@ -192,6 +216,8 @@
             return
         if run.work.suspect or run.adopted or finished.in_path:
             return
+        if self._roles.get(target.name) is _Role.BARRED:
+            return
         answer = AnswerSample(
             target.name,
             run.work.route,
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -30,6 +30,7 @@
         (19, "list<string>", "resting"),
         (20, "string", "route"),
         (21, "i64", "memory_tokens"),
+        (22, "string", "bound_version"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -102,6 +102,15 @@
         """Return the status of a pool's rollout order; empty if there is none."""
         return self.objects.get(("rollouts", pool), {}).get("Status") or {}
 
+    def end_rollout(self, pool: str, version: str, state: str) -> None:
+        """Write the final status of a rollout order."""
+        item = copy.deepcopy(self.objects["rollouts", pool])
+        self.revision += 1
+        item["Metadata"]["Revision"] = self.revision
+        item["Status"] = {"State": state, "To": version}
+        self.objects["rollouts", pool] = item
+        self._append_event("rollouts", False, item)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self.objects.pop((kind, name))
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscusstep.rollout.budget import ExposureLimits
+from hibiscusstep.rollout.controller import PlannedRollout
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
@@ -566,3 +568,104 @@
         assert _grants(dispatcher.handle(m.RequestGrant(short), 0.1)) == {"c": "t1"}
         done = m.Finished("a", m.GrantOutcome.DONE, 10, 0.1)
         assert _grants(dispatcher.handle(done, 0.3)) == {"b": "t0"}
+
+
+class TestContinuations:
+    """Requests that continue a stream run only at the version that began it."""
+
+    def _dispatcher(self, **pool_options):
+        targets = {
+            "old0": PlannedTarget(1, version="v1"),
+            "old1": PlannedTarget(1, version="v1"),
+            "new": PlannedTarget(4, version="v2"),
+        }
+        options = {"current_versions": frozenset({"v2"})} | pool_options
+        pool = PlannedPool(True, targets=targets, **options)
+        dispatcher = SlotDispatcher("p", DispatchPlan({"p": pool}))
+        dispatcher.handle(m.Recovered(), 0.0)
+        return dispatcher
+
+    def _continuation(self, ask, version="v1", **fields):
+        return replace(_work(ask, **fields), bound_version=version)
+
+    def test_are_granted_targets_of_their_version(self):
+        dispatcher = self._dispatcher()
+        granted = {}
+        for ask in ("a", "b", "c"):
+            message = m.RequestGrant(self._continuation(ask))
+            granted |= _grants(dispatcher.handle(message, 0.0))
+        assert sorted(granted.values()) == ["old0", "old1"]
+        assert dispatcher.is_undecided("c")
+        assert dispatcher.instances_waiting() == {"i"}
+        done = m.Finished("a", m.GrantOutcome.DONE, 10)
+        assert _grants(dispatcher.handle(done, 0.1)) == {"c": granted["a"]}
+
+    def test_do_not_delay_requests_that_other_targets_can_run(self):
+        dispatcher = self._dispatcher()
+        for ask in ("a", "b", "c", "d"):
+            dispatcher.handle(m.RequestGrant(self._continuation(ask)), 0.0)
+        assert _grants(dispatcher.handle(m.RequestGrant(_work("e")), 0.0)) == {
+            "e": "new"
+        }
+
+    def test_are_refused_at_once_without_a_target_of_their_version(self):
+        dispatcher = self._dispatcher()
+        work = self._continuation("a", "v0")
+        (refusal,) = dispatcher.handle(m.RequestGrant(work), 0.0)
+        assert (refusal.work, refusal.reason) == (work, m.RefusalReason.VERSION_GONE)
+        assert not dispatcher.is_undecided("a")
+
+    def test_are_refused_at_their_deadline(self):
+        dispatcher = self._dispatcher()
+        for ask in ("a", "b", "c"):
+            work = self._continuation(ask, deadline=1.0)
+            dispatcher.handle(m.RequestGrant(work), 0.0)
+        (refusal,) = dispatcher.handle(m.TimePassed(), 1.0)
+        assert (refusal.work.ask, refusal.reason) == ("c", m.RefusalReason.LOAD)
+
+    def test_go_after_requests_of_higher_ranks(self):
+        dispatcher = self._dispatcher()
+        for ask in "abcd":
+            dispatcher.handle(m.RequestGrant(_work(ask)), 0.0)
+        dispatcher.handle(m.RequestGrant(_work("high", rank=0)), 0.0)
+        low = self._continuation("low", "v2", rank=1)
+        assert dispatcher.handle(m.RequestGrant(low), 0.0) == []
+        done = m.Finished("a", m.GrantOutcome.DONE, 10)
+        assert _grants(dispatcher.handle(done, 0.1)).keys() == {"high"}
+
+    def test_do_not_go_on_at_a_version_that_was_rolled_back(self):
+        dispatcher = self._dispatcher(rejected_version="v1")
+        message = m.RequestGrant(self._continuation("a"))
+        (refusal,) = dispatcher.handle(message, 0.0)
+        assert refusal.reason is m.RefusalReason.VERSION_GONE
+
+    @pytest.mark.parametrize("event", ["withdrawn", "instance gone"])
+    def test_are_dropped(self, event):
+        dispatcher = self._dispatcher()
+        for ask in ("a", "b", "c"):
+            dispatcher.handle(m.RequestGrant(self._continuation(ask)), 0.0)
+        gone = m.Withdraw("c") if event == "withdrawn" else m.InstanceGone("i")
+        dispatcher.handle(gone, 0.1)
+        assert dispatcher.waiting == {}
+
+    def test_are_queued_with_the_others_where_one_version_serves(self):
+        dispatcher = self._dispatcher()
+        for ask in "abcd":
+            dispatcher.handle(m.RequestGrant(_work(ask)), 0.0)
+        dispatcher.handle(m.RequestGrant(_work("first")), 0.0)
+        second = self._continuation("second", "v2", received=0.1)
+        dispatcher.handle(m.RequestGrant(second), 0.1)
+        done = m.Finished("a", m.GrantOutcome.DONE, 10)
+        assert _grants(dispatcher.handle(done, 0.2)).keys() == {"first"}
+
+    def test_count_as_requests_of_a_version_in_its_rollout(self):
+        """A continuation at a new version uses the budget like any other request."""
+        rollout = PlannedRollout("v1", 1, 60.0, 0.3, False, ExposureLimits(0.0, 2.0))
+        dispatcher = self._dispatcher(rollout=rollout)
+        granted = {}
+        for ask in ("a", "b", "c"):
+            message = m.RequestGrant(self._continuation(ask))
+            granted |= _grants(dispatcher.handle(message, 0.0))
+            dispatcher.handle(m.Finished(ask, m.GrantOutcome.DONE, 10), 0.0)
+        assert dispatcher.rollout.progress.exposed == len(granted)
+        assert len(granted) < 3
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,185 @@
+"""Guards against streams that hold events of two software versions.
+
+When a rollout completed, the targets of the version before stopped at once. The streams
+that ran there went on at targets of the new version, in the same response or when their
+callers resumed them.
+"""
+
+import asyncio
+
+import pytest
+from platform_standin import TargetStandIn, chunk, event, stream_head
+from test_forwarding import BOUND_S, Site
+
+POOL = "pool-a"
+EVENTS = 4
+# Event after which a stream of the first version waits.
+PAUSED_AFTER = 1
+
+
+def _events_from(fields):
+    after = fields.get("last-event-id")
+    return range(int(after) + 1 if after else 0, EVENTS)
+
+
+def _event_of(version, number):
+    return event(number).replace(b"piece", version.encode())
+
+
+class VersionSite(Site):
+    """A region whose targets write their version into each event.
+
+    The streams of targets whose names begin with "old" wait after some events, until
+    `released`.
+    """
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.released = asyncio.Event()
+        self.paused = asyncio.Event()
+        # Version and resumed event of each request at a target.
+        self.sent = []
+
+    def target(self, name, version):
+        def script(_number, fields, _body):
+            self.sent.append((version, fields.get("last-event-id", "")))
+            return self._stream(name, version, fields)
+
+        return TargetStandIn(name, script, version=version)
+
+    def _stream(self, name, version, fields):
+        yield stream_head(fields)
+        for number in _events_from(fields):
+            yield chunk(_event_of(version, number))
+            while (
+                name.startswith("old")
+                and number == PAUSED_AFTER
+                and not self.released.is_set()
+            ):
+                self.paused.set()
+                yield 0.01
+        yield chunk(b"")
+
+    async def start_pool(self, old=2, new=2, instances=1):
+        await self.start(*(self.target(f"old{n}", "v1") for n in range(old)))
+        for n in range(new):
+            await self.add_target(self.target(f"new{n}", "v2"))
+        for _ in range(1, instances):
+            await self.add_instance()
+        await self.until(
+            lambda: all(
+                i.view.size == instances and len(i.targets) == old + new
+                for i in self.instances
+            )
+        )
+
+    async def until(self, condition):
+        async with asyncio.timeout(BOUND_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def begin(self, request="begun", instance=0, **fields):
+        """Send a request; return the task of its call."""
+        call = self.call("/resume/", request=request, instance=instance, **fields)
+        return asyncio.create_task(call)
+
+    async def begin_at_old_version(self, instance=0):
+        """Begin a stream and wait until it pauses at the first version."""
+        begun = self.begin(instance=instance)
+        await asyncio.wait_for(self.paused.wait(), BOUND_S)
+        return begun
+
+    async def end_rollout(self, version="v2", state="completed"):
+        """Write an order, end it, and wait until all instances know both."""
+        self.store.order_rollout(POOL, version, 60.0)
+        await self.until_order(lambda order: order.version == version)
+        self.store.end_rollout(POOL, version, state)
+        await self.until_order(lambda order: order.is_concluded)
+
+    async def until_order(self, condition):
+        """Wait until all instances know an order that meets a condition."""
+        await self.until(
+            lambda: all(
+                (order := i._rollouts.version_table[POOL].order) is not None
+                and condition(order)
+                for i in self.instances
+            )
+        )
+
+    def end_targets(self, *names):
+        """End targets; their entries are removed."""
+        for target in self.targets:
+            if target.name in names:
+                target.crash()
+                self.store.remove("servers", target.name)
+
+    def versions_sent_to(self):
+        return [version for version, _after in self.sent]
+
+
+@pytest.fixture
+async def site(tmp_path, monkeypatch):
+    site = VersionSite(tmp_path, monkeypatch)
+    yield site
+    await site.stop()
+
+
+class TestOneResponse:
+    """Guards against a retry of a stream at another version than the one it began at.
+
+    Eight streams of a rollout held events of both versions and looked complete.
+    """
+
+    async def test_is_broken_off_when_its_version_is_gone(self, site):
+        await site.start_pool()
+        begun = await site.begin_at_old_version()
+        await site.end_rollout()
+        site.end_targets("old0", "old1")
+        _status, _fields, body = await begun
+        assert body is None
+        assert "v2" not in site.versions_sent_to()
+
+    async def test_goes_on_at_its_version_when_that_serves_no_new_requests(self, site):
+        await site.start_pool()
+        begun = await site.begin_at_old_version()
+        await site.end_rollout()
+        site.released.set()
+        running = next(target for target in site.targets if target.open)
+        site.end_targets(running.name)
+        _status, _fields, body = await begun
+        assert body == b"".join(_event_of("v1", number) for number in range(EVENTS))
+        assert site.sent == [("v1", ""), ("v1", str(PAUSED_AFTER))]
+
+    async def test_is_broken_off_at_a_version_that_was_rolled_back(self, site):
+        """A bad version receives nothing more, not even a stream that began there."""
+        await site.start_pool()
+        begun = await site.begin_at_old_version()
+        await site.end_rollout()
+        await site.end_rollout("v1", "rolled_back")
+        running = next(target for target in site.targets if target.open)
+        site.end_targets(running.name)
+        _status, _fields, body = await begun
+        assert body is None
+        assert site.versions_sent_to() == ["v1"]
+
+    async def test_is_not_bound_before_its_first_event(self, site):
+        """An attempt without an event says nothing of the version."""
+        await site.start_pool(old=0, new=0)
+
+        def wait_and_reset(*_):
+            while not site.released.is_set():
+                yield 0.01
+            yield "reset"
+
+        first = TargetStandIn("a", wait_and_reset, version="v1")
+        await site.add_target(first)
+        await site.until(lambda: len(site.instances[0].targets) == 1)
+        await site.add_target(site.target("b", "v2"))
+        await site.until(lambda: len(site.instances[0].targets) == 2)
+        begun = site.begin()
+        await asyncio.wait_for(first.arrived.wait(), BOUND_S)
+        await site.end_rollout()
+        site.released.set()
+        status, _fields, body = await begun
+        assert status == 200
+        assert body == b"".join(_event_of("v2", number) for number in range(EVENTS))
