Let callers resume a stream only at the version that began it

Cause: Resumes was read nowhere, and no part of the system knew at which version the stream had begun: the request was granted like a new one.

Change: the dispatcher of a pool makes all grants, so it knows the version of each stream without a message more. Instances hand their own entries over when they register with a new dispatcher, and while streams of several versions may be resumed, a dispatcher sends its new entries to the two instances that would succeed it each quarter of a second: the streams of its own callers would be known to nobody else after its end. A request that names no known stream goes on while only one version can have begun it (VersionHistory), and is refused unrun otherwise; a standby dispatcher lets it wait for the pool's dispatcher first.

--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -17,6 +17,7 @@
     Refused,
     RequestEnded,
 )
+from hibiscusstep.hosted_dispatcher import to_stream_groups
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Call, Tick, Worker
 from hibiscusstep.membership.mesh import ViewChanged
@@ -41,6 +42,7 @@
 from hibiscusstep.peerlink import LinkLost, Send
 from hibiscusstep.routing.messages import RefusalReason
 from hibiscusstep.routing.return_plan import EARLY_TOLERANCE_S, LATE_TOLERANCE_S
+from hibiscusstep.routing.stream_versions import StreamVersions
 
 __all__ = ["DispatchClient"]
 
@@ -98,7 +100,7 @@
     the running requests, even if it is on this instance. `held_reported` is whether the
     last `PoolHeld` listed any running request. `places` are the places of callers that
     were refused here, and those used by callers that were granted a target here, by
-    identity.
+    identity. `streams` are the versions of the streams of this instance's callers.
     """
 
     dispatcher: Member | None = None
@@ -111,6 +113,7 @@
     running: dict[str, _TrackedRequest] = field(default_factory=dict)
     held_reported: bool = False
     places: dict[int, _KeptPlace] = field(default_factory=dict)
+    streams: StreamVersions = field(default_factory=StreamVersions)
 
     def keep_place(self, place: _KeptPlace, now: float) -> None:
         """Keep a place until it is over; a new dispatcher needs it."""
@@ -289,7 +292,11 @@
             self._keep_used_place(state, tracked)
         tracked.target = grant.target
         state.running[grant.ask] = tracked
-        tracked.call.reply(Granted(grant.ask, grant.target))
+        if grant.version is not None:
+            stream = tracked.grant_request.work.stream
+            now = asyncio.get_running_loop().time()
+            state.streams.record(stream, grant.version, now)
+        tracked.call.reply(Granted(grant.ask, grant.target, grant.version))
 
     def _handle_refusal(self, refusal: PoolRefuse) -> None:
         state = self._pool_state(refusal.pool)
@@ -482,6 +489,7 @@
             [self._work_info(ask, tracked) for ask, tracked in state.running.items()],
             [tracked.target for tracked in state.running.values()],
             self._places(state, now),
+            to_stream_groups(state.streams.by_version()),
         )
         self._send(pool, message)
 
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
@@ -21,6 +22,7 @@
     HostedDispatcher,
     to_estimates,
     to_place,
+    to_stream_groups,
     to_work,
 )
 from hibiscusstep.log import decision
@@ -40,15 +42,18 @@
     PoolRefuse,
     PoolRegister,
     PoolStop,
+    PoolStreams,
     PoolWithdraw,
     Received,
     StatusAsk,
     StatusReply,
+    StreamGroup,
 )
 from hibiscusstep.peerlink import Send
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.return_plan import Attempt, PlaceCounts
+from hibiscusstep.routing.stream_versions import StreamVersions
 from hibiscusstep.target import get_client_class
 
 if TYPE_CHECKING:
@@ -60,6 +65,10 @@
 IDLE_TICK_S = 0.5
 STATE_LOG_INTERVAL_S = 2.0
 ROLLOUT_REPORT_INTERVAL_S = 0.5
+# Seconds between the messages about new streams to the possible successors.
+STREAMS_INTERVAL_S = 0.25
+# Instances that receive these messages: one of them takes over unless all end at once.
+SUCCESSORS = 2
 # A new dispatcher decides after this time even if not every instance has registered:
 # a paused instance must not delay the others.
 RECOVERY_TIMEOUT_S = 0.3
@@ -155,6 +164,7 @@
         self._view = View()
         self._configuration: Configuration | None = None
         self._hosted: dict[str, HostedDispatcher] = {}
+        self._stream_versions: dict[str, StreamVersions] = defaultdict(StreamVersions)
 
     @property
     def tick_interval(self) -> float:
@@ -185,6 +195,8 @@
                 self._handle_estimates(estimates_message)
             case PoolLearnt() as estimates_message:
                 self._handle_restored(estimates_message)
+            case Received(message=PoolStreams(pool=pool, streams=streams)):
+                self._record_streams(pool, streams)
             case Received(sender=sender, message=body):
                 self._handle_pool_message(sender, body)
             case _PolledLoad(pool=pool, report=report):
@@ -276,6 +288,7 @@
             self._drop_unreachable_instances(hosted, now)
             self._feed(hosted, m.TimePassed())
             self._send_keepalives(hosted, now)
+            self._send_streams(hosted, now)
             self._report_rollout(hosted, now)
             if (
                 hosted.state_logged_at + STATE_LOG_INTERVAL_S <= now
@@ -377,6 +390,40 @@
             if address:
                 self._send(address, keepalive)
 
+    def _send_streams(self, hosted: HostedDispatcher, now: float) -> None:
+        """Send the streams that callers may resume to those that may take over.
+
+        They cannot be learned from this instance after its end, and those of its own
+        callers from no other one.
+        """
+        if now < hosted.streams_sent_at + STREAMS_INTERVAL_S:
+            return
+        hosted.streams_sent_at = now
+        new, hosted.new_streams = hosted.new_streams, {}
+        if not hosted.dispatcher.may_mix_versions(now):
+            hosted.streams_sent_to = frozenset()
+            return
+        pool = hosted.dispatcher.pool_name
+        new_streams = defaultdict(list)
+        for stream, version in new.items():
+            new_streams[version].append(stream)
+        successors = self._view.successors(pool, self._own_name, SUCCESSORS)
+        for member in successors:
+            is_known = member.incarnation in hosted.streams_sent_to
+            streams = (
+                new_streams if is_known else self._stream_versions[pool].by_version()
+            )
+            if streams:
+                message = PoolStreams(pool, to_stream_groups(streams))
+                self._links.tell(Send(member.peer_address, message))
+        hosted.streams_sent_to = frozenset(member.incarnation for member in successors)
+
+    def _record_streams(self, pool: str, groups: list[StreamGroup]) -> None:
+        now = asyncio.get_running_loop().time()
+        for group in groups:
+            for stream in group.streams:
+                self._stream_versions[pool].record(stream, group.version, now)
+
     def _standby_dispatcher(self, pool: str) -> HostedDispatcher | None:
         """Return the pool's standby dispatcher, created on demand; None if disabled."""
         if not self._has_standby or self._configuration is None:
@@ -387,6 +434,7 @@
                     pool, self._configuration, standby_instance=self._own_name
                 )
             )
+            hosted.dispatcher.stream_versions = self._stream_versions[pool]
             self._standby_hosted[pool] = hosted
             if pool in self._estimates:
                 self._feed(hosted, self._estimates[pool])
@@ -449,6 +497,7 @@
         if body.places:
             places = tuple(to_place(info, now) for info in body.places)
             self._feed(hosted, m.ImportPlaces(places))
+        self._record_streams(body.pool, body.streams)
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
         if hosted is self._standby_hosted.get(body.pool):
@@ -529,6 +578,7 @@
             )
             if self._polls_load:
                 hosted.poller = asyncio.create_task(self._poll_load_reports(pool))
+            dispatcher.stream_versions = self._stream_versions[pool]
             dispatcher.set_limit_share(_limit_share(self._view), hosted.created_at)
             self._hosted[pool] = hosted
             if pool in self._estimates:
@@ -585,10 +635,14 @@
                 fields |= _limited_field(action) | _share_field(action)
                 fields |= _attempt_field(action)
                 fields |= _memory_field(action)
+                fields |= _stream_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
+                if work.stream and action.version is not None:
+                    hosted.new_streams[work.stream] = action.version
                 waited = now - work.received_at
-                used_place = action.used_place
-                grant = PoolGrant(pool, work.ask, target, waited, used_place)
+                grant = PoolGrant(
+                    pool, work.ask, target, waited, action.used_place, action.version
+                )
                 self._send(address, grant)
             case m.Refuse(reason=reason, retry_after=retry_after):
                 fields |= _limited_field(action) | _share_field(action)
@@ -655,3 +709,10 @@
     """Return the log field for a target's memory if more than half is in use."""
     tokens = action.memory_tokens
     return {"memory_tokens": tokens} if tokens else {}
+
+
+def _stream_field(action: m.Grant) -> dict[str, str]:
+    """Return the version if the request continues a stream, which depends on it."""
+    work = action.work
+    continues = work.resumes or work.bound_version is not None
+    return {"version": action.version or ""} if continues else {}
--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -31,6 +31,13 @@
 # instance without a connection to the store receives new targets from its peers, later.
 MAX_UNKNOWN_TARGETS = 3
 UNKNOWN_TARGET_RETRY_AFTER_S = 0.5
+_CONTINUATION_TITLE = "This stream cannot be continued"
+_CONTINUATION_DETAILS = {
+    m.RefusalReason.VERSION_GONE: "No target of the software version that began it"
+    " accepts requests. The request has to be sent again from its beginning.",
+    m.RefusalReason.VERSION_UNKNOWN: "It is not known which of several software"
+    " versions began it.",
+}
 # Time without a byte after which the path of an overdue request is checked.
 SILENT_AFTER_S = 0.5
 
@@ -123,13 +130,13 @@
                 return Refusal(seconds, "all targets asked this instance to back off")
             reply = await self._request_grant()
             if isinstance(reply, Refused):
-                return Refusal(reply.retry_after, str(reply.reason))
+                return self._to_refusal(reply)
             if self._quarantine_status.is_quarantined:
                 # Other attempts at this request crashed targets during the wait.
                 self.release_grant(m.GrantOutcome.UNUSED)
                 return self._quarantine_refusal()
             target = self._context.targets.get(reply.target)
-            if target is None or not self._is_of_bound_version(target):
+            if target is None or not self._may_continue_at(target, reply):
                 # The dispatcher knows another state of the pool's targets.
                 self.release_grant(m.GrantOutcome.UNUSED)
                 self._avoid.append(reply.target)
@@ -148,8 +155,21 @@
                 return Refusal(QUOTA_RETRY_S, "customer quota exceeded", 429)
             return target
 
-    def _is_of_bound_version(self, target: DiscoveredTarget) -> bool:
-        return self.bound_version in (None, target.version)
+    def _to_refusal(self, refused: Refused) -> Refusal:
+        problem = None
+        if refused.reason in _CONTINUATION_DETAILS:
+            labels = {"pool": self._incoming.pool, "reason": str(refused.reason)}
+            self._context.metrics.streams_not_continued.inc(labels)
+            detail = _CONTINUATION_DETAILS[refused.reason]
+            problem = {"title": _CONTINUATION_TITLE, "detail": detail}
+        return Refusal(refused.retry_after, str(refused.reason), problem=problem)
+
+    def _may_continue_at(self, target: DiscoveredTarget, granted: Granted) -> bool:
+        """Whether a target is of the version that began the stream, if it has begun."""
+        version = self.bound_version
+        if version is None and self._incoming.resumes:
+            version = granted.version
+        return version in (None, target.version)
 
     def _accepts_work(self, target: DiscoveredTarget) -> bool:
         """Whether a target accepts work by its latest state; else release the grant."""
@@ -232,6 +252,8 @@
             route=incoming.route.name,
             memory_tokens=head.prompt_tokens + head.output_tokens,
             bound_version=self.bound_version,
+            stream=incoming.stream,
+            resumes=incoming.resumes,
         )
         grant_request = GrantRequest(
             incoming.pool,
--- a/hibiscusstep/forwarding/incoming_request.py
+++ b/hibiscusstep/forwarding/incoming_request.py
@@ -91,6 +91,29 @@
         parts = (customer, self.request.raw_path, head.prompt_parts, lengths)
         return xxhash.xxh64_intdigest("\0".join(parts).encode()) >> 1
 
+    @property
+    def stream(self) -> int:
+        """Hash by which the caller may later resume the stream; 0 if there is none."""
+        if not (self.route.streaming and self.head.request):
+            return 0
+        return self._hash_stream(self.head.request)
+
+    @property
+    def resumes(self) -> int:
+        """Hash of the stream that the caller resumes; 0 if it begins one.
+
+        Without the id of the request that began the stream it is that of no stream.
+        """
+        if not (self.route.streaming and self.head.last_event_id):
+            return 0
+        return self._hash_stream(self.head.resumed_request)
+
+    def _hash_stream(self, request: str) -> int:
+        """Return a hash, not 0, of a customer's request; ids are callers' words."""
+        customer = self.customer.name if self.customer else ""
+        digest = xxhash.xxh64_intdigest(f"{customer}\0{request}".encode())
+        return digest >> 1 | 1
+
     def fingerprint(self) -> int:
         """Return a hash of the whole request, equal for all attempts at it."""
         request = self.request
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import secrets
+import time
 from collections import Counter
 from functools import partial
 
@@ -50,6 +51,7 @@
 from hibiscusstep.forwarding.target_paths import TargetPaths
 from hibiscusstep.forwarding.tunnel import TunnelServer
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
+from hibiscusstep.forwarding.version_history import VersionHistory
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
 from hibiscusstep.mailbox import Worker
@@ -73,6 +75,7 @@
     PoolRefuse,
     PoolRegister,
     PoolStop,
+    PoolStreams,
     PoolWithdraw,
     Received,
     Relays,
@@ -86,6 +89,7 @@
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
+from hibiscusstep.routing.stream_versions import STREAM_LIFETIME_S
 from hibiscusstep.store import Change, StoreRestored
 from hibiscusstep.supervisor import Child, RestartPolicy, Supervisor
 
@@ -142,6 +146,7 @@
         self._accepts_tunnels = False
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
+        self._version_history = VersionHistory(self._started_at)
         self._registration_needed = asyncio.Event()
         self._suspended_s = 0.0
         self.started = asyncio.Event()
@@ -422,6 +427,7 @@
                 PoolHeld,
                 PoolLearnt,
                 PoolRegister,
+                PoolStreams,
             ),
             self._dispatch_client: (
                 PoolGrant,
@@ -533,10 +539,33 @@
         planned = version_table.planned_rollout(
             pool, self.bounds.exposure, coordinator.completion_lead_s
         )
+        serving = version_table.serving_versions(pool, present_versions)
         return PlannedVersions(
-            version_table.serving_versions(pool, present_versions),
+            serving,
             planned,
             version_table.rejected_version(pool),
+            self._mixed_until(pool, serving & present_versions or present_versions),
+        )
+
+    def _mixed_until(self, pool: str, serving: set[str]) -> float:
+        """Return until when streams of several versions of a pool may be resumed.
+
+        A pool with an order, or with a target that started shortly before this
+        instance, may have changed its version before this instance could see it.
+        """
+        now = asyncio.get_running_loop().time()
+        entry = self._rollouts.version_table[pool]
+        versions = serving
+        if entry.is_running and entry.is_begun:
+            versions = {*serving, entry.order.version}
+        started = (time.time() - self._uptime()) * 1000
+        is_changing = entry.order is not None or any(
+            started - STREAM_LIFETIME_S * 1000 < target.incarnation < started
+            for target in self._targets.values()
+            if target.pool == pool
+        )
+        return self._version_history.observe(
+            pool, versions, now, is_changing=is_changing
         )
 
     def _apply_peer_configuration(self, value: bytes) -> None:
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -33,6 +33,9 @@
         Exchanges cut off, by reason and whether the request may be repeated.
     memory_waits : aioprometheus.Counter
         Requests that waited for memory of a target, by pool dispatched here.
+    streams_not_continued : aioprometheus.Counter
+        Broken streams without a target of the version that began them, by pool and
+        reason.
     """
 
     def __init__(self) -> None:
@@ -45,6 +48,9 @@
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
         self.cut_off = self._counter("cut_off_total", "Exchanges cut off.")
         self.memory_waits = self._counter("memory_waits_total", "Waited for memory.")
+        self.streams_not_continued = self._counter(
+            "streams_not_continued_total", "Streams whose version is gone or unknown."
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -31,11 +31,14 @@
         Order in progress.
     rejected : str or None
         Version whose order was rolled back.
+    mixed_until : float
+        As in `PlannedPool`.
     """
 
     serving: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
     rejected: str | None = None
+    mixed_until: float = 0.0
 
 
 class Planner:
@@ -78,6 +81,7 @@
                 current_versions=planned.serving,
                 rollout=planned.rollout,
                 rejected_version=planned.rejected,
+                mixed_until=planned.mixed_until,
             )
         rejection_limits = _rejection_limits(targets.values())
         for name, target in targets.items():
--- a/hibiscusstep/grant_messages.py
+++ b/hibiscusstep/grant_messages.py
@@ -46,10 +46,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The request is granted `target`; `ask` is the grant's id."""
+    """The request is granted `target`; `ask` is the grant's id.
+
+    `version` is the target's software version as the dispatcher knows it, None if it
+    has none.
+    """
 
     ask: str
     target: str
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -8,7 +8,7 @@
   12: list<i64> prefixes, 13: list<string> avoid, 14: double due_in,
   15: string data_centre, 16: double ends_in, 17: i64 identity, 18: i64 suspect,
   19: list<string> resting, 20: string route, 21: i64 memory_tokens,
-  22: string bound_version
+  22: string bound_version, 23: i64 stream, 24: i64 resumes
 }
 struct Heartbeat {
   1: string instance, 2: string incarnation, 3: string data_centre, 4: string region,
@@ -31,12 +31,16 @@
   1: i64 identity, 2: string customer, 3: i32 rank, 4: double seconds,
   5: double starts_in, 6: bool used
 }
+struct StreamGroup { 1: string version, 2: list<i64> streams }
 struct PoolRegister {
   1: string pool, 2: string instance, 3: string incarnation,
-  4: list<WorkInfo> waiting, 5: list<WorkInfo> running, 6: list<string> targets, 7: list<PlaceInfo> places
+  4: list<WorkInfo> waiting, 5: list<WorkInfo> running, 6: list<string> targets, 7: list<PlaceInfo> places,
+  8: list<StreamGroup> streams
 }
+struct PoolStreams { 1: string pool, 2: list<StreamGroup> streams }
 struct PoolGrant {
-  1: string pool, 2: string ask, 3: string target, 4: double waited, 5: bool used_place
+  1: string pool, 2: string ask, 3: string target, 4: double waited, 5: bool used_place,
+  6: string version
 }
 struct PoolRefuse {
   1: string pool, 2: string ask, 3: string reason, 4: double retry_after,
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -3,11 +3,18 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from hibiscusstep.peer import PlaceInfo, PoolLearnt, WorkInfo
+from hibiscusstep.peer import PlaceInfo, PoolLearnt, StreamGroup, WorkInfo
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.pool_dispatcher import PoolDispatcher
 
-__all__ = ["TICK_S", "HostedDispatcher", "to_estimates", "to_place", "to_work"]
+__all__ = [
+    "TICK_S",
+    "HostedDispatcher",
+    "to_estimates",
+    "to_place",
+    "to_stream_groups",
+    "to_work",
+]
 
 # Seconds between a dispatcher's ticks, at which it applies timeouts.
 TICK_S = 0.05
@@ -23,7 +30,9 @@
     `keepalives_sent_at` is the time of the last keepalives to instances with waiting
     requests, `keepalive_interval_s` the seconds until the next. `state_logged_at` is
     the time of the last log of the state, `rollout_reported_at` that of the last report
-    of the rollout's progress. `poller` reads the targets' load reports. `created_at` is
+    of the rollout's progress. `poller` reads the targets' load reports. `new_streams`
+    are the versions of the streams since `streams_sent_at`, when those before were sent
+    to the incarnations `streams_sent_to`. `created_at` is
     when the dispatcher was created, 0 for a standby dispatcher. Times are in seconds on
     the loop's clock.
     """
@@ -34,6 +43,9 @@
     addresses: dict[str, str] = field(default_factory=dict)
     last_heard_at: dict[str, float] = field(default_factory=dict)
     poller: asyncio.Task | None = None
+    new_streams: dict[int, str] = field(default_factory=dict)
+    streams_sent_at: float = 0.0
+    streams_sent_to: frozenset[str] = frozenset()
     created_at: float = 0.0
     state_logged_at: float = 0.0
     keepalives_sent_at: float = 0.0
@@ -61,6 +73,11 @@
     )
 
 
+def to_stream_groups(streams: dict[str, list[int]]) -> list[StreamGroup]:
+    """Convert streams by version into the form that peers receive."""
+    return [StreamGroup(version, hashes) for version, hashes in streams.items()]
+
+
 def to_work(info: WorkInfo, now: float) -> m.Work:
     """Convert a request's description, with times on the dispatcher's clock."""
     return m.Work(
@@ -86,4 +103,6 @@
         info.route,
         info.memory_tokens,
         info.bound_version,
+        info.stream,
+        info.resumes,
     )
--- a/hibiscusstep/membership/view.py
+++ b/hibiscusstep/membership/view.py
@@ -171,10 +171,16 @@
 
     def dispatcher_of(self, pool: str) -> str | None:
         """Return the name of the instance that dispatches a pool."""
+        return next(iter(self._rank_dispatchers(pool, 1)), None)
+
+    def successors(self, pool: str, dispatcher: str, count: int) -> list[Member]:
+        """Return the members that would dispatch a pool next, the first one first."""
+        ranked = self._rank_dispatchers(pool, count + 1)
+        return [self.members[name] for name in ranked if name != dispatcher][:count]
+
+    def _rank_dispatchers(self, pool: str, count: int) -> list[str]:
         weights = {name: self.members[name].capacity for name in self.members}
-        return next(
-            iter(rendezvous_hash(self.eligible, f"pool {pool}", 1, weights)), None
-        )
+        return rendezvous_hash(self.eligible, f"pool {pool}", count, weights)
 
     def claim_writer_of(self, shard: int) -> str | None:
         """Return the name of the instance that writes a shard of claims."""
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -27,6 +27,7 @@
     "PoolRefuse",
     "PoolRegister",
     "PoolStop",
+    "PoolStreams",
     "PoolWithdraw",
     "Received",
     "Relays",
@@ -35,6 +36,7 @@
     "RolloutWrite",
     "StatusAsk",
     "StatusReply",
+    "StreamGroup",
     "SuspectState",
     "SuspectStates",
     "TargetState",
@@ -74,6 +76,8 @@
     route: str = ""
     memory_tokens: int = 0
     bound_version: str | None = None
+    stream: int = 0
+    resumes: int = 0
 
 
 @dataclass(slots=True)
@@ -204,12 +208,20 @@
     used: bool = False
 
 
+@dataclass(slots=True)
+class StreamGroup:
+    """Hashes of streams that began at a software version."""
+
+    version: str
+    streams: list[int]
+
+
 @dataclass(slots=True)
 class PoolRegister:
     """All requests of an instance for a pool, sent to a newly chosen dispatcher.
 
     `targets` holds the target of each entry of `running`, `places` the places for
-    returning requests that the instance knows of.
+    returning requests that the instance knows of, `streams` its recent streams.
     """
 
     pool: str
@@ -219,17 +231,30 @@
     running: list[WorkInfo]
     targets: list[str]
     places: list[PlaceInfo] = field(default_factory=list)
+    streams: list[StreamGroup] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class PoolStreams:
+    """Recent streams of a pool, sent by its dispatcher to those that may succeed it."""
+
+    pool: str
+    streams: list[StreamGroup]
 
 
 @dataclass(slots=True)
 class PoolGrant:
-    """Assigns `target` to an ask; `used_place` if it returned in its planned place."""
+    """Assigns `target` to an ask; `used_place` if it returned in its planned place.
+
+    `version` is the target's software version as the dispatcher knows it.
+    """
 
     pool: str
     ask: str
     target: str
     waited: float
     used_place: bool = False
+    version: str | None = None
 
 
 @dataclass(slots=True)
@@ -715,4 +740,5 @@
     RolloutRecords,
     RolloutWrite,
     TunnelOpen,
+    PoolStreams,
 )
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -54,6 +54,8 @@
         A rollout that moves its traffic to another version.
     rejected_version : str or None
         The version whose rollout was rolled back; None if there is none.
+    mixed_until : float
+        Until when streams of several versions may be resumed, on the loop's clock.
     fair_shares : bool
         Whether its customers share each rank by weight.
     planned_returns : bool
@@ -72,6 +74,7 @@
     current_versions: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
     rejected_version: str | None = None
+    mixed_until: float = 0.0
     fair_shares: bool = False
     planned_returns: bool = False
     customer_weights: dict[str, float] = field(default_factory=dict)
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -63,7 +63,8 @@
     `CUSTOMER_LIMIT`: its customer has too many waiting requests. `NO_TARGET`: no target
     accepts requests. `UNAVAILABLE`: its tier is not known, or part of the system cannot
     be reached. `VERSION_GONE`: it continues a stream, and no target of the version that
-    began the stream accepts requests.
+    began the stream accepts requests. `VERSION_UNKNOWN`: it continues a stream, and it
+    is not known which of several versions began it.
     """
 
     LOAD = "load"
@@ -74,6 +75,7 @@
     NO_TARGET = "no-target"
     UNAVAILABLE = "unavailable"
     VERSION_GONE = "version-gone"
+    VERSION_UNKNOWN = "version-unknown"
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +122,11 @@
         Maximum tokens that it takes of a target's memory; 0 if not known.
     bound_version : str or None
         Software version that began the stream that it continues; None if any may run
-        it.
+        it, or if `resumes` tells which.
+    stream : int
+        Hash by which its caller may later resume its stream; 0 if it has none.
+    resumes : int
+        Hash of the stream that its caller resumes; 0 if it begins one.
     """
 
     ask: str
@@ -145,6 +151,8 @@
     route: str = ""
     memory_tokens: int = 0
     bound_version: str | None = None
+    stream: int = 0
+    resumes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -376,6 +384,8 @@
     memory_tokens : int
         Tokens in use of the target's memory after the grant; 0 if they are less than
         half of it.
+    version : str or None
+        Software version of the target; None if targets have none.
     """
 
     work: Work
@@ -387,6 +397,7 @@
     attempt: str = ""
     used_place: bool = False
     memory_tokens: int = 0
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -6,6 +6,7 @@
 from hibiscusstep.rollout.controller import Rollout
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.return_plan import PlaceCounts
+from hibiscusstep.routing.stream_versions import StreamVersions
 
 __all__ = ["PoolCounts", "PoolDispatcher"]
 
@@ -48,6 +49,8 @@
     capacity_share : float
         Fraction of all slots that this dispatcher may occupy at a time; other
         dispatchers of the pool use the rest.
+    stream_versions : StreamVersions
+        Versions of the pool's streams, shared by the pool's dispatchers of an instance.
     """
 
     def __init__(self, pool_name: str) -> None:
@@ -59,6 +62,7 @@
         self._limit_share = 1.0
         self.counts = PoolCounts()
         self.capacity_share = 1.0
+        self.stream_versions = StreamVersions()
 
     @property
     def pool_name(self) -> str:
@@ -122,6 +126,10 @@
         """The rollout to another version in progress; None if there is none."""
         return None
 
+    def may_mix_versions(self, now: float) -> bool:
+        """Whether streams of several software versions may be resumed."""
+        return False
+
     def instances_waiting(self) -> set[str]:
         """Return the instances whose waiting requests need a keep-alive message."""
         return set()
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -145,6 +145,7 @@
         # They are not in the queue: they neither delay the requests in it nor count as
         # work for all targets.
         self._continuations: dict[str, m.Work] = {}
+        self._mixed_until = 0.0
         # None where customers do not share the ranks.
         self._shares: FairShares | None = None
         self._refused_requests = RefusedRequests()
@@ -244,6 +245,10 @@
         """Numbers of places for returning requests; None if returns are not planned."""
         return self._return_plan.counts if self._return_plan else None
 
+    def may_mix_versions(self, now: float) -> bool:
+        """Whether streams of several software versions may be resumed."""
+        return now < self._mixed_until
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant."""
         if share == self._limit_share:
@@ -315,8 +320,7 @@
         if self._memory.exceeded_by(work):
             self._refuse_impossible(work)
             return
-        version = work.bound_version
-        if version is not None and not self._partition.serves_only(version):
+        if self._is_continuation(work, now):
             self._continuations[work.ask] = work
             return
         if self._return_plan:
@@ -610,6 +614,7 @@
         self._configure_shares(pool)
         self._configure_returns(pool)
         self._configure_memory(pool)
+        self._mixed_until = pool.mixed_until
         self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
@@ -637,6 +642,11 @@
             for ask in gone.running:
                 self._target_by_ask.pop(ask, None)
                 self._grant_monitor.forget(ask)
+        for work in [w for w in self._queue if self._is_continuation(w, now)]:
+            self._queue.remove(work.ask)
+            self._attempts.pop(work.ask, None)
+            self._memory.forget(work.ask)
+            self._continuations[work.ask] = work
 
     def _set_rejection_limit(
         self, target: SlotTarget, planned: PlannedTarget, now: float
@@ -694,13 +704,34 @@
         told at once.
         """
         for work in list(self._continuations.values()):
-            if not self._may_continue(work.bound_version):
+            version = self._bound_version(work, now)
+            if version is None:
+                # The pool's dispatcher may know what its standby does not.
+                if not self.is_standby or now >= work.deadline:
+                    unknown = m.RefusalReason.VERSION_UNKNOWN
+                    self._refuse_continuation(work, unknown)
+            elif not self._may_continue(version):
                 self._refuse_continuation(work, m.RefusalReason.VERSION_GONE)
-            elif target := self._choose_for_continuation(work, now):
+            elif target := self._choose_for_continuation(work, version, now):
                 self._grant(work, target, [target], now)
             elif now >= work.deadline:
                 self._refuse_continuation(work, m.RefusalReason.LOAD)
 
+    def _is_continuation(self, work: m.Work, now: float) -> bool:
+        """Return whether only the version that began its stream may run a request."""
+        if work.bound_version is None and not work.resumes:
+            return False
+        version = self._bound_version(work, now)
+        if version is None:
+            return self.may_mix_versions(now)
+        return not self._partition.serves_only(version)
+
+    def _bound_version(self, work: m.Work, now: float) -> str | None:
+        """Return the version that began a request's stream; None if not known."""
+        if work.bound_version is not None:
+            return work.bound_version
+        return self.stream_versions.find(work.resumes, now)
+
     def _may_continue(self, version: str) -> bool:
         """Return whether a target may continue the streams of a version."""
         return self._partition.is_open(version) and any(
@@ -708,8 +739,10 @@
             for target in self._targets.values()
         )
 
-    def _choose_for_continuation(self, work: m.Work, now: float) -> SlotTarget | None:
-        """Return a target of the version that began a stream; None if none is free."""
+    def _choose_for_continuation(
+        self, work: m.Work, version: str, now: float
+    ) -> SlotTarget | None:
+        """Return a free target of the version that began a stream; None if none is."""
         if self._queue and self._queue[0].rank < work.rank:
             return None
         limit = math.ceil(self.capacity_share * self._partition.slots(now))
@@ -718,7 +751,7 @@
         free = [
             target
             for target in self._targets.values()
-            if target.version == work.bound_version
+            if target.version == version
             and target.usable(now)
             and now >= target.next_start_at
             and target.available_slots(now) > 0
@@ -937,6 +970,7 @@
             self._memory.record_grant(work, self._ranks_before_memory(now))
         self.counts.granted += 1
         self._partition.record_grant(target)
+        self.stream_versions.record(work.stream, target.version, now)
         self._rank_floor.record_grant(work.rank, now)
         costs = self._selector.candidate_costs(work, free, now)
         target.count_grant(now)
@@ -955,6 +989,7 @@
             limited,
             share,
             memory_tokens=self._memory.logged_tokens(target),
+            version=target.version,
         )
         if self._return_plan:
             attempt = self._attempts.pop(work.ask, Attempt.FIRST)
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -31,6 +31,8 @@
         (20, "string", "route"),
         (21, "i64", "memory_tokens"),
         (22, "string", "bound_version"),
+        (23, "i64", "stream"),
+        (24, "i64", "resumes"),
     ),
     "Heartbeat": (
         (1, "string", "instance"),
@@ -92,6 +94,10 @@
         (5, "double", "starts_in"),
         (6, "bool", "used"),
     ),
+    "StreamGroup": (
+        (1, "string", "version"),
+        (2, "list<i64>", "streams"),
+    ),
     "PoolRegister": (
         (1, "string", "pool"),
         (2, "string", "instance"),
@@ -100,6 +106,11 @@
         (5, "list<WorkInfo>", "running"),
         (6, "list<string>", "targets"),
         (7, "list<PlaceInfo>", "places"),
+        (8, "list<StreamGroup>", "streams"),
+    ),
+    "PoolStreams": (
+        (1, "string", "pool"),
+        (2, "list<StreamGroup>", "streams"),
     ),
     "PoolGrant": (
         (1, "string", "pool"),
@@ -107,6 +118,7 @@
         (3, "string", "target"),
         (4, "double", "waited"),
         (5, "bool", "used_place"),
+        (6, "string", "version"),
     ),
     "PoolRefuse": (
         (1, "string", "pool"),
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -669,3 +669,57 @@
             dispatcher.handle(m.Finished(ask, m.GrantOutcome.DONE, 10), 0.0)
         assert dispatcher.rollout.progress.exposed == len(granted)
         assert len(granted) < 3
+
+
+class TestResumedStreams:
+    """Requests that resume a stream run at the version that began it."""
+
+    def _plan(self, mixed_until=100.0):
+        targets = {
+            name: PlannedTarget(4, version=version)
+            for name, version in (("old", "v1"), ("new", "v2"))
+        }
+        pool = PlannedPool(
+            True,
+            targets=targets,
+            current_versions=frozenset({"v2"}),
+            mixed_until=mixed_until,
+        )
+        return DispatchPlan({"p": pool})
+
+    def _dispatcher(self, *, mixed_until=100.0, **options):
+        dispatcher = SlotDispatcher("p", self._plan(mixed_until), **options)
+        dispatcher.handle(m.Recovered(), 0.0)
+        return dispatcher
+
+    def _resuming(self, ask, **fields):
+        return m.RequestGrant(replace(_work(ask, **fields), resumes=7))
+
+    def test_run_at_the_version_of_the_grant_that_began_them(self):
+        dispatcher = self._dispatcher()
+        begun = replace(_work("a"), stream=7, bound_version="v1")
+        dispatcher.handle(m.RequestGrant(begun), 0.0)
+        assert _grants(dispatcher.handle(self._resuming("b"), 0.0)) == {"b": "old"}
+
+    def test_are_refused_if_several_versions_may_have_begun_them(self):
+        (refusal,) = self._dispatcher().handle(self._resuming("a"), 0.0)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
+    def test_run_at_the_only_version_that_may_have_begun_them(self):
+        dispatcher = self._dispatcher(mixed_until=0.0)
+        assert _grants(dispatcher.handle(self._resuming("a"), 1.0)) == {"a": "new"}
+
+    def test_wait_at_a_standby_dispatcher(self):
+        """The pool's dispatcher may know a stream that its standby does not."""
+        dispatcher = self._dispatcher(standby_instance="i")
+        assert dispatcher.handle(self._resuming("a", deadline=1.0), 0.0) == []
+        (refusal,) = dispatcher.handle(m.TimePassed(), 1.0)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
+    def test_that_wait_are_bound_when_another_version_appears(self):
+        dispatcher = self._dispatcher(mixed_until=0.0)
+        for ask in "abcd":
+            dispatcher.handle(m.RequestGrant(_work(ask)), 0.0)
+        assert dispatcher.handle(self._resuming("waiting"), 0.0) == []
+        (refusal,) = dispatcher.handle(m.Configure(self._plan()), 0.1)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -17,9 +17,12 @@
 PAUSED_AFTER = 1
 
 
+def _events_after(last):
+    return range(last + 1, EVENTS)
+
+
 def _events_from(fields):
-    after = fields.get("last-event-id")
-    return range(int(after) + 1 if after else 0, EVENTS)
+    return _events_after(int(fields.get("last-event-id", -1)))
 
 
 def _event_of(version, number):
@@ -78,6 +81,15 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def dispatcher(self):
+        """Return the number of the dispatcher once all instances may dispatch."""
+        await self.until(
+            lambda: all(
+                len(i.view.eligible) == len(self.instances) for i in self.instances
+            )
+        )
+        return int(self.instances[0].view.dispatcher_of(POOL)[1:])
+
     def begin(self, request="begun", instance=0, **fields):
         """Send a request; return the task of its call."""
         call = self.call("/resume/", request=request, instance=instance, **fields)
@@ -183,3 +195,119 @@
         status, _fields, body = await begun
         assert status == 200
         assert body == b"".join(_event_of("v2", number) for number in range(EVENTS))
+
+
+class TestResumedByCaller:
+    """Guards against a caller's retry at another version than its stream began at.
+
+    Nothing read which stream a caller resumed, so it went on at the current version.
+    """
+
+    async def _resume(self, site, instance=1, after=PAUSED_AFTER, **fields):
+        fields = {"Last-Event-Id": str(after), "Resumes": "begun"} | fields
+        return await site.begin("resumed", instance, **fields)
+
+    async def _break_stream(self, site):
+        """Let a stream break of which no target but one of its version remains."""
+        begun = await site.begin_at_old_version()
+        await site.end_rollout()
+        site.released.set()
+        running = next(target for target in site.targets if target.open)
+        running.crash()
+        (await asyncio.gather(begun, return_exceptions=True))
+        return running
+
+    async def test_is_refused_when_its_version_is_gone(self, site):
+        await site.start_pool(instances=2)
+        begun = await site.begin_at_old_version()
+        await site.end_rollout()
+        site.end_targets("old0", "old1")
+        assert (await begun)[2] is None
+        status, fields, body = await self._resume(site)
+        assert status == 503
+        assert "Retry-After" in fields
+        assert b"sent again from its beginning" in body
+        assert "v2" not in site.versions_sent_to()
+
+    async def test_goes_on_at_its_version(self, site):
+        await site.start_pool(instances=2)
+        await self._break_stream(site)
+        status, _fields, body = await self._resume(site)
+        assert status == 200
+        assert body == b"".join(_event_of("v1", n) for n in _events_after(PAUSED_AFTER))
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"Resumes": "another"},
+            {"Resumes": ""},
+            {"Resumes": "resumed"},
+            {"Resumes": "x" * 4000},
+            {"Authorization": "Bearer key-two"},
+        ],
+        ids=["unknown", "empty", "itself", "very long", "of another customer"],
+    )
+    async def test_is_refused_if_its_version_is_unknown(self, site, fields):
+        await site.start_pool(instances=2)
+        await self._break_stream(site)
+        before = len(site.sent)
+        status, _fields, body = await self._resume(site, **fields)
+        assert status == 503
+        assert b"not known" in body
+        assert len(site.sent) == before
+
+    async def test_goes_on_where_only_one_version_served(self, site):
+        await site.start_pool(new=0, instances=2)
+        site.released.set()
+        status, _fields, _body = await self._resume(site, Resumes="another")
+        assert status == 200
+        assert site.sent == [("v1", str(PAUSED_AFTER))]
+
+    async def test_goes_on_when_the_dispatcher_ended(self, site):
+        await site.start_pool(instances=3)
+        dispatcher = await site.dispatcher()
+        others = [n for n in range(3) if n != dispatcher]
+        begun = await site.begin_at_old_version(instance=others[0])
+        await site.end_rollout()
+        await site.end_instance(dispatcher)
+        begun.cancel()
+        site.released.set()
+        await self._assert_continues(site, others[1])
+
+    async def test_goes_on_when_the_dispatcher_received_and_ended(self, site):
+        """The one instance that both granted the stream and served its caller."""
+        await site.start_pool(instances=3)
+        dispatcher = await site.dispatcher()
+        others = [n for n in range(3) if n != dispatcher]
+        begun = await site.begin_at_old_version(instance=dispatcher)
+        await site.end_rollout()
+        await site.until(
+            lambda: all(
+                len(site.instances[n]._dispatcher_host._stream_versions[POOL])
+                for n in others
+            )
+        )
+        await site.end_instance(dispatcher)
+        await asyncio.gather(begun, return_exceptions=True)
+        site.released.set()
+        await self._assert_continues(site, others[0])
+
+    async def _assert_continues(self, site, instance):
+        """Resume until a dispatcher has taken over; no try runs at the new version."""
+        async with asyncio.timeout(BOUND_S):
+            status = 0
+            while status != 200:
+                status, _fields, body = await self._resume(site, instance)
+        assert body == b"".join(_event_of("v1", n) for n in _events_after(PAUSED_AFTER))
+        assert "v2" not in site.versions_sent_to()
+
+    async def test_is_refused_after_a_restart_of_all_instances(self, site):
+        await site.start_pool(instances=2)
+        await self._break_stream(site)
+        for number in range(2):
+            await site.end_instance(number)
+        await site.add_instance()
+        await site.until_order(lambda order: order.is_concluded)
+        status, _fields, _body = await self._resume(site, instance=2)
+        assert status == 503
+        assert "v2" not in site.versions_sent_to()
