Follow a target that changes its version under its name

What callers may see: a stream that goes on at a target of another version (ORDER), and new requests at a version that is barred.

Cause: the dispatcher copied a target's version when it first saw its name. A target that does not tell its start ("born") keeps its name when it starts again with another version, so the first version was used for good.

Evidence: TestResumedStreams::test_follow_a_target_that_changes_its_version failed before (the stream of v1 was granted the target that had become v2).

--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -622,9 +622,9 @@
             if target is None:
                 target = SlotTarget(name, planned.slots)
                 target.data_centre = planned.data_centre
-                target.version = planned.version
                 self._targets[name] = target
                 self._apply_imported_slowness(target)
+            target.version = planned.version
             self._set_rejection_limit(target, planned, now)
             target.memory_tokens = self._memory.tokens
             target.leaving |= planned.leaving
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -723,3 +723,21 @@
         assert dispatcher.handle(self._resuming("waiting"), 0.0) == []
         (refusal,) = dispatcher.handle(m.Configure(self._plan()), 0.1)
         assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
+    def test_follow_a_target_that_changes_its_version(self):
+        """Guards against the version of a target's first entry being used for good.
+
+        A target that does not tell its start keeps its name when it starts again.
+        """
+        dispatcher = self._dispatcher()
+        begun = replace(_work("a"), stream=7, bound_version="v1")
+        dispatcher.handle(m.RequestGrant(begun), 0.0)
+        pool = self._plan().pools["p"]
+        targets = {**pool.targets, "old": PlannedTarget(4, version="v2")}
+        plan = DispatchPlan({"p": replace(pool, targets=targets)})
+        dispatcher.handle(m.Configure(plan), 0.1)
+        (refusal,) = dispatcher.handle(self._resuming("b"), 0.2)
+        assert refusal.reason is m.RefusalReason.VERSION_GONE
+        for number in range(8):
+            dispatcher.handle(m.RequestGrant(_work(f"c{number}")), 0.3)
+        assert len(dispatcher.targets["old"].running) == 4
