Look at the targets' starts only while they can matter

An instance that runs for longer than a stream can last knows what served in that time, so the ages of the targets need not be compared with each plan.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -147,6 +147,8 @@
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
         self._version_history = VersionHistory(self._started_at)
+        # Unix time; streams of earlier targets have ended by the start of this instance.
+        self._oldest_stream_ms = (time.time() - STREAM_LIFETIME_S) * 1000
         self._registration_needed = asyncio.Event()
         self._suspended_s = 0.0
         self.started = asyncio.Event()
@@ -550,24 +552,28 @@
     def _mixed_until(self, pool: str, serving: set[str]) -> float:
         """Return until when streams of several versions of a pool may be resumed.
 
-        A pool with an order, or with a target that started shortly before this
-        instance, may have changed its version before this instance could see it.
+        A pool with an order or with a young target may have changed its version
+        shortly before this instance started.
         """
         now = asyncio.get_running_loop().time()
         entry = self._rollouts.version_table[pool]
         versions = serving
         if entry.is_running and entry.is_begun:
             versions = {*serving, entry.order.version}
-        started = (time.time() - self._uptime()) * 1000
-        is_changing = entry.order is not None or any(
-            started - STREAM_LIFETIME_S * 1000 < target.incarnation < started
-            for target in self._targets.values()
-            if target.pool == pool
+        is_changing = self._uptime() < STREAM_LIFETIME_S and (
+            entry.order is not None or self._started_after(pool, self._oldest_stream_ms)
         )
         return self._version_history.observe(
             pool, versions, now, is_changing=is_changing
         )
 
+    def _started_after(self, pool: str, unix_ms: float) -> bool:
+        """Return whether a target of a pool started after a time."""
+        return any(
+            target.pool == pool and target.incarnation > unix_ms
+            for target in self._targets.values()
+        )
+
     def _apply_peer_configuration(self, value: bytes) -> None:
         try:
             self._catalog.tell(TableUpdate(self._environment.read_table(value)))
