--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -147,7 +147,7 @@
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
         self._version_history = VersionHistory(self._started_at)
-        # Unix time; streams of earlier targets have ended by the start of this instance.
+        # Unix time; streams of earlier targets have ended when this instance starts.
         self._oldest_stream_ms = (time.time() - STREAM_LIFETIME_S) * 1000
         self._registration_needed = asyncio.Event()
         self._suspended_s = 0.0
