Fail responses that bring bytes without end and no content

What callers saw: a request was held until its deadline (504) with its place while interim responses, a chunk's size or extension, or responses to other requests arrived without end, and was never tried elsewhere where that was allowed; a rejection (not run) turned into a 504, which promises nothing, if its body did not end.

Change: a connection fails after 64 KiB in a row that bring neither the head of a final response nor content, after 16 interim responses, and when bytes of a head still arrive 2 s after its first; a silent target is waited for as before. Four responses to other requests are discarded, of 16 MiB each at most. The head of a rejection is enough: its connection was closed after it anyway.

What is held of such a response without content stays below 1 MiB; with content (a body or an event without end) the bound of one response, 16 MiB, and the budget of the instance hold as before. Not tried: the same bytes from the store and from peers.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 import socket
 from abc import ABC, abstractmethod
 from collections import defaultdict
@@ -61,6 +62,13 @@
 HEARD_WITHIN_S = 0.5
 HEARD_CHECK_INTERVAL_S = 0.02
 _MIN_FINAL_STATUS = 200
+# Bytes in a row that bring neither the head of a final response nor content: a long
+# head, the framing of chunks, trailer fields.
+MAX_BYTES_WITHOUT_CONTENT = 1 << 16
+MAX_INTERIM_RESPONSES = 16
+# Time in which a head is complete after its first byte, while more of it arrives.
+# Sound targets write it at once.
+MAX_HEAD_S = 2.0
 
 
 class Framing(enum.StrEnum):
@@ -135,6 +143,9 @@
         # keep a reference.
         self._copies_writes = isinstance(loop, asyncio.BaseEventLoop)
         self._counted_tail = 0
+        self._bytes_without_content = 0
+        self._interim_responses = 0
+        self._head_began_at = math.inf
         self.idle_until = 0.0
         self.is_reused = False
         self.via = ""
@@ -179,6 +190,7 @@
                 )
             )
             return
+        content_before = self._content_size
         try:
             messages, _upgraded, _tail = self._parser.feed_data(data)
         except HttpProcessingError as cause:
@@ -186,9 +198,40 @@
                 TargetError(f"malformed HTTP: {cause}", **self._error_context("read"))
             )
             return
+        is_final = False
         for message, payload in messages:
             self._current = payload
             self._responses.put_nowait(TargetResponse(message, payload))
+            is_final |= message.code >= _MIN_FINAL_STATUS
+        if is_final or self._content_size > content_before:
+            self._bytes_without_content = 0
+            self._head_began_at = math.inf
+        else:
+            self._check_progress(len(data), len(messages))
+
+    @property
+    def _content_size(self) -> int:
+        """Bytes of the current response's body so far."""
+        return 0 if self._current is None else self._current.total_bytes
+
+    def _check_progress(self, size: int, interim_responses: int) -> None:
+        """Fail if too much has arrived without a final head or content."""
+        self._bytes_without_content += size
+        self._interim_responses += interim_responses
+        if interim_responses:
+            self._head_began_at = math.inf
+        elif self._current is None or self._current.is_eof():
+            self._head_began_at = min(self._head_began_at, self.received_at)
+        if self._bytes_without_content > MAX_BYTES_WITHOUT_CONTENT:
+            reason = f"{self._bytes_without_content} bytes without content"
+        elif self._interim_responses > MAX_INTERIM_RESPONSES:
+            reason = f"{self._interim_responses} interim responses"
+        elif self.received_at > self._head_began_at + MAX_HEAD_S:
+            seconds = self.received_at - self._head_began_at
+            reason = f"a head is not complete after {seconds:.1f} s"
+        else:
+            return
+        self._fail(TargetError(reason, **self._error_context("read")))
 
     def eof_received(self) -> None:
         """Let the transport close the connection."""
@@ -236,6 +279,8 @@
         self._responses = asyncio.Queue()
         self._current = None
         self._counted_tail = 0
+        self._bytes_without_content = self._interim_responses = 0
+        self._head_began_at = math.inf
 
     def write(self, data: bytes, *, is_counted: bool = False) -> None:
         """Send bytes of the request.
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -29,6 +29,9 @@
 __all__ = ["Exchange"]
 
 MAX_BODY_BYTES = 16 << 20
+# Late responses to earlier requests that are discarded on a connection. It carries one
+# request at a time, so few can be due.
+MAX_STALE_RESPONSES = 4
 EVENT_STREAM = "text/event-stream"
 # A target that has sent nothing after this many times the route's objective is taken to
 # hang. Another target is tried if the request may be retried.
@@ -316,7 +319,7 @@
             connection.write(part, is_counted=part is incoming.body)
         self._may_have_run = True
         async with asyncio.timeout(self._silence_timeout()):
-            while True:
+            for _ in range(1 + MAX_STALE_RESPONSES):
                 target_response = await connection.next_response()
                 response_head = dialect.read_response(
                     target_response.message.code, target_response.message.headers
@@ -336,6 +339,7 @@
                     return target_response, response_head
                 # A late response to an earlier request on this connection is discarded.
                 await self._drain(connection, target_response)
+        raise _InvalidResponse("responses to other requests only")
 
     async def _relay_response(
         self,
@@ -346,7 +350,7 @@
     ) -> _AttemptFailure | None:
         status = target_response.message.code
         if response_head.not_run:
-            await self._drain(connection, target_response)
+            # The head says all; the body may not end, and the connection is closed.
             return _AttemptFailure.NOT_RUN
         if status < 300 and (not response_head.sealed or response_head.is_reencoded):
             raise _InvalidResponse(
@@ -392,6 +396,8 @@
     ) -> None:
         while not target_response.body.at_eof():
             await connection.read(target_response)
+            if target_response.taken > MAX_BODY_BYTES:
+                raise _InvalidResponse("response to another request too long")
 
     async def _read_body(
         self, connection: Connection, target_response: TargetResponse
