Count no comment as an event of a stream

What callers saw: a stream that brings only comments was held until its deadline, though another target could have served it.

Change: a block counts if it holds a line that is no comment. The silence of a target is the time that it was waited for since its last event; time in which the caller takes no data does not count.

Evidence: TestComments in tests/test_endless_responses.py (failed before: 504 or cut at the deadline) and in tests/test_event_splitter.py.

--- a/hibiscusstep/forwarding/event_splitter.py
+++ b/hibiscusstep/forwarding/event_splitter.py
@@ -21,7 +21,7 @@
     last_id : str
         Id of the last complete event with an id, "" if there is none.
     count : int
-        Number of complete events so far.
+        Number of complete events so far; comments do not count.
     """
 
     def __init__(self) -> None:
@@ -73,13 +73,15 @@
             with memoryview(joined) as view:
                 whole = bytes(view[:end])
                 self._remainder = bytearray(view[end:])
-        previous = b""
+        has_field = False
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
-            elif not line and previous:
-                self.count += 1
-            previous = line
+            if line:
+                has_field |= not line.startswith(b":")
+            else:
+                self.count += has_field
+                has_field = False
         return whole
 
 
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -447,9 +447,13 @@
         splitter = self._splitter
         count_before = splitter.count
         limit = self._silence_timeout()
+        # Comments keep a connection open, but are no progress of the stream.
+        silence = 0.0
         while True:
-            async with asyncio.timeout(limit):
+            started = self._now()
+            async with asyncio.timeout(None if limit is None else limit - silence):
                 data = await connection.read(target_response)
+            silence += self._now() - started
             if not data and target_response.body.at_eof():
                 break
             self._caller_waits.record_read()
@@ -463,6 +467,7 @@
             if splitter.count > before:
                 self._record_events(splitter.count - before)
                 limit = self._stream_silence_timeout()
+                silence = 0.0
             if whole:
                 await self._write_to_caller(target_response, whole)
         self._check_stream_end(target_response, splitter.count > count_before)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -124,3 +124,22 @@
         await site.start(TargetStandIn("a", endless(shape)))
         status, _fields, _body = await site.call("/once/")
         assert status == 503
+
+
+class TestComments:
+    async def test_do_not_count_as_progress_of_a_stream(self, site):
+        """A stream of comments only is retried like a silent one."""
+        shape = (stream_head, chunk(b": comment\n\n"))
+        scripts = iter([endless(shape, pause=0.02)])
+
+        def script(number, fields, body):
+            failing = next(scripts, None)
+            if failing:
+                return failing(number, fields, body)
+            whole = chunk(b"id: 0\ndata: whole\n\n") + chunk(b"")
+            return stream_head(fields) + whole
+
+        await site.start(TargetStandIn("a", script), TargetStandIn("b", script))
+        status, _fields, body = await site.call("/resume/")
+        assert status == 200
+        assert body.endswith(b"id: 0\ndata: whole\n\n")
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -100,3 +100,11 @@
         events = [splitter.feed(end[n : n + 1]) for n in range(len(end))]
         assert [bool(event) for event in events] == [False] * (len(end) - 1) + [True]
         assert splitter.remainder_size == 0
+
+
+class TestComments:
+    def test_are_passed_on_but_not_counted(self):
+        splitter = EventSplitter()
+        data = b": working\n\n\n:\n\nid: 4\n: a comment\ndata: x\n\n"
+        assert splitter.feed(data) == data
+        assert (splitter.count, splitter.last_id) == (1, "4")
