--- a/hibiscusstep/forwarding/event_splitter.py
+++ b/hibiscusstep/forwarding/event_splitter.py
@@ -11,6 +11,8 @@
 # A blank line may end in new data with this many of its bytes before them.
 _MAX_OVERLAP = 2
 _LINE_ENDS = b"\r\n"
+# Bytes that are examined for the begin of an event, which may follow blank lines.
+_MAX_BEGIN = 16
 
 
 class EventSplitter:
@@ -40,6 +42,15 @@
         """Number of bytes after the last complete event."""
         return len(self._remainder)
 
+    @property
+    def has_begun_event(self) -> bool:
+        """Whether the bytes after the last complete event begin with another one.
+
+        This costs the same for events of any size.
+        """
+        begin = self._remainder[:_MAX_BEGIN].lstrip(_LINE_ENDS)
+        return bool(begin) and not begin.startswith(b":")
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes after the last complete event are part of another one.
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -467,6 +467,7 @@
             if splitter.count > before:
                 self._record_events(splitter.count - before)
                 limit = self._stream_silence_timeout()
+            if splitter.count > before or splitter.has_begun_event:
                 silence = 0.0
             if whole:
                 await self._write_to_caller(target_response, whole)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -143,3 +143,12 @@
         status, _fields, body = await site.call("/resume/")
         assert status == 200
         assert body.endswith(b"id: 0\ndata: whole\n\n")
+
+    async def test_pieces_of_a_long_event_do(self, site):
+        """An event that takes longer than a silent target may is not cut."""
+        pieces = [chunk(b"data: "), *[0.4, chunk(b"a" * 9)] * 9]
+        parts = [*pieces, chunk(b"\n\n"), chunk(b"")]
+        target = TargetStandIn("a", lambda n, f, b: [stream_head(f), *parts])
+        await site.start(target)
+        status, _fields, body = await site.call("/resume/")
+        assert (status, len(body)) == (200, 6 + 81 + 2)
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -102,6 +102,24 @@
         assert splitter.remainder_size == 0
 
 
+class TestBegunEvent:
+    @pytest.mark.parametrize(
+        ("data", "begun"),
+        [
+            (b"data: x", True),
+            (b"\n\ndata", True),
+            (b"id: 1\n\n", False),
+            (b": comment", False),
+            (b"id: 1\n\n: comment", False),
+            (b"id: 1\n\nid: 2\n", True),
+        ],
+    )
+    def test_is_told_by_its_first_bytes(self, data, begun):
+        splitter = EventSplitter()
+        splitter.feed(data)
+        assert splitter.has_begun_event is begun
+
+
 class TestComments:
     def test_are_passed_on_but_not_counted(self):
         splitter = EventSplitter()
