Let streams go on beside waiting requests of other versions

A stream of a version that receives no new requests waited while requests of higher ranks did, which cannot use its targets (test_do_not_wait_for_requests_that_their_version_does_not_receive failed).

--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -743,7 +743,8 @@
         self, work: m.Work, version: str, now: float
     ) -> SlotTarget | None:
         """Return a free target of the version that began a stream; None if none is."""
-        if self._queue and self._queue[0].rank < work.rank:
+        competes = self._partition.receives_requests(version)
+        if competes and self._queue and self._queue[0].rank < work.rank:
             return None
         limit = math.ceil(self.capacity_share * self._partition.slots(now))
         if self.is_standby and len(self._target_by_ask) >= limit:
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -188,6 +188,12 @@
         """Return whether all new requests go to a version."""
         return self.rollout is None and self._serving_versions == {version}
 
+    def receives_requests(self, version: str) -> bool:
+        """Return whether new requests may go to a version."""
+        if not self._serving_versions or version in self._serving_versions:
+            return True
+        return self.rollout is not None and version == self.rollout.planned.version
+
     def is_open(self, version: str) -> bool:
         """Return whether streams that began at a version may continue there.
 
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -633,6 +633,14 @@
         done = m.Finished("a", m.GrantOutcome.DONE, 10)
         assert _grants(dispatcher.handle(done, 0.1)).keys() == {"high"}
 
+    def test_do_not_wait_for_requests_that_their_version_does_not_receive(self):
+        dispatcher = self._dispatcher()
+        for ask in "abcd":
+            dispatcher.handle(m.RequestGrant(_work(ask)), 0.0)
+        dispatcher.handle(m.RequestGrant(_work("high", rank=0)), 0.0)
+        message = m.RequestGrant(self._continuation("low", rank=1))
+        assert _grants(dispatcher.handle(message, 0.0)).keys() == {"low"}
+
     def test_do_not_go_on_at_a_version_that_was_rolled_back(self):
         dispatcher = self._dispatcher(rejected_version="v1")
         message = m.RequestGrant(self._continuation("a"))
