Let streams of a rollout's version wait at a standby dispatcher

What callers saw: while a pool's dispatcher was silent for a moment, a broken stream that began at the version in its rollout was cut or refused at once as one whose version is gone, though the dispatcher may continue it. A standby dispatcher sends nothing to such a version, since it cannot count what it gets.

Evidence: test_of_a_version_in_its_rollout_wait_at_a_standby_dispatcher failed before. Found by reading the change once more.

--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -701,17 +701,19 @@
         """Grant the requests that continue streams, or refuse them.
 
         A stream whose version has no target left cannot be completed, so its caller is
-        told at once.
+        told at once. A standby dispatcher lets it wait, since the pool's dispatcher may
+        know its version, or may grant it a target of a version in its rollout.
         """
         for work in list(self._continuations.values()):
             version = self._bound_version(work, now)
+            may_refuse = not self.is_standby or now >= work.deadline
             if version is None:
-                # The pool's dispatcher may know what its standby does not.
-                if not self.is_standby or now >= work.deadline:
+                if may_refuse:
                     unknown = m.RefusalReason.VERSION_UNKNOWN
                     self._refuse_continuation(work, unknown)
             elif not self._may_continue(version):
-                self._refuse_continuation(work, m.RefusalReason.VERSION_GONE)
+                if may_refuse:
+                    self._refuse_continuation(work, m.RefusalReason.VERSION_GONE)
             elif target := self._choose_for_continuation(work, version, now):
                 self._grant(work, target, [target], now)
             elif now >= work.deadline:
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -724,6 +724,17 @@
         (refusal,) = dispatcher.handle(m.TimePassed(), 1.0)
         assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
 
+    def test_of_a_version_in_its_rollout_wait_at_a_standby_dispatcher(self):
+        """The pool's dispatcher may grant them, as it counts what the version gets."""
+        dispatcher = self._dispatcher(standby_instance="i")
+        rollout = PlannedRollout("v1", 1, 60.0, 0.3, False, ExposureLimits())
+        pool = replace(self._plan().pools["p"], rollout=rollout)
+        dispatcher.handle(m.Configure(DispatchPlan({"p": pool})), 0.0)
+        work = replace(_work("a", deadline=1.0), bound_version="v1")
+        assert dispatcher.handle(m.RequestGrant(work), 0.0) == []
+        (refusal,) = dispatcher.handle(m.TimePassed(), 1.0)
+        assert refusal.reason is m.RefusalReason.VERSION_GONE
+
     def test_that_wait_are_bound_when_another_version_appears(self):
         dispatcher = self._dispatcher(mixed_until=0.0)
         for ask in "abcd":
