Send streams from the pool's dispatcher only

What callers could see: a stream that goes on at the wrong version (ORDER). A standby dispatcher sent its table to the instances that may take the pool over as well. It may hold an earlier attempt of a stream, which brought no event, and would replace the version that the pool's dispatcher recorded after it. The instance of a standby dispatcher hands its streams over when it registers again.

Evidence: test_of_a_standby_dispatcher_are_not_sent failed before.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -288,7 +288,8 @@
             self._drop_unreachable_instances(hosted, now)
             self._feed(hosted, m.TimePassed())
             self._send_keepalives(hosted, now)
-            self._send_streams(hosted, now)
+            if not hosted.dispatcher.is_standby:
+                self._send_streams(hosted, now)
             self._report_rollout(hosted, now)
             if (
                 hosted.state_logged_at + STATE_LOG_INTERVAL_S <= now
@@ -642,7 +643,8 @@
                 fields |= _memory_field(action)
                 fields |= _stream_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
-                if work.stream and action.version is not None:
+                is_standby = hosted.dispatcher.is_standby
+                if work.stream and action.version is not None and not is_standby:
                     hosted.new_streams[work.stream] = action.version
                 waited = now - work.received_at
                 grant = PoolGrant(
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -79,6 +79,11 @@
         """Targets by name."""
         return self._targets
 
+    @property
+    def is_standby(self) -> bool:
+        """Whether it grants targets to the requests of one instance only."""
+        return False
+
     @property
     @abstractmethod
     def waiting(self) -> dict[str, int]:
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -342,3 +342,27 @@
         """Guards against links that an older build closes at an unknown message."""
         _own, sent = await self._grant_stream(a=False, b=False, c=False)
         assert sent == []
+
+    async def test_of_a_standby_dispatcher_are_not_sent(self):
+        """Its records may be older than those of the pool's dispatcher.
+
+        Its instance hands them over when it registers again.
+        """
+        view = self._view(a=True, b=True, c=True)
+        own = next(n for n in "abc" if n != view.view.dispatcher_of(POOL))
+        links = _Links()
+        worker = DispatcherHost(
+            own, f"{own}:1", links, lambda _message: None, None,
+            dispatcher_class=SlotDispatcher, polls_load=False, has_standby=True,
+        )  # fmt: skip
+        await worker.handle(view)
+        targets = {"t": PlannedTarget(4, version="v1")}
+        pool = PlannedPool(True, targets=targets, mixed_until=float("inf"))
+        await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
+        info = WorkInfo(
+            "a", "a", own, "c", "0", 0, 9, 9, 9.0, 0.0, False, [], [],
+            stream=self.STREAM,
+        )  # fmt: skip
+        await worker.handle(Received(f"{own}:1", PoolAsk(POOL, info)))
+        await worker.handle(Tick())
+        assert not any(isinstance(message, PoolStreams) for _, message in links.sent)
