Ask for the order of a pool without adding the pool

Each plan added the pools of the routing table to the table of versions, also those without targets. Their dispatchers follow the orders in the store, which costs calls.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -556,12 +556,12 @@
         shortly before this instance started.
         """
         now = asyncio.get_running_loop().time()
-        entry = self._rollouts.version_table[pool]
-        versions = serving
-        if entry.is_running and entry.is_begun:
-            versions = {*serving, entry.order.version}
+        version_table = self._rollouts.version_table
+        running = version_table.running_version(pool)
+        versions = serving if running is None else {*serving, running}
         is_changing = self._uptime() < STREAM_LIFETIME_S and (
-            entry.order is not None or self._started_after(pool, self._oldest_stream_ms)
+            version_table.has_order(pool)
+            or self._started_after(pool, self._oldest_stream_ms)
         )
         return self._version_history.observe(
             pool, versions, now, is_changing=is_changing
--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -224,6 +224,18 @@
         several = len({*seen, *self._discovered.get(pool, ())}) > 1
         return NO_VERSIONS if several else frozenset()
 
+    def has_order(self, pool: str) -> bool:
+        """Return whether there is an order for a pool, ended or not."""
+        entry = self._pools.get(pool)
+        return entry is not None and entry.order is not None
+
+    def running_version(self, pool: str) -> str | None:
+        """Return the version of a pool whose order is carried out; None for none."""
+        entry = self._pools.get(pool)
+        if entry is None or not (entry.is_running and entry.is_begun):
+            return None
+        return entry.order.version
+
     def rejected_version(self, pool: str) -> str | None:
         """Return the version whose order was rolled back; None if there is none."""
         entry = self._pools.get(pool)
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -88,6 +88,23 @@
         assert younger.merge_record(_round_trip(record), 60.0)
         assert younger.serving_versions(POOL) == {"v1"}
 
+    def test_questions_of_an_unknown_pool_add_no_entry(self):
+        """Instances read the orders of the store for the pools that are known here."""
+        table = PoolVersionTable()
+        assert not table.has_order(POOL)
+        assert table.running_version(POOL) is None
+        assert table.rejected_version(POOL) is None
+        assert list(table) == []
+
+    def test_the_version_of_a_running_order_is_known(self):
+        table = PoolVersionTable()
+        table.apply_order(_order(), 1.0)
+        assert table.has_order(POOL)
+        assert table.running_version(POOL) is None
+        running = _order(revision=6, state=RolloutState.RUNNING, state_version="v2")
+        table.apply_order(running, 1.1)
+        assert table.running_version(POOL) == "v2"
+
 
 class TestOrders:
     def test_a_status_update_does_not_restart_the_order(self):
