--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -29,6 +29,8 @@
 __all__ = ["Exchange"]
 
 MAX_BODY_BYTES = 16 << 20
+# Characters of a caller's id that are logged.
+MAX_LOGGED_ID = 64
 # Late responses to earlier requests that are discarded on a connection. It carries one
 # request at a time, so few can be due.
 MAX_STALE_RESPONSES = 4
@@ -274,7 +276,7 @@
             max_pause=self._incoming.route.max_pause,
             events=self._splitter.count,
             resumed_after=self._resumed_after,
-            resumed_request=self._incoming.head.resumed_request,
+            resumed_request=self._incoming.head.resumed_request[:MAX_LOGGED_ID],
             last_event=self._splitter.last_id,
             framing=self._framing,
             incomplete=self._incomplete_bytes,
