Begin a stream only at the version that its dispatcher recorded

What callers could see: a stream that its caller resumes at another version than it began at (ORDER).

Cause: the dispatcher records the version that it knows of a target. Where the entry changed its version under the same name between the grant and the send, the stream began at the new one and was recorded at the old. Only requests that resumed a stream compared the two.

Evidence: TestChangedEntry failed before: requests ran at the target whose versions differ. It runs at the other one now.

--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -136,7 +136,7 @@
                 self.release_grant(m.GrantOutcome.UNUSED)
                 return self._quarantine_refusal()
             target = self._context.targets.get(reply.target)
-            if target is None or not self._may_continue_at(target, reply):
+            if target is None or not self._may_stream_at(target, reply):
                 # The dispatcher knows another state of the pool's targets.
                 self.release_grant(m.GrantOutcome.UNUSED)
                 self._avoid.append(reply.target)
@@ -164,10 +164,13 @@
             problem = {"title": _CONTINUATION_TITLE, "detail": detail}
         return Refusal(refused.retry_after, str(refused.reason), problem=problem)
 
-    def _may_continue_at(self, target: DiscoveredTarget, granted: Granted) -> bool:
-        """Whether a target is of the version that began the stream, if it has begun."""
+    def _may_stream_at(self, target: DiscoveredTarget, granted: Granted) -> bool:
+        """Whether a stream may begin or continue at a target.
+
+        One that begins must do so at the version that the dispatcher has recorded.
+        """
         version = self.bound_version
-        if version is None and self._incoming.resumes:
+        if version is None and self._incoming.route.streaming:
             version = granted.version
         return version in (None, target.version)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 
 import pytest
 from platform_standin import TargetStandIn, chunk, event, stream_head
@@ -323,3 +324,20 @@
         status, _fields, _body = await self._resume(site, instance=2)
         assert status == 503
         assert "v2" not in site.versions_sent_to()
+
+
+class TestChangedEntry:
+    """Guards against a record of another version than the stream begins at.
+
+    The entry of a target that does not tell its start may change its version between
+    the grant and the send. The dispatcher records the version that it knows.
+    """
+
+    async def test_a_stream_begins_where_both_know_the_same_version(self, site):
+        await site.start_pool(new=0)
+        targets = site.instances[0].targets
+        targets["old0"] = dataclasses.replace(targets["old0"], version="v2")
+        site.released.set()
+        for _ in range(4):
+            assert (await site.begin())[0] == 200
+        assert len(site.targets[0].requests) == 0
