Log what the retry budget follows from, for each retry decided

The hypotheses of docs/incidents/retry-budget.md differ in the number of instances that an instance reckons with, in its age, and in the time from the decision to the send; no line had them. No change of logic.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -607,7 +607,17 @@
         if failure is _AttemptFailure.BROKEN and not self._quarantine_status.may_retry:
             return False
         self._splitter.drop_remainder()
-        return self._context.retries.try_acquire(self._incoming.pool, self._now())
+        retries, pool, now = self._context.retries, self._incoming.pool, self._now()
+        is_allowed = retries.try_acquire(pool, now)
+        decision(
+            "retry-allowed" if is_allowed else "retry-refused",
+            request=self._incoming.head.request,
+            pool=pool,
+            number=self._attempts + 1,
+            failure=failure.value,
+            **retries.summary(pool, now),
+        )
+        return is_allowed
 
     def _respond_to_failure(self, failure: _AttemptFailure) -> web.StreamResponse:
         if (
--- a/hibiscusstep/forwarding/windowed_retry_budget.py
+++ b/hibiscusstep/forwarding/windowed_retry_budget.py
@@ -56,6 +56,16 @@
         )
         return limit - self._retries[pool].total(now)
 
+    def summary(self, pool: str, now: float) -> dict[str, float]:
+        """Return what the budget of a pool follows from, for the log."""
+        return {
+            "remaining": round(self.remaining(pool, now), 2),
+            "retries": self._retries[pool].total(now),
+            "requests": self._requests[pool].total(now),
+            "instances": self.instances,
+            "age": round(now - self._started_at, 1),
+        }
+
     def try_acquire(self, pool: str, now: float) -> bool:
         """Return whether a retry is allowed, and count it if so."""
         if self.remaining(pool, now) < 1.0:
