Let parts of the retry reserve grow only after a whole window

Callers saw targets under stress get 102 retries in 10 s of 88 allowed after six of nine instances were killed (159 of 136 at 40 requests a second). Cause: the reserve was split by the number of instances known now; the log of the survivors shows 9 and then 3 within the same window, with 8 retries used of the old part and 10 left of the new one. What the lost ones had used still counts at the targets. The number is the largest of the last window now, so the parts of all that used any in a window add up to the reserve.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -465,7 +465,8 @@
 
     def _on_view(self, changed: ViewChanged) -> None:
         self._view = changed.view
-        self._retries.instances = changed.view.expected_size
+        now = asyncio.get_running_loop().time()
+        self._retries.set_instances(changed.view.expected_size, now)
         self._paths.apply_view(changed.view)
         for worker in (
             self._dispatcher_host,
--- a/hibiscusstep/forwarding/windowed_retry_budget.py
+++ b/hibiscusstep/forwarding/windowed_retry_budget.py
@@ -4,6 +4,7 @@
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.window import SlidingWindow
+from hibiscusstep.membership.sliding_maximum import SlidingMaximum
 
 __all__ = ["WindowedRetryBudget"]
 
@@ -20,7 +21,8 @@
     """Limits the retries to a pool to a share of its requests plus a reserve.
 
     The limit holds for all instances together: each uses the share of its own requests
-    and an even part of the reserve.
+    and an even part of the reserve. What lost instances used counts until it has left
+    the window, so the parts of the others grow only after a whole window.
 
     Parameters
     ----------
@@ -28,11 +30,6 @@
         Share, reserve and window.
     now : float
         Start of this instance, on the loop's clock.
-
-    Attributes
-    ----------
-    instances : int
-        Number of instances that share the reserve.
     """
 
     def __init__(self, bounds: Bounds, now: float) -> None:
@@ -40,7 +37,13 @@
         self._started_at = now
         self._requests: dict[str, SlidingWindow] = defaultdict(self._window)
         self._retries: dict[str, SlidingWindow] = defaultdict(self._window)
-        self.instances = 1
+        self._instances = 1
+        self._most_instances = SlidingMaximum(bounds.retry_window)
+
+    def set_instances(self, count: int, now: float) -> None:
+        """Set the number of instances that share the reserve from now on."""
+        self._most_instances.add(self._instances, now)
+        self._instances = max(1, count)
 
     def record_request(self, pool: str, now: float) -> None:
         """Count a request."""
@@ -49,7 +52,7 @@
     def remaining(self, pool: str, now: float) -> float:
         """Return how many retries are allowed now."""
         in_first_window = now - self._started_at < self.bounds.retry_window
-        reserve = self.bounds.retry_reserve / max(1, self.instances)
+        reserve = self.bounds.retry_reserve / self._sharing_instances(now)
         share = self.bounds.retry_share * self._requests[pool].total(now)
         limit = (USABLE_SHARE_AT_START if in_first_window else USABLE_SHARE) * (
             share + reserve
@@ -62,7 +65,7 @@
             "remaining": round(self.remaining(pool, now), 2),
             "retries": self._retries[pool].total(now),
             "requests": self._requests[pool].total(now),
-            "instances": self.instances,
+            "instances": self._sharing_instances(now),
             "age": round(now - self._started_at, 1),
         }
 
@@ -73,5 +76,9 @@
         self._retries[pool].add(1, now)
         return True
 
+    def _sharing_instances(self, now: float) -> int:
+        """Return the largest number of instances that shared it in the window."""
+        return self._most_instances.add(self._instances, now)
+
     def _window(self) -> SlidingWindow:
         return SlidingWindow(self.bounds.retry_window)
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -25,7 +25,7 @@
     def start(self, number):
         budget = WindowedRetryBudget(BOUNDS, self.now)
         # A new instance takes the number of instances from the list.
-        budget.instances = INSTANCES
+        budget.set_instances(INSTANCES, self.now)
         self.budgets[number] = budget
 
     def play(self, seconds, failing=True):
@@ -115,7 +115,7 @@
 
     def set_count(self, budgets, count, unreachable=0):
         for budget in budgets:
-            budget.instances = count
+            budget.set_instances(count, self.now)
 
     def lose(self, count):
         """Lose instances for good, as with a kill: their connections are refused."""
