Have later requests pay for retries, so that lost ones free no budget

Besides the reserve, an instance used 0.16 retries for each of its requests of the last window. Half of this share may be used at once now, for the fewer of the requests of the last two windows; the other half is earned by requests that come after the retries.

--- a/hibiscusstep/forwarding/windowed_retry_budget.py
+++ b/hibiscusstep/forwarding/windowed_retry_budget.py
@@ -1,6 +1,6 @@
 """hibiscusstep.forwarding.windowed_retry_budget: retry budget over a sliding window."""
 
-from collections import defaultdict
+from collections import defaultdict, deque
 
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.window import SlidingWindow
@@ -15,14 +15,67 @@
 # but are not known: when all targets failed around a full restart, a window had 41
 # retries more than allowed, with a reserve of 50.
 USABLE_SHARE_AT_START = 1 - USABLE_SHARE
+# Share of the retries earned by requests that may be used at once, for requests of the
+# last window. The others are earned by requests that come after the retries.
+ADVANCE_SHARE = 0.5
+
+
+class _PoolAccount:
+    """Requests to a pool and the retries that they have not paid for yet.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the window in seconds.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._requests = SlidingWindow(window_s)
+        self._requests_of_two_windows = SlidingWindow(2 * window_s)
+        # Pairs of the time of a retry and its unpaid part; the latest is paid first.
+        self._unpaid: deque[tuple[float, float]] = deque()
+
+    def record_request(self, payment: float, now: float) -> None:
+        """Count a request, which pays for a part of a retry."""
+        self._requests.add(1, now)
+        self._requests_of_two_windows.add(1, now)
+        while payment > 0 and self._unpaid:
+            at, amount = self._unpaid.pop()
+            if amount > payment:
+                self._unpaid.append((at, amount - payment))
+            payment -= amount
+
+    def record_retry(self, now: float) -> None:
+        """Count a retry."""
+        self._unpaid.append((now, 1.0))
+
+    def requests(self, now: float) -> float:
+        """Return the number of requests in the window."""
+        return self._requests.total(now)
+
+    def steady_requests(self, now: float) -> float:
+        """Return the requests in the window or in the one before, if fewer."""
+        recent = self._requests.total(now)
+        return min(recent, self._requests_of_two_windows.total(now) - recent)
+
+    def unpaid(self, now: float) -> float:
+        """Return the retries in the window that no request has paid for."""
+        while self._unpaid and self._unpaid[0][0] <= now - self._window_s:
+            self._unpaid.popleft()
+        return sum(amount for _at, amount in self._unpaid)
 
 
 class WindowedRetryBudget:
     """Limits the retries to a pool to a share of its requests plus a reserve.
 
-    The limit holds for all instances together: each uses the share of its own requests
-    and an even part of the reserve. What lost instances used counts until it has left
-    the window, so the parts of the others grow only after a whole window.
+    The limit holds for all instances together, also if any of them are lost. An
+    instance may have as many unpaid retries in a window as its part: an even part of
+    the reserve, and a share of its own requests that does not grow for a window if it
+    receives those of lost instances. Each later request pays for a part of a retry. In
+    any window all retries are therefore at most the parts of the instances that were
+    alive at its beginning, which add up to the reserve and a share of the requests
+    before it, and a share of the requests in it.
 
     Parameters
     ----------
@@ -35,8 +88,7 @@
     def __init__(self, bounds: Bounds, now: float) -> None:
         self.bounds = bounds
         self._started_at = now
-        self._requests: dict[str, SlidingWindow] = defaultdict(self._window)
-        self._retries: dict[str, SlidingWindow] = defaultdict(self._window)
+        self._accounts: dict[str, _PoolAccount] = defaultdict(self._make_account)
         self._instances = 1
         self._most_instances = SlidingMaximum(bounds.retry_window)
 
@@ -47,24 +99,27 @@
 
     def record_request(self, pool: str, now: float) -> None:
         """Count a request."""
-        self._requests[pool].add(1, now)
+        payment = USABLE_SHARE * (1 - ADVANCE_SHARE) * self.bounds.retry_share
+        self._accounts[pool].record_request(payment, now)
 
     def remaining(self, pool: str, now: float) -> float:
         """Return how many retries are allowed now."""
+        account = self._accounts[pool]
         in_first_window = now - self._started_at < self.bounds.retry_window
         reserve = self.bounds.retry_reserve / self._sharing_instances(now)
-        share = self.bounds.retry_share * self._requests[pool].total(now)
-        limit = (USABLE_SHARE_AT_START if in_first_window else USABLE_SHARE) * (
-            share + reserve
+        advance = ADVANCE_SHARE * self.bounds.retry_share
+        part = (USABLE_SHARE_AT_START if in_first_window else USABLE_SHARE) * (
+            advance * account.steady_requests(now) + reserve
         )
-        return limit - self._retries[pool].total(now)
+        return part - account.unpaid(now)
 
     def summary(self, pool: str, now: float) -> dict[str, float]:
         """Return what the budget of a pool follows from, for the log."""
+        account = self._accounts[pool]
         return {
             "remaining": round(self.remaining(pool, now), 2),
-            "retries": self._retries[pool].total(now),
-            "requests": self._requests[pool].total(now),
+            "unpaid": round(account.unpaid(now), 2),
+            "requests": account.requests(now),
             "instances": self._sharing_instances(now),
             "age": round(now - self._started_at, 1),
         }
@@ -73,12 +128,12 @@
         """Return whether a retry is allowed, and count it if so."""
         if self.remaining(pool, now) < 1.0:
             return False
-        self._retries[pool].add(1, now)
+        self._accounts[pool].record_retry(now)
         return True
 
     def _sharing_instances(self, now: float) -> int:
         """Return the largest number of instances that shared it in the window."""
         return self._most_instances.add(self._instances, now)
 
-    def _window(self) -> SlidingWindow:
-        return SlidingWindow(self.bounds.retry_window)
+    def _make_account(self) -> _PoolAccount:
+        return _PoolAccount(self.bounds.retry_window)
