Share the retry reserve with unreachable instances too

The number of instances by which the reserve was split left out those that may be alive but are not reached: parts of a partition, or instances that were stopped, used it once each. Quotas count them already (reachability.py), so there were two answers to one question; the budget takes that one now, also what an instance learns at its start of others that it has never seen. In tests: parts of six instances cut from each other (4 cases) and instances stopped for 14 and 30 s while taken for unreachable (2) broke the limit before.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -466,7 +466,8 @@
     def _on_view(self, changed: ViewChanged) -> None:
         self._view = changed.view
         now = asyncio.get_running_loop().time()
-        self._retries.set_instances(changed.view.expected_size, now)
+        self._quotas.reachability.apply_view(changed.view, now)
+        self._share_retries(now)
         self._paths.apply_view(changed.view)
         for worker in (
             self._dispatcher_host,
@@ -479,6 +480,11 @@
         self._choose_target_source()
         self._distributor.apply_view(changed.view)
 
+    def _share_retries(self, now: float) -> None:
+        """Share the retry budget with all instances that are or may be alive."""
+        count = self._quotas.reachability.sharing_count(now)
+        self._retries.set_instances(count, now)
+
     def _choose_target_source(self) -> None:
         """Follow the store, unless a relay does so for this instance."""
         if not self._follows_store or not self._view.role_known:
@@ -608,6 +614,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._connections.close_expired()
             self._record_suspension(suspensions.check())
+            self._share_retries(asyncio.get_running_loop().time())
             self._choose_target_source()
             self._distributor.request_newer_table()
             resends_all = sweep_number % SWEEPS_PER_TARGET_RESEND == 0
--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -76,6 +76,11 @@
         Window and allowed overage.
     usage_worker : Worker or None
         Reads and writes the saved usage; None if there is no store.
+
+    Attributes
+    ----------
+    reachability : Reachability
+        Counts the instances that are or may be alive.
     """
 
     def __init__(
@@ -93,8 +98,8 @@
         self._usage_worker = usage_worker
         now = asyncio.get_running_loop().time()
         self._ledger = UsageLedger(incarnation, bounds.quota_window, now)
-        self._reachability = Reachability(now)
-        self._limit = QuotaLimit(bounds, self._ledger, self._reachability)
+        self.reachability = Reachability(now)
+        self._limit = QuotaLimit(bounds, self._ledger, self.reachability)
         self._planner = SavedUsagePlanner()
         self._view = View()
         self._rules: dict[str, CustomerRule] = {}
@@ -189,7 +194,7 @@
             self._ledger.detach_sent(self._sent_totals)
             self._answered.clear()
             self._query(view.parent)
-        self._reachability.apply_view(view, now)
+        self.reachability.apply_view(view, now)
         self._neighbours = view.neighbours(self._address)
         for address in set(self._neighbours) - known:
             self._send_history(address, now)
@@ -232,8 +237,7 @@
             follower = self._followers.get(address, "")
             history = self._ledger.make_history(scope, now, follower)
             history.instances = (
-                self._reachability.alive_count
-                + self._reachability.unreachable_count(now)
+                self.reachability.alive_count + self.reachability.unreachable_count(now)
             )
             self._links.tell(Send(address, history))
 
@@ -255,7 +259,7 @@
         self._answered.add(sender)
         older = history.age > self._ledger.age(now)
         if older and not self._ledger.knows_window(now):
-            self._reachability.apply_reported_count(history.instances, now)
+            self.reachability.apply_reported_count(history.instances, now)
         if self._view.parent:
             self._process_relay(history.usages[0].incarnation)
         previous = self._ledger.known_for(now)
@@ -335,7 +339,7 @@
             "known_for": round(ledger.known_for(now), 1),
             "kept_known": ledger.listed is not None,
             "instances": self._view.size,
-            "silent": self._reachability.unreachable_count(now),
+            "silent": self.reachability.unreachable_count(now),
         }
 
     def settle(self, name: str, tokens: int, used: bool) -> None:
@@ -364,7 +368,7 @@
         used_unsent = ledger.group_totals[name] - self._sent_totals.get(name, 0)
         unsent = used_unsent + self._pending[name]
         recent = ledger.recent_others_usage(name, now)
-        instance_count = self._reachability.likely_size
+        instance_count = self.reachability.likely_size
         if instance_count == 1:
             return True
         others = ledger.others_usage(name, now)
@@ -409,7 +413,7 @@
             return
         if not self._view.has_duty("customers' use", self._address):
             return
-        if self._reachability.alive_count < self._reachability.unreachable_count(now):
+        if self.reachability.alive_count < self.reachability.unreachable_count(now):
             # There is one document; the larger side of a partition writes it.
             return
         limits = {
--- a/hibiscusstep/forwarding/reachability.py
+++ b/hibiscusstep/forwarding/reachability.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.forwarding.reachability: number of instances that share a quota."""
+"""hibiscusstep.forwarding.reachability: number of instances that share a limit."""
 
 from hibiscusstep.membership.tracker import UNREACHABLE_LIFETIME_S
 from hibiscusstep.membership.view import View
@@ -49,7 +49,7 @@
 
     @property
     def likely_size(self) -> int:
-        """Number of instances that share a quota.
+        """Number of live instances that share a limit.
 
         At a start, while no other instance is known, it is the number in the store.
         """
@@ -62,6 +62,10 @@
             return self._view.unreachable
         return max(self._view.unreachable, self._reported_count - self._view.size)
 
+    def sharing_count(self, now: float) -> int:
+        """Return the number of instances that are or may be alive."""
+        return self.likely_size + self.unreachable_count(now)
+
     def apply_view(self, view: View, now: float) -> None:
         """Apply a view and the number of instances in the store's list."""
         self._view = view
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -3,7 +3,9 @@
 import pytest
 
 from hibiscusstep.forwarding.bounds import Bounds
+from hibiscusstep.forwarding.reachability import Reachability
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
+from hibiscusstep.membership.view import View
 
 BOUNDS = Bounds(retry_share=0.2, retry_reserve=50.0, retry_window=10.0)
 INSTANCES = 6
@@ -114,8 +116,11 @@
             self.budgets[number] = self.budgets.pop(number)
 
     def set_count(self, budgets, count, unreachable=0):
+        reachability = Reachability(0.0)
+        view = View(dict.fromkeys(map(str, range(count))), unreachable=unreachable)
+        reachability.apply_view(view, self.now)
         for budget in budgets:
-            budget.set_instances(count, self.now)
+            budget.set_instances(reachability.sharing_count(self.now), self.now)
 
     def lose(self, count):
         """Lose instances for good, as with a kill: their connections are refused."""
