Give an instance no part of the retry budget until it has run for a whole window

A started instance has no part for a window and 2 s now; its requests earn their whole share from the first one on, which is more than the fifth of it that they earned before. A stop of over half of a window counts as a restart; the clock includes suspensions of the machine. The test's instances serve 30 s before each case now, which they spent idle and unasked before: to the new code that is a stop.

--- a/hibiscusstep/forwarding/windowed_retry_budget.py
+++ b/hibiscusstep/forwarding/windowed_retry_budget.py
@@ -1,9 +1,12 @@
 """hibiscusstep.forwarding.windowed_retry_budget: retry budget over a sliding window."""
 
 from collections import defaultdict, deque
+from collections.abc import Callable
 
+from hibiscusstep.clock import elapsed
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.window import SlidingWindow
+from hibiscusstep.log import decision
 from hibiscusstep.membership.sliding_maximum import SlidingMaximum
 
 __all__ = ["WindowedRetryBudget"]
@@ -11,10 +14,13 @@
 # Share of the budget that is used. Whoever checks the limit may count over windows that
 # are not aligned with these.
 USABLE_SHARE = 0.8
-# The same in the first window after an instance's start. Retries before it still count
-# but are not known: when all targets failed around a full restart, a window had 41
-# retries more than allowed, with a reserve of 50.
-USABLE_SHARE_AT_START = 1 - USABLE_SHARE
+# Seconds within which the others know that an instance has started or has ended.
+DISCOVERY_S = 2.0
+# A stop of the process for longer than this share of a window counts as a restart. The
+# others do not take over its part before a whole window is over.
+MAX_STOP_SHARE = 0.5
+# Retries that requests may earn before any is used, while an instance has no part.
+MAX_CREDIT = 1.0
 # Share of the retries earned by requests that may be used at once, for requests of the
 # last window. The others are earned by requests that come after the retries.
 ADVANCE_SHARE = 0.5
@@ -27,6 +33,11 @@
     ----------
     window_s : float
         Length of the window in seconds.
+
+    Attributes
+    ----------
+    credit : float
+        Retries that earlier requests have paid for.
     """
 
     def __init__(self, window_s: float) -> None:
@@ -35,9 +46,10 @@
         self._requests_of_two_windows = SlidingWindow(2 * window_s)
         # Pairs of the time of a retry and its unpaid part; the latest is paid first.
         self._unpaid: deque[tuple[float, float]] = deque()
+        self.credit = 0.0
 
-    def record_request(self, payment: float, now: float) -> None:
-        """Count a request, which pays for a part of a retry."""
+    def record_request(self, payment: float, now: float, max_credit: float) -> None:
+        """Count a request, which pays for a part of a retry, or earns a later one."""
         self._requests.add(1, now)
         self._requests_of_two_windows.add(1, now)
         while payment > 0 and self._unpaid:
@@ -45,10 +57,14 @@
             if amount > payment:
                 self._unpaid.append((at, amount - payment))
             payment -= amount
+        self.credit = min(max_credit, self.credit + max(0.0, payment))
 
     def record_retry(self, now: float) -> None:
         """Count a retry."""
-        self._unpaid.append((now, 1.0))
+        if self.credit >= 1:
+            self.credit -= 1
+        else:
+            self._unpaid.append((now, 1.0))
 
     def requests(self, now: float) -> float:
         """Return the number of requests in the window."""
@@ -77,16 +93,26 @@
     alive at its beginning, which add up to the reserve and a share of the requests
     before it, and a share of the requests in it.
 
+    An instance has no part for a window after its start, since its predecessor or an
+    instance that it replaces may have used one, and none after a long stop. Its
+    requests earn all of their share then.
+
     Parameters
     ----------
     bounds : Bounds
         Share, reserve and window.
     now : float
         Start of this instance, on the loop's clock.
+    clock : callable
+        Returns seconds that include stops of the process and of the machine.
     """
 
-    def __init__(self, bounds: Bounds, now: float) -> None:
+    def __init__(
+        self, bounds: Bounds, now: float, clock: Callable[[], float] = elapsed
+    ) -> None:
         self.bounds = bounds
+        self._clock = clock
+        self._last_seen_at = clock()
         self._started_at = now
         self._accounts: dict[str, _PoolAccount] = defaultdict(self._make_account)
         self._instances = 1
@@ -94,23 +120,27 @@
 
     def set_instances(self, count: int, now: float) -> None:
         """Set the number of instances that share the reserve from now on."""
+        self._check_for_stop(now)
         self._most_instances.add(self._instances, now)
         self._instances = max(1, count)
 
     def record_request(self, pool: str, now: float) -> None:
         """Count a request."""
-        payment = USABLE_SHARE * (1 - ADVANCE_SHARE) * self.bounds.retry_share
-        self._accounts[pool].record_request(payment, now)
+        self._check_for_stop(now)
+        share, max_credit = USABLE_SHARE * self.bounds.retry_share, MAX_CREDIT
+        if self._has_part(now):
+            share, max_credit = (1 - ADVANCE_SHARE) * share, 0.0
+        self._accounts[pool].record_request(share, now, max_credit)
 
     def remaining(self, pool: str, now: float) -> float:
         """Return how many retries are allowed now."""
+        self._check_for_stop(now)
         account = self._accounts[pool]
-        in_first_window = now - self._started_at < self.bounds.retry_window
+        if not self._has_part(now):
+            return account.credit - account.unpaid(now)
         reserve = self.bounds.retry_reserve / self._sharing_instances(now)
         advance = ADVANCE_SHARE * self.bounds.retry_share
-        part = (USABLE_SHARE_AT_START if in_first_window else USABLE_SHARE) * (
-            advance * account.steady_requests(now) + reserve
-        )
+        part = USABLE_SHARE * (advance * account.steady_requests(now) + reserve)
         return part - account.unpaid(now)
 
     def summary(self, pool: str, now: float) -> dict[str, float]:
@@ -122,6 +152,7 @@
             "requests": account.requests(now),
             "instances": self._sharing_instances(now),
             "age": round(now - self._started_at, 1),
+            "has_part": self._has_part(now),
         }
 
     def try_acquire(self, pool: str, now: float) -> bool:
@@ -131,6 +162,20 @@
         self._accounts[pool].record_retry(now)
         return True
 
+    def _has_part(self, now: float) -> bool:
+        """Whether nobody counts retries of before the start any more."""
+        return now - self._started_at >= self.bounds.retry_window + DISCOVERY_S
+
+    def _check_for_stop(self, now: float) -> None:
+        """Begin anew if the process or its machine was stopped for long."""
+        at = self._clock()
+        if at - self._last_seen_at > MAX_STOP_SHARE * self.bounds.retry_window:
+            decision(
+                "retry-budget-restarted", stopped=round(at - self._last_seen_at, 1)
+            )
+            self._started_at = now
+        self._last_seen_at = at
+
     def _sharing_instances(self, now: float) -> int:
         """Return the largest number of instances that shared it in the window."""
         return self._most_instances.add(self._instances, now)
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -22,10 +22,11 @@
         self.retries = []
         for number in range(INSTANCES):
             self.start(number)
-        self.now += 30.0
+        Fleet.play(self, 30.0, failing=False)
+        self.requests.clear()
 
     def start(self, number):
-        budget = WindowedRetryBudget(BOUNDS, self.now)
+        budget = WindowedRetryBudget(BOUNDS, self.now, lambda: self.now)
         # A new instance takes the number of instances from the list.
         budget.set_instances(INSTANCES, self.now)
         self.budgets[number] = budget
