Count a retry in the window in which it is sent

A retry counted from the moment at which it was decided, and was sent once it was granted a target, up to its deadline later. It counts without an end while it waits now, and its window begins when it is sent; one that is never sent is given back.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -101,6 +101,8 @@
         self._resumed_after = ""
         # Software version of the last attempt's target.
         self._target_version = ""
+        # Whether the retry budget allowed an attempt that has not been sent yet.
+        self._has_waiting_retry = False
         self._quarantine_status = QuarantineStatus(incoming, context.quarantine)
         self._grants = GrantClient(incoming, context, self._quarantine_status)
 
@@ -112,6 +114,9 @@
             why = self._incoming.caller.cut_off_reason
             self._log_failure(499, f"cut off: {why}" if why else "caller disconnected")
             raise
+        finally:
+            if self._has_waiting_retry:
+                self._context.retries.release(self._incoming.pool)
         self._record_metrics(response.status)
         return response
 
@@ -316,6 +321,9 @@
         )
         if incoming.quota_request:
             incoming.quota_request.commit()
+        if self._has_waiting_retry:
+            self._has_waiting_retry = False
+            self._context.retries.record_sent(incoming.pool, self._now())
         connection.begin(self._account, self._context.buffers.window)
         for part in _serialize_request(incoming, fields):
             connection.write(part, is_counted=part is incoming.body)
@@ -608,7 +616,8 @@
             return False
         self._splitter.drop_remainder()
         retries, pool, now = self._context.retries, self._incoming.pool, self._now()
-        is_allowed = retries.try_acquire(pool, now)
+        is_allowed = self._has_waiting_retry or retries.try_acquire(pool, now)
+        self._has_waiting_retry = is_allowed
         decision(
             "retry-allowed" if is_allowed else "retry-refused",
             request=self._incoming.head.request,
--- a/hibiscusstep/forwarding/windowed_retry_budget.py
+++ b/hibiscusstep/forwarding/windowed_retry_budget.py
@@ -38,6 +38,8 @@
     ----------
     credit : float
         Retries that earlier requests have paid for.
+    waiting : int
+        Allowed retries that have not been sent yet.
     """
 
     def __init__(self, window_s: float) -> None:
@@ -47,6 +49,7 @@
         # Pairs of the time of a retry and its unpaid part; the latest is paid first.
         self._unpaid: deque[tuple[float, float]] = deque()
         self.credit = 0.0
+        self.waiting = 0
 
     def record_request(self, payment: float, now: float, max_credit: float) -> None:
         """Count a request, which pays for a part of a retry, or earns a later one."""
@@ -60,7 +63,7 @@
         self.credit = min(max_credit, self.credit + max(0.0, payment))
 
     def record_retry(self, now: float) -> None:
-        """Count a retry."""
+        """Count a retry that is sent."""
         if self.credit >= 1:
             self.credit -= 1
         else:
@@ -76,10 +79,10 @@
         return min(recent, self._requests_of_two_windows.total(now) - recent)
 
     def unpaid(self, now: float) -> float:
-        """Return the retries in the window that no request has paid for."""
+        """Return the retries, sent in the window or waiting, not paid for."""
         while self._unpaid and self._unpaid[0][0] <= now - self._window_s:
             self._unpaid.popleft()
-        return sum(amount for _at, amount in self._unpaid)
+        return self.waiting + sum(amount for _at, amount in self._unpaid)
 
 
 class WindowedRetryBudget:
@@ -156,12 +159,25 @@
         }
 
     def try_acquire(self, pool: str, now: float) -> bool:
-        """Return whether a retry is allowed, and count it if so."""
+        """Return whether a retry is allowed; it counts from now until it leaves.
+
+        It may wait for a target, so the window in which it counts begins with
+        `record_sent`. One that is not sent is given back by `release`.
+        """
         if self.remaining(pool, now) < 1.0:
             return False
-        self._accounts[pool].record_retry(now)
+        self._accounts[pool].waiting += 1
         return True
 
+    def record_sent(self, pool: str, now: float) -> None:
+        """Record that an allowed retry is sent now."""
+        self.release(pool)
+        self._accounts[pool].record_retry(now)
+
+    def release(self, pool: str) -> None:
+        """Give back an allowed retry that is not sent."""
+        self._accounts[pool].waiting -= 1
+
     def _has_part(self, now: float) -> bool:
         """Whether nobody counts retries of before the start any more."""
         return now - self._started_at >= self.bounds.retry_window + DISCOVERY_S
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -38,6 +38,7 @@
                 budget.record_request("p", self.now)
                 self.requests.append(self.now)
                 while failing and budget.try_acquire("p", self.now):
+                    budget.record_sent("p", self.now)
                     self.retries.append(self.now)
             self.now += 0.1
 
@@ -223,6 +224,17 @@
         for _ in range(120):
             fleet.play(0.1, failing=False)
             sent += [b for b in budgets if b.try_acquire("p", fleet.now)]
-        fleet.retries = [fleet.now] * len(sent)
+        for budget in sent:
+            budget.record_sent("p", fleet.now)
+            fleet.retries.append(fleet.now)
         fleet.play(12.0, failing=False)
         assert fleet.excess() <= 0
+
+    def test_count_no_more_once_given_back(self):
+        fleet = Fleet(40)
+        budget = fleet.budgets[0]
+        before = budget.remaining("p", fleet.now)
+        assert budget.try_acquire("p", fleet.now)
+        assert budget.remaining("p", fleet.now) == before - 1
+        budget.release("p")
+        assert budget.remaining("p", fleet.now) == before
