Count crashes with the first event of a response for more

Trace: each crash came 6 to 57 ms after the first event and weighed 0.5, and the three that came at once counted as one of them: 0.5 in all, then 2.0 after three more, 3.0 after five. A crash within 0.1 s of the first event weighs 0.75 now, and one in a run beside others half of that more, for two of them at most.

--- a/hibiscusstep/forwarding/crash_detector.py
+++ b/hibiscusstep/forwarding/crash_detector.py
@@ -28,8 +28,8 @@
         Fingerprint that all attempts of the request share.
     started_at : float
         When the request was sent to the target, on the event loop's clock.
-    before_first_event : bool
-        Whether the connection ended before the first event of the response.
+    weight : float
+        How much a crash counts against the request; see `suspects.crash_weight`.
     ended_at : float
         When the connection ended, on the event loop's clock.
     parts : tuple of int
@@ -39,7 +39,7 @@
     attempt_id: str
     fingerprint: int
     started_at: float
-    before_first_event: bool
+    weight: float
     ended_at: float = 0.0
     parts: tuple[int, ...] = ()
 
--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -205,8 +205,11 @@
             if in_path:
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
+            since_first = self._timing.seconds_since_first(self._now())
             self._quarantine_status.record_interruption(
-                target, self._grants.granted_at, not self._timing.events
+                target,
+                self._grants.granted_at,
+                since_first if self._timing.events else None,
             )
             return _AttemptFailure.BROKEN
         except (_InvalidResponse, TimeoutError) as error:
--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -18,12 +18,7 @@
     PartTable,
     PartVerdict,
 )
-from hibiscusstep.forwarding.suspects import (
-    EARLY_WEIGHT,
-    LATE_WEIGHT,
-    Suspect,
-    SuspectTable,
-)
+from hibiscusstep.forwarding.suspects import Suspect, SuspectTable
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.membership.mesh import ViewChanged
@@ -242,10 +237,9 @@
     def _record_request_crash(
         self, target: str, attempt: InterruptedAttempt, now: float
     ) -> SuspectState | None:
-        weight = EARLY_WEIGHT if attempt.before_first_event else LATE_WEIGHT
         was_quarantined = self.is_quarantined(attempt.fingerprint)
         state = self._table.record_crash(
-            attempt.fingerprint, target, weight, attempt.started_at, now
+            attempt.fingerprint, target, attempt.weight, attempt.started_at, now
         )
         if state is None:
             return None
@@ -257,7 +251,7 @@
             request=attempt.attempt_id,
             fingerprint=f"{attempt.fingerprint:016x}",
             target=target,
-            weight=weight,
+            weight=attempt.weight,
             crashes=dict(zip(state.targets, state.weights, strict=True)),
         )
         return state
--- a/hibiscusstep/forwarding/quarantine_status.py
+++ b/hibiscusstep/forwarding/quarantine_status.py
@@ -7,6 +7,7 @@
 from hibiscusstep.forwarding.incoming_request import IncomingRequest
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.quarantine import Quarantine
+from hibiscusstep.forwarding.suspects import crash_weight
 
 __all__ = ["QuarantineStatus"]
 
@@ -149,14 +150,27 @@
             self._quarantine.clear_parts(self._shared_parts, began, "streaming")
 
     def record_interruption(
-        self, target: DiscoveredTarget, started_at: float, before_first_event: bool
+        self,
+        target: DiscoveredTarget,
+        started_at: float,
+        seconds_since_first: float | None,
     ) -> None:
-        """Have the quarantine check whether a target crashed."""
+        """Have the quarantine check whether a target crashed.
+
+        Parameters
+        ----------
+        target : DiscoveredTarget
+            The target.
+        started_at : float
+            When the request was sent to it, on the event loop's clock.
+        seconds_since_first : float or None
+            Seconds since its first event; None if there was none.
+        """
         attempt = InterruptedAttempt(
             self._incoming.head.request,
             self._fingerprint,
             started_at,
-            before_first_event,
+            crash_weight(seconds_since_first),
             asyncio.get_running_loop().time(),
             () if self._is_sound else tuple(self._shared_parts),
         )
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -2,7 +2,7 @@
 
 import bisect
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from hibiscusstep.peer import SuspectState
@@ -14,6 +14,8 @@
     "Crash",
     "Suspect",
     "SuspectTable",
+    "WITH_EVENT_WEIGHT",
+    "crash_weight",
     "total_weight",
 ]
 
@@ -21,6 +23,14 @@
 # request than by those that had been running for a while.
 EARLY_WEIGHT = 1.0
 LATE_WEIGHT = 0.5
+# The same for a crash with the first event, which the end of the connection follows
+# within this time.
+WITH_EVENT_WEIGHT = 0.75
+WITH_EVENT_S = 0.1
+# Crashes with the first event in runs that overlap others count for this much more
+# each, up to a number: at a power loss seldom several runs of a request just began.
+BESIDE_WEIGHT = WITH_EVENT_WEIGHT / 2
+MAX_BESIDE = 2
 # A request is quarantined from this weight on. One that ran beside two crashes by
 # chance has usually been answered elsewhere before it runs beside a third.
 QUARANTINE_WEIGHT = 3.0
@@ -60,12 +70,35 @@
     crashed_at: float
 
 
-def total_weight(crashes: Iterable[Crash]) -> float:
-    """Return the largest total weight of crashes whose runs did not overlap.
+def crash_weight(seconds_since_first: float | None) -> float:
+    """Return how much a crash counts against a request that the target ran.
+
+    Parameters
+    ----------
+    seconds_since_first : float or None
+        Seconds from the first event of its response to the crash; None if there was
+        no event.
+    """
+    if seconds_since_first is None:
+        return EARLY_WEIGHT
+    return WITH_EVENT_WEIGHT if seconds_since_first < WITH_EVENT_S else LATE_WEIGHT
+
+
+def total_weight(crashes: Collection[Crash]) -> float:
+    """Return the total weight of crashes.
 
     Of overlapping runs only one counts: an event that ends many targets at once, such
-    as a power loss, is no evidence against a request that ran on several.
+    as a power loss, is no evidence against a request that ran on several. Runs that
+    each ended with their first event are an exception.
     """
+    with_event = [crash for crash in crashes if crash.weight == WITH_EVENT_WEIGHT]
+    in_sequence = round(_weight_in_sequence(with_event) / WITH_EVENT_WEIGHT)
+    beside = min(len(with_event) - in_sequence, MAX_BESIDE)
+    return _weight_in_sequence(crashes) + beside * BESIDE_WEIGHT
+
+
+def _weight_in_sequence(crashes: Iterable[Crash]) -> float:
+    """Return the largest total weight of crashes whose runs did not overlap."""
     crashes = sorted(crashes, key=lambda crash: crash.crashed_at)
     ends = [crash.crashed_at for crash in crashes]
     # Element i: the largest total weight among the first i crashes.
@@ -101,7 +134,7 @@
 
     @property
     def weight(self) -> float:
-        """Largest total weight of crashes whose runs did not overlap."""
+        """Total weight of its crashes."""
         return total_weight(self.crashes.values())
 
     @property
--- a/tests/crash_region.py
+++ b/tests/crash_region.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from hibiscusstep.forwarding.suspects import EARLY_WEIGHT, LATE_WEIGHT, SuspectTable
+from hibiscusstep.forwarding.suspects import SuspectTable, crash_weight
 
 INSTANCES, TARGETS, SLOTS = 8, 6, 7
 # Harmless requests per second, their mean duration and the time to the first event.
@@ -52,6 +52,9 @@
         Seconds between spontaneous crashes of targets; 0 for none.
     at_once : int
         Targets that crash spontaneously at the same moment.
+    with_event : bool
+        Whether the crashing requests crash targets with their first event, and arrive
+        at three instances at the same moment, but seldom.
 
     Attributes
     ----------
@@ -64,10 +67,15 @@
         Crashed targets by the request that crashed them; 0 for spontaneous crashes.
     """
 
-    def __init__(self, seed, kill_each=0.0, crash_each=0.0, at_once=1):
+    def __init__(
+        self, seed, kill_each=0.0, crash_each=0.0, at_once=1, with_event=False
+    ):
         self._random = random.Random(seed)
         self._kill_each, self._crash_each = kill_each, crash_each
         self._at_once = at_once
+        self._crash_after_s = FIRST_EVENT_S + 0.02 if with_event else CRASH_AFTER_S
+        self._arrivals = 3 if with_event else 1
+        self._crashing_rate = CRASHING_RATE / (6 if with_event else 1)
         self._events, self._sequence = [], itertools.count()
         self._names = itertools.count()
         self._tables = [SuspectTable() for _ in range(INSTANCES)]
@@ -113,8 +121,10 @@
         )
 
     def _crashing_arrives(self, now, request):
-        self._send(now, self._random.randrange(INSTANCES), request, ATTEMPTS)
-        pause = self._random.expovariate(CRASHING_RATE)
+        first = self._random.randrange(INSTANCES)
+        for number in range(self._arrivals):
+            self._send(now, (first + number) % INSTANCES, request, ATTEMPTS)
+        pause = self._random.expovariate(self._crashing_rate)
         self._schedule(now + pause, self._crashing_arrives, request)
 
     def _send(self, now, instance, request, left):
@@ -136,7 +146,7 @@
         if now > known_since + SETTLE_S:
             self.late[request] += 1
         if request <= CRASHING_REQUESTS:
-            self._schedule(now + CRASH_AFTER_S, self._crash, target, request)
+            self._schedule(now + self._crash_after_s, self._crash, target, request)
         else:
             end = now + FIRST_EVENT_S + self._random.expovariate(1 / MEAN_DURATION_S)
             self._schedule(end, self._answer, run)
@@ -186,7 +196,8 @@
         self._running[name] = []
 
     def _detect(self, now, target, run, crashed_at):
-        weight = EARLY_WEIGHT if crashed_at < run.first else LATE_WEIGHT
+        has_event = crashed_at >= run.first
+        weight = crash_weight(crashed_at - run.first if has_event else None)
         state = self._tables[run.instance].record_crash(
             run.request, target, weight, run.began, now
         )
--- a/tests/test_crash_region.py
+++ b/tests/test_crash_region.py
@@ -33,3 +33,9 @@
             assert max(region.late.values(), default=0) <= MAX_LATE
             assert not [request for request in region.refused if request >= 100]
             assert set(region.refused) == {1, 2}
+
+    @pytest.mark.parametrize("troubles", [{}, {"kill_each": 2.0}, {"crash_each": 4.0}])
+    def test_few_are_sent_late_if_targets_crash_with_the_first_event(self, troubles):
+        for seed in SEEDS:
+            region = CrashRegion(seed, with_event=True, **troubles).simulate()
+            assert max(region.late.values(), default=0) <= MAX_LATE
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -32,6 +32,7 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.crashes = 0
+        self.answers_before_crash = False
         self._restart_tasks = []
         self._names = (f"again{n}" for n in itertools.count())
 
@@ -51,7 +52,8 @@
         if body != CRASHING:
             return [stream_head(fields), 0.05, chunk(event(0)), chunk(b"")]
         self.crashes += 1
-        return ["crash"]
+        begun = [stream_head(fields), chunk(event(0)), 0.01]
+        return [*(begun if self.answers_before_crash else ()), "crash"]
 
     async def _restart_after_crashes(self, target):
         while True:
@@ -158,6 +160,23 @@
         assert site.crashes <= 3
 
 
+class TestCrashWithFirstEvent:
+    """Guards against a request that was held back after eight crashes, not three.
+
+    Its targets crashed with the first event of its response, three of them at once.
+    """
+
+    async def test_reaches_few_targets(self, site):
+        site.answers_before_crash = True
+        await site.start_pool(targets=6, instances=3)
+        calls = [site.call("/stream/", body=CRASHING, instance=n) for n in range(3)]
+        await asyncio.gather(*calls)
+        for number in range(ATTEMPTS):
+            await site.wait_for_target(number % 3)
+            await site.call("/stream/", body=CRASHING, instance=number % 3)
+        assert site.crashes <= MAX_CRASHES
+
+
 class TestConcurrentRequests:
     async def test_are_served_and_not_quarantined(self, site):
         """Interrupted streams resume on other targets, in each of several rounds."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.saved_suspects import from_document, to_document
+from hibiscusstep.forwarding.suspects import EARLY_WEIGHT
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
@@ -82,7 +83,7 @@
     async def crash(self, name, target, number, request=REQUEST):
         """Crash a target while it runs a request of an instance."""
         now = asyncio.get_running_loop().time() + number
-        attempt = InterruptedAttempt(f"r{number}", request, now - 0.1, True)
+        attempt = InterruptedAttempt(f"r{number}", request, now - 0.1, EARLY_WEIGHT)
         item = DiscoveredTarget(target, "p", "a:1", "z", 4, False, 1)
         self.members[name].record_interruption(item, attempt)
         for _ in range(3):
@@ -191,7 +192,9 @@
     async def test_a_leaving_target_has_not_crashed(self, region):
         worker = region.add("a")
         leaving = DiscoveredTarget("t", "p", "a:1", "z", 4, True, 1)
-        worker.record_interruption(leaving, InterruptedAttempt("r", REQUEST, 0.0, True))
+        worker.record_interruption(
+            leaving, InterruptedAttempt("r", REQUEST, 0.0, EARLY_WEIGHT)
+        )
         for _ in range(3):
             await asyncio.sleep(0)
         assert worker.is_empty
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -13,7 +13,9 @@
     LATE_WEIGHT,
     MAX_RECENT,
     MAX_SUSPECTS,
+    WITH_EVENT_WEIGHT,
     SuspectTable,
+    crash_weight,
 )
 
 REQUEST = 7
@@ -43,6 +45,28 @@
         _crash(table, 1, LATE_WEIGHT, first=5)
         assert table.is_quarantined(REQUEST)
 
+    @pytest.mark.parametrize("at_once", [1, 2, 3, 4])
+    def test_few_more_crashes_with_the_first_event_quarantine(self, at_once):
+        """Guards against eight crashes, three of them at once, before a quarantine."""
+        table = SuspectTable()
+        for number in range(at_once):
+            table.record_crash(REQUEST, f"first{number}", WITH_EVENT_WEIGHT, -2.0, -1.0)
+        _crash(table, max(0, 3 - at_once) + 2, WITH_EVENT_WEIGHT)
+        assert table.is_quarantined(REQUEST)
+
+    def test_a_power_loss_is_no_evidence(self):
+        table = SuspectTable()
+        for number in range(9):
+            table.record_crash(REQUEST, f"t{number}", WITH_EVENT_WEIGHT, 0.0, 1.0)
+        assert not table.is_quarantined(REQUEST)
+
+    @pytest.mark.parametrize(
+        ("seconds", "weight"),
+        [(None, EARLY_WEIGHT), (0.04, WITH_EVENT_WEIGHT), (0.2, LATE_WEIGHT)],
+    )
+    def test_later_crashes_count_less(self, seconds, weight):
+        assert crash_weight(seconds) == weight
+
     def test_overlapping_runs_count_once(self):
         table = SuspectTable()
         for number in range(9):
