Probe a target again if it closes the first connection at once

Trace with the probes logged: in 2 of some 36 crashes the first connection after one was accepted, a few ms before others were refused. A process that ends closes its listening socket after its connections, so a fast probe is accepted and then closed. A connection has to stay open for 0.1 s now; else the address is probed again, three times at most. Two of the new tests failed before.

--- a/hibiscusstep/forwarding/connections.py
+++ b/hibiscusstep/forwarding/connections.py
@@ -61,6 +61,10 @@
 # Targets at work send events at shorter intervals.
 HEARD_WITHIN_S = 0.5
 HEARD_CHECK_INTERVAL_S = 0.02
+# A process that ends may accept a connection after it has closed others. It closes
+# that one too, within this time.
+PROBE_SETTLE_S = 0.1
+MAX_REFUSAL_PROBES = 3
 _MIN_FINAL_STATUS = 200
 # Bytes in a row that bring neither the head of a final response nor content: a long
 # head, the framing of chunks, trailer fields.
@@ -500,19 +504,30 @@
     async def probe_refused(self, name: str, address: str) -> bool:
         """Probe whether a target's address refuses connections.
 
-        A successful connection is kept as idle. Returns False if the result is unknown,
-        for example in a network partition.
+        A connection that stays open is kept as idle; after one that is closed at once
+        the address is probed again. Returns False if the result is unknown, for example
+        in a network partition.
         """
+        for _ in range(MAX_REFUSAL_PROBES):
+            connection = await self._probe(name, address)
+            if isinstance(connection, bool):
+                return connection
+            await asyncio.sleep(PROBE_SETTLE_S)
+            if connection.usable:
+                self.keep_unused(name, connection)
+                return False
+        return False
+
+    async def _probe(self, name: str, address: str) -> Connection | bool:
+        """Return a new connection, or whether the address refused it."""
         started = asyncio.get_running_loop().time()
         try:
-            connection = await self._connector.connect(name, address)
+            return await self._connector.connect(name, address)
         except TargetError as error:
             if error.in_path:
                 # Other targets may be down as well.
                 return error.refused and await self._hears_others(name, started)
             return error.refused
-        self.keep_unused(name, connection)
-        return False
 
     async def _hears_others(self, name: str, since: float) -> bool:
         """Wait for bytes of another target, which show that the links work."""
--- a/tests/test_forwarding_connections.py
+++ b/tests/test_forwarding_connections.py
@@ -338,3 +338,43 @@
             ]
         await runner.cleanup()
         assert timeouts == [0, 0]
+
+
+class TestProbe:
+    """Guards against a crash that was taken for a reset.
+
+    The process that ended accepted a connection after it had closed the others.
+    """
+
+    async def _probe(self, ends):
+        pool, accepted = ConnectionPool(), []
+
+        async def accept(_reader, writer):
+            accepted.append(writer)
+            if ends:
+                server.close()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with asyncio.timeout(BOUND_S):
+            refused = await pool.probe_refused("t", f"{host}:{port}")
+        pool.close()
+        server.close()
+        return refused, len(accepted)
+
+    async def test_a_process_that_ends_has_crashed(self):
+        assert await self._probe(ends=True) == (True, 1)
+
+    async def test_one_that_closes_connections_has_not(self):
+        refused, accepted = await self._probe(ends=False)
+        assert not refused
+        assert accepted > 1
+
+    async def test_an_open_connection_is_kept(self, target):
+        pool = ConnectionPool()
+        assert not await pool.probe_refused("t", target.address)
+        connection = await pool.acquire("t", target.address)
+        assert connection.usable
+        assert pool.opened == 1
+        pool.close()
