--- a/tests/soak.py
+++ b/tests/soak.py
@@ -133,6 +133,7 @@
         url = f"http://{address}/{kind}/p"
         process, sent_at = instance.process.pid, time.monotonic()
         result.process = process
+        self._ledger.retries.record_sent(sent_at)
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 await self._exchange(session, url, fields, result, pause)
@@ -340,6 +341,7 @@
             "X-Request-Deadline-Ms": "2000",
             **crashing_fields,
         }
+        self._world.ledger.retries.record_sent()
         # Requests that share a part have different bodies.
         body = name if CRASH_FIELD in fields else f"{name}-{number}"
         url = f"http://{instance.caller_address}/once/{name}"
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -81,6 +81,7 @@
     def _work(self, _number, fields, _body):
         name = fields.get("x-request-id", "")
         self._ledger.limits.record_arrival(self.start_name, name)
+        self._ledger.retries.record_arrival(name)
         if CRASH_FIELD in fields:
             self._ledger.crashes[fields[CRASH_FIELD]].append(time.monotonic())
             self._ledger.crashed.add(self.name)
@@ -214,6 +215,8 @@
 
     def write_settings(self, slack=50):
         """Write the settings file; `slack` differs between versions of it."""
+        retries = self._world.ledger.retries
+        retries.reserve = max(retries.reserve, slack)
         settings = {
             "NodeName": self.name,
             "Ip": self.ip,
--- a/tests/soak_ledger.py
+++ b/tests/soak_ledger.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from soak_limits import LimitLedger
+from soak_retries import RetryLedger
 
 # Requests whose names end so have large responses, which do not fit into the kernel.
 LARGE_SUFFIX = "-large"
@@ -96,6 +97,7 @@
     versions: set[str] = field(default_factory=lambda: {"v1"})
     rolled_back_at: dict[str, float] = field(default_factory=dict)
     limits: LimitLedger = field(default_factory=LimitLedger)
+    retries: RetryLedger = field(default_factory=RetryLedger)
 
     def record_run(self, name, version):
         """Record a run of a request on a target of a version."""
@@ -117,6 +119,7 @@
         lines = [f"sent too late: {what}" for what in self.late_requests]
         processes = {name: result.process for name, result in self.results.items()}
         lines += self.limits.findings(processes)
+        lines += self.retries.findings()
         for request, times in self.crashes.items():
             lines += self._check_crashes(request, sorted(times), 3)
         for part, times in self.part_crashes.items():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak_environment import SoakEnvironment
 from soak_ledger import CallerResult, Ledger, TargetRun, body_of, events
 from soak_limits import LimitLedger
+from soak_retries import RetryLedger
 
 # Seeds that broke a promise once, with the cause.
 REGRESSIONS = [
@@ -319,3 +320,16 @@
         ledger = self._ledger()
         ledger.late_requests.append("r at t")
         assert ledger.findings()
+
+
+class TestRetryLedger:
+    @pytest.mark.parametrize(("retries", "broken"), [(40, False), (41, True)])
+    def test_counts_arrivals_beyond_the_first(self, retries, broken):
+        ledger = RetryLedger()
+        ledger.reserve = 30
+        for number in range(100):
+            ledger.record_sent(number / 10)
+            ledger.record_arrival(f"r{number}", number / 10)
+        for number in range(retries):
+            ledger.record_arrival(f"r{number}", 15.0 + number / 10)
+        assert bool(list(ledger.findings())) is broken
