Fail whole pools in the soak, with a tight retry budget

Targets that fail 0.4 of their requests, one at a time, never used the budget up. A new kind has all targets fail, with a kill of all instances; the soak's settings allow two retries for a hundred requests and 25.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -222,7 +222,7 @@
 
     async def _reload(self, span):
         instance = self._instance()
-        instance.write_settings(slack=self._rng.randrange(10, 90))
+        instance.write_settings(slack=self._rng.randrange(10, 30))
         instance.signal(signal.SIGHUP)
 
     async def _store_down(self, span):
@@ -261,6 +261,15 @@
         await asyncio.sleep(span)
         target.fault = ""
 
+    async def _pool_fails(self, span):
+        """Have all targets fail what they run, and kill all instances meanwhile."""
+        for target in self._world.targets:
+            target.fault = "fail"
+        await asyncio.sleep(span)
+        await self._herd(span)
+        for target in self._world.targets:
+            target.fault = ""
+
     async def _target_leaves(self, span):
         """Drain a target and replace it."""
         world = self._world
@@ -431,6 +440,7 @@
     WITH_ROLLOUTS = (*NEWEST_KINDS, _rollout, _rollout, _rollout)
     WITH_LIMITS = (*WITH_ROLLOUTS, *[_names_limit] * 5)
     WITH_PARTS = (*WITH_LIMITS, *[_crashing_part] * 3)
+    WITH_FAILING_POOLS = (*WITH_PARTS, *[_pool_fails] * 3)
 
 
 async def soak(
@@ -524,7 +534,7 @@
                 folder,
                 instances,
                 seconds,
-                kinds=Faults.WITH_PARTS,
+                kinds=Faults.WITH_FAILING_POOLS,
                 slow_callers=slow_callers,
             )
         )
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -20,6 +20,7 @@
 )
 from soak_ledger import TargetRun, body_of, events
 from soak_proxy import Proxy
+from soak_retries import SHARE
 
 from hibiscusstep.sockets import reset_on_close
 
@@ -58,7 +59,8 @@
     Attributes
     ----------
     fault : str
-        Fault of some requests: '', 'grey', 'shed', 'reset', 'garble' or 'slow'.
+        Fault of some requests: '', 'grey', 'shed', 'reset', 'garble' or 'slow'; of
+        all: 'fail'.
     left_at : float
         Time at which its entry reported that it leaves; 0 if it does not.
     announces_leaving : bool
@@ -91,7 +93,7 @@
                 self._ledger.part_crashes[part].append(time.monotonic())
                 self._ledger.crashed.add(self.name)
                 return ["crash"]
-        hit = self.fault and self._rng.random() < 0.4
+        hit = self.fault and (self.fault == "fail" or self._rng.random() < 0.4)
         if hit and self.fault == "shed":
             return answer(fields, b"", status=503, sealed=False, not_run=True)
         self._ledger.runs[name].append(
@@ -141,7 +143,7 @@
         if self.limit is not None:
             seal += f"\n{LIMIT_FIELD}: {self.limit}"
         seal += f"\n{self._load_line()}"
-        if fault == "grey":
+        if fault in ("grey", "fail"):
             yield answer(fields, b"failed", status=500, sealed=False, extra=seal)
         elif self._is_stream(fields):
             yield from self._stream(name, fields, seal, fault)
@@ -213,7 +215,7 @@
         self._log = world.folder / f"{self.name}.log"
         self._logged = 0
 
-    def write_settings(self, slack=50):
+    def write_settings(self, slack=25):
         """Write the settings file; `slack` differs between versions of it."""
         retries = self._world.ledger.retries
         retries.reserve = max(retries.reserve, slack)
@@ -225,7 +227,11 @@
             "Listen": {"Front": self.caller_address, "Ready": self._ready},
             "InternalPorts": [self.peer_port, self.peer_port],
             "Seeds": [f"127.77.{self._world.network}.{n}:1" for n in (1, 2, 3)],
-            "Bounds": {"GraceS": GRACE_S, "RetryBudgetSlack": slack},
+            "Bounds": {
+                "GraceS": GRACE_S,
+                "RetryBudgetRatio": SHARE,
+                "RetryBudgetSlack": slack,
+            },
             "Platform": {"Address": self.store.address},
             "Limits": self.limits,
         }
--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -8,9 +8,9 @@
 import bisect
 import time
 
-__all__ = ["RetryLedger"]
+__all__ = ["SHARE", "RetryLedger"]
 
-WINDOW_S, SHARE = 10.0, 0.2
+WINDOW_S, SHARE = 10.0, 0.02
 
 
 class RetryLedger:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,12 @@
         )
         assert not findings, faults_run
 
+    @pytest.mark.timeout(240)
+    async def test_nor_in_a_pool_that_fails(self, tmp_path):
+        kinds = (Faults._pool_fails, Faults._pool_fails, Faults._kill, Faults._pause)
+        findings, faults_run = await soak(1, tmp_path, 5, faults=8, kinds=kinds)
+        assert not findings, faults_run
+
     @pytest.mark.timeout(240)
     @pytest.mark.parametrize(("seed", "kinds"), REGRESSIONS)
     async def test_what_failed_once(self, seed, kinds, tmp_path):
@@ -326,7 +332,7 @@
     @pytest.mark.parametrize(("retries", "broken"), [(40, False), (41, True)])
     def test_counts_arrivals_beyond_the_first(self, retries, broken):
         ledger = RetryLedger()
-        ledger.reserve = 30
+        ledger.reserve = 39
         for number in range(100):
             ledger.record_sent(number / 10)
             ledger.record_arrival(f"r{number}", number / 10)
