Weigh a crash by the time of the break, not of the check after it

Whether the path to the target is lost is checked between the end of a connection and the record of the crash; behind a slow check a crash with the first event weighed 0.5.

--- a/hibiscusstep/forwarding/exchange.py
+++ b/hibiscusstep/forwarding/exchange.py
@@ -193,6 +193,7 @@
                     outcome = m.GrantOutcome.LEAVING
             return failure
         except TargetError as error:
+            failed_at = self._now()
             cause = str(error)
             in_path = error.in_path
             if not error.sent:
@@ -205,7 +206,7 @@
             if in_path:
                 return _AttemptFailure.BROKEN
             outcome = m.GrantOutcome.BROKEN
-            since_first = self._timing.seconds_since_first(self._now())
+            since_first = self._timing.seconds_since_first(failed_at)
             self._quarantine_status.record_interruption(
                 target,
                 self._grants.granted_at,
--- a/hibiscusstep/forwarding/suspects.py
+++ b/hibiscusstep/forwarding/suspects.py
@@ -14,6 +14,7 @@
     "Crash",
     "Suspect",
     "SuspectTable",
+    "WITH_EVENT_S",
     "WITH_EVENT_WEIGHT",
     "crash_weight",
     "total_weight",
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -19,6 +19,8 @@
 from platform_standin import TargetStandIn, chunk, event, stream_head
 from test_forwarding import BOUND_S, Site
 
+from hibiscusstep.forwarding.suspects import WITH_EVENT_S, WITH_EVENT_WEIGHT
+
 CRASHING = b"a request that crashes its target"
 DOWN_S = 0.2
 # Three crashes quarantine the request; three more attempts may be in flight by then.
@@ -176,6 +178,25 @@
             await site.call("/stream/", body=CRASHING, instance=number % 3)
         assert site.crashes <= MAX_CRASHES
 
+    async def test_counts_as_such_while_the_path_is_checked(self, site, monkeypatch):
+        """Guards against a crash that weighs less the longer the check takes."""
+        monkeypatch.setattr(f"{__name__}.DOWN_S", BOUND_S)
+        site.answers_before_crash = True
+        await site.start_pool(instances=1)
+        (instance,) = site.instances
+
+        async def is_path_lost(name, address):
+            await asyncio.sleep(2 * WITH_EVENT_S)
+            return False
+
+        monkeypatch.setattr(instance._connections, "is_path_lost", is_path_lost)
+        await site.call("/stream/", body=CRASHING)
+        async with asyncio.timeout(BOUND_S):
+            while not instance.quarantine.suspected_count:
+                await asyncio.sleep(0.01)
+        (suspect,) = instance.quarantine._table.suspected
+        assert suspect.weight == WITH_EVENT_WEIGHT
+
 
 class TestConcurrentRequests:
     async def test_are_served_and_not_quarantined(self, site):
