Log how the version that began a continued stream is known

A grant of a resumed request named the version of its target only, so that a stream whose version was recorded looked the same as one that was taken for new since only one version was known. `stream_origin` of `grant` tells which.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -719,7 +719,7 @@
 
 
 def _stream_field(action: m.Grant) -> dict[str, str]:
-    """Return the version if the request continues a stream, which depends on it."""
-    work = action.work
-    continues = work.resumes or work.bound_version is not None
-    return {"version": action.version or ""} if continues else {}
+    """Return the version if the request continues a stream, and why it is that one."""
+    if action.stream_origin is None:
+        return {}
+    return {"version": action.version or "", "stream_origin": action.stream_origin}
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -27,6 +27,7 @@
     "Refuse",
     "RequestGrant",
     "Stop",
+    "StreamOrigin",
     "SuspectPartition",
     "TimePassed",
     "Withdraw",
@@ -78,6 +79,18 @@
     VERSION_UNKNOWN = "version-unknown"
 
 
+class StreamOrigin(enum.StrEnum):
+    """How the version that began a continued stream is known.
+
+    `RESPONSE`: the same response began there. `RECORDED`: its grant was recorded.
+    `ONLY_VERSION`: no other version can have begun it.
+    """
+
+    RESPONSE = "response"
+    RECORDED = "recorded"
+    ONLY_VERSION = "only-version"
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """A request as its dispatcher knows it; times are seconds on its clock.
@@ -386,6 +399,9 @@
         half of it.
     version : str or None
         Software version of the target; None if targets have none.
+    stream_origin : StreamOrigin or None
+        How the version that began the request's stream is known; None if the request
+        continues no stream.
     """
 
     work: Work
@@ -398,6 +414,7 @@
     used_place: bool = False
     memory_tokens: int = 0
     version: str | None = None
+    stream_origin: StreamOrigin | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -734,6 +734,16 @@
             return work.bound_version
         return self.stream_versions.find(work.resumes, now)
 
+    def _stream_origin(self, work: m.Work, now: float) -> m.StreamOrigin | None:
+        """Return how the version that began a request's stream is known."""
+        if work.bound_version is not None:
+            return m.StreamOrigin.RESPONSE
+        if not work.resumes:
+            return None
+        if self.stream_versions.find(work.resumes, now) is not None:
+            return m.StreamOrigin.RECORDED
+        return m.StreamOrigin.ONLY_VERSION
+
     def _may_continue(self, version: str) -> bool:
         """Return whether a target may continue the streams of a version."""
         return self._partition.is_open(version) and any(
@@ -993,6 +1003,7 @@
             share,
             memory_tokens=self._memory.logged_tokens(target),
             version=target.version,
+            stream_origin=self._stream_origin(work, now),
         )
         if self._return_plan:
             attempt = self._attempts.pop(work.ask, Attempt.FIRST)
