--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 import pytest
 from platform_standin import TargetStandIn, chunk, event, stream_head
@@ -43,13 +44,15 @@
         self.paused = asyncio.Event()
         # Version and resumed event of each request at a target.
         self.sent = []
+        # Start of the targets in their entries, in Unix milliseconds; 0 for none.
+        self.started_ms = 0
 
     def target(self, name, version):
         def script(_number, fields, _body):
             self.sent.append((version, fields.get("last-event-id", "")))
             return self._stream(name, version, fields)
 
-        return TargetStandIn(name, script, version=version)
+        return TargetStandIn(name, script, self.started_ms, version)
 
     def _stream(self, name, version, fields):
         yield stream_head(fields)
@@ -326,6 +329,100 @@
         assert "v2" not in site.versions_sent_to()
 
 
+class TestRestartOfAllInstances:
+    """Guards against a resumed stream at another version after all instances ended.
+
+    No instance knew what had served before: without start times of targets, streams of
+    a version that had left went on at the next one, and with them all were refused.
+    """
+
+    async def _restart_all(self, site, outage=()):
+        """End all instances, apply changes, and start as many."""
+        running = [n for n, task in enumerate(site._tasks) if not task.done()]
+        for number in running:
+            await site.end_instance(number)
+        for change in outage:
+            change()
+        for _ in running:
+            await site.add_instance(wait=False)
+        await site.until(lambda: all(i.ready for i in site.instances[-len(running) :]))
+
+    async def _break_off(self, site, begun):
+        """Break a stream off with its instances, and let later ones run."""
+        begun.cancel()
+        await asyncio.gather(begun, return_exceptions=True)
+        site.released.set()
+
+    async def _resume(self, site, request="resumed"):
+        fields = {"Last-Event-Id": str(PAUSED_AFTER), "Resumes": "begun"}
+        last = len(site.instances) - 1
+        return await site.begin(request, last, **fields)
+
+    async def _begin_new_stream(self, site):
+        """Begin streams at the last instance until one is served."""
+        last = len(site.instances) - 1
+        async with asyncio.timeout(BOUND_S):
+            number = 0
+            while (await site.begin(f"new{number}", last))[0] != 200:
+                number += 1
+                await asyncio.sleep(0.05)
+
+    async def _assert_goes_on(self, site, version):
+        async with asyncio.timeout(BOUND_S):
+            number = 0
+            while (answer := await self._resume(site, f"again{number}"))[0] != 200:
+                number += 1
+                await asyncio.sleep(0.05)
+        events = (_event_of(version, n) for n in _events_after(PAUSED_AFTER))
+        assert answer[2] == b"".join(events)
+
+    async def test_is_refused_if_its_version_has_left(self, site):
+        """The targets' entries do not tell when they started."""
+        await site.start_pool(new=0, instances=2)
+        begun = await site.begin_at_old_version()
+        for n in range(2):
+            await site.add_target(site.target(f"new{n}", "v2"))
+        await self._restart_all(site, [lambda: site.end_targets("old0", "old1")])
+        await self._break_off(site, begun)
+        await self._begin_new_stream(site)
+        before = len(site.sent)
+        assert (await self._resume(site))[0] == 503
+        assert len(site.sent) == before
+
+    async def test_is_refused_after_a_second_restart(self, site):
+        await site.start_pool(new=0, instances=2)
+        begun = await site.begin_at_old_version()
+        for n in range(2):
+            await site.add_target(site.target(f"new{n}", "v2"))
+        await self._restart_all(site, [lambda: site.end_targets("old0", "old1")])
+        await self._break_off(site, begun)
+        await self._begin_new_stream(site)
+        await self._restart_all(site)
+        await self._begin_new_stream(site)
+        before = len(site.sent)
+        assert (await self._resume(site))[0] == 503
+        assert len(site.sent) == before
+
+    async def test_goes_on_if_one_version_serves(self, site):
+        """The targets are young, as after one was added or replaced."""
+        site.started_ms = int(time.time() * 1000)
+        await site.start_pool(new=0, instances=2)
+        begun = await site.begin_at_old_version()
+        await self._restart_all(site)
+        await self._break_off(site, begun)
+        await self._assert_goes_on(site, "v1")
+
+    async def test_goes_on_at_its_version_beside_another(self, site):
+        site.started_ms = int(time.time() * 1000)
+        await site.start_pool(instances=2, new=0)
+        begun = await site.begin_at_old_version()
+        for n in range(2):
+            await site.add_target(site.target(f"new{n}", "v2"))
+        await self._restart_all(site)
+        await self._break_off(site, begun)
+        await self._assert_goes_on(site, "v1")
+
+
 class TestChangedEntry:
     """Guards against a record of another version than the stream begins at.
 
