--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -53,7 +53,8 @@
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.return_plan import Attempt, PlaceCounts
-from hibiscusstep.routing.stream_versions import StreamVersions
+from hibiscusstep.routing.stream_versions import SaveStreams, StreamVersions
+from hibiscusstep.store import StoreRestored
 from hibiscusstep.target import get_client_class
 
 if TYPE_CHECKING:
@@ -130,6 +131,8 @@
         Stores the estimates of the dispatchers here, so that they survive restarts.
     on_rollout : callable of RolloutUpdate or None
         Called with the progress and the end of rollouts of new versions.
+    keep_streams : callable of SaveStreams or None
+        Receives the streams that are to be known after a restart of all instances.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         has_standby: bool = False,
         keep_estimates: Callable[[PoolLearnt], None] | None = None,
         on_rollout: Callable[[RolloutUpdate], None] | None = None,
+        keep_streams: Callable[[SaveStreams], None] | None = None,
     ) -> None:
         super().__init__("dispatching", tick_interval=TICK_S)
         self._make_dispatcher = dispatcher_class
@@ -154,6 +158,7 @@
         self._standby_hosted: dict[str, HostedDispatcher] = {}
         self._keep_estimates = keep_estimates
         self._on_rollout = on_rollout
+        self._keep_streams = keep_streams
         self._estimates: dict[str, m.LearnedEstimates] = {}
         self._own_name = name
         self._address = address
@@ -195,8 +200,14 @@
                 self._handle_estimates(estimates_message)
             case PoolLearnt() as estimates_message:
                 self._handle_restored(estimates_message)
-            case Received(message=PoolStreams(pool=pool, streams=streams)):
+            case (
+                PoolStreams(pool=pool, streams=streams)
+                | Received(message=PoolStreams(pool=pool, streams=streams))
+            ):
                 self._record_streams(pool, streams)
+            case StoreRestored():
+                for hosted in self._hosted.values():
+                    hosted.saves_streams = False
             case Received(sender=sender, message=body):
                 self._handle_pool_message(sender, body)
             case _PolledLoad(pool=pool, report=report):
@@ -403,11 +414,13 @@
         new, hosted.new_streams = hosted.new_streams, {}
         if not hosted.dispatcher.may_mix_versions(now):
             hosted.streams_sent_to = frozenset()
+            hosted.saves_streams = False
             return
         pool = hosted.dispatcher.pool_name
         new_streams = defaultdict(list)
         for stream, version in new.items():
             new_streams[version].append(stream)
+        self._save_streams(hosted, new_streams)
         # An older build closes the link at a message that it does not know.
         successors = [
             member
@@ -424,6 +437,17 @@
                 self._links.tell(Send(member.peer_address, message))
         hosted.streams_sent_to = frozenset(member.incarnation for member in successors)
 
+    def _save_streams(self, hosted: HostedDispatcher, new: dict[str, list]) -> None:
+        """Have new streams stored; at first all, and read those of before a restart."""
+        if self._keep_streams is None:
+            return
+        pool = hosted.dispatcher.pool_name
+        is_first = not hosted.saves_streams
+        hosted.saves_streams = True
+        streams = self._stream_versions[pool].by_version() if is_first else new
+        if streams or is_first:
+            self._keep_streams(SaveStreams(pool, streams, is_first))
+
     def _record_streams(self, pool: str, groups: list[StreamGroup]) -> None:
         now = asyncio.get_running_loop().time()
         for group in groups:
@@ -504,6 +528,8 @@
             places = tuple(to_place(info, now) for info in body.places)
             self._feed(hosted, m.ImportPlaces(places))
         self._record_streams(body.pool, body.streams)
+        for group in body.streams:
+            hosted.new_streams |= dict.fromkeys(group.streams, group.version)
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
         if hosted is self._standby_hosted.get(body.pool):
--- /dev/null
+++ b/hibiscusstep/forwarding/begun_versions.py
@@ -0,0 +1,140 @@
+"""hibiscusstep.forwarding.begun_versions: versions that began the streams of a pool.
+
+A stream goes on only at the version that began it. While a single version can have
+begun the streams that callers may resume, no record of each stream is needed. The store
+holds the set of these versions, so that it is known after all instances have ended.
+"""
+
+import math
+from collections.abc import Iterable
+
+from hibiscusstep.routing.stream_versions import STREAM_LIFETIME_S
+from hibiscusstep.store import StoredVersions
+
+__all__ = ["UNKNOWN_VERSION", "BegunVersions"]
+
+# Stands for all versions that may have begun streams before anything was recorded.
+UNKNOWN_VERSION = ""
+# After this time a version begins streams without a record, if no other version can.
+RECORD_TIMEOUT_S = 1.0
+
+
+class BegunVersions:
+    """Tracks which versions may have begun a pool's streams, and may begin new ones.
+
+    A version is written to the store before it begins its first stream, and removed one
+    stream lifetime after it has begun the last one. Times are in seconds on the event
+    loop's clock.
+
+    Parameters
+    ----------
+    started_at : float
+        When this instance started. It does not know which versions served before.
+    """
+
+    def __init__(self, started_at: float = -math.inf) -> None:
+        self._candidates: frozenset[str] = frozenset()
+        self._last_allowed: frozenset[str] = frozenset()
+        self._missing_since: float | None = None
+        self._stored = StoredVersions()
+        self._is_rewrite_due = False
+        # When each version began its last stream; infinite while it may begin more.
+        self._began_until: dict[str, float] = {UNKNOWN_VERSION: started_at}
+
+    @property
+    def stored(self) -> StoredVersions:
+        """The versions that are known to be in the store."""
+        return self._stored
+
+    @property
+    def missing(self) -> frozenset[str]:
+        """Versions that may serve and that are not in the store yet."""
+        return self._candidates - self._stored.versions
+
+    @property
+    def is_write_urgent(self) -> bool:
+        """Whether a version waits for its record, or the store may have lost it."""
+        return bool(self.missing) or self._is_rewrite_due
+
+    def apply_stored(self, stored: StoredVersions, now: float) -> bool:
+        """Apply what was read from the store or written to it, here or by a peer.
+
+        Returns
+        -------
+        bool
+            Whether it is newer than what was known.
+        """
+        if stored.revision < self._stored.revision or stored == self._stored:
+            return False
+        self._stored = stored
+        self._is_rewrite_due = not stored.is_complete
+        if stored.is_complete:
+            self._began_until.pop(UNKNOWN_VERSION, None)
+        for version in stored.versions - self._began_until.keys():
+            self._began_until[version] = now
+        return True
+
+    def mark_lost(self) -> None:
+        """Assume that the store may have lost the record."""
+        self._is_rewrite_due = True
+
+    def update(self, candidates: Iterable[str], now: float) -> bool:
+        """Set the versions that may serve new requests.
+
+        Returns
+        -------
+        bool
+            Whether the versions that may begin streams, or that may have begun those
+            that are resumed now, have changed.
+        """
+        before = self._last_allowed, frozenset(self._began_until)
+        self._candidates = frozenset(candidates)
+        if not self.missing:
+            self._missing_since = None
+        elif self._missing_since is None:
+            self._missing_since = now
+        self._last_allowed = self.allowed(self._candidates, now)
+        self._record_beginning(self._last_allowed, now)
+        return before != (self._last_allowed, frozenset(self._began_until))
+
+    def refresh(self, now: float) -> bool:
+        """Apply the passing of time; return whether anything changed, as `update`."""
+        return self.update(self._candidates, now)
+
+    def _record_beginning(self, allowed: frozenset[str], now: float) -> None:
+        for version in allowed | self._began_until.keys():
+            if version in allowed:
+                self._began_until[version] = math.inf
+            elif self._began_until[version] == math.inf:
+                self._began_until[version] = now
+            elif self._began_until[version] <= now - STREAM_LIFETIME_S:
+                del self._began_until[version]
+
+    def allowed(self, candidates: frozenset[str], now: float) -> frozenset[str]:
+        """Return which of some versions may begin streams.
+
+        Those in the store may. If none of them is, they wait for their record, but not
+        for long: an outage of the store would otherwise end the service of a pool whose
+        targets were replaced.
+        """
+        recorded = candidates & self._stored.versions
+        if recorded or not candidates or self._missing_since is None:
+            return recorded
+        is_overdue = now >= self._missing_since + RECORD_TIMEOUT_S
+        return candidates if is_overdue else frozenset()
+
+    def origins(self, now: float) -> frozenset[str]:
+        """Return the versions that may have begun a stream that is resumed now."""
+        return frozenset(
+            version
+            for version, until in self._began_until.items()
+            if until > now - STREAM_LIFETIME_S
+        )
+
+    def to_store(self, now: float) -> frozenset[str] | None:
+        """Return the versions to write to the store; None if it has them."""
+        if not self._candidates:
+            return None
+        wanted = self._candidates | self.origins(now)
+        is_stored = wanted == self._stored.versions and not self._is_rewrite_due
+        return None if is_stored else wanted
--- /dev/null
+++ b/hibiscusstep/forwarding/begun_versions_sync.py
@@ -0,0 +1,151 @@
+"""hibiscusstep.forwarding.begun_versions_sync: stores which versions began streams."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hibiscusstep.errors import PlatformConflict, PlatformNotFound
+from hibiscusstep.forwarding.pool_versions import PoolVersionTable
+from hibiscusstep.log import decision
+from hibiscusstep.membership.view import View
+from hibiscusstep.store import RevisionExpired, StoredVersions, StreamStore
+
+__all__ = ["BegunVersionsSync", "VersionsStored"]
+
+# Interval in seconds between attempts after a failed read or write.
+RETRY_S = 0.3
+# An instance that does not dispatch the pool lets its dispatcher write first.
+DISPATCHER_FIRST_S = 0.1
+# Mean seconds between the writes of instances that start together and notice the same.
+STAGGER_S = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsStored:
+    """Versions by pool that were read from the store or written to it.
+
+    Parameters
+    ----------
+    versions : dict of str to StoredVersions
+        The versions by pool.
+    are_all : bool
+        Whether the store has none of other pools.
+    """
+
+    versions: dict[str, StoredVersions]
+    are_all: bool = False
+
+
+class BegunVersionsSync:
+    """Reads the stored versions once, and writes those that are about to serve.
+
+    The writes are conditional, so that any instance may write: a pool's dispatcher does
+    at once, the others if it does not.
+
+    Parameters
+    ----------
+    own_name : str
+        Name of this instance.
+    store : StreamStore
+        Holds the versions.
+    table : PoolVersionTable
+        The versions of all pools.
+    on_stored : callable of VersionsStored
+        Receives what the store has.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        store: StreamStore,
+        table: PoolVersionTable,
+        on_stored: Callable[[VersionsStored], None],
+    ) -> None:
+        self._own_name = own_name
+        self._store = store
+        self._table = table
+        self._on_stored = on_stored
+        self._read_task: asyncio.Task | None = None
+        self._write_tasks: dict[str, asyncio.Task] = {}
+        # Pools whose object was found missing; it is created, not replaced.
+        self._missing: set[str] = set()
+
+    def start(self) -> None:
+        """Start reading."""
+        self._read_task = asyncio.create_task(self._read_all())
+
+    def stop(self) -> None:
+        """Cancel all tasks."""
+        for task in (self._read_task, *self._write_tasks.values()):
+            if task:
+                task.cancel()
+
+    def update(self, view: View, now: float) -> None:
+        """Start the writes that are due.
+
+        A version that no longer serves is removed by the pool's dispatcher only.
+        """
+        for pool in self._table:
+            begun = self._table[pool].begun
+            if begun.to_store(now) is None:
+                continue
+            is_dispatcher = (
+                view.role_known and view.dispatcher_of(pool) == self._own_name
+            )
+            task = self._write_tasks.get(pool)
+            is_idle = task is None or task.done()
+            if is_idle and (is_dispatcher or begun.is_write_urgent):
+                delay = 0.0 if is_dispatcher else _delay(view, pool)
+                self._write_tasks[pool] = asyncio.create_task(self._write(pool, delay))
+
+    async def _read_all(self) -> None:
+        while True:
+            reply = await self._store.read_versions()
+            if reply.is_ok():
+                self._on_stored(VersionsStored(reply.unwrap(), are_all=True))
+                return
+            decision("stream-versions-not-read", error=str(reply.unwrap_err()))
+            await asyncio.sleep(RETRY_S * (0.5 + random.random()))
+
+    async def _write(self, pool: str, delay: float) -> None:
+        await asyncio.sleep(delay)
+        begun = self._table[pool].begun
+        versions = begun.to_store(_now())
+        if versions is None:
+            return
+        revision = 0 if pool in self._missing else begun.stored.revision
+        written = await self._store.write_versions(pool, versions, revision)
+        if written.is_ok():
+            self._missing.discard(pool)
+            self._on_stored(VersionsStored({pool: written.unwrap()}))
+            return
+        error = written.unwrap_err()
+        decision("stream-versions-not-written", pool=pool, error=str(error))
+        if isinstance(error, PlatformConflict | PlatformNotFound | RevisionExpired):
+            await self._read(pool)
+        else:
+            await asyncio.sleep(RETRY_S * (0.5 + random.random()))
+
+    async def _read(self, pool: str) -> None:
+        reply = await self._store.read_versions(pool)
+        if reply.is_err():
+            await asyncio.sleep(RETRY_S)
+            return
+        found = reply.unwrap()
+        if pool in found:
+            self._missing.discard(pool)
+        else:
+            self._missing.add(pool)
+        self._on_stored(VersionsStored(found))
+
+
+def _delay(view: View, pool: str) -> float:
+    """Return the seconds that an instance waits for another one to write."""
+    has_dispatcher = view.role_known and view.dispatcher_of(pool) is not None
+    first = DISPATCHER_FIRST_S if has_dispatcher else 0.0
+    return first + random.random() * STAGGER_S * view.expected_size
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/hibiscusstep/forwarding/environment.py
+++ b/hibiscusstep/forwarding/environment.py
@@ -12,6 +12,7 @@
     Feed,
     InstanceDirectory,
     RolloutStore,
+    StreamStore,
     SuspectStore,
     UsageStore,
 )
@@ -45,6 +46,8 @@
         Persists which requests crash targets.
     rollout_store : RolloutStore
         Persists operators' rollouts of versions.
+    stream_store : StreamStore
+        Persists which versions began the streams that callers may resume.
     register : callable
         Returns an awaitable that registers this instance.
     read_table : callable of bytes
@@ -72,6 +75,7 @@
     usage_store: UsageStore
     suspect_store: SuspectStore
     rollout_store: RolloutStore
+    stream_store: StreamStore
     register: Callable
     read_table: Callable[[bytes], RoutingTable]
     read_bounds: Callable[[], Bounds]
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import secrets
-import time
 from collections import Counter
 from functools import partial
 
@@ -17,6 +16,7 @@
 from hibiscusstep.dispatcher_host import DispatcherHost
 from hibiscusstep.errors import ConfigurationError
 from hibiscusstep.forwarding.announcement import AnnouncementReader
+from hibiscusstep.forwarding.begun_versions import UNKNOWN_VERSION
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.buffer_budget import (
     WINDOW_BYTES,
@@ -35,13 +35,15 @@
 from hibiscusstep.forwarding.environment import InstanceEnvironment
 from hibiscusstep.forwarding.incoming_request import ForwardingContext
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
-from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
+from hibiscusstep.forwarding.model import DiscoveredTarget, RetryMode, RoutingTable
 from hibiscusstep.forwarding.planning import PlannedVersions, Planner
+from hibiscusstep.forwarding.pool_versions import NO_VERSIONS
 from hibiscusstep.forwarding.quarantine import Quarantine
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaLimiter
 from hibiscusstep.forwarding.rollout_routes import add_rollout_routes
 from hibiscusstep.forwarding.rollouts import RolloutCoordinator, TargetsChanged
+from hibiscusstep.forwarding.saved_streams import SavedStreamsWorker
 from hibiscusstep.forwarding.saved_usage import SavedUsageWorker
 from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.state_distributor import StateDistributor
@@ -51,7 +53,6 @@
 from hibiscusstep.forwarding.target_paths import TargetPaths
 from hibiscusstep.forwarding.tunnel import TunnelServer
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
-from hibiscusstep.forwarding.version_history import VersionHistory
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
 from hibiscusstep.mailbox import Worker
@@ -88,8 +89,8 @@
     UsageHistory,
 )
 from hibiscusstep.peerlink import LinkLost, PeerLinks
+from hibiscusstep.routing.dispatch_plan import DispatchPlan
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
-from hibiscusstep.routing.stream_versions import STREAM_LIFETIME_S
 from hibiscusstep.store import Change, StoreRestored
 from hibiscusstep.supervisor import Child, RestartPolicy, Supervisor
 
@@ -110,6 +111,8 @@
 # A new instance dispatches no pool until it has connected to the others; before that,
 # all of them would wait for its grants.
 ELIGIBLE_AFTER_S = 1.0
+# The first plan waits this long for the versions that may serve.
+FIRST_PLAN_TIMEOUT_S = 1.1
 # A follower that has not become ready through its relay by then reads the store itself.
 RELAY_TIMEOUT_S = 3.0
 # After this many sweeps all targets are sent to the followers again, so that a message
@@ -146,9 +149,9 @@
         self._accepts_tunnels = False
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
-        self._version_history = VersionHistory(self._started_at)
-        # Unix time; streams of earlier targets have ended when this instance starts.
-        self._oldest_stream_ms = (time.time() - STREAM_LIFETIME_S) * 1000
+        self._has_plan = False
+        # Pools with streams that callers may resume.
+        self._resumable_pools: frozenset[str] = frozenset()
         self._registration_needed = asyncio.Event()
         self._suspended_s = 0.0
         self.started = asyncio.Event()
@@ -161,7 +164,7 @@
     @property
     def ready(self) -> bool:
         """Whether a balancer may send callers to this instance."""
-        return self._table is not None and self._targets_known and not self._leaving
+        return self._has_plan and self._targets_known and not self._leaving
 
     @property
     def view(self) -> View:
@@ -330,7 +333,14 @@
             address,
             self._links,
             self._environment.rollout_store,
+            self._environment.stream_store,
             self._publish_plan,
+            self._started_at,
+            is_first_start=settings.is_first_start,
+        )
+        self._saved_streams = SavedStreamsWorker(
+            self._environment.stream_store,
+            lambda streams: self._dispatcher_host.tell(streams),
         )
         self._dispatcher_host = DispatcherHost(
             name,
@@ -345,6 +355,7 @@
             if settings.switches.kept_beliefs
             else None,
             on_rollout=self._rollouts.tell,
+            keep_streams=self._saved_streams.tell,
         )
         self._dispatch_client = DispatchClient(
             name,
@@ -416,6 +427,7 @@
             self._saved_usage,
             self._quarantine,
             self._rollouts,
+            self._saved_streams,
             *([self._saved_estimates] if settings.switches.kept_beliefs else []),
         ]
         self._receivers = self._map_receivers()
@@ -500,8 +512,15 @@
 
     def _on_table(self, table: RoutingTable) -> None:
         self._table = table
+        self._resumable_pools = frozenset(
+            share.pool
+            for route in table.routes
+            if route.streaming and route.retry_mode is RetryMode.RESUME
+            for share in route.shares
+        )
         self._distributor.table = table
-        self._frontend.set_table(table)
+        if self._has_plan:
+            self._frontend.set_table(table)
         self._quotas.tell(CustomersChanged(table.customers))
         self._publish_plan()
 
@@ -538,49 +557,53 @@
         plan = self._planner.build_plan(
             self._table, self._targets, self._planned_versions
         )
+        if not self._has_plan:
+            if self._waits_for_versions(plan):
+                return
+            self._has_plan = True
+            self._frontend.set_table(self._table)
         in_force = ConfigurationInForce(self._table.version, b"", plan)
         self._dispatcher_host.tell(in_force)
         self._dispatch_client.tell(in_force)
         self._membership.tell(OwnStateChange(version=self._table.version))
 
+    def _waits_for_versions(self, plan: DispatchPlan) -> bool:
+        """Return whether the first plan is to wait until versions of pools are known.
+
+        Requests that come while an instance starts wait for the plan. One in which no
+        version may serve would refuse them.
+        """
+        if self._uptime() >= FIRST_PLAN_TIMEOUT_S:
+            return False
+        return not self._targets_known or any(
+            pool.current_versions == NO_VERSIONS for pool in plan.pools.values()
+        )
+
     def _planned_versions(
-        self, pool: str, present_versions: set[str]
+        self, pool: str, present_versions: set[str], ready_versions: set[str]
     ) -> PlannedVersions:
         version_table, coordinator = self._rollouts.version_table, self._rollouts
         planned = version_table.planned_rollout(
             pool, self.bounds.exposure, coordinator.completion_lead_s
         )
         serving = version_table.serving_versions(pool, present_versions)
-        return PlannedVersions(
-            serving,
-            planned,
-            version_table.rejected_version(pool),
-            self._mixed_until(pool, serving & present_versions or present_versions),
-        )
-
-    def _mixed_until(self, pool: str, serving: set[str]) -> float:
-        """Return until when streams of several versions of a pool may be resumed.
-
-        A pool with an order or with a young target may have changed its version
-        shortly before this instance started.
-        """
+        rejected = version_table.rejected_version(pool)
+        if pool not in self._resumable_pools:
+            return PlannedVersions(serving, planned, rejected)
         now = asyncio.get_running_loop().time()
-        version_table = self._rollouts.version_table
-        running = version_table.running_version(pool)
-        versions = serving if running is None else {*serving, running}
-        is_changing = self._uptime() < STREAM_LIFETIME_S and (
-            version_table.has_order(pool)
-            or self._started_after(pool, self._oldest_stream_ms)
-        )
-        return self._version_history.observe(
-            pool, versions, now, is_changing=is_changing
-        )
-
-    def _started_after(self, pool: str, unix_ms: float) -> bool:
-        """Return whether a target of a pool started after a time."""
-        return any(
-            target.pool == pool and target.incarnation > unix_ms
-            for target in self._targets.values()
+        ordered = version_table.ordered_version(pool)
+        begun = version_table[pool].begun
+        may_serve = (serving or ready_versions) | {ordered}
+        candidates = frozenset(ready_versions) & may_serve
+        begun.update(candidates, now)
+        unrecorded = candidates - begun.allowed(candidates, now)
+        if unrecorded:
+            serving = (serving or present_versions) - unrecorded or NO_VERSIONS
+        return PlannedVersions(
+            frozenset(serving),
+            None if ordered in unrecorded else planned,
+            rejected,
+            begun.origins(now),
         )
 
     def _apply_peer_configuration(self, value: bytes) -> None:
@@ -606,7 +629,12 @@
         decision("store-restored", before=before, era=era)
         self._metrics.set_gauge("store_era", era)
         self._registration_needed.set()
-        for worker in (self._quotas, self._quarantine):
+        for worker in (
+            self._quotas,
+            self._quarantine,
+            self._rollouts,
+            self._dispatcher_host,
+        ):
             worker.tell(StoreRestored())
 
     async def _maintain(self) -> None:
@@ -618,6 +646,8 @@
             self._record_suspension(suspensions.check())
             self._share_retries(asyncio.get_running_loop().time())
             self._choose_target_source()
+            if not self._has_plan:
+                self._publish_plan()
             self._distributor.request_newer_table()
             resends_all = sweep_number % SWEEPS_PER_TARGET_RESEND == 0
             self._distributor.resend_announced(only_recent=not resends_all)
@@ -729,6 +759,9 @@
             for target in self._targets.values()
             if target.rejection_limit.per_second is not None
         )
+        for pool in self._resumable_pools:
+            unknown = UNKNOWN_VERSION in self._rollouts.stream_origins(pool)
+            metrics.set_gauge("stream_versions_unknown", int(unknown), pool=pool)
         for pool in {target.pool for target in self._targets.values()}:
             metrics.set_gauge("targets_limited", limited[pool], pool=pool)
             count = rejection_limited[pool]
--- a/hibiscusstep/forwarding/planning.py
+++ b/hibiscusstep/forwarding/planning.py
@@ -31,14 +31,14 @@
         Order in progress.
     rejected : str or None
         Version whose order was rolled back.
-    mixed_until : float
+    stream_origins : frozenset of str
         As in `PlannedPool`.
     """
 
     serving: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
     rejected: str | None = None
-    mixed_until: float = 0.0
+    stream_origins: frozenset[str] = frozenset()
 
 
 class Planner:
@@ -56,7 +56,7 @@
         self,
         table: RoutingTable,
         targets: dict[str, DiscoveredTarget],
-        versions: Callable[[str, set[str]], PlannedVersions] | None = None,
+        versions: Callable[[str, set[str], set[str]], PlannedVersions] | None = None,
     ) -> DispatchPlan:
         """Return the pools of a routing table with their targets.
 
@@ -66,22 +66,25 @@
             The routing table in force.
         targets : dict of str to DiscoveredTarget
             All known targets by name.
-        versions : callable of str and set of str, default=None
-            Returns which versions of a pool may serve, given its name and the versions
-            of its targets.
+        versions : callable of str and two sets of str, default=None
+            Returns which versions of a pool may serve, given its name, the versions of
+            its targets, and those of its targets that accept requests.
         """
         pools = _pools_of(table)
         present_versions: dict[str, set[str]] = defaultdict(set)
+        ready_versions: dict[str, set[str]] = defaultdict(set)
         for target in targets.values():
             present_versions[target.pool].add(target.version)
+            if not target.leaving:
+                ready_versions[target.pool].add(target.version)
         for name in pools if versions else ():
-            planned = versions(name, present_versions[name])
+            planned = versions(name, present_versions[name], ready_versions[name])
             pools[name] = replace(
                 pools[name],
                 current_versions=planned.serving,
                 rollout=planned.rollout,
                 rejected_version=planned.rejected,
-                mixed_until=planned.mixed_until,
+                stream_origins=planned.stream_origins,
             )
         rejection_limits = _rejection_limits(targets.values())
         for name, target in targets.items():
--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -5,13 +5,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
+from hibiscusstep.forwarding.begun_versions import BegunVersions
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.peer import RolloutRecord
 from hibiscusstep.rollout.budget import ExposureLimits
 from hibiscusstep.rollout.controller import PlannedRollout, RolloutProgress
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
+from hibiscusstep.store import StoredVersions
 
-__all__ = ["PoolVersionTable", "PoolVersions"]
+__all__ = ["NO_VERSIONS", "PoolVersionTable", "PoolVersions"]
 
 # Matches no version; used while it is unknown which of several versions is current.
 NO_VERSIONS = frozenset({""})
@@ -45,6 +47,8 @@
         Number of the order whose completion made them current; 0 for none.
     serving_at : float
         When they became known here, on the event loop's clock.
+    begun : BegunVersions
+        Versions that may have begun streams, and may begin new ones.
     """
 
     order: RolloutOrder | None = None
@@ -57,6 +61,7 @@
     serving: frozenset[str] = frozenset()
     serving_since: int = 0
     serving_at: float = 0.0
+    begun: BegunVersions = field(default_factory=BegunVersions)
 
     @property
     def is_running(self) -> bool:
@@ -87,10 +92,17 @@
 
     Records of other instances are merged; neither their order nor their repetition
     affects the result.
+
+    Parameters
+    ----------
+    started_at : float
+        When this instance started, on the event loop's clock.
     """
 
-    def __init__(self) -> None:
-        self._pools: dict[str, PoolVersions] = defaultdict(PoolVersions)
+    def __init__(self, started_at: float = -math.inf) -> None:
+        self._started_at = started_at
+        self._has_no_earlier_streams = False
+        self._pools: dict[str, PoolVersions] = defaultdict(self._make_entry)
         self._discovered: dict[str, dict[str, _VersionTargets]] = {}
 
     def __getitem__(self, pool: str) -> PoolVersions:
@@ -101,6 +113,18 @@
         """Iterate over the pools' names."""
         return iter(list(self._pools))
 
+    def _make_entry(self) -> PoolVersions:
+        entry = PoolVersions(begun=BegunVersions(self._started_at))
+        if self._has_no_earlier_streams:
+            entry.begun.apply_stored(StoredVersions(is_complete=True), self._started_at)
+        return entry
+
+    def assume_no_earlier_streams(self, now: float) -> None:
+        """Take pools of which the store has no versions to have begun no streams."""
+        self._has_no_earlier_streams = True
+        for entry in self._pools.values():
+            entry.begun.apply_stored(StoredVersions(is_complete=True), now)
+
     @property
     def running_pools(self) -> list[str]:
         """Pools with a running order."""
@@ -229,12 +253,10 @@
         entry = self._pools.get(pool)
         return entry is not None and entry.order is not None
 
-    def running_version(self, pool: str) -> str | None:
-        """Return the version of a pool whose order is carried out; None for none."""
+    def ordered_version(self, pool: str) -> str | None:
+        """Return the version of a pool's order that has not ended; None for none."""
         entry = self._pools.get(pool)
-        if entry is None or not (entry.is_running and entry.is_begun):
-            return None
-        return entry.order.version
+        return entry.order.version if entry is not None and entry.is_running else None
 
     def rejected_version(self, pool: str) -> str | None:
         """Return the version whose order was rolled back; None if there is none."""
@@ -278,16 +300,22 @@
             entry.progress,
         )
 
+    def update_begun(self, now: float) -> bool:
+        """Update which versions may have begun streams; return whether any changed."""
+        changed = [entry.begun.refresh(now) for entry in self._pools.values()]
+        return any(changed)
+
     def records(self, now: float, pools: Iterable[str] = ()) -> list[RolloutRecord]:
         """Return the records for other instances; by default of pools that need one.
 
-        A pool with one version and no order needs none.
+        A pool with one version, no order and nothing in the store needs none.
         """
         names = list(pools) or [
             name
             for name, entry in self._pools.items()
             if entry.revision
             or entry.serving_since
+            or entry.begun.stored.revision
             or len(self._discovered.get(name, ())) > 1
         ]
         return [self._record(name, now) for name in names]
@@ -296,6 +324,10 @@
         """Merge another instance's record; return whether the pool's state changed."""
         entry = self._pools[record.pool]
         changed = self._merge_serving(entry, record, now)
+        if record.begun_revision:
+            begun = frozenset(record.begun)
+            stored = StoredVersions(begun, record.begun_revision, is_complete=True)
+            changed |= entry.begun.apply_stored(stored, now)
         is_newer_order = record.number > entry.revision
         if record.revision > entry.revision:
             changed = True
@@ -366,6 +398,8 @@
             sorted(entry.serving),
             entry.serving_since,
             now - entry.serving_at if entry.serving else 0.0,
+            sorted(entry.begun.stored.versions),
+            entry.begun.stored.revision if entry.begun.stored.is_complete else 0,
         )
 
     def _start_order(self, entry, order, now: float, *, is_known: bool) -> None:
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -7,6 +7,10 @@
 from dataclasses import dataclass
 
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound
+from hibiscusstep.forwarding.begun_versions_sync import (
+    BegunVersionsSync,
+    VersionsStored,
+)
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.pool_versions import PoolVersionTable
 from hibiscusstep.forwarding.saved_rollouts import (
@@ -22,7 +26,12 @@
 from hibiscusstep.peer import Received, RolloutRecord, RolloutRecords, RolloutWrite
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
-from hibiscusstep.store import RevisionExpired, RolloutStore
+from hibiscusstep.store import (
+    RevisionExpired,
+    RolloutStore,
+    StoreRestored,
+    StreamStore,
+)
 
 __all__ = ["RolloutCoordinator", "TargetsChanged"]
 
@@ -101,8 +110,14 @@
         Sends messages to peers.
     store : RolloutStore
         Store of the orders.
+    stream_store : StreamStore
+        Store of the versions that began streams.
     on_change : callable
         Called when a pool's versions or order have changed.
+    started_at : float
+        When this instance started, on the event loop's clock.
+    is_first_start : bool
+        Whether no instance of the system ran before.
 
     Attributes
     ----------
@@ -116,7 +131,11 @@
         address: str,
         links: Worker,
         store: RolloutStore,
+        stream_store: StreamStore,
         on_change: Callable[[], None],
+        started_at: float,
+        *,
+        is_first_start: bool,
     ) -> None:
         super().__init__("rollouts", tick_interval=TICK_S)
         self._own_name = name
@@ -136,13 +155,21 @@
         self._restore_settled_at = 0.0
         self._write_retry_at = 0.0
         self._logged_barred: dict[str, frozenset[str]] = {}
-        self.version_table = PoolVersionTable()
+        self.version_table = PoolVersionTable(started_at)
+        self._is_first_start = is_first_start
+        self._begun_sync = BegunVersionsSync(
+            name, stream_store, self.version_table, self.tell
+        )
 
     @property
     def completion_lead_s(self) -> float:
         """Seconds before a deadline at which a completion has to be written."""
         return min(MAX_LEAD_S, BASE_LEAD_S + LEAD_CALLS * self._call_s)
 
+    def stream_origins(self, pool: str) -> frozenset[str]:
+        """Return the versions that may have begun a stream that is resumed now."""
+        return self.version_table[pool].begun.origins(_now())
+
     def pool_summaries(self) -> list[dict]:
         """Return a summary of each pool for operators."""
         now = _now()
@@ -150,6 +177,7 @@
             {
                 "pool": pool,
                 "serving": sorted(entry.serving),
+                "stream_origins": sorted(entry.begun.origins(now)),
                 "barred": sorted(self.version_table.barred_versions(pool)),
                 "order": entry.order.version if entry.order else None,
                 "state": entry.order.state if entry.order else None,
@@ -167,8 +195,13 @@
             )
         ]
 
+    async def start(self) -> None:
+        """Start reading which versions began streams."""
+        self._begun_sync.start()
+
     async def stop(self) -> None:
         """Cancel all tasks."""
+        self._begun_sync.stop()
         tasks = (
             self._follow_task,
             self._read_task,
@@ -207,8 +240,37 @@
                 self._handle_failed_write(pool, conflict)
             case _SavedRead(pool=pool, document=document):
                 self._restore_saved(pool, document, now)
+            case VersionsStored() as stored:
+                self._apply_stored_versions(stored, now)
+            case StoreRestored():
+                for pool in self.version_table:
+                    self.version_table[pool].begun.mark_lost()
             case Tick():
                 self._handle_tick(now)
+        self._begun_sync.update(self._view, now)
+
+    # Versions that began streams.
+
+    def _apply_stored_versions(self, stored: VersionsStored, now: float) -> None:
+        if stored.are_all and self._is_first_start:
+            self.version_table.assume_no_earlier_streams(now)
+        changed = []
+        for pool, item in stored.versions.items():
+            if self.version_table[pool].begun.apply_stored(item, now):
+                changed.append(pool)
+                decision(
+                    "stream-versions",
+                    pool=pool,
+                    versions=sorted(item.versions),
+                    revision=item.revision,
+                    complete=item.is_complete,
+                )
+        if changed:
+            self._publish(changed, now)
+            for pool in changed:
+                self._write_status(pool)
+        else:
+            self._on_change()
 
     # Orders of the store.
 
@@ -370,6 +432,9 @@
             return
         if not self._dispatches(pool):
             return
+        # A version begins no streams before it is in the store.
+        if state is RolloutState.RUNNING and entry.order.version in entry.begun.missing:
+            return
         task = self._write_tasks.get(pool)
         if task is None or task.done():
             self._write_tasks[pool] = asyncio.create_task(
@@ -484,6 +549,8 @@
 
     def _handle_tick(self, now: float) -> None:
         self._resolve_ambiguous(now)
+        if self.version_table.update_begun(now):
+            self._on_change()
         if self._restore_settled_at and now >= self._restore_settled_at:
             # An order that a restored store still lacks was withdrawn.
             self._restore_settled_at = 0.0
--- /dev/null
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -0,0 +1,162 @@
+"""hibiscusstep.forwarding.saved_streams: streams by version, stored for a full restart.
+
+While several versions may have begun the streams of a pool, its dispatcher stores which
+version began each. The streams of some seconds are one object, a segment. A pool has a
+fixed number of segments, of which the oldest is replaced by the next.
+"""
+
+import base64
+import logging
+import struct
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hibiscusstep.log import decision
+from hibiscusstep.mailbox import Tick, Worker
+from hibiscusstep.peer import PoolStreams, StreamGroup
+from hibiscusstep.routing.stream_versions import SaveStreams
+from hibiscusstep.store import StreamStore
+
+__all__ = ["SavedStreamsWorker", "from_document", "to_document"]
+
+_LOG = logging.getLogger(__name__)
+WRITE_INTERVAL_S = 0.5
+WRITES_PER_SEGMENT = 4
+# With base64 a stream takes 11 bytes of the megabyte of an object.
+MAX_SEGMENT_STREAMS = 65_536
+# Together the segments span well over the lifetime of a stream.
+SEGMENT_COUNT = 24
+# Hashes of streams are positive and have 63 bits.
+_HASH = struct.Struct(">q")
+
+
+@dataclass(slots=True, eq=False)
+class _Segments:
+    """The segment that is being written for a pool.
+
+    `number` is None until the stored ones were read. `writes` counts its writes so far.
+    """
+
+    number: int | None = None
+    streams: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    has_new: bool = False
+    writes: int = 0
+
+    @property
+    def size(self) -> int:
+        return sum(map(len, self.streams.values()))
+
+
+class SavedStreamsWorker(Worker):
+    """Writes the streams of the pools that this instance dispatches, and reads them.
+
+    Parameters
+    ----------
+    store : StreamStore
+        Holds the segments.
+    on_read : callable of PoolStreams
+        Receives the streams of a pool that were read.
+    """
+
+    def __init__(
+        self, store: StreamStore, on_read: Callable[[PoolStreams], None]
+    ) -> None:
+        super().__init__("streams", tick_interval=WRITE_INTERVAL_S)
+        self._store = store
+        self._on_read = on_read
+        self._segments: dict[str, _Segments] = {}
+
+    async def handle(self, message) -> None:
+        """Handle a read request, new streams of a dispatcher, or a tick."""
+        match message:
+            case SaveStreams(pool=pool, streams=streams, is_first=is_first):
+                if is_first:
+                    self._segments[pool] = _Segments()
+                self._add(self._segments[pool], streams)
+                if is_first:
+                    await self._read(pool)
+            case Tick():
+                for pool in list(self._segments):
+                    if self._segments[pool].number is None:
+                        await self._read(pool)
+                    await self._write(pool)
+
+    def _add(self, segments: _Segments, streams: dict[str, list[int]]) -> None:
+        for version, hashes in streams.items():
+            room = MAX_SEGMENT_STREAMS - segments.size
+            segments.streams[version] += hashes[:room]
+            segments.has_new = True
+
+    async def _read(self, pool: str) -> None:
+        reply = await self._store.read_segments(pool)
+        if reply.is_err():
+            decision("streams-not-read", pool=pool, error=str(reply.unwrap_err()))
+            return
+        found = list(filter(None, map(from_document, reply.unwrap())))
+        self._segments[pool].number = 1 + max((n for n, _groups in found), default=-1)
+        groups = [group for _number, groups in found for group in groups]
+        count = sum(len(group.streams) for group in groups)
+        decision("streams-read", pool=pool, segments=len(found), streams=count)
+        if groups:
+            self._on_read(PoolStreams(pool, groups))
+
+    async def _write(self, pool: str) -> None:
+        segments = self._segments[pool]
+        if segments.number is None or not segments.has_new:
+            return
+        segments.has_new = False
+        document = to_document(segments.number, segments.streams)
+        slot = segments.number % SEGMENT_COUNT
+        written = await self._store.write_segment(pool, slot, document)
+        if written.is_err():
+            decision("streams-not-written", pool=pool, error=str(written.unwrap_err()))
+            segments.has_new = True
+            return
+        segments.writes += 1
+        is_full = segments.size >= MAX_SEGMENT_STREAMS // 8
+        if segments.writes >= WRITES_PER_SEGMENT or is_full:
+            self._segments[pool] = _Segments(segments.number + 1)
+
+
+def to_document(number: int, streams: dict[str, list[int]]) -> dict:
+    """Return a segment as a document.
+
+    Parameters
+    ----------
+    number : int
+        Number of the segment; later ones have higher numbers.
+    streams : dict of str to list of int
+        Hashes of the streams by the version that began them.
+    """
+    return {
+        "Number": number,
+        "Streams": {
+            version: base64.b64encode(b"".join(map(_HASH.pack, hashes))).decode()
+            for version, hashes in streams.items()
+        },
+    }
+
+
+def from_document(document: dict) -> tuple[int, list[StreamGroup]] | None:
+    """Return the number and the streams of a segment; None if it is malformed."""
+    try:
+        number = document["Number"]
+        if type(number) is not int or number < 0:
+            raise ValueError("Number is no positive number")
+        groups = [
+            StreamGroup(
+                str(version),
+                [
+                    stream
+                    for (stream,) in _HASH.iter_unpack(
+                        base64.b64decode(text, validate=True)
+                    )
+                ],
+            )
+            for version, text in document["Streams"].items()
+        ]
+        return number, groups
+    except (AttributeError, KeyError, TypeError, ValueError, struct.error) as cause:
+        _LOG.error("malformed streams left out", extra={"error": repr(cause)})
+        return None
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -86,7 +86,8 @@
   5: double duration, 6: string state, 7: string state_version, 8: i64 number,
   9: double age, 10: i64 requests, 11: i64 exposed, 12: i64 answers, 13: bool is_known,
   14: bool is_rejected, 15: list<string> serving, 16: i64 serving_since,
-  17: double serving_for, 18: double evidence
+  17: double serving_for, 18: double evidence, 19: list<string> begun,
+  20: i64 begun_revision
 }
 struct RolloutRecords { 1: list<RolloutRecord> records }
 struct RolloutWrite {
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -32,7 +32,8 @@
     the time of the last log of the state, `rollout_reported_at` that of the last report
     of the rollout's progress. `poller` reads the targets' load reports. `new_streams`
     are the versions of the streams since `streams_sent_at`, when those before were sent
-    to the incarnations `streams_sent_to`. `created_at` is
+    to the incarnations `streams_sent_to`. `saves_streams` is whether they are stored
+    too. `created_at` is
     when the dispatcher was created, 0 for a standby dispatcher. Times are in seconds on
     the loop's clock.
     """
@@ -46,6 +47,7 @@
     new_streams: dict[int, str] = field(default_factory=dict)
     streams_sent_at: float = 0.0
     streams_sent_to: frozenset[str] = frozenset()
+    saves_streams: bool = False
     created_at: float = 0.0
     state_logged_at: float = 0.0
     keepalives_sent_at: float = 0.0
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -635,6 +635,10 @@
         current before any order.
     serving_for : float
         Seconds for which the sender has known them to be current.
+    begun : list of str
+        Versions that may have begun streams, as they are in the store.
+    begun_revision : int
+        Revision of these in the store; 0 if none are known.
     """
 
     pool: str
@@ -655,6 +659,8 @@
     serving: list[str]
     serving_since: int
     serving_for: float
+    begun: list[str] = field(default_factory=list)
+    begun_revision: int = 0
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from urllib.parse import quote
 
@@ -32,6 +32,8 @@
     Listing,
     RevisionExpired,
     RolloutStore,
+    StoredVersions,
+    StreamStore,
     SuspectStore,
     UsageStore,
 )
@@ -42,6 +44,7 @@
     "ObjectFeed",
     "ObjectRolloutStore",
     "ObjectInstanceDirectory",
+    "ObjectStreamStore",
     "ObjectSuspectStore",
     "ObjectUsageStore",
 ]
@@ -53,6 +56,8 @@
 CALL_TIMEOUT_S = 1.5
 # Added to the time for which the store itself waits for a change.
 WATCH_GRACE_S = 0.5
+# Versions of a pool within one stream lifetime; more indicate a malformed object.
+MAX_VERSIONS = 100
 _STATUS_ERRORS = {
     404: PlatformNotFound,
     409: PlatformConflict,
@@ -462,6 +467,118 @@
         return await self._client.read_one(self._PROGRESS_KIND, pool)
 
 
+class ObjectStreamStore(StreamStore):
+    """Store of the versions that began streams, and of the streams by version.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        Makes the calls.
+    """
+
+    _VERSIONS_KIND = "hibiscusstep-versions"
+    _SEGMENTS_KIND = "hibiscusstep-streams"
+
+    def __init__(self, client: ObjectClient) -> None:
+        self._client = client
+
+    async def read_versions(
+        self, pool: str | None = None
+    ) -> Result[dict[str, StoredVersions], PlatformError]:
+        """Return the versions of one pool, or of all, by pool; no stale read."""
+        if pool is None:
+            listed = await self._client.list_all(self._VERSIONS_KIND)
+            if listed.is_err():
+                return listed
+            items, _revision, era = listed.unwrap()
+        else:
+            path = f"{self._VERSIONS_KIND}/{quote(pool)}"
+            reply = await self._client.call_in_era("GET", path)
+            if reply.is_err():
+                is_missing = isinstance(reply.unwrap_err(), PlatformNotFound)
+                return Ok({}) if is_missing else reply
+            items, era = [reply.unwrap().body], reply.unwrap().era
+        return Ok(dict(_decode_valid(self._VERSIONS_KIND, items, _version_parser(era))))
+
+    async def write_versions(
+        self, pool: str, versions: Iterable[str], revision: int
+    ) -> Result[StoredVersions, PlatformError]:
+        """Write a pool's versions with the era in which they are written."""
+        client = self._client
+        if revision and split_revision(revision)[0] != client.eras.era:
+            return Err(_restored_error("write versions"))
+        names = sorted(versions)
+        body = {
+            "Metadata": {"Name": pool},
+            "Spec": {"Versions": names, "Era": client.eras.era},
+        }
+        method, path = "POST", self._VERSIONS_KIND
+        if revision:
+            body["Metadata"]["Revision"] = split_revision(revision)[1]
+            method, path = "PUT", f"{path}/{quote(pool)}"
+        reply = await client.call_in_era(method, path, body=body)
+        if reply.is_err():
+            return reply
+        answer = reply.unwrap()
+        try:
+            written = int(answer.body["Metadata"]["Revision"])
+        except f.MALFORMED_ERRORS as cause:
+            return Err(_malformed_error(self._VERSIONS_KIND, cause))
+        is_complete = answer.era == body["Spec"]["Era"]
+        return Ok(
+            StoredVersions(
+                frozenset(names), join_revision(answer.era, written), is_complete
+            )
+        )
+
+    async def write_segment(
+        self, pool: str, segment: int, document: dict
+    ) -> Result[None, PlatformError]:
+        """Write a segment."""
+        name = f"{pool}.{segment}"
+        return await self._client.write(
+            self._SEGMENTS_KIND, name, {"Pool": pool, **document}, ("PUT", "POST")
+        )
+
+    async def read_segments(self, pool: str) -> Result[list[dict], PlatformError]:
+        """Return the documents of a pool's segments; no stale read."""
+        listed = await self._client.list_all(self._SEGMENTS_KIND)
+        return listed.map(
+            lambda found: [
+                spec
+                for item in found[0]
+                if isinstance(spec := item.get("Spec"), dict)
+                and spec.get("Pool") == pool
+            ]
+        )
+
+
+def _version_parser(era: int) -> Callable[[dict], tuple[str, StoredVersions]]:
+    """Return a parser of the versions that a store of an era has for a pool.
+
+    Malformed ones count as incomplete, and are replaced.
+    """
+
+    def parse(item: dict) -> tuple[str, StoredVersions]:
+        metadata = item["Metadata"]
+        pool = f.read_text(metadata, "Name")
+        revision = join_revision(era, f.read_int(metadata, "Revision", least=1))
+        try:
+            spec = item["Spec"]
+            versions, written_era = spec["Versions"], f.read_int(spec, "Era")
+            if not isinstance(versions, list) or len(versions) > MAX_VERSIONS:
+                raise ValueError("versions are no list, or too many")
+            if not all(isinstance(version, str) for version in versions):
+                raise ValueError("a version is not text")
+        except f.MALFORMED_ERRORS as cause:
+            extra = {"pool": pool, "error": repr(cause)}
+            _LOG.error("malformed versions replaced", extra=extra)
+            return pool, StoredVersions(revision=revision)
+        return pool, StoredVersions(frozenset(versions), revision, written_era == era)
+
+    return parse
+
+
 def _parse_record(item: dict) -> InstanceRecord:
     spec = item["Spec"]
     return InstanceRecord(
--- a/hibiscusstep/platform/environment.py
+++ b/hibiscusstep/platform/environment.py
@@ -10,6 +10,7 @@
     ObjectFeed,
     ObjectInstanceDirectory,
     ObjectRolloutStore,
+    ObjectStreamStore,
     ObjectSuspectStore,
     ObjectUsageStore,
 )
@@ -73,6 +74,7 @@
         rollout_store=ObjectRolloutStore(
             client, ObjectFeed(client, ROLLOUT_KIND, decode_rollout)
         ),
+        stream_store=ObjectStreamStore(client),
         register=lambda: directory.register(record),
         read_table=decode_table_bytes,
         read_bounds=lambda: load_platform_settings(path).bounds,
--- a/hibiscusstep/routing/dispatch_plan.py
+++ b/hibiscusstep/routing/dispatch_plan.py
@@ -54,8 +54,9 @@
         A rollout that moves its traffic to another version.
     rejected_version : str or None
         The version whose rollout was rolled back; None if there is none.
-    mixed_until : float
-        Until when streams of several versions may be resumed, on the loop's clock.
+    stream_origins : frozenset of str
+        Versions that may have begun the streams that callers resume now; empty if
+        streams of this pool do not depend on the version.
     fair_shares : bool
         Whether its customers share each rank by weight.
     planned_returns : bool
@@ -74,7 +75,7 @@
     current_versions: frozenset[str] = frozenset()
     rollout: PlannedRollout | None = None
     rejected_version: str | None = None
-    mixed_until: float = 0.0
+    stream_origins: frozenset[str] = frozenset()
     fair_shares: bool = False
     planned_returns: bool = False
     customer_weights: dict[str, float] = field(default_factory=dict)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -145,7 +145,7 @@
         # They are not in the queue: they neither delay the requests in it nor count as
         # work for all targets.
         self._continuations: dict[str, m.Work] = {}
-        self._mixed_until = 0.0
+        self._stream_origins: frozenset[str] = frozenset()
         # None where customers do not share the ranks.
         self._shares: FairShares | None = None
         self._refused_requests = RefusedRequests()
@@ -247,7 +247,7 @@
 
     def may_mix_versions(self, now: float) -> bool:
         """Whether streams of several software versions may be resumed."""
-        return now < self._mixed_until
+        return len(self._stream_origins) > 1
 
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant."""
@@ -614,7 +614,7 @@
         self._configure_shares(pool)
         self._configure_returns(pool)
         self._configure_memory(pool)
-        self._mixed_until = pool.mixed_until
+        self._stream_origins = pool.stream_origins
         self._capacity_updated_at = -math.inf
         self._subset_updated_at = -math.inf
         for name, planned in pool.targets.items():
@@ -732,7 +732,10 @@
         """Return the version that began a request's stream; None if not known."""
         if work.bound_version is not None:
             return work.bound_version
-        return self.stream_versions.find(work.resumes, now)
+        version = self.stream_versions.find(work.resumes, now)
+        if version is None and work.resumes and len(self._stream_origins) == 1:
+            (version,) = self._stream_origins
+        return version
 
     def _stream_origin(self, work: m.Work, now: float) -> m.StreamOrigin | None:
         """Return how the version that began a request's stream is known."""
--- a/hibiscusstep/routing/stream_versions.py
+++ b/hibiscusstep/routing/stream_versions.py
@@ -2,8 +2,9 @@
 
 import math
 from collections import defaultdict
+from dataclasses import dataclass
 
-__all__ = ["STREAM_LIFETIME_S", "StreamVersions"]
+__all__ = ["STREAM_LIFETIME_S", "SaveStreams", "StreamVersions"]
 
 # Callers resume a stream within its deadline; routes allow less than this.
 STREAM_LIFETIME_S = 30.0
@@ -11,6 +12,26 @@
 MAX_STREAMS = 1 << 16
 
 
+@dataclass(frozen=True, slots=True)
+class SaveStreams:
+    """Streams of a pool to be stored, in case all instances restart.
+
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    streams : dict of str to list of int
+        Hashes of the streams by the version that began them.
+    is_first : bool
+        Whether the sender has just begun to have the pool's streams stored; those of
+        before are read.
+    """
+
+    pool: str
+    streams: dict[str, list[int]]
+    is_first: bool = False
+
+
 class StreamVersions:
     """Software versions of the targets that the recent streams of a pool began at.
 
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -216,6 +216,8 @@
         (16, "i64", "serving_since"),
         (17, "double", "serving_for"),
         (18, "double", "evidence"),
+        (19, "list<string>", "begun"),
+        (20, "i64", "begun_revision"),
     ),
     "RolloutRecords": ((1, "list<RolloutRecord>", "records"),),
     "RolloutWrite": (
--- a/hibiscusstep/store.py
+++ b/hibiscusstep/store.py
@@ -1,6 +1,7 @@
 """hibiscusstep.store: abstract interfaces to the platform's object service."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from result import Result
@@ -19,6 +20,8 @@
     "RevisionExpired",
     "RolloutStore",
     "StoreRestored",
+    "StoredVersions",
+    "StreamStore",
     "SuspectStore",
     "UsageStore",
     "VersionedObject",
@@ -71,6 +74,26 @@
     """The store was restored from an older copy, so recent writes are lost."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoredVersions:
+    """The versions that may have begun streams of a pool, as they are in the store.
+
+    Parameters
+    ----------
+    versions : frozenset of str
+        The versions.
+    revision : int
+        Revision of the object; 0 if there is none.
+    is_complete : bool
+        Whether no other version began streams. This is not so if the object is missing
+        or malformed, or if the store has been restored from an older copy since.
+    """
+
+    versions: frozenset[str] = frozenset()
+    revision: int = 0
+    is_complete: bool = False
+
+
 class InstanceDirectory(ABC):
     """Lists the instances; the list lags by seconds."""
 
@@ -171,6 +194,40 @@
         """Return the current document, None if there is none."""
 
 
+class StreamStore(ABC):
+    """Stores which versions began a pool's streams, and the streams by version.
+
+    Both are read after all instances restart. The streams are in a fixed number of
+    segments for each pool.
+    """
+
+    @abstractmethod
+    async def read_versions(
+        self, pool: str | None = None
+    ) -> Result[dict[str, StoredVersions], PlatformError]:
+        """Return the current versions of one pool, or of all, by pool."""
+
+    @abstractmethod
+    async def write_versions(
+        self, pool: str, versions: Iterable[str], revision: int
+    ) -> Result[StoredVersions, PlatformError]:
+        """Write a pool's versions if their revision is unchanged, 0 if there are none.
+
+        The error is `PlatformConflict` if they have changed, and `PlatformUnavailable`
+        if the write may or may not have taken effect.
+        """
+
+    @abstractmethod
+    async def write_segment(
+        self, pool: str, segment: int, document: dict
+    ) -> Result[None, PlatformError]:
+        """Write a segment of a pool's streams; the last write wins."""
+
+    @abstractmethod
+    async def read_segments(self, pool: str) -> Result[list[dict], PlatformError]:
+        """Return the current documents of a pool's segments, in any order."""
+
+
 class RolloutStore(ABC):
     """Reads operators' rollout orders; stores their status and progress.
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -223,8 +223,12 @@
             return web.Response(status=503)
         body = orjson.loads(await request.read())
         kind, name = request.match_info["kind"], request.match_info["name"]
-        if (kind, name) not in self.objects:
+        known = self.objects.get((kind, name))
+        if known is None:
             return _json({}, 404)
+        condition = body["Metadata"].get("Revision")
+        if condition is not None and condition != known["Metadata"]["Revision"]:
+            return _json(known, 409)
         self.put(kind, name, body["Spec"])
         return _json(self.objects[kind, name])
 
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -30,6 +30,7 @@
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
 
 POOL = "p"
+MIXED = frozenset({"v1", "v2"})
 
 
 class _Links:
@@ -316,7 +317,7 @@
         )  # fmt: skip
         await worker.handle(view)
         targets = {"t": PlannedTarget(4, version="v1")}
-        pool = PlannedPool(True, targets=targets, mixed_until=float("inf"))
+        pool = PlannedPool(True, targets=targets, stream_origins=MIXED)
         plan = DispatchPlan({POOL: pool})
         await worker.handle(ConfigurationInForce(1, b"", plan))
         for name in receives:
@@ -357,7 +358,7 @@
         )  # fmt: skip
         await worker.handle(view)
         targets = {"t": PlannedTarget(4, version="v1")}
-        pool = PlannedPool(True, targets=targets, mixed_until=float("inf"))
+        pool = PlannedPool(True, targets=targets, stream_origins=MIXED)
         await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
         info = WorkInfo(
             "a", "a", own, "c", "0", 0, 9, 9, 9.0, 0.0, False, [], [],
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -92,18 +92,20 @@
         """Instances read the orders of the store for the pools that are known here."""
         table = PoolVersionTable()
         assert not table.has_order(POOL)
-        assert table.running_version(POOL) is None
+        assert table.ordered_version(POOL) is None
         assert table.rejected_version(POOL) is None
         assert list(table) == []
 
-    def test_the_version_of_a_running_order_is_known(self):
+    def test_the_version_of_an_order_is_known_until_it_ends(self):
         table = PoolVersionTable()
         table.apply_order(_order(), 1.0)
         assert table.has_order(POOL)
-        assert table.running_version(POOL) is None
-        running = _order(revision=6, state=RolloutState.RUNNING, state_version="v2")
-        table.apply_order(running, 1.1)
-        assert table.running_version(POOL) == "v2"
+        assert table.ordered_version(POOL) == "v2"
+        for revision, state in enumerate(RolloutState, start=6):
+            known = _order(revision=revision, state=state, state_version="v2")
+            table.apply_order(known, 1.1)
+            expected = "v2" if state is RolloutState.RUNNING else None
+            assert table.ordered_version(POOL) == expected
 
 
 class TestOrders:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -392,7 +392,7 @@
 
 
 def _planned_rollout(instance):
-    return instance._planned_versions(POOL, set()).rollout
+    return instance._planned_versions(POOL, set(), set()).rollout
 
 
 def _saved_document(site, kind):
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -682,7 +682,7 @@
 class TestResumedStreams:
     """Requests that resume a stream run at the version that began it."""
 
-    def _plan(self, mixed_until=100.0):
+    def _plan(self, origins=("v1", "v2")):
         targets = {
             name: PlannedTarget(4, version=version)
             for name, version in (("old", "v1"), ("new", "v2"))
@@ -691,12 +691,12 @@
             True,
             targets=targets,
             current_versions=frozenset({"v2"}),
-            mixed_until=mixed_until,
+            stream_origins=frozenset(origins),
         )
         return DispatchPlan({"p": pool})
 
-    def _dispatcher(self, *, mixed_until=100.0, **options):
-        dispatcher = SlotDispatcher("p", self._plan(mixed_until), **options)
+    def _dispatcher(self, *, origins=("v1", "v2"), **options):
+        dispatcher = SlotDispatcher("p", self._plan(origins), **options)
         dispatcher.handle(m.Recovered(), 0.0)
         return dispatcher
 
@@ -714,9 +714,19 @@
         assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
 
     def test_run_at_the_only_version_that_may_have_begun_them(self):
-        dispatcher = self._dispatcher(mixed_until=0.0)
+        dispatcher = self._dispatcher(origins=["v2"])
         assert _grants(dispatcher.handle(self._resuming("a"), 1.0)) == {"a": "new"}
 
+    def test_run_at_a_version_that_no_longer_serves_if_only_it_began_them(self):
+        dispatcher = self._dispatcher(origins=["v1"])
+        assert _grants(dispatcher.handle(self._resuming("a"), 1.0)) == {"a": "old"}
+
+    def test_are_refused_if_the_only_version_that_began_them_is_gone(self):
+        """Guards against streams joined after the next version took over."""
+        dispatcher = self._dispatcher(origins=["v0"])
+        (refusal,) = dispatcher.handle(self._resuming("a"), 1.0)
+        assert refusal.reason is m.RefusalReason.VERSION_GONE
+
     def test_wait_at_a_standby_dispatcher(self):
         """The pool's dispatcher may know a stream that its standby does not."""
         dispatcher = self._dispatcher(standby_instance="i")
@@ -736,7 +746,7 @@
         assert refusal.reason is m.RefusalReason.VERSION_GONE
 
     def test_that_wait_are_bound_when_another_version_appears(self):
-        dispatcher = self._dispatcher(mixed_until=0.0)
+        dispatcher = self._dispatcher(origins=["v2"])
         for ask in "abcd":
             dispatcher.handle(m.RequestGrant(_work(ask)), 0.0)
         assert dispatcher.handle(self._resuming("waiting"), 0.0) == []
