Follow a list of several pages from the revision of its first page

A list was followed from the revision of its last page on. An object of an earlier page that changed before the last one was read was then missed until its next change: a target that says meanwhile that it leaves went on receiving requests.

test_a_change_between_the_pages_of_a_list_is_seen timed out before and passes.

--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -140,8 +140,13 @@
     async def list_all(
         self, kind: str, **query: str
     ) -> Result[tuple[list[dict], int, int], PlatformError]:
-        """Return all objects of a kind, the store's revision and its era."""
+        """Return all objects of a kind, the store's revision and its era.
+
+        The revision is that of the first page: an object of it may change before the
+        last one is read.
+        """
         items: list[dict] = []
+        revision = None
         eras: set[int] = set()
         while True:
             reply = await self.call_in_era("GET", kind, query=query)
@@ -153,8 +158,9 @@
                 return Err(_restored_error(f"list {kind}"))
             try:
                 items += page["Items"]
+                revision = int(page["At"]) if revision is None else revision
                 if not page.get("HasMore"):
-                    return Ok((items, int(page["At"]), *eras))
+                    return Ok((items, revision, *eras))
                 query["After"] = items[-1]["Metadata"]["Name"]
             except f.MALFORMED_ERRORS as cause:
                 return Err(_malformed_error(kind, cause))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -5,6 +5,7 @@
 import copy
 import itertools
 import json
+from collections.abc import Callable
 
 import orjson
 from aiohttp import web
@@ -33,6 +34,8 @@
         Method and path of each call.
     answer_replacement : tuple of bytes or None
         Bytes to replace in answers, and their replacement.
+    on_list : callable or None
+        Called with the query of each page of a list before it is answered.
     era : str or None
         Value of the Store-Era field of all answers; each restore increments it.
     """
@@ -47,6 +50,7 @@
         self.calls: list[str] = []
         self.answer_replacement: tuple[bytes, bytes] | None = None
         self.era: str | None = "1"
+        self.on_list: Callable | None = None
         self._changed = asyncio.Event()
         self._stopped = False
         self._runner: web.AppRunner | None = None
@@ -161,6 +165,8 @@
         kind = request.match_info["kind"]
         if "Watch" in request.query:
             return await self._watch(request, kind)
+        if self.on_list:
+            self.on_list(request.query)
         after = request.query.get("After", "")
         found = sorted(n for k, n in self.objects if k == kind and n > after)
         page = found[:2]
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -232,6 +232,24 @@
         await watched.until(lambda: "t3" not in watched.targets)
         assert "t2" in watched.targets
 
+    async def test_a_change_between_the_pages_of_a_list_is_seen(self, watched):
+        """Guards against an entry that changes after its page was read.
+
+        The list was followed from its last page's revision on.
+        """
+        store = watched.store
+
+        def drain_after_the_first_page(query):
+            if query.get("After"):
+                store.on_list = None
+                store.put("servers", "t1", _entry("draining"))
+
+        store.on_list = drain_after_the_first_page
+        store.remove_without_event("servers", "t4")
+        store.forget_history()
+        await watched.until(lambda: store.on_list is None)
+        await watched.until(lambda: watched.targets["t1"].leaving)
+
     async def test_a_peers_removal_is_applied(self, watched):
         watched.store.down = True
         known = watched.targets["t4"]
