Notice a silent watch of configuration and targets within ContactMs

A watch whose connection had gone silent was given up after 3.5 s whatever the settings said. The watch is a second shorter than `ContactMs` now, 3 s at the longest, which leaves half a second for the reading.

TestSilentWatch fails before (there was no such bound) and passes. Costs half as many watches again where `ContactMs` is 3 s; none elsewhere.

--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -23,6 +23,8 @@
     quota_window, quota_overage, quota_slack : float
         A customer's tokens in a window (seconds) may exceed its quota by a share (the
         overage) and a constant number of tokens (the slack).
+    silence_limit : float
+        Seconds within which a connection to the store that went silent is replaced.
     exposure : ExposureLimits
         Limits on the requests sent to a version that is not yet proven.
     """
@@ -34,6 +36,7 @@
     quota_window: float = 8.0
     quota_overage: float = 0.1
     quota_slack: float = 0.0
+    silence_limit: float = 4.0
     exposure: ExposureLimits = field(default_factory=ExposureLimits)
 
 
--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -22,9 +23,11 @@
 
 _LOG = logging.getLogger(__name__)
 TICK_S = 0.25
-# Duration of one watch call. A pending watch costs no further call; a lost connection
-# is noticed when it times out.
-WATCH_S = 3.0
+# Longest and shortest duration of one watch call. A waiting one costs no further call;
+# a lost connection is noticed when it times out.
+WATCH_S, MIN_WATCH_S = 3.0, 0.5
+# Seconds from the end of a watch until an unanswered one is given up and all is read.
+REPLACE_S = 1.0
 RETRY_S = 0.3
 # Delay before the next watch call, so that one call returns several changes. A release
 # of a new version on 36 targets in 10 s makes about a hundred changes, each of which
@@ -116,6 +119,8 @@
         Receives the name of an incarnation that ended because the target restarted.
     on_announced : callable of list of DiscoveredTarget
         Receives the targets of which something new was announced.
+    silence_limit : float
+        Seconds within which a connection to the store that went silent is replaced.
     """
 
     def __init__(
@@ -126,6 +131,7 @@
         on_targets: Callable[[dict[str, DiscoveredTarget], list[Change]], None],
         on_restart: Callable[[str], None],
         on_announced: Callable[[list[DiscoveredTarget]], None],
+        silence_limit: float = math.inf,
     ) -> None:
         super().__init__("catalog", tick_interval=TICK_S)
         self._feeds = (tables, targets)
@@ -134,6 +140,7 @@
         self._on_targets = on_targets
         self._on_restart = on_restart
         self._on_announced = on_announced
+        self._watch_s = min(WATCH_S, max(MIN_WATCH_S, silence_limit - REPLACE_S))
         self._table: RoutingTable | None = None
         # By ID. `_last_seen` also holds removed targets, as they were seen last;
         # `_removed` holds the revisions of the removals.
@@ -228,7 +235,7 @@
                     continue
                 error = listed.unwrap_err()
             else:
-                seen = await feed.watch(revision, WATCH_S)
+                seen = await feed.watch(revision, self._watch_s)
                 if seen.is_ok():
                     self._record_answer(feed)
                     changes, revision = seen.unwrap()
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -315,6 +315,7 @@
             self._on_targets,
             lambda name: self._connections.close_all(name),
             lambda targets: self._distributor.send_announced(targets),
+            bounds.silence_limit,
         )
         self._distributor = StateDistributor(
             incarnation,
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -112,6 +112,11 @@
     return max(1, round(100 * min(cores, MAX_CORES * link)))
 
 
+def _seconds(bounds: dict, field: str, default: float) -> float:
+    """Return a time given in milliseconds, in seconds."""
+    return float(bounds[field]) / 1000 if field in bounds else default
+
+
 def _parse_bounds(bounds: dict) -> Bounds:
     default = Bounds()
     return Bounds(
@@ -122,6 +127,7 @@
         quota_window=float(bounds.get("QuotaWindowS", default.quota_window)),
         quota_overage=float(bounds.get("QuotaOverage", default.quota_overage)),
         quota_slack=float(bounds.get("QuotaSlack", default.quota_slack)),
+        silence_limit=_seconds(bounds, "ContactMs", default.silence_limit),
         exposure=ExposureLimits(
             float(bounds.get("ExposureShare", default.exposure.share)),
             float(bounds.get("ExposureSlack", default.exposure.slack)),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -21,9 +21,10 @@
 )
 from soak_proxy import Mode, Proxy
 
-from hibiscusstep.forwarding import caller_frontend
+from hibiscusstep.forwarding import caller_frontend, catalog
 from hibiscusstep.forwarding.instance import ForwardingInstance
 from hibiscusstep.listening import listen
+from hibiscusstep.platform.client import WATCH_GRACE_S
 from hibiscusstep.platform.documents import decode_table_spec
 from hibiscusstep.platform.environment import load_environment
 
@@ -45,7 +46,12 @@
         },
         "InternalPorts": [port, port],
         "Seeds": list(seeds),
-        "Bounds": {"GraceS": 2, "RetryBudgetSlack": 50, "QuotaWindowS": 8},
+        "Bounds": {
+            "GraceS": 2,
+            "RetryBudgetSlack": 50,
+            "QuotaWindowS": 8,
+            "ContactMs": 3000,
+        },
         "Platform": {"Address": store.address},
         "Bootstrap": is_first_start,
         "New": {"field": 1},
@@ -155,6 +161,27 @@
     await site.stop()
 
 
+class TestSilentWatch:
+    """Guards against a watch whose silence is noticed only after `ContactMs`.
+
+    Requests were run by a service that the configuration no longer named.
+    """
+
+    async def test_is_given_up_and_read_again_in_time(self, site):
+        await site.start()
+        waits = []
+        async with asyncio.timeout(BOUND_S):
+            while not waits:
+                await asyncio.sleep(0.01)
+                waits = [
+                    int(call.partition("WaitMs=")[2])
+                    for call in site.store.calls
+                    if "/config?Watch" in call
+                ]
+        assert all(wait / 1000 + catalog.REPLACE_S <= 3.0 for wait in waits)
+        assert WATCH_GRACE_S < catalog.REPLACE_S
+
+
 class TestRequestsBeforeTheFirstConfiguration:
     """Callers connect while an instance starts, or while all instances restart."""
 
