--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 from hibiscusstep.forwarding.crash_detector import InterruptedAttempt
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.quarantine import Quarantine
-from hibiscusstep.forwarding.saved_suspects import from_document, to_document
+from hibiscusstep.forwarding.saved_suspects import PARTS, from_document, to_document
 from hibiscusstep.forwarding.suspects import EARLY_WEIGHT
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership.mesh import ViewChanged
@@ -37,8 +37,8 @@
         self.sent.append(send)
 
 
-def _member(name, relay=True):
-    return Member(name, f"{name}-1", "z", "r", name, "o", 1, True, False, relay)
+def _member(name, relay=True, ready=True):
+    return Member(name, f"{name}-1", "z", "r", name, "o", 1, ready, False, relay)
 
 
 class Region:
@@ -61,8 +61,8 @@
             await self.members[name].handle(ViewChanged(view))
         await self.deliver()
 
-    async def mesh(self, *names):
-        view = View({name: _member(name) for name in names})
+    async def mesh(self, *names, ready=True):
+        view = View({name: _member(name, ready=ready) for name in names})
         await self.set_views(**dict.fromkeys(names, view))
 
     async def deliver(self):
@@ -241,6 +241,41 @@
         await region.crash("c", "t3", 3)
         assert region.quarantine_flags() == [True] * 2
 
+    async def test_all_crashes_during_an_outage_cost_one_target_more(self, region):
+        """Guards against late crashes after an outage that ends with all instances."""
+        for name in "ab":
+            region.add(name)
+        await region.mesh(*"ab")
+        await region.tick(2)
+        region.store.unavailable = True
+        await region.crash_three_targets("a", "b", "a")
+        await region.tick(2)
+        assert region.quarantine_flags() == [True] * 2
+        region.members.clear()
+        region.store.unavailable = False
+        for name in "cd":
+            region.add(name)
+        await region.mesh(*"cd")
+        await region.tick(2)
+        await region.crash("c", "t3", 3)
+        assert region.quarantine_flags() == [True] * 2
+
+    async def test_is_read_before_any_instance_is_ready(self, region):
+        """Guards against crashes in the first seconds after a restart of all.
+
+        Only a ready instance read what is stored, and none is for a second.
+        """
+        await self._quarantine_request(region)
+        region.members.clear()
+        for name in "cd":
+            region.add(name)
+        await region.mesh(*"cd", ready=False)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        await region.deliver()
+        assert region.quarantine_flags() == [True] * 2
+        assert region.store.writes == 1
+
     async def test_an_answer_removes_it_from_the_store(self, region):
         for name in "ab":
             region.add(name)
@@ -305,6 +340,14 @@
         document["requests"][0] |= change
         assert from_document(document, 1000.0) == []
 
+    def test_others_are_read_beside_a_malformed_entry(self):
+        """Guards against one bad entry that makes all quarantined requests unknown."""
+        document = to_document([self.STATE, self.STATE], 1000.0, [self.STATE])
+        document["requests"][0]["targets"] = None
+        document["parts"].append("text")
+        assert from_document(document, 1000.0) == [self.STATE]
+        assert from_document(document, 1000.0, PARTS) == [self.STATE]
+
     @pytest.mark.parametrize("document", [None, {}, {"requests": 7}])
     def test_a_missing_or_malformed_document_is_empty(self, document):
         assert from_document(document, 1000.0) == []
--- a/tests/test_quota_restarts.py
+++ b/tests/test_quota_restarts.py
@@ -173,6 +173,86 @@
         assert 10 <= region.store.writes <= 30
 
 
+class TestOutage:
+    """The store is unavailable from before a burst until after all instances ended.
+
+    What it holds then lacks the burst, although each reading of it succeeds.
+    """
+
+    async def _end_all_in_outage(self, monkeypatch, seed):
+        region = QuotaRegion(6, monkeypatch, seed=seed, has_store=True)
+        await region.play(20.0, demand=NORMAL)
+        region.store.unavailable = True
+        await region.play(3.0, demand=OVERLOAD)
+        region.kill()
+        await region.play(1.0)
+        return region
+
+    # Guards against a document that was not written for seconds taken for current.
+    async def test_over_before_the_start(self, monkeypatch):
+        for seed in SEEDS:
+            region = await self._end_all_in_outage(monkeypatch, seed)
+            region.store.unavailable = False
+            for number in range(region.count):
+                region.start(number)
+            await region.play(12.0, demand=OVERLOAD)
+            assert region.max_used <= region.limit, seed
+
+    # Guards against the same where reading it failed at first.
+    @pytest.mark.parametrize("seconds", [0.5, 2.0])
+    async def test_over_after_the_start(self, monkeypatch, seconds):
+        for seed in SEEDS:
+            region = await self._end_all_in_outage(monkeypatch, seed)
+            for number in range(region.count):
+                region.start(number)
+            await region.play(seconds, demand=OVERLOAD)
+            region.store.unavailable = False
+            await region.play(12.0, demand=OVERLOAD)
+            assert region.max_used <= region.limit, seed
+
+    # Guards against an instance that starts later, which can read it at once.
+    async def test_over_before_another_start(self, monkeypatch):
+        for seed in SEEDS:
+            region = await self._end_all_in_outage(monkeypatch, seed)
+            for number in range(1, region.count):
+                region.start(number)
+            await region.play(1.5, demand=OVERLOAD)
+            region.store.unavailable = False
+            await region.play(0.7, demand=OVERLOAD)
+            region.start(0)
+            await region.play(12.0, demand=OVERLOAD)
+            assert region.max_used <= region.limit, seed
+
+    # Guards against the same after a second restart of all within the window.
+    async def test_over_before_a_second_restart(self, monkeypatch):
+        for seed in SEEDS:
+            region = await self._end_all_in_outage(monkeypatch, seed)
+            for number in range(region.count):
+                region.start(number)
+            await region.play(1.5, demand=OVERLOAD)
+            region.store.unavailable = False
+            await region.play(1.5, demand=OVERLOAD)
+            await _restart_all(region)
+            await region.play(12.0, demand=OVERLOAD)
+            assert region.max_used <= region.limit, seed
+
+
+class TestMalformedDocument:
+    # Guards against a malformed document taken for one that lists no customers.
+    async def test_after_a_burst_and_a_full_restart(self, monkeypatch):
+        for seed in SEEDS:
+            region = QuotaRegion(6, monkeypatch, seed=seed, has_store=True)
+            await region.play(20.0, demand=NORMAL)
+            await region.play(3.0, demand=OVERLOAD)
+            region.kill()
+            region.store.document = {"customers": ["c"], "recent": ["x"]}
+            await region.play(1.0)
+            for number in range(region.count):
+                region.start(number)
+            await region.play(12.0, demand=OVERLOAD)
+            assert region.max_used <= region.limit, seed
+
+
 class TestRelays:
     """Two relays, each with five followers."""
 
