Read the quarantine before an instance is ready after a restart of all

No other request is refused by it. Each instance that sees no ready one and has no relay reads once, as it does with the usage of quotas: a call more a start; it still writes only with the role. If the store refuses writes for over two minutes, one that starts may bring back what was cleared meanwhile, as one that took the role before.

--- a/hibiscusstep/forwarding/quarantine.py
+++ b/hibiscusstep/forwarding/quarantine.py
@@ -45,7 +45,8 @@
     parts, because each crash interrupts every other request on that target. Crash
     states are sent to all instances immediately, to instances that start, and through
     relays. What is quarantined, or would be after one more crash, is also written to
-    the store, so that it survives a restart of all instances.
+    the store, so that it survives a restart of all instances. While no instance is
+    ready, as after such a restart, each one reads it.
 
     Parameters
     ----------
@@ -300,6 +301,8 @@
         now, new = _now(), self._neighbours.apply_view(view)
         states = SuspectStates(self._table.all_states(now), self._parts.all_states(now))
         self._send(states, new)
+        if self._must_read:
+            self._start_sync()
 
     def _send(self, states: SuspectStates, addresses: Iterable[str]) -> None:
         if states.states or states.parts:
@@ -316,6 +319,13 @@
         """Whether this instance writes to the store and tries quarantined parts."""
         return self._view.role_known and self._view.has_duty(_DUTY, self._address)
 
+    @property
+    def _must_read(self) -> bool:
+        """Whether this instance has to read the store since no other one may have."""
+        view = self._view
+        is_alone = view.role_known and not view.parent and not view.eligible
+        return is_alone and not self._is_read
+
     def _on_tick(self) -> None:
         now = _now()
         self._ticks += 1
@@ -328,7 +338,12 @@
                 self._table.recent_states(now), self._parts.recent_states(now)
             )
             self._send(states, self._neighbours.addresses)
-        if self._has_duty and (self._store_task is None or self._store_task.done()):
+        if self._has_duty or self._must_read:
+            self._start_sync()
+
+    def _start_sync(self) -> None:
+        """Synchronise with the store, unless that is still going on."""
+        if self._store_task is None or self._store_task.done():
             # A task, so that a store that does not answer blocks no peer messages.
             self._store_task = asyncio.create_task(self._sync_with_store())
 
@@ -348,6 +363,8 @@
         """Read what is stored once; write what must outlive a restart on changes."""
         if not self._is_read:
             await self._read_stored()
+        if not self._has_duty:
+            return
         now = _now()
         requests, parts = self._table.to_store, self._parts.to_store
         current = frozenset((s.fingerprint, len(s.crashes)) for s in requests + parts)
