Leave out only the malformed entries of the stored quarantine

One malformed entry made all quarantined requests and parts of the list unknown after a restart of all: three crashes more for each. Now only that entry is left out, with one log line a list. No other request is refused by it.

--- a/hibiscusstep/forwarding/saved_suspects.py
+++ b/hibiscusstep/forwarding/saved_suspects.py
@@ -52,7 +52,7 @@
 def from_document(
     document: dict | None, time_of_day: float, kind: str = REQUESTS
 ) -> list[SuspectState]:
-    """Return a list of a document; log an error and return none if malformed.
+    """Return a list of a document; leave out malformed entries and log them.
 
     The system clock may have been set back since: a crash in the future is dated now.
     Documents of earlier versions have no list of parts.
@@ -60,13 +60,31 @@
     if document is None:
         return []
     try:
-        entries = document.get(kind, []) if kind == PARTS else document[kind]
-        return [_parse_state(entry, time_of_day) for entry in entries]
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as cause:
-        _LOG.error(
-            "kept quarantine ignored", extra={"kind": kind, "error": repr(cause)}
-        )
+        entries = list(document.get(kind, []) if kind == PARTS else document[kind])
+    except (AttributeError, KeyError, TypeError) as cause:
+        _log_ignored(kind, 0, cause)
         return []
+    states, malformed = [], []
+    for entry in entries:
+        try:
+            states.append(_parse_state(entry, time_of_day))
+        except (
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+            OverflowError,
+        ) as error:
+            malformed.append(error)
+    if malformed:
+        _log_ignored(kind, len(malformed), malformed[0])
+    return states
+
+
+def _log_ignored(kind: str, entries: int, cause: Exception) -> None:
+    """Log malformed entries, or a list (0 entries), with the cause of the first one."""
+    fields = {"kind": kind, "entries": entries, "error": repr(cause)}
+    _LOG.error("kept quarantine ignored", extra=fields)
 
 
 def _parse_state(entry: dict, time_of_day: float) -> SuspectState:
