Take a malformed document of usage for unknown usage

Now it counts as a store that does not answer, for one window, without the wait.

test_missing_or_malformed_document_lists_no_customers expected the fault; a missing document still lists nobody, a malformed one has to give unknown usage.

--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -127,11 +127,11 @@
 
     @property
     def history_known(self) -> bool:
-        """Whether usage before the start is known, from peers or from the store."""
+        """Whether usage before the start is known, or the store does not tell it."""
         return self._history_known.is_set()
 
     async def wait_history_known(self) -> None:
-        """Wait until usage before the start is known."""
+        """Wait until usage before the start is known, or cannot be read."""
         await self._history_known.wait()
 
     async def handle(self, message) -> None:
@@ -149,6 +149,9 @@
                 self._process_view(view, now)
             case CustomersChanged(customers=customers):
                 self._rules = {rule.name: rule for rule in customers}
+            case SavedUsage(usage=None):
+                # Requests need not wait: the store will not tell it later either.
+                self._history_known.set()
             case SavedUsage(usage=usage):
                 self._ledger.apply_stored(usage, now)
                 self._send_history_to_followers(now)
--- a/hibiscusstep/forwarding/saved_usage.py
+++ b/hibiscusstep/forwarding/saved_usage.py
@@ -34,9 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SavedUsage:
-    """The stored usage from before this instance started."""
+    """The stored usage from before this instance started.
 
-    usage: Usage
+    Parameters
+    ----------
+    usage : Usage or None
+        The usage; None if the document is malformed.
+    """
+
+    usage: Usage | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,14 +182,14 @@
             return
         self._read_done = True
         usage = self._parse_document(reply.unwrap())
-        decision("use-read", customers=len(usage.customers))
+        if usage is not None:
+            decision("use-read", customers=len(usage.customers))
         self._on_read(SavedUsage(usage))
 
-    def _parse_document(self, document: dict | None) -> Usage:
-        """Parse a document; return empty usage if it is missing or malformed."""
-        empty = Usage(_INCARNATION, UsageScope.KEPT, [], [], [])
+    def _parse_document(self, document: dict | None) -> Usage | None:
+        """Return the usage in a document, None if malformed; empty if it is missing."""
         if document is None:
-            return empty
+            return Usage(_INCARNATION, UsageScope.KEPT, [], [], [])
         try:
             customers = [str(name) for name in document["customers"]]
             recent = [max(0, int(amount)) for amount in document["recent"]]
@@ -191,7 +197,7 @@
                 raise ValueError("wrong number of values in recent")
         except (KeyError, TypeError, ValueError, OverflowError) as cause:
             _LOG.error("malformed saved usage ignored", extra={"error": repr(cause)})
-            return empty
+            return None
         rows = (
             recent[at : at + self._steps] for at in range(0, len(recent), self._steps)
         )
--- a/tests/test_saved_usage.py
+++ b/tests/test_saved_usage.py
@@ -95,19 +95,23 @@
         assert store.document == asdict(self._USAGE)
         assert len(read_results) == 1
 
+    async def test_missing_document_lists_no_customers(self):
+        worker, read_results = self._worker(FakeDocumentStore())
+        await worker.handle(ReadUsage())
+        assert read_results[0].usage.customers == []
+
     @pytest.mark.parametrize(
         "document",
         [
-            None,
             {},
             {"customers": ["c"], "recent": [1, 2]},
             {"customers": ["c"], "recent": ["x"] * 16},
             {"customers": None, "recent": []},
         ],
     )
-    async def test_missing_or_malformed_document_lists_no_customers(self, document):
+    async def test_malformed_document_is_unknown_usage(self, document):
         store = FakeDocumentStore()
         store.document = document
         worker, read_results = self._worker(store)
         await worker.handle(ReadUsage())
-        assert read_results[0].usage.customers == []
+        assert read_results == [SavedUsage(None)]
