Keep the last version of each stored stream

What callers see: a request whose first attempt at v1 brought nothing was granted again at v2, and its stream began there. After a restart of all instances it was resumed at v1.

Cause: a segment listed such a stream under both versions, and segments were read in the store's order (by name, 10 before 9). The last one that was read held.

Now a segment has each stream once, and segments are read by number. Both tests failed before (read as v1 instead of v2, v9 instead of v11).

--- a/hibiscusstep/forwarding/saved_streams.py
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -35,17 +35,20 @@
 class _Segments:
     """The segment that is being written for a pool.
 
-    `number` is None until the stored ones were read. `writes` counts its writes so far.
+    `number` is None until the stored ones were read. `streams` are the versions by
+    hash. `writes` counts its writes so far.
     """
 
     number: int | None = None
-    streams: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    streams: dict[int, str] = field(default_factory=dict)
     has_new: bool = False
     writes: int = 0
 
-    @property
-    def size(self) -> int:
-        return sum(map(len, self.streams.values()))
+    def by_version(self) -> dict[str, list[int]]:
+        streams = defaultdict(list)
+        for stream, version in self.streams.items():
+            streams[version].append(stream)
+        return streams
 
 
 class SavedStreamsWorker(Worker):
@@ -84,8 +87,10 @@
 
     def _add(self, segments: _Segments, streams: dict[str, list[int]]) -> None:
         for version, hashes in streams.items():
-            room = MAX_SEGMENT_STREAMS - segments.size
-            segments.streams[version] += hashes[:room]
+            for stream in hashes:
+                has_room = len(segments.streams) < MAX_SEGMENT_STREAMS
+                if has_room or stream in segments.streams:
+                    segments.streams[stream] = version
             segments.has_new = True
 
     async def _read(self, pool: str) -> None:
@@ -93,7 +98,9 @@
         if reply.is_err():
             decision("streams-not-read", pool=pool, error=str(reply.unwrap_err()))
             return
-        found = list(filter(None, map(from_document, reply.unwrap())))
+        documents = filter(None, map(from_document, reply.unwrap()))
+        # The last version of a stream holds.
+        found = sorted(documents, key=lambda segment: segment[0])
         self._segments[pool].number = 1 + max((n for n, _groups in found), default=-1)
         groups = [group for _number, groups in found for group in groups]
         count = sum(len(group.streams) for group in groups)
@@ -106,7 +113,7 @@
         if segments.number is None or not segments.has_new:
             return
         segments.has_new = False
-        document = to_document(segments.number, segments.streams)
+        document = to_document(segments.number, segments.by_version())
         slot = segments.number % SEGMENT_COUNT
         written = await self._store.write_segment(pool, slot, document)
         if written.is_err():
@@ -114,7 +121,7 @@
             segments.has_new = True
             return
         segments.writes += 1
-        is_full = segments.size >= MAX_SEGMENT_STREAMS // 8
+        is_full = len(segments.streams) >= MAX_SEGMENT_STREAMS // 8
         if segments.writes >= WRITES_PER_SEGMENT or is_full:
             self._segments[pool] = _Segments(segments.number + 1)
 
--- a/tests/test_saved_streams.py
+++ b/tests/test_saved_streams.py
@@ -147,6 +147,28 @@
         await worker.handle(Tick())
         assert len(await _read_back(store)) == 10
 
+    async def test_the_last_version_of_a_stream_holds(self):
+        """Guards against a stream read at a version whose attempt brought nothing.
+
+        Its request was granted targets of two versions. Neither the order in which
+        versions first occur nor that in which the store lists segments is that of time.
+        """
+        store = _Store()
+        worker = SavedStreamsWorker(store, lambda _message: None)
+        await worker.handle(SaveStreams(POOL, {"v2": [9]}, is_first=True))
+        await worker.handle(SaveStreams(POOL, {"v1": [1]}))
+        await worker.handle(SaveStreams(POOL, {"v2": [1]}))
+        await worker.handle(Tick())
+        assert await _read_back(store) == {9: "v2", 1: "v2"}
+
+    async def test_the_last_segment_with_a_stream_holds(self):
+        store = _Store()
+        for number in range(8, 12):
+            store.segments[number] = to_document(number, {f"v{number}": [1]})
+        names = sorted(store.segments, key=str)
+        store.segments = {name: store.segments[name] for name in names}
+        assert await _read_back(store) == {1: "v11"}
+
 
 @pytest.fixture
 async def store():
