Do not replace the recorded version of a stream by a stored one

What callers see: after a restart of all instances a request is sent again from its beginning and begins at v2. If the store is read after this, as when it is slow, its stream counts as of v1, and is resumed there.

Cause: streams that were read were recorded over those granted since the start. The test failed before (v1 for a stream recorded at v2).

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -200,10 +200,9 @@
                 self._handle_estimates(estimates_message)
             case PoolLearnt() as estimates_message:
                 self._handle_restored(estimates_message)
-            case (
-                PoolStreams(pool=pool, streams=streams)
-                | Received(message=PoolStreams(pool=pool, streams=streams))
-            ):
+            case PoolStreams(pool=pool, streams=streams):
+                self._restore_streams(pool, streams)
+            case Received(message=PoolStreams(pool=pool, streams=streams)):
                 self._record_streams(pool, streams)
             case StoreRestored():
                 for hosted in self._hosted.values():
@@ -454,6 +453,15 @@
             for stream in group.streams:
                 self._stream_versions[pool].record(stream, group.version, now)
 
+    def _restore_streams(self, pool: str, groups: list[StreamGroup]) -> None:
+        """Record streams of the store; those that are known began again since."""
+        now = asyncio.get_running_loop().time()
+        versions = self._stream_versions[pool]
+        for group in groups:
+            for stream in group.streams:
+                if versions.find(stream, now) is None:
+                    versions.record(stream, group.version, now)
+
     def _standby_dispatcher(self, pool: str) -> HostedDispatcher | None:
         """Return the pool's standby dispatcher, created on demand; None if disabled."""
         if not self._has_standby or self._configuration is None:
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -367,3 +367,19 @@
         await worker.handle(Received(f"{own}:1", PoolAsk(POOL, info)))
         await worker.handle(Tick())
         assert not any(isinstance(message, PoolStreams) for _, message in links.sent)
+
+    async def test_read_from_the_store_are_older_than_those_recorded_here(self):
+        """Guards against a stream that began again and counts as of its first version.
+
+        The store is read when the dispatcher begins to grant, later if it is slow.
+        """
+        worker = DispatcherHost(
+            "a", "a:1", _Links(), lambda _message: None, None,
+            dispatcher_class=SlotDispatcher, polls_load=False,
+        )  # fmt: skip
+        granted = PoolStreams(POOL, [StreamGroup("v2", [self.STREAM])])
+        await worker.handle(Received("b:1", granted))
+        stored = PoolStreams(POOL, [StreamGroup("v1", [self.STREAM, 8])])
+        await worker.handle(stored)
+        known = worker._stream_versions[POOL].by_version()
+        assert known == {"v2": [self.STREAM], "v1": [8]}
