--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -273,6 +273,27 @@
         await watched.until(lambda: "t9" in watched.targets)
         assert watched.targets["t1"].address == "127.0.0.1:2"
 
+    async def test_a_list_that_adds_nothing_to_a_peers_changes_is_told(self, watched):
+        """Guards against targets that count as incomplete after they were read."""
+        revisions = []
+        catalog = Catalog(
+            ObjectFeed(watched.client, "config", decode_table),
+            ObjectFeed(watched.client, "servers", decode_target),
+            lambda table: None,
+            lambda targets, changes: revisions.append(catalog.revision),
+            lambda name: None,
+            lambda targets: None,
+        )
+        changes = [Change(t.id, t, t.revision) for t in watched.targets.values()]
+        catalog.tell(TargetUpdate(tuple(changes)))
+        task = asyncio.create_task(catalog.run())
+        await watched.until(lambda: revisions)
+        assert revisions == [0]
+        catalog.tell(module.SetFollowing(True))
+        await watched.until(lambda: any(revisions))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def test_a_peers_change_does_not_raise_the_revision(self, watched):
         """A list sent with that revision would remove the targets that it lacks."""
         before = watched.catalog.revision
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -71,8 +71,9 @@
         self._tasks = []
         self.session = None
         self.seeds = ()
-        # Further settings of instances that start.
+        # Further settings of instances that start, and further bounds in their files.
         self.settings = {}
+        self.bounds = {}
         self.next_store_address = ""
         self._has_ended = False
 
@@ -95,6 +96,7 @@
         settings = _settings(
             f"n{len(self.instances)}", self.store, is_first_start=not self._has_ended
         )
+        settings["Bounds"] |= self.bounds
         if self.next_store_address:
             settings["Platform"]["Address"] = self.next_store_address
         path = self._path / f"{settings['NodeName']}.json"
