Tell the targets of a list that adds nothing to peers' changes

An instance that had heard all targets from its peers before it read them published nothing for its own list. The targets then counted as incomplete until the next change of one, so it knew of no versions.

--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -156,7 +156,9 @@
         self._follow_tasks: list[asyncio.Task] = []
         self._is_following = False
         self._revision = 0
-        self._has_published = False
+        # Whether the targets of a complete list were published. Changes from peers may
+        # bring all of them before it.
+        self._has_published_list = False
         self._answered_at: dict[str, float] = {}
 
     @property
@@ -297,7 +299,7 @@
             for name, target in listing.items.items()
         ]
         self._apply_changes([*present, *removed])
-        if not self._has_published:
+        if not self._has_published_list:
             self._publish([])
 
     def _raise_revision(self, revision: int) -> None:
@@ -424,7 +426,7 @@
             self._pending_removals.pop(name, None)
 
     def _publish(self, changes: list[Change]) -> None:
-        self._has_published = True
+        self._has_published_list = self._revision > 0
         targets = {target.name: target for target in self._targets.values()}
         self._on_targets(targets, changes)
 
