Current versions: agreed on in 2 s, all of a pool where none is ordered

Settings without ExposureShare tell that operators order no rollouts: all versions of a pool that never had an order serve then. Elsewhere a version is guessed also from targets heard of peers, the guess is sent to all, records are compared alike by all instances, and the other versions become current after nearly 2 s without a ready target of a current one. One line tells which versions are current and from whom (versions-current), one that only barred ones are left (pool-without-version); also a metric and /rollouts.

The sites of test_rollouts.py and test_stream_versions.py start targets ahead of their order; their settings have ExposureShare now, as those of deployments that order rollouts. Their checks are unchanged.

--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -27,6 +27,9 @@
         Seconds within which a connection to the store that went silent is replaced.
     exposure : ExposureLimits
         Limits on the requests sent to a version that is not yet proven.
+    orders_rollouts : bool
+        Whether operators order rollouts: without an order, a further version of a
+        pool's targets receives nothing.
     """
 
     stop_grace: float = 8.0
@@ -38,6 +41,7 @@
     quota_slack: float = 0.0
     silence_limit: float = 4.0
     exposure: ExposureLimits = field(default_factory=ExposureLimits)
+    orders_rollouts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -288,6 +288,7 @@
             return
         self._quotas.bounds = bounds
         self._retries.bounds = bounds
+        self._rollouts.version_table.orders_rollouts = bounds.orders_rollouts
         decision("reload", bounds=str(bounds))
 
     def cut(self, why: str) -> None:
@@ -338,6 +339,7 @@
             self._publish_plan,
             self._started_at,
             is_first_start=settings.is_first_start,
+            orders_rollouts=bounds.orders_rollouts,
         )
         self._saved_streams = SavedStreamsWorker(
             self._environment.stream_store,
@@ -539,8 +541,8 @@
         for name in inactive:
             self._connections.close_idle(name)
         self._paths.keep(targets)
-        if self._catalog.revision:
-            self._rollouts.tell(TargetsChanged(tuple(targets.values())))
+        is_complete = self._catalog.revision > 0
+        self._rollouts.tell(TargetsChanged(tuple(targets.values()), is_complete))
         self._publish_plan()
         self._distributor.send_changes(changes)
 
@@ -737,6 +739,9 @@
             metrics.set_gauge("memory_highest_share", share, pool=pool)
         for pool, count in self._dispatcher_host.memory_waits.items():
             metrics.memory_waits.set({"pool": pool}, count)
+        for pool in self._rollouts.version_table:
+            is_unserved = self._rollouts.version_table.is_unserved(pool)
+            metrics.set_gauge("pool_without_version", int(is_unserved), pool=pool)
         for pool, state in self._dispatcher_host.rollout_summaries.items():
             for name in _ROLLOUT_GAUGES:
                 labels = {"pool": pool, "version": state["version"]}
--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -1,5 +1,6 @@
 """hibiscusstep.forwarding.pool_versions: current versions and orders of all pools."""
 
+import enum
 import math
 from collections import defaultdict
 from collections.abc import Iterable
@@ -13,10 +14,27 @@
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import StoredVersions
 
-__all__ = ["NO_VERSIONS", "PoolVersionTable", "PoolVersions"]
+__all__ = ["NO_VERSIONS", "PoolVersionTable", "PoolVersions", "VersionSource"]
 
 # Matches no version; used while it is unknown which of several versions is current.
 NO_VERSIONS = frozenset({""})
+# Time after which one of several versions is taken for current, and time without a
+# ready target of a current version after which the other versions become current. With
+# the interval between two calls of `advance`, each takes 2 s at the most.
+GUESS_AFTER_S = 1.5
+REPLACE_AFTER_S = 1.75
+
+
+class VersionSource(enum.StrEnum):
+    """From what it is known which versions of a pool are current."""
+
+    UNKNOWN = "unknown"
+    ALL_PRESENT = "all-present"
+    ONLY_VERSION = "only-version"
+    ORDER = "order"
+    GUESS = "guess"
+    PEER = "peer"
+    NONE_READY = "none-ready"
 
 
 @dataclass(slots=True, eq=False)
@@ -45,8 +63,17 @@
         Current versions; empty while they are unknown.
     serving_since : int
         Number of the order whose completion made them current; 0 for none.
-    serving_at : float
-        When they became known here, on the event loop's clock.
+    serving_began : float
+        Unix time at which an instance first took them for current. It is sent along
+        with them, so that all instances prefer the same ones.
+    source : VersionSource
+        From what they are known here.
+    undecided_since, unready_since : float or None
+        Since when none of several versions is current, and since when no current
+        version has a ready target, on the event loop's clock; None if it is not so.
+    retired : frozenset of str
+        Versions that other ones replaced here since they had no ready target. A record
+        of an instance that has not noticed it does not make them current again.
     begun : BegunVersions
         Versions that may have begun streams, and may begin new ones.
     """
@@ -60,9 +87,18 @@
     final: RolloutState | None = None
     serving: frozenset[str] = frozenset()
     serving_since: int = 0
-    serving_at: float = 0.0
+    serving_began: float = 0.0
+    source: VersionSource = VersionSource.UNKNOWN
+    undecided_since: float | None = None
+    unready_since: float | None = None
+    retired: frozenset[str] = frozenset()
     begun: BegunVersions = field(default_factory=BegunVersions)
 
+    @property
+    def has_had_order(self) -> bool:
+        """Whether there is an order, or was one that is known of."""
+        return self.revision > 0 or self.serving_since > 0
+
     @property
     def is_running(self) -> bool:
         """Whether there is an order without a final state."""
@@ -93,15 +129,31 @@
     Records of other instances are merged; neither their order nor their repetition
     affects the result.
 
+    Where rollouts are not ordered, all versions of a pool serve until it has an order.
+    Elsewhere only its current versions do, and the version of its order as far as the
+    order says.
+
     Parameters
     ----------
     started_at : float
         When this instance started, on the event loop's clock.
+    orders_rollouts : bool, default=True
+        Whether operators order rollouts.
+    unix_offset : float, default=0.0
+        Unix time at which the event loop's clock was 0.
     """
 
-    def __init__(self, started_at: float = -math.inf) -> None:
+    def __init__(
+        self,
+        started_at: float = -math.inf,
+        *,
+        orders_rollouts: bool = True,
+        unix_offset: float = 0.0,
+    ) -> None:
         self._started_at = started_at
         self._has_no_earlier_streams = False
+        self.orders_rollouts = orders_rollouts
+        self._unix_offset = unix_offset
         self._pools: dict[str, PoolVersions] = defaultdict(self._make_entry)
         self._discovered: dict[str, dict[str, _VersionTargets]] = {}
 
@@ -138,9 +190,29 @@
             if not self._pools[pool].serving and len(versions) > 1
         ]
 
-    def update_targets(self, targets: Iterable[DiscoveredTarget], now: float) -> bool:
+    def _is_ordered(self, entry: PoolVersions) -> bool:
+        """Return whether an order is needed for a further version to serve."""
+        return self.orders_rollouts or entry.has_had_order
+
+    def update_targets(
+        self,
+        targets: Iterable[DiscoveredTarget],
+        now: float,
+        *,
+        is_complete: bool = True,
+    ) -> bool:
         """Replace the known targets; the only version of a pool is its current one.
 
+        Parameters
+        ----------
+        targets : iterable of DiscoveredTarget
+            The targets.
+        now : float
+            Seconds on the event loop's clock.
+        is_complete : bool, default=True
+            Whether these are all targets. If not, their only version may not be the
+            only one.
+
         Returns
         -------
         bool
@@ -152,10 +224,16 @@
             versions = self._discovered.setdefault(target.pool, {})
             versions.setdefault(target.version, _VersionTargets()).add(target)
         for pool, versions in self._discovered.items():
-            entry = self._pools[pool]
-            if not entry.serving and len(versions) == 1 and entry.order is None:
-                self._set_serving(entry, frozenset(versions), now)
-        self._derive_serving(now)
+            entry, present = self._pools[pool], frozenset(versions)
+            if not self._is_ordered(entry):
+                if entry.serving != present:
+                    self._set_serving(entry, present, now, VersionSource.ALL_PRESENT)
+            elif is_complete and not entry.serving:
+                if len(versions) == 1 and entry.order is None:
+                    self._set_serving(entry, present, now, VersionSource.ONLY_VERSION)
+        if is_complete:
+            self._derive_serving(now)
+        self._update_waits(now)
         return self._versions() != before
 
     def _versions(self) -> dict[str, tuple[frozenset[str], frozenset[str]]]:
@@ -223,14 +301,70 @@
             entry.progress = progress
 
     def guess_serving(self, pool: str, now: float) -> None:
-        """Assume that the version with the oldest target is the current one."""
+        """Assume that the version with the oldest target is the current one.
+
+        One with a ready target goes before those without.
+        """
         versions = self._discovered.get(pool, {})
         entry = self._pools[pool]
+        if not versions or entry.serving:
+            return
         ordered = entry.order.version if entry.order else ""
         others = {v: t for v, t in versions.items() if v != ordered} or versions
-        if others and not entry.serving:
-            oldest = min(others, key=lambda v: (others[v].began, -others[v].slots, v))
-            self._set_serving(entry, frozenset({oldest}), now)
+        candidates = {v: t for v, t in others.items() if t.is_ready} or others
+        oldest = min(
+            candidates,
+            key=lambda v: (candidates[v].began, -candidates[v].slots, v),
+        )
+        self._set_serving(entry, frozenset({oldest}), now, VersionSource.GUESS)
+
+    def advance(self, now: float) -> list[str]:
+        """Decide for pools that have had no current version with a target for long.
+
+        Returns
+        -------
+        list of str
+            The pools whose current versions have changed.
+        """
+        self._update_waits(now)
+        changed = []
+        for pool, versions in self._discovered.items():
+            entry = self._pools[pool]
+            if _has_lasted(entry.undecided_since, GUESS_AFTER_S, now):
+                self.guess_serving(pool, now)
+                changed.append(pool)
+            elif _has_lasted(entry.unready_since, REPLACE_AFTER_S, now):
+                ready = {version for version, t in versions.items() if t.is_ready}
+                others = frozenset(ready - {self.rejected_version(pool)})
+                if others and not entry.is_running:
+                    entry.retired |= entry.serving
+                    self._set_serving(entry, others, now, VersionSource.NONE_READY)
+                    changed.append(pool)
+        self._update_waits(now)
+        return changed
+
+    def _update_waits(self, now: float) -> None:
+        """Record since when pools have no current version, or no target of one."""
+        for pool, entry in self._pools.items():
+            versions = self._discovered.get(pool, {})
+            is_undecided = not entry.serving and len(versions) > 1
+            is_unready = bool(entry.serving) and not self._is_ready(pool, entry.serving)
+            entry.undecided_since = _since(entry.undecided_since, is_undecided, now)
+            entry.unready_since = _since(entry.unready_since, is_unready, now)
+
+    def _is_ready(self, pool: str, versions: Iterable[str]) -> bool:
+        """Return whether a target of some versions accepts requests."""
+        known = self._discovered.get(pool, {})
+        return any(known[version].is_ready for version in versions if version in known)
+
+    def is_unserved(self, pool: str) -> bool:
+        """Return whether a pool has ready targets, all of them of barred versions."""
+        allowed = self.serving_versions(pool)
+        entry = self._pools.get(pool)
+        if entry is not None and entry.order is not None and not entry.is_rejected:
+            allowed |= {entry.order.version}
+        ready = {v for v, t in self._discovered.get(pool, {}).items() if t.is_ready}
+        return bool(ready and allowed) and not ready & allowed
 
     def serving_versions(self, pool: str, seen: Iterable[str] = ()) -> frozenset[str]:
         """Return the versions of a pool that may serve; empty if all may.
@@ -242,11 +376,13 @@
         seen : iterable of str
             Versions of its targets, which may be newer than those of this table.
         """
-        entry = self._pools.get(pool)
-        if entry is not None and entry.serving:
+        entry = self._pools.get(pool) or PoolVersions()
+        present = frozenset({*seen, *self._discovered.get(pool, ())})
+        if not self._is_ordered(entry):
+            return present
+        if entry.serving:
             return entry.serving
-        several = len({*seen, *self._discovered.get(pool, ())}) > 1
-        return NO_VERSIONS if several else frozenset()
+        return NO_VERSIONS if len(present) > 1 else frozenset()
 
     def has_order(self, pool: str) -> bool:
         """Return whether there is an order for a pool, ended or not."""
@@ -323,7 +459,7 @@
     def merge_record(self, record: RolloutRecord, now: float) -> bool:
         """Merge another instance's record; return whether the pool's state changed."""
         entry = self._pools[record.pool]
-        changed = self._merge_serving(entry, record, now)
+        changed = False
         if record.begun_revision:
             begun = frozenset(record.begun)
             stored = StoredVersions(begun, record.begun_revision, is_complete=True)
@@ -342,6 +478,8 @@
             changed |= self._merge_progress(entry, record, now)
         if entry.order is not None:
             self._apply_status(entry, now)
+        changed |= self._merge_serving(entry, record, now)
+        self._update_waits(now)
         return changed
 
     def _merge_progress(self, entry, record: RolloutRecord, now: float) -> bool:
@@ -360,21 +498,36 @@
         return False
 
     def _merge_serving(self, entry, record: RolloutRecord, now: float) -> bool:
-        if not record.serving:
+        """Take over the current versions of a record if they go before the own ones.
+
+        Those of a newer order do, then those that were not replaced here, then those
+        that any instance has taken for current for longer.
+        """
+        if not record.serving or not (record.serving_since or self._is_ordered(entry)):
             return False
-        received = record.serving_since, record.serving_for
-        own = entry.serving_since, now - entry.serving_at
-        is_newer_order = received[0] > own[0]
-        is_known_longer = received[0] == own[0] and received[1] > own[1]
         serving = frozenset(record.serving)
-        if entry.serving and (
-            entry.serving == serving or not (is_newer_order or is_known_longer)
-        ):
+        # An older build does not tell since when.
+        began = record.serving_began or self._unix(now) - record.serving_for
+        own = self._precedence(
+            record.pool, entry.serving, entry.serving_since, entry.serving_began
+        )
+        received = self._precedence(record.pool, serving, record.serving_since, began)
+        if entry.serving and received <= own:
             return False
-        entry.serving = serving
+        is_changed = entry.serving != serving
+        entry.serving, entry.serving_began = serving, began
         entry.serving_since = record.serving_since
-        entry.serving_at = now - record.serving_for
-        return True
+        if is_changed:
+            entry.source = VersionSource.PEER
+        return is_changed
+
+    def _precedence(
+        self, pool: str, versions: frozenset[str], since: int, began: float
+    ) -> tuple:
+        """Return a sort key; of two sets of current versions the greater one holds."""
+        is_retired = versions <= self._pools[pool].retired
+        is_usable = not is_retired or self._is_ready(pool, versions)
+        return since, is_usable, -began, sorted(versions)
 
     def _record(self, name: str, now: float) -> RolloutRecord:
         entry = self._pools[name]
@@ -397,7 +550,8 @@
             entry.is_rejected,
             sorted(entry.serving),
             entry.serving_since,
-            now - entry.serving_at if entry.serving else 0.0,
+            self._unix(now) - entry.serving_began if entry.serving else 0.0,
+            entry.serving_began,
             sorted(entry.begun.stored.versions),
             entry.begun.stored.revision if entry.begun.stored.is_complete else 0,
         )
@@ -409,6 +563,11 @@
         entry.progress = RolloutProgress(is_known=is_known)
         entry.is_begun = False
         entry.final = None
+        if order is not None and entry.source is VersionSource.ALL_PRESENT:
+            # Until now all versions served.
+            others = entry.serving - {order.version}
+            serving = others or entry.serving
+            self._set_serving(entry, serving, now, VersionSource.ORDER)
 
     def _apply_status(self, entry, now: float) -> None:
         """Apply the stored status of an order."""
@@ -419,22 +578,35 @@
         if order.is_completed:
             entry.final = RolloutState.COMPLETED
             if entry.serving_since < entry.number or not entry.serving:
-                self._set_serving(entry, frozenset({order.version}), now)
+                completed = frozenset({order.version})
+                self._set_serving(entry, completed, now, VersionSource.ORDER)
                 entry.serving_since = entry.number
 
     def _derive_serving(self, now: float) -> None:
-        """Take the only version beside the ordered one as current if none is known."""
+        """Take the only version beside the ordered one as current if none is known.
+
+        Where rollouts are usually not ordered, all versions beside it are current.
+        """
         for name, entry in self._pools.items():
             versions = self._discovered.get(name)
             if entry.serving or entry.order is None or not versions:
                 continue
             others = frozenset(versions) - {entry.order.version}
-            if len(others) == 1 or (len(versions) == 1 and not others):
-                self._set_serving(entry, others or frozenset(versions), now)
+            is_known = len(others) == 1 or not self.orders_rollouts
+            if is_known or (len(versions) == 1 and not others):
+                serving = others or frozenset(versions)
+                self._set_serving(entry, serving, now, VersionSource.ORDER)
 
-    def _set_serving(self, entry, versions: frozenset[str], now: float) -> None:
+    def _set_serving(
+        self, entry, versions: frozenset[str], now: float, source: VersionSource
+    ) -> None:
         entry.serving = versions
-        entry.serving_at = now
+        entry.serving_began = self._unix(now)
+        entry.source = source
+
+    def _unix(self, now: float) -> float:
+        """Return the Unix time of a time on the event loop's clock."""
+        return self._unix_offset + now
 
 
 @dataclass(slots=True)
@@ -443,12 +615,25 @@
 
     began: float = math.inf
     slots: int = 0
+    is_ready: bool = False
 
     def add(self, target: DiscoveredTarget) -> None:
         self.slots += target.slots
+        self.is_ready |= not target.leaving
         self.began = min(self.began, target.incarnation or math.inf)
 
 
+def _since(before: float | None, holds: bool, now: float) -> float | None:
+    """Return since when a condition holds; None if it does not."""
+    if not holds:
+        return None
+    return now if before is None else before
+
+
+def _has_lasted(since: float | None, seconds: float, now: float) -> bool:
+    return since is not None and now >= since + seconds
+
+
 def _is_same_order(before: RolloutOrder, order: RolloutOrder) -> bool:
     return (before.version, before.duration) == (order.version, order.duration)
 
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -12,7 +12,11 @@
     VersionsStored,
 )
 from hibiscusstep.forwarding.model import DiscoveredTarget
-from hibiscusstep.forwarding.pool_versions import PoolVersionTable
+from hibiscusstep.forwarding.pool_versions import (
+    NO_VERSIONS,
+    PoolVersionTable,
+    VersionSource,
+)
 from hibiscusstep.forwarding.saved_rollouts import (
     SavedRollout,
     from_document,
@@ -45,8 +49,9 @@
 # store at these intervals.
 PUBLISH_INTERVAL_S = 1.0
 SAVE_INTERVAL_S = 2.0
-# If neither the store nor a peer has named the current version by then, it is guessed.
-GUESS_AFTER_S = 1.5
+# Interval at which the state of pools is sent to a random neighbour again, since a
+# message may be lost with its connection.
+RESEND_INTERVAL_S = 1.0
 # Seconds before the deadline at which the completion is written, plus a multiple of the
 # average time of a store call; at most `MAX_LEAD_S`.
 BASE_LEAD_S, LEAD_CALLS, MAX_LEAD_S = 0.2, 3.0, 2.0
@@ -61,9 +66,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetsChanged:
-    """All targets; sent only when all are known."""
+    """The known targets, and whether these are all."""
 
     targets: tuple[DiscoveredTarget, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +124,8 @@
         When this instance started, on the event loop's clock.
     is_first_start : bool
         Whether no instance of the system ran before.
+    orders_rollouts : bool
+        Whether operators order rollouts.
 
     Attributes
     ----------
@@ -136,6 +144,7 @@
         started_at: float,
         *,
         is_first_start: bool,
+        orders_rollouts: bool,
     ) -> None:
         super().__init__("rollouts", tick_interval=TICK_S)
         self._own_name = name
@@ -148,14 +157,19 @@
         self._write_tasks: dict[str, asyncio.Task] = {}
         self._save_task: asyncio.Task | None = None
         self._requested_saved_pools: set[str] = set()
-        self._ambiguous_since: float | None = None
-        self._published_at = self._saved_at = 0.0
+        self._published_at = self._saved_at = self._resent_at = 0.0
         self._call_s = 0.0
         self._era = 0
         self._restore_settled_at = 0.0
         self._write_retry_at = 0.0
         self._logged_barred: dict[str, frozenset[str]] = {}
-        self.version_table = PoolVersionTable(started_at)
+        self._logged_current: dict[str, frozenset[str]] = {}
+        self._unserved: set[str] = set()
+        self.version_table = PoolVersionTable(
+            started_at,
+            orders_rollouts=orders_rollouts,
+            unix_offset=time.time() - _now(),
+        )
         self._is_first_start = is_first_start
         self._begun_sync = BegunVersionsSync(
             name, stream_store, self.version_table, self.tell
@@ -178,6 +192,8 @@
                 "pool": pool,
                 "serving": sorted(entry.serving),
                 "stream_origins": sorted(entry.begun.origins(now)),
+                "source": str(entry.source),
+                "unserved": self.version_table.is_unserved(pool),
                 "barred": sorted(self.version_table.barred_versions(pool)),
                 "order": entry.order.version if entry.order else None,
                 "state": entry.order.state if entry.order else None,
@@ -216,11 +232,14 @@
         """Handle a message of the store's tasks, a peer, a dispatcher, or a tick."""
         now = _now()
         match message:
-            case TargetsChanged(targets=targets):
-                if self.version_table.update_targets(targets, now):
+            case TargetsChanged(targets=targets, is_complete=is_complete):
+                if self.version_table.update_targets(
+                    targets, now, is_complete=is_complete
+                ):
                     self._log_barred()
-                    self._on_change()
+                    self._apply_change_here()
                     self._update_following()
+                self._log_unserved()
             case Received(sender=sender, message=RolloutRecords(records=records)):
                 self._merge_records(records, sender, now)
             case Received(message=RolloutWrite() as request):
@@ -283,10 +302,11 @@
                 self._apply_change(pool, None, listed.revision, now)
         for pool, order in listed.orders.items():
             self._apply_change(pool, order, order.revision, now)
-        for pool in self.version_table.ambiguous_pools():
+        guessed = self.version_table.ambiguous_pools()
+        for pool in guessed:
             self.version_table.guess_serving(pool, now)
             self._log_guess(pool)
-        self._on_change()
+        self._publish(guessed, now)
 
     def _apply_change(self, pool: str, order, revision: int, now: float) -> None:
         if order is None:
@@ -324,12 +344,50 @@
                 decision("version-barred", pool=pool, versions=sorted(barred))
             self._logged_barred[pool] = barred
 
+    def _log_current(self, sender: str) -> None:
+        """Log which versions of pools are current, and from whom, if that changed."""
+        for pool in self.version_table:
+            versions = self.version_table.serving_versions(pool) - NO_VERSIONS
+            before = self._logged_current.get(pool, frozenset())
+            if versions == before:
+                continue
+            self._logged_current[pool] = versions
+            source = self.version_table[pool].source
+            decision(
+                "versions-current",
+                pool=pool,
+                versions=sorted(versions),
+                before=sorted(before),
+                source=str(source),
+                sender=sender if source is VersionSource.PEER else "",
+            )
+
+    def _log_unserved(self) -> None:
+        """Log when a pool has ready targets of barred versions only, and when not."""
+        for pool in self.version_table:
+            is_unserved = self.version_table.is_unserved(pool)
+            if is_unserved == (pool in self._unserved):
+                continue
+            (self._unserved.add if is_unserved else self._unserved.discard)(pool)
+            decision(
+                "pool-without-version" if is_unserved else "pool-with-version",
+                pool=pool,
+                serving=sorted(self.version_table[pool].serving),
+                rejected=self.version_table.rejected_version(pool) or "",
+            )
+
+    def _apply_change_here(self, sender: str = "") -> None:
+        """Send the state of all pools to the local dispatchers."""
+        self._log_current(sender)
+        self._on_change()
+
     def _publish(self, pools: list[str], now: float) -> None:
         """Send the state of pools to the local dispatchers and the other instances."""
-        self._on_change()
-        self._send_records(
-            self.version_table.records(now, pools), self._neighbours.addresses
-        )
+        self._apply_change_here()
+        if pools:
+            self._send_records(
+                self.version_table.records(now, pools), self._neighbours.addresses
+            )
 
     # Other instances.
 
@@ -339,7 +397,7 @@
         # An instance that takes an order over needs its progress.
         to_send = list(dict.fromkeys([*changed, *running]))
         if to_send:
-            self._on_change()
+            self._apply_change_here(sender)
             self._send_records(
                 self.version_table.records(now, to_send),
                 self._neighbours.forward_addresses(sender),
@@ -543,12 +601,14 @@
         )
         exposed = saved.progress.exposed
         decision("rollout-resumed", pool=pool, age=round(age, 2), exposed=exposed)
-        self._on_change()
+        self._apply_change_here()
 
     # Periodic work.
 
     def _handle_tick(self, now: float) -> None:
         self._resolve_ambiguous(now)
+        self._log_unserved()
+        self._resend(now)
         if self.version_table.update_begun(now):
             self._on_change()
         if self._restore_settled_at and now >= self._restore_settled_at:
@@ -562,19 +622,24 @@
             self._write_status(pool)
 
     def _resolve_ambiguous(self, now: float) -> None:
-        """Find which of several versions is current, if no peer has sent it."""
-        ambiguous = self.version_table.ambiguous_pools()
-        if not ambiguous:
-            self._ambiguous_since = None
-            return
-        if self._ambiguous_since is None:
-            self._ambiguous_since = now
-        self._start_read()
-        if now >= self._ambiguous_since + GUESS_AFTER_S:
-            for pool in ambiguous:
-                self.version_table.guess_serving(pool, now)
+        """Find which versions are current, if neither the store nor a peer tells it."""
+        if self.version_table.ambiguous_pools():
+            self._start_read()
+        changed = self.version_table.advance(now)
+        for pool in changed:
+            if self.version_table[pool].source is VersionSource.GUESS:
                 self._log_guess(pool)
-            self._on_change()
+        if changed:
+            self._log_barred()
+            self._publish(changed, now)
+
+    def _resend(self, now: float) -> None:
+        """Send the state of all pools to a random neighbour."""
+        neighbours = self._neighbours.addresses
+        if neighbours and now >= self._resent_at + RESEND_INTERVAL_S:
+            self._resent_at = now
+            records = self.version_table.records(now)
+            self._send_records(records, [random.choice(neighbours)])
 
 
 def _now() -> float:
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -87,7 +87,7 @@
   9: double age, 10: i64 requests, 11: i64 exposed, 12: i64 answers, 13: bool is_known,
   14: bool is_rejected, 15: list<string> serving, 16: i64 serving_since,
   17: double serving_for, 18: double evidence, 19: list<string> begun,
-  20: i64 begun_revision
+  20: i64 begun_revision, 21: double serving_began
 }
 struct RolloutRecords { 1: list<RolloutRecord> records }
 struct RolloutWrite {
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -635,6 +635,9 @@
         current before any order.
     serving_for : float
         Seconds for which the sender has known them to be current.
+    serving_began : float
+        Unix time at which an instance first took them for current; 0 if the sender's
+        build does not tell it.
     begun : list of str
         Versions that may have begun streams, as they are in the store.
     begun_revision : int
@@ -659,6 +662,7 @@
     serving: list[str]
     serving_since: int
     serving_for: float
+    serving_began: float = 0.0
     begun: list[str] = field(default_factory=list)
     begun_revision: int = 0
 
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -132,4 +132,6 @@
             float(bounds.get("ExposureShare", default.exposure.share)),
             float(bounds.get("ExposureSlack", default.exposure.slack)),
         ),
+        # The settings limit exposure exactly where rollouts are ordered.
+        orders_rollouts="ExposureShare" in bounds,
     )
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -218,6 +218,7 @@
         (18, "double", "evidence"),
         (19, "list<string>", "begun"),
         (20, "i64", "begun_revision"),
+        (21, "double", "serving_began"),
     ),
     "RolloutRecords": ((1, "list<RolloutRecord>", "records"),),
     "RolloutWrite": (
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -1,15 +1,26 @@
 """hibiscusstep.forwarding.pool_versions: pool versions and orders, and their merge."""
 
+import dataclasses
 import itertools
 
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 
 from hibiscusstep import codec
 from hibiscusstep.forwarding.model import DiscoveredTarget
-from hibiscusstep.forwarding.pool_versions import PoolVersionTable
+from hibiscusstep.forwarding.pool_versions import (
+    NO_VERSIONS,
+    PoolVersionTable,
+    VersionSource,
+)
 from hibiscusstep.forwarding.saved_rollouts import (
     SavedRollout,
     from_document,
@@ -108,6 +119,142 @@
             assert table.ordered_version(POOL) == expected
 
 
+def _advance(table, start, seconds, *, step=0.25):
+    """Call `advance` as the coordinator does; return the time after it."""
+    for number in range(round(seconds / step)):
+        table.advance(start + (number + 1) * step)
+    return start + seconds
+
+
+class TestVersionsWithoutOrder:
+    """Guards against a pool with ready targets of which no version is current."""
+
+    def test_all_serve_where_rollouts_are_not_ordered(self):
+        table = PoolVersionTable(orders_rollouts=False)
+        table.update_targets(_targets("v1"), 0.0)
+        assert table.update_targets(_targets("v1", "v2"), 1.0)
+        assert table.serving_versions(POOL) == {"v1", "v2"}
+        assert table.serving_versions(POOL, ["v3"]) == {"v1", "v2", "v3"}
+        assert table.barred_versions(POOL) == frozenset()
+
+    def test_a_peers_record_bars_none_of_them(self):
+        one = PoolVersionTable()
+        one.update_targets(_targets("v1"), 0.0)
+        other = PoolVersionTable(orders_rollouts=False)
+        other.update_targets(_targets("v1", "v2"), 1.0)
+        other.merge_record(_round_trip(one.records(2.0, [POOL])[0]), 2.0)
+        assert other.serving_versions(POOL) == {"v1", "v2"}
+
+    def test_an_order_bars_its_version_also_there(self):
+        table = PoolVersionTable(orders_rollouts=False)
+        table.update_targets(_targets("v1", "v2", "v3"), 0.0)
+        table.apply_order(_order("v3"), 1.0)
+        assert table.serving_versions(POOL) == {"v1", "v2"}
+        table.withdraw_order(POOL, 6)
+        table.update_targets(_targets("v1", "v2", "v3"), 2.0)
+        assert table.serving_versions(POOL) == {"v1", "v2"}
+
+    def test_all_beside_an_order_serve_there_after_a_restart(self):
+        table = PoolVersionTable(orders_rollouts=False)
+        table.apply_order(_order("v3"), 0.0)
+        table.update_targets(_targets("v1", "v2", "v3"), 1.0)
+        assert table.serving_versions(POOL) == {"v1", "v2"}
+
+    def test_one_of_several_is_current_within_two_seconds(self):
+        table = PoolVersionTable()
+        table.update_targets(_targets("v1", "v2"), 0.0, is_complete=False)
+        _advance(table, 0.0, 2.0)
+        assert table.serving_versions(POOL) == {"v1"}
+        assert table[POOL].source is VersionSource.GUESS
+
+    def test_the_only_one_of_some_targets_need_not_be_the_only_one(self):
+        table = PoolVersionTable()
+        table.update_targets(_targets("v2"), 0.0, is_complete=False)
+        assert table.serving_versions(POOL) == frozenset()
+        table.update_targets(_targets("v1", "v2"), 1.0)
+        _advance(table, 1.0, 2.0)
+        assert table.serving_versions(POOL) == {"v1"}
+
+    def test_one_with_a_ready_target_is_guessed(self):
+        table = PoolVersionTable()
+        leaving, ready = _targets("v1", "v2")
+        leaving = dataclasses.replace(leaving, leaving=True)
+        table.update_targets([leaving, ready], 0.0)
+        table.guess_serving(POOL, 0.0)
+        assert table.serving_versions(POOL) == {"v2"}
+
+    @pytest.mark.parametrize("last", ["gone", "leaving"])
+    def test_others_replace_one_without_ready_targets(self, last):
+        table = PoolVersionTable()
+        table.update_targets(_targets("v1"), 0.0)
+        old, new = _targets("v1", "v2")
+        left = [dataclasses.replace(old, leaving=True)] if last == "leaving" else []
+        table.update_targets([*left, new], 1.0)
+        assert table.is_unserved(POOL)
+        _advance(table, 1.0, 1.5)
+        assert table.serving_versions(POOL) == {"v1"}
+        _advance(table, 2.5, 0.5)
+        assert table.serving_versions(POOL) == {"v2"}
+        assert not table.is_unserved(POOL)
+
+    def test_one_that_is_ready_again_in_time_stays_current(self):
+        table = PoolVersionTable()
+        old, new = _targets("v1", "v2")
+        table.update_targets([old], 0.0)
+        table.update_targets([new], 1.0)
+        now = _advance(table, 1.0, 1.5)
+        table.update_targets([old, new], now)
+        _advance(table, now, 4.0)
+        assert table.serving_versions(POOL) == {"v1"}
+
+    def test_none_is_replaced_while_an_order_runs(self):
+        table = PoolVersionTable()
+        table.update_targets(_targets("v1"), 0.0)
+        table.apply_order(_order(state=RolloutState.RUNNING, state_version="v2"), 0.5)
+        table.update_targets(_targets("v1", "v2")[1:], 1.0)
+        _advance(table, 1.0, 4.0)
+        assert table.serving_versions(POOL) == {"v1"}
+
+    def test_one_that_was_rolled_back_replaces_none(self):
+        table = PoolVersionTable()
+        table.update_targets(_targets("v1", "v2"), 0.0)
+        rolled_back = _order(state=RolloutState.ROLLED_BACK, state_version="v2")
+        table.apply_order(rolled_back, 0.5)
+        _old, bad, third = _targets("v1", "v2", "v3")
+        table.update_targets([bad], 1.0)
+        now = _advance(table, 1.0, 4.0)
+        assert table.is_unserved(POOL)
+        table.update_targets([bad, third], now)
+        _advance(table, now, 0.25)
+        assert table.serving_versions(POOL) == {"v3"}
+
+    def test_a_late_record_of_a_replaced_one_changes_nothing(self):
+        one, other = PoolVersionTable(), PoolVersionTable()
+        for table in (one, other):
+            table.update_targets(_targets("v1"), 0.0)
+            table.update_targets(_targets("v1", "v2")[1:], 1.0)
+        late = _round_trip(other.records(1.0, [POOL])[0])
+        now = _advance(one, 1.0, 2.0)
+        assert not one.merge_record(late, now)
+        assert other.merge_record(_round_trip(one.records(now, [POOL])[0]), now) is (
+            False
+        )
+        _advance(other, 1.0, 2.0)
+        assert one.serving_versions(POOL) == other.serving_versions(POOL) == {"v2"}
+
+    def test_instances_that_took_different_ones_at_once_agree(self):
+        """Each was the younger one for the other, so both kept their own."""
+        one, other = PoolVersionTable(), PoolVersionTable()
+        one.update_targets(_targets("v1"), 5.0)
+        other.update_targets(_targets("v2"), 5.0)
+        for table in (one, other):
+            table.update_targets(_targets("v1", "v2"), 6.0)
+        records = [_round_trip(table.records(9.0)[0]) for table in (one, other)]
+        other.merge_record(records[0], 9.1)
+        one.merge_record(records[1], 9.1)
+        assert one.serving_versions(POOL) == other.serving_versions(POOL)
+
+
 class TestOrders:
     def test_a_status_update_does_not_restart_the_order(self):
         table = PoolVersionTable()
@@ -251,6 +398,155 @@
         assert from_document(POOL, None) is None
 
 
+class CurrentVersionMachine(RuleBasedStateMachine):
+    """Instances with a table each, whose targets change without orders or with them.
+
+    Targets appear, leave and end; instances hear of some or of all of them, restart
+    without state, and receive records late, repeatedly or never.
+    """
+
+    INSTANCES = 3
+    TICK_S = 0.25
+    SETTLE_S = 2.0
+    VERSIONS = st.sampled_from(["v1", "v2", "v3"])
+    INSTANCE = st.integers(0, INSTANCES - 1)
+
+    @initialize(
+        orders_rollouts=st.booleans(),
+        first=st.lists(
+            st.sampled_from(["", "v1", "v2"]), min_size=INSTANCES, max_size=INSTANCES
+        ),
+    )
+    def start(self, orders_rollouts, first):
+        """Let instances have known different versions before they all see two."""
+        self.now = 0.0
+        self.orders_rollouts = orders_rollouts
+        self.numbers = itertools.count()
+        self.targets = {}
+        self.revision, self.order = 0, None
+        self.in_flight = []
+        self.tables = [self._new_table() for _ in range(self.INSTANCES)]
+        for version in ("v1", "v2"):
+            self.add_target(version, 0)
+        for table, version in zip(self.tables, first, strict=True):
+            known = [t for t in self.targets.values() if t.version == version]
+            table.update_targets(known, self.now)
+
+    def _new_table(self):
+        return PoolVersionTable(orders_rollouts=self.orders_rollouts)
+
+    @rule(version=VERSIONS, started=st.integers(0, 3))
+    def add_target(self, version, started):
+        name = f"t{next(self.numbers)}"
+        self.targets[name] = DiscoveredTarget(
+            name, POOL, "a:1", "z", 4, False, 1, started, version
+        )
+
+    @precondition(lambda self: self.targets)
+    @rule(data=st.data())
+    def change_target(self, data):
+        name = data.draw(st.sampled_from(sorted(self.targets)))
+        if self.targets[name].leaving:
+            del self.targets[name]
+        else:
+            leaving = dataclasses.replace(self.targets[name], leaving=True)
+            self.targets[name] = leaving
+
+    @rule(at=INSTANCE)
+    def read_targets(self, at):
+        self.tables[at].update_targets(self.targets.values(), self.now)
+
+    @rule(at=INSTANCE, count=st.integers(1, 3))
+    def hear_targets(self, at, count):
+        some = list(self.targets.values())[:count]
+        self.tables[at].update_targets(some, self.now, is_complete=False)
+
+    @rule(at=INSTANCE)
+    def restart(self, at):
+        self.tables[at] = self._new_table()
+
+    @rule(seconds=st.sampled_from([0.25, 1.0, 1.75]))
+    def wait(self, seconds):
+        for _ in range(round(seconds / self.TICK_S)):
+            self._tick()
+
+    def _tick(self):
+        self.now += self.TICK_S
+        for table in self.tables:
+            changed = table.advance(self.now)
+            if changed:
+                self.in_flight += table.records(self.now, changed)
+
+    @rule(at=INSTANCE)
+    def send_records(self, at):
+        self.in_flight += map(_round_trip, self.tables[at].records(self.now))
+
+    @precondition(lambda self: self.in_flight)
+    @rule(at=INSTANCE, which=st.integers(0, 100))
+    def receive_record(self, at, which):
+        record = self.in_flight[which % len(self.in_flight)]
+        self.tables[at].merge_record(record, self.now)
+
+    @rule(version=VERSIONS, state=st.sampled_from([None, *RolloutState]))
+    def write_order(self, version, state):
+        self.revision += 1
+        self.order = _order(version, self.revision, state, version if state else "")
+
+    @precondition(lambda self: self.order)
+    @rule()
+    def withdraw_order(self):
+        self.revision += 1
+        self.order = None
+
+    @rule(at=INSTANCE)
+    def read_order(self, at):
+        if self.order:
+            self.tables[at].apply_order(self.order, self.now)
+        elif self.revision:
+            self.tables[at].withdraw_order(POOL, self.revision)
+
+    def _exchange(self):
+        """Let all send their records at the same moment, twice."""
+        for _ in range(2):
+            sent = [
+                _round_trip(record)
+                for table in self.tables
+                for record in table.records(self.now)
+            ]
+            for table in self.tables:
+                for record in sent:
+                    table.merge_record(record, self.now)
+
+    @rule()
+    def settle(self):
+        """All agree on versions with ready targets, if any may serve."""
+        for at in range(self.INSTANCES):
+            self.read_targets(at)
+            self.read_order(at)
+        self._exchange()
+        for _ in range(round(self.SETTLE_S / self.TICK_S)):
+            self._tick()
+            self._exchange()
+        (serving,) = {table.serving_versions(POOL) for table in self.tables}
+        versions = {t.version for t in self.targets.values()}
+        if not versions:
+            return
+        assert serving != NO_VERSIONS
+        ready = {t.version for t in self.targets.values() if not t.leaving}
+        entry = self.tables[0][POOL]
+        rejected = {self.tables[0].rejected_version(POOL)}
+        if ready - rejected and not entry.is_running:
+            assert serving & ready
+        if not self.orders_rollouts and not entry.has_had_order:
+            assert serving == versions
+
+
+TestCurrentVersionMachine = CurrentVersionMachine.TestCase
+TestCurrentVersionMachine.settings = settings(
+    max_examples=200, stateful_step_count=30, deadline=None
+)
+
+
 class OrderStateMachine(RuleBasedStateMachine):
     """Instances with a table each, and one store.
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -26,6 +26,8 @@
         self.statuses = Counter()
         self.fails = lambda number: False
         self._callers = []
+        # Operators order rollouts here, as the settings of such deployments tell.
+        self.bounds = {"ExposureShare": SHARE, "ExposureSlack": SLACK}
 
     def target(self, name, version):
         return TargetStandIn(name, self._script(version), version=version)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -46,6 +46,8 @@
         self.sent = []
         # Start of the targets in their entries, in Unix milliseconds; 0 for none.
         self.started_ms = 0
+        # Operators order rollouts here: a version ahead of its order receives nothing.
+        self.bounds = {"ExposureShare": 0.1, "ExposureSlack": 50}
 
     def target(self, name, version):
         def script(_number, fields, _body):
