Refuse with no-version where no version may serve

Such a refusal had the reason load, although all targets were idle. It names 2 s at the most, in which a version is found if one can be; a counter, the caller's text and the log tell it. With the reason left at load the three new tests fail.

--- a/hibiscusstep/forwarding/grant_client.py
+++ b/hibiscusstep/forwarding/grant_client.py
@@ -38,6 +38,10 @@
     m.RefusalReason.VERSION_UNKNOWN: "It is not known which of several software"
     " versions began it.",
 }
+_NO_VERSION_PROBLEM = {
+    "title": "No software version serves",
+    "detail": "The targets are of software versions that may not serve.",
+}
 # Time without a byte after which the path of an overdue request is checked.
 SILENT_AFTER_S = 0.5
 
@@ -162,6 +166,10 @@
             self._context.metrics.streams_not_continued.inc(labels)
             detail = _CONTINUATION_DETAILS[refused.reason]
             problem = {"title": _CONTINUATION_TITLE, "detail": detail}
+        elif refused.reason is m.RefusalReason.NO_VERSION:
+            problem = _NO_VERSION_PROBLEM
+            labels = {"pool": self._incoming.pool}
+            self._context.metrics.refused_without_version.inc(labels)
         return Refusal(refused.retry_after, str(refused.reason), problem=problem)
 
     def _may_stream_at(self, target: DiscoveredTarget, granted: Granted) -> bool:
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -36,6 +36,8 @@
     streams_not_continued : aioprometheus.Counter
         Broken streams without a target of the version that began them, by pool and
         reason.
+    refused_without_version : aioprometheus.Counter
+        Requests refused since no version of the pool's targets may serve.
     """
 
     def __init__(self) -> None:
@@ -51,6 +53,9 @@
         self.streams_not_continued = self._counter(
             "streams_not_continued_total", "Streams whose version is gone or unknown."
         )
+        self.refused_without_version = self._counter(
+            "refused_without_version_total", "No version of the targets may serve."
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
--- a/hibiscusstep/progress.py
+++ b/hibiscusstep/progress.py
@@ -33,6 +33,11 @@
         "Too many of your requests wait.",
     ),
     RefusalReason.NO_TARGET: (503, "no-target", "No target of the pool takes work."),
+    RefusalReason.NO_VERSION: (
+        503,
+        "no-version",
+        "No target of the pool is of a software version that may serve.",
+    ),
     RefusalReason.UNAVAILABLE: (
         503,
         "unavailable",
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -65,7 +65,8 @@
     accepts requests. `UNAVAILABLE`: its tier is not known, or part of the system cannot
     be reached. `VERSION_GONE`: it continues a stream, and no target of the version that
     began the stream accepts requests. `VERSION_UNKNOWN`: it continues a stream, and it
-    is not known which of several versions began it.
+    is not known which of several versions began it. `NO_VERSION`: targets accept
+    requests, but none of a version that may serve.
     """
 
     LOAD = "load"
@@ -77,6 +78,7 @@
     UNAVAILABLE = "unavailable"
     VERSION_GONE = "version-gone"
     VERSION_UNKNOWN = "version-unknown"
+    NO_VERSION = "no-version"
 
 
 class StreamOrigin(enum.StrEnum):
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -69,6 +69,8 @@
 FREE_SHARE_WITHOUT_REFUSALS = 0.5
 # Retry-After of a refused request that continues a stream.
 CONTINUATION_RETRY_AFTER_S = 0.5
+# Maximum Retry-After while no version may serve; it takes 2 s to find one.
+NO_VERSION_RETRY_AFTER_S = 2.0
 # A host counts as slow above this multiple of the usual time.
 SLOW_HOST_FACTOR = 1.5
 
@@ -1110,9 +1112,16 @@
         seconds = retry_after(wait, start_delay)
         limited = self._capacity.limited_count
         share = self._granted_share(work)
-        self._decisions.append(
-            m.Refuse(work, m.RefusalReason.LOAD, seconds, limited, share)
-        )
+        reason = self._refusal_reason(now)
+        if reason is m.RefusalReason.NO_VERSION:
+            seconds = min(seconds, NO_VERSION_RETRY_AFTER_S)
+        self._decisions.append(m.Refuse(work, reason, seconds, limited, share))
+
+    def _refusal_reason(self, now: float) -> m.RefusalReason:
+        """Return why a request is refused that no target can serve in time."""
+        if self._partition.bars_all(self._targets.values(), now):
+            return m.RefusalReason.NO_VERSION
+        return m.RefusalReason.LOAD
 
     def _refuse_planned(self, work: m.Work, now: float) -> None:
         """Refuse a request with a planned time for its caller's return."""
@@ -1128,7 +1137,7 @@
         self._decisions.append(
             m.Refuse(
                 work,
-                m.RefusalReason.LOAD,
+                self._refusal_reason(now),
                 named.retry_after,
                 self._capacity.limited_count,
                 self._granted_share(work),
--- a/hibiscusstep/routing/version_partition.py
+++ b/hibiscusstep/routing/version_partition.py
@@ -1,6 +1,7 @@
 """hibiscusstep.routing.version_partition: which versions of a pool's targets serve."""
 
 import enum
+from collections.abc import Iterable
 
 from hibiscusstep.rollout.comparison import AnswerSample
 from hibiscusstep.rollout.controller import Rollout
@@ -90,6 +91,13 @@
             self.rollout = Rollout(planned)
             self._reported = False
 
+    def bars_all(self, targets: Iterable[SlotTarget], now: float) -> bool:
+        """Return whether all targets that accept requests are of barred versions."""
+        if self.slots(now) > 0:
+            return False
+        roles = [self._roles.get(t.name) for t in targets if not t.leaving]
+        return bool(roles) and all(role is _Role.BARRED for role in roles)
+
     def assign(self, target: SlotTarget, now: float) -> None:
         """Assign a target to the index of its version and update it there."""
         role = self._role_of(target)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -414,6 +414,15 @@
     def test_without_a_current_version_nothing_is_granted(self):
         assert self._granted(self._dispatcher(_plan(serving=("",))), 5) == []
 
+    @pytest.mark.parametrize("serving", ["", "v9"], ids=["unknown", "without a target"])
+    def test_without_a_current_version_a_refusal_tells_it(self, serving):
+        """Guards against refusals for load while all targets are idle."""
+        dispatcher = self._dispatcher(_plan(serving=(serving,)))
+        dispatcher.handle(m.RequestGrant(_work(0, 0.0)), 0.0)
+        (refusal,) = dispatcher.handle(m.TimePassed(), 100.0)
+        assert refusal.reason is m.RefusalReason.NO_VERSION
+        assert refusal.retry_after <= 2.0
+
     def test_all_targets_serve_without_information_on_versions(self):
         dispatcher = self._dispatcher(_plan(serving=()))
         for number in range(12):
--- a/tests/test_versions_in_service.py
+++ b/tests/test_versions_in_service.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
 from collections import Counter
 
 import pytest
@@ -199,6 +200,39 @@
             await site.until_served(number)
 
 
+@pytest.mark.parametrize("bounds", [ORDERED], ids=["ordered"])
+class TestBarredVersions:
+    """Guards against a pool that serves nothing without telling why."""
+
+    async def test_that_are_the_only_ones_left_are_told(self, site, caplog):
+        caplog.set_level(logging.INFO)
+        await site.start_pool("v1")
+        await site.add_target(site.target("v2-1", "v2"))
+        site.store.order_rollout(POOL, "v2", 60.0)
+        table = site.instances[0]._rollouts.version_table
+        await site.until(lambda: table[POOL].is_running)
+        site.store.end_rollout(POOL, "v2", "rolled_back")
+        await site.until(lambda: table[POOL].is_rejected)
+        site.store.remove("servers", "v1-1")
+        await site.until(lambda: table.is_unserved(POOL))
+        status, fields, body = await site.call("/once/")
+        assert status == 503
+        assert float(fields["Retry-After"]) <= 2.0
+        assert b"may not serve" in body
+        await site.until(
+            lambda: any(r.message == "pool-without-version" for r in caplog.records)
+        )
+        address = f"http://{site.instances[0].metrics_address}"
+        async with site.session.get(f"{address}/rollouts") as response:
+            (shown,) = (await response.json())["pools"]
+        assert shown["unserved"]
+        async with site.session.get(f"{address}/metrics") as response:
+            text = await response.text()
+        assert 'pool_without_version{pool="pool-a"} 1' in text
+        assert 'refused_without_version_total{pool="pool-a"} 1' in text
+        assert site.requests_run["v2"] == 0
+
+
 @pytest.mark.parametrize("bounds", [{}], ids=["unordered"])
 class TestVersionsSideBySide:
     """Guards against idle targets of a version that no order names."""
