Store streams within a tenth of a second of their grant

Change: the dispatcher hands over what began at each of its ticks, and a segment is written 0.1 s after the first new stream, not each 0.5 s. Ten writes a second at the most for a pool with several versions, none while no stream begins; an idle worker ticks each 5 s.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -299,6 +299,7 @@
             self._feed(hosted, m.TimePassed())
             self._send_keepalives(hosted, now)
             if not hosted.dispatcher.is_standby:
+                self._save_streams(hosted, now)
                 self._send_streams(hosted, now)
             self._report_rollout(hosted, now)
             if (
@@ -413,13 +414,9 @@
         new, hosted.new_streams = hosted.new_streams, {}
         if not hosted.dispatcher.may_mix_versions(now):
             hosted.streams_sent_to = frozenset()
-            hosted.saves_streams = False
             return
         pool = hosted.dispatcher.pool_name
-        new_streams = defaultdict(list)
-        for stream, version in new.items():
-            new_streams[version].append(stream)
-        self._save_streams(hosted, new_streams)
+        new_streams = _by_version(new)
         # An older build closes the link at a message that it does not know.
         successors = [
             member
@@ -436,14 +433,17 @@
                 self._links.tell(Send(member.peer_address, message))
         hosted.streams_sent_to = frozenset(member.incarnation for member in successors)
 
-    def _save_streams(self, hosted: HostedDispatcher, new: dict[str, list]) -> None:
+    def _save_streams(self, hosted: HostedDispatcher, now: float) -> None:
         """Have new streams stored; at first all, and read those of before a restart."""
-        if self._keep_streams is None:
+        new, hosted.unsaved_streams = hosted.unsaved_streams, {}
+        if self._keep_streams is None or not hosted.dispatcher.may_mix_versions(now):
+            hosted.saves_streams = False
             return
         pool = hosted.dispatcher.pool_name
         is_first = not hosted.saves_streams
         hosted.saves_streams = True
-        streams = self._stream_versions[pool].by_version() if is_first else new
+        known = self._stream_versions[pool]
+        streams = known.by_version() if is_first else _by_version(new)
         if streams or is_first:
             self._keep_streams(SaveStreams(pool, streams, is_first))
 
@@ -537,7 +537,9 @@
             self._feed(hosted, m.ImportPlaces(places))
         self._record_streams(body.pool, body.streams)
         for group in body.streams:
-            hosted.new_streams |= dict.fromkeys(group.streams, group.version)
+            streams = dict.fromkeys(group.streams, group.version)
+            hosted.new_streams |= streams
+            hosted.unsaved_streams |= streams
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
         if hosted is self._standby_hosted.get(body.pool):
@@ -680,6 +682,7 @@
                 is_standby = hosted.dispatcher.is_standby
                 if work.stream and action.version is not None and not is_standby:
                     hosted.new_streams[work.stream] = action.version
+                    hosted.unsaved_streams[work.stream] = action.version
                 waited = now - work.received_at
                 grant = PoolGrant(
                     pool, work.ask, target, waited, action.used_place, action.version
@@ -711,6 +714,14 @@
             self._links.tell(Send(address, message))
 
 
+def _by_version(streams: dict[int, str]) -> dict[str, list[int]]:
+    """Return streams by version."""
+    groups = defaultdict(list)
+    for stream, version in streams.items():
+        groups[version].append(stream)
+    return groups
+
+
 def _limit_share(view: View) -> float:
     """Return the share of the rate limits that a dispatcher may grant.
 
--- a/hibiscusstep/forwarding/saved_streams.py
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -5,6 +5,7 @@
 fixed number of segments, of which the oldest is replaced by the next.
 """
 
+import asyncio
 import base64
 import logging
 import struct
@@ -21,12 +22,13 @@
 __all__ = ["SavedStreamsWorker", "from_document", "to_document"]
 
 _LOG = logging.getLogger(__name__)
-WRITE_INTERVAL_S = 0.5
-WRITES_PER_SEGMENT = 4
+WRITE_INTERVAL_S, IDLE_INTERVAL_S = 0.1, 5.0
+READ_RETRY_S = 0.5
+WRITES_PER_SEGMENT = 10
 # With base64 a stream takes 11 bytes of the megabyte of an object.
 MAX_SEGMENT_STREAMS = 65_536
 # Together the segments span well over the lifetime of a stream.
-SEGMENT_COUNT = 24
+SEGMENT_COUNT = 48
 # Hashes of streams are positive and have 63 bits.
 _HASH = struct.Struct(">q")
 
@@ -36,10 +38,12 @@
     """The segment that is being written for a pool.
 
     `number` is None until the stored ones were read. `streams` are the versions by
-    hash. `writes` counts its writes so far.
+    hash. `read_at` is the time of the last attempt to read, on the event loop's clock.
+    `writes` counts its writes so far.
     """
 
     number: int | None = None
+    read_at: float = 0.0
     streams: dict[int, str] = field(default_factory=dict)
     has_new: bool = False
     writes: int = 0
@@ -70,6 +74,12 @@
         self._on_read = on_read
         self._segments: dict[str, _Segments] = {}
 
+    @property
+    def tick_interval(self) -> float:
+        """Seconds between ticks, fewer while streams are to be written or read."""
+        is_busy = any(s.has_new or s.number is None for s in self._segments.values())
+        return WRITE_INTERVAL_S if is_busy else IDLE_INTERVAL_S
+
     async def handle(self, message) -> None:
         """Handle a read request, new streams of a dispatcher, or a tick."""
         match message:
@@ -79,12 +89,17 @@
                 self._add(self._segments[pool], streams)
                 if is_first:
                     await self._read(pool)
+                self._schedule_tick(WRITE_INTERVAL_S)
             case Tick():
                 for pool in list(self._segments):
-                    if self._segments[pool].number is None:
+                    if self._is_read_due(pool):
                         await self._read(pool)
                     await self._write(pool)
 
+    def _is_read_due(self, pool: str) -> bool:
+        segments = self._segments[pool]
+        return segments.number is None and _now() >= segments.read_at + READ_RETRY_S
+
     def _add(self, segments: _Segments, streams: dict[str, list[int]]) -> None:
         for version, hashes in streams.items():
             for stream in hashes:
@@ -94,6 +109,7 @@
             segments.has_new = True
 
     async def _read(self, pool: str) -> None:
+        self._segments[pool].read_at = _now()
         reply = await self._store.read_segments(pool)
         if reply.is_err():
             decision("streams-not-read", pool=pool, error=str(reply.unwrap_err()))
@@ -126,6 +142,10 @@
             self._segments[pool] = _Segments(segments.number + 1)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def to_document(number: int, streams: dict[str, list[int]]) -> dict:
     """Return a segment as a document.
 
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -33,7 +33,7 @@
     of the rollout's progress. `poller` reads the targets' load reports. `new_streams`
     are the versions of the streams since `streams_sent_at`, when those before were sent
     to the incarnations `streams_sent_to`. `saves_streams` is whether they are stored
-    too. `created_at` is
+    too, and `unsaved_streams` are those since the last tick. `created_at` is
     when the dispatcher was created, 0 for a standby dispatcher. Times are in seconds on
     the loop's clock.
     """
@@ -45,6 +45,7 @@
     last_heard_at: dict[str, float] = field(default_factory=dict)
     poller: asyncio.Task | None = None
     new_streams: dict[int, str] = field(default_factory=dict)
+    unsaved_streams: dict[int, str] = field(default_factory=dict)
     streams_sent_at: float = 0.0
     streams_sent_to: frozenset[str] = frozenset()
     saves_streams: bool = False
--- a/tests/test_saved_streams.py
+++ b/tests/test_saved_streams.py
@@ -106,7 +106,8 @@
             await worker.handle(Tick())
         assert await _read_back(store) == dict.fromkeys((1, 2, 3), "v1")
 
-    async def test_are_written_when_the_store_is_back(self):
+    async def test_are_written_when_the_store_is_back(self, monkeypatch):
+        monkeypatch.setattr(saved_streams, "READ_RETRY_S", 0.0)
         store = _Store()
         store.is_away = True
         worker = SavedStreamsWorker(store, lambda _message: None)
