Let a version serve on while its lost record is written again

What callers see: a pool is dark for up to 1 s after the store was restored from an older copy: its version began no streams until it was in the store again, though it served for long. An order in progress is held up too.

Cause: allowed() took a version that the restored store lacks for a new one. Who starts meanwhile reads an incomplete record, as unknown, so that nothing is gained by waiting. The new test failed before (nothing allowed). It also showed that a version whose streams ended while its instance was suspended, and that is stored anew, kept its old time; such ones are removed first now.

--- a/hibiscusstep/forwarding/begun_versions.py
+++ b/hibiscusstep/forwarding/begun_versions.py
@@ -72,6 +72,7 @@
         """
         if stored.revision < self._stored.revision or stored == self._stored:
             return False
+        self._remove_expired(now)
         if stored.revision > self._stored.revision:
             self._removable.clear()
         self._stored = stored
@@ -126,11 +127,14 @@
     def allowed(self, candidates: frozenset[str], now: float) -> frozenset[str]:
         """Return which of some versions may begin streams.
 
-        Those in the store may. If none of them is, they wait for their record, but not
-        for long: an outage of the store would otherwise end the service of a pool whose
-        targets were replaced.
+        Those in the store may, and those that did before the store lost their record.
+        If there are none, they wait for their record, but not for long: an outage of
+        the store would otherwise end the service of a pool whose targets were replaced.
         """
         recorded = candidates & self._recorded
+        if not self._stored.is_complete:
+            # Until it is written again, an instance that starts takes it for unknown.
+            recorded |= {v for v in candidates if self._began_until.get(v) == math.inf}
         if recorded or not candidates or self._missing_since is None:
             return recorded
         is_overdue = now >= self._missing_since + RECORD_TIMEOUT_S
--- a/tests/test_begun_versions.py
+++ b/tests/test_begun_versions.py
@@ -136,6 +136,20 @@
         assert begun.origins(later + 2) == {"v1", "v2"}
         assert begun.to_store(later + 2) is None
 
+    def test_one_that_serves_goes_on_after_a_restore_of_the_store(self):
+        """Guards against a pool that is dark while its lost record is written again."""
+        begun = _begun("v1")
+        begun.apply_stored(_stored("v2", revision=2), START)
+        begun.update({"v2"}, START)
+        begun.mark_lost()
+        restored = _stored("v1", revision=10, is_complete=False)
+        begun.apply_stored(restored, START + 60)
+        begun.update({"v2"}, START + 60)
+        assert begun.allowed(frozenset({"v2"}), START + 60) == {"v2"}
+        assert begun.allowed(frozenset({"v2", "v3"}), START + 60) == {"v2"}
+        assert begun.to_store(START + 60) == {"v1", "v2"}
+        assert begun.is_write_urgent
+
 
 class Restarts(RuleBasedStateMachine):
     """Instances that end together at any moment, and a store that may not answer.
