--- /dev/null
+++ b/tests/test_begun_versions_sync.py
@@ -0,0 +1,130 @@
+"""hibiscusstep.forwarding.begun_versions_sync."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from hibiscusstep.errors import PlatformConflict, PlatformNotFound, PlatformUnavailable
+from hibiscusstep.forwarding import begun_versions_sync
+from hibiscusstep.forwarding.begun_versions_sync import BegunVersionsSync
+from hibiscusstep.forwarding.pool_versions import PoolVersionTable
+from hibiscusstep.membership.view import View
+from hibiscusstep.store import StoredVersions, StreamStore
+
+POOL = "p"
+
+
+class _Store(StreamStore):
+    """Holds versions in memory; `failures` of the next calls."""
+
+    def __init__(self, *versions):
+        self.revision = 1
+        self.stored = {POOL: StoredVersions(frozenset(versions), 1, True)}
+        if not versions:
+            self.stored = {}
+        self.failures = []
+        self.calls = []
+
+    async def read_versions(self, pool=None):
+        self.calls.append("read")
+        return self._fail() or Ok(dict(self.stored))
+
+    async def write_versions(self, pool, versions, revision):
+        self.calls.append("write")
+        if failure := self._fail():
+            return failure
+        known = self.stored.get(pool)
+        if known is None and revision:
+            return Err(PlatformNotFound("404"))
+        if known is not None and known.revision != revision:
+            return Err(PlatformConflict("409"))
+        self.put(*versions)
+        return Ok(self.stored[pool])
+
+    def put(self, *versions):
+        self.revision += 1
+        self.stored[POOL] = StoredVersions(frozenset(versions), self.revision, True)
+
+    def _fail(self):
+        return Err(self.failures.pop(0)) if self.failures else None
+
+    async def write_segment(self, pool, segment, document):
+        raise NotImplementedError
+
+    async def read_segments(self, pool):
+        raise NotImplementedError
+
+
+class _Instance:
+    def __init__(self, store):
+        self.now = asyncio.get_running_loop().time
+        self.table = PoolVersionTable(self.now())
+        self.sync = BegunVersionsSync("a", store, self.table, self._apply)
+        self.begun = self.table[POOL].begun
+
+    def _apply(self, stored):
+        for pool, item in stored.versions.items():
+            self.table[pool].begun.apply_stored(item, self.now())
+
+    async def run(self, *candidates, until):
+        async with asyncio.timeout(2):
+            while not until():
+                self.begun.update(candidates, self.now())
+                self.sync.update(View(), self.now())
+                await asyncio.sleep(0.005)
+
+
+@pytest.fixture(autouse=True)
+def _no_delay(monkeypatch):
+    monkeypatch.setattr(begun_versions_sync, "RETRY_S", 0.01)
+    monkeypatch.setattr(begun_versions_sync, "DISPATCHER_FIRST_S", 0.01)
+
+
+class TestBegunVersionsSync:
+    async def test_a_read_that_failed_is_repeated(self):
+        store = _Store("v1")
+        store.failures = [PlatformUnavailable("away")] * 2
+        instance = _Instance(store)
+        instance.sync.start()
+        # Without a version that may serve there is no write that reads it.
+        await instance.run(until=lambda: instance.begun.stored.versions)
+        assert instance.begun.stored == store.stored[POOL]
+        instance.sync.stop()
+
+    async def test_a_version_is_written_after_a_conflict(self):
+        """Guards against a version that never begins streams."""
+        store = _Store("v1")
+        instance = _Instance(store)
+        instance.sync.start()
+        await instance.run("v1", until=lambda: instance.begun.stored.versions)
+        store.put("v1", "v0")
+        await instance.run(
+            "v1", "v2", until=lambda: "v2" in instance.begun.stored.versions
+        )
+        assert store.stored[POOL].versions == {"v0", "v1", "v2"}
+        instance.sync.stop()
+
+    async def test_a_removed_object_is_created_again(self):
+        store = _Store("v1")
+        instance = _Instance(store)
+        instance.sync.start()
+        await instance.run("v1", until=lambda: instance.begun.stored.versions)
+        store.stored.clear()
+        await instance.run(
+            "v1", "v2", until=lambda: "v2" in instance.begun.stored.versions
+        )
+        assert store.stored[POOL].versions == {"v1", "v2"}
+        instance.sync.stop()
+
+    async def test_a_write_that_failed_is_repeated(self):
+        store = _Store("v1")
+        instance = _Instance(store)
+        instance.sync.start()
+        await instance.run("v1", until=lambda: instance.begun.stored.versions)
+        store.failures = [PlatformUnavailable("away")] * 2
+        await instance.run(
+            "v1", "v2", until=lambda: "v2" in instance.begun.stored.versions
+        )
+        assert store.calls.count("write") == 3
+        instance.sync.stop()
