--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -1,6 +1,7 @@
 """hibiscusstep.dispatcher_host: hosted dispatchers, views and keepalives."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -28,6 +29,7 @@
 )
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
+from hibiscusstep.routing.stream_versions import SaveStreams
 
 POOL = "p"
 MIXED = frozenset({"v1", "v2"})
@@ -383,3 +385,27 @@
         await worker.handle(stored)
         known = worker._stream_versions[POOL].by_version()
         assert known == {"v2": [self.STREAM], "v1": [8]}
+
+    async def test_of_before_another_version_are_stored_with_the_first_ones(self):
+        """Guards against streams that are refused as they began before the rollout."""
+        saved = []
+        view = self._view(a=True, b=True)
+        own = view.view.dispatcher_of(POOL)
+        worker = DispatcherHost(
+            own, f"{own}:1", _Links(), lambda _message: None, None,
+            dispatcher_class=SlotDispatcher, polls_load=False,
+            keep_streams=saved.append,
+        )  # fmt: skip
+        await worker.handle(view)
+        targets = {"t": PlannedTarget(4, version="v1")}
+        pool = PlannedPool(True, targets=targets, stream_origins=frozenset({"v1"}))
+        await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
+        known = PoolStreams(POOL, [StreamGroup("v1", [self.STREAM])])
+        await worker.handle(Received("b:1", known))
+        await worker.handle(Tick())
+        assert saved == []
+        worker._hosted[POOL].streams_sent_at = 0.0
+        pool = dataclasses.replace(pool, stream_origins=MIXED)
+        await worker.handle(ConfigurationInForce(2, b"", DispatchPlan({POOL: pool})))
+        await worker.handle(Tick())
+        assert saved == [SaveStreams(POOL, {"v1": [self.STREAM]}, is_first=True)]
