--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -13,6 +13,8 @@
 from platform_standin import TargetStandIn, chunk, event, stream_head
 from test_forwarding import BOUND_S, Site
 
+from hibiscusstep.forwarding import begun_versions
+
 POOL = "pool-a"
 EVENTS = 4
 # Event after which a stream of the first version waits.
@@ -425,6 +427,60 @@
         await self._assert_goes_on(site, "v1")
 
 
+class TestUnrecordedVersion:
+    """Guards against streams of a version that a start cannot know of."""
+
+    async def _begin_recorded(self, site):
+        await site.start_pool(new=0)
+        site.released.set()
+        await self._until_stored(site, "v1")
+        site.store.refused.add("hibiscusstep-versions")
+        await site.add_target(site.target("new0", "v2"))
+        await site.until(lambda: "new0" in site.instances[0].targets)
+
+    async def _until_stored(self, site, version):
+        begun = site.instances[0]._rollouts.version_table[POOL].begun
+        await site.until(lambda: version in begun.stored.versions)
+
+    async def test_begins_no_streams(self, site):
+        await self._begin_recorded(site)
+        site.store.order_rollout(POOL, "v2", 60.0)
+        site.store.end_rollout(POOL, "v2", "running")
+        await site.until_order(lambda order: order.is_running)
+        for number in range(30):
+            assert (await site.begin(f"before{number}"))[0] == 200
+        assert set(site.versions_sent_to()) == {"v1"}
+        site.store.refused.clear()
+        await self._until_stored(site, "v2")
+        async with asyncio.timeout(BOUND_S):
+            number = 0
+            while "v2" not in site.versions_sent_to():
+                await site.begin(f"after{number}")
+                number += 1
+
+    async def test_its_order_does_not_begin(self, site):
+        await self._begin_recorded(site)
+        site.store.order_rollout(POOL, "v2", 60.0)
+        await site.until_order(lambda order: order.version == "v2")
+        await asyncio.sleep(1.0)
+        order = site.instances[0]._rollouts.version_table[POOL].order
+        assert not order.is_running
+        site.store.refused.clear()
+        await site.until_order(lambda order: order.is_running)
+
+    async def test_waits_also_if_it_is_the_only_one(self, site, monkeypatch):
+        monkeypatch.setattr(begun_versions, "RECORD_TIMEOUT_S", 60.0)
+        site.store.refused.add("hibiscusstep-versions")
+        await site.start_pool(new=0)
+        site.released.set()
+        for number in range(5):
+            assert (await site.begin(f"before{number}"))[0] == 503
+        assert site.sent == []
+        site.store.refused.clear()
+        await self._until_stored(site, "v1")
+        assert (await site.begin("after"))[0] == 200
+
+
 class TestChangedEntry:
     """Guards against a record of another version than the stream begins at.
 
