Failing test: a version that another instance stored is not counted

A dispatcher that has not heard of a record, since its writer ended or is partitioned and the store does not answer, takes v1 for the only origin and resumes streams of v2 there. Not fixed: with the versions that wait among the origins, unknown streams are refused while they wait, which is to be weighed.

--- a/tests/test_begun_versions.py
+++ b/tests/test_begun_versions.py
@@ -150,6 +150,20 @@
         assert begun.to_store(START + 60) == {"v1", "v2"}
         assert begun.is_write_urgent
 
+    def test_one_that_waits_may_have_begun_streams_at_another_instance(self):
+        """Guards against a missing message that is read as no record.
+
+        Another instance stored the version and began its streams. It ended before it
+        told, or is partitioned, and the store does not answer here.
+        """
+        own, other = _begun("v1"), _begun("v1")
+        for begun in (own, other):
+            begun.update({"v1", "v2"}, START)
+        other.apply_stored(_stored("v1", "v2", revision=2), START)
+        other.update({"v1", "v2"}, START)
+        assert "v2" in other.allowed(frozenset({"v1", "v2"}), START)
+        assert own.origins(START) != {"v1"}
+
 
 class Restarts(RuleBasedStateMachine):
     """Instances that end together at any moment, and a store that may not answer.
