--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -15,6 +15,7 @@
 )
 
 from hibiscusstep import codec
+from hibiscusstep.forwarding.begun_versions import UNKNOWN_VERSION
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.pool_versions import (
     NO_VERSIONS,
@@ -30,6 +31,7 @@
 from hibiscusstep.rollout.budget import ExposureLimits
 from hibiscusstep.rollout.controller import RolloutProgress
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
+from hibiscusstep.store import StoredVersions
 
 POOL = "p"
 LIMITS = ExposureLimits()
@@ -255,6 +257,27 @@
         assert one.serving_versions(POOL) == other.serving_versions(POOL)
 
 
+class TestStoredVersions:
+    """Guards against a peer that takes a record for all that began streams."""
+
+    def _begun_after_merge(self, *, is_complete):
+        sender, receiver = PoolVersionTable(0.0), PoolVersionTable(0.0)
+        stored = StoredVersions(frozenset({"v1"}), 7, is_complete)
+        sender["p"].begun.apply_stored(stored, 1.0)
+        (record,) = sender.records(1.0)
+        receiver.merge_record(_round_trip(record), 1.0)
+        return receiver["p"].begun
+
+    def test_complete_ones_are_merged(self):
+        begun = self._begun_after_merge(is_complete=True)
+        assert begun.origins(1.0) == {"v1"}
+        assert begun.stored == StoredVersions(frozenset({"v1"}), 7, True)
+
+    def test_incomplete_ones_are_not_merged(self):
+        begun = self._begun_after_merge(is_complete=False)
+        assert begun.origins(1.0) == {UNKNOWN_VERSION}
+
+
 class TestOrders:
     def test_a_status_update_does_not_restart_the_order(self):
         table = PoolVersionTable()
