Count a version that waits for its record among those that began streams

What callers would see: a dispatcher that has not heard that another instance stored v2, as its writer ended or is partitioned and the store does not answer, took v1 for the only version that began streams, and resumed streams of v2 there.

Change: while a version waits for its record, a stream that the dispatcher does not know may be of it.

--- a/hibiscusstep/forwarding/begun_versions.py
+++ b/hibiscusstep/forwarding/begun_versions.py
@@ -112,7 +112,7 @@
         return self.update(self._candidates, now)
 
     def _remove_expired(self, now: float) -> None:
-        expired = self._began_until.keys() - self.origins(now)
+        expired = self._began_until.keys() - self._recent(now)
         self._removable |= expired & self._stored.versions
         for version in expired:
             del self._began_until[version]
@@ -141,7 +141,14 @@
         return candidates if is_overdue else frozenset()
 
     def origins(self, now: float) -> frozenset[str]:
-        """Return the versions that may have begun a stream that is resumed now."""
+        """Return the versions that may have begun a stream that is resumed now.
+
+        One that waits for its record here may have begun some at another instance.
+        """
+        return self._candidates | self._recent(now)
+
+    def _recent(self, now: float) -> frozenset[str]:
+        """Return the versions that may have begun streams here, or before the start."""
         return frozenset(
             version
             for version, until in self._began_until.items()
@@ -152,6 +159,6 @@
         """Return the versions to write to the store; None if it has them."""
         if not self._candidates:
             return None
-        wanted = self._candidates | self.origins(now)
+        wanted = self.origins(now)
         is_stored = wanted == self._stored.versions and not wanted & self._removable
         return None if is_stored and not self._is_rewrite_due else wanted
--- a/tests/test_begun_versions.py
+++ b/tests/test_begun_versions.py
@@ -41,7 +41,7 @@
         begun = _begun("v1")
         begun.update({"v1", "v2"}, START)
         assert begun.allowed(frozenset({"v1", "v2"}), START) == {"v1"}
-        assert begun.origins(START) == {"v1"}
+        assert begun.origins(START) == {"v1", "v2"}
         assert begun.to_store(START) == {"v1", "v2"}
         assert begun.is_write_urgent
         begun.apply_stored(_stored("v1", "v2", revision=2), START)
@@ -83,7 +83,7 @@
         """Guards against a missing record that is read as no earlier streams."""
         begun = BegunVersions(START)
         begun.update({"v2"}, START)
-        assert begun.origins(START) == {UNKNOWN_VERSION}
+        assert begun.origins(START) == {UNKNOWN_VERSION, "v2"}
         assert begun.to_store(START) == {UNKNOWN_VERSION, "v2"}
         begun.update({"v2"}, START + STREAM_LIFETIME_S)
         assert begun.origins(START + STREAM_LIFETIME_S) == {"v2"}
@@ -98,7 +98,7 @@
         begun = BegunVersions(START)
         begun.apply_stored(StoredVersions(is_complete=True), START)
         begun.update({"v1"}, START)
-        assert begun.origins(START) == frozenset()
+        assert begun.origins(START) == {"v1"}
         assert begun.to_store(START) == {"v1"}
 
     def test_an_older_record_of_a_peer_is_ignored(self):
@@ -127,7 +127,7 @@
         assert begun.to_store(later) == {"v2"}
         begun.update({"v1", "v2"}, later + 1)
         assert begun.allowed(frozenset({"v1", "v2"}), later + 1) == {"v2"}
-        assert begun.origins(later + 1) == {"v2"}
+        assert begun.origins(later + 1) == {"v1", "v2"}
         assert begun.is_write_urgent
         assert begun.to_store(later + 1) == {"v1", "v2"}
         begun.apply_stored(_stored("v2", revision=2), later + 2)
