--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -231,6 +231,9 @@
                 "GraceS": GRACE_S,
                 "RetryBudgetRatio": retries.share,
                 "RetryBudgetSlack": slack,
+                # Targets start ahead of the orders of their versions.
+                "ExposureShare": 0.1,
+                "ExposureSlack": 50,
             },
             "Platform": {"Address": self.store.address},
             "Limits": self.limits,
