Serve streams that their callers resume before new ones of their rank

Change: a request by which a caller resumes a stream of a known version waits apart, as it did while several versions served: the next free target of its version is its own, unless requests of a higher rank wait. Retries within a response queue as before.

--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -722,13 +722,18 @@
                 self._refuse_continuation(work, m.RefusalReason.LOAD)
 
     def _is_continuation(self, work: m.Work, now: float) -> bool:
-        """Return whether only the version that began its stream may run a request."""
+        """Return whether a request continues a stream, apart from the queue.
+
+        A retry within a response may wait in the queue if all targets are of its
+        version. One that its caller sends does not: in overload the queue would refuse
+        it for new streams, and what its stream has brought would be lost.
+        """
         if work.bound_version is None and not work.resumes:
             return False
         version = self._bound_version(work, now)
         if version is None:
             return self.may_mix_versions(now)
-        return not self._partition.serves_only(version)
+        return bool(work.resumes) or not self._partition.serves_only(version)
 
     def _bound_version(self, work: m.Work, now: float) -> str | None:
         """Return the version that began a request's stream; None if not known."""
