Do not take an incomplete record for none on the first start

An instance that starts for the first time (Bootstrap), beside or after others, and reads a malformed record or one of an older copy of the store took it for no earlier streams, and unknown streams for new ones. Before, a run of the same calls on the table gave no origins; now they are unknown.

--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -171,11 +171,15 @@
             entry.begun.apply_stored(StoredVersions(is_complete=True), self._started_at)
         return entry
 
-    def assume_no_earlier_streams(self, now: float) -> None:
+    def assume_no_earlier_streams(
+        self, stored_pools: Iterable[str], now: float
+    ) -> None:
         """Take pools of which the store has no versions to have begun no streams."""
+        known = {pool: self._pools[pool] for pool in stored_pools}
         self._has_no_earlier_streams = True
-        for entry in self._pools.values():
-            entry.begun.apply_stored(StoredVersions(is_complete=True), now)
+        for pool, entry in self._pools.items():
+            if pool not in known:
+                entry.begun.apply_stored(StoredVersions(is_complete=True), now)
 
     @property
     def running_pools(self) -> list[str]:
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -272,7 +272,7 @@
 
     def _apply_stored_versions(self, stored: VersionsStored, now: float) -> None:
         if stored.are_all and self._is_first_start:
-            self.version_table.assume_no_earlier_streams(now)
+            self.version_table.assume_no_earlier_streams(stored.versions, now)
         changed = []
         for pool, item in stored.versions.items():
             if self.version_table[pool].begun.apply_stored(item, now):
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -277,6 +277,17 @@
         begun = self._begun_after_merge(is_complete=False)
         assert begun.origins(1.0) == {UNKNOWN_VERSION}
 
+    def test_incomplete_ones_are_no_evidence_on_the_first_start(self):
+        """Guards against a malformed record that is read as no earlier streams.
+
+        An instance may start for the first time beside or after others.
+        """
+        table = PoolVersionTable(0.0)
+        table.assume_no_earlier_streams(["p"], 1.0)
+        table["p"].begun.apply_stored(StoredVersions(revision=9), 1.0)
+        assert table["p"].begun.origins(1.0) == {UNKNOWN_VERSION}
+        assert table["q"].begun.origins(1.0) == frozenset()
+
 
 class TestOrders:
     def test_a_status_update_does_not_restart_the_order(self):
