--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak_ledger import CallerResult, Ledger, TargetRun, body_of, events
 from soak_limits import LimitLedger
 from soak_retries import RetryLedger
+from soak_streams import StreamLedger, try_of
 
 # Seeds that broke a promise once, with the cause.
 REGRESSIONS = [
@@ -178,6 +179,21 @@
         assert not findings, faults_run
 
 
+class TestSoakOfVersions:
+    """Versions change without orders, and all instances are killed meanwhile."""
+
+    # Guards against resumed streams of two versions (908), and against resumed streams
+    # that are refused though their version serves (901).
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize("seed", [901, 908])
+    async def test_no_promise_is_broken(self, seed, tmp_path):
+        kinds = (Faults._herd_versions,)
+        findings, faults_run = await soak(
+            seed, tmp_path, 3, seconds=1.0, faults=1, callers=30, kinds=kinds
+        )
+        assert not findings, faults_run
+
+
 class TestSignalsUntilTheEnd:
     """A second signal at the end must not change the exit code of a clean exit.
 
@@ -328,6 +344,50 @@
         assert ledger.findings()
 
 
+class TestStreamLedger:
+    """The ledger reports streams of two versions, and resumed ones that are lost."""
+
+    def _findings(self, first, second, *, began_at=5.0, killed_at=(), count=12, **seen):
+        """Return the findings of resumed streams while new ones begin."""
+        results, new = {}, b"".join(events("new"))
+        for n in range(count):
+            results[f"s{n}"] = CallerResult(
+                "resume", "one", 200, body=first, began_at=began_at
+            )
+            seen = {"status": 503, "serving": 2, **seen}
+            results[try_of(f"s{n}", 1)] = CallerResult(
+                "resume", "one", body=second, sent_at=10.0, ended_at=20.0, **seen
+            )
+            results[f"n{n}"] = CallerResult(
+                "stream", "one", 200, whole=True, body=new, sent_at=15.0
+            )
+        return list(StreamLedger(results, killed_at).findings())
+
+    def test_streams_of_two_versions(self):
+        first, second = events("s", "v1")[0], events("s", "v2")[1]
+        assert len(self._findings(first, second, status=200)) == 12
+        assert len(self._findings(first + second, b"")) == 13
+
+    def test_streams_of_one_version(self):
+        first, second = events("s")[:2]
+        assert not self._findings(first, second, status=200)
+
+    @pytest.mark.parametrize(
+        ("seen", "broken"),
+        [
+            ({}, True),
+            ({"count": 11}, False),
+            ({"serving": 1}, False),
+            ({"status": 0}, False),
+            ({"killed_at": [5.5]}, False),
+            ({"killed_at": [6.5]}, True),
+            ({"status": 200, "whole": True}, False),
+        ],
+    )
+    def test_resumed_streams_that_do_not_go_on(self, seen, broken):
+        assert bool(self._findings(events("s")[0], b"", **seen)) is broken
+
+
 class TestRetryLedger:
     @pytest.mark.parametrize(("retries", "broken"), [(40, False), (41, True)])
     def test_counts_arrivals_beyond_the_first(self, retries, broken):
