--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -189,7 +189,7 @@
     async def test_no_promise_is_broken(self, seed, tmp_path):
         kinds = (Faults._herd_versions,)
         findings, faults_run = await soak(
-            seed, tmp_path, 3, seconds=1.0, faults=1, callers=30, kinds=kinds
+            seed, tmp_path, 3, seconds=1.0, faults=1, callers=40, kinds=kinds
         )
         assert not findings, faults_run
 
