--- a/tests/soak.py
+++ b/tests/soak.py
@@ -597,6 +597,7 @@
     if changes_versions:
         serving_s = SERVING_BESIDE_S
         world.event_pause = EVENT_PAUSE_S
+        world.orders_rollouts = random.Random(f"orders {seed}").random() < 0.5
         world.born_ago_ms = random.Random(seed).choice(AGES_MS)
         caller_group.kinds = (*KINDS, *["resume"] * 4)
     try:
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -43,6 +43,8 @@
 # Every third stream or so ends with its connection, without chunks.
 UNFRAMED_EVERY = 3
 GRACE_S = 2
+# Settings of deployments whose targets start ahead of the orders of their versions.
+ROLLOUT_BOUNDS = {"ExposureShare": 0.1, "ExposureSlack": 50}
 SLOTS = 6
 READY_PATH = "/hibiscusstep/ready"
 # Time until a healthy instance reports ready, also on a busy machine.
@@ -240,9 +242,7 @@
                 "GraceS": GRACE_S,
                 "RetryBudgetRatio": retries.share,
                 "RetryBudgetSlack": slack,
-                # Targets start ahead of the orders of their versions.
-                "ExposureShare": 0.1,
-                "ExposureSlack": 50,
+                **(ROLLOUT_BOUNDS if self._world.orders_rollouts else {}),
             },
             "Platform": {"Address": self.store.address},
             "Limits": self.limits,
@@ -339,6 +339,7 @@
         self.instances = []
         self.limits = {}
         self.event_pause = 0.03
+        self.orders_rollouts = True
         # Age in milliseconds of new targets by their entries; None if these omit it.
         self.born_ago_ms = None
 
