Let few instances write which versions began streams

Before there is a dispatcher any instance may, as after a restart of all. TestWriters: 195 of 195 would write before, at most four do.

--- a/hibiscusstep/forwarding/begun_versions_sync.py
+++ b/hibiscusstep/forwarding/begun_versions_sync.py
@@ -8,7 +8,7 @@
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound
 from hibiscusstep.forwarding.pool_versions import PoolVersionTable
 from hibiscusstep.log import decision
-from hibiscusstep.membership.view import View
+from hibiscusstep.membership.view import View, rendezvous_hash
 from hibiscusstep.store import RevisionExpired, StoredVersions, StreamStore
 
 __all__ = ["BegunVersionsSync", "VersionsStored"]
@@ -17,6 +17,8 @@
 RETRY_S = 0.3
 # An instance that does not dispatch the pool lets its dispatcher write first.
 DISPATCHER_FIRST_S = 0.1
+# Number of instances that write if a pool's dispatcher does not.
+SUBSTITUTES = 3
 # Mean seconds between the writes of instances that start together and notice the same.
 STAGGER_S = 0.002
 
@@ -41,7 +43,7 @@
     """Reads the stored versions once, and writes those that are about to serve.
 
     The writes are conditional, so that any instance may write: a pool's dispatcher does
-    at once, the others if it does not.
+    at once, a few others if it does not.
 
     Parameters
     ----------
@@ -90,15 +92,27 @@
             begun = self._table[pool].begun
             if begun.to_store(now) is None:
                 continue
-            is_dispatcher = (
-                view.role_known and view.dispatcher_of(pool) == self._own_name
-            )
             task = self._write_tasks.get(pool)
             is_idle = task is None or task.done()
-            if is_idle and (is_dispatcher or begun.is_write_urgent):
-                delay = 0.0 if is_dispatcher else _delay(view, pool)
+            if is_idle and (delay := self._write_delay(pool, view)) is not None:
                 self._write_tasks[pool] = asyncio.create_task(self._write(pool, delay))
 
+    def _write_delay(self, pool: str, view: View) -> float | None:
+        """Return the seconds that this instance lets others write first.
+
+        None if it does not write: all instances would make hundreds of calls at once.
+        """
+        dispatcher = view.dispatcher_of(pool) if view.role_known else None
+        if dispatcher == self._own_name:
+            return 0.0
+        if not self._table[pool].begun.is_write_urgent:
+            return None
+        stagger = random.random() * STAGGER_S * view.expected_size
+        if dispatcher is None:
+            return stagger
+        substitutes = rendezvous_hash(view.eligible, f"begun {pool}", SUBSTITUTES)
+        return DISPATCHER_FIRST_S + stagger if self._own_name in substitutes else None
+
     async def _read_all(self) -> None:
         while True:
             reply = await self._store.read_versions()
@@ -140,12 +154,5 @@
         self._on_stored(VersionsStored(found))
 
 
-def _delay(view: View, pool: str) -> float:
-    """Return the seconds that an instance waits for another one to write."""
-    has_dispatcher = view.role_known and view.dispatcher_of(pool) is not None
-    first = DISPATCHER_FIRST_S if has_dispatcher else 0.0
-    return first + random.random() * STAGGER_S * view.expected_size
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_begun_versions_sync.py
+++ b/tests/test_begun_versions_sync.py
@@ -9,7 +9,7 @@
 from hibiscusstep.forwarding import begun_versions_sync
 from hibiscusstep.forwarding.begun_versions_sync import BegunVersionsSync
 from hibiscusstep.forwarding.pool_versions import PoolVersionTable
-from hibiscusstep.membership.view import View
+from hibiscusstep.membership.view import Member, View
 from hibiscusstep.store import StoredVersions, StreamStore
 
 POOL = "p"
@@ -128,3 +128,24 @@
         )
         assert store.calls.count("write") == 3
         instance.sync.stop()
+
+
+class TestWriters:
+    """Guards against hundreds of calls at once if the store is slow or refuses."""
+
+    def _count(self, view, names):
+        count = 0
+        for name in names:
+            table = PoolVersionTable()
+            table[POOL].begun.update({"v1"}, 0.0)
+            sync = BegunVersionsSync(name, _Store(), table, lambda _stored: None)
+            count += sync._write_delay(POOL, view) is not None
+        return count
+
+    def test_few_of_many_instances_write(self):
+        names = [f"n{number}" for number in range(195)]
+        view = View(
+            {n: Member(n, f"{n}-1", "z", "r", n, "o", 1, True, False) for n in names}
+        )
+        writers = self._count(view, names)
+        assert 2 <= writers <= begun_versions_sync.SUBSTITUTES + 1
