--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -30,6 +30,7 @@
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
 from hibiscusstep.routing.stream_versions import SaveStreams
+from hibiscusstep.store import StoreRestored
 
 POOL = "p"
 MIXED = frozenset({"v1", "v2"})
@@ -409,3 +410,39 @@
         await worker.handle(ConfigurationInForce(2, b"", DispatchPlan({POOL: pool})))
         await worker.handle(Tick())
         assert saved == [SaveStreams(POOL, {"v1": [self.STREAM]}, is_first=True)]
+
+    async def test_that_instances_register_are_stored(self):
+        """Guards against streams of a lost dispatcher that no restart of all knows."""
+        worker, kept = await self._recording_worker()
+        kept.clear()
+        streams = [StreamGroup("v1", [self.STREAM])]
+        register = PoolRegister(POOL, "x", "x-1", [], [], [], streams=streams)
+        await worker.handle(Received("x:1", register))
+        await worker.handle(Tick())
+        assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]})]
+
+    async def test_are_all_stored_again_after_a_restore_of_the_store(self):
+        worker, kept = await self._recording_worker()
+        streams = [StreamGroup("v1", [self.STREAM])]
+        await worker.handle(Received("x:1", PoolStreams(POOL, streams)))
+        kept.clear()
+        await worker.handle(StoreRestored())
+        await worker.handle(Tick())
+        assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]}, is_first=True)]
+
+    async def _recording_worker(self):
+        """Return a pool's dispatcher, and the list of what it has stored."""
+        view, kept = self._view(a=True, b=True), []
+        own = view.view.dispatcher_of(POOL)
+        worker = DispatcherHost(
+            own, f"{own}:1", _Links(), lambda _message: None, None,
+            dispatcher_class=SlotDispatcher, polls_load=False, has_standby=True,
+            keep_streams=kept.append,
+        )  # fmt: skip
+        await worker.handle(view)
+        targets = {"t": PlannedTarget(4, version="v1")}
+        pool = PlannedPool(True, targets=targets, stream_origins=MIXED)
+        await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
+        await worker.handle(Tick())
+        assert kept[0].is_first
+        return worker, kept
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -393,6 +393,18 @@
         assert (await self._resume(site))[0] == 503
         assert len(site.sent) == before
 
+    async def test_versions_are_stored_again_after_a_restore_of_the_store(self, site):
+        """Guards against a restored store that lacks them when all instances end."""
+        await site.start_pool(new=0, instances=2)
+        kind = "hibiscusstep-versions"
+        revision, objects = site.store.copy()
+        del objects[kind, POOL]
+        site.store.restore((revision, objects))
+        era = int(site.store.era)
+        await site.until(lambda: (kind, POOL) in site.store.objects)
+        await site.until(lambda: site.store.objects[kind, POOL]["Spec"]["Era"] == era)
+        assert site.store.objects[kind, POOL]["Spec"]["Versions"] == ["v1"]
+
     async def test_is_refused_after_a_second_restart(self, site):
         await site.start_pool(new=0, instances=2)
         begun = await site.begin_at_old_version()
