Store versions of pools with streams of any route

What callers would see: a request that names a last event on a streaming route that is not resumable, in a pool that has no other, ran like a new one at whatever version served; found in the review. The versions of such a pool were not recorded, and counted as one.

test_versions_are_stored_of_a_pool_without_resumable_routes timed out before and passes.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -35,7 +35,7 @@
 from hibiscusstep.forwarding.environment import InstanceEnvironment
 from hibiscusstep.forwarding.incoming_request import ForwardingContext
 from hibiscusstep.forwarding.metrics import ForwardingMetrics
-from hibiscusstep.forwarding.model import DiscoveredTarget, RetryMode, RoutingTable
+from hibiscusstep.forwarding.model import DiscoveredTarget, RoutingTable
 from hibiscusstep.forwarding.planning import PlannedVersions, Planner
 from hibiscusstep.forwarding.pool_versions import NO_VERSIONS
 from hibiscusstep.forwarding.quarantine import Quarantine
@@ -150,8 +150,8 @@
         self._follows_store = True
         self._started_at = asyncio.get_running_loop().time()
         self._has_plan = False
-        # Pools with streams that callers may resume.
-        self._resumable_pools: frozenset[str] = frozenset()
+        # Pools with streams, which callers may resume.
+        self._stream_pools: frozenset[str] = frozenset()
         self._registration_needed = asyncio.Event()
         self._suspended_s = 0.0
         self.started = asyncio.Event()
@@ -515,10 +515,10 @@
 
     def _on_table(self, table: RoutingTable) -> None:
         self._table = table
-        self._resumable_pools = frozenset(
+        self._stream_pools = frozenset(
             share.pool
             for route in table.routes
-            if route.streaming and route.retry_mode is RetryMode.RESUME
+            if route.streaming
             for share in route.shares
         )
         self._distributor.table = table
@@ -591,7 +591,7 @@
         )
         serving = version_table.serving_versions(pool, present_versions)
         rejected = version_table.rejected_version(pool)
-        if pool not in self._resumable_pools:
+        if pool not in self._stream_pools:
             return PlannedVersions(serving, planned, rejected)
         now = asyncio.get_running_loop().time()
         ordered = version_table.ordered_version(pool)
@@ -765,7 +765,7 @@
             for target in self._targets.values()
             if target.rejection_limit.per_second is not None
         )
-        for pool in self._resumable_pools:
+        for pool in self._stream_pools:
             unknown = UNKNOWN_VERSION in self._rollouts.stream_origins(pool)
             metrics.set_gauge("stream_versions_unknown", int(unknown), pool=pool)
         for pool in {target.pool for target in self._targets.values()}:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,7 +10,13 @@
 import time
 
 import pytest
-from platform_standin import TargetStandIn, chunk, event, stream_head
+from platform_standin import (
+    TargetStandIn,
+    chunk,
+    configuration,
+    event,
+    stream_head,
+)
 from test_forwarding import BOUND_S, Site
 
 from hibiscusstep.forwarding import begun_versions
@@ -393,6 +399,19 @@
         assert (await self._resume(site))[0] == 503
         assert len(site.sent) == before
 
+    async def test_versions_are_stored_of_a_pool_without_resumable_routes(self, site):
+        """Guards against a resumed stream of such a route that runs like a new one."""
+        document = configuration()
+        document["Routes"] = [
+            route
+            for route in document["Routes"]
+            if route["Kind"] == "streaming" and not route["Resumable"]
+        ]
+        assert document["Routes"]
+        await site.start(site.target("new0", "v2"), document=document)
+        kind = "hibiscusstep-versions"
+        await site.until(lambda: (kind, POOL) in site.store.objects)
+
     async def test_versions_are_stored_again_after_a_restore_of_the_store(self, site):
         """Guards against a restored store that lacks them when all instances end."""
         await site.start_pool(new=0, instances=2)
