Let writes not prolong the time in which earlier streams are unknown

An instance that starts without a record refuses unknown streams for one stream lifetime. Each write of versions within it began that time anew. test_writes_do_not_prolong_what_is_unknown failed before and passes. The unused has_order of the table of versions is removed.

--- a/hibiscusstep/forwarding/begun_versions.py
+++ b/hibiscusstep/forwarding/begun_versions.py
@@ -77,7 +77,7 @@
             self._removable.clear()
         self._stored = stored
         self._is_rewrite_due = not stored.is_complete
-        if stored.is_complete:
+        if stored.is_complete and UNKNOWN_VERSION not in stored.versions:
             self._began_until.pop(UNKNOWN_VERSION, None)
         for version in stored.versions - self._began_until.keys():
             self._began_until[version] = now
--- a/hibiscusstep/forwarding/pool_versions.py
+++ b/hibiscusstep/forwarding/pool_versions.py
@@ -388,11 +388,6 @@
             return entry.serving
         return NO_VERSIONS if len(present) > 1 else frozenset()
 
-    def has_order(self, pool: str) -> bool:
-        """Return whether there is an order for a pool, ended or not."""
-        entry = self._pools.get(pool)
-        return entry is not None and entry.order is not None
-
     def ordered_version(self, pool: str) -> str | None:
         """Return the version of a pool's order that has not ended; None for none."""
         entry = self._pools.get(pool)
--- a/tests/test_begun_versions.py
+++ b/tests/test_begun_versions.py
@@ -88,6 +88,17 @@
         begun.update({"v2"}, START + STREAM_LIFETIME_S)
         assert begun.origins(START + STREAM_LIFETIME_S) == {"v2"}
 
+    def test_writes_do_not_prolong_what_is_unknown(self):
+        """Guards against streams refused for longer than a stream's lifetime."""
+        begun = BegunVersions(START)
+        begun.update({"v2"}, START)
+        for revision in (1, 2):
+            later = START + 10 * revision
+            versions = begun.to_store(later)
+            begun.apply_stored(_stored(*versions, revision=revision), later)
+            begun.update({"v2", f"w{revision}"}, later)
+        assert UNKNOWN_VERSION not in begun.origins(START + STREAM_LIFETIME_S)
+
     def test_a_record_that_may_be_older_than_the_streams_is_no_evidence(self):
         begun = _begun("v1", is_complete=False)
         begun.update({"v1"}, START)
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -104,7 +104,6 @@
     def test_questions_of_an_unknown_pool_add_no_entry(self):
         """Instances read the orders of the store for the pools that are known here."""
         table = PoolVersionTable()
-        assert not table.has_order(POOL)
         assert table.ordered_version(POOL) is None
         assert table.rejected_version(POOL) is None
         assert list(table) == []
@@ -112,7 +111,6 @@
     def test_the_version_of_an_order_is_known_until_it_ends(self):
         table = PoolVersionTable()
         table.apply_order(_order(), 1.0)
-        assert table.has_order(POOL)
         assert table.ordered_version(POOL) == "v2"
         for revision, state in enumerate(RolloutState, start=6):
             known = _order(revision=revision, state=state, state_version="v2")
