Send records of versions on a listing only where one was guessed; keep no streams for a standby

Read in the diff: each list of orders sent the records of all pools to all neighbours, and streams that an instance registers with its own standby dispatcher were kept and never taken.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -536,7 +536,7 @@
             places = tuple(to_place(info, now) for info in body.places)
             self._feed(hosted, m.ImportPlaces(places))
         self._record_streams(body.pool, body.streams)
-        for group in body.streams:
+        for group in () if hosted.dispatcher.is_standby else body.streams:
             streams = dict.fromkeys(group.streams, group.version)
             hosted.new_streams |= streams
             hosted.unsaved_streams |= streams
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -306,7 +306,10 @@
         for pool in guessed:
             self.version_table.guess_serving(pool, now)
             self._log_guess(pool)
-        self._publish(guessed, now)
+        if guessed:
+            self._publish(guessed, now)
+        else:
+            self._apply_change_here()
 
     def _apply_change(self, pool: str, order, revision: int, now: float) -> None:
         if order is None:
