--- a/hibiscusstep/forwarding/saved_streams.py
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -1,7 +1,7 @@
 """hibiscusstep.forwarding.saved_streams: streams by version, stored for a full restart.
 
 While several versions may have begun the streams of a pool, its dispatcher stores which
-version began each. The streams of some seconds are one object, a segment. A pool has a
+version began each. The streams of about a second are one object, a segment. A pool has a
 fixed number of segments, of which the oldest is replaced by the next.
 """
 
@@ -81,7 +81,7 @@
         return WRITE_INTERVAL_S if is_busy else IDLE_INTERVAL_S
 
     async def handle(self, message) -> None:
-        """Handle a read request, new streams of a dispatcher, or a tick."""
+        """Handle new streams of a dispatcher, or a tick."""
         match message:
             case SaveStreams(pool=pool, streams=streams, is_first=is_first):
                 if is_first:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -497,7 +497,7 @@
     async def _version_beside(self, span):
         """Start targets of a new version without an order; half of the others leave.
 
-        A version that no order names gets no requests while another is current.
+        Where rollouts are ordered, it gets no requests while another is current.
         """
         await self._change_version(span, random.Random(f"beside {span}"), 0.5)
 
