--- a/hibiscusstep/forwarding/saved_streams.py
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -1,8 +1,8 @@
 """hibiscusstep.forwarding.saved_streams: streams by version, stored for a full restart.
 
 While several versions may have begun the streams of a pool, its dispatcher stores which
-version began each. The streams of about a second are one object, a segment. A pool has a
-fixed number of segments, of which the oldest is replaced by the next.
+version began each. The streams of about a second are one object, a segment. A pool has
+a fixed number of segments, of which the oldest is replaced by the next.
 """
 
 import asyncio
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -497,7 +497,7 @@
     async def _version_beside(self, span):
         """Start targets of a new version without an order; half of the others leave.
 
-        Where rollouts are ordered, it gets no requests while another is current.
+        It gets no requests while another is current where rollouts are ordered.
         """
         await self._change_version(span, random.Random(f"beside {span}"), 0.5)
 
