Log from whom the version of a continued stream is known

The hypotheses on streams joined by a paused dispatcher differ in the source of the record: a grant of its own that nobody used, or an old message or read. The line of the grant said 'recorded' for all of them. It says now whether the record is of an own grant, a registering instance, another dispatcher or the store. No decision changes.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -203,7 +203,7 @@
             case PoolStreams(pool=pool, streams=streams):
                 self._restore_streams(pool, streams)
             case Received(message=PoolStreams(pool=pool, streams=streams)):
-                self._record_streams(pool, streams)
+                self._record_streams(pool, streams, m.StreamOrigin.DISPATCHER)
             case StoreRestored():
                 for hosted in self._hosted.values():
                     hosted.saves_streams = False
@@ -447,11 +447,13 @@
         if streams or is_first:
             self._keep_streams(SaveStreams(pool, streams, is_first))
 
-    def _record_streams(self, pool: str, groups: list[StreamGroup]) -> None:
+    def _record_streams(
+        self, pool: str, groups: list[StreamGroup], origin: m.StreamOrigin
+    ) -> None:
         now = asyncio.get_running_loop().time()
         for group in groups:
             for stream in group.streams:
-                self._stream_versions[pool].record(stream, group.version, now)
+                self._stream_versions[pool].record(stream, group.version, now, origin)
 
     def _restore_streams(self, pool: str, groups: list[StreamGroup]) -> None:
         """Record streams of the store; those that are known began again since."""
@@ -460,7 +462,8 @@
         for group in groups:
             for stream in group.streams:
                 if versions.find(stream, now) is None:
-                    versions.record(stream, group.version, now)
+                    origin = m.StreamOrigin.STORE
+                    versions.record(stream, group.version, now, origin)
 
     def _standby_dispatcher(self, pool: str) -> HostedDispatcher | None:
         """Return the pool's standby dispatcher, created on demand; None if disabled."""
@@ -535,7 +538,7 @@
         if body.places:
             places = tuple(to_place(info, now) for info in body.places)
             self._feed(hosted, m.ImportPlaces(places))
-        self._record_streams(body.pool, body.streams)
+        self._record_streams(body.pool, body.streams, m.StreamOrigin.INSTANCE)
         for group in () if hosted.dispatcher.is_standby else body.streams:
             streams = dict.fromkeys(group.streams, group.version)
             hosted.new_streams |= streams
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from hibiscusstep.rollout.order import RolloutState
+from hibiscusstep.routing.stream_versions import StreamOrigin
 
 __all__ = [
     "AdoptRunning",
@@ -81,18 +82,6 @@
     NO_VERSION = "no-version"
 
 
-class StreamOrigin(enum.StrEnum):
-    """How the version that began a continued stream is known.
-
-    `RESPONSE`: the same response began there. `RECORDED`: its grant was recorded.
-    `ONLY_VERSION`: no other version can have begun it.
-    """
-
-    RESPONSE = "response"
-    RECORDED = "recorded"
-    ONLY_VERSION = "only-version"
-
-
 @dataclass(frozen=True, slots=True)
 class Work:
     """A request as its dispatcher knows it; times are seconds on its clock.
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -750,9 +750,8 @@
             return m.StreamOrigin.RESPONSE
         if not work.resumes:
             return None
-        if self.stream_versions.find(work.resumes, now) is not None:
-            return m.StreamOrigin.RECORDED
-        return m.StreamOrigin.ONLY_VERSION
+        known = self.stream_versions.origin_of(work.resumes, now)
+        return known or m.StreamOrigin.ONLY_VERSION
 
     def _may_continue(self, version: str) -> bool:
         """Return whether a target may continue the streams of a version."""
@@ -993,7 +992,8 @@
             self._memory.record_grant(work, self._ranks_before_memory(now))
         self.counts.granted += 1
         self._partition.record_grant(target)
-        self.stream_versions.record(work.stream, target.version, now)
+        origin = m.StreamOrigin.GRANT
+        self.stream_versions.record(work.stream, target.version, now, origin)
         self._rank_floor.record_grant(work.rank, now)
         costs = self._selector.candidate_costs(work, free, now)
         target.count_grant(now)
