--- /dev/null
+++ b/tests/test_out_of_step.py
@@ -0,0 +1,156 @@
+"""Guards against streams joined by an instance that missed messages of the others.
+
+An instance was paused, or cut off from the others, while targets of a new version
+joined. Streams that began there through other instances were resumed at it, and went on
+at another version.
+"""
+
+import asyncio
+
+import pytest
+from test_forwarding import BOUND_S
+from test_stream_versions import (
+    PAUSED_AFTER,
+    POOL,
+    VersionSite,
+    _event_of,
+    _events_after,
+)
+
+from hibiscusstep.peer import Beat, Heartbeat, PoolAsk
+
+
+class Receiver:
+    """Holds the messages that an instance receives from its peers.
+
+    Heartbeats are delivered, so that it does not notice that it misses messages.
+    """
+
+    def __init__(self, instance, *, holds_heartbeats=False):
+        self._links = instance._links
+        self._deliver = self._links._deliver
+        self._heartbeats = () if holds_heartbeats else (Heartbeat, Beat)
+        self.held = []
+        self._links._deliver = self._receive
+
+    def _receive(self, received):
+        message = getattr(received, "message", None)
+        if isinstance(message, self._heartbeats):
+            self._deliver(received)
+        else:
+            self.held.append(received)
+
+    def release(self, kind):
+        """Deliver the held messages of a kind; the others are lost."""
+        self._links._deliver = self._deliver
+        for received in self.held:
+            if isinstance(getattr(received, "message", None), kind):
+                self._deliver(received)
+
+
+class OutOfStepSite(VersionSite):
+    """A region in which an instance does not learn that a version was replaced."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        # All versions serve, as where operators order no rollouts.
+        self.bounds = {}
+
+    async def replace_version(self, *, number, holds_heartbeats=False):
+        """Replace v1 by v2 for all instances but one; return its receiver.
+
+        The targets of v1 run on, as those do whose entries expired.
+        """
+        paused = self.instances[number]
+        receiver = Receiver(paused, holds_heartbeats=holds_heartbeats)
+        paused.stop_following_store()
+        await self.add_target(self.target("new0", "v2"))
+        self.store.remove("servers", "old0")
+        others = [i for i in self.instances if i is not paused]
+        await self.until(
+            lambda: all(
+                [t.version for t in i.targets.values()] == ["v2"]
+                and "v2" in i._rollouts.version_table[POOL].begun.stored.versions
+                for i in others
+            )
+        )
+        assert [t.version for t in paused.targets.values()] == ["v1"]
+        return receiver
+
+    async def begin_elsewhere(self, instance):
+        """Begin a stream at v2 through another instance."""
+        status, _fields, body = await self.begin(instance=instance)
+        assert status == 200
+        assert body.startswith(_event_of("v2", 0))
+
+    async def resume(self, instance, request="resumed"):
+        fields = {"Last-Event-Id": str(PAUSED_AFTER), "Resumes": "begun"}
+        return await self.begin(request, instance, **fields)
+
+    def resumed_versions(self):
+        return [version for version, after in self.sent if after]
+
+
+@pytest.fixture
+async def site(tmp_path, monkeypatch):
+    site = OutOfStepSite(tmp_path, monkeypatch)
+    yield site
+    await site.stop()
+
+
+class TestOutdatedRequest:
+    """Guards against a grant of an outdated request that counts as a stream's start.
+
+    The pool's dispatcher was paused, and granted requests of before the pause whose
+    streams had begun at another version, through other dispatchers.
+    """
+
+    async def test_its_grant_is_no_record_of_the_stream(self, site):
+        await site.start_pool(old=1, new=0, instances=3)
+        number = await site.dispatcher()
+        other = (number + 1) % 3
+        receiver = await site.replace_version(number=number)
+        await site.begin_elsewhere(other)
+        assert any(isinstance(r.message, PoolAsk) for r in receiver.held)
+        site.released.set()
+        receiver.release(PoolAsk)
+        # The dispatcher reads its messages in order.
+        status, *_ = await site.resume(number)
+        assert status == 503
+        assert site.resumed_versions() == []
+
+
+class TestOutdatedVersions:
+    """Guards against an outdated version that is taken for the only one.
+
+    The only version that an instance knows of may not be the only one that began
+    streams since.
+    """
+
+    @pytest.mark.parametrize("store", ["answers", "refuses"])
+    async def test_a_stream_of_a_later_version_does_not_go_on(self, site, store):
+        await site.start_pool(old=1, new=0, instances=3)
+        number = await site.dispatcher()
+        await site.replace_version(number=number, holds_heartbeats=True)
+        others = [n for n in range(3) if n != number]
+        async with asyncio.timeout(BOUND_S):
+            while (await site.begin(instance=others[0]))[0] != 200:
+                await asyncio.sleep(0.05)
+        site.released.set()
+        if store == "refuses":
+            site.store.refused.add("hibiscusstep-versions")
+        status, *_ = await site.resume(number)
+        assert status == 503
+        assert site.resumed_versions() == []
+
+    async def test_a_stream_goes_on_when_the_store_refuses_for_a_sound_instance(
+        self, site
+    ):
+        """Guards against streams that are lost whenever the store is slow."""
+        await site.start_pool(old=1, new=0, instances=3)
+        await site.dispatcher()
+        site.released.set()
+        site.store.refused.add("hibiscusstep-versions")
+        status, _fields, body = await site.resume(0)
+        assert status == 200
+        assert body == b"".join(_event_of("v1", n) for n in _events_after(PAUSED_AFTER))
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -709,6 +709,17 @@
         dispatcher.handle(m.RequestGrant(begun), 0.0)
         assert _grants(dispatcher.handle(self._resuming("b"), 0.0)) == {"b": "old"}
 
+    def test_are_refused_if_their_grant_has_brought_no_event(self):
+        """Guards against an outdated request's grant that counts as a stream's start.
+
+        Its instance has a target from another dispatcher, and returns the grant later.
+        """
+        dispatcher = self._dispatcher()
+        outdated = replace(_work("a"), stream=7)
+        assert _grants(dispatcher.handle(m.RequestGrant(outdated), 0.0))
+        (refusal,) = dispatcher.handle(self._resuming("b"), 0.0)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
     def test_are_refused_if_several_versions_may_have_begun_them(self):
         (refusal,) = self._dispatcher().handle(self._resuming("a"), 0.0)
         assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
