Record the version of a stream with its first event, not with its grant

Callers got streams joined of two versions (ORDER): the pool's dispatcher was paused, and granted requests of before the pause, read only now, targets of the old version. Their instances had long had targets of the new version from another dispatcher, and the streams had begun there. The grants, which nobody used, were recorded as the streams' versions and went before the records in the store; the resumed streams went on at the old version, origin 'grant'.

A grant is an intention. Now the instance that receives the first event tells the dispatcher stream and version with it (PoolFirstToken), and only that is recorded, stored and sent to successors. It counts also at an instance that does not dispatch the pool. An older build does not tell; its streams are unknown after a change of dispatcher or while several versions may have begun them, and are refused then.

Two tests took a grant for the begin of a stream and record the stream itself now; those on sending and storing report a first event, with the same checks.

--- a/hibiscusstep/dispatch_client.py
+++ b/hibiscusstep/dispatch_client.py
@@ -74,6 +74,7 @@
     grant_request: GrantRequest
     received_at: float
     target: str = ""
+    version: str | None = None
     asked_at: float = 0.0
 
 
@@ -173,8 +174,8 @@
         match message:
             case Call(body=GrantRequest()):
                 self._request_grant(message)
-            case FirstTokenReceived(pool=pool, ask=ask, seconds=seconds, pace=pace):
-                self._send(pool, PoolFirstToken(pool, ask, seconds, pace))
+            case FirstTokenReceived() as received:
+                self._send_first_token(received)
             case RequestEnded():
                 self._send_finished(message)
             case Received(sender=sender, message=PoolGrant() as grant):
@@ -260,6 +261,20 @@
         ]
         return PoolHeld(pool, self._own_name, list(running), hanging)
 
+    def _send_first_token(self, received: FirstTokenReceived) -> None:
+        """Report a first token and the version of the stream that began with it."""
+        state = self._pool_state(received.pool)
+        tracked = state.running.get(received.ask)
+        message = PoolFirstToken(
+            received.pool, received.ask, received.seconds, received.pace
+        )
+        if tracked and tracked.version is not None:
+            message.stream = tracked.grant_request.work.stream
+            message.version = tracked.version
+            now = asyncio.get_running_loop().time()
+            state.streams.record(message.stream, message.version, now)
+        self._send(received.pool, message)
+
     def _send_finished(self, ended: RequestEnded) -> None:
         if self._pool_state(ended.pool).running.pop(ended.ask, None):
             self._send(
@@ -291,12 +306,8 @@
             return
         if grant.used_place:
             self._keep_used_place(state, tracked)
-        tracked.target = grant.target
+        tracked.target, tracked.version = grant.target, grant.version
         state.running[grant.ask] = tracked
-        if grant.version is not None:
-            stream = tracked.grant_request.work.stream
-            now = asyncio.get_running_loop().time()
-            state.streams.record(stream, grant.version, now)
         tracked.call.reply(Granted(grant.ask, grant.target, grant.version))
 
     def _handle_refusal(self, refusal: PoolRefuse) -> None:
--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -455,6 +455,17 @@
             for stream in group.streams:
                 self._stream_versions[pool].record(stream, group.version, now, origin)
 
+    def _record_begun(self, pool: str, groups: list[StreamGroup]) -> None:
+        """Record streams that began through an instance, to be sent and stored."""
+        self._record_streams(pool, groups, m.StreamOrigin.INSTANCE)
+        if pool not in self._hosted:
+            return
+        hosted = self._hosted[pool]
+        for group in groups:
+            streams = dict.fromkeys(filter(None, group.streams), group.version)
+            hosted.new_streams |= streams
+            hosted.unsaved_streams |= streams
+
     def _restore_streams(self, pool: str, groups: list[StreamGroup]) -> None:
         """Record streams of the store; those that are known began again since."""
         now = asyncio.get_running_loop().time()
@@ -490,6 +501,8 @@
 
     def _handle_pool_message(self, sender: str, body) -> None:
         pool = body.pool
+        if isinstance(body, PoolFirstToken) and body.version is not None:
+            self._record_begun(pool, [StreamGroup(body.version, [body.stream])])
         hosted = self._hosted.get(pool)
         if hosted is None and sender == self._address:
             hosted = self._standby_dispatcher(pool)
@@ -538,11 +551,7 @@
         if body.places:
             places = tuple(to_place(info, now) for info in body.places)
             self._feed(hosted, m.ImportPlaces(places))
-        self._record_streams(body.pool, body.streams, m.StreamOrigin.INSTANCE)
-        for group in () if hosted.dispatcher.is_standby else body.streams:
-            streams = dict.fromkeys(group.streams, group.version)
-            hosted.new_streams |= streams
-            hosted.unsaved_streams |= streams
+        self._record_begun(body.pool, body.streams)
         for info, target in zip(body.running, body.targets, strict=True):
             self._feed(hosted, m.AdoptRunning(to_work(info, now), target))
         if hosted is self._standby_hosted.get(body.pool):
@@ -682,10 +691,6 @@
                 fields |= _memory_field(action)
                 fields |= _stream_field(action)
                 decision("grant", **fields, target=target, candidates=candidates)
-                is_standby = hosted.dispatcher.is_standby
-                if work.stream and action.version is not None and not is_standby:
-                    hosted.new_streams[work.stream] = action.version
-                    hosted.unsaved_streams[work.stream] = action.version
                 waited = now - work.received_at
                 grant = PoolGrant(
                     pool, work.ask, target, waited, action.used_place, action.version
--- a/hibiscusstep/hibiscusstep.thrift
+++ b/hibiscusstep/hibiscusstep.thrift
@@ -21,7 +21,10 @@
 struct Beat { 1: string incarnation, 2: i64 version }
 struct PoolAsk { 1: string pool, 2: WorkInfo work }
 struct PoolWithdraw { 1: string pool, 2: string ask }
-struct PoolFirstToken { 1: string pool, 2: string ask, 3: double seconds, 4: double pace }
+struct PoolFirstToken {
+  1: string pool, 2: string ask, 3: double seconds, 4: double pace,
+  5: i64 stream, 6: string version
+}
 struct PoolFinished {
   1: string pool, 2: string ask, 3: string outcome, 4: i32 tokens,
   5: double decode_seconds, 6: i32 computed, 7: double longest_pause,
--- a/hibiscusstep/peer.py
+++ b/hibiscusstep/peer.py
@@ -158,13 +158,17 @@
 class PoolFirstToken:
     """Reports that the first token arrived `seconds` after the dispatch.
 
-    `pace` is as in ``FirstToken``.
+    `pace` is as in ``FirstToken``. `stream` is the hash of the stream that began, 0 if
+    none did or its instance runs an older build; `version` the software version of its
+    target, None if the pool's targets have none.
     """
 
     pool: str
     ask: str
     seconds: float
     pace: float = 0.0
+    stream: int = 0
+    version: str | None = None
 
 
 @dataclass(slots=True)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -992,8 +992,6 @@
             self._memory.record_grant(work, self._ranks_before_memory(now))
         self.counts.granted += 1
         self._partition.record_grant(target)
-        origin = m.StreamOrigin.GRANT
-        self.stream_versions.record(work.stream, target.version, now, origin)
         self._rank_floor.record_grant(work.rank, now)
         costs = self._selector.candidate_costs(work, free, now)
         target.count_grant(now)
--- a/hibiscusstep/routing/stream_versions.py
+++ b/hibiscusstep/routing/stream_versions.py
@@ -17,14 +17,13 @@
     """How the version that began a continued stream is known.
 
     `RESPONSE`: the same response began there. `ONLY_VERSION`: no other version can have
-    begun it. The others tell the source of its record: `GRANT`, a grant of this
-    instance's dispatchers; `INSTANCE`, the list of an instance that registered;
-    `DISPATCHER`, the pool's dispatcher on another instance; `STORE`.
+    begun it. The others tell the source of its record: `INSTANCE`, the instance that
+    received its first event; `DISPATCHER`, the pool's dispatcher on another instance;
+    `STORE`.
     """
 
     RESPONSE = "response"
     ONLY_VERSION = "only-version"
-    GRANT = "grant"
     INSTANCE = "instance"
     DISPATCHER = "dispatcher"
     STORE = "store"
@@ -53,6 +52,9 @@
 class StreamVersions:
     """Software versions of the targets that the recent streams of a pool began at.
 
+    A stream begins with its first event. A grant is no record of it: its request may be
+    an outdated one, which the instance has had granted by another dispatcher since.
+
     Streams are identified by hashes. The entries are kept in two generations, so that
     no time has to be kept for each of them: an entry is dropped between one and three
     lifetimes after it was recorded or found.
--- a/hibiscusstep/schema.py
+++ b/hibiscusstep/schema.py
@@ -74,6 +74,8 @@
         (2, "string", "ask"),
         (3, "double", "seconds"),
         (4, "double", "pace"),
+        (5, "i64", "stream"),
+        (6, "string", "version"),
     ),
     "PoolFinished": (
         (1, "string", "pool"),
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -8,6 +8,7 @@
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.dispatcher_host import (
     KEEPALIVES_PER_S,
+    RECOVERY_TIMEOUT_S,
     STANDBY_LIMIT_SHARES,
     DispatcherHost,
 )
@@ -18,6 +19,7 @@
     NotDispatcher,
     PoolAsk,
     PoolFinished,
+    PoolFirstToken,
     PoolGrant,
     PoolInquire,
     PoolQueued,
@@ -309,8 +311,8 @@
         }  # fmt: skip
         return ViewChanged(View(members))
 
-    async def _grant_stream(self, **receives):
-        """Let the pool's dispatcher grant a stream; return what it sends after it."""
+    async def _begin_stream(self, **receives):
+        """Begin a stream at the pool's dispatcher; return what it sends after it."""
         view = self._view(**receives)
         own = view.view.dispatcher_of(POOL)
         links = _Links()
@@ -331,12 +333,14 @@
             stream=self.STREAM,
         )  # fmt: skip
         await worker.handle(Received(f"{own}:1", PoolAsk(POOL, info)))
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        await worker.handle(Received(f"{own}:1", begun))
         await worker.handle(Tick())
         sent = [(a, m) for a, m in links.sent if isinstance(m, PoolStreams)]
         return own, sent
 
     async def test_are_sent_to_the_successors(self):
-        own, sent = await self._grant_stream(a=True, b=True, c=True, d=True)
+        own, sent = await self._begin_stream(a=True, b=True, c=True, d=True)
         expected = PoolStreams(POOL, [StreamGroup("v1", [self.STREAM])])
         assert len({address for address, _message in sent}) == 2
         assert all(message == expected for _address, message in sent)
@@ -344,7 +348,7 @@
 
     async def test_are_not_sent_to_older_builds(self):
         """Guards against links that an older build closes at an unknown message."""
-        _own, sent = await self._grant_stream(a=False, b=False, c=False)
+        _own, sent = await self._begin_stream(a=False, b=False, c=False)
         assert sent == []
 
     async def test_of_a_standby_dispatcher_are_not_sent(self):
@@ -368,9 +372,39 @@
             stream=self.STREAM,
         )  # fmt: skip
         await worker.handle(Received(f"{own}:1", PoolAsk(POOL, info)))
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        await worker.handle(Received(f"{own}:1", begun))
         await worker.handle(Tick())
         assert not any(isinstance(message, PoolStreams) for _, message in links.sent)
 
+    async def test_are_not_recorded_by_a_grant(self):
+        """Guards against a grant of an outdated request that replaces the record."""
+        worker, kept = await self._recording_worker()
+        kept.clear()
+        info = WorkInfo(
+            "a", "a", "x", "c", "0", 0, 9, 9, 9.0, 0.0, False, [], [],
+            stream=self.STREAM,
+        )  # fmt: skip
+        register = PoolRegister(POOL, "x", "x-1", [], [], [])
+        await worker.handle(Received("x:1", register))
+        await asyncio.sleep(RECOVERY_TIMEOUT_S)
+        await worker.handle(Tick())
+        await worker.handle(Received("x:1", PoolAsk(POOL, info)))
+        assert worker._hosted[POOL].dispatcher.counts.granted == 1
+        await worker.handle(Tick())
+        assert kept == []
+        await worker.handle(PoolStreams(POOL, [StreamGroup("v2", [self.STREAM])]))
+        known = worker._stream_versions[POOL].by_version()
+        assert known == {"v2": [self.STREAM]}
+
+    async def test_of_which_the_first_event_came_are_stored(self):
+        worker, kept = await self._recording_worker()
+        kept.clear()
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        await worker.handle(Received("x:1", begun))
+        await worker.handle(Tick())
+        assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]})]
+
     async def test_read_from_the_store_are_older_than_those_recorded_here(self):
         """Guards against a stream that began again and counts as of its first version.
 
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -17,6 +17,7 @@
     _events_after,
 )
 
+from hibiscusstep.forwarding.catalog import SetFollowing
 from hibiscusstep.peer import Beat, Heartbeat, PoolAsk
 
 
@@ -29,23 +30,23 @@
     def __init__(self, instance, *, holds_heartbeats=False):
         self._links = instance._links
         self._deliver = self._links._deliver
-        self._heartbeats = () if holds_heartbeats else (Heartbeat, Beat)
+        self._delivered = () if holds_heartbeats else (Heartbeat, Beat)
         self.held = []
         self._links._deliver = self._receive
 
     def _receive(self, received):
         message = getattr(received, "message", None)
-        if isinstance(message, self._heartbeats):
+        if isinstance(message, self._delivered):
             self._deliver(received)
         else:
             self.held.append(received)
 
-    def release(self, kind):
+    def deliver_held(self, kind):
         """Deliver the held messages of a kind; the others are lost."""
-        self._links._deliver = self._deliver
-        for received in self.held:
-            if isinstance(getattr(received, "message", None), kind):
-                self._deliver(received)
+        held = [r for r in self.held if isinstance(getattr(r, "message", None), kind)]
+        assert held
+        for received in held:
+            self._deliver(received)
 
 
 class OutOfStepSite(VersionSite):
@@ -83,6 +84,19 @@
         assert status == 200
         assert body.startswith(_event_of("v2", 0))
 
+    async def serve_both_versions(self, number):
+        """Register the target of v1 again; let an instance follow the store again."""
+        self.store.put("servers", "old0", self.targets[0].entry(POOL))
+        instance = self.instances[number]
+        instance._catalog.tell(SetFollowing(True))
+        await self.until(
+            lambda: {t.version for t in instance.targets.values()} == {"v1", "v2"}
+        )
+
+    def granted(self, number):
+        """Return how many requests an instance has granted a target."""
+        return self.instances[number]._dispatcher_host.status(POOL)["counts"]["granted"]
+
     async def resume(self, instance, request="resumed"):
         fields = {"Last-Event-Id": str(PAUSED_AFTER), "Resumes": "begun"}
         return await self.begin(request, instance, **fields)
@@ -111,10 +125,10 @@
         other = (number + 1) % 3
         receiver = await site.replace_version(number=number)
         await site.begin_elsewhere(other)
-        assert any(isinstance(r.message, PoolAsk) for r in receiver.held)
+        receiver.deliver_held(PoolAsk)
+        await site.until(lambda: site.granted(number))
+        await site.serve_both_versions(number)
         site.released.set()
-        receiver.release(PoolAsk)
-        # The dispatcher reads its messages in order.
         status, *_ = await site.resume(number)
         assert status == 503
         assert site.resumed_versions() == []
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -703,10 +703,9 @@
     def _resuming(self, ask, **fields):
         return m.RequestGrant(replace(_work(ask, **fields), resumes=7))
 
-    def test_run_at_the_version_of_the_grant_that_began_them(self):
+    def test_run_at_the_version_that_brought_their_first_event(self):
         dispatcher = self._dispatcher()
-        begun = replace(_work("a"), stream=7, bound_version="v1")
-        dispatcher.handle(m.RequestGrant(begun), 0.0)
+        dispatcher.stream_versions.record(7, "v1", 0.0)
         assert _grants(dispatcher.handle(self._resuming("b"), 0.0)) == {"b": "old"}
 
     def test_are_refused_if_their_grant_has_brought_no_event(self):
@@ -770,8 +769,7 @@
         A target that does not tell its start keeps its name when it starts again.
         """
         dispatcher = self._dispatcher()
-        begun = replace(_work("a"), stream=7, bound_version="v1")
-        dispatcher.handle(m.RequestGrant(begun), 0.0)
+        dispatcher.stream_versions.record(7, "v1", 0.0)
         pool = self._plan().pools["p"]
         targets = {**pool.targets, "old": PlannedTarget(4, version="v2")}
         plan = DispatchPlan({"p": replace(pool, targets=targets)})
