Confirm that a version is the only one before an unknown stream goes on

A stream that no record knows goes on at the only version that can have begun it. What an instance knew of versions had no age: after a pause, or while it was cut off from the others, it took the one version it had heard of for the only one, while the others had long stored a second one and let it begin streams. Shown by a test in one event loop, not in a play of real processes: there the list of targets was read before the resumed requests.

A version is in the store before it begins its first stream. So a read of the pool's object that began after the request was received shows all versions that can have begun its stream, whatever was missed before; the request waits for one, and one read serves all that came before it. If the store does not answer within 0.1 s, it is enough that all neighbours have been heard since, and that nothing was missed since the last read: no pause, no instance that is not heard. Otherwise the request is refused after 0.6 s.

Both cases of the test failed before (store answers, store refuses) and pass, as does a stream at a sound instance while the store refuses. A read is made only for an unknown stream, at most 20 a second for each pool and instance.

The unit tests of streams at the only version confirm it first; new ones hold that they wait, go on, or are refused without a confirmation.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
@@ -27,6 +28,7 @@
 )
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Call, Tick, Worker
+from hibiscusstep.membership.continuity import Continuity
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import View
 from hibiscusstep.peer import (
@@ -53,7 +55,11 @@
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.return_plan import Attempt, PlaceCounts
-from hibiscusstep.routing.stream_versions import SaveStreams, StreamVersions
+from hibiscusstep.routing.stream_versions import (
+    SaveStreams,
+    StreamVersions,
+    VersionsConfirmed,
+)
 from hibiscusstep.store import StoreRestored
 from hibiscusstep.target import get_client_class
 
@@ -70,6 +76,11 @@
 STREAMS_INTERVAL_S = 0.25
 # Instances that receive these messages: one of them takes over unless all end at once.
 SUCCESSORS = 2
+# If the store has not confirmed by then which versions began streams, the messages of
+# the other instances count.
+CONFIRM_TIMEOUT_S = 0.1
+# Time that a message to this instance may take.
+MESSAGE_DELAY_S = 0.1
 # A new dispatcher decides after this time even if not every instance has registered:
 # a paused instance must not delay the others.
 RECOVERY_TIMEOUT_S = 0.3
@@ -133,6 +144,11 @@
         Called with the progress and the end of rollouts of new versions.
     keep_streams : callable of SaveStreams or None
         Receives the streams that are to be known after a restart of all instances.
+    confirm_versions : callable of str or None
+        Called with a pool to read which versions began its streams; the answer is
+        `VersionsConfirmed`.
+    heard_at : callable or None
+        Returns the time by which each neighbour was heard again.
     """
 
     def __init__(
@@ -150,6 +166,8 @@
         keep_estimates: Callable[[PoolLearnt], None] | None = None,
         on_rollout: Callable[[RolloutUpdate], None] | None = None,
         keep_streams: Callable[[SaveStreams], None] | None = None,
+        confirm_versions: Callable[[str], None] | None = None,
+        heard_at: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         super().__init__("dispatching", tick_interval=TICK_S)
         self._make_dispatcher = dispatcher_class
@@ -159,6 +177,12 @@
         self._keep_estimates = keep_estimates
         self._on_rollout = on_rollout
         self._keep_streams = keep_streams
+        self._confirm_versions = confirm_versions
+        self._heard_at = heard_at
+        self._continuity = Continuity()
+        # When the last read of the versions began, by pool and of all pools.
+        self._versions_read_at: dict[str, float] = {}
+        self._all_versions_read_at = -math.inf
         self._estimates: dict[str, m.LearnedEstimates] = {}
         self._own_name = name
         self._address = address
@@ -190,6 +214,7 @@
 
     async def handle(self, message) -> None:
         """Handle a message of a request, a load report, a view or a configuration."""
+        self._continuity.record_activity(_now())
         match message:
             case Received(sender=sender, message=StatusAsk(number=number, pool=pool)):
                 reply = StatusReply(number, orjson.dumps(self.status(pool)).decode())
@@ -204,6 +229,8 @@
                 self._restore_streams(pool, streams)
             case Received(message=PoolStreams(pool=pool, streams=streams)):
                 self._record_streams(pool, streams, m.StreamOrigin.DISPATCHER)
+            case VersionsConfirmed() as confirmed:
+                self._handle_confirmed(confirmed)
             case StoreRestored():
                 for hosted in self._hosted.values():
                     hosted.saves_streams = False
@@ -298,6 +325,7 @@
             self._drop_unreachable_instances(hosted, now)
             self._feed(hosted, m.TimePassed())
             self._send_keepalives(hosted, now)
+            self._confirm_by_messages(hosted, now)
             if not hosted.dispatcher.is_standby:
                 self._save_streams(hosted, now)
                 self._send_streams(hosted, now)
@@ -476,6 +504,46 @@
                     origin = m.StreamOrigin.STORE
                     versions.record(stream, group.version, now, origin)
 
+    def _handle_confirmed(self, confirmed: VersionsConfirmed) -> None:
+        """Let requests go on that resume streams of the only version known."""
+        if confirmed.pools is None:
+            self._all_versions_read_at = confirmed.at
+        else:
+            self._versions_read_at |= dict.fromkeys(confirmed.pools, confirmed.at)
+        for hosted in (*self._hosted.values(), *self._standby_hosted.values()):
+            pool = hosted.dispatcher.pool_name
+            if confirmed.pools is None or pool in confirmed.pools:
+                hosted.unconfirmed_since = None
+                self._feed(hosted, m.OriginsConfirmed(confirmed.at))
+
+    def _request_confirmation(self, hosted: HostedDispatcher, now: float) -> None:
+        if hosted.unconfirmed_since is None:
+            hosted.unconfirmed_since = now
+        if self._confirm_versions:
+            self._confirm_versions(hosted.dispatcher.pool_name)
+
+    def _confirm_by_messages(self, hosted: HostedDispatcher, now: float) -> None:
+        """Confirm the versions without the store, if no message can have been missed.
+
+        Each neighbour tells a version before it lets it begin streams, and is heard
+        again with its next heartbeat. Without this, a slow store would end the streams
+        of an instance that hears all others.
+        """
+        since = hosted.unconfirmed_since
+        if since is None or now < since + CONFIRM_TIMEOUT_S:
+            return
+        pool = hosted.dispatcher.pool_name
+        read_at = self._versions_read_at.get(pool, -math.inf)
+        read_at = max(read_at, self._all_versions_read_at)
+        is_current = self._continuity.is_current(read_at, now)
+        if hosted.confirms_by_messages is not is_current:
+            hosted.confirms_by_messages = is_current
+            age = round(now - read_at, 2) if read_at > -math.inf else None
+            decision("versions-unconfirmed", pool=pool, current=is_current, age=age)
+        if is_current:
+            heard_at = min(self._heard_at(), now)
+            self._feed(hosted, m.OriginsConfirmed(heard_at - MESSAGE_DELAY_S))
+
     def _standby_dispatcher(self, pool: str) -> HostedDispatcher | None:
         """Return the pool's standby dispatcher, created on demand; None if disabled."""
         if not self._has_standby or self._configuration is None:
@@ -585,6 +653,7 @@
         removed = previous.keys() - view.members.keys()
         self._update_hosted()
         now = asyncio.get_running_loop().time()
+        self._continuity.apply_view(view, now)
         for pool, hosted in self._hosted.items():
             hosted.dispatcher.set_limit_share(_limit_share(view), now)
             # In a large region a relay missing from the view may have become a follower
@@ -669,6 +738,9 @@
         if isinstance(action, m.QueryGrants):
             self._send_inquiry(hosted, action.instance)
             return
+        if isinstance(action, m.ConfirmOrigins):
+            self._request_confirmation(hosted, now)
+            return
         if isinstance(action, m.ConcludeRollout):
             self._report_rollout(hosted, now, action)
             return
@@ -722,6 +794,10 @@
             self._links.tell(Send(address, message))
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _by_version(streams: dict[int, str]) -> dict[str, list[int]]:
     """Return streams by version."""
     groups = defaultdict(list)
--- a/hibiscusstep/forwarding/begun_versions_sync.py
+++ b/hibiscusstep/forwarding/begun_versions_sync.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.begun_versions_sync: stores which versions began streams."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 SUBSTITUTES = 3
 # Mean seconds between the writes of instances that start together and notice the same.
 STAGGER_S = 0.002
+# Shortest interval between two reads that confirm a pool's versions.
+CONFIRM_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +36,14 @@
         The versions by pool.
     are_all : bool
         Whether the store has none of other pools.
+    began : float
+        When the read or the write began, on the event loop's clock. What any instance
+        had stored by then is known.
     """
 
     versions: dict[str, StoredVersions]
     are_all: bool = False
+    began: float = -math.inf
 
 
 class BegunVersionsSync:
@@ -70,6 +77,9 @@
         self._on_stored = on_stored
         self._read_task: asyncio.Task | None = None
         self._write_tasks: dict[str, asyncio.Task] = {}
+        self._confirm_tasks: dict[str, asyncio.Task] = {}
+        # Pools of which another read is needed after the present one.
+        self._unconfirmed: set[str] = set()
         # Pools whose object was found missing; it is created, not replaced.
         self._missing: set[str] = set()
 
@@ -79,10 +89,21 @@
 
     def stop(self) -> None:
         """Cancel all tasks."""
-        for task in (self._read_task, *self._write_tasks.values()):
+        tasks = (*self._write_tasks.values(), *self._confirm_tasks.values())
+        for task in (self._read_task, *tasks):
             if task:
                 task.cancel()
 
+    def confirm(self, pool: str) -> None:
+        """Read a pool's versions again: another instance may have stored further ones.
+
+        One read serves all requests that were received before it.
+        """
+        self._unconfirmed.add(pool)
+        task = self._confirm_tasks.get(pool)
+        if task is None or task.done():
+            self._confirm_tasks[pool] = asyncio.create_task(self._confirm(pool))
+
     def update(self, view: View, now: float) -> None:
         """Start the writes that are due.
 
@@ -113,11 +134,25 @@
         substitutes = rendezvous_hash(view.eligible, f"begun {pool}", SUBSTITUTES)
         return DISPATCHER_FIRST_S + stagger if self._own_name in substitutes else None
 
+    async def _confirm(self, pool: str) -> None:
+        while pool in self._unconfirmed:
+            self._unconfirmed.discard(pool)
+            began = _now()
+            reply = await self._store.read_versions(pool)
+            if reply.is_err():
+                error = str(reply.unwrap_err())
+                decision("stream-versions-not-read", pool=pool, error=error)
+            else:
+                self._on_stored(VersionsStored(reply.unwrap(), began=began))
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+
     async def _read_all(self) -> None:
         while True:
+            began = _now()
             reply = await self._store.read_versions()
             if reply.is_ok():
-                self._on_stored(VersionsStored(reply.unwrap(), are_all=True))
+                found = reply.unwrap()
+                self._on_stored(VersionsStored(found, are_all=True, began=began))
                 return
             decision("stream-versions-not-read", error=str(reply.unwrap_err()))
             await asyncio.sleep(RETRY_S * (0.5 + random.random()))
@@ -129,10 +164,11 @@
         if versions is None:
             return
         revision = 0 if pool in self._missing else begun.stored.revision
+        began = _now()
         written = await self._store.write_versions(pool, versions, revision)
         if written.is_ok():
             self._missing.discard(pool)
-            self._on_stored(VersionsStored({pool: written.unwrap()}))
+            self._on_stored(VersionsStored({pool: written.unwrap()}, began=began))
             return
         error = written.unwrap_err()
         decision("stream-versions-not-written", pool=pool, error=str(error))
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -42,7 +42,11 @@
 from hibiscusstep.forwarding.quarantine_routes import add_quarantine_routes
 from hibiscusstep.forwarding.quota import CustomersChanged, QuotaLimiter
 from hibiscusstep.forwarding.rollout_routes import add_rollout_routes
-from hibiscusstep.forwarding.rollouts import RolloutCoordinator, TargetsChanged
+from hibiscusstep.forwarding.rollouts import (
+    ConfirmVersions,
+    RolloutCoordinator,
+    TargetsChanged,
+)
 from hibiscusstep.forwarding.saved_streams import SavedStreamsWorker
 from hibiscusstep.forwarding.saved_usage import SavedUsageWorker
 from hibiscusstep.forwarding.serving import serve
@@ -337,6 +341,7 @@
             self._environment.rollout_store,
             self._environment.stream_store,
             self._publish_plan,
+            lambda confirmed: self._dispatcher_host.tell(confirmed),
             self._started_at,
             is_first_start=settings.is_first_start,
             orders_rollouts=bounds.orders_rollouts,
@@ -359,6 +364,8 @@
             else None,
             on_rollout=self._rollouts.tell,
             keep_streams=self._saved_streams.tell,
+            confirm_versions=lambda pool: self._rollouts.tell(ConfirmVersions(pool)),
+            heard_at=lambda: self._membership.heard_at,
         )
         self._dispatch_client = DispatchClient(
             name,
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -30,6 +30,7 @@
 from hibiscusstep.peer import Received, RolloutRecord, RolloutRecords, RolloutWrite
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.rollout.rollout_update import RolloutUpdate
+from hibiscusstep.routing.stream_versions import VersionsConfirmed
 from hibiscusstep.store import (
     RevisionExpired,
     RolloutStore,
@@ -37,7 +38,7 @@
     StreamStore,
 )
 
-__all__ = ["RolloutCoordinator", "TargetsChanged"]
+__all__ = ["ConfirmVersions", "RolloutCoordinator", "TargetsChanged"]
 
 TICK_S = 0.25
 # Number of instances, in addition to the pools' dispatchers, that watch the store.
@@ -72,6 +73,13 @@
     is_complete: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmVersions:
+    """Request to read from the store which versions began the streams of a pool."""
+
+    pool: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Listed:
     orders: dict[str, RolloutOrder]
@@ -120,6 +128,8 @@
         Store of the versions that began streams.
     on_change : callable
         Called when a pool's versions or order have changed.
+    on_confirmed : callable of VersionsConfirmed
+        Called after it when the versions that began streams were read.
     started_at : float
         When this instance started, on the event loop's clock.
     is_first_start : bool
@@ -141,6 +151,7 @@
         store: RolloutStore,
         stream_store: StreamStore,
         on_change: Callable[[], None],
+        on_confirmed: Callable[[VersionsConfirmed], None],
         started_at: float,
         *,
         is_first_start: bool,
@@ -150,6 +161,7 @@
         self._own_name = name
         self._store = store
         self._on_change = on_change
+        self._on_confirmed = on_confirmed
         self._view = View(role_known=False)
         self._neighbours = Neighbours(address, links)
         self._follow_task: asyncio.Task | None = None
@@ -259,6 +271,8 @@
                 self._handle_failed_write(pool, conflict)
             case _SavedRead(pool=pool, document=document):
                 self._restore_saved(pool, document, now)
+            case ConfirmVersions(pool=pool):
+                self._begun_sync.confirm(pool)
             case VersionsStored() as stored:
                 self._apply_stored_versions(stored, now)
             case StoreRestored():
@@ -288,8 +302,12 @@
             self._publish(changed, now)
             for pool in changed:
                 self._write_status(pool)
-        else:
+        elif stored.are_all:
             self._on_change()
+        is_first_read = stored.are_all and self._is_first_start
+        pools = frozenset(p for p, v in stored.versions.items() if v.is_complete)
+        confirmed = None if is_first_read else pools
+        self._on_confirmed(VersionsConfirmed(stored.began, confirmed))
 
     # Orders of the store.
 
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -33,7 +33,10 @@
     of the rollout's progress. `poller` reads the targets' load reports. `new_streams`
     are the versions of the streams since `streams_sent_at`, when those before were sent
     to the incarnations `streams_sent_to`. `saves_streams` is whether they are stored
-    too, and `unsaved_streams` are those since the last tick. `created_at` is
+    too, and `unsaved_streams` are those since the last tick. `unconfirmed_since` is
+    since when a request waits for it to be confirmed which versions began streams, None
+    if none does, and `confirms_by_messages` whether other instances' messages did last
+    when the store was silent. `created_at` is
     when the dispatcher was created, 0 for a standby dispatcher. Times are in seconds on
     the loop's clock.
     """
@@ -49,6 +52,8 @@
     streams_sent_at: float = 0.0
     streams_sent_to: frozenset[str] = frozenset()
     saves_streams: bool = False
+    unconfirmed_since: float | None = None
+    confirms_by_messages: bool | None = None
     created_at: float = 0.0
     state_logged_at: float = 0.0
     keepalives_sent_at: float = 0.0
--- a/hibiscusstep/membership/hierarchical.py
+++ b/hibiscusstep/membership/hierarchical.py
@@ -97,6 +97,13 @@
         """Whether this instance is a relay rather than a follower."""
         return self._own.relay
 
+    @property
+    def heard_at(self) -> float:
+        """Time by which each neighbour was heard again; a follower hears its parent."""
+        if not self._own.relay:
+            return self._parent_message_at
+        return min(self._tracker.heard_at, self._follower_tracker.heard_at)
+
     async def handle(self, message) -> None:
         """Handle `MeshMembership` messages and lists of relays from the parent."""
         now = asyncio.get_running_loop().time()
--- a/hibiscusstep/membership/mesh.py
+++ b/hibiscusstep/membership/mesh.py
@@ -95,6 +95,15 @@
         self._tick_count = 0
         self._view = View()
 
+    @property
+    def heard_at(self) -> float:
+        """Time by which each neighbour was heard again, on the event loop's clock.
+
+        Infinite if there are none. What they sent before is known, but for messages
+        that were lost with a connection.
+        """
+        return self._tracker.heard_at
+
     async def start(self) -> None:
         """Start the task that reads the platform's list."""
         self._list_reader = asyncio.create_task(self._poll_list())
--- a/hibiscusstep/membership/tracker.py
+++ b/hibiscusstep/membership/tracker.py
@@ -13,8 +13,11 @@
 
 @dataclass(slots=True)
 class _TrackedMember:
+    """A member, the start of its timeout, and the time of its last message."""
+
     member: Member
     at: float
+    heard_at: float
 
 
 class HeartbeatTracker:
@@ -64,7 +67,9 @@
         """
         if beat.instance == self._name or self._is_ignored(beat.incarnation, now):
             return False
-        self._tracked[beat.instance] = _TrackedMember(Member.from_heartbeat(beat), now)
+        self._tracked[beat.instance] = _TrackedMember(
+            Member.from_heartbeat(beat), now, now
+        )
         self._name_by_incarnation[beat.incarnation] = beat.instance
         self._unreachable_since.pop(beat.instance, None)
         return True
@@ -95,7 +100,7 @@
             return self._is_ignored(incarnation, now) or self._is_superseded(
                 incarnation, tracked, now
             )
-        tracked.at = now
+        tracked.at = tracked.heard_at = now
         if version > tracked.member.version:
             tracked.member = replace(tracked.member, version=version)
         return True
@@ -146,6 +151,11 @@
             if now - since > UNREACHABLE_LIFETIME_S:
                 del self._unreachable_since[name]
 
+    @property
+    def heard_at(self) -> float:
+        """Time by which each member was heard again; infinite if there are none."""
+        return min((t.heard_at for t in self._tracked.values()), default=math.inf)
+
     @property
     def members(self) -> dict[str, Member]:
         """The live members by name, without this instance."""
--- a/hibiscusstep/routing/messages.py
+++ b/hibiscusstep/routing/messages.py
@@ -223,6 +223,19 @@
     in_path: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class OriginsConfirmed:
+    """No version but the plan's `stream_origins` began a stream before a time.
+
+    Parameters
+    ----------
+    at : float
+        The time, on the dispatcher's clock.
+    """
+
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class HeldGrants:
     """All grants that an instance holds; others counted for it are lost.
@@ -450,6 +463,15 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmOrigins:
+    """A request waits until `OriginsConfirmed` is received for the time of its receipt.
+
+    It resumes a stream that is not known, and a single version is known to have begun
+    streams.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ConcludeRollout:
     """The rollout of a version to the pool has ended.
@@ -472,4 +494,6 @@
     reason: str
 
 
-Decision = Grant | Refuse | Stop | QueryGrants | GrantLost | ConcludeRollout
+Decision = (
+    Grant | Refuse | Stop | QueryGrants | GrantLost | ConfirmOrigins | ConcludeRollout
+)
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -69,6 +69,9 @@
 FREE_SHARE_WITHOUT_REFUSALS = 0.5
 # Retry-After of a refused request that continues a stream.
 CONTINUATION_RETRY_AFTER_S = 0.5
+# Time that a request waits until it is confirmed that a single version began streams:
+# longer than between two heartbeats, if the store does not answer.
+CONFIRMATION_WAIT_S = 0.6
 # Maximum Retry-After while no version may serve; it takes 2 s to find one.
 NO_VERSION_RETRY_AFTER_S = 2.0
 # A host counts as slow above this multiple of the usual time.
@@ -148,6 +151,7 @@
         # work for all targets.
         self._continuations: dict[str, m.Work] = {}
         self._stream_origins: frozenset[str] = frozenset()
+        self._origins_confirmed_at = -math.inf
         # None where customers do not share the ranks.
         self._shares: FairShares | None = None
         self._refused_requests = RefusedRequests()
@@ -190,6 +194,7 @@
             m.LoadReport: self._load_report,
             m.AdoptRunning: self._adopt,
             m.ImportPlaces: self._import_places,
+            m.OriginsConfirmed: self._confirm_origins,
             m.Recovered: self._recover,
             m.InstanceGone: self._instance_gone,
             m.Configure: self._reconfigure,
@@ -706,11 +711,14 @@
         told at once. A standby dispatcher lets it wait, since the pool's dispatcher may
         know its version, or may grant it a target of a version in its rollout.
         """
+        is_confirmation_needed = False
         for work in list(self._continuations.values()):
             version = self._bound_version(work, now)
             may_refuse = not self.is_standby or now >= work.deadline
             if version is None:
-                if may_refuse:
+                if self._waits_for_confirmation(work, now):
+                    is_confirmation_needed = True
+                elif may_refuse:
                     unknown = m.RefusalReason.VERSION_UNKNOWN
                     self._refuse_continuation(work, unknown)
             elif not self._may_continue(version):
@@ -720,6 +728,17 @@
                 self._grant(work, target, [target], now)
             elif now >= work.deadline:
                 self._refuse_continuation(work, m.RefusalReason.LOAD)
+        if is_confirmation_needed:
+            self._decisions.append(m.ConfirmOrigins())
+
+    def _confirm_origins(self, message: m.OriginsConfirmed, now: float) -> None:
+        self._origins_confirmed_at = max(self._origins_confirmed_at, message.at)
+
+    def _waits_for_confirmation(self, work: m.Work, now: float) -> bool:
+        """Return whether it may become known that one version began a stream."""
+        if len(self._stream_origins) != 1:
+            return False
+        return now < max(work.deadline, work.received_at + CONFIRMATION_WAIT_S)
 
     def _is_continuation(self, work: m.Work, now: float) -> bool:
         """Return whether a request continues a stream, apart from the queue.
@@ -732,16 +751,23 @@
             return False
         version = self._bound_version(work, now)
         if version is None:
-            return self.may_mix_versions(now)
+            return bool(self._stream_origins)
         return bool(work.resumes) or not self._partition.serves_only(version)
 
     def _bound_version(self, work: m.Work, now: float) -> str | None:
-        """Return the version that began a request's stream; None if not known."""
+        """Return the version that began a request's stream; None if not known.
+
+        The only version that is known to have begun streams began it if no other one
+        did before the request was received: another instance may have let a further
+        version serve of which this one has not heard.
+        """
         if work.bound_version is not None:
             return work.bound_version
         version = self.stream_versions.find(work.resumes, now)
-        if version is None and work.resumes and len(self._stream_origins) == 1:
-            (version,) = self._stream_origins
+        is_confirmed = self._origins_confirmed_at >= work.received_at
+        if version is None and work.resumes and is_confirmed:
+            if len(self._stream_origins) == 1:
+                (version,) = self._stream_origins
         return version
 
     def _stream_origin(self, work: m.Work, now: float) -> m.StreamOrigin | None:
--- a/hibiscusstep/routing/stream_versions.py
+++ b/hibiscusstep/routing/stream_versions.py
@@ -5,7 +5,13 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-__all__ = ["STREAM_LIFETIME_S", "SaveStreams", "StreamOrigin", "StreamVersions"]
+__all__ = [
+    "STREAM_LIFETIME_S",
+    "SaveStreams",
+    "StreamOrigin",
+    "StreamVersions",
+    "VersionsConfirmed",
+]
 
 # Callers resume a stream within its deadline; routes allow less than this.
 STREAM_LIFETIME_S = 30.0
@@ -49,6 +55,22 @@
     is_first: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class VersionsConfirmed:
+    """It is known which versions began streams before a time.
+
+    Parameters
+    ----------
+    at : float
+        The time, on the event loop's clock.
+    pools : frozenset of str or None
+        The pools of which it is known; None for all.
+    """
+
+    at: float
+    pools: frozenset[str] | None = None
+
+
 class StreamVersions:
     """Software versions of the targets that the recent streams of a pool began at.
 
--- a/tests/test_begun_versions_sync.py
+++ b/tests/test_begun_versions_sync.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.begun_versions_sync."""
 
 import asyncio
+import math
 
 import pytest
 from result import Err, Ok
@@ -62,8 +63,10 @@
         self.table = PoolVersionTable(self.now())
         self.sync = BegunVersionsSync("a", store, self.table, self._apply)
         self.begun = self.table[POOL].begun
+        self.read_at = -math.inf
 
     def _apply(self, stored):
+        self.read_at = stored.began
         for pool, item in stored.versions.items():
             self.table[pool].begun.apply_stored(item, self.now())
 
@@ -105,6 +108,33 @@
         assert store.stored[POOL].versions == {"v0", "v1", "v2"}
         instance.sync.stop()
 
+    async def test_a_confirmation_reads_what_was_stored_before_it(self):
+        """Guards against a version that another instance stored unheard."""
+        store = _Store("v1")
+        instance = _Instance(store)
+        instance.sync.start()
+        await instance.run("v1", until=lambda: instance.begun.stored.versions)
+        store.put("v1", "v2")
+        asked_at = instance.now()
+        instance.sync.confirm(POOL)
+        await instance.run("v1", until=lambda: instance.read_at >= asked_at)
+        assert instance.begun.origins(instance.now()) == {"v1", "v2"}
+        instance.sync.stop()
+
+    async def test_confirmations_during_a_read_share_the_next_one(self):
+        """Guards against a call for each request, and one that began too early."""
+        store = _Store("v1")
+        instance = _Instance(store)
+        instance.sync.confirm(POOL)
+        await instance.run("v1", until=lambda: instance.read_at > -math.inf)
+        for _ in range(100):
+            instance.sync.confirm(POOL)
+        asked_at = instance.now()
+        reads = store.calls.count("read")
+        await instance.run("v1", until=lambda: instance.read_at >= asked_at)
+        assert store.calls.count("read") == reads + 1
+        instance.sync.stop()
+
     async def test_a_removed_object_is_created_again(self):
         store = _Store("v1")
         instance = _Instance(store)
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+import math
 
 import pytest
 
+from hibiscusstep import dispatcher_host as dispatcher_host_module
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.dispatcher_host import (
     KEEPALIVES_PER_S,
@@ -13,6 +15,7 @@
     DispatcherHost,
 )
 from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership.continuity import MAX_AGE_S
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import (
@@ -31,7 +34,7 @@
 )
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
 from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
-from hibiscusstep.routing.stream_versions import SaveStreams
+from hibiscusstep.routing.stream_versions import SaveStreams, VersionsConfirmed
 from hibiscusstep.store import StoreRestored
 
 POOL = "p"
@@ -295,6 +298,79 @@
         assert granted["share"] == refused["share"] == 1.0
 
 
+class TestConfirmedVersions:
+    """Guards against an outdated version that is taken for the only one of streams."""
+
+    async def _waiting(self, monkeypatch, *, read, heard_at=math.inf, view=None):
+        """Let a request resume an unknown stream while the store is silent.
+
+        Return whether it is granted a target.
+        """
+        monkeypatch.setattr(dispatcher_host_module, "CONFIRM_TIMEOUT_S", 0.0)
+        monkeypatch.setattr(dispatcher_host_module, "MESSAGE_DELAY_S", 0.0)
+        links, asked = _Links(), []
+        worker = DispatcherHost(
+            "d", "d:1", links, lambda _message: None, None,
+            dispatcher_class=SlotDispatcher, polls_load=False,
+            confirm_versions=asked.append, heard_at=lambda: heard_at,
+        )  # fmt: skip
+        now = asyncio.get_running_loop().time()
+        await worker.handle(_view(d="d-1", e="e-1"))
+        if view:
+            await worker.handle(ViewChanged(dataclasses.replace(worker._view, **view)))
+        if read:
+            at = now - MAX_AGE_S - 1
+            await worker.handle(VersionsConfirmed(at, frozenset({POOL})))
+        targets = {"t": PlannedTarget(4, version="v1")}
+        pool = PlannedPool(True, targets=targets, stream_origins=frozenset({"v1"}))
+        await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
+        for name in "de":
+            register = PoolRegister(POOL, name, f"{name}-1", [], [], [])
+            await worker.handle(Received(f"{name}:1", register))
+        info = WorkInfo(
+            "a", "a", "e", "c", "0", 0, 9, 9, 9.0, 0.0, False, [], [], resumes=7
+        )
+        await worker.handle(Received("e:1", PoolAsk(POOL, info)))
+        assert asked == [POOL]
+        assert not self._granted(links)
+        await worker.handle(Tick())
+        return worker, links
+
+    def _granted(self, links):
+        return any(isinstance(message, PoolGrant) for _address, message in links.sent)
+
+    async def test_a_read_that_began_before_the_request_is_not_enough(
+        self, monkeypatch
+    ):
+        worker, links = await self._waiting(monkeypatch, read=False)
+        earlier = worker._hosted[POOL].unconfirmed_since - 0.1
+        await worker.handle(VersionsConfirmed(earlier, frozenset({POOL})))
+        assert not self._granted(links)
+        later = asyncio.get_running_loop().time()
+        await worker.handle(VersionsConfirmed(later, frozenset({"another"})))
+        assert not self._granted(links)
+        await worker.handle(VersionsConfirmed(later, frozenset({POOL})))
+        assert self._granted(links)
+
+    async def test_all_others_that_are_heard_later_confirm_it(self, monkeypatch):
+        _worker, links = await self._waiting(monkeypatch, read=True)
+        assert self._granted(links)
+
+    async def test_others_that_were_heard_before_do_not(self, monkeypatch):
+        now = asyncio.get_running_loop().time()
+        _worker, links = await self._waiting(monkeypatch, read=True, heard_at=now)
+        assert not self._granted(links)
+
+    async def test_others_do_not_if_the_versions_were_never_read(self, monkeypatch):
+        _worker, links = await self._waiting(monkeypatch, read=False)
+        assert not self._granted(links)
+
+    async def test_others_do_not_while_one_is_not_heard(self, monkeypatch):
+        view = {"unreachable": 1}
+        _worker, links = await self._waiting(monkeypatch, read=True, view=view)
+        assert not self._granted(links)
+
+
 class TestStreams:
     """Versions of streams are sent to the instances that may take a pool over."""
 
--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -10,7 +10,7 @@
 from hibiscusstep.rollout.controller import PlannedRollout
 from hibiscusstep.routing import messages as m
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool, PlannedTarget
-from hibiscusstep.routing.slot_dispatcher import SlotDispatcher
+from hibiscusstep.routing.slot_dispatcher import CONFIRMATION_WAIT_S, SlotDispatcher
 from hibiscusstep.routing.slot_target import Run, SlotTarget
 from hibiscusstep.routing.switches import ALL_ENABLED, Switches
 
@@ -695,9 +695,10 @@
         )
         return DispatchPlan({"p": pool})
 
-    def _dispatcher(self, *, origins=("v1", "v2"), **options):
+    def _dispatcher(self, *, origins=("v1", "v2"), confirmed_at=1.0, **options):
         dispatcher = SlotDispatcher("p", self._plan(origins), **options)
         dispatcher.handle(m.Recovered(), 0.0)
+        dispatcher.handle(m.OriginsConfirmed(confirmed_at), 0.0)
         return dispatcher
 
     def _resuming(self, ask, **fields):
@@ -727,6 +728,34 @@
         dispatcher = self._dispatcher(origins=["v2"])
         assert _grants(dispatcher.handle(self._resuming("a"), 1.0)) == {"a": "new"}
 
+    @pytest.mark.parametrize("standby_instance", ["", "i"])
+    def test_wait_until_the_only_version_is_confirmed(self, standby_instance):
+        """Guards against a version that others let serve and that is not known yet."""
+        dispatcher = self._dispatcher(
+            origins=["v2"], confirmed_at=0.9, standby_instance=standby_instance
+        )
+        resuming = self._resuming("a", received=1.0)
+        assert dispatcher.handle(resuming, 1.0) == [m.ConfirmOrigins()]
+        earlier = m.OriginsConfirmed(0.99)
+        assert dispatcher.handle(earlier, 1.01) == [m.ConfirmOrigins()]
+        later = m.OriginsConfirmed(1.0)
+        assert _grants(dispatcher.handle(later, 1.02)) == {"a": "new"}
+
+    def test_are_refused_if_a_later_version_is_confirmed(self):
+        dispatcher = self._dispatcher(origins=["v2"], confirmed_at=0.9)
+        dispatcher.handle(self._resuming("a", received=1.0), 1.0)
+        (refusal,) = dispatcher.handle(m.Configure(self._plan()), 1.1)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
+    @pytest.mark.parametrize("deadline", [1.2, 2.5])
+    def test_are_refused_without_a_confirmation(self, deadline):
+        dispatcher = self._dispatcher(origins=["v2"], confirmed_at=0.9)
+        dispatcher.handle(self._resuming("a", received=1.0, deadline=deadline), 1.0)
+        end = max(deadline, 1.0 + CONFIRMATION_WAIT_S)
+        assert dispatcher.handle(m.TimePassed(), end - 0.1) == [m.ConfirmOrigins()]
+        (refusal,) = dispatcher.handle(m.TimePassed(), end)
+        assert refusal.reason is m.RefusalReason.VERSION_UNKNOWN
+
     def test_run_at_a_version_that_no_longer_serves_if_only_it_began_them(self):
         dispatcher = self._dispatcher(origins=["v1"])
         assert _grants(dispatcher.handle(self._resuming("a"), 1.0)) == {"a": "old"}
