Discard what was confirmed before a pause of the dispatcher

A resumed stream could go on at another version than its own (ORDER): the time at which a request was received is told as the seconds that it has waited, and the dispatcher subtracts them from its own clock. That clock stands still while the machine is suspended. A request that waited at another instance meanwhile, and registered again, seemed to be older than the dispatcher's last read of before the suspension, which then confirmed that a version was the only one.

The test failed before in both cases (the read ended before the suspension, or after it) and passes; test_dispatcher_host, test_continuity and test_slot_dispatcher pass.

After a pause only reads that began after it count: from then on differences of the clock are those of the other instances.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -183,6 +183,8 @@
         # When the last read of the versions began, by pool and of all pools.
         self._versions_read_at: dict[str, float] = {}
         self._all_versions_read_at = -math.inf
+        # End of the last pause; reads that began before it confirm nothing.
+        self._paused_until = -math.inf
         self._estimates: dict[str, m.LearnedEstimates] = {}
         self._own_name = name
         self._address = address
@@ -214,7 +216,8 @@
 
     async def handle(self, message) -> None:
         """Handle a message of a request, a load report, a view or a configuration."""
-        self._continuity.record_activity(_now())
+        if self._continuity.record_activity(now := _now()):
+            self._discard_confirmations(now)
         match message:
             case Received(sender=sender, message=StatusAsk(number=number, pool=pool)):
                 reply = StatusReply(number, orjson.dumps(self.status(pool)).decode())
@@ -510,12 +513,24 @@
             self._all_versions_read_at = confirmed.at
         else:
             self._versions_read_at |= dict.fromkeys(confirmed.pools, confirmed.at)
+        if confirmed.at <= self._paused_until:
+            return
         for hosted in (*self._hosted.values(), *self._standby_hosted.values()):
             pool = hosted.dispatcher.pool_name
             if confirmed.pools is None or pool in confirmed.pools:
                 hosted.unconfirmed_since = None
                 self._feed(hosted, m.OriginsConfirmed(confirmed.at))
 
+    def _discard_confirmations(self, now: float) -> None:
+        """Discard what was confirmed before a pause of this instance.
+
+        The clock stands still while the machine is suspended: a request that waited
+        elsewhere meanwhile would seem to have been received before the last read.
+        """
+        self._paused_until = now
+        for hosted in (*self._hosted.values(), *self._standby_hosted.values()):
+            hosted.dispatcher.discard_confirmation()
+
     def _request_confirmation(self, hosted: HostedDispatcher, now: float) -> None:
         if hosted.unconfirmed_since is None:
             hosted.unconfirmed_since = now
--- a/hibiscusstep/membership/continuity.py
+++ b/hibiscusstep/membership/continuity.py
@@ -28,11 +28,19 @@
         self._is_isolated = False
         self._active_at = elapsed()
 
-    def record_activity(self, now: float) -> None:
-        """Record that the process runs; called at each event of a task."""
+    def record_activity(self, now: float) -> bool:
+        """Record that the process runs; called at each event of a task.
+
+        Returns
+        -------
+        bool
+            Whether it was paused before.
+        """
         before, self._active_at = self._active_at, elapsed()
-        if self._active_at > before + PAUSE_S:
+        was_paused = self._active_at > before + PAUSE_S
+        if was_paused:
             self._missed_until = now
+        return was_paused
 
     def apply_view(self, view: View, now: float) -> None:
         """Apply a view of the instances."""
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -135,6 +135,9 @@
         """Whether streams of several software versions may be resumed."""
         return False
 
+    def discard_confirmation(self) -> None:  # noqa: B027
+        """Discard which versions were confirmed to have begun streams."""
+
     def instances_waiting(self) -> set[str]:
         """Return the instances whose waiting requests need a keep-alive message."""
         return set()
--- a/hibiscusstep/routing/slot_dispatcher.py
+++ b/hibiscusstep/routing/slot_dispatcher.py
@@ -256,6 +256,10 @@
         """Whether streams of several software versions may be resumed."""
         return len(self._stream_origins) > 1
 
+    def discard_confirmation(self) -> None:
+        """Discard which versions were confirmed to have begun streams."""
+        self._origins_confirmed_at = -math.inf
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant."""
         if share == self._limit_share:
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -15,6 +15,7 @@
     DispatcherHost,
 )
 from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership import continuity
 from hibiscusstep.membership.continuity import MAX_AGE_S
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
@@ -365,6 +366,37 @@
         _worker, links = await self._waiting(monkeypatch, read=False)
         assert not self._granted(links)
 
+    @pytest.mark.parametrize("ends", ["before", "after"])
+    async def test_a_read_that_began_before_a_suspension_is_not_enough(
+        self, monkeypatch, ends
+    ):
+        """Guards against a request that seems to be older than the last read.
+
+        The event loop's clock stands still while the machine is suspended, and the
+        request waited elsewhere meanwhile.
+        """
+        worker, links = await self._waiting(monkeypatch, read=False)
+        at = worker._hosted[POOL].unconfirmed_since
+        read = VersionsConfirmed(at, frozenset({POOL}))
+        if ends == "before":
+            await worker.handle(read)
+        links.sent.clear()
+        await asyncio.sleep(0.01)
+        awake_at = continuity.elapsed() + 6.0
+        monkeypatch.setattr(continuity, "elapsed", lambda: awake_at)
+        info = WorkInfo(
+            "b", "b", "e", "c", "0", 0, 9, 9, 9.0, 3.0, False, [], [], resumes=8
+        )
+        register = PoolRegister(POOL, "e", "e-1", [info], [], [])
+        await worker.handle(Received("e:1", register))
+        if ends == "after":
+            await worker.handle(read)
+        assert not self._granted(links)
+        await asyncio.sleep(0.01)
+        later = asyncio.get_running_loop().time()
+        await worker.handle(VersionsConfirmed(later, frozenset({POOL})))
+        assert self._granted(links)
+
     async def test_others_do_not_while_one_is_not_heard(self, monkeypatch):
         view = {"unreachable": 1}
         _worker, links = await self._waiting(monkeypatch, read=True, view=view)
