Failing test: a stream of a version that serves unrecorded is joined

If no recorded version has a target and the store refuses the record of the new one, it serves after a second without it. An instance that missed that reads the old record, complete as it seems, takes its version for the only one, and goes on with a stream of the new version at its own.

--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -57,7 +57,9 @@
         # All versions serve, as where operators order no rollouts.
         self.bounds = {}
 
-    async def replace_version(self, *, number, holds_heartbeats=False):
+    async def replace_version(
+        self, *, number, holds_heartbeats=False, is_recorded=True
+    ):
         """Replace v1 by v2 for all instances but one; return its receiver.
 
         The targets of v1 run on, as those do whose entries expired.
@@ -71,13 +73,27 @@
         await self.until(
             lambda: all(
                 [t.version for t in i.targets.values()] == ["v2"]
-                and "v2" in i._rollouts.version_table[POOL].begun.stored.versions
+                and (
+                    not is_recorded
+                    or "v2" in i._rollouts.version_table[POOL].begun.stored.versions
+                )
                 for i in others
             )
         )
         assert [t.version for t in paused.targets.values()] == ["v1"]
         return receiver
 
+    def refuse_version_writes(self):
+        """Let the store refuse the records of versions; reads are answered."""
+        is_refused = self.store._is_refused
+        kind = "hibiscusstep-versions"
+
+        def refuses(request):
+            is_write = request.method != "GET" and request.match_info["kind"] == kind
+            return is_refused(request) or is_write
+
+        self.store._is_refused = refuses
+
     async def begin_elsewhere(self, instance):
         """Begin a stream at v2 through another instance."""
         status, _fields, body = await self.begin(instance=instance)
@@ -168,3 +184,26 @@
         status, _fields, body = await site.resume(0)
         assert status == 200
         assert body == b"".join(_event_of("v1", n) for n in _events_after(PAUSED_AFTER))
+
+    async def test_a_stream_of_a_version_that_is_not_recorded_does_not_go_on(
+        self, site
+    ):
+        """Guards against a record that is taken for complete.
+
+        A version serves unrecorded after a second if no other one has a target and the
+        store does not take its record.
+        """
+        await site.start_pool(old=1, new=0, instances=3)
+        number = await site.dispatcher()
+        site.refuse_version_writes()
+        await site.replace_version(
+            number=number, holds_heartbeats=True, is_recorded=False
+        )
+        others = [n for n in range(3) if n != number]
+        async with asyncio.timeout(BOUND_S):
+            while (await site.begin(instance=others[0]))[0] != 200:
+                await asyncio.sleep(0.05)
+        site.released.set()
+        status, *_ = await site.resume(number)
+        assert status == 503
+        assert site.resumed_versions() == []
