--- a/tests/test_dispatch_client.py
+++ b/tests/test_dispatch_client.py
@@ -1,10 +1,11 @@
 """hibiscusstep.dispatch_client: which dispatcher gets a request; messages to it."""
 
 import asyncio
+import dataclasses
 
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.dispatch_client import DispatchClient
-from hibiscusstep.grant_messages import GrantRequest
+from hibiscusstep.grant_messages import FirstTokenReceived, GrantRequest
 from hibiscusstep.mailbox import Call, Tick
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
@@ -17,6 +18,7 @@
     PoolRegister,
     PoolWithdraw,
     Received,
+    StreamGroup,
     WorkInfo,
 )
 from hibiscusstep.routing.dispatch_plan import DispatchPlan, PlannedPool
@@ -64,8 +66,10 @@
             ConfigurationInForce(1, b"", DispatchPlan({"p": PlannedPool(True)}))
         )
 
-    async def ask(self):
-        call = Call(_grant_request())
+    async def ask(self, **fields):
+        grant_request = _grant_request()
+        work = dataclasses.replace(grant_request.work, **fields)
+        call = Call(dataclasses.replace(grant_request, work=work))
         await self.client.handle(call)
         return call
 
@@ -117,6 +121,30 @@
         assert register.targets == ["t1"]
 
 
+class TestStreams:
+    """Guards against a grant that is handed over as the start of a stream."""
+
+    async def _registered(self, *, has_event):
+        """Return the streams that a new dispatcher is told after a grant."""
+        fixture = _Fixture()
+        await fixture.start(n0=False, n1=True)
+        await fixture.ask(stream=7)
+        (_address, asked), *_ = fixture.links.sent[1:]
+        grant = PoolGrant("p", asked.work.ask, "t1", 0.0, version="v1")
+        await fixture.client.handle(Received("n1:1", grant))
+        if has_event:
+            await fixture.client.handle(FirstTokenReceived("p", grant.ask, 0.1))
+        await fixture.client.handle(_view(n0=False, n2=True))
+        _address, register = fixture.links.sent[-1]
+        return register.streams
+
+    async def test_begin_with_their_first_event(self):
+        assert await self._registered(has_event=True) == [StreamGroup("v1", [7])]
+
+    async def test_do_not_begin_with_a_grant(self):
+        assert await self._registered(has_event=False) == []
+
+
 class TestInquiry:
     """A dispatcher frees the slots of requests missing from the reply to an inquiry."""
 
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -454,6 +454,19 @@
         assert all(message == expected for _address, message in sent)
         assert f"{own}:1" not in dict(sent)
 
+    async def test_are_sent_to_successors_that_know_the_earlier_ones(self):
+        """Guards against streams that only the ended dispatcher knew."""
+        worker, _kept = await self._recording_worker()
+        earlier = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        begun = PoolFirstToken(POOL, "b", 0.1, stream=self.STREAM + 1, version="v2")
+        for message in (earlier, begun):
+            worker._links.sent.clear()
+            await worker.handle(Received("x:1", message))
+            worker._hosted[POOL].streams_sent_at = -math.inf
+            await worker.handle(Tick())
+        ((_address, sent),) = worker._links.sent
+        assert sent == PoolStreams(POOL, [StreamGroup("v2", [self.STREAM + 1])])
+
     async def test_are_not_sent_to_older_builds(self):
         """Guards against links that an older build closes at an unknown message."""
         _own, sent = await self._begin_stream(a=False, b=False, c=False)
@@ -513,6 +526,16 @@
         await worker.handle(Tick())
         assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]})]
 
+    async def test_that_another_dispatcher_was_to_be_told_are_known(self):
+        """Guards against streams that are unknown after a change of dispatcher."""
+        worker, _kept = await self._recording_worker()
+        await worker.handle(self._view(e=True))
+        assert POOL not in worker._hosted
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        await worker.handle(Received("x:1", begun))
+        known = worker._stream_versions[POOL].by_version()
+        assert known == {"v1": [self.STREAM]}
+
     async def test_read_from_the_store_are_older_than_those_recorded_here(self):
         """Guards against a stream that began again and counts as of its first version.
 
