Test by when relays, followers and members were heard again

The time had no test of its own. Planted faults that the tests now find: a relay leaves out its followers, a follower is always current, restarted timeouts count as messages. The relay of another class becomes a fixture of the module; its tests are unchanged.

--- a/tests/test_hierarchical.py
+++ b/tests/test_hierarchical.py
@@ -144,6 +144,68 @@
     return count
 
 
+@pytest.fixture
+async def relay():
+    settings = InstanceSettings(
+        "n0", "z", "r", "", "", OWN_ADDRESS, "", (), 0.25, 1.2, 100, MESH_SIZE
+    )
+    links = _Links()
+    relay = HierarchicalMembership(
+        settings, "inc0", links, _Directory(), lambda _view: None, 100, MESH_SIZE
+    )
+    relay.sent = links.sent
+    await relay.start()
+    await asyncio.sleep(0.01)
+    await relay.handle(Tick())
+    await _receive(relay, _heartbeat(1, RELAY_ADDRESS, True))
+    beat = _heartbeat(2, FOLLOWER_ADDRESS, False, parent=OWN_ADDRESS)
+    await _receive(relay, beat)
+    assert relay.is_relay
+    yield relay
+    await relay.stop()
+
+
+def _receive(instance, beat):
+    return instance.handle(Received(beat.peer_address, beat))
+
+
+class TestHeardAt:
+    """Guards against messages of others that are taken for received in a pause."""
+
+    async def test_a_relay_hears_relays_and_its_followers(self, relay):
+        beats = (
+            _heartbeat(1, RELAY_ADDRESS, True),
+            _heartbeat(2, FOLLOWER_ADDRESS, False, parent=OWN_ADDRESS),
+        )
+        for beat in beats:
+            before = relay.heard_at
+            await asyncio.sleep(0.01)
+            await _receive(relay, beat)
+            assert relay.heard_at > before
+
+    async def test_a_follower_hears_its_parent(self):
+        settings = InstanceSettings(
+            "n2", "z", "r", "", "", FOLLOWER_ADDRESS, "", (), 0.25, 1.2, 98, MESH_SIZE
+        )
+        follower = HierarchicalMembership(
+            settings, "inc2", _Links(), _Directory(), lambda _view: None, 98, MESH_SIZE
+        )
+        await follower.start()
+        await asyncio.sleep(0.01)
+        await follower.handle(Tick())
+        assert not follower.is_relay
+        parent, other = OWN_ADDRESS, RELAY_ADDRESS
+        if follower._view.parent == RELAY_ADDRESS:
+            parent, other = other, parent
+        before = follower.heard_at
+        await asyncio.sleep(0.01)
+        await _receive(follower, _heartbeat(0, other, True))
+        assert follower.heard_at == before
+        await _receive(follower, _heartbeat(1, parent, True))
+        assert follower.heard_at > before
+        await follower.stop()
+
+
 class TestRelayCost:
     """Heartbeats took half of a relay's processor time in a region of 89 instances.
 
@@ -158,33 +220,10 @@
     the region in which it was found.
     """
 
-    @pytest.fixture
-    async def relay(self):
-        settings = InstanceSettings(
-            "n0", "z", "r", "", "", OWN_ADDRESS, "", (), 0.25, 1.2, 100, MESH_SIZE
-        )
-        links = _Links()
-        relay = HierarchicalMembership(
-            settings, "inc0", links, _Directory(), lambda _view: None, 100, MESH_SIZE
-        )
-        relay.sent = links.sent
-        await relay.start()
-        await asyncio.sleep(0.01)
-        await relay.handle(Tick())
-        await self._receive(relay, _heartbeat(1, RELAY_ADDRESS, True))
-        beat = _heartbeat(2, FOLLOWER_ADDRESS, False, parent=OWN_ADDRESS)
-        await self._receive(relay, beat)
-        assert relay.is_relay
-        yield relay
-        await relay.stop()
-
-    def _receive(self, relay, beat):
-        return relay.handle(Received(beat.peer_address, beat))
-
     async def test_the_cost_of_a_heartbeat_does_not_grow(self, relay):
         def heartbeat():
             beat = _heartbeat(2, FOLLOWER_ADDRESS, False, parent=OWN_ADDRESS)
-            return self._receive(relay, beat)
+            return _receive(relay, beat)
 
         early = [_count_calls(heartbeat()) for _ in range(50)]
         for _ in range(2000):
@@ -196,7 +235,7 @@
         for parent, gets_beats in ((OWN_ADDRESS, True), (RELAY_ADDRESS, False)):
             beat = _heartbeat(2, FOLLOWER_ADDRESS, False, parent=parent)
             beat.known = [OWN_ADDRESS, FOLLOWER_ADDRESS]
-            await self._receive(relay, beat)
+            await _receive(relay, beat)
             relay.sent.clear()
             for _ in range(8):
                 await relay.handle(Tick())
@@ -205,7 +244,7 @@
             assert (Beat in sent_kinds) == gets_beats
 
     async def test_an_instance_that_becomes_a_relay_gets_heartbeats(self, relay):
-        await self._receive(relay, _heartbeat(2, FOLLOWER_ADDRESS, True))
+        await _receive(relay, _heartbeat(2, FOLLOWER_ADDRESS, True))
         relay.sent.clear()
         await relay.handle(Tick())
         assert FOLLOWER_ADDRESS in {address for address, _kind in relay.sent}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 
 import pytest
 from cluster import Cluster, wait_until
@@ -33,6 +34,22 @@
         assert tracker.view(OWN, None).has_unreachable
         assert not tracker.view(OWN, {"own"}).has_unreachable
 
+    def test_all_members_are_heard_again_when_the_last_one_is(self):
+        """Guards against messages missed in a pause that count as received.
+
+        Restarted timeouts are no messages.
+        """
+        tracker = HeartbeatTracker("own", 3.0)
+        assert tracker.heard_at == math.inf
+        tracker.record_heartbeat(heartbeat(), 0.0)
+        tracker.record_heartbeat(heartbeat("y", "i2", "a:2"), 0.5)
+        tracker.record_beat("i2", 1, 1.0)
+        assert tracker.heard_at == 0.0
+        tracker.restart_timeouts(1.5)
+        assert tracker.heard_at == 0.0
+        tracker.record_beat("i1", 1, 2.0)
+        assert tracker.heard_at == 1.0
+
     def test_a_refused_connection_means_that_the_member_is_dead(self):
         tracker = HeartbeatTracker("own", 3.0)
         tracker.record_heartbeat(heartbeat(), 0.0)
