Test when and by what a pool's versions are confirmed

Planted faults that no test found: a call counts from its end instead of its beginning; streams without a hash are sent and stored.

--- a/tests/test_begun_versions_sync.py
+++ b/tests/test_begun_versions_sync.py
@@ -8,9 +8,14 @@
 
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound, PlatformUnavailable
 from hibiscusstep.forwarding import begun_versions_sync
-from hibiscusstep.forwarding.begun_versions_sync import BegunVersionsSync
+from hibiscusstep.forwarding.begun_versions_sync import (
+    BegunVersionsSync,
+    VersionsStored,
+)
 from hibiscusstep.forwarding.pool_versions import PoolVersionTable
+from hibiscusstep.forwarding.rollouts import RolloutCoordinator
 from hibiscusstep.membership.view import Member, View
+from hibiscusstep.routing.stream_versions import VersionsConfirmed
 from hibiscusstep.store import StoredVersions, StreamStore
 
 POOL = "p"
@@ -57,6 +62,29 @@
         raise NotImplementedError
 
 
+class _SlowStore(_Store):
+    """Answers a call once `answers` is set."""
+
+    def __init__(self, *versions):
+        super().__init__(*versions)
+        self.called = asyncio.Event()
+        self.answers = asyncio.Event()
+
+    async def read_versions(self, pool=None):
+        found = await super().read_versions(pool)
+        await self._wait()
+        return found
+
+    async def write_versions(self, pool, versions, revision):
+        written = await super().write_versions(pool, versions, revision)
+        await self._wait()
+        return written
+
+    async def _wait(self):
+        self.called.set()
+        await self.answers.wait()
+
+
 class _Instance:
     def __init__(self, store):
         self.now = asyncio.get_running_loop().time
@@ -135,6 +163,28 @@
         assert store.calls.count("read") == reads + 1
         instance.sync.stop()
 
+    @pytest.mark.parametrize("call", ["start", "confirm", "write"])
+    async def test_a_call_shows_what_was_stored_before_it_began(self, call):
+        """Guards against a version that another instance stored during a slow call."""
+        store = _SlowStore("v1")
+        instance = _Instance(store)
+        if call == "start":
+            instance.sync.start()
+        elif call == "confirm":
+            instance.sync.confirm(POOL)
+        else:
+            instance.begun.apply_stored(store.stored[POOL], instance.now())
+            instance.begun.update(["v1", "v2"], instance.now())
+            instance.sync.update(View(), instance.now())
+        async with asyncio.timeout(2):
+            await store.called.wait()
+        asked_at = instance.now()
+        await asyncio.sleep(0.01)
+        store.answers.set()
+        await instance.run("v1", until=lambda: instance.read_at > -math.inf)
+        assert instance.read_at <= asked_at
+        instance.sync.stop()
+
     async def test_a_removed_object_is_created_again(self):
         store = _Store("v1")
         instance = _Instance(store)
@@ -179,3 +229,40 @@
         )
         writers = self._count(view, names)
         assert 2 <= writers <= begun_versions_sync.SUBSTITUTES + 1
+
+
+class TestConfirmation:
+    """Guards against a version that is confirmed to be the only one by mistake."""
+
+    async def _events_after(self, *, is_first_start=False, **fields):
+        """Return the plans and confirmations that follow from a read of versions."""
+        events = []
+        coordinator = RolloutCoordinator(
+            "a", "a:1", None, None, _Store(),
+            lambda: events.append("plan"), events.append, 0.0,
+            is_first_start=is_first_start, orders_rollouts=False,
+        )  # fmt: skip
+        await coordinator.handle(VersionsStored(began=5.0, **fields))
+        await coordinator.stop()
+        return events
+
+    async def test_follows_the_plan_with_what_was_read(self):
+        stored = StoredVersions(frozenset({"v1", "v2"}), 2, is_complete=True)
+        events = await self._events_after(versions={POOL: stored})
+        assert events == ["plan", VersionsConfirmed(5.0, frozenset({POOL}))]
+
+    async def test_is_not_made_by_an_incomplete_record(self):
+        """A store restored from an older copy may lack a version."""
+        stored = StoredVersions(frozenset({"v1"}), 2, is_complete=False)
+        *_, confirmed = await self._events_after(versions={POOL: stored})
+        assert confirmed == VersionsConfirmed(5.0, frozenset())
+
+    @pytest.mark.parametrize("is_first_start", [False, True])
+    async def test_of_pools_without_a_record_is_made_at_the_first_start(
+        self, is_first_start
+    ):
+        *_, confirmed = await self._events_after(
+            versions={}, are_all=True, is_first_start=is_first_start
+        )
+        pools = None if is_first_start else frozenset()
+        assert confirmed == VersionsConfirmed(5.0, pools)
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -526,6 +526,14 @@
         await worker.handle(Tick())
         assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]})]
 
+    async def test_without_a_hash_are_not_stored(self):
+        worker, kept = await self._recording_worker()
+        kept.clear()
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=0, version="v1")
+        await worker.handle(Received("x:1", begun))
+        await worker.handle(Tick())
+        assert kept == []
+
     async def test_that_another_dispatcher_was_to_be_told_are_known(self):
         """Guards against streams that are unknown after a change of dispatcher."""
         worker, _kept = await self._recording_worker()
