Confirm the only version only if all stored ones are known here

A version that is learned from the store, but has no target here, expires here after 30 s, though it may serve through other instances on and on. The store still has it. It takes an instance whose list of targets is behind for 30 s while it reads the versions, so callers hardly met it; found by reading.

The test failed before and passes. Now a read that shows a version which has expired here confirms nothing; the pool's dispatcher removes it from the store once it has expired there too.

--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -305,7 +305,12 @@
         elif stored.are_all:
             self._on_change()
         is_first_read = stored.are_all and self._is_first_start
-        pools = frozenset(p for p, v in stored.versions.items() if v.is_complete)
+        # The store may have a version that has expired here and serves elsewhere.
+        pools = frozenset(
+            pool
+            for pool, item in stored.versions.items()
+            if item.is_complete and item.versions <= self.stream_origins(pool)
+        )
         confirmed = None if is_first_read else pools
         self._on_confirmed(VersionsConfirmed(stored.began, confirmed))
 
--- a/tests/test_begun_versions_sync.py
+++ b/tests/test_begun_versions_sync.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from hibiscusstep.errors import PlatformConflict, PlatformNotFound, PlatformUnavailable
-from hibiscusstep.forwarding import begun_versions_sync
+from hibiscusstep.forwarding import begun_versions, begun_versions_sync
 from hibiscusstep.forwarding.begun_versions_sync import (
     BegunVersionsSync,
     VersionsStored,
@@ -234,14 +234,19 @@
 class TestConfirmation:
     """Guards against a version that is confirmed to be the only one by mistake."""
 
-    async def _events_after(self, *, is_first_start=False, **fields):
-        """Return the plans and confirmations that follow from a read of versions."""
+    def _coordinator(self, *, is_first_start=False):
+        """Return a coordinator, and the list of its plans and confirmations."""
         events = []
         coordinator = RolloutCoordinator(
             "a", "a:1", None, None, _Store(),
             lambda: events.append("plan"), events.append, 0.0,
             is_first_start=is_first_start, orders_rollouts=False,
         )  # fmt: skip
+        return coordinator, events
+
+    async def _events_after(self, *, is_first_start=False, **fields):
+        """Return the plans and confirmations that follow from a read of versions."""
+        coordinator, events = self._coordinator(is_first_start=is_first_start)
         await coordinator.handle(VersionsStored(began=5.0, **fields))
         await coordinator.stop()
         return events
@@ -257,6 +262,19 @@
         *_, confirmed = await self._events_after(versions={POOL: stored})
         assert confirmed == VersionsConfirmed(5.0, frozenset())
 
+    async def test_is_not_made_if_a_stored_version_has_expired_here(self, monkeypatch):
+        """Guards against a version that serves elsewhere and has no target here."""
+        monkeypatch.setattr(begun_versions, "STREAM_LIFETIME_S", 0.0)
+        coordinator, events = self._coordinator()
+        stored = StoredVersions(frozenset({"v1", "v2"}), 2, is_complete=True)
+        for _ in range(2):
+            begun = coordinator.version_table[POOL].begun
+            begun.update({"v1"}, asyncio.get_running_loop().time())
+            await coordinator.handle(VersionsStored({POOL: stored}, began=5.0))
+        await coordinator.stop()
+        assert coordinator.stream_origins(POOL) == {"v1"}
+        assert events[-1] == VersionsConfirmed(5.0, frozenset())
+
     @pytest.mark.parametrize("is_first_start", [False, True])
     async def test_of_pools_without_a_record_is_made_at_the_first_start(
         self, is_first_start
