Confirm nothing by an earlier read while an instance is not heard

A resumed stream went on at another version (ORDER): while an instance was not heard, a read of up to a second before the request confirmed the only version, as soon as the store took more than 0.1 s. The instance that is not heard may record a version and let it begin streams within that second.

The two tests that held the second of age are replaced by stricter ones, which failed before: no read is current while not all are heard, also one of just now.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -550,7 +550,7 @@
         pool = hosted.dispatcher.pool_name
         read_at = self._versions_read_at.get(pool, -math.inf)
         read_at = max(read_at, self._all_versions_read_at)
-        is_current = self._continuity.is_current(read_at, now)
+        is_current = self._continuity.is_current(read_at)
         if hosted.confirms_by_messages is not is_current:
             hosted.confirms_by_messages = is_current
             age = round(now - read_at, 2) if read_at > -math.inf else None
--- a/hibiscusstep/membership/continuity.py
+++ b/hibiscusstep/membership/continuity.py
@@ -10,9 +10,6 @@
 # A longer time between two events of a task means that the process was paused. Well
 # above the interval of an idle task's ticks.
 PAUSE_S = 1.0
-# While some instances are not heard, what was read from the store is current for this
-# time.
-MAX_AGE_S = 1.0
 
 
 class Continuity:
@@ -49,16 +46,12 @@
             self._missed_until = now
         self._is_isolated = is_isolated
 
-    def is_current(self, read_at: float, now: float) -> bool:
+    def is_current(self, read_at: float) -> bool:
         """Return whether all changes since a time have been heard of.
 
         Parameters
         ----------
         read_at : float
             When reading the state began; minus infinity if it was not read.
-        now : float
-            The present time.
         """
-        if read_at <= self._missed_until:
-            return False
-        return not self._is_isolated or now <= read_at + MAX_AGE_S
+        return not self._is_isolated and read_at > self._missed_until
--- a/tests/test_continuity.py
+++ b/tests/test_continuity.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hibiscusstep.membership import continuity
-from hibiscusstep.membership.continuity import MAX_AGE_S, PAUSE_S, Continuity
+from hibiscusstep.membership.continuity import PAUSE_S, Continuity
 from hibiscusstep.membership.view import View
 
 NEVER = -math.inf
@@ -34,7 +34,7 @@
         self.state.apply_view(View(**fields), self.now)
 
     def is_current(self, read_at):
-        return self.state.is_current(read_at, self.now)
+        return self.state.is_current(read_at)
 
 
 @pytest.fixture
@@ -72,13 +72,11 @@
     @pytest.mark.parametrize(
         "fields", [{"unreachable": 1}, {"receives_updates": False}], ids=str
     )
-    def test_it_has_an_age_while_not_all_are_heard(self, clock, fields):
+    def test_nothing_is_current_while_not_all_are_heard(self, clock, fields):
+        """An instance that is cut off may let a version serve at any moment."""
         clock.apply_view(**fields)
-        read_at = clock.now
-        clock.run(MAX_AGE_S)
-        assert clock.is_current(read_at)
         clock.run(0.1)
-        assert not clock.is_current(read_at)
+        assert not clock.is_current(clock.now)
 
     @pytest.mark.parametrize(
         "fields", [{"unreachable": 1}, {"receives_updates": False}], ids=str
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -16,7 +16,6 @@
 )
 from hibiscusstep.mailbox import Tick
 from hibiscusstep.membership import continuity
-from hibiscusstep.membership.continuity import MAX_AGE_S
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
 from hibiscusstep.peer import (
@@ -320,8 +319,7 @@
         if view:
             await worker.handle(ViewChanged(dataclasses.replace(worker._view, **view)))
         if read:
-            at = now - MAX_AGE_S - 1
-            await worker.handle(VersionsConfirmed(at, frozenset({POOL})))
+            await worker.handle(VersionsConfirmed(now, frozenset({POOL})))
         targets = {"t": PlannedTarget(4, version="v1")}
         pool = PlannedPool(True, targets=targets, stream_origins=frozenset({"v1"}))
         await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
