Test when messages of other instances confirm the only version

Planted faults that no test found: the store is not given its time first, and messages on the way do not count. Each test fails with its fault.

--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -301,13 +301,15 @@
 class TestConfirmedVersions:
     """Guards against an outdated version that is taken for the only one of streams."""
 
-    async def _waiting(self, monkeypatch, *, read, heard_at=math.inf, view=None):
+    async def _waiting(
+        self, monkeypatch, *, read, heard_at=math.inf, view=None, timeout=0.0, delay=0.0
+    ):
         """Let a request resume an unknown stream while the store is silent.
 
         Return whether it is granted a target.
         """
-        monkeypatch.setattr(dispatcher_host_module, "CONFIRM_TIMEOUT_S", 0.0)
-        monkeypatch.setattr(dispatcher_host_module, "MESSAGE_DELAY_S", 0.0)
+        monkeypatch.setattr(dispatcher_host_module, "CONFIRM_TIMEOUT_S", timeout)
+        monkeypatch.setattr(dispatcher_host_module, "MESSAGE_DELAY_S", delay)
         links, asked = _Links(), []
         worker = DispatcherHost(
             "d", "d:1", links, lambda _message: None, None,
@@ -355,6 +357,15 @@
         _worker, links = await self._waiting(monkeypatch, read=True)
         assert self._granted(links)
 
+    async def test_others_do_not_before_the_store_had_its_time(self, monkeypatch):
+        """Guards against a message that was lost with its connection."""
+        _worker, links = await self._waiting(monkeypatch, read=True, timeout=60.0)
+        assert not self._granted(links)
+
+    async def test_others_do_not_with_messages_on_the_way(self, monkeypatch):
+        _worker, links = await self._waiting(monkeypatch, read=True, delay=60.0)
+        assert not self._granted(links)
+
     async def test_others_that_were_heard_before_do_not(self, monkeypatch):
         now = asyncio.get_running_loop().time()
         _worker, links = await self._waiting(monkeypatch, read=True, heard_at=now)
