--- a/tests/test_slot_dispatcher.py
+++ b/tests/test_slot_dispatcher.py
@@ -741,6 +741,13 @@
         later = m.OriginsConfirmed(1.0)
         assert _grants(dispatcher.handle(later, 1.02)) == {"a": "new"}
 
+    def test_go_on_if_an_earlier_confirmation_comes_later(self):
+        """Guards against streams that are lost when a slow read ends."""
+        dispatcher = self._dispatcher(origins=["v2"], confirmed_at=1.0)
+        dispatcher.handle(m.OriginsConfirmed(0.5), 1.0)
+        resuming = self._resuming("a", received=1.0)
+        assert _grants(dispatcher.handle(resuming, 1.0)) == {"a": "new"}
+
     def test_are_refused_if_a_later_version_is_confirmed(self):
         dispatcher = self._dispatcher(origins=["v2"], confirmed_at=0.9)
         dispatcher.handle(self._resuming("a", received=1.0), 1.0)
