--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -353,6 +353,26 @@
         await worker.handle(VersionsConfirmed(later, frozenset({POOL})))
         assert self._granted(links)
 
+    async def test_a_read_confirms_it_for_a_standby_dispatcher(self):
+        """Guards against streams that are lost while the dispatcher is silent."""
+        delivered = []
+        worker = DispatcherHost(
+            "e", "e:1", _Links(), delivered.append, None,
+            dispatcher_class=SlotDispatcher, polls_load=False, has_standby=True,
+        )  # fmt: skip
+        await worker.handle(_view(d="d-1", e="e-1"))
+        targets = {"t": PlannedTarget(4, version="v1")}
+        pool = PlannedPool(True, targets=targets, stream_origins=frozenset({"v1"}))
+        await worker.handle(ConfigurationInForce(1, b"", DispatchPlan({POOL: pool})))
+        info = WorkInfo(
+            "a", "a", "e", "c", "0", 0, 9, 9, 9.0, 0.0, False, [], [], resumes=7
+        )
+        await worker.handle(Received("e:1", PoolAsk(POOL, info)))
+        assert not any(isinstance(r.message, PoolGrant) for r in delivered)
+        now = asyncio.get_running_loop().time()
+        await worker.handle(VersionsConfirmed(now, frozenset({POOL})))
+        assert any(isinstance(r.message, PoolGrant) for r in delivered)
+
     async def test_all_others_that_are_heard_later_confirm_it(self, monkeypatch):
         _worker, links = await self._waiting(monkeypatch, read=True)
         assert self._granted(links)
