--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -169,7 +169,8 @@
     Requests were run by a service that the configuration no longer named.
     """
 
-    async def test_is_given_up_and_read_again_in_time(self, site):
+    @pytest.mark.parametrize("kind", ["config", "servers", "rollouts"])
+    async def test_is_given_up_and_read_again_in_time(self, site, kind):
         await site.start()
         waits = []
         async with asyncio.timeout(BOUND_S):
@@ -178,7 +179,7 @@
                 waits = [
                     int(call.partition("WaitMs=")[2])
                     for call in site.store.calls
-                    if "/config?Watch" in call
+                    if f"/{kind}?Watch" in call
                 ]
         assert all(wait / 1000 + catalog.REPLACE_S <= 3.0 for wait in waits)
         assert WATCH_GRACE_S < catalog.REPLACE_S
