Save the evidence of a verdict on a rollout

A version that was found to be bad got requests again after a restart of all instances while the store refused the order's status: the progress is saved for running orders only, and an order counts as ended with its verdict, so the evidence in the store was up to 2 s old. The verdict's progress is saved once now, again while the store refuses it and lacks the status.

The test was listed as known to fail, but failed on the constructor's arguments, which had changed since. With them mended it failed on the missing evidence, and passes now.

--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -175,6 +175,9 @@
         self._write_tasks: dict[str, asyncio.Task] = {}
         self._save_task: asyncio.Task | None = None
         self._requested_saved_pools: set[str] = set()
+        # Pools whose last progress is to be saved: without the evidence of a verdict
+        # whose status the store refuses, a restart of all would try the version anew.
+        self._unsaved_verdicts: set[str] = set()
         self._published_at = self._saved_at = self._resent_at = 0.0
         self._call_s = 0.0
         self._era = 0
@@ -507,7 +510,8 @@
             return
         if self.version_table.conclude(update.pool, update.number, update.state):
             self._publish([update.pool], now)
-            self._save_progress(now, at_once=True)
+            self._unsaved_verdicts.add(update.pool)
+            self._save_progress(now)
             self._write_status(update.pool)
 
     def _write_status(self, pool: str) -> None:
@@ -584,15 +588,17 @@
 
     # Saved progress, for a restart of all instances.
 
-    def _save_progress(self, now: float, *, at_once: bool = False) -> None:
+    def _save_progress(self, now: float) -> None:
+        """Save the progress of running orders at intervals, and each verdict's once."""
         if self._save_task and not self._save_task.done():
             return
-        pools = [
-            pool for pool in self.version_table.running_pools if self._dispatches(pool)
-        ]
-        if pools and (at_once or now >= self._saved_at + SAVE_INTERVAL_S):
+        pools, self._unsaved_verdicts = self._unsaved_verdicts, set()
+        if now >= self._saved_at + SAVE_INTERVAL_S:
+            running = self.version_table.running_pools
+            pools |= {pool for pool in running if self._dispatches(pool)}
+        if pools:
             self._saved_at = now
-            self._save_task = asyncio.create_task(self._write_saved(pools))
+            self._save_task = asyncio.create_task(self._write_saved(sorted(pools)))
 
     async def _write_saved(self, pools: list[str]) -> None:
         for pool in pools:
@@ -605,6 +611,8 @@
             written = await self._store.write_progress(pool, document)
             if written.is_err():
                 decision("rollout-not-kept", pool=pool, error=str(written.unwrap_err()))
+                if entry.final and entry.state_to_write:
+                    self._unsaved_verdicts.add(pool)
 
     def _request_saved(self, pool: str) -> None:
         if pool not in self._requested_saved_pools:
@@ -637,6 +645,8 @@
         self._resolve_ambiguous(now)
         self._log_unserved()
         self._resend(now)
+        if self._unsaved_verdicts and now >= self._saved_at + SAVE_INTERVAL_S:
+            self._save_progress(now)
         if self.version_table.update_begun(now):
             self._on_change()
         if self._restore_settled_at and now >= self._restore_settled_at:
--- a/tests/test_beliefs_after_restart.py
+++ b/tests/test_beliefs_after_restart.py
@@ -111,9 +111,12 @@
     # Guards against a condemned version that is tried anew after a restart of all.
     async def test_is_saved_with_its_evidence(self):
         store = _RolloutStore()
-        coordinator = RolloutCoordinator("a", "a", _Links(), store, lambda: None)
-        order = RolloutOrder("p", "v2", 60.0, 5, RolloutState.RUNNING, "v2")
         now = asyncio.get_running_loop().time()
+        coordinator = RolloutCoordinator(
+            "a", "a", _Links(), store, None, lambda: None, lambda _confirmed: None, now,
+            is_first_start=False, orders_rollouts=True,
+        )  # fmt: skip
+        order = RolloutOrder("p", "v2", 60.0, 5, RolloutState.RUNNING, "v2")
         coordinator.version_table.apply_order(order, now)
         member = Member("a", "a-1", "z", "r", "a", "o", 1, True, False)
         # With the role unknown it dispatches the pool and does not follow the store.
