Warn of quotas where the settings name several regions

Instances of different regions do not speak to each other, so each region grants a customer its whole quota, and nobody was told.

--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -65,6 +65,8 @@
         Memory in MB above which the process is killed; 0 if there is no limit.
     capacity : int
         Capacity for work, in hundredths of a core or as limited by the link.
+    region_count : int
+        Number of regions of the system; their instances do not know each other.
     is_first_start : bool
         Whether the whole system starts for the first time.
     max_mesh_size : int
@@ -88,6 +90,7 @@
     suspect_after: float
     memory_mb: float = 0.0
     capacity: int = 1
+    region_count: int = 1
     is_first_start: bool = False
     max_mesh_size: int = MAX_MESH_SIZE
     switches: Switches = ALL_ENABLED
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -533,8 +533,19 @@
         if self._has_plan:
             self._frontend.set_table(table)
         self._quotas.tell(CustomersChanged(table.customers))
+        self._warn_of_regional_quotas(table)
         self._publish_plan()
 
+    def _warn_of_regional_quotas(self, table: RoutingTable) -> None:
+        """Warn that each region grants the customers their whole quotas."""
+        regions = self._settings.region_count
+        limited = [rule.name for rule in table.customers if rule.quota.rate > 0]
+        multiple = regions if limited else 1
+        self._metrics.set_gauge("quota_regions", multiple)
+        if multiple > 1:
+            extra = {"regions": regions, "customers": len(limited)}
+            _LOG.warning("quotas hold for each region by itself", extra=extra)
+
     def _on_targets(
         self, targets: dict[str, DiscoveredTarget], changes: list[Change]
     ) -> None:
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -83,6 +83,7 @@
         suspect_after=SUSPECT_AFTER_S,
         memory_mb=_memory_mb(document.get("Limits") or {}),
         capacity=_capacity(document.get("Limits") or {}),
+        region_count=len(set((document.get("Zones") or {}).values())) or 1,
         is_first_start=bool(document.get("Bootstrap", False)),
         switches=Switches.disabling(os.environ.get(DISABLED_MECHANISMS_VARIABLE, "")),
     )
