--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -15,6 +15,7 @@
     DispatcherHost,
 )
 from hibiscusstep.mailbox import Tick
+from hibiscusstep.membership import continuity
 from hibiscusstep.membership.continuity import MAX_AGE_S
 from hibiscusstep.membership.mesh import ViewChanged
 from hibiscusstep.membership.view import Member, View
@@ -365,6 +366,37 @@
         _worker, links = await self._waiting(monkeypatch, read=False)
         assert not self._granted(links)
 
+    @pytest.mark.parametrize("ends", ["before", "after"])
+    async def test_a_read_that_began_before_a_suspension_is_not_enough(
+        self, monkeypatch, ends
+    ):
+        """Guards against a request that seems to be older than the last read.
+
+        The event loop's clock stands still while the machine is suspended, and the
+        request waited elsewhere meanwhile.
+        """
+        worker, links = await self._waiting(monkeypatch, read=False)
+        at = worker._hosted[POOL].unconfirmed_since
+        read = VersionsConfirmed(at, frozenset({POOL}))
+        if ends == "before":
+            await worker.handle(read)
+        links.sent.clear()
+        await asyncio.sleep(0.01)
+        awake_at = continuity.elapsed() + 6.0
+        monkeypatch.setattr(continuity, "elapsed", lambda: awake_at)
+        info = WorkInfo(
+            "b", "b", "e", "c", "0", 0, 9, 9, 9.0, 3.0, False, [], [], resumes=8
+        )
+        register = PoolRegister(POOL, "e", "e-1", [info], [], [])
+        await worker.handle(Received("e:1", register))
+        if ends == "after":
+            await worker.handle(read)
+        assert not self._granted(links)
+        await asyncio.sleep(0.01)
+        later = asyncio.get_running_loop().time()
+        await worker.handle(VersionsConfirmed(later, frozenset({POOL})))
+        assert self._granted(links)
+
     async def test_others_do_not_while_one_is_not_heard(self, monkeypatch):
         view = {"unreachable": 1}
         _worker, links = await self._waiting(monkeypatch, read=True, view=view)
@@ -422,6 +454,19 @@
         assert all(message == expected for _address, message in sent)
         assert f"{own}:1" not in dict(sent)
 
+    async def test_are_sent_to_successors_that_know_the_earlier_ones(self):
+        """Guards against streams that only the ended dispatcher knew."""
+        worker, _kept = await self._recording_worker()
+        earlier = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        begun = PoolFirstToken(POOL, "b", 0.1, stream=self.STREAM + 1, version="v2")
+        for message in (earlier, begun):
+            worker._links.sent.clear()
+            await worker.handle(Received("x:1", message))
+            worker._hosted[POOL].streams_sent_at = -math.inf
+            await worker.handle(Tick())
+        ((_address, sent),) = worker._links.sent
+        assert sent == PoolStreams(POOL, [StreamGroup("v2", [self.STREAM + 1])])
+
     async def test_are_not_sent_to_older_builds(self):
         """Guards against links that an older build closes at an unknown message."""
         _own, sent = await self._begin_stream(a=False, b=False, c=False)
@@ -481,6 +526,16 @@
         await worker.handle(Tick())
         assert kept == [SaveStreams(POOL, {"v1": [self.STREAM]})]
 
+    async def test_that_another_dispatcher_was_to_be_told_are_known(self):
+        """Guards against streams that are unknown after a change of dispatcher."""
+        worker, _kept = await self._recording_worker()
+        await worker.handle(self._view(e=True))
+        assert POOL not in worker._hosted
+        begun = PoolFirstToken(POOL, "a", 0.1, stream=self.STREAM, version="v1")
+        await worker.handle(Received("x:1", begun))
+        known = worker._stream_versions[POOL].by_version()
+        assert known == {"v1": [self.STREAM]}
+
     async def test_read_from_the_store_are_older_than_those_recorded_here(self):
         """Guards against a stream that began again and counts as of its first version.
 
