Log which object makes an answer of the store unreadable

Operators saw `store-lost`, `no answer: ValueError` of the call, once an instance, and nothing that told which of a thousand entries it was.

An answer that cannot be parsed is now split into its objects and `object left out` tells kind, name and revision of each that cannot be read, or its position, with the reason, once a revision. The result of the call is unchanged: still an error.

The splitter counts brackets outside of strings with regular expressions, is not recursive, and reads documents of at most 16 MiB. What a part consists of is left to the parsers, part by part: strictly, then leniently up to 1 MiB, where the depth (recursion limit) and the digits (4,300) are those of `json`. Hypothesis compares its parts with those of the parser.

No library does this: `ijson` reads items one by one, but not past an item that is no JSON, and its faster backends recur or have limits of their own; `msgspec`'s raw fields need a document that is valid as a whole. Both by their documents, not tried. `ijson` would also be slower for sound answers.

--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -22,6 +22,8 @@
 from hibiscusstep.platform import fields as f
 from hibiscusstep.platform.documents import ROLLOUT_KIND, rollout_status
 from hibiscusstep.platform.eras import EraTracker, join_revision, split_revision
+from hibiscusstep.platform.partial_json import Unreadable, load
+from hibiscusstep.platform.stored_objects import IgnoredObjects, find_members
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import (
     Change,
@@ -56,6 +58,9 @@
 CALL_TIMEOUT_S = 1.5
 # Added to the time for which the store itself waits for a change.
 WATCH_GRACE_S = 0.5
+# Nested levels of an answer whose parts are read separately, down to the members of an
+# object: the document, its list and the objects, or the events and their objects.
+_LIST_LEVELS, _WATCH_LEVELS = 3, 4
 # Versions of a pool within one stream lifetime; more indicate a malformed object.
 MAX_VERSIONS = 100
 _STATUS_ERRORS = {
@@ -92,6 +97,8 @@
         self._root = f"http://{address}{_ROOT}"
         self.eras = EraTracker()
         self._session: aiohttp.ClientSession | None = None
+        # By kind.
+        self._ignored: dict[str, IgnoredObjects] = {}
 
     async def call(
         self, method: str, path: str, *, query=None, body=None, extra_wait: float = 0.0
@@ -130,13 +137,34 @@
             if status in (200, 201):
                 # Only a write is answered without a body; else the answer was cut.
                 is_empty = not text and method != "GET"
-                return Ok(_Answer({} if is_empty else _parse_json(text), era))
+                try:
+                    return Ok(_Answer({} if is_empty else _parse_json(text), era))
+                except ValueError:
+                    self._log_unreadable(path.split("/")[0], text, query or {})
+                    raise
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as cause:
             detail = f"no answer: {type(cause).__name__}"
             return Err(PlatformUnavailable(detail, step=step, peer="store"))
         kind = _STATUS_ERRORS.get(status, PlatformUnavailable)
         return Err(kind(f"status {status}", step=step, peer="store"))
 
+    def _log_unreadable(self, kind: str, text: bytes, query: dict) -> None:
+        """Log which objects of a list or a watch cannot be read."""
+        is_watch = "Watch" in query
+        try:
+            body = load(text, _WATCH_LEVELS if is_watch else _LIST_LEVELS)
+        except ValueError:
+            return
+        members = find_members(body)
+        found = members.get("events" if is_watch else "Items")
+        ignored = self._ignored.setdefault(kind, IgnoredObjects(kind))
+        for position, item in enumerate(found if isinstance(found, list) else ()):
+            if is_watch:
+                item = find_members(item).get("Object")
+            parts = (item, *find_members(item).values())
+            if any(isinstance(part, Unreadable) for part in parts):
+                ignored.record(item, position, members.get("At"))
+
     async def list_all(
         self, kind: str, **query: str
     ) -> Result[tuple[list[dict], int, int], PlatformError]:
--- a/hibiscusstep/platform/eras.py
+++ b/hibiscusstep/platform/eras.py
@@ -8,12 +8,13 @@
 import logging
 from collections.abc import Callable
 
-__all__ = ["EraTracker", "join_revision", "split_revision"]
+__all__ = ["MAX_REVISION", "EraTracker", "join_revision", "split_revision"]
 
 _LOG = logging.getLogger(__name__)
 # Bits of a revision, enough for 35 years of a thousand changes per second. The era uses
 # the remaining bits of a signed 64-bit integer.
 _REVISION_BITS = 40
+MAX_REVISION = (1 << _REVISION_BITS) - 1
 _MAX_ERA = (1 << (63 - _REVISION_BITS)) - 1
 # An answer in flight during a restore carries the previous era. This many such answers
 # in a row mean that the era itself decreased, which it never should; the known era is
