Read the other objects of an answer that holds an unreadable one

What callers saw: another writer left one entry among those of the targets that was nested 2,000 deep or had an integer of 5,000 digits. No instance followed the list from then on; once the targets were replaced all requests got 503, and an instance that started was never ready.

Cause: a list or a watch was parsed as one document, strictly, then leniently. Both parsers limit depth, digits and form, and refuse the document for one item, before any item is looked at. So one object decided on all others of its kind, whatever the kind.

Now the answer is split where the strict parser fails (partial_json), and each item, then each member of a malformed item, is parsed by itself. An object that cannot be read names nothing: in a list it is absent, in a watch it is a removal at its own revision, so that a target whose entry becomes unreadable is no longer used. Its name is taken from its metadata, so a page can be continued from it; where no name can be read, the list goes on from the last name that can. An event without a name is counted as left out and the watch goes on from the answer's revision.

The same paths took other answers for sound ones, also fixed: a list whose `Items` is a text or a table was an empty list (all targets gone), an empty page with `HasMore` was asked for again for ever, a document that is a text or a list raised AttributeError in `read_one`, as did a segment of streams that is no table, and a revision beyond 40 bits ran into the era. An object read alone whose `Spec` cannot be read or is null is malformed, no longer missing: usage then counts as unknown.

--- a/hibiscusstep/platform/client.py
+++ b/hibiscusstep/platform/client.py
@@ -1,6 +1,6 @@
 """hibiscusstep.platform.client: client of the platform's metadata store."""
 
-import json
+import contextlib
 import logging
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
@@ -17,13 +17,18 @@
     PlatformNotFound,
     PlatformUnavailable,
 )
-from hibiscusstep.forwarding.ignored_objects import IgnoredRevisions
 from hibiscusstep.http_client import make_connector
 from hibiscusstep.platform import fields as f
 from hibiscusstep.platform.documents import ROLLOUT_KIND, rollout_status
 from hibiscusstep.platform.eras import EraTracker, join_revision, split_revision
 from hibiscusstep.platform.partial_json import Unreadable, load
-from hibiscusstep.platform.stored_objects import IgnoredObjects, find_members
+from hibiscusstep.platform.stored_objects import (
+    IgnoredObjects,
+    find_members,
+    read_metadata,
+    read_name,
+    read_revision,
+)
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 from hibiscusstep.store import (
     Change,
@@ -60,7 +65,7 @@
 WATCH_GRACE_S = 0.5
 # Nested levels of an answer whose parts are read separately, down to the members of an
 # object: the document, its list and the objects, or the events and their objects.
-_LIST_LEVELS, _WATCH_LEVELS = 3, 4
+_OBJECT_LEVELS, _LIST_LEVELS, _WATCH_LEVELS = 1, 3, 4
 # Versions of a pool within one stream lifetime; more indicate a malformed object.
 MAX_VERSIONS = 100
 _STATUS_ERRORS = {
@@ -73,7 +78,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """A decoded answer of the store and its era."""
+    """A decoded answer of the store and its era.
+
+    Malformed parts of it are `Unreadable`.
+    """
 
     body: dict
     era: int
@@ -113,9 +121,20 @@
         return reply.map(lambda answer: answer.body)
 
     async def call_in_era(
-        self, method: str, path: str, *, query=None, body=None, extra_wait: float = 0.0
+        self,
+        method: str,
+        path: str,
+        *,
+        query=None,
+        body=None,
+        extra_wait: float = 0.0,
+        levels: int = _OBJECT_LEVELS,
     ) -> Result[_Answer, PlatformError]:
-        """Return the decoded answer of one call and its era; see `call`."""
+        """Return the decoded answer of one call and its era; see `call`.
+
+        Parts of the answer down to a number of `levels` are decoded separately, see
+        `partial_json.load`.
+        """
         if self._session is None:
             connector = make_connector(limit=0, keepalive_timeout=10.0)
             self._session = aiohttp.ClientSession(connector=connector)
@@ -137,47 +156,38 @@
             if status in (200, 201):
                 # Only a write is answered without a body; else the answer was cut.
                 is_empty = not text and method != "GET"
-                try:
-                    return Ok(_Answer({} if is_empty else _parse_json(text), era))
-                except ValueError:
-                    self._log_unreadable(path.split("/")[0], text, query or {})
-                    raise
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as cause:
+                return Ok(_Answer({} if is_empty else _parse(text, levels), era))
+        except (TimeoutError, aiohttp.ClientError, OSError) as cause:
             detail = f"no answer: {type(cause).__name__}"
             return Err(PlatformUnavailable(detail, step=step, peer="store"))
+        except ValueError as cause:
+            return Err(_malformed_error(step, cause))
         kind = _STATUS_ERRORS.get(status, PlatformUnavailable)
         return Err(kind(f"status {status}", step=step, peer="store"))
 
-    def _log_unreadable(self, kind: str, text: bytes, query: dict) -> None:
-        """Log which objects of a list or a watch cannot be read."""
-        is_watch = "Watch" in query
-        try:
-            body = load(text, _WATCH_LEVELS if is_watch else _LIST_LEVELS)
-        except ValueError:
-            return
-        members = find_members(body)
-        found = members.get("events" if is_watch else "Items")
+    def log_ignored(
+        self, kind: str, item: object, position: int, cause: Exception
+    ) -> None:
+        """Log an object that is left out, once per revision."""
         ignored = self._ignored.setdefault(kind, IgnoredObjects(kind))
-        for position, item in enumerate(found if isinstance(found, list) else ()):
-            if is_watch:
-                item = find_members(item).get("Object")
-            parts = (item, *find_members(item).values())
-            if any(isinstance(part, Unreadable) for part in parts):
-                ignored.record(item, position, members.get("At"))
+        ignored.record(item, position, self.eras.era, 0, cause)
 
     async def list_all(
         self, kind: str, **query: str
-    ) -> Result[tuple[list[dict], int, int], PlatformError]:
+    ) -> Result[tuple[list, int, int], PlatformError]:
         """Return all objects of a kind, the store's revision and its era.
 
         The revision is that of the first page: an object of it may change before the
-        last one is read.
+        last one is read. Objects may be malformed in any way.
         """
-        items: list[dict] = []
+        items: list = []
         revision = None
         eras: set[int] = set()
+        continued: set[str] = set()
         while True:
-            reply = await self.call_in_era("GET", kind, query=query)
+            reply = await self.call_in_era(
+                "GET", kind, query=query, levels=_LIST_LEVELS
+            )
             if reply.is_err():
                 return reply
             page = reply.unwrap().body
@@ -185,13 +195,20 @@
             if len(eras) > 1:
                 return Err(_restored_error(f"list {kind}"))
             try:
-                items += page["Items"]
-                revision = int(page["At"]) if revision is None else revision
+                found = page["Items"]
+                if not isinstance(found, list):
+                    raise ValueError("the objects are no list")
+                revision = read_revision(page, "At") if revision is None else revision
                 if not page.get("HasMore"):
-                    return Ok((items, revision, *eras))
-                query["After"] = items[-1]["Metadata"]["Name"]
+                    return Ok((items + found, revision, *eras))
+                last, query["After"] = _find_last_name(found)
+                # The next page begins with those after it.
+                items += found[: last + 1]
+                if query["After"] in continued:
+                    raise ValueError("a page that was read before")
+                continued.add(query["After"])
             except f.MALFORMED_ERRORS as cause:
-                return Err(_malformed_error(kind, cause))
+                return Err(_malformed_error(f"read {kind}", cause))
 
     async def read_decoded(
         self, kind: str, decode: Callable[[dict], object]
@@ -201,16 +218,35 @@
         They may be a few seconds old, which makes the call cheaper for the store.
         """
         listed = await self.list_all(kind, Serializable="1")
-        return listed.map(lambda found: list(_decode_valid(kind, found[0], decode)))
+        return listed.map(lambda found: list(self.decode_valid(kind, found[0], decode)))
+
+    def decode_valid(
+        self, kind: str, found: list, decode: Callable[[dict], object]
+    ) -> Iterator[object]:
+        """Iterate over the decoded objects; malformed ones are logged and ignored."""
+        for position, item in enumerate(found):
+            try:
+                yield decode(item)
+            except f.MALFORMED_ERRORS as cause:
+                self.log_ignored(kind, item, position, cause)
 
     async def read_one(
         self, kind: str, name: str
     ) -> Result[dict | None, PlatformError]:
-        """Return the current ``Spec`` of an object; None if it does not exist."""
+        """Return the current ``Spec`` of an object; None if it does not exist.
+
+        It is empty if it cannot be read.
+        """
         reply = await self.call("GET", f"{kind}/{quote(name)}")
-        if reply.is_err() and isinstance(reply.unwrap_err(), PlatformNotFound):
-            return Ok(None)
-        return reply.map(lambda found: found.get("Spec"))
+        if reply.is_err():
+            is_missing = isinstance(reply.unwrap_err(), PlatformNotFound)
+            return Ok(None) if is_missing else reply
+        item = reply.unwrap()
+        try:
+            return Ok(_read_spec(item))
+        except f.MalformedField as cause:
+            self.log_ignored(kind, item, 0, cause)
+            return Ok({})
 
     async def write(
         self, kind: str, name: str, spec: dict, methods: tuple[str, str]
@@ -262,7 +298,7 @@
         self._client = client
         self._kind = kind
         self._decode = decode
-        self._ignored = IgnoredRevisions()
+        self._ignored = IgnoredObjects(kind)
         self.name = kind
 
     @property
@@ -276,7 +312,10 @@
         if listed.is_err():
             return listed
         found, revision, era = listed.unwrap()
-        decoded = (self._to_change(item, era, revision) for item in found)
+        decoded = (
+            self._to_change(item, position, era, revision)
+            for position, item in enumerate(found)
+        )
         items = {change.name: change.item for change in decoded if change}
         usable = {name: item for name, item in items.items() if item is not None}
         return Ok(Listing(usable, join_revision(era, revision), era))
@@ -290,6 +329,7 @@
             self._kind,
             query=query,
             extra_wait=timeout - CALL_TIMEOUT_S + WATCH_GRACE_S,
+            levels=_WATCH_LEVELS,
         )
         if reply.is_err():
             return reply
@@ -298,55 +338,57 @@
             # The revision was reused after the restore and means another state.
             return Err(_restored_error(f"watch {self._kind}"))
         try:
-            at = int(answer.body["At"])
-            changes = [
-                change
-                for event in answer.body.get("events", ())
-                if (
-                    change := self._to_change(
-                        event["Object"], era, at, event.get("Removed")
-                    )
-                )
-            ]
+            at = read_revision(answer.body, "At")
+            events = answer.body.get("events", [])
+            if not isinstance(events, list):
+                raise ValueError("the events are no list")
         except f.MALFORMED_ERRORS as cause:
-            return Err(_malformed_error(self._kind, cause))
+            return Err(_malformed_error(f"read {self._kind}", cause))
+        decoded = (
+            self._event_to_change(event, position, era, at)
+            for position, event in enumerate(events)
+        )
+        changes = [change for change in decoded if change]
         return Ok((changes, join_revision(era, at)))
 
+    def _event_to_change(
+        self, event: object, position: int, era: int, at: int
+    ) -> Change | None:
+        members = find_members(event)
+        item, removed = members.get("Object"), members.get("Removed")
+        if isinstance(event, Unreadable):
+            item = Unreadable(event.reason, members=find_members(item))
+        return self._to_change(item, position, era, at, bool(removed))
+
     def _to_change(
-        self, item: dict, era: int, at: int, removed: bool = False
+        self, item: object, position: int, era: int, at: int, removed: bool = False
     ) -> Change | None:
         """Return an object's change; its item is None if removed or malformed.
 
-        Return None if the object has no valid name and revision. The change has the
-        object's own revision, not the answer's, so that an object which is recreated in
-        the same answer is newer than its removal.
+        Return None if the object has no valid name. The change has the object's own
+        revision, not the answer's, so that an object which is recreated in the same
+        answer is newer than its removal.
         """
         try:
-            metadata = item["Metadata"]
-            name, revision = metadata["Name"], metadata.get("Revision", at)
-            if not isinstance(name, str) or type(revision) is not int:
-                raise ValueError("name or revision missing or of another type")
-            revision = join_revision(era, revision)
+            metadata = read_metadata(item)
+            name = read_name(metadata)
         except f.MALFORMED_ERRORS as cause:
-            self._log_ignored("", at, cause)
+            self._ignored.record(item, position, era, at, cause)
             return None
-        if removed:
-            return Change(name, None, revision)
-        return Change(name, self._decode_item(name, revision, item), revision)
-
-    def _decode_item(self, name: str, revision: int, item: dict) -> object | None:
+        own = at
         try:
+            if "Revision" in metadata:
+                own = read_revision(metadata, "Revision")
+            revision = join_revision(era, own)
+            if removed:
+                return Change(name, None, revision)
+            if not isinstance(item, dict) or isinstance(item.get("Spec"), Unreadable):
+                raise f.MalformedField("Spec", "malformed")
             spec, status = item.get("Spec") or {}, item.get("Status") or {}
-            return self._decode(name, revision, spec, status)
+            return Change(name, self._decode(name, revision, spec, status), revision)
         except (ConfigurationError, *f.MALFORMED_ERRORS) as cause:
-            self._log_ignored(name, revision, cause)
-            return None
-
-    def _log_ignored(self, name: str, revision: int, cause: Exception) -> None:
-        if not self._ignored.record(name, revision):
-            return
-        extra = {"kind": self._kind, "object": name, "revision": revision}
-        _LOG.error("object left out", extra={**extra, "error": str(cause)})
+            self._ignored.record(item, position, era, at, cause)
+            return Change(name, None, join_revision(era, own))
 
 
 class ObjectInstanceDirectory(InstanceDirectory):
@@ -479,7 +521,7 @@
             return reply
         answer = reply.unwrap()
         try:
-            written = int(answer.body["Metadata"]["Revision"])
+            written = read_revision(read_metadata(answer.body), "Revision")
         except f.MALFORMED_ERRORS:
             # The feed will supply the revision; a write before that gets a conflict.
             written = revision
@@ -520,19 +562,21 @@
         self, pool: str | None = None
     ) -> Result[dict[str, StoredVersions], PlatformError]:
         """Return the versions of one pool, or of all, by pool; no stale read."""
+        client = self._client
         if pool is None:
-            listed = await self._client.list_all(self._VERSIONS_KIND)
+            listed = await client.list_all(self._VERSIONS_KIND)
             if listed.is_err():
                 return listed
             items, _revision, era = listed.unwrap()
         else:
             path = f"{self._VERSIONS_KIND}/{quote(pool)}"
-            reply = await self._client.call_in_era("GET", path)
+            reply = await client.call_in_era("GET", path)
             if reply.is_err():
                 is_missing = isinstance(reply.unwrap_err(), PlatformNotFound)
                 return Ok({}) if is_missing else reply
             items, era = [reply.unwrap().body], reply.unwrap().era
-        return Ok(dict(_decode_valid(self._VERSIONS_KIND, items, _version_parser(era))))
+        decoded = client.decode_valid(self._VERSIONS_KIND, items, _version_parser(era))
+        return Ok(dict(decoded))
 
     async def write_versions(
         self, pool: str, versions: Iterable[str], revision: int
@@ -555,9 +599,9 @@
             return reply
         answer = reply.unwrap()
         try:
-            written = int(answer.body["Metadata"]["Revision"])
+            written = read_revision(read_metadata(answer.body), "Revision")
         except f.MALFORMED_ERRORS as cause:
-            return Err(_malformed_error(self._VERSIONS_KIND, cause))
+            return Err(_malformed_error(f"read {self._VERSIONS_KIND}", cause))
         is_complete = answer.era == body["Spec"]["Era"]
         return Ok(
             StoredVersions(
@@ -577,14 +621,12 @@
     async def read_segments(self, pool: str) -> Result[list[dict], PlatformError]:
         """Return the documents of a pool's segments; no stale read."""
         listed = await self._client.list_all(self._SEGMENTS_KIND)
-        return listed.map(
-            lambda found: [
-                spec
-                for item in found[0]
-                if isinstance(spec := item.get("Spec"), dict)
-                and spec.get("Pool") == pool
-            ]
+        if listed.is_err():
+            return listed
+        found = self._client.decode_valid(
+            self._SEGMENTS_KIND, listed.unwrap()[0], _read_spec
         )
+        return Ok([spec for spec in found if spec.get("Pool") == pool])
 
 
 def _version_parser(era: int) -> Callable[[dict], tuple[str, StoredVersions]]:
@@ -594,11 +636,11 @@
     """
 
     def parse(item: dict) -> tuple[str, StoredVersions]:
-        metadata = item["Metadata"]
+        metadata = read_metadata(item)
         pool = f.read_text(metadata, "Name")
         revision = join_revision(era, f.read_int(metadata, "Revision", least=1))
         try:
-            spec = item["Spec"]
+            spec = _read_spec(item)
             versions, written_era = spec["Versions"], f.read_int(spec, "Era")
             if not isinstance(versions, list) or len(versions) > MAX_VERSIONS:
                 raise ValueError("versions are no list, or too many")
@@ -614,7 +656,7 @@
 
 
 def _parse_record(item: dict) -> InstanceRecord:
-    spec = item["Spec"]
+    spec = _read_spec(item)
     return InstanceRecord(
         f.read_id(item["Metadata"], "Name"),
         f.read_text(spec, "DataCentre"),
@@ -624,44 +666,55 @@
 
 
 def _parse_estimates(item: dict) -> tuple[str, dict]:
-    return f.read_text(item["Metadata"], "Name"), item["Spec"]
+    return f.read_text(item["Metadata"], "Name"), _read_spec(item)
 
 
-def _decode_valid(
-    kind: str, found: list, decode: Callable[[dict], object]
-) -> Iterator[object]:
-    for item in found:
-        try:
-            yield decode(item)
-        except f.MALFORMED_ERRORS as cause:
-            _LOG.error("object left out", extra={"kind": kind, "error": str(cause)})
+def _read_spec(item: object) -> dict:
+    """Return the ``Spec`` of an object.
+
+    Raises
+    ------
+    MalformedField
+        If it is missing, malformed or no table.
+    """
+    spec = item.get("Spec") if isinstance(item, dict) else None
+    if not isinstance(spec, dict):
+        raise f.MalformedField("Spec", "missing, malformed or not a table")
+    return spec
+
+
+def _find_last_name(page: list) -> tuple[int, str]:
+    """Return index and name of the last object of a page whose name can be read.
 
+    Raises
+    ------
+    ValueError
+        If no name can be read.
+    """
+    for index in reversed(range(len(page))):
+        with contextlib.suppress(*f.MALFORMED_ERRORS):
+            return index, f.read_text(read_metadata(page[index]), "Name")
+    raise ValueError("a page without a name that can be read")
 
-def _parse_json(text: bytes) -> object:
-    """Return the decoded JSON of an answer.
 
-    An object with invalid UTF-8 or a NaN must not hide all others. If the strict parser
-    fails, the answer is parsed leniently, and each object is validated separately.
+def _parse(text: bytes, levels: int) -> dict:
+    """Return an answer's document, with `Unreadable` for malformed parts.
 
     Raises
     ------
     ValueError
-        If the answer is not JSON.
+        If it is no object in JSON.
     """
-    try:
-        return orjson.loads(text)
-    except orjson.JSONDecodeError:
-        pass
-    try:
-        return json.loads(text.decode("utf-8", "replace"))
-    except RecursionError:
-        raise ValueError("nested too deeply") from None
+    document = load(text, levels)
+    if not isinstance(document, dict):
+        raise ValueError("no object")
+    return document
 
 
 def _restored_error(step: str) -> RevisionExpired:
     return RevisionExpired("restored from an older copy", step=step, peer="store")
 
 
-def _malformed_error(kind: str, cause: Exception) -> PlatformError:
+def _malformed_error(step: str, cause: Exception) -> PlatformError:
     detail = f"malformed answer: {cause!r}"
-    return PlatformUnavailable(detail, step=f"read {kind}", peer="store")
+    return PlatformUnavailable(detail, step=step, peer="store")
--- a/hibiscusstep/platform/stored_objects.py
+++ b/hibiscusstep/platform/stored_objects.py
@@ -4,7 +4,7 @@
 
 from hibiscusstep.forwarding.ignored_objects import IgnoredRevisions
 from hibiscusstep.platform import fields as f
-from hibiscusstep.platform.eras import MAX_REVISION
+from hibiscusstep.platform.eras import MAX_REVISION, join_revision
 from hibiscusstep.platform.partial_json import Unreadable, load
 
 __all__ = [
@@ -86,7 +86,7 @@
         return self._revisions.count
 
     def record(
-        self, item: object, position: int, at: int, cause: Exception | None = None
+        self, item: object, position: int, era: int, at: int, cause: Exception
     ) -> None:
         """Record an object that was left out.
 
@@ -96,16 +96,18 @@
             The object as it was decoded.
         position : int
             Its index in the answer, which is logged if its name cannot be read.
-        at : int
-            Revision of the answer, used if the object's cannot be read.
-        cause : Exception, optional
+        era, at : int
+            The store's era, and the revision of the answer, which is used if the
+            object's cannot be read.
+        cause : Exception
             Why it was left out, unless parts of it are unreadable.
         """
-        extra = {"kind": self._kind, "object": "", "revision": at}
+        extra = {"kind": self._kind, "object": "", "revision": join_revision(era, at)}
         try:
             metadata = read_metadata(item)
             extra["object"] = read_name(metadata)
-            extra["revision"] = read_revision(metadata, "Revision")
+            revision = read_revision(metadata, "Revision")
+            extra["revision"] = join_revision(era, revision)
         except f.MALFORMED_ERRORS:
             pass
         if not extra["object"]:
@@ -116,7 +118,7 @@
             )
 
 
-def _reason(item: object, cause: Exception | None) -> str:
+def _reason(item: object, cause: Exception) -> str:
     if isinstance(item, Unreadable):
         return item.reason
     for name, value in find_members(item).items():
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -34,6 +34,10 @@
         Method and path of each call.
     answer_replacement : tuple of bytes or None
         Bytes to replace in answers, and their replacement.
+    whole_answer : bytes or None
+        Answer of each list, each watch and each read of an object.
+    page_size : int
+        Objects on a page of a list.
     on_list : callable or None
         Called with the query of each page of a list before it is answered.
     era : str or None
@@ -50,6 +54,8 @@
         self.calls: list[str] = []
         self.answer_replacement: tuple[bytes, bytes] | None = None
         self.era: str | None = "1"
+        self.whole_answer: bytes | None = None
+        self.page_size = 2
         self.on_list: Callable | None = None
         self._changed = asyncio.Event()
         self._stopped = False
@@ -169,7 +175,7 @@
             self.on_list(request.query)
         after = request.query.get("After", "")
         found = sorted(n for k, n in self.objects if k == kind and n > after)
-        page = found[:2]
+        page = found[: self.page_size]
         return self._answer(
             {
                 "Items": [self.objects[kind, name] for name in page],
@@ -184,7 +190,7 @@
         found = self.objects.get(
             (request.match_info["kind"], request.match_info["name"])
         )
-        return _json(found) if found else web.Response(status=404)
+        return self._answer(found) if found else web.Response(status=404)
 
     async def _watch(self, request, kind: str) -> web.Response:
         since = int(request.query["Watch"])
@@ -205,6 +211,8 @@
         text = json.dumps(body, separators=(",", ":")).encode()
         if self.answer_replacement:
             text = text.replace(*self.answer_replacement)
+        if self.whole_answer is not None:
+            text = self.whole_answer
         return web.Response(body=text, content_type="application/json")
 
     def _events(self, kind: str, since: int) -> list[dict]:
