Refuse values of saved documents that no message can hold

What is seen: an object of the customers' usage with an amount of 30 digits, which another writer may leave. An instance that reads it at its start sends it to its peers; the worker that decodes the message there ends with TDecodeException, starts again and ends with the next one (`child crashed`, nine times in 4 s with two instances).

Cause: a document's values were converted, not validated. An integer of any size, infinity, NaN or the text of a nested list was accepted and failed where it was used: in a message of 64-bit integers, or in the JSON of the next write. So for the progress of a rollout and the number of a segment of streams. A configuration with a number that is not finite was in force at its reader, while its peers got null for it.

Now such a value makes the document malformed, as a missing one does: unknown usage, no progress, a segment, an entry or a configuration that is left out.

--- a/hibiscusstep/forwarding/saved_rollouts.py
+++ b/hibiscusstep/forwarding/saved_rollouts.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass
 
+from hibiscusstep.forwarding.saved_values import to_count, to_finite, to_name
 from hibiscusstep.rollout.controller import RolloutProgress
 
 __all__ = ["SavedRollout", "from_document", "to_document"]
@@ -47,10 +48,10 @@
         return None
     try:
         progress = RolloutProgress(
-            *(max(0, int(document[key])) for key in ("requests", "exposed", "answers")),
-            evidence=max(0.0, float(document["evidence"])),
+            *(to_count(document[key]) for key in ("requests", "exposed", "answers")),
+            evidence=max(0.0, to_finite(document["evidence"])),
         )
-        version, began = str(document["version"]), float(document["began"])
+        version, began = to_name(document["version"]), to_finite(document["began"])
         return SavedRollout(version, began, progress)
     except (KeyError, TypeError, ValueError, OverflowError) as cause:
         _LOG.error("kept rollout ignored", extra={"pool": pool, "error": repr(cause)})
--- a/hibiscusstep/forwarding/saved_streams.py
+++ b/hibiscusstep/forwarding/saved_streams.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from hibiscusstep.forwarding.saved_values import MAX_COUNT
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.peer import PoolStreams, StreamGroup
@@ -169,8 +170,8 @@
     """Return the number and the streams of a segment; None if it is malformed."""
     try:
         number = document["Number"]
-        if type(number) is not int or number < 0:
-            raise ValueError("Number is no positive number")
+        if type(number) is not int or not 0 <= number <= MAX_COUNT:
+            raise ValueError("Number is no positive number, or out of range")
         groups = [
             StreamGroup(
                 str(version),
--- a/hibiscusstep/forwarding/saved_suspects.py
+++ b/hibiscusstep/forwarding/saved_suspects.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Sequence
 
+from hibiscusstep.forwarding.saved_values import to_finite, to_name
 from hibiscusstep.forwarding.suspects import CRASH_LIFETIME_S
 from hibiscusstep.peer import SuspectState
 
@@ -89,10 +90,10 @@
 
 def _parse_state(entry: dict, time_of_day: float) -> SuspectState:
     fingerprint = int(entry["fingerprint"], 16)
-    targets = [str(target) for target in entry["targets"]]
+    targets = [to_name(target) for target in entry["targets"]]
     weights = [float(weight) for weight in entry["weights"]]
-    ages = [max(0.0, time_of_day - float(at)) for at in entry["crashed_at"]]
-    spans = [float(span) for span in entry["spans"]]
+    ages = [max(0.0, time_of_day - to_finite(at)) for at in entry["crashed_at"]]
+    spans = [to_finite(span) for span in entry["spans"]]
     if not len(targets) == len(weights) == len(spans) == len(ages):
         raise ValueError("targets, weights, spans and crash times differ in number")
     weights_in_range = all(0 <= weight <= 1 for weight in weights)
--- a/hibiscusstep/forwarding/saved_usage.py
+++ b/hibiscusstep/forwarding/saved_usage.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
+from hibiscusstep.forwarding.saved_values import to_count, to_name
 from hibiscusstep.forwarding.usage import AGE_STEP_S, UsageLedger
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
@@ -191,8 +192,8 @@
         if document is None:
             return Usage(_INCARNATION, UsageScope.KEPT, [], [], [])
         try:
-            customers = [str(name) for name in document["customers"]]
-            recent = [max(0, int(amount)) for amount in document["recent"]]
+            customers = [to_name(name) for name in document["customers"]]
+            recent = [to_count(amount) for amount in document["recent"]]
             if len(recent) != self._steps * len(customers):
                 raise ValueError("wrong number of values in recent")
         except (KeyError, TypeError, ValueError, OverflowError) as cause:
--- a/hibiscusstep/forwarding/target_estimates.py
+++ b/hibiscusstep/forwarding/target_estimates.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 
+from hibiscusstep.forwarding.saved_values import to_name
 from hibiscusstep.log import decision
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.peer import PoolLearnt
@@ -78,7 +79,7 @@
 def _parse_document(pool: str, document: dict) -> PoolLearnt | None:
     """Return a document as a message; log an error and return None if malformed."""
     try:
-        targets = [str(name) for name in document["targets"]]
+        targets = [to_name(name) for name in document["targets"]]
         slowness = [float(value) for value in document["slowness"]]
         timings = [float(document[name]) for name in ("first", "token", "share")]
         in_range = all(0 <= value <= MAX_VALUE for value in (*slowness, *timings))
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -84,6 +84,9 @@
         If a field is missing or of another type.
     """
     try:
+        document = orjson.dumps(spec)
+        if orjson.loads(document) != spec:
+            raise ValueError("a number is not finite")
         return RoutingTable(
             version=int(spec["Version"]),
             routes=tuple(_decode_route(entry) for entry in spec.get("Routes") or ()),
@@ -92,7 +95,7 @@
             ),
             pools=tuple(_decode_pool(entry) for entry in spec.get("Services") or ()),
             limits=_decode_limits(spec.get("Limits") or {}),
-            document=orjson.dumps(spec),
+            document=document,
         )
     except f.MALFORMED_ERRORS as cause:
         raise ConfigurationError(f"malformed: {cause!r}", key="config") from None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -125,3 +125,18 @@
         await site.start(_target("t0"))
         await site.add_instance()
         await _check_follows(site)
+
+    async def test_usage_out_of_range_ends_no_worker(self, site, caplog):
+        """Guards against usage that no message between instances can hold."""
+        usage = {"customers": ["one"], "recent": [10**30] * 16}
+        site.store.put("hibiscusstep-use", "customers", usage)
+        await site.start(_target("t0"))
+        await site.add_instance()
+        await _until(
+            lambda: any(
+                record.message == "malformed saved usage ignored"
+                for record in caplog.records
+            )
+        )
+        await _check_follows(site)
+        assert not any(record.message == "child crashed" for record in caplog.records)
