--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -8,7 +8,7 @@
 
 from hibiscusstep import codec
 from hibiscusstep.peer import PoolQueued, Received
-from hibiscusstep.peerlink import PeerLinks, Send
+from hibiscusstep.peerlink import NONCE_BYTES, PeerLinks, Send
 
 TIMEOUT_S = 20
 KEY = "a-key-for-tests-only"
@@ -101,3 +101,29 @@
                     await asyncio.sleep(0.01)
             assert pair.received_pools[-4:] == ["news"] * 3 + ["other"]
             assert len(encoded) == 2
+
+
+class TestCutFrame:
+    """Guards against a frame whose sender ended within it and that is delivered."""
+
+    async def test_no_prefix_of_a_handshake_and_a_message_is_delivered(self):
+        delivered = []
+        address = f"127.0.0.1:{free_port()}"
+        receiver = PeerLinks(address, KEY, delivered.append)
+        sender = PeerLinks("127.0.0.1:1", KEY, lambda _message: None)
+        await receiver.start()
+        size, is_whole = 0, False
+        async with asyncio.timeout(TIMEOUT_S):
+            while not is_whole:
+                assert delivered == []
+                reader, writer = await asyncio.open_connection(*address.split(":"))
+                nonce = await reader.readexactly(NONCE_BYTES)
+                whole = sender.handshake(nonce, PoolQueued("p"))
+                is_whole = size == len(whole)
+                writer.write(whole[:size])
+                writer.write_eof()
+                await reader.read()
+                writer.close()
+                size += 1
+        await receiver.stop()
+        assert len(delivered) == 1
