Count a malformed load report as none

A target of the generic dialect that closed after the head of its report, or reported no JSON object, ended the task that reads the reports of its pool: the dispatcher had no load of any target of the pool from then on.

The library decodes an empty body as None, and only the errors of decoding were caught; AttributeError and TypeError of the fields were not.

Five tests failed before (a body that was cut after the head, null, [], 1, and a number that is null) and pass; all seven on load reports pass.

--- a/hibiscusstep/targets/http.py
+++ b/hibiscusstep/targets/http.py
@@ -14,6 +14,8 @@
 REPORT_TIMEOUT_S = 1.0
 READ_BUFFER_BYTES = 1 << 16
 KEEP_ALIVE_S = 15.0
+# Errors of a report that is empty, no JSON object, or has no number of requests.
+_MALFORMED_ERRORS = (ValueError, TypeError, AttributeError, OverflowError)
 
 
 class TargetSessions:
@@ -87,7 +89,7 @@
         return Ok(response)
 
     async def report(self) -> LoadReport:
-        """Return the load that the target reports."""
+        """Return the load that the target reports; malformed, it counts as absent."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
         try:
             async with self._sessions.reused.get(
@@ -100,7 +102,7 @@
                 int(load.get("waiting", 0)),
                 bool(load.get("leaving", False)),
             )
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, OSError, TimeoutError, *_MALFORMED_ERRORS):
             return LoadReport(self._name, 0, 0, False, reachable=False)
 
     def error(self, cause: Exception, *, step: str, sent: bool) -> TargetError:
--- a/tests/test_cut_prefixes.py
+++ b/tests/test_cut_prefixes.py
@@ -243,18 +243,22 @@
 class TestGenericTargets:
     """Guards against cut answers and load reports of targets that are used."""
 
+    async def _read_report(self, address):
+        sessions = TargetSessions()
+        report = await ServiceClient("t", address, sessions).report()
+        await sessions.close()
+        return report.reachable
+
     @by_framing
     async def test_no_prefix_is_a_load_report(self, make_server, framed):
         """Guards against an error that ends the task which reads the reports."""
-
-        async def read(address):
-            sessions = TargetSessions()
-            report = await ServiceClient("t", address, sessions).report()
-            await sessions.close()
-            return report.reachable
-
         whole = answer({}, b'{"running": 3}', framed=framed, extra=JSON)
-        assert not any(await read_prefixes(make_server, whole, read))
+        assert not any(await read_prefixes(make_server, whole, self._read_report))
+
+    @pytest.mark.parametrize("load", ["null", "[]", "1", '{"running": null}', "{"])
+    async def test_a_malformed_load_is_no_report(self, make_server, load):
+        target = await make_server(lambda *_r: answer({}, load.encode(), extra=JSON))
+        assert not await self._read_report(target.address)
 
     @pytest.mark.parametrize("idempotent", [True, False])
     @pytest.mark.parametrize("shape", WHOLE)
