Return an error for a malformed list of instances

With the generic store, a list of instances that was cut, or that was no list of records, raised in the task that reads it; the task ended, and members that the store no longer lists stayed known as listed.

Store.instances returns a Result, and its reader waits for that only. The errors of decoding, and those of the records, are returned now.

--- a/hibiscusstep/stores/http.py
+++ b/hibiscusstep/stores/http.py
@@ -81,10 +81,15 @@
 
     async def instances(self) -> Result[list[InstanceRecord], PlatformError]:
         """Return the list of instances, which lags behind."""
-        answer = await self._call("GET", f"{self._url}/instances", step="instances")
-        return answer.map(
-            lambda reply: [InstanceRecord(**entry) for entry in reply.json()]
-        )
+        step = "instances"
+        answer = await self._call("GET", f"{self._url}/instances", step=step)
+        try:
+            return answer.map(
+                lambda reply: [InstanceRecord(**entry) for entry in reply.json()]
+            )
+        except (ValueError, TypeError) as cause:
+            detail = f"malformed answer: {cause!r}"
+            return Err(PlatformUnavailable(detail, step=step, peer="platform"))
 
     async def close(self) -> None:
         """Close the session."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -92,3 +92,11 @@
         reply = await client.read_one("kind", "name")
         await client.close()
         assert isinstance(reply.unwrap_err(), PlatformUnavailable)
+
+    @pytest.mark.parametrize("body", [b"null", b"[1]", b"[{}]", b'[{"a": 1}]'])
+    async def test_a_malformed_list_of_instances_is_an_error(self, make_server, body):
+        """Guards against an error that ends the task which reads the list."""
+        platform = HttpPlatform(f"http://{await make_server(HEAD, body, 'close')}")
+        reply = await platform.instances()
+        await platform.close()
+        assert isinstance(reply.unwrap_err(), PlatformUnavailable)
