Discard the messages of peers that waited during a pause

After a pause an instance read what its peers had sent before they missed it, and acted on it as if it were new: the pool's dispatcher granted targets to requests of seconds ago, which had ended or had a target from another dispatcher.

An instance that notices a gap of SILENT_AFTER_S (1.5 s, of the clock that includes suspensions) between two looks at its links closes the connections of its peers, unread. They learn that messages are lost, connect again, and register their requests anew, as after any lost link; what they write from then on is new. Tunnels stay.

Two of the new tests of links failed before (the message was delivered, the sender was not told).

--- a/hibiscusstep/clock.py
+++ b/hibiscusstep/clock.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 
-__all__ = ["SuspensionDetector", "elapsed"]
+__all__ = ["PauseDetector", "SuspensionDetector", "elapsed"]
 
 # Above the error from reading two clocks in turn, also on a busy machine where the
 # process is interrupted between the readings.
@@ -33,5 +33,25 @@
         return gap if gap > _MIN_SUSPENSION_S else 0.0
 
 
+class PauseDetector:
+    """Detects that this process stood still, stopped or on a suspended machine.
+
+    Parameters
+    ----------
+    threshold : float
+        A longer gap between two checks, in seconds, is a pause.
+    """
+
+    def __init__(self, threshold: float) -> None:
+        self._threshold = threshold
+        self._checked_at = elapsed()
+
+    def check(self) -> float:
+        """Return the seconds since the last check if that is a pause, otherwise 0."""
+        now = elapsed()
+        gap, self._checked_at = now - self._checked_at, now
+        return gap if gap > self._threshold else 0.0
+
+
 def _steady() -> float:
     return asyncio.get_running_loop().time()
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 
 from hibiscusstep import codec
+from hibiscusstep.clock import PauseDetector
 from hibiscusstep.errors import PeerError
-from hibiscusstep.mailbox import Worker
+from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.peer import MESSAGES, Received, TunnelOpen
 
 __all__ = ["Authenticator", "LinkLost", "PeerLinks", "Send", "read_frame"]
@@ -33,6 +34,8 @@
 # replaced when a write has not been acknowledged for this long. This is longer than the
 # pause of a busy peer and equal to the silence after which a peer counts as dead.
 SILENT_AFTER_S = 1.5
+# Interval of the checks for a pause of this process: well below `SILENT_AFTER_S`.
+PAUSE_CHECK_INTERVAL_S = 0.25
 _LENGTH = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 _TYPE_CODES = {cls: code for code, cls in enumerate(MESSAGES)}
@@ -116,6 +119,10 @@
 class PeerLinks(Worker):
     """Owns the listening socket and one outgoing connection to each peer.
 
+    After a pause of this process of `SILENT_AFTER_S`, it closes the connections of its
+    peers: the messages that waited in them are outdated. The peers, which may have
+    closed theirs by then, learn that messages were lost and connect again.
+
     Parameters
     ----------
     address : str
@@ -127,7 +134,7 @@
     """
 
     def __init__(self, address: str, key: str, deliver: Callable) -> None:
-        super().__init__("peer-links")
+        super().__init__("peer-links", tick_interval=PAUSE_CHECK_INTERVAL_S)
         self._address = address
         self._key = key
         self._deliver = deliver
@@ -135,6 +142,10 @@
         self._links: dict[str, _Link] = {}
         self._serve_tunnel: Callable[..., Awaitable[None]] | None = None
         self._receive_tasks: set[asyncio.Task] = set()
+        # Connections that messages arrive on, and the number of pauses so far.
+        self._message_writers: set[asyncio.StreamWriter] = set()
+        self._pauses = 0
+        self._pause_detector = PauseDetector(SILENT_AFTER_S)
         self._blocked: set[str] = set()
         # The last encoded message and its bytes.
         self._last_encoded: object = None
@@ -155,9 +166,10 @@
             receive_task.cancel()
         self._links = {}
 
-    async def handle(self, message: Send) -> None:
+    async def handle(self, message: Send | Tick) -> None:
         """Queue a message for its peer, creating the connection if needed."""
-        if message.address in self._blocked:
+        self._check_pause()
+        if isinstance(message, Tick) or message.address in self._blocked:
             return
         link = self._links.get(message.address)
         if link is None or link.task.done():
@@ -194,6 +206,15 @@
         """Drop all traffic from and to these peers; for tests of network partitions."""
         self._blocked = set(addresses)
 
+    def _check_pause(self) -> None:
+        """Close the connections of the peers if this process was paused."""
+        if not (seconds := self._pause_detector.check()):
+            return
+        _LOG.warning("paused", extra={"seconds": round(seconds, 3)})
+        self._pauses += 1
+        for writer in self._message_writers:
+            writer.close()
+
     def report_lost(self, address: str, refused: bool) -> None:
         """Report a broken connection to `deliver`."""
         self._deliver(LinkLost(address, refused))
@@ -201,6 +222,7 @@
     async def _serve(self, reader, writer) -> None:
         task = asyncio.current_task()
         self._receive_tasks.add(task)
+        self._message_writers.add(writer)
         peer = str(writer.get_extra_info("peername"))
         try:
             await self._receive(reader, writer)
@@ -210,9 +232,12 @@
             pass
         finally:
             self._receive_tasks.discard(task)
+            self._message_writers.discard(writer)
             writer.close()
 
     async def _receive(self, reader, writer) -> None:
+        self._check_pause()
+        pauses = self._pauses
         nonce = secrets.token_bytes(NONCE_BYTES)
         writer.write(nonce)
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -224,8 +249,12 @@
         try:
             while True:
                 body = await read_frame(reader, authenticator)
+                self._check_pause()
+                if pauses != self._pauses:
+                    return
                 if MESSAGES[body[0]] is TunnelOpen:
                     request = codec.decode(TunnelOpen, body[1:])
+                    self._message_writers.discard(writer)
                     await self._accept_tunnel(sender, request, writer.transport)
                     return
                 if acknowledgement is None or acknowledgement.when() <= loop.time():
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -1,14 +1,15 @@
 """Tests of hibiscusstep.peerlink: connections between instances that fail."""
 
 import asyncio
+import time
 
 import pytest
 from platform_standin import free_port
 from soak_proxy import Mode, Proxy
 
-from hibiscusstep import codec
+from hibiscusstep import clock, codec
 from hibiscusstep.peer import PoolQueued, Received
-from hibiscusstep.peerlink import PeerLinks, Send
+from hibiscusstep.peerlink import LinkLost, PeerLinks, Send
 
 TIMEOUT_S = 20
 KEY = "a-key-for-tests-only"
@@ -19,9 +20,10 @@
 
     async def __aenter__(self):
         self.received_pools = []
+        self.broken_links = 0
         ports = [free_port() for _ in range(2)]
         receiver = PeerLinks(f"127.0.0.1:{ports[0]}", KEY, self._deliver)
-        self.sender = PeerLinks(f"127.0.0.1:{ports[1]}", KEY, lambda _message: None)
+        self.sender = PeerLinks(f"127.0.0.1:{ports[1]}", KEY, self._count_lost)
         target = ("127.0.0.1", ports[0])
         self.proxy = Proxy("127.0.0.1", free_port(), lambda: target)
         await self.proxy.start()
@@ -38,6 +40,9 @@
         if isinstance(message, Received):
             self.received_pools.append(message.message.pool)
 
+    def _count_lost(self, message):
+        self.broken_links += isinstance(message, LinkLost)
+
     async def send_until(self, name):
         """Send a message periodically, like heartbeats, until it arrives."""
         async with asyncio.timeout(TIMEOUT_S):
@@ -101,3 +106,42 @@
                     await asyncio.sleep(0.01)
             assert pair.received_pools[-4:] == ["news"] * 3 + ["other"]
             assert len(encoded) == 2
+
+
+class TestPausedReceiver:
+    """Guards against messages of before a pause that are read after it.
+
+    The dispatcher of a pool granted targets to requests that had ended during its
+    pause, since their messages waited in its sockets.
+    """
+
+    PAUSE_S = 2.0
+
+    async def _pause(self, pair, monkeypatch):
+        """Let the receiver read a message that waited for the length of a pause."""
+        paused_s = 0.0
+        monkeypatch.setattr(clock, "elapsed", lambda: time.monotonic() + paused_s)
+        await pair.send_until("before")
+        pair.sender.tell(Send(pair.proxy.address, PoolQueued("waited")))
+        paused_s = self.PAUSE_S
+
+    async def test_discards_the_messages_that_waited(self, monkeypatch):
+        async with _LinkPair() as pair:
+            await self._pause(pair, monkeypatch)
+            await pair.send_until("after")
+            assert "waited" not in pair.received_pools
+
+    async def test_the_sender_learns_that_its_messages_are_lost(self, monkeypatch):
+        async with _LinkPair() as pair:
+            await self._pause(pair, monkeypatch)
+            async with asyncio.timeout(TIMEOUT_S):
+                while not pair.broken_links:
+                    await asyncio.sleep(0.01)
+
+    async def test_a_shorter_gap_loses_nothing(self, monkeypatch):
+        monkeypatch.setattr(self, "PAUSE_S", 1.0)
+        async with _LinkPair() as pair:
+            await self._pause(pair, monkeypatch)
+            await pair.send_until("after")
+            assert "waited" in pair.received_pools
+            assert not pair.broken_links
