Let a dispatcher that was paused begin anew

The pool's dispatcher went on after a pause with the requests of before it: of those it had granted some had ended, so their slots stayed taken until their instances registered, and it granted slots that others had granted meanwhile. Its targets' rate limits had saved up requests that others had sent.

The host of dispatchers notices a gap of 1.5 s between two messages that it handles (ticks come each 0.05 s), on the clock that includes suspensions. Its dispatchers then drop all requests, keep what they learnt, and decide nothing until the instances have registered, 0.3 s at most, as new dispatchers do. All instances that were alive are asked to register, by their addresses, so those that follow other relays too; asks of those that have not registered are ignored. The cost is that of a takeover: one message to each instance and one registration of each. Those that took another dispatcher meanwhile ignore the message and register when they see this one again.

--- a/hibiscusstep/dispatcher_host.py
+++ b/hibiscusstep/dispatcher_host.py
@@ -16,6 +16,7 @@
 
 import orjson
 
+from hibiscusstep.clock import PauseDetector
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.hosted_dispatcher import (
     TICK_S,
@@ -84,6 +85,9 @@
 # The same for the targets' rate limits: less than an even share, since the pool's
 # dispatcher may still grant the whole limit to the other instances.
 STANDBY_LIMIT_SHARES = 0.5
+# After a longer pause, the others have dispatched the pools of this instance. No other
+# state is lost by a false alarm than their requests, which they register again.
+PAUSED_AFTER_S = 1.5
 # In a region without a full mesh, an instance whose `PoolHeld` message is absent for
 # this long (three were missed) is considered dead and its requests are dropped.
 INSTANCE_TIMEOUT_S = 4.5
@@ -170,6 +174,7 @@
         self._configuration: Configuration | None = None
         self._hosted: dict[str, HostedDispatcher] = {}
         self._stream_versions: dict[str, StreamVersions] = defaultdict(StreamVersions)
+        self._pause_detector = PauseDetector(PAUSED_AFTER_S)
 
     @property
     def tick_interval(self) -> float:
@@ -190,6 +195,8 @@
 
     async def handle(self, message) -> None:
         """Handle a message of a request, a load report, a view or a configuration."""
+        if (pause_s := self._pause_detector.check()) and self._has_standby:
+            self._await_registrations(pause_s)
         match message:
             case Received(sender=sender, message=StatusAsk(number=number, pool=pool)):
                 reply = StatusReply(number, orjson.dumps(self.status(pool)).decode())
@@ -512,6 +519,11 @@
             return
         now = asyncio.get_running_loop().time()
         match body:
+            case PoolAsk(work=info) if info.instance in hosted.unregistered:
+                # It asked before the pause, or will register as it was asked to.
+                return
+            case PoolHeld(instance=instance) if instance in hosted.unregistered:
+                self._send(sender, NotDispatcher(pool))
             case PoolAsk(work=info):
                 hosted.addresses[info.instance] = sender
                 hosted.last_heard_at[info.instance] = now
@@ -547,6 +559,7 @@
     ) -> None:
         hosted.addresses[body.instance] = sender
         hosted.last_heard_at[body.instance] = now
+        hosted.unregistered.discard(body.instance)
         self._feed(hosted, m.InstanceGone(body.instance))
         if body.places:
             places = tuple(to_place(info, now) for info in body.places)
@@ -591,11 +604,31 @@
             # of another relay, and keeps its requests.
             for name in removed if view.is_mesh else ():
                 self._feed(hosted, m.InstanceGone(name))
+                hosted.last_heard_at.pop(name, None)
                 hosted.dropped_incarnations.add(previous[name].incarnation)
             self._request_registration(pool, hosted)
             self._feed(hosted, m.SuspectPartition(view.has_unreachable))
             self._recover_if_all_registered(pool, hosted)
 
+    def _await_registrations(self, pause_s: float) -> None:
+        """Drop all requests after a pause of this instance, as a new dispatcher.
+
+        Others dispatched its pools: requests that it knows of have ended, and it does
+        not know of those that others granted.
+        """
+        now = asyncio.get_running_loop().time()
+        for pool, hosted in self._hosted.items():
+            decision("dispatcher-paused", pool=pool, seconds=round(pause_s, 3))
+            hosted.dispatcher.suspend_decisions()
+            hosted.created_at = now
+            hosted.registered_incarnations.clear()
+            hosted.unregistered = set(hosted.last_heard_at)
+            for name in hosted.unregistered:
+                hosted.last_heard_at[name] = now
+                self._feed(hosted, m.InstanceGone(name))
+                if address := hosted.addresses.get(name):
+                    self._send(address, NotDispatcher(pool))
+
     def _request_registration(self, pool: str, hosted: HostedDispatcher) -> None:
         """Ask live instances that were considered dead to register again.
 
--- a/hibiscusstep/hosted_dispatcher.py
+++ b/hibiscusstep/hosted_dispatcher.py
@@ -25,22 +25,24 @@
     """A dispatcher that this instance runs, and the state that its host keeps for it.
 
     `registered_incarnations` are those that reported their requests,
-    `dropped_incarnations` those considered dead since. `addresses` and `last_heard_at`
-    are the peer address and the time of the last message of each instance.
-    `keepalives_sent_at` is the time of the last keepalives to instances with waiting
-    requests, `keepalive_interval_s` the seconds until the next. `state_logged_at` is
-    the time of the last log of the state, `rollout_reported_at` that of the last report
-    of the rollout's progress. `poller` reads the targets' load reports. `new_streams`
-    are the versions of the streams since `streams_sent_at`, when those before were sent
-    to the incarnations `streams_sent_to`. `saves_streams` is whether they are stored
-    too, and `unsaved_streams` are those since the last tick. `created_at` is
-    when the dispatcher was created, 0 for a standby dispatcher. Times are in seconds on
-    the loop's clock.
+    `dropped_incarnations` those considered dead since. `unregistered` are the names of
+    the instances that have not registered since a pause. `addresses` and
+    `last_heard_at` are the peer address and the time of the last message of each
+    instance. `keepalives_sent_at` is the time of the last keepalives to instances with
+    waiting requests, `keepalive_interval_s` the seconds until the next.
+    `state_logged_at` is the time of the last log of the state, `rollout_reported_at`
+    that of the last report of the rollout's progress. `poller` reads the targets' load
+    reports. `new_streams` are the versions of the streams since `streams_sent_at`, when
+    those before were sent to the incarnations `streams_sent_to`. `saves_streams` is
+    whether they are stored too, and `unsaved_streams` are those since the last tick.
+    `created_at` is when the dispatcher was created or its last pause ended, 0 for a
+    standby dispatcher. Times are in seconds on the loop's clock.
     """
 
     dispatcher: PoolDispatcher
     registered_incarnations: set[str] = field(default_factory=set)
     dropped_incarnations: set[str] = field(default_factory=set)
+    unregistered: set[str] = field(default_factory=set)
     addresses: dict[str, str] = field(default_factory=dict)
     last_heard_at: dict[str, float] = field(default_factory=dict)
     poller: asyncio.Task | None = None
--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -114,6 +114,10 @@
         """Highest share of a target's memory that is granted; None without a bound."""
         return None
 
+    def suspend_decisions(self) -> None:
+        """Make no decisions until `Recovered` is handled again."""
+        self._recovered = False
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+import time
 
 import pytest
 
+from hibiscusstep import clock
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.dispatcher_host import (
     KEEPALIVES_PER_S,
@@ -269,6 +271,142 @@
         assert first[0] > start
 
 
+class TestPausedDispatcher:
+    """Guards against requests of before a pause that hold slots after it.
+
+    Others dispatched the pool meanwhile: requests that the paused instance knew had
+    ended, and it did not know of those that ran.
+    """
+
+    PAUSE_S = 2.0
+
+    @pytest.fixture
+    async def host(self, monkeypatch):
+        """Return the host of `d`, what it sends, and a function that pauses it.
+
+        One request of `e` runs at the only slot and one waits.
+        """
+        links, local, paused_s = _Links(), [], 0.0
+        monkeypatch.setattr(clock, "elapsed", lambda: time.monotonic() + paused_s)
+        worker = DispatcherHost(
+            "d", "d:1", links, local.append, None,
+            dispatcher_class=SlotDispatcher, polls_load=False, has_standby=True,
+        )  # fmt: skip
+        await worker.handle(_view(d="d-1", e="e-1"))
+        plan = DispatchPlan({POOL: PlannedPool(False, targets={"t": PlannedTarget(1)})})
+        await worker.handle(ConfigurationInForce(1, b"", plan))
+        await self._register(worker, "e")
+        await self._register(worker, "d")
+        for ask in ("running", "waiting"):
+            await self._ask(worker, "e", ask)
+        assert self._granted(links.sent) == ["running"]
+        links.sent.clear()
+        local.clear()
+
+        def pause(seconds=self.PAUSE_S):
+            nonlocal paused_s
+            paused_s += seconds
+
+        return worker, links, local, pause
+
+    def _work(self, name, ask):
+        return WorkInfo(ask, ask, name, "c", "0", 0, 0, 1, 9.0, 0.0, False, [], [])
+
+    async def _ask(self, worker, name, ask):
+        message = PoolAsk(POOL, self._work(name, ask))
+        await worker.handle(Received(f"{name}:1", message))
+
+    async def _register(self, worker, name, waiting=(), running=()):
+        works = ([self._work(name, ask) for ask in asks] for asks in (waiting, running))
+        message = PoolRegister(POOL, name, f"{name}-1", *works, ["t"] * len(running))
+        await worker.handle(Received(f"{name}:1", message))
+
+    def _granted(self, sent):
+        return [m.ask for _address, m in sent if isinstance(m, PoolGrant)]
+
+    def _granted_here(self, local):
+        return [r.message.ask for r in local if isinstance(r.message, PoolGrant)]
+
+    async def test_its_slots_are_not_held_by_requests_of_before_the_pause(self, host):
+        worker, links, local, pause = host
+        pause()
+        await self._ask(worker, "e", "outdated")
+        await self._register(worker, "d", waiting=["own"])
+        assert self._granted(links.sent) == []
+        assert self._granted_here(local) == ["own"]
+
+    async def test_asks_all_instances_to_register(self, host):
+        worker, links, local, pause = host
+        pause()
+        await worker.handle(Tick())
+        assert links.sent == [("e:1", NotDispatcher(POOL))]
+        assert [r.message for r in local] == [NotDispatcher(POOL)]
+
+    async def test_decides_nothing_before_the_instances_have_registered(self, host):
+        """Others may have granted the slots that it takes for free."""
+        worker, _links, local, pause = host
+        pause()
+        await worker.handle(_view(d="d-1", e="e-1", f="f-1"))
+        await self._ask(worker, "d", "own")
+        assert self._granted_here(local) == []
+        await self._register(worker, "e", running=["elsewhere"])
+        await self._register(worker, "d", waiting=["own"])
+        assert self._granted_here(local) == []
+
+    async def test_decides_without_instances_that_stay_silent(self, host):
+        worker, links, local, pause = host
+        pause()
+        await self._ask(worker, "d", "own")
+        loop = asyncio.get_running_loop()
+        later = loop.time() + 2 * RECOVERY_TIMEOUT_S
+        try:
+            loop.time = lambda: later
+            await worker.handle(Tick())
+            await self._register(worker, "d", waiting=["own"])
+        finally:
+            del loop.time
+        assert self._granted_here(local) == ["own"]
+        assert self._granted(links.sent) == []
+
+    async def test_grants_to_instances_that_have_registered_again(self, host):
+        worker, links, _local, pause = host
+        pause()
+        await worker.handle(Tick())
+        await self._register(worker, "e")
+        await self._register(worker, "d")
+        await self._ask(worker, "e", "new")
+        assert self._granted(links.sent) == ["new"]
+
+    async def test_reaches_instances_that_follow_other_relays(self, host):
+        """The view of a region with relays does not name them."""
+        worker, links, _local, pause = host
+        alone = dataclasses.replace(_view(d="d-1").view, other_instances=1)
+        await worker.handle(ViewChanged(alone))
+        pause()
+        await worker.handle(Tick())
+        assert links.sent == [("e:1", NotDispatcher(POOL))]
+        await self._register(worker, "e", waiting=["again"])
+        loop = asyncio.get_running_loop()
+        later = loop.time() + 2 * RECOVERY_TIMEOUT_S
+        try:
+            loop.time = lambda: later
+            await worker.handle(Tick())
+        finally:
+            del loop.time
+        assert self._granted(links.sent) == ["again"]
+
+    async def test_a_short_gap_changes_nothing(self, host):
+        """Guards against instances that register whenever a machine is busy."""
+        worker, links, local, pause = host
+        pause(1.0)
+        await worker.handle(Tick())
+        ended = PoolFinished(POOL, "running", "done", 0, 0.0, -1)
+        await worker.handle(Received("e:1", ended))
+        assert self._granted(links.sent) == ["waiting"]
+        assert NotDispatcher(POOL) not in [m for _address, m in links.sent]
+        assert local == []
+
+
 class TestFairShareFields:
     """Operators must see in the log whose share a decision was made for."""
 
