Ask the others for the usage of customers after a pause

A customer was served beyond its quota when instances that had been paused went on: they took the others' usage of before the pause for that of now, while callers waited in their sockets.

An instance that notices a gap of 1.0 s, the silence after which the others do without it, takes the usage of the others for unknown, as at its start: it asks its neighbours at once, and calls with a quota wait for the answer, 1 s at most. One that is alone is as before.

What it costs: an instance that after its pause is cut off from all others for 2.5 s refuses more.

The simulated region can pause instances. Requests of a step are handed out before they are served, so its other tests draw the same random numbers.

--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from hibiscusstep.clock import PauseDetector
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule
 from hibiscusstep.forwarding.quota_limit import QuotaLimit
@@ -38,6 +39,12 @@
 AMPLE_FACTOR = 2.0
 # Intervals after which all totals are sent again, for instances that missed some.
 SEND_ALL_EVERY = 10
+# After a longer pause of this instance, what it knows of the others' usage is outdated:
+# the time after which they do without it.
+PAUSED_AFTER_S = 1.0
+# Time after a pause in which an instance uses no more than its share: callers waited at
+# it, and at the others if all were paused.
+EVEN_SHARES_S = 2.0
 # Hops from a follower over its relay and another relay to a third instance.
 RELAYED_HOPS = 3
 # Each instance logs the usage of the customers nearest to their limits: at most this
@@ -64,7 +71,8 @@
     share, so that all sides of a network partition together stay within the quota.
 
     An instance that starts requests the earlier usage from a live instance, which also
-    knows that of ended instances, or after a full restart from the store.
+    knows that of ended instances, or after a full restart from the store. One that was
+    paused requests it from a live instance.
 
     Parameters
     ----------
@@ -114,6 +122,8 @@
         self._queried: set[str] = set()
         self._answered: set[str] = set()
         self._history_known = asyncio.Event()
+        self._pause_detector = PauseDetector(PAUSED_AFTER_S)
+        self._shares_evenly_until = 0.0
         self._ticks = 0
 
     @property
@@ -127,7 +137,11 @@
 
     @property
     def history_known(self) -> bool:
-        """Whether usage before the start is known, or the store does not tell it."""
+        """Whether usage before the start is known, or the store does not tell it.
+
+        After a pause, whether another instance has told that of the others.
+        """
+        self._check_pause(asyncio.get_running_loop().time())
         return self._history_known.is_set()
 
     async def wait_history_known(self) -> None:
@@ -137,10 +151,24 @@
     async def handle(self, message) -> None:
         """Process a tick, a membership view, or usage from a peer or the store."""
         now = asyncio.get_running_loop().time()
+        self._check_pause(now)
         self._process(message, now)
         if not self.history_known and self._ledger.knows_history(now):
             self._history_known.set()
 
+    def _check_pause(self, now: float) -> None:
+        """Request the usage of the others anew if this instance was paused."""
+        seconds = self._pause_detector.check()
+        if not seconds or self.reachability.sharing_count(now) == 1:
+            return
+        decision("use-outdated", paused=round(seconds, 1))
+        self._ledger.forget_knowledge(now)
+        self._shares_evenly_until = now + EVEN_SHARES_S
+        self._history_known.clear()
+        self._answered.clear()
+        self._queried.clear()
+        self._query_history(now)
+
     def _process(self, message, now: float) -> None:
         match message:
             case Tick():
@@ -293,6 +321,7 @@
         if not customer.quota.rate:
             return True
         now = asyncio.get_running_loop().time()
+        self._check_pause(now)
         limit, used = (
             self._limit.current_limit(customer, now),
             self.used(customer.name, now),
@@ -378,6 +407,7 @@
         has_neighbours = bool(self._neighbours)
         if (
             has_neighbours
+            and now >= self._shares_evenly_until
             and AMPLE_FACTOR * (recent * self._max_delay_s + unsent + tokens)
             <= remaining
         ):
--- a/hibiscusstep/forwarding/usage.py
+++ b/hibiscusstep/forwarding/usage.py
@@ -65,7 +65,7 @@
     ----------
     listed : frozenset of str or None
         Customers in the document that was in the store before this instance, or all
-        instances, started; None while that is not known.
+        instances, started; None while that is not known, also after a pause.
     """
 
     def __init__(self, incarnation: str, span: float, now: float) -> None:
@@ -111,6 +111,14 @@
         """Return whether usage before the start is known, if only from the store."""
         return self.listed is not None or self.knows_window(now)
 
+    def forget_knowledge(self, now: float) -> None:
+        """Take the usage of others for unknown until another instance reports it.
+
+        What was counted so far still counts.
+        """
+        self._known_since = now
+        self.listed = None
+
     def own_usage(self, name: str, now: float) -> float:
         """Return the tokens used through this instance in the window."""
         detached = self._detached[name].total(now) if name in self._detached else 0.0
--- a/tests/quota_region.py
+++ b/tests/quota_region.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from hibiscusstep import codec
+from hibiscusstep import clock, codec
 from hibiscusstep.errors import PlatformUnavailable
 from hibiscusstep.forwarding.bounds import Bounds
 from hibiscusstep.forwarding.model import CustomerRule, Quota
@@ -31,6 +31,9 @@
 MAX_WAIT_S = 1.0
 # Seconds after its start for which an instance uses the number of listed instances.
 USE_LIST_S = 3.0
+# Seconds of silence after which an instance is unreachable for the others, and from the
+# end of its pause until they see it again.
+SUSPECT_S, RETURN_S = 1.0, 0.1
 
 
 class _FakeLinks:
@@ -74,6 +77,10 @@
     last_view_values: tuple = ()
     seen: frozenset = field(default_factory=frozenset)
     unreachable: set = field(default_factory=set)
+    # Tokens of the requests that wait at it.
+    waiting: list = field(default_factory=list)
+    paused_at: float | None = None
+    resumed_at: float = 0.0
 
 
 @dataclass(order=True)
@@ -105,6 +112,7 @@
     def __init__(self, count, monkeypatch, rate=60_000.0, seed=1, has_store=False):
         self.now = 1000.0
         monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: self.now)
+        monkeypatch.setattr(clock, "elapsed", lambda: self.now)
         self.bounds = Bounds(
             quota_window=self.WINDOW_S, quota_overage=0.1, quota_slack=140_000.0
         )
@@ -162,6 +170,23 @@
         for number in numbers or list(self.instances):
             del self.instances[number]
 
+    def pause(self, number):
+        """Stop an instance; its callers and its peers' messages wait in its sockets."""
+        self.instances[number].paused_at = self.now
+
+    def resume(self, number):
+        """Let a paused instance go on, which discards the messages that waited."""
+        instance = self.instances[number]
+        instance.paused_at, instance.resumed_at = None, self.now
+        instance.next_tick = self.now
+        self._in_flight = [p for p in self._in_flight if p.to != number]
+
+    def _is_silent(self, instance):
+        """Whether the others take it for unreachable."""
+        if instance.paused_at is not None:
+            return self.now - instance.paused_at > SUSPECT_S
+        return self.now - instance.resumed_at < RETURN_S
+
     async def play(self, seconds, demand=0.0):
         """Advance the time; the customer requests `demand` times its rate."""
         for _ in range(round(seconds / STEP_S)):
@@ -171,13 +196,24 @@
             await self._deliver()
             self.now += STEP_S
 
+    def _is_paused(self, number):
+        instance = self.instances.get(number)
+        return instance is not None and instance.paused_at is not None
+
     async def _update_views(self):
         """Send each instance its view; a new instance sees only itself."""
         connected = {n for n, i in self.instances.items() if self._is_connected(i)}
+        silent = {n for n, i in self.instances.items() if self._is_silent(i)}
         for number, instance in self.instances.items():
-            reachable = {n for n in connected if self._same_side(n, number)}
+            if instance.paused_at is not None or number in silent:
+                continue
+            reachable = {n for n in connected - silent if self._same_side(n, number)}
             seen = frozenset(reachable | {number} if number in connected else {number})
-            lost = {n for n in instance.seen - seen if not self._same_side(n, number)}
+            lost = {
+                n
+                for n in instance.seen - seen
+                if not self._same_side(n, number) or n in silent
+            }
             instance.unreachable = (instance.unreachable | lost) - seen
             instance.seen = seen
             view_values = seen, len(instance.unreachable), self._listed(instance)
@@ -216,25 +252,37 @@
     def _request(self, demand):
         expected = demand * self.rule.quota.rate * STEP_S / REQUEST_TOKENS
         count = int(expected) + (self._random.random() < expected % 1)
-        accepting = [i.limiter for i in self.instances.values() if self._accepts(i)]
-        for _ in range(count if accepting else 0):
+        open_to_callers = [
+            i
+            for i in self.instances.values()
+            if i.paused_at is not None or i.resumed_at or self._accepts(i)
+        ]
+        for _ in range(count if open_to_callers else 0):
             tokens = 60 + int(self._random.expovariate(1 / (REQUEST_TOKENS - 60)))
-            limiter = self._random.choice(accepting)
+            self._random.choice(open_to_callers).waiting.append(tokens)
+        for instance in self.instances.values():
+            if instance.paused_at is None and self._accepts(instance):
+                self._serve_waiting(instance)
+
+    def _serve_waiting(self, instance):
+        for tokens in instance.waiting:
             self.asked += tokens
-            if reservation := limiter.reserve(self.rule, tokens):
+            if reservation := instance.limiter.reserve(self.rule, tokens):
                 reservation.commit()
                 self.history.append((self.now, tokens))
             else:
                 self.refused += tokens
+        instance.waiting.clear()
 
     def _accepts(self, instance):
         """Return whether requests no longer wait for the earlier usage."""
-        return (
-            instance.limiter.history_known or self.now - instance.started > MAX_WAIT_S
-        )
+        since = max(instance.started, instance.resumed_at)
+        return instance.limiter.history_known or self.now - since > MAX_WAIT_S
 
     async def _tick(self):
         for instance in list(self.instances.values()):
+            if instance.paused_at is not None:
+                continue
             if self.now >= instance.next_tick:
                 instance.next_tick += TICK_S
                 await instance.limiter.handle(Tick())
@@ -256,10 +304,13 @@
                 serial = next(self._serial)
                 self._in_flight.append(_InFlight(due, serial, number, to, send.message))
             instance.links.sent.clear()
-        arrived = sorted(packet for packet in self._in_flight if packet.due <= self.now)
-        self._in_flight = [
-            packet for packet in self._in_flight if packet.due > self.now
+        due = [
+            packet
+            for packet in self._in_flight
+            if packet.due <= self.now and not self._is_paused(packet.to)
         ]
+        arrived = sorted(due)
+        self._in_flight = [packet for packet in self._in_flight if packet not in due]
         for packet in arrived:
             if packet.to in self.instances and self._same_side(
                 packet.sender, packet.to
