Report an answer without a body as none at the operators' client

A status whose body was cut after an unframed head was returned as None, and the command ended with a TypeError instead of a line that tells the instance.

The library decodes an empty body as None; the body is decoded strictly now, so that it is the PeerError of every other answer that cannot be read.

TestOperatorClient::test_no_prefix_is_a_status[False] failed before and passes; 112 tests of it, the commands and the processes pass.

--- a/hibiscusstep/operator_client.py
+++ b/hibiscusstep/operator_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import aiohttp
+import orjson
 
 from hibiscusstep.errors import PeerError
 
@@ -91,7 +92,7 @@
             async with self._session.get(
                 f"http://{address}{path}", headers=self._headers
             ) as response:
-                data = await response.json()
+                data = orjson.loads(await response.read())
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as cause:
             detail = f"no answer: {type(cause).__name__}"
             raise PeerError(detail, step=path.split("/")[1], peer=address) from None
