--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -68,6 +68,11 @@
     return cut
 
 
+def without_seal(whole):
+    lines = whole.splitlines(keepends=True)
+    return b"".join(line for line in lines if not line.startswith(b"X-Response-Seal"))
+
+
 CUTS = {
     "nothing": lambda _whole: b"",
     "in the version": before(b"1.1 200"),
@@ -83,6 +88,7 @@
     "after a length of 0": with_field(b"Content-Length: 0"),
     "in the coding": with_field(b"Transfer-Encoding: chu", b""),
     "after the coding": with_field(b"Transfer-Encoding: chunked"),
+    "without seal": without_seal,
     "without blank line": before(b"\r\n\r\n", 2),
     "in the blank line": before(b"\r\n\r\n", 3),
     "after the head": before(b"\r\n\r\n", 4),
