Soak: an entry that no parser reads, and targets replaced after it

The soak left invalid entries in the store, but each was the value of a JSON writer, and its targets stayed, so instances that no longer followed the store still served. It could not find lists that one entry makes unreadable.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -84,6 +84,9 @@
     {"Service": POOL, "Address": "127.0.0.1:1", "Slots": True, "State": "ready"},
     {"Service": ["nested"], "Slots": -1, "born": float("nan")},
 )
+# Text of an entry that no parser reads, and what stands for it until it is sent.
+UNREADABLE_TEXT = b"[" * 2_000 + b"]" * 2_000
+UNREADABLE_MARKER = "@unreadable@"
 
 
 class Callers:
@@ -373,10 +376,16 @@
             await asyncio.sleep(span / 3)
 
     async def _odd_entries(self, span):
-        """Write invalid entries: new ones, and temporarily one over a target's."""
+        """Write invalid entries, one of them not even readable.
+
+        New ones stay, and one is over a target's for a while.
+        """
         world = self._world
         for n in range(2):
             world.store.put("servers", f"odd{n}", self._rng.choice(INVALID_ENTRIES))
+        marker = f'"{UNREADABLE_MARKER}"'.encode()
+        world.store.answer_replacement = (marker, UNREADABLE_TEXT)
+        world.store.put("servers", "odd-text", {"Service": UNREADABLE_MARKER})
         target = self._rng.choice([t for t in world.targets if not t.left_at])
         world.store.put("servers", target.name, self._rng.choice(INVALID_ENTRIES))
         await asyncio.sleep(span)
@@ -614,6 +623,8 @@
             ]
             caller_group.stopping = True
             await calling
+            if kinds and Faults._odd_entries in kinds:
+                await world.replace_targets()
             findings += await _check_all_serve(world, caller_group, session, serving_s)
     finally:
         await world.stop()
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -468,6 +468,14 @@
             target.crash()
             self.remove_entry(target)
 
+    async def replace_targets(self):
+        """Replace all targets, so that only instances which follow the store serve."""
+        replaced = list(self.targets)
+        for target in replaced:
+            await self.add_target(target.version)
+        for target in replaced:
+            self.stop_target(target)
+
     def drain_version(self, version):
         """Mark all targets of a version as leaving in their entries."""
         for target in [t for t in self.targets if t.version == version]:
