Test that a paused dispatcher has saved up no part of a rate limit

The others grant the limit while the pool's dispatcher stands still. Its token bucket filled up meanwhile: on it grants two requests at once after a pause, and the test fails; it passes since the dispatcher begins anew.

--- a/tests/test_dispatcher_host.py
+++ b/tests/test_dispatcher_host.py
@@ -253,6 +253,18 @@
         granted = await self._use(worker, grants, start + 20.0, 10.0)
         assert len(granted) >= 0.9 * self.LIMIT * 10.0
 
+    async def test_a_paused_dispatcher_has_saved_up_nothing(self, monkeypatch):
+        """Guards against the limit being granted twice, as others granted it."""
+        paused_s = 0.0
+        monkeypatch.setattr(clock, "elapsed", lambda: time.monotonic() + paused_s)
+        worker, grants = await self._host(self._view("i0"))
+        start = asyncio.get_running_loop().time()
+        await self._use(worker, grants, start, 4.0)
+        paused_s = 4.0
+        granted = await self._use(worker, grants, start + 8.0, 4.0)
+        assert granted[0] >= start + 8.0 + 1 / self.LIMIT
+        assert len(granted) <= self.LIMIT * 4.0
+
     async def test_a_standby_dispatcher_grants_half_an_even_share(self):
         worker, grants = await self._host(self._view("i1"))
         start = asyncio.get_running_loop().time()
