Leave out entries with text that has no UTF-8 form

What callers saw: nothing yet; found by a test of malformed versions. One entry whose Version (or Service, Zone) held a lone surrogate, which JSON may escape ("v\ud800"), was taken for a target. Its text is part of messages to peers and of documents in the store, which cannot hold it: the worker of the connections to peers failed at each change of the targets, the tasks that store versions too, and after eight failures in 30 s the process ends by itself.

Cause: read_text rejected the replacement character of bytes that are no UTF-8, but not text that no writer of this program can encode.

Each text of an entry and of an order passes read_text, so none of them reaches a message or document any more.

--- a/hibiscusstep/platform/fields.py
+++ b/hibiscusstep/platform/fields.py
@@ -64,11 +64,20 @@
     value = _read(document, field)
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
         raise MalformedField(field, "not a text, empty or too long")
-    if _REPLACEMENT_CHARACTER in value:
+    if _REPLACEMENT_CHARACTER in value or not _is_encodable(value):
         raise MalformedField(field, "not valid UTF-8")
     return value
 
 
+def _is_encodable(text: str) -> bool:
+    """Return whether a text has a UTF-8 form; JSON may escape lone surrogates."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def read_id(document: Mapping, field: str) -> str:
     """Return a text that is valid in a header field."""
     value = read_text(document, field)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -72,6 +72,13 @@
     _entry(ColdLeftMs=float("nan")),
     _entry(Sequence=False),
     _entry(Version=None),
+    _entry(Version=""),
+    _entry(Version="v" * 1000),
+    _entry(Version=7),
+    _entry(Version=["v1"]),
+    _entry(Version="v\ud800"),
+    _entry(Service="p\udfff"),
+    _entry(Zone="\ud83d"),
     _entry(born=None),
     _entry(born=1.5),
     _entry(born=True),
@@ -490,6 +497,17 @@
         assert "State: unknown: 'odd'" in lines[0].error
         assert watched.feed.ignored_count == 1
 
+    @pytest.mark.parametrize("version", ["", None, "v" * 1000, 7, "v\ud800"], ids=repr)
+    async def test_the_line_names_a_malformed_version(self, watched, caplog, version):
+        watched.store.put("servers", "t1", _entry(Version=version))
+        await watched.until(lambda: "t1" not in watched.targets)
+        watched.store.forget_history()
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        (line,) = (r for r in caplog.records if r.message == "object left out")
+        assert (line.kind, line.object) == ("servers", "t1")
+        assert line.error.startswith("Version: not ")
+
 
 class TestRoster:
     async def test_a_malformed_record_hides_no_other(self, watched):
--- a/tests/test_versions_in_service.py
+++ b/tests/test_versions_in_service.py
@@ -242,3 +242,32 @@
         async with site.callers():
             await site.until(lambda: site.requests_run["v1"] >= 20)
             await site.until(lambda: site.requests_run["v2"] >= 20)
+
+
+@MODES
+class TestMalformedVersions:
+    """Guards against an entry whose version ends instances or takes part in service.
+
+    The version is part of messages to peers, which do not carry every text.
+    """
+
+    @pytest.mark.parametrize("version", ["", None, "v" * 1000, 7, "v\ud800"], ids=repr)
+    async def test_are_left_out(self, site, caplog, version):
+        await site.start_pool("v1", instances=2)
+        odd = site.target("odd", "v2")
+        await odd.start()
+        site.targets.append(odd)
+        site.store.put("servers", "odd", {**odd.entry(POOL), "Version": version})
+        known = len(site.instances[0].targets)
+        await site.add_target(site.target("v1-2", "v1"))
+        await site.until(lambda: all("v1-2" in i.targets for i in site.running))
+        for number in (0, 1):
+            for _ in range(10):
+                assert (await site.call("/once/", instance=number))[0] == 200
+        assert known == 1
+        assert set(map(_current, site.running)) == {frozenset({"v1"})}
+        assert site.requests_run["v2"] == 0
+        assert not [r for r in caplog.records if r.exc_info]
+        lines = [r for r in caplog.records if r.message == "object left out"]
+        assert {line.object for line in lines} == {"odd"}
+        assert len(lines) <= len(site.instances)
