Ignore a start of a target that is in the future

A target that had registered a start an hour ahead and started again with the right time was ignored until that hour had passed: requests went to its former address, and those that ran on its former start were not known to be over.

Cause: a start identifies an incarnation, the later one holds, and nothing compared it to the time.

A start over a minute ahead counts as not given, which many targets do not give at all: the target is used. One line per start tells it. A minute, since clocks differ and jump by seconds. It stays ignored when its time has come; otherwise the target would seem to start again. What is no positive integer is left out as before, with the line of a malformed entry: no target wrote it.

Evidence: before the fix test_counts_as_not_given and test_a_later_start_is_another_target failed (t1 at the former start, the new address unknown), test_one_of_a_clock_slightly_ahead_is_used passed. After: test_catalog 86 passed. The test's feed decodes as the program's does now; its checks are unchanged.

--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -1,5 +1,9 @@
 """hibiscusstep.platform.documents: decoding of the store's documents."""
 
+import logging
+import time
+from dataclasses import replace
+
 import orjson
 
 from hibiscusstep.errors import ConfigurationError
@@ -21,12 +25,15 @@
     "CONFIGURATION_KIND",
     "ROLLOUT_KIND",
     "TARGET_KIND",
+    "TargetDecoder",
     "decode_rollout",
     "decode_table",
     "decode_target",
     "rollout_status",
 ]
 
+_LOG = logging.getLogger(__name__)
+
 CONFIGURATION_KIND = "config"
 TARGET_KIND = "servers"
 ROLLOUT_KIND = "rollouts"
@@ -38,6 +45,8 @@
 # A target with a larger value would attract all work; engines batch a few dozen.
 MAX_SLOTS = 4096
 _READY_STATE, _LEAVING_STATE = "ready", "draining"
+# Clocks of machines differ by seconds, and jump by as much.
+MAX_CLOCK_AHEAD_MS = 60_000
 # A longer duration indicates a wrong unit.
 MAX_ROLLOUT_S = 7 * 86_400.0
 MIN_ROLLOUT_S = 1.0
@@ -127,6 +136,36 @@
     )
 
 
+class TargetDecoder:
+    """Decodes entries of targets; a start in the future counts as not given.
+
+    A later start with the right time would seem to be an earlier one. A start that was
+    ignored once stays ignored when its time has come, so that the target does not seem
+    to start again.
+    """
+
+    def __init__(self) -> None:
+        # By name, the start times that are ignored, in milliseconds.
+        self._ignored_starts: dict[str, int] = {}
+
+    def __call__(
+        self, name: str, revision: int, spec: dict, status: dict
+    ) -> DiscoveredTarget:
+        """Return the target of an entry; see `decode_target`."""
+        target = decode_target(name, revision, spec, status)
+        born = target.incarnation
+        if not born:
+            return target
+        if self._ignored_starts.get(name) != born:
+            if born <= time.time() * 1000 + MAX_CLOCK_AHEAD_MS:
+                self._ignored_starts.pop(name, None)
+                return target
+            self._ignored_starts[name] = born
+            extra = {"object": name, "revision": revision, "born": born}
+            _LOG.error("start time ignored", extra=extra)
+        return replace(target, incarnation=0)
+
+
 def decode_rollout(name: str, revision: int, spec: dict, status: dict) -> RolloutOrder:
     """Return an operator's order to move a pool's traffic to a version.
 
--- a/hibiscusstep/platform/environment.py
+++ b/hibiscusstep/platform/environment.py
@@ -18,10 +18,10 @@
     CONFIGURATION_KIND,
     ROLLOUT_KIND,
     TARGET_KIND,
+    TargetDecoder,
     decode_rollout,
     decode_table,
     decode_table_bytes,
-    decode_target,
 )
 from hibiscusstep.platform.headers import PlatformDialect
 from hibiscusstep.platform.settings import load_platform_settings
@@ -66,7 +66,7 @@
         ready_path=READY_PATH,
         dialect=PlatformDialect(),
         tables=ObjectFeed(client, CONFIGURATION_KIND, decode_table),
-        targets=ObjectFeed(client, TARGET_KIND, decode_target),
+        targets=ObjectFeed(client, TARGET_KIND, TargetDecoder()),
         instance_directory=directory,
         estimate_store=ObjectEstimateStore(client),
         usage_store=ObjectUsageStore(client),
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from dataclasses import replace
 
 import pytest
@@ -19,9 +20,9 @@
     ObjectInstanceDirectory,
 )
 from hibiscusstep.platform.documents import (
+    TargetDecoder,
     decode_table,
     decode_table_spec,
-    decode_target,
 )
 from hibiscusstep.store import Change, InstanceRecord
 
@@ -96,7 +97,7 @@
         self.client = ObjectClient(store.address)
         self.tables, self.targets, self.ended = [], {}, []
         self.changed = asyncio.Event()
-        self.feed = ObjectFeed(self.client, "servers", decode_target)
+        self.feed = ObjectFeed(self.client, "servers", TargetDecoder())
         self.catalog = Catalog(
             ObjectFeed(self.client, "config", decode_table),
             self.feed,
@@ -285,7 +286,7 @@
         revisions = []
         catalog = Catalog(
             ObjectFeed(watched.client, "config", decode_table),
-            ObjectFeed(watched.client, "servers", decode_target),
+            ObjectFeed(watched.client, "servers", TargetDecoder()),
             lambda table: None,
             lambda targets, changes: revisions.append(catalog.revision),
             lambda name: None,
@@ -509,6 +510,57 @@
         assert line.error.startswith("Version: not ")
 
 
+class TestStartInTheFuture:
+    """Guards against a target that is ignored after it has started again.
+
+    Its first start was registered with a time that had not come yet, so that the next
+    one seemed to be an older one.
+    """
+
+    AHEAD_MS = 3_600_000
+
+    @staticmethod
+    def _unix_ms():
+        return int(time.time() * 1000)
+
+    def _lines(self, caplog):
+        return [r for r in caplog.records if r.message == "start time ignored"]
+
+    async def test_counts_as_not_given(self, watched, caplog):
+        born = self._unix_ms() + self.AHEAD_MS
+        watched.store.put("servers", "t7", _entry(born=born))
+        await watched.until(lambda: {"t7", f"t7@{born}"} & watched.targets.keys())
+        assert watched.targets["t7"].incarnation == 0
+        for sequence, name in enumerate(("t8", "t9")):
+            changed = _entry(born=born, Sequence=sequence, Slots=3 + sequence)
+            watched.store.put("servers", "t7", changed)
+            watched.store.forget_history()
+            watched.store.put("servers", name, _entry())
+            await watched.until(lambda name=name: name in watched.targets)
+        await watched.until(lambda: watched.targets["t7"].slots == 4)
+        (line,) = self._lines(caplog)
+        assert (line.object, line.born) == ("t7", born)
+        assert watched.ended == []
+
+    async def test_a_later_start_is_another_target(self, watched):
+        born = self._unix_ms()
+        watched.store.put("servers", "t1", _entry(born=born + self.AHEAD_MS, Slots=7))
+        await watched.until(lambda: 7 in (t.slots for t in watched.targets.values()))
+        changed = _entry(born=born, address="127.0.0.1:2")
+        watched.store.put("servers", "t1", changed)
+        watched.store.put("servers", "t9", _entry())
+        await watched.until(lambda: "t9" in watched.targets)
+        assert watched.targets[f"t1@{born}"].address == "127.0.0.1:2"
+        assert watched.ended == ["t1"]
+
+    async def test_one_of_a_clock_slightly_ahead_is_used(self, watched, caplog):
+        """Clocks of machines may differ by some seconds, and jump."""
+        born = self._unix_ms() + 10_000
+        watched.store.put("servers", "t7", _entry(born=born))
+        await watched.until(lambda: f"t7@{born}" in watched.targets)
+        assert not self._lines(caplog)
+
+
 class TestRoster:
     async def test_a_malformed_record_hides_no_other(self, watched):
         directory = ObjectInstanceDirectory(watched.client)
