--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -1,6 +1,7 @@
 """hibiscusstep.forwarding.rollouts: tracking of operators' rollout orders."""
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -11,6 +12,7 @@
     BegunVersionsSync,
     VersionsStored,
 )
+from hibiscusstep.forwarding.catalog import watch_seconds
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.pool_versions import (
     NO_VERSIONS,
@@ -43,8 +45,9 @@
 TICK_S = 0.25
 # Number of instances, in addition to the pools' dispatchers, that watch the store.
 STORE_FOLLOWERS = 2
-# A pending watch costs one call; a lost connection is noticed when it times out.
-WATCH_TIMEOUT_S = 6.0
+# Longest duration of a watch call. A pending one costs no further call; a lost
+# connection is noticed when it times out.
+WATCH_S = 6.0
 RETRY_S = 0.3
 # While an order runs, its progress is sent to the other instances and saved in the
 # store at these intervals.
@@ -136,6 +139,8 @@
         Whether no instance of the system ran before.
     orders_rollouts : bool
         Whether operators order rollouts.
+    silence_limit : float
+        Seconds within which a connection to the store that went silent is replaced.
 
     Attributes
     ----------
@@ -156,6 +161,7 @@
         *,
         is_first_start: bool,
         orders_rollouts: bool,
+        silence_limit: float = math.inf,
     ) -> None:
         super().__init__("rollouts", tick_interval=TICK_S)
         self._own_name = name
@@ -169,6 +175,9 @@
         self._write_tasks: dict[str, asyncio.Task] = {}
         self._save_task: asyncio.Task | None = None
         self._requested_saved_pools: set[str] = set()
+        # Pools whose last progress is to be saved: without the evidence of a verdict
+        # whose status the store refuses, a restart of all would try the version anew.
+        self._unsaved_verdicts: set[str] = set()
         self._published_at = self._saved_at = self._resent_at = 0.0
         self._call_s = 0.0
         self._era = 0
@@ -183,6 +192,7 @@
             unix_offset=time.time() - _now(),
         )
         self._is_first_start = is_first_start
+        self._watch_s = watch_seconds(WATCH_S, silence_limit)
         self._begun_sync = BegunVersionsSync(
             name, stream_store, self.version_table, self.tell
         )
@@ -470,7 +480,7 @@
                 if revision is None:
                     await asyncio.sleep(RETRY_S * (0.5 + random.random()))
                 continue
-            watched = await self._store.feed.watch(revision, WATCH_TIMEOUT_S)
+            watched = await self._store.feed.watch(revision, self._watch_s)
             if watched.is_ok():
                 changes, revision = watched.unwrap()
                 if changes:
@@ -505,7 +515,8 @@
             return
         if self.version_table.conclude(update.pool, update.number, update.state):
             self._publish([update.pool], now)
-            self._save_progress(now, at_once=True)
+            self._unsaved_verdicts.add(update.pool)
+            self._save_progress(now)
             self._write_status(update.pool)
 
     def _write_status(self, pool: str) -> None:
@@ -582,15 +593,17 @@
 
     # Saved progress, for a restart of all instances.
 
-    def _save_progress(self, now: float, *, at_once: bool = False) -> None:
+    def _save_progress(self, now: float) -> None:
+        """Save the progress of running orders at intervals, and each verdict's once."""
         if self._save_task and not self._save_task.done():
             return
-        pools = [
-            pool for pool in self.version_table.running_pools if self._dispatches(pool)
-        ]
-        if pools and (at_once or now >= self._saved_at + SAVE_INTERVAL_S):
+        pools, self._unsaved_verdicts = self._unsaved_verdicts, set()
+        if now >= self._saved_at + SAVE_INTERVAL_S:
+            running = self.version_table.running_pools
+            pools |= {pool for pool in running if self._dispatches(pool)}
+        if pools:
             self._saved_at = now
-            self._save_task = asyncio.create_task(self._write_saved(pools))
+            self._save_task = asyncio.create_task(self._write_saved(sorted(pools)))
 
     async def _write_saved(self, pools: list[str]) -> None:
         for pool in pools:
@@ -603,6 +616,8 @@
             written = await self._store.write_progress(pool, document)
             if written.is_err():
                 decision("rollout-not-kept", pool=pool, error=str(written.unwrap_err()))
+                if entry.final and entry.state_to_write:
+                    self._unsaved_verdicts.add(pool)
 
     def _request_saved(self, pool: str) -> None:
         if pool not in self._requested_saved_pools:
@@ -635,6 +650,8 @@
         self._resolve_ambiguous(now)
         self._log_unserved()
         self._resend(now)
+        if self._unsaved_verdicts and now >= self._saved_at + SAVE_INTERVAL_S:
+            self._save_progress(now)
         if self.version_table.update_begun(now):
             self._on_change()
         if self._restore_settled_at and now >= self._restore_settled_at:
--- a/hibiscusstep/membership/continuity.py
+++ b/hibiscusstep/membership/continuity.py
@@ -2,7 +2,7 @@
 
 import math
 
-from hibiscusstep.clock import elapsed
+from hibiscusstep.clock import PauseDetector
 from hibiscusstep.membership.view import View
 
 __all__ = ["Continuity"]
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self._missed_until = -math.inf
         self._is_isolated = False
-        self._active_at = elapsed()
+        self._pause_detector = PauseDetector(PAUSE_S)
 
     def record_activity(self, now: float) -> bool:
         """Record that the process runs; called at each event of a task.
@@ -33,8 +33,7 @@
         bool
             Whether it was paused before.
         """
-        before, self._active_at = self._active_at, elapsed()
-        was_paused = self._active_at > before + PAUSE_S
+        was_paused = self._pause_detector.check() > 0
         if was_paused:
             self._missed_until = now
         return was_paused
