--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -345,6 +345,7 @@
             self._started_at,
             is_first_start=settings.is_first_start,
             orders_rollouts=bounds.orders_rollouts,
+            silence_limit=bounds.silence_limit,
         )
         self._saved_streams = SavedStreamsWorker(
             self._environment.stream_store,
@@ -532,8 +533,19 @@
         if self._has_plan:
             self._frontend.set_table(table)
         self._quotas.tell(CustomersChanged(table.customers))
+        self._warn_of_regional_quotas(table)
         self._publish_plan()
 
+    def _warn_of_regional_quotas(self, table: RoutingTable) -> None:
+        """Warn that each region grants the customers their whole quotas."""
+        regions = self._settings.region_count
+        limited = [rule.name for rule in table.customers if rule.quota.rate > 0]
+        multiple = regions if limited else 1
+        self._metrics.set_gauge("quota_regions", multiple)
+        if multiple > 1:
+            extra = {"regions": regions, "customers": len(limited)}
+            _LOG.warning("quotas hold for each region by itself", extra=extra)
+
     def _on_targets(
         self, targets: dict[str, DiscoveredTarget], changes: list[Change]
     ) -> None:
--- a/hibiscusstep/membership/continuity.py
+++ b/hibiscusstep/membership/continuity.py
@@ -2,7 +2,7 @@
 
 import math
 
-from hibiscusstep.clock import elapsed
+from hibiscusstep.clock import PauseDetector
 from hibiscusstep.membership.view import View
 
 __all__ = ["Continuity"]
@@ -26,13 +26,20 @@
     def __init__(self) -> None:
         self._missed_until = -math.inf
         self._is_isolated = False
-        self._active_at = elapsed()
+        self._pause_detector = PauseDetector(PAUSE_S)
 
-    def record_activity(self, now: float) -> None:
-        """Record that the process runs; called at each event of a task."""
-        before, self._active_at = self._active_at, elapsed()
-        if self._active_at > before + PAUSE_S:
+    def record_activity(self, now: float) -> bool:
+        """Record that the process runs; called at each event of a task.
+
+        Returns
+        -------
+        bool
+            Whether it was paused before.
+        """
+        was_paused = self._pause_detector.check() > 0
+        if was_paused:
             self._missed_until = now
+        return was_paused
 
     def apply_view(self, view: View, now: float) -> None:
         """Apply a view of the instances."""
--- a/tests/test_continuity.py
+++ b/tests/test_continuity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscusstep.membership import continuity
+from hibiscusstep import clock as clock_module
 from hibiscusstep.membership.continuity import MAX_AGE_S, PAUSE_S, Continuity
 from hibiscusstep.membership.view import View
 
@@ -16,7 +16,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 100.0
-        monkeypatch.setattr(continuity, "elapsed", lambda: self.now)
+        monkeypatch.setattr(clock_module, "elapsed", lambda: self.now)
         self.state = Continuity()
 
     def run(self, seconds, step=0.5):
