Take usage for forwarded only once the relay has sent since

A customer was served beyond its quota after a pause of a relay: its followers changed to another relay after a second and left out what they had sent to the paused one, as if it had forwarded that. It had not, and what waits at a paused instance is discarded, so no other instance ever learnt of it.

What a follower sends is remembered with its time, and counts as forwarded once the relay sends usage or a history .4 s later or more: two intervals, so that it arrived before the relay's last message left. At a change of relay only that is left out. What was sent within .4 s before the relay's last message may count twice until it expires.

--- a/hibiscusstep/forwarding/quota.py
+++ b/hibiscusstep/forwarding/quota.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import heapq
-from collections import defaultdict
+from collections import defaultdict, deque
 from dataclasses import dataclass
 
 from hibiscusstep.clock import PauseDetector
@@ -39,6 +39,11 @@
 AMPLE_FACTOR = 2.0
 # Intervals after which all totals are sent again, for instances that missed some.
 SEND_ALL_EVERY = 10
+# Time after which a relay that goes on sending has forwarded what it was sent: it sends
+# at its next interval. What was sent later may be lost with it.
+FORWARDED_AFTER_S = 2 * SEND_INTERVAL_S
+# Messages to a relay that are remembered until it has forwarded them.
+MAX_REMEMBERED = 10
 # After a longer pause of this instance, what it knows of the others' usage is outdated:
 # the time after which they do without it.
 PAUSED_AFTER_S = 1.0
@@ -114,6 +119,11 @@
         self._pending: dict[str, int] = defaultdict(int)
         self._sent_totals: dict[str, int] = {}
         self._sent_all_totals: dict[str, int] = {}
+        # Totals sent to the relay with their times, and those that it has forwarded.
+        self._sent_to_relay: deque[tuple[float, dict[str, int]]] = deque(
+            maxlen=MAX_REMEMBERED
+        )
+        self._forwarded_totals: dict[str, int] = {}
         # Peer addresses of the instances with which usage is exchanged.
         self._neighbours: list[str] = []
         # Incarnations of followers by peer address.
@@ -190,6 +200,8 @@
 
     def _process_peer_message(self, message, sender: str, now: float) -> None:
         """Process a message from a peer."""
+        if sender == self._view.parent and isinstance(message, Usage | UsageHistory):
+            self._record_forwarded(now)
         match message:
             case Usage() as usage:
                 expected = self._is_expected(usage, sender)
@@ -222,7 +234,7 @@
         self._followers = {f.peer_address: f.incarnation for f in followers}
         known = set(self._neighbours)
         if view.parent != previous.parent:
-            self._ledger.detach_sent(self._sent_totals)
+            self._detach_forwarded()
             self._answered.clear()
             self._query(view.parent)
         self.reachability.apply_view(view, now)
@@ -260,7 +272,18 @@
     def _process_relay(self, incarnation: str) -> None:
         """Exclude usage sent to the previous relay if it restarted or was replaced."""
         if self._ledger.relay_changed(incarnation):
-            self._ledger.detach_sent(self._sent_totals)
+            self._detach_forwarded()
+
+    def _record_forwarded(self, now: float) -> None:
+        """Record that the relay, which sends, has forwarded what it was sent before."""
+        sent = self._sent_to_relay
+        while sent and sent[0][0] <= now - FORWARDED_AFTER_S:
+            _at, self._forwarded_totals = sent.popleft()
+
+    def _detach_forwarded(self) -> None:
+        """Exclude usage that the previous relay has forwarded from later messages."""
+        self._ledger.detach_sent(self._forwarded_totals)
+        self._sent_to_relay.clear()
 
     def _send_history(self, address: str, now: float) -> None:
         scope = self._scope_for(address)
@@ -430,6 +453,9 @@
         )
         if self._neighbours:
             self._sent_totals = dict(self._ledger.group_totals)
+            if self._view.parent:
+                now = asyncio.get_running_loop().time()
+                self._sent_to_relay.append((now, self._sent_totals))
             self._sent_all_totals = dict(self._ledger.all_totals)
         for address in self._neighbours:
             scope = self._scope_for(address)
--- a/tests/test_quota_pauses.py
+++ b/tests/test_quota_pauses.py
@@ -49,7 +49,10 @@
 
 
 class TestPausedRelay:
-    """Guards against usage that followers miss while their relay stands still."""
+    """Guards against usage that is lost with the messages that wait at a relay.
+
+    Its followers changed to another relay, and took what they had sent for forwarded.
+    """
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     @pytest.mark.parametrize("seconds", [2.0, 4.0])
