--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,8 +5,9 @@
 Each seed determines a deployment, callers and a series of overlapping faults.
 `soak_ledger` checks the promises on what callers and targets observed. Processes are
 stopped by the ids with which they were started. Proxies disturb the connections to
-callers and to the store. Peers connect to each other directly; suspended processes
-disturb those connections.
+callers and to the store, and those between instances where a list of faults cuts them.
+Elsewhere peers connect to each other directly; suspended processes disturb those
+connections.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 from soak_environment import (  # noqa: E402
     CRASH_FIELD,
     CRASHING_PART,
+    CUTS,
     LEAVING_FIELD,
     LIMIT_FIELD,
     POOL,
@@ -48,6 +50,8 @@
 COMMON_PART = "common:60"
 CALLER_TIMEOUT_S = 20.0
 DEADLINE_MS = 4000
+# The same where an instance misses a version, for requests of before to be valid after.
+LONG_DEADLINE_S = 12.0
 # Time from its first request in which a caller resumes a stream, and pauses before it.
 STREAM_S = 12.0
 RESUME_PAUSES_S = 0.1, 0.6
@@ -55,9 +59,24 @@
 # and by how much entries date a target's start back, if they tell it; the longest pause
 # before an event while versions change.
 VERSION_TARGETS = 6
+# The same where an instance misses a version: enough for requests not to wait.
+MANY_TARGETS = 14
 LEAVING_SHARES = (0.0, 0.5, 1.0, 1.0)
 EVENT_PAUSE_S = 0.5
 AGES_MS = (None, None, 0, 40_000)
+# How long an instance misses what the others learn of versions, when callers lose their
+# connections to these meanwhile, and how long the others stand still afterwards; the
+# share of streams that are resumed at this instance.
+MISSED_S = 2.0, 8.0
+BREAK_S = 1.0, 1.8
+OTHERS_MISS_S = 1.0, 3.0
+BREAK_AGAIN_S = 0.1, 0.8
+RESUMED_THERE = 0.8
+# Streams that begin beside those of the callers while the new version joins.
+STREAMS_BESIDE = 40
+STREAM_INTERVAL_S = 0.02
+# Share of deployments that order rollouts where an instance misses a version.
+ORDERS_SHARE = 0.2
 STORE_MODES = (Mode.PASS, Mode.DELAY, Mode.REFUSE, Mode.SILENT)
 # Callers that read slowly pause between reads; some take nothing for longer than the
 # deadline.
@@ -98,6 +117,7 @@
         self._slow_count = slow_count
         self._number = 0
         self.kinds = KINDS
+        self.deadline_s = DEADLINE_MS / 1000
         self.stopping = False
 
     async def run(self):
@@ -134,8 +154,9 @@
         self._number += 1
         name = f"r{self._number}-{kind}" + (LARGE_SUFFIX if pause is not None else "")
         key = key or self._rng.choice(list(CUSTOMERS))
-        deadline = DEADLINE_MS / 1000
-        result = await self._send(session, instance, kind, name, key, deadline, pause)
+        result = await self._send(
+            session, instance, kind, name, key, self.deadline_s, pause
+        )
         if kind == "resume" and pause is None:
             await self._resume(session, name, key)
         return result
@@ -154,16 +175,23 @@
             again = try_of(name, len(stream.tries))
             result = stream.tries[again] = await self._send(
                 session,
-                self._rng.choice(self._world.instances),
+                self._choose_instance(),
                 "resume",
                 again,
                 key,
-                min(left, DEADLINE_MS / 1000),
+                min(left, self.deadline_s),
                 after=after,
                 fields={"Last-Event-Id": str(after), "Resumes": stream.begun_by},
             )
             result.serving = min(serving, self._world.count_ready(version))
 
+    def _choose_instance(self):
+        """Return the instance at which a stream is resumed."""
+        chosen = self._world.resumes_at
+        if chosen is None or self._rng.random() > RESUMED_THERE:
+            chosen = self._rng.choice(self._world.instances)
+        return chosen
+
     async def _send(
         self, session, instance, kind, name, key, deadline,
         pause=None, after=0, fields=(),
@@ -516,13 +544,13 @@
         await asyncio.sleep(plan.uniform(0.0, 2.0))
         await self._kill_beside_store(plan, span)
 
-    async def _change_version(self, span, plan, share):
-        """Start targets of a new version; a share of the others leaves."""
+    async def _change_version(self, span, plan, share, count=VERSION_TARGETS):
+        """Start targets of a new version, which is returned; others may leave."""
         world = self._world
         async with world.rollout_lock:
             others = list(world.targets)
             version = world.new_version()
-            for _ in range(VERSION_TARGETS):
+            for _ in range(count):
                 await world.add_target(version)
             await asyncio.sleep(plan.uniform(0.3, 1.0 + span))
             if share == 1.0:
@@ -537,6 +565,7 @@
             for target in leaving:
                 world.stop_target(target)
                 await asyncio.sleep(apart)
+            return version
 
     async def _kill_beside_store(self, plan, span):
         """Kill all instances while the store is up, slow, refusing or silent."""
@@ -547,6 +576,103 @@
             *(self._proxy(i.store, mode, 0.5 + span) for i in instances),
         )
 
+    async def _stands_still(self, span):
+        """Suspend an instance while versions change; then, in part, the others."""
+        plan = random.Random(f"still {span}")
+        instance = self._choose_outdated(plan)
+        others = [i for i in self._world.instances if i is not instance]
+        others_stop = plan.random() < 0.7
+        self.timeline.append(f"others_stop {others_stop}")
+        instance.signal(signal.SIGSTOP)
+        beginning = await self._miss_versions(instance, plan, span)
+        if others_stop:
+            for other in others:
+                other.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.1)
+        instance.signal(signal.SIGCONT)
+        if others_stop:
+            await asyncio.sleep(plan.uniform(*OTHERS_MISS_S))
+            for other in others:
+                other.signal(signal.SIGCONT)
+        await self._break_again(instance, plan)
+        await beginning
+
+    async def _cut_off(self, span):
+        """Cut an instance from its peers, maybe from the store, as versions change."""
+        plan = random.Random(f"cut {span}")
+        world = self._world
+        instance = self._choose_outdated(plan)
+        cut = plan.choice((*CUTS, "silent", "mute"))
+        mode = plan.choice((Mode.PASS, Mode.PASS, *STORE_MODES))
+        delay = plan.uniform(0.2, 2.0)
+        self.timeline.append(f"{cut}, store: {mode.value}")
+        world.cut(instance, CUTS[cut], delay)
+        instance.store.set(mode, delay)
+        if plan.random() < 0.3:
+            world.reset_peers(instance)
+        beginning = await self._miss_versions(instance, plan, span)
+        if plan.random() < 0.5:
+            await asyncio.sleep(plan.uniform(*OTHERS_MISS_S))
+        world.cut(instance, (Mode.PASS, Mode.PASS))
+        instance.store.set(Mode.PASS)
+        await self._break_again(instance, plan)
+        await beginning
+
+    def _choose_outdated(self, plan):
+        """Return the instance that will miss a version, often the dispatcher."""
+        dispatcher = self._world.dispatcher()
+        chosen = plan.choice((dispatcher, dispatcher, *self._world.instances))
+        role = "dispatcher" if chosen is dispatcher else "other"
+        self.timeline.append(f"{chosen.name}, {role}")
+        return chosen
+
+    async def _miss_versions(self, instance, plan, span):
+        """Change versions; streams begun elsewhere break, to be resumed at `instance`.
+
+        Targets of the old version leave, those of the new one, or none. The returned
+        task ends with the streams.
+        """
+        world = self._world
+        others = [i for i in world.instances if i is not instance]
+        share = plan.choice((0.0, 0.0, 0.5, 1.0))
+        withdrawn = share == 0.0 and plan.random() < 0.5
+        self.timeline.append(f"share {share}, withdrawn {withdrawn}")
+        end = time.monotonic() + plan.uniform(*MISSED_S)
+        await asyncio.sleep(plan.uniform(0.0, 0.4))
+        changing = asyncio.create_task(self._change_version(span / 3, plan, share, MANY_TARGETS))
+        beginning = asyncio.create_task(self._begin_streams(others, plan))
+        await asyncio.sleep(plan.uniform(*BREAK_S))
+        world.resumes_at = instance
+        try:
+            for other in others:
+                other.callers.reset()
+            version = await changing
+            if withdrawn:
+                await world.stop_version(version)
+            await asyncio.sleep(end - time.monotonic())
+        finally:
+            world.resumes_at = None
+        return beginning
+
+    async def _begin_streams(self, instances, plan):
+        """Begin streams through these instances, beside the other callers."""
+        async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
+            for _ in range(STREAMS_BESIDE):
+                instance = plan.choice(instances)
+                call = self._world.callers.call(session, instance, "resume", "key-one")
+                group.create_task(call)
+                await asyncio.sleep(STREAM_INTERVAL_S)
+
+    async def _break_again(self, instance, plan):
+        """Break all streams after the gap, to be resumed at the instance as well."""
+        world = self._world
+        await asyncio.sleep(plan.uniform(*BREAK_AGAIN_S))
+        world.resumes_at = instance
+        for other in world.instances:
+            other.callers.reset()
+        await asyncio.sleep(plan.uniform(*BREAK_S))
+        world.resumes_at = None
+
     async def _store_restored(self, span):
         await self._world.restore_store(span)
 
@@ -568,6 +694,10 @@
     VERSIONS = (_version_beside, *[_herd_versions] * 3)
     # Without rollouts, as versions change without orders.
     WITH_VERSIONS = (*NEWEST_KINDS, *VERSIONS * 4)
+    STANDSTILLS = (_stands_still,)
+    CUTS = (_cut_off,)
+    OUT_OF_STEP = (*STANDSTILLS, *CUTS)
+    WITH_OUT_OF_STEP = (*WITH_VERSIONS, *OUT_OF_STEP * 8)
 
 
 async def soak(
@@ -586,20 +716,27 @@
     ledger = Ledger()
     if kinds and Faults._pool_fails in kinds:
         ledger.retries.tighten()
-    changes_versions = bool(kinds) and Faults._herd_versions in kinds
+    misses_versions = not set(Faults.OUT_OF_STEP).isdisjoint(kinds or ())
+    changes_versions = misses_versions or Faults._herd_versions in (kinds or ())
     targets = VERSION_TARGETS if changes_versions else 4
+    targets = MANY_TARGETS if misses_versions else targets
     world = SoakEnvironment(folder, rng, ledger, count, targets)
     if slow_callers:
         world.limits = {"MemoryMb": SLOW_MEMORY_MB}
-    caller_group = Callers(world, ledger, rng, callers, slow_callers)
+    world.proxies_peers = Faults._cut_off in (kinds or ())
+    world.callers = caller_group = Callers(world, ledger, rng, callers, slow_callers)
     fault_schedule = Faults(world, rng, kinds)
     serving_s = SERVING_TIMEOUT_S
     if changes_versions:
         serving_s = SERVING_BESIDE_S
         world.event_pause = EVENT_PAUSE_S
-        world.orders_rollouts = random.Random(f"orders {seed}").random() < 0.5
+        share = ORDERS_SHARE if misses_versions else 0.5
+        world.orders_rollouts = random.Random(f"orders {seed}").random() < share
         world.born_ago_ms = random.Random(seed).choice(AGES_MS)
-        caller_group.kinds = (*KINDS, *["resume"] * 4)
+        resumed = 4
+        if misses_versions:
+            resumed, caller_group.deadline_s = 12, LONG_DEADLINE_S
+        caller_group.kinds = (*KINDS, *["resume"] * resumed)
     try:
         await world.start()
         async with aiohttp.ClientSession() as session:
@@ -690,6 +827,7 @@
             click.echo("  " + "; ".join(faults_run[1:]))
         if findings or keep:
             click.echo(f"  {folder}")
+            print(faults_run)
     click.echo(f"{len(failed)} failed: {failed}")
     sys.exit(bool(failed))
 
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import aiohttp
 import orjson
@@ -19,9 +20,10 @@
     stream_head,
 )
 from soak_ledger import TargetRun, body_of, events
-from soak_proxy import Proxy
+from soak_proxy import Mode, Proxy
 from soak_streams import stream_of
 
+from hibiscusstep.membership.view import rendezvous_hash
 from hibiscusstep.sockets import reset_on_close
 
 POOL = "pool-a"
@@ -51,6 +53,16 @@
 READY_TIMEOUT_S = 60.0
 # Three seconds are promised; the rest is tolerance for a busy machine.
 LEAVING_TOLERANCE_S = 10.0
+# Cuts of an instance from its peers: modes of the connections that they make to it, and
+# of those that it makes to them.
+CUTS = {
+    "silent": (Mode.SILENT, Mode.SILENT),
+    "deaf": (Mode.CUT_UP, Mode.CUT_DOWN),
+    "mute": (Mode.CUT_DOWN, Mode.CUT_UP),
+    "slow": (Mode.DELAY, Mode.DELAY),
+    "refused": (Mode.REFUSE, Mode.REFUSE),
+}
+PROXIED_INSTANCE = Path(__file__).parent / "soak_instance.py"
 
 
 class SoakTarget(TargetStandIn):
@@ -203,19 +215,27 @@
 
 
 class Instance:
-    """Process of an instance, with its settings and proxies to callers and store."""
+    """Process of an instance, with its settings and proxies to its neighbours.
+
+    Connections from peers pass a proxy only if `world.proxies_peers`.
+    """
 
     def __init__(self, world, number):
         self.name = f"n{number}"
         self.ip = f"127.77.{world.network}.{number + 1}"
         self._world = world
         self._path = world.folder / f"{self.name}.json"
-        caller, ready, peer, to_store, from_callers = world.ports
+        caller, ready, peer, to_store, from_callers, behind = world.ports
         self.caller_address, self.peer_port = f"{self.ip}:{caller}", peer
         self.ready_url = f"http://{self.ip}:{ready}{READY_PATH}"
         self._ready = f"{self.ip}:{ready}"
         self.store = Proxy(self.ip, to_store, world.store.host_and_port)
         self.callers = Proxy(self.ip, from_callers, lambda: (self.ip, caller))
+        self.peers = Proxy(self.ip, peer, lambda: (self.ip, behind))
+        self._command = ["-m", "hibiscusstep.cmdline.entry"]
+        if world.proxies_peers:
+            ports = str(peer), str(behind)
+            self._command = [str(PROXIED_INSTANCE), self.ip, *ports]
         self.process = None
         self.paused = False
         self.bad_exit_codes = []
@@ -256,11 +276,10 @@
             "HIBISCUSSTEP_SETTINGS": str(self._path),
             "HIBISCUSSTEP_PEER_KEY": "a-key-for-the-soak-only",
         }
-        command = [sys.executable, "-m", "hibiscusstep.cmdline.entry"]
         with self._log.open("ab") as log:
             self._logged = log.tell()
             self.process = subprocess.Popen(
-                [*command, "--dialect", "platform"],
+                [sys.executable, *self._command, "--dialect", "platform"],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -325,7 +344,7 @@
     def __init__(self, folder, rng, ledger, instances, targets):
         self.folder = folder
         self.ledger = ledger
-        self.ports = free_ports(5)
+        self.ports = free_ports(6)
         self.started_at = time.monotonic()
         self.network = os.getpid() % 250
         self.store = StoreStandIn()
@@ -337,6 +356,10 @@
         self._numbers_to_start = instances, targets
         self.targets = []
         self.instances = []
+        self.callers = None
+        self.proxies_peers = False
+        # Instance at which most callers resume streams; None for any.
+        self.resumes_at = None
         self.limits = {}
         self.event_pause = 0.03
         self.orders_rollouts = True
@@ -353,6 +376,8 @@
             instance.limits = self.limits
             await instance.store.start()
             await instance.callers.start()
+            if self.proxies_peers:
+                await instance.peers.start()
             instance.write_settings()
             instance.start()
 
@@ -365,6 +390,8 @@
                 instance.process.wait()
             await instance.store.stop()
             await instance.callers.stop()
+            if self.proxies_peers:
+                await instance.peers.stop()
         for target in self.targets:
             await target.stop()
         await self.store.stop()
@@ -412,6 +439,28 @@
             for target, entry in zip(ready, entries, strict=True)
         )
 
+    def dispatcher(self):
+        """Return the instance that dispatches the pool while all are ready."""
+        by_name = {instance.name: instance for instance in self.instances}
+        (name,) = rendezvous_hash(by_name, f"pool {POOL}")
+        return by_name[name]
+
+    def cut(self, instance, modes, delay=0.0):
+        """Disturb an instance's connections with its peers by modes as in `CUTS`."""
+        to_it, from_it = modes
+        instance.peers.set(to_it, delay)
+        others = [other for other in self.instances if other is not instance]
+        for other in others:
+            other.peers.set(from_it, delay, source=instance.ip)
+        if Mode.REFUSE in modes:
+            self.reset_peers(instance)
+
+    def reset_peers(self, instance):
+        """Reset an instance's connections with its peers."""
+        instance.peers.reset()
+        for other in self.instances:
+            other.peers.reset(source=instance.ip)
+
     def remove_entry(self, target):
         """Remove a target's entry, unless another fault has removed it."""
         if ("servers", target.name) in self.store.objects:
