--- a/tests/soak.py
+++ b/tests/soak.py
@@ -582,7 +582,7 @@
         instance = self._choose_outdated(plan)
         others = [i for i in self._world.instances if i is not instance]
         others_stop = plan.random() < 0.7
-        self.timeline.append(f"others_stop {others_stop}")
+        self.timeline.append(f"others too: {others_stop}")
         instance.signal(signal.SIGSTOP)
         beginning = await self._miss_versions(instance, plan, span)
         if others_stop:
@@ -594,7 +594,7 @@
             await asyncio.sleep(plan.uniform(*OTHERS_MISS_S))
             for other in others:
                 other.signal(signal.SIGCONT)
-        await self._break_again(instance, plan)
+        await self._break_again(plan)
         await beginning
 
     async def _cut_off(self, span):
@@ -611,11 +611,13 @@
         if plan.random() < 0.3:
             world.reset_peers(instance)
         beginning = await self._miss_versions(instance, plan, span)
-        if plan.random() < 0.5:
+        if plan.random() < 0.8:
+            # It receives what waited, and what it answers waits in turn.
+            world.cut(instance, CUTS["mute"])
             await asyncio.sleep(plan.uniform(*OTHERS_MISS_S))
         world.cut(instance, (Mode.PASS, Mode.PASS))
         instance.store.set(Mode.PASS)
-        await self._break_again(instance, plan)
+        await self._break_again(plan)
         await beginning
 
     def _choose_outdated(self, plan):
@@ -636,24 +638,29 @@
         others = [i for i in world.instances if i is not instance]
         share = plan.choice((0.0, 0.0, 0.5, 1.0))
         withdrawn = share == 0.0 and plan.random() < 0.5
-        self.timeline.append(f"share {share}, withdrawn {withdrawn}")
+        what = "the new version" if withdrawn else f"{share} of the others"
+        self.timeline.append(f"{what} leaves")
         end = time.monotonic() + plan.uniform(*MISSED_S)
         await asyncio.sleep(plan.uniform(0.0, 0.4))
-        changing = asyncio.create_task(self._change_version(span / 3, plan, share, MANY_TARGETS))
+        changing = asyncio.create_task(
+            self._change_version(span / 3, plan, share, MANY_TARGETS)
+        )
         beginning = asyncio.create_task(self._begin_streams(others, plan))
         await asyncio.sleep(plan.uniform(*BREAK_S))
         world.resumes_at = instance
-        try:
-            for other in others:
-                other.callers.reset()
-            version = await changing
-            if withdrawn:
-                await world.stop_version(version)
-            await asyncio.sleep(end - time.monotonic())
-        finally:
-            world.resumes_at = None
+        self._break_streams(others)
+        version = await changing
+        if withdrawn:
+            await world.stop_version(version)
+        await asyncio.sleep(end - time.monotonic())
+        self._break_streams(world.instances)
         return beginning
 
+    @staticmethod
+    def _break_streams(instances):
+        for instance in instances:
+            instance.callers.reset()
+
     async def _begin_streams(self, instances, plan):
         """Begin streams through these instances, beside the other callers."""
         async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
@@ -663,15 +670,12 @@
                 group.create_task(call)
                 await asyncio.sleep(STREAM_INTERVAL_S)
 
-    async def _break_again(self, instance, plan):
-        """Break all streams after the gap, to be resumed at the instance as well."""
-        world = self._world
+    async def _break_again(self, plan):
+        """Break all streams after the gap; then resume streams anywhere again."""
         await asyncio.sleep(plan.uniform(*BREAK_AGAIN_S))
-        world.resumes_at = instance
-        for other in world.instances:
-            other.callers.reset()
+        self._break_streams(self._world.instances)
         await asyncio.sleep(plan.uniform(*BREAK_S))
-        world.resumes_at = None
+        self._world.resumes_at = None
 
     async def _store_restored(self, span):
         await self._world.restore_store(span)
@@ -827,7 +831,6 @@
             click.echo("  " + "; ".join(faults_run[1:]))
         if findings or keep:
             click.echo(f"  {folder}")
-            print(faults_run)
     click.echo(f"{len(failed)} failed: {failed}")
     sys.exit(bool(failed))
 
