--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -194,6 +194,29 @@
         assert not findings, faults_run
 
 
+class TestSoakOfMissedVersions:
+    """Instances that stand still or are cut off while targets of a version join.
+
+    Streams that began there through other instances are resumed at these.
+    """
+
+    # Guards against resumed streams of two versions, which seeds 24 and 34 found.
+    @pytest.mark.timeout(240)
+    @pytest.mark.parametrize(
+        ("seed", "kinds"),
+        [
+            (24, Faults.STANDING_STILL),
+            (26, Faults.STANDING_STILL),
+            (34, Faults.CUT_OFF),
+        ],
+    )
+    async def test_no_promise_is_broken(self, seed, kinds, tmp_path):
+        findings, faults_run = await soak(
+            seed, tmp_path, 3, seconds=2.0, faults=1, callers=60, kinds=kinds
+        )
+        assert not findings, faults_run
+
+
 class TestSignalsUntilTheEnd:
     """A second signal at the end must not change the exit code of a clean exit.
 
