--- a/hibiscusstep/routing/pool_dispatcher.py
+++ b/hibiscusstep/routing/pool_dispatcher.py
@@ -114,6 +114,10 @@
         """Highest share of a target's memory that is granted; None without a bound."""
         return None
 
+    def suspend_decisions(self) -> None:
+        """Make no decisions until `Recovered` is handled again."""
+        self._recovered = False
+
     def set_limit_share(self, share: float, now: float) -> None:
         """Set the share of the targets' rate limits that this dispatcher may grant.
 
@@ -135,6 +139,9 @@
         """Whether streams of several software versions may be resumed."""
         return False
 
+    def discard_confirmation(self) -> None:  # noqa: B027
+        """Discard which versions were confirmed to have begun streams."""
+
     def instances_waiting(self) -> set[str]:
         """Return the instances whose waiting requests need a keep-alive message."""
         return set()
