--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -200,7 +200,7 @@
     Streams that began there through other instances are resumed at these.
     """
 
-    # Guards against resumed streams of two versions, which all three seeds found.
+    # Guards against resumed streams of two versions (24 and 26).
     @pytest.mark.timeout(240)
     @pytest.mark.parametrize(
         ("seed", "kinds"),
