--- a/hibiscusstep/forwarding/catalog.py
+++ b/hibiscusstep/forwarding/catalog.py
@@ -19,7 +19,6 @@
     "TargetListing",
     "TargetUpdate",
     "TargetsAnnounced",
-    "watch_seconds",
 ]
 
 _LOG = logging.getLogger(__name__)
@@ -40,19 +39,6 @@
 EXPIRY_GRACE_S = 2.2
 
 
-def watch_seconds(longest: float, silence_limit: float) -> float:
-    """Return the duration of a watch call, in seconds.
-
-    Parameters
-    ----------
-    longest : float
-        Longest duration.
-    silence_limit : float
-        Seconds within which a connection to the store that went silent is replaced.
-    """
-    return min(longest, max(MIN_WATCH_S, silence_limit - REPLACE_S))
-
-
 @dataclass(frozen=True, slots=True)
 class TableUpdate:
     """A version of the routing table that was read or was sent by a peer."""
@@ -154,7 +140,7 @@
         self._on_targets = on_targets
         self._on_restart = on_restart
         self._on_announced = on_announced
-        self._watch_s = watch_seconds(WATCH_S, silence_limit)
+        self._watch_s = min(WATCH_S, max(MIN_WATCH_S, silence_limit - REPLACE_S))
         self._table: RoutingTable | None = None
         # By ID. `_last_seen` also holds removed targets, as they were seen last;
         # `_removed` holds the revisions of the removals.
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -345,7 +345,6 @@
             self._started_at,
             is_first_start=settings.is_first_start,
             orders_rollouts=bounds.orders_rollouts,
-            silence_limit=bounds.silence_limit,
         )
         self._saved_streams = SavedStreamsWorker(
             self._environment.stream_store,
--- a/hibiscusstep/forwarding/rollouts.py
+++ b/hibiscusstep/forwarding/rollouts.py
@@ -1,7 +1,6 @@
 """hibiscusstep.forwarding.rollouts: tracking of operators' rollout orders."""
 
 import asyncio
-import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -12,7 +11,6 @@
     BegunVersionsSync,
     VersionsStored,
 )
-from hibiscusstep.forwarding.catalog import watch_seconds
 from hibiscusstep.forwarding.model import DiscoveredTarget
 from hibiscusstep.forwarding.pool_versions import (
     NO_VERSIONS,
@@ -45,9 +43,8 @@
 TICK_S = 0.25
 # Number of instances, in addition to the pools' dispatchers, that watch the store.
 STORE_FOLLOWERS = 2
-# Longest duration of a watch call. A pending one costs no further call; a lost
-# connection is noticed when it times out.
-WATCH_S = 6.0
+# A pending watch costs one call; a lost connection is noticed when it times out.
+WATCH_TIMEOUT_S = 6.0
 RETRY_S = 0.3
 # While an order runs, its progress is sent to the other instances and saved in the
 # store at these intervals.
@@ -139,8 +136,6 @@
         Whether no instance of the system ran before.
     orders_rollouts : bool
         Whether operators order rollouts.
-    silence_limit : float
-        Seconds within which a connection to the store that went silent is replaced.
 
     Attributes
     ----------
@@ -161,7 +156,6 @@
         *,
         is_first_start: bool,
         orders_rollouts: bool,
-        silence_limit: float = math.inf,
     ) -> None:
         super().__init__("rollouts", tick_interval=TICK_S)
         self._own_name = name
@@ -192,7 +186,6 @@
             unix_offset=time.time() - _now(),
         )
         self._is_first_start = is_first_start
-        self._watch_s = watch_seconds(WATCH_S, silence_limit)
         self._begun_sync = BegunVersionsSync(
             name, stream_store, self.version_table, self.tell
         )
@@ -480,7 +473,7 @@
                 if revision is None:
                     await asyncio.sleep(RETRY_S * (0.5 + random.random()))
                 continue
-            watched = await self._store.feed.watch(revision, self._watch_s)
+            watched = await self._store.feed.watch(revision, WATCH_TIMEOUT_S)
             if watched.is_ok():
                 changes, revision = watched.unwrap()
                 if changes:
