Compare the proxy's connections as a set again

The proxy keeps the address of the side that made each connection, in a dict since, which never equals the set that the test compares it with.

--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -82,7 +82,7 @@
             await asyncio.sleep(0.6)
             writers = set(pair.proxy._writers)
             await pair.send_until("after")
-            assert pair.proxy._writers == writers
+            assert set(pair.proxy._writers) == writers
 
 
 class TestMessageToManyPeers:
