Start with malformed zones in the settings

The number of regions, which only decides on a warning, was read from Zones without a check: a text there ended the start with AttributeError, a region that is a list with a configuration error. Such zones count as one region now. Two cases of the test failed before.

--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -83,7 +83,7 @@
         suspect_after=SUSPECT_AFTER_S,
         memory_mb=_memory_mb(document.get("Limits") or {}),
         capacity=_capacity(document.get("Limits") or {}),
-        region_count=len(set((document.get("Zones") or {}).values())) or 1,
+        region_count=_count_regions(document.get("Zones")),
         is_first_start=bool(document.get("Bootstrap", False)),
         switches=Switches.disabling(os.environ.get(DISABLED_MECHANISMS_VARIABLE, "")),
     )
@@ -95,6 +95,13 @@
     )
 
 
+def _count_regions(zones: object) -> int:
+    """Return the number of regions; 1 if the zones are missing or malformed."""
+    if not isinstance(zones, dict):
+        return 1
+    return max(1, len({str(region) for region in zones.values()}))
+
+
 def _memory_mb(limits: dict) -> float:
     """Return the memory limit in MB; 0 if there is none."""
     limit = float(limits.get("MemoryMb") or 0)
--- a/tests/test_regional_quotas.py
+++ b/tests/test_regional_quotas.py
@@ -23,7 +23,9 @@
     regions = ("r", "another")
 
     def make_instance(self, path):
-        zones = {f"z{n}": region for n, region in enumerate(self.regions)}
+        zones = self.regions
+        if isinstance(zones, tuple):
+            zones = {f"z{n}": region for n, region in enumerate(zones)}
         settings = {**orjson.loads(path.read_bytes()), "Zones": zones}
         path.write_bytes(orjson.dumps(settings))
         return super().make_instance(path)
@@ -47,7 +49,14 @@
         assert record.customers > 0
 
     @pytest.mark.parametrize(
-        ("rate", "regions"), [(0.0, ("r", "another")), (100.0, ("r", "r")), (100.0, ())]
+        ("rate", "regions"),
+        [
+            (0.0, ("r", "another")),
+            (100.0, ("r", "r")),
+            (100.0, ()),
+            (100.0, "no table"),
+            (100.0, (["r"],)),
+        ],
     )
     async def test_are_not_without_a_quota_or_with_one_region(
         self, site, caplog, rate, regions
