Bound what is remembered of entries that are left out

Another writer that leaves entries under ever new names made an instance's memory grow: the last revision of each name that was left out, and the start times that are ignored, were kept for good. The oldest is forgotten at 10,000 names now; it may be logged once more.

--- a/hibiscusstep/forwarding/ignored_objects.py
+++ b/hibiscusstep/forwarding/ignored_objects.py
@@ -2,6 +2,9 @@
 
 __all__ = ["IgnoredRevisions"]
 
+# Objects whose revisions are remembered; the oldest is forgotten for a further one.
+MAX_OBJECTS = 10_000
+
 
 class IgnoredRevisions:
     """Counts ignored objects; one that is read again is counted once per revision.
@@ -20,6 +23,8 @@
         """Record an ignored object and return whether this revision is new."""
         if self._revisions.get(name) == revision:
             return False
+        if name not in self._revisions and len(self._revisions) >= MAX_OBJECTS:
+            del self._revisions[next(iter(self._revisions))]
         self._revisions[name] = revision
         self.count += 1
         return True
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -47,6 +47,8 @@
 _READY_STATE, _LEAVING_STATE = "ready", "draining"
 # Clocks of machines differ by seconds, and jump by as much.
 MAX_CLOCK_AHEAD_MS = 60_000
+# Targets whose ignored starts are remembered.
+MAX_IGNORED_STARTS = 10_000
 # A longer duration indicates a wrong unit.
 MAX_ROLLOUT_S = 7 * 86_400.0
 MIN_ROLLOUT_S = 1.0
@@ -163,6 +165,8 @@
             if born <= time.time() * 1000 + MAX_CLOCK_AHEAD_MS:
                 self._ignored_starts.pop(name, None)
                 return target
+            if len(self._ignored_starts) >= MAX_IGNORED_STARTS:
+                del self._ignored_starts[next(iter(self._ignored_starts))]
             self._ignored_starts[name] = born
             extra = {"object": name, "revision": revision, "born": born}
             _LOG.error("start time ignored", extra=extra)
