--- a/hibiscusstep/platform/stored_objects.py
+++ b/hibiscusstep/platform/stored_objects.py
@@ -16,6 +16,8 @@
 ]
 
 _LOG = logging.getLogger(__name__)
+# Characters of a name and of a reason that are logged.
+MAX_LOGGED_LENGTH = 200
 
 
 def find_members(value: object) -> dict:
@@ -105,7 +107,7 @@
         extra = {"kind": self._kind, "object": "", "revision": join_revision(era, at)}
         try:
             metadata = read_metadata(item)
-            extra["object"] = read_name(metadata)
+            extra["object"] = read_name(metadata)[:MAX_LOGGED_LENGTH]
             revision = read_revision(metadata, "Revision")
             extra["revision"] = join_revision(era, revision)
         except f.MALFORMED_ERRORS:
@@ -113,9 +115,8 @@
         if not extra["object"]:
             extra["position"] = position
         if self._revisions.record(extra["object"] or f"#{position}", extra["revision"]):
-            _LOG.error(
-                "object left out", extra={**extra, "error": _reason(item, cause)}
-            )
+            reason = _reason(item, cause)[:MAX_LOGGED_LENGTH]
+            _LOG.error("object left out", extra={**extra, "error": reason})
 
 
 def _reason(item: object, cause: Exception) -> str:
