Parse whole heads within the limit, and only after the last answer

Cause: the HTTP server of aiohttp hands each piece of bytes to its parser as it comes. After its first error it goes on until its task has run, and each further piece is one more queued error whose text quotes the piece. Limits hold for a line, not for a head or for trailers.

Change: hibiscusstep/http_server/ replaces forwarding/serving.py for all ports of an instance on the users' platform. Its connection passes aiohttp's parser whole heads that keep MaxHeaderBytes, and after each exactly the bytes of its body; what comes behind a request waits, with reading paused, until it is answered. The first error ends reading, the caller gets one 400 or 431 without its bytes and a second to read it. A chunked body may have MaxHeaderBytes between two bytes of content. No parser of our own: the end of a head is found by its empty line, all else is the library's.

Conclusion: what is kept of a connection's input is bounded by a head or a piece.

--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -22,12 +22,13 @@
 from hibiscusstep.forwarding.model import (
     CustomerRule,
     ForwardRoute,
-    IngressLimits,
     RetryMode,
     RoutingTable,
 )
 from hibiscusstep.forwarding.quota import QuotaLimiter
 from hibiscusstep.forwarding.quota_request import QUOTA_RETRY_S, QuotaRequest
+from hibiscusstep.http_server.connection import RequestRefused
+from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.log import decision
 
 __all__ = ["CallerFrontend"]
@@ -250,8 +251,10 @@
                 return await self._collect_body(request, account)
         except TimeoutError:
             raise _RequestRejected(504, "request body incomplete") from None
+        except RequestRefused as cause:
+            raise _RequestRejected(cause.status, cause.reason) from None
         except (ValueError, web.HTTPException) as cause:
-            raise _RequestRejected(400, f"malformed body: {cause!r}") from None
+            raise _RequestRejected(400, f"malformed body: {cause!r}"[:200]) from None
 
     async def _collect_body(
         self, request: web.Request, account: BufferAccount
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -49,7 +49,6 @@
 )
 from hibiscusstep.forwarding.saved_streams import SavedStreamsWorker
 from hibiscusstep.forwarding.saved_usage import SavedUsageWorker
-from hibiscusstep.forwarding.serving import serve
 from hibiscusstep.forwarding.state_distributor import StateDistributor
 from hibiscusstep.forwarding.target_backoff import TargetBackoff
 from hibiscusstep.forwarding.target_estimates import SavedEstimatesWorker
@@ -58,6 +57,8 @@
 from hibiscusstep.forwarding.tunnel import TunnelServer
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
+from hibiscusstep.http_server.server import serve
+from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.hierarchical import HierarchicalMembership
@@ -107,8 +108,6 @@
 REGISTER_RETRY_S = 1.0
 REGISTER_JITTER_S = 2.0
 METRICS_RETRY_S = 5.0
-# Added to the idle timeout of callers, so that the server's is always the longer one.
-KEEPALIVE_MARGIN_S = 5.0
 # Time for which an idle, stopping instance still answers requests that were in transit;
 # later callers find its port closed.
 FINAL_REQUESTS_S = 0.1
@@ -279,7 +278,7 @@
         await self._frontend.wait_idle()
         await self._tunnels.wait_idle()
         self._frontend.refuse_requests()
-        await self._caller_site.stop()
+        self._caller_server.close()
         await asyncio.sleep(FINAL_REQUESTS_S)
         await self._frontend.wait_idle()
 
@@ -697,13 +696,13 @@
     async def _serve_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self._environment.ready_path, self._handle_readiness)
-        await serve(app, self._environment.ready_address)
+        await serve(app, self._environment.ready_address, ServerContext("ready"))
 
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    def _on_caller_site_started(self, site: web.SockSite) -> None:
-        self._caller_site = site
+    def _on_callers_served(self, server: asyncio.Server) -> None:
+        self._caller_server = server
         self.started.set()
 
     async def _serve_metrics(self) -> None:
@@ -715,7 +714,8 @@
         )
         while True:
             try:
-                await serve(app, self._settings.operator_address)
+                context = ServerContext("metrics")
+                await serve(app, self._settings.operator_address, context)
             except OSError as error:
                 # Callers are served without metrics too.
                 _LOG.error("metrics server failed", extra={"error": str(error)})
@@ -797,14 +797,12 @@
             metrics.set_gauge("repeats_left", remaining, pool=pool)
 
     async def _serve_callers(self) -> None:
-        limits = self._frontend.limits
+        context = ServerContext("callers", self._frontend.limits)
         await serve(
             self._frontend.app(),
             self._environment.caller_socket or self._settings.caller_address,
-            self._on_caller_site_started,
-            keepalive_timeout=limits.idle_timeout + KEEPALIVE_MARGIN_S,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
+            context,
+            self._on_callers_served,
             auto_decompress=False,
             read_bufsize=WINDOW_BYTES,
         )
--- a/hibiscusstep/forwarding/model.py
+++ b/hibiscusstep/forwarding/model.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 
+from hibiscusstep.http_server.limits import IngressLimits
+
 __all__ = [
     "CustomerRule",
     "DiscoveredTarget",
     "ForwardRoute",
-    "IngressLimits",
     "PoolRule",
     "PoolShare",
     "Quota",
@@ -139,16 +140,6 @@
     memory_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class IngressLimits:
-    """Limits on callers' requests: sizes in bytes, timeouts in seconds."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
-    header_timeout: float = 3.0
-    idle_timeout: float = 15.0
-
-
 @dataclass(frozen=True)
 class RoutingTable:
     """One version of the configuration.
--- /dev/null
+++ b/hibiscusstep/http_server/limits.py
@@ -0,0 +1,30 @@
+"""hibiscusstep.http_server.limits: limits on what callers send, and for how long."""
+
+from dataclasses import dataclass
+
+__all__ = ["IDLE_MARGIN_S", "IngressLimits"]
+
+# Added to the idle timeout of callers, so that the server's is always the longer one.
+IDLE_MARGIN_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class IngressLimits:
+    """Limits on callers' requests: sizes in bytes, timeouts in seconds.
+
+    Parameters
+    ----------
+    max_header_bytes : int
+        Size of a request's head; more is answered with 431.
+    max_body_bytes : int
+        Size of a request's body; more is answered with 413.
+    header_timeout : float
+        Time from the first byte of a head to its last; more is answered with 408.
+    idle_timeout : float
+        Time for which a connection may wait for the first byte of a request.
+    """
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
--- /dev/null
+++ b/hibiscusstep/http_server/server.py
@@ -0,0 +1,69 @@
+"""hibiscusstep.http_server.server: runs an HTTP server until it is cancelled."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from aiohttp import web
+
+from hibiscusstep.http_server.connection import Connection
+from hibiscusstep.http_server.limits import IDLE_MARGIN_S
+from hibiscusstep.http_server.server_context import ServerContext
+from hibiscusstep.listening import BACKLOG, listen
+
+__all__ = ["serve"]
+
+# The drain has already given running handlers their time.
+SHUTDOWN_TIMEOUT_S = 0.2
+
+
+async def serve(
+    app: web.Application,
+    address: str | socket.socket,
+    context: ServerContext,
+    on_started: Callable[[asyncio.Server], None] | None = None,
+    **options,
+) -> None:
+    """Serve an application until cancelled.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+        The application.
+    address : str or socket.socket
+        IP address and port, or a listening socket.
+    context : ServerContext
+        Limits of the port; receives the counts.
+    on_started : callable or None
+        Called with the server once it listens.
+    **options : object
+        Further arguments of `aiohttp.web.RequestHandler`.
+    """
+    runner = web.AppRunner(
+        app, handler_cancellation=True, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+    )
+    await runner.setup()
+    loop = asyncio.get_running_loop()
+
+    def make_connection() -> Connection:
+        return Connection(
+            runner.server,
+            context,
+            loop=loop,
+            keepalive_timeout=context.limits.idle_timeout + IDLE_MARGIN_S,
+            **options,
+        )
+
+    server = None
+    try:
+        listener = listen(address) if isinstance(address, str) else address
+        server = await loop.create_server(
+            make_connection, sock=listener, backlog=BACKLOG
+        )
+        if on_started:
+            on_started(server)
+        await asyncio.Event().wait()
+    finally:
+        if server is not None:
+            server.close()
+        await runner.cleanup()
--- a/hibiscusstep/platform/documents.py
+++ b/hibiscusstep/platform/documents.py
@@ -11,13 +11,13 @@
     CustomerRule,
     DiscoveredTarget,
     ForwardRoute,
-    IngressLimits,
     PoolRule,
     PoolShare,
     Quota,
     RetryMode,
     RoutingTable,
 )
+from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.platform import fields as f
 from hibiscusstep.rollout.order import RolloutOrder, RolloutState
 
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,194 @@
+"""The HTTP server for callers that need not keep the limits, without sockets."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusstep.http_server.connection import Connection
+from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.http_server.server_context import ServerContext
+
+LIMITS = IngressLimits(max_header_bytes=400)
+BOUND_S = 10
+# Bodies, sent with a length or in chunks of some bytes.
+BODIES = st.tuples(st.binary(max_size=60), st.sampled_from([0, 1, 7]))
+
+
+class Transport(asyncio.Transport):
+    """Transport that records what is written and passes bytes on unless paused."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = bytearray()
+        self.is_paused = False
+        self.is_closed = False
+
+    def write(self, data):
+        self.written += data
+
+    def writelines(self, parts):
+        self.written += b"".join(parts)
+
+    def write_eof(self):
+        pass
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+    def is_closing(self):
+        return self.is_closed
+
+    def close(self):
+        self.is_closed = True
+
+    abort = close
+
+
+class Site:
+    """One connection to an application that returns the body of each request."""
+
+    async def __aenter__(self):
+        self.received = []
+        self.refusals = []
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        self._runner = web.AppRunner(app, handler_cancellation=True)
+        await self._runner.setup()
+        context = ServerContext("p", LIMITS, lambda *args: self.refusals.append(args))
+        loop = asyncio.get_running_loop()
+        self.connection = Connection(self._runner.server, context, loop=loop)
+        self.transport = Transport()
+        self.connection.connection_made(self.transport)
+        return self
+
+    async def __aexit__(self, *_exc):
+        self.connection.connection_lost(None)
+        await self._runner.cleanup()
+
+    async def _handle(self, request):
+        body = await request.read()
+        self.received.append((request.path, body))
+        return web.Response(body=body)
+
+    async def feed(self, *pieces):
+        """Deliver pieces as a transport does, until all are read or it is closed."""
+        async with asyncio.timeout(BOUND_S):
+            for piece in pieces:
+                while self.transport.is_paused and not self.transport.is_closed:
+                    await asyncio.sleep(0)
+                if not self.transport.is_closed:
+                    self.connection.data_received(piece)
+
+    async def received_all(self, count):
+        async with asyncio.timeout(BOUND_S):
+            while len(self.received) < count:
+                await asyncio.sleep(0)
+
+
+def request(number, body, chunk_bytes):
+    head = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
+    if not chunk_bytes:
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    pieces = (body[n : n + chunk_bytes] for n in range(0, len(body), chunk_bytes))
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces)
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def split(data, cuts):
+    ends = sorted({cut % (len(data) + 1) for cut in cuts} | {0, len(data)})
+    return [data[a:b] for a, b in zip(ends, ends[1:], strict=False)]
+
+
+class TestSplitting:
+    """However bytes are split, the same requests arrive whole and in order."""
+
+    @given(st.lists(BODIES, min_size=1, max_size=4), st.lists(st.integers(0, 2000)))
+    def test_requests_arrive_whole(self, bodies, cuts):
+        async def play():
+            async with Site() as site:
+                data = b"".join(request(n, *body) for n, body in enumerate(bodies))
+                await site.feed(*split(data, cuts))
+                await site.received_all(len(bodies))
+                assert site.received == [
+                    (f"/{n}", body) for n, (body, _) in enumerate(bodies)
+                ]
+                assert not site.refusals
+
+        asyncio.run(play())
+
+    @given(st.integers(-40, 40), st.lists(st.integers(0, 2000)))
+    def test_heads_are_bounded(self, excess, cuts):
+        async def play():
+            async with Site() as site:
+                head = b"GET /0 HTTP/1.1\r\nHost: h\r\nX-A: \r\n\r\n"
+                size = LIMITS.max_header_bytes + excess
+                head = head.replace(b"X-A: ", b"X-A: " + b"a" * (size - len(head)))
+                await site.feed(*split(head, cuts))
+                if excess > 0:
+                    assert site.transport.written.startswith(b"HTTP/1.1 431 ")
+                    assert not site.received
+                else:
+                    await site.received_all(1)
+                    assert not site.refusals
+
+        asyncio.run(play())
+
+
+class TestRefusals:
+    """Bytes that are no request end the connection, and are not kept."""
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"\x16\x03\x01\x02\x00\x01\x00", 400),
+            (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400),
+            (b"\r\n" * 9, 400),
+            (b"GET /" + b"a" * 400, 431),
+            (b"GET /0 HTTP/1.1\r\nHost: h\r\n" + b"X:\r\n" * 100, 431),
+            (b"GET /0 HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n", 400),
+        ],
+    )
+    async def test_is_answered_once(self, data, status):
+        async with Site() as site:
+            await site.feed(data, *[b"a" * 1000] * 10)
+            assert site.transport.written.startswith(b"HTTP/1.1 %d " % status)
+            assert site.transport.written.count(b"HTTP/1.1") == 1
+            assert len(site.refusals) == 1
+            assert not site.connection._held
+
+    @pytest.mark.parametrize(
+        "tail",
+        [
+            b"1;" + b"e" * 500,
+            b"0" * 500,
+            b"1\r\na\r\n0\r\n" + b"X-T: v\r\n" * 80,
+            b"x\r\n",
+        ],
+    )
+    async def test_framing_of_a_body_is_bounded(self, tail):
+        async with Site() as site:
+            head = b"POST /0 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            await site.feed(head, tail[:6], tail[6:])
+            async with asyncio.timeout(BOUND_S):
+                while not site.transport.written:
+                    await asyncio.sleep(0)
+            assert site.transport.written.startswith(b"HTTP/1.1 400 ")
+            assert len(site.refusals) == 1
+            assert not site.received
+
+    async def test_bytes_behind_a_request_wait(self):
+        async with Site() as site:
+            first = request(0, b"", 0)
+            site.connection.data_received(first + b"junk" * 5)
+            assert site.transport.is_paused
+            await site.received_all(1)
+            async with asyncio.timeout(BOUND_S):
+                while b" 400 " not in site.transport.written:
+                    await asyncio.sleep(0)
+            assert site.transport.written.startswith(b"HTTP/1.1 200 ")
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -7,7 +7,6 @@
 from hibiscusstep.forwarding.model import (
     CustomerRule,
     ForwardRoute,
-    IngressLimits,
     PoolRule,
     PoolShare,
     Quota,
@@ -15,6 +14,7 @@
     RoutingTable,
 )
 from hibiscusstep.forwarding.planning import Planner
+from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.platform.documents import decode_table_spec
 
 
