End heads that take longer than HeaderTimeoutMs, with 408

What callers saw: a connection with half a head, a byte or an empty line was kept for 18 to 21 s whatever HeaderTimeoutMs said, and closed without a word; the time of a response that is not read at the readiness and metrics ports had no end.

Cause: HeaderTimeoutMs was read from the configuration and used by nothing; the library's idle timer does not know whether a head has begun.

Change: a table of each port's connections by what they are doing and since when, without I/O, checked once a second. A head has HeaderTimeoutMs and 1 s from its first byte; bytes after it renew nothing. An empty line does not begin one and does not renew the idle time. After a pause of the process bytes are read before a check. 60 s bound a response of the readiness and metrics ports.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -108,6 +108,8 @@
 REGISTER_RETRY_S = 1.0
 REGISTER_JITTER_S = 2.0
 METRICS_RETRY_S = 5.0
+# Time for a balancer or an operator to take a response.
+OPERATOR_TIMEOUT_S = 60.0
 # Time for which an idle, stopping instance still answers requests that were in transit;
 # later callers find its port closed.
 FINAL_REQUESTS_S = 0.1
@@ -696,7 +698,11 @@
     async def _serve_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self._environment.ready_path, self._handle_readiness)
-        await serve(app, self._environment.ready_address, ServerContext("ready"))
+        await serve(
+            app,
+            self._environment.ready_address,
+            ServerContext("ready", work_timeout=OPERATOR_TIMEOUT_S),
+        )
 
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
@@ -714,7 +720,7 @@
         )
         while True:
             try:
-                context = ServerContext("metrics")
+                context = ServerContext("metrics", work_timeout=OPERATOR_TIMEOUT_S)
                 await serve(app, self._settings.operator_address, context)
             except OSError as error:
                 # Callers are served without metrics too.
--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -12,6 +12,7 @@
 from aiohttp.hdrs import CONTENT_LENGTH, METH_CONNECT
 from aiohttp.http import RawRequestMessage
 
+from hibiscusstep.http_server.connection_table import Phase
 from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.http_server.server_context import ServerContext
 
@@ -25,9 +26,8 @@
 MAX_BLANK_BYTES = 16
 # Bytes of a body that are parsed at once.
 PIECE_BYTES = 1 << 14
-# What a caller may send after a refusal, for which it has this long to read it.
+# What a caller may send after a refusal.
 MAX_DISCARDED_BYTES = 1 << 18
-LINGER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +38,7 @@
     reason: str
 
 
+HEAD_TOO_LATE = _Refusal(HTTPStatus.REQUEST_TIMEOUT, "head-too-late")
 HEAD_TOO_LONG = _Refusal(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-long")
 MALFORMED = _Refusal(HTTPStatus.BAD_REQUEST, "malformed")
 BLANK_LINES = _Refusal(HTTPStatus.BAD_REQUEST, "blank-lines")
@@ -82,11 +83,14 @@
         "_body_left",
         "_body_paused",
         "_body_tail",
+        "_connected",
         "_context",
         "_discarded",
+        "_first_request",
         "_framing_bytes",
         "_held",
         "_input_paused",
+        "_is_closing",
         "_offset",
         "_payload",
         "_refused",
@@ -128,11 +132,52 @@
         self._input_paused = False
         self._refused = False
         self._discarded = 0
+        self._first_request = True
+        # The transport until it is lost; aiohttp forgets it when it closes.
+        self._connected: asyncio.Transport | None = None
+        self._is_closing = False
 
     @property
     def _limits(self) -> IngressLimits:
         return self._context.limits
 
+    @property
+    def _phase(self) -> Phase:
+        if self._payload is not None:
+            return Phase.BODY
+        if self._at_work:
+            return Phase.AT_WORK
+        if self._refused:
+            return Phase.REFUSED
+        if self._is_closing:
+            return Phase.CLOSING
+        if self._held:
+            return Phase.HEAD
+        return Phase.NEW if self._first_request else Phase.IDLE
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for a request."""
+        self._connected = transport
+        super().connection_made(transport)
+        self._record_phase()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._context.table.remove(self)
+        self._connected = None
+        super().connection_lost(exc)
+
+    def expire(self, phase: Phase) -> None:
+        """Close the connection: it has been in this phase for too long."""
+        if phase is Phase.HEAD:
+            self._refuse(HEAD_TOO_LATE)
+        elif phase in (Phase.NEW, Phase.IDLE):
+            self._is_closing = True
+            self.force_close()
+            self._record_phase()
+        else:
+            self._connected.abort()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes of the caller; none if the parser may go on with what it has."""
         if not data:
@@ -165,6 +210,9 @@
         self._at_work = False
         if resp.keep_alive and not result[1]:
             self._advance()
+        else:
+            self._is_closing = True
+        self._record_phase()
         return result
 
     def handle_error(self, request, status=500, exc=None, message=None):
@@ -195,6 +243,11 @@
             self._held = b""
             self._offset = 0
         self._pause_input()
+        self._record_phase()
+
+    def _record_phase(self) -> None:
+        if self._connected is not None:
+            self._context.table.set_phase(self, self._phase, self._loop.time())
 
     def _pause_input(self) -> None:
         waits = bool(self._held) and (self._at_work or self._body_paused)
@@ -258,6 +311,7 @@
             return
         message, payload = self._messages[-1]
         self._at_work = True
+        self._first_request = False
         if payload.is_eof() or message.method == METH_CONNECT:
             return
         self._payload = payload
@@ -312,6 +366,7 @@
             self.close()
         else:
             self._answer(refusal.status)
+        self._record_phase()
 
     def _stop_reading(self) -> None:
         self._refused = True
@@ -331,9 +386,8 @@
         # A close with unread bytes would reset the connection and lose the response.
         transport.write_eof()
         self._receive(True)
-        self._loop.call_later(LINGER_S, transport.abort)
 
     def _discard(self, size: int) -> None:
         self._discarded += size
-        if self._discarded > MAX_DISCARDED_BYTES and self.transport is not None:
-            self.transport.abort()
+        if self._discarded > MAX_DISCARDED_BYTES:
+            self._connected.abort()
--- a/hibiscusstep/http_server/limits.py
+++ b/hibiscusstep/http_server/limits.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["IDLE_MARGIN_S", "IngressLimits"]
+__all__ = ["HEADER_MARGIN_S", "IDLE_MARGIN_S", "IngressLimits"]
 
-# Added to the idle timeout of callers, so that the server's is always the longer one.
+# Added to the limits of callers, so that the server's are always the longer ones.
+HEADER_MARGIN_S = 1.0
 IDLE_MARGIN_S = 5.0
 
 
--- a/hibiscusstep/http_server/server.py
+++ b/hibiscusstep/http_server/server.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 
 from hibiscusstep.http_server.connection import Connection
-from hibiscusstep.http_server.limits import IDLE_MARGIN_S
 from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.listening import BACKLOG, listen
 
@@ -15,6 +14,8 @@
 
 # The drain has already given running handlers their time.
 SHUTDOWN_TIMEOUT_S = 0.2
+# Idle connections are closed by the context.
+KEEPALIVE_TIMEOUT_S = 86_400.0
 
 
 async def serve(
@@ -50,7 +51,7 @@
             runner.server,
             context,
             loop=loop,
-            keepalive_timeout=context.limits.idle_timeout + IDLE_MARGIN_S,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             **options,
         )
 
@@ -62,7 +63,7 @@
         )
         if on_started:
             on_started(server)
-        await asyncio.Event().wait()
+        await context.close_expired()
     finally:
         if server is not None:
             server.close()
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -1,14 +1,22 @@
 """hibiscusstep.http_server.server_context: what the connections of a port share."""
 
+import asyncio
 from collections.abc import Callable
 
+from hibiscusstep.http_server.connection_table import ConnectionTable
 from hibiscusstep.http_server.limits import IngressLimits
 
 __all__ = ["ServerContext"]
 
+CHECK_INTERVAL_S = 1.0
+# After a pause of the process, what has been received is read before a check.
+PAUSE_S = 0.25
+# Time for which a refused caller may read its response.
+LINGER_S = 1.0
+
 
 class ServerContext:
-    """Limits and counts of the connections of a port.
+    """Limits, connections and counts of a port.
 
     Parameters
     ----------
@@ -18,6 +26,13 @@
         Limits of callers; None for the defaults.
     on_refused : callable of str, str, or None
         Called with the port and the reason of each refusal.
+    work_timeout : float or None
+        Seconds for which a request may be at work; None if requests end by themselves.
+
+    Attributes
+    ----------
+    table : ConnectionTable
+        The open connections.
     """
 
     def __init__(
@@ -25,12 +40,26 @@
         port: str,
         limits: IngressLimits | None = None,
         on_refused: Callable[[str, str], None] | None = None,
+        work_timeout: float | None = None,
     ) -> None:
         self.port = port
         self.limits = limits or IngressLimits()
         self._on_refused = on_refused
+        self.table = ConnectionTable(LINGER_S, work_timeout)
 
     def count_refusal(self, reason: str) -> None:
         """Count a caller that was refused, or whose connection was closed."""
         if self._on_refused:
             self._on_refused(self.port, reason)
+
+    async def close_expired(self) -> None:
+        """Close connections whose time is over, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + CHECK_INTERVAL_S
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = loop.time()
+            if now - due > PAUSE_S:
+                continue
+            for connection, phase in list(self.table.expired(now, self.limits)):
+                connection.expire(phase)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from hibiscusstep.http_server.connection import Connection
-from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.http_server.connection_table import ConnectionTable, Phase
+from hibiscusstep.http_server.limits import (
+    HEADER_MARGIN_S,
+    IDLE_MARGIN_S,
+    IngressLimits,
+)
 from hibiscusstep.http_server.server_context import ServerContext
 
 LIMITS = IngressLimits(max_header_bytes=400)
@@ -105,6 +110,47 @@
     return [data[a:b] for a, b in zip(ends, ends[1:], strict=False)]
 
 
+class TestConnectionTable:
+    """Which connections have been in a phase for too long."""
+
+    TIMEOUTS = IngressLimits(header_timeout=2.0, idle_timeout=10.0)
+
+    @pytest.mark.parametrize(
+        ("phase", "seconds"),
+        [
+            (Phase.REFUSED, 1.0),
+            (Phase.CLOSING, 10.0 + IDLE_MARGIN_S),
+            (Phase.NEW, 10.0 + IDLE_MARGIN_S),
+            (Phase.IDLE, 10.0 + IDLE_MARGIN_S),
+            (Phase.HEAD, 2.0 + HEADER_MARGIN_S),
+            (Phase.BODY, 60.0),
+            (Phase.AT_WORK, 60.0),
+        ],
+    )
+    def test_time_of_a_phase(self, phase, seconds):
+        table = ConnectionTable(1.0, 60.0)
+        table.set_phase("a", phase, 100.0)
+        table.set_phase("a", phase, 100.0 + seconds - 0.1)
+        table.set_phase("b", phase, 101.0)
+        limits = self.TIMEOUTS
+        assert not list(table.expired(100.0 + seconds - 0.01, limits))
+        assert list(table.expired(100.0 + seconds, limits)) == [("a", phase)]
+
+    def test_work_is_not_bounded_by_default(self):
+        table = ConnectionTable(1.0)
+        table.set_phase("a", Phase.AT_WORK, 0.0)
+        assert not list(table.expired(1e9, self.TIMEOUTS))
+
+    def test_a_phase_starts_anew_after_another(self):
+        table = ConnectionTable(1.0)
+        for number, phase in enumerate((Phase.IDLE, Phase.AT_WORK, Phase.IDLE)):
+            table.set_phase("a", phase, 100.0 * number)
+        assert not list(table.expired(210.0, self.TIMEOUTS))
+        table.remove("a")
+        table.remove("a")
+        assert not list(table.expired(1e9, self.TIMEOUTS))
+
+
 class TestSplitting:
     """However bytes are split, the same requests arrive whole and in order."""
 
@@ -182,6 +228,12 @@
             assert len(site.refusals) == 1
             assert not site.received
 
+    async def test_a_late_head_is_told_so(self):
+        async with Site() as site:
+            await site.feed(b"GET /0 HT")
+            site.connection.expire(Phase.HEAD)
+            assert site.transport.written.startswith(b"HTTP/1.1 408 ")
+
     async def test_bytes_behind_a_request_wait(self):
         async with Site() as site:
             first = request(0, b"", 0)
