Apply the limits of callers of the configuration in force

What callers saw: after a configuration with another MaxHeaderBytes, HeaderTimeoutMs or IdleTimeoutMs an instance kept the limits of its start, or the defaults where it had listened before its first configuration.

Cause: the limits were read once, when the server was made. Change: each use reads those in force, also for connections that are open.

--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -803,7 +803,7 @@
             metrics.set_gauge("repeats_left", remaining, pool=pool)
 
     async def _serve_callers(self) -> None:
-        context = ServerContext("callers", self._frontend.limits)
+        context = ServerContext("callers", lambda: self._frontend.limits)
         await serve(
             self._frontend.app(),
             self._environment.caller_socket or self._settings.caller_address,
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -22,8 +22,8 @@
     ----------
     port : str
         Name of the port in metrics.
-    limits : IngressLimits or None
-        Limits of callers; None for the defaults.
+    read_limits : callable or None
+        Returns the limits of callers in force; None for the defaults.
     on_refused : callable of str, str, or None
         Called with the port and the reason of each refusal.
     work_timeout : float or None
@@ -38,15 +38,20 @@
     def __init__(
         self,
         port: str,
-        limits: IngressLimits | None = None,
+        read_limits: Callable[[], IngressLimits] | None = None,
         on_refused: Callable[[str, str], None] | None = None,
         work_timeout: float | None = None,
     ) -> None:
         self.port = port
-        self.limits = limits or IngressLimits()
+        self._read_limits = read_limits or IngressLimits
         self._on_refused = on_refused
         self.table = ConnectionTable(LINGER_S, work_timeout)
 
+    @property
+    def limits(self) -> IngressLimits:
+        """The limits in force."""
+        return self._read_limits()
+
     def count_refusal(self, reason: str) -> None:
         """Count a caller that was refused, or whose connection was closed."""
         if self._on_refused:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -65,7 +65,9 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
-        context = ServerContext("p", LIMITS, lambda *args: self.refusals.append(args))
+        context = ServerContext(
+            "p", lambda: LIMITS, lambda *args: self.refusals.append(args)
+        )
         loop = asyncio.get_running_loop()
         self.connection = Connection(self._runner.server, context, loop=loop)
         self.transport = Transport()
