Bound the connections of each port by the descriptors of the process

What callers saw: with 100 sockets and 150 connections that send nothing, half a head, half a body or one request, at any port, an ordinary request was not served for 30 s and more; the instance had no descriptor left to reach its targets.

Cause: MaxFds was read by nothing and connections were not counted. The event loop's server accepts all that wait; its library closes the listening socket for good when accept fails for want of a descriptor of another kind than files.

Change: MaxFds, or what the system allows, less 200 for files is shared out: half for callers, a sixteenth (4 to 64) for each other port, the rest for targets, instances and the store. An acceptor of our own counts before it accepts, eight connections between two reads, and goes on after a failure. For one more it closes who is refused already, then the oldest without a whole head, then the oldest idle one, then the oldest half body, which gets 503: it has not run. A connection with a request at work is never closed for another; if all are, the new one is closed unread. At the peers' port only strangers are counted.

--- a/hibiscusstep/forwarding/bounds.py
+++ b/hibiscusstep/forwarding/bounds.py
@@ -63,6 +63,8 @@
         gone.
     memory_mb : float
         Memory in MB above which the process is killed; 0 if there is no limit.
+    max_fds : int
+        Descriptors of the process; 0 for those that the system allows.
     capacity : int
         Capacity for work, in hundredths of a core or as limited by the link.
     region_count : int
@@ -89,6 +91,7 @@
     heartbeat_interval: float
     suspect_after: float
     memory_mb: float = 0.0
+    max_fds: int = 0
     capacity: int = 1
     region_count: int = 1
     is_first_start: bool = False
--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -252,7 +252,8 @@
         except TimeoutError:
             raise _RequestRejected(504, "request body incomplete") from None
         except RequestRefused as cause:
-            raise _RequestRejected(cause.status, cause.reason) from None
+            retry_after = REFUSED_RETRY_AFTER_S if cause.status == 503 else None
+            raise _RequestRejected(cause.status, cause.reason, retry_after) from None
         except (ValueError, web.HTTPException) as cause:
             raise _RequestRejected(400, f"malformed body: {cause!r}"[:200]) from None
 
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -12,6 +12,7 @@
 
 from hibiscusstep.clock import SuspensionDetector
 from hibiscusstep.configuration.in_force import ConfigurationInForce
+from hibiscusstep.descriptors import ConnectionLimits
 from hibiscusstep.dispatch_client import DispatchClient
 from hibiscusstep.dispatcher_host import DispatcherHost
 from hibiscusstep.errors import ConfigurationError
@@ -57,6 +58,7 @@
 from hibiscusstep.forwarding.tunnel import TunnelServer
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
+from hibiscusstep.http_server.acceptor import Acceptor
 from hibiscusstep.http_server.server import serve
 from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
@@ -280,7 +282,7 @@
         await self._frontend.wait_idle()
         await self._tunnels.wait_idle()
         self._frontend.refuse_requests()
-        self._caller_server.close()
+        self._caller_acceptor.stop()
         await asyncio.sleep(FINAL_REQUESTS_S)
         await self._frontend.wait_idle()
 
@@ -304,7 +306,13 @@
         settings, name = self._settings, self._settings.name
         address, incarnation = settings.peer_address, self._incarnation
         bounds = self._environment.bounds
-        self._links = PeerLinks(address, settings.peer_key, self._deliver_message)
+        self._connection_limits = ConnectionLimits.of_descriptors(settings.max_fds)
+        self._links = PeerLinks(
+            address,
+            settings.peer_key,
+            self._deliver_message,
+            self._connection_limits.others,
+        )
         self._membership = HierarchicalMembership(
             settings,
             incarnation,
@@ -698,17 +706,21 @@
     async def _serve_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self._environment.ready_path, self._handle_readiness)
-        await serve(
-            app,
-            self._environment.ready_address,
-            ServerContext("ready", work_timeout=OPERATOR_TIMEOUT_S),
+        context = self._operator_context("ready")
+        await serve(app, self._environment.ready_address, context)
+
+    def _operator_context(self, port: str) -> ServerContext:
+        return ServerContext(
+            port,
+            work_timeout=OPERATOR_TIMEOUT_S,
+            max_connections=self._connection_limits.others,
         )
 
     async def _handle_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    def _on_callers_served(self, server: asyncio.Server) -> None:
-        self._caller_server = server
+    def _on_callers_served(self, acceptor: Acceptor) -> None:
+        self._caller_acceptor = acceptor
         self.started.set()
 
     async def _serve_metrics(self) -> None:
@@ -720,7 +732,7 @@
         )
         while True:
             try:
-                context = ServerContext("metrics", work_timeout=OPERATOR_TIMEOUT_S)
+                context = self._operator_context("metrics")
                 await serve(app, self._settings.operator_address, context)
             except OSError as error:
                 # Callers are served without metrics too.
@@ -803,7 +815,11 @@
             metrics.set_gauge("repeats_left", remaining, pool=pool)
 
     async def _serve_callers(self) -> None:
-        context = ServerContext("callers", lambda: self._frontend.limits)
+        context = ServerContext(
+            "callers",
+            lambda: self._frontend.limits,
+            max_connections=self._connection_limits.callers,
+        )
         await serve(
             self._frontend.app(),
             self._environment.caller_socket or self._settings.caller_address,
--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -14,7 +14,7 @@
 
 from hibiscusstep.http_server.connection_table import Phase
 from hibiscusstep.http_server.limits import IngressLimits
-from hibiscusstep.http_server.server_context import ServerContext
+from hibiscusstep.http_server.server_context import LINGER_S, ServerContext
 
 __all__ = ["Connection", "RequestRefused"]
 
@@ -41,6 +41,7 @@
 HEAD_TOO_LATE = _Refusal(HTTPStatus.REQUEST_TIMEOUT, "head-too-late")
 HEAD_TOO_LONG = _Refusal(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-long")
 MALFORMED = _Refusal(HTTPStatus.BAD_REQUEST, "malformed")
+NO_ROOM = _Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "no-room")
 BLANK_LINES = _Refusal(HTTPStatus.BAD_REQUEST, "blank-lines")
 FRAMING_TOO_LONG = _Refusal(HTTPStatus.BAD_REQUEST, "framing-too-long")
 
@@ -178,6 +179,19 @@
         else:
             self._connected.abort()
 
+    def evict(self) -> None:
+        """Close the connection, whose request is not at work, for another one.
+
+        A caller whose body is incomplete is told that its request has not run.
+        """
+        self._context.table.remove(self)
+        transport, self._connected = self._connected, None
+        if self._at_work and not self._refused:
+            self._refuse(NO_ROOM)
+            self._loop.call_later(LINGER_S, transport.abort)
+        else:
+            transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes of the caller; none if the parser may go on with what it has."""
         if not data:
@@ -389,5 +403,5 @@
 
     def _discard(self, size: int) -> None:
         self._discarded += size
-        if self._discarded > MAX_DISCARDED_BYTES:
+        if self._discarded > MAX_DISCARDED_BYTES and self._connected is not None:
             self._connected.abort()
--- a/hibiscusstep/http_server/connection_table.py
+++ b/hibiscusstep/http_server/connection_table.py
@@ -1,4 +1,4 @@
-"""hibiscusstep.http_server.connection_table: which connections have expired.
+"""hibiscusstep.http_server.connection_table: which connections of a port are closed.
 
 Decides by what each connection is doing and since when. It does no I/O and reads no
 clock, so its rules can be tested alone.
@@ -18,7 +18,11 @@
 
 
 class Phase(enum.IntEnum):
-    """What a connection is doing."""
+    """What a connection is doing, in the order in which connections make room.
+
+    Of `NEW` and `HEAD` the oldest goes first, whichever it is in. One that is `AT_WORK`
+    is never closed for another.
+    """
 
     REFUSED = 0
     CLOSING = 1
@@ -48,6 +52,10 @@
             OrderedDict() for _ in Phase
         )
 
+    def __len__(self) -> int:
+        """Return the number of connections."""
+        return len(self._phases)
+
     def set_phase(self, connection: Hashable, phase: Phase, now: float) -> None:
         """Record that a connection is in a phase; its time starts if that is new."""
         before = self._phases.get(connection)
@@ -64,6 +72,23 @@
         if phase is not None:
             del self._since[phase][connection]
 
+    def choose_victim(self) -> Hashable | None:
+        """Return the connection to close for a new one; None if all are at work."""
+        without_head = [
+            next(iter(self._since[phase].items()))
+            for phase in (Phase.NEW, Phase.HEAD)
+            if self._since[phase]
+        ]
+        for phase in (Phase.REFUSED, Phase.CLOSING):
+            if self._since[phase]:
+                return next(iter(self._since[phase]))
+        if without_head:
+            return min(without_head, key=lambda item: item[1])[0]
+        for phase in (Phase.IDLE, Phase.BODY):
+            if self._since[phase]:
+                return next(iter(self._since[phase]))
+        return None
+
     def expired(
         self, now: float, limits: IngressLimits
     ) -> Iterator[tuple[Hashable, Phase]]:
--- a/hibiscusstep/http_server/server.py
+++ b/hibiscusstep/http_server/server.py
@@ -6,9 +6,10 @@
 
 from aiohttp import web
 
+from hibiscusstep.http_server.acceptor import Acceptor
 from hibiscusstep.http_server.connection import Connection
 from hibiscusstep.http_server.server_context import ServerContext
-from hibiscusstep.listening import BACKLOG, listen
+from hibiscusstep.listening import listen
 
 __all__ = ["serve"]
 
@@ -22,7 +23,7 @@
     app: web.Application,
     address: str | socket.socket,
     context: ServerContext,
-    on_started: Callable[[asyncio.Server], None] | None = None,
+    on_started: Callable[[Acceptor], None] | None = None,
     **options,
 ) -> None:
     """Serve an application until cancelled.
@@ -36,7 +37,7 @@
     context : ServerContext
         Limits of the port; receives the counts.
     on_started : callable or None
-        Called with the server once it listens.
+        Called with the acceptor once it listens.
     **options : object
         Further arguments of `aiohttp.web.RequestHandler`.
     """
@@ -55,16 +56,15 @@
             **options,
         )
 
-    server = None
+    acceptor = None
     try:
         listener = listen(address) if isinstance(address, str) else address
-        server = await loop.create_server(
-            make_connection, sock=listener, backlog=BACKLOG
-        )
+        acceptor = Acceptor(listener, make_connection, context)
+        acceptor.start()
         if on_started:
-            on_started(server)
+            on_started(acceptor)
         await context.close_expired()
     finally:
-        if server is not None:
-            server.close()
+        if acceptor is not None:
+            acceptor.stop()
         await runner.cleanup()
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -6,7 +6,7 @@
 from hibiscusstep.http_server.connection_table import ConnectionTable
 from hibiscusstep.http_server.limits import IngressLimits
 
-__all__ = ["ServerContext"]
+__all__ = ["LINGER_S", "ServerContext"]
 
 CHECK_INTERVAL_S = 1.0
 # After a pause of the process, what has been received is read before a check.
@@ -28,6 +28,8 @@
         Called with the port and the reason of each refusal.
     work_timeout : float or None
         Seconds for which a request may be at work; None if requests end by themselves.
+    max_connections : int
+        Connections that are open at once.
 
     Attributes
     ----------
@@ -41,10 +43,12 @@
         read_limits: Callable[[], IngressLimits] | None = None,
         on_refused: Callable[[str, str], None] | None = None,
         work_timeout: float | None = None,
+        max_connections: int = 1024,
     ) -> None:
         self.port = port
         self._read_limits = read_limits or IngressLimits
         self._on_refused = on_refused
+        self.max_connections = max_connections
         self.table = ConnectionTable(LINGER_S, work_timeout)
 
     @property
--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -131,9 +131,13 @@
         Secret shared by the instances.
     deliver : callable of object
         Called with each `Received` and `LinkLost`.
+    max_strangers : int
+        Connections that have not shown the key; the oldest is closed for one more.
     """
 
-    def __init__(self, address: str, key: str, deliver: Callable) -> None:
+    def __init__(
+        self, address: str, key: str, deliver: Callable, max_strangers: int = 64
+    ) -> None:
         super().__init__("peer-links", tick_interval=PAUSE_CHECK_INTERVAL_S)
         self._address = address
         self._key = key
@@ -142,6 +146,9 @@
         self._links: dict[str, _Link] = {}
         self._serve_tunnel: Callable[..., Awaitable[None]] | None = None
         self._receive_tasks: set[asyncio.Task] = set()
+        self._max_strangers = max_strangers
+        # Connections that have not shown the key, the oldest first.
+        self._strangers: dict[asyncio.StreamWriter, None] = {}
         # Connections that messages arrive on, and the number of pauses so far.
         self._message_writers: set[asyncio.StreamWriter] = set()
         self._pauses = 0
@@ -155,7 +162,9 @@
     async def start(self) -> None:
         """Start to listen on the peer address."""
         host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=self._max_strangers
+        )
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -224,6 +233,11 @@
         self._receive_tasks.add(task)
         self._message_writers.add(writer)
         peer = str(writer.get_extra_info("peername"))
+        self._strangers[writer] = None
+        if len(self._strangers) > self._max_strangers:
+            oldest = next(iter(self._strangers))
+            del self._strangers[oldest]
+            oldest.transport.abort()
         try:
             await self._receive(reader, writer)
         except (PeerError, codec.CodecError, IndexError, TimeoutError) as error:
@@ -233,6 +247,7 @@
         finally:
             self._receive_tasks.discard(task)
             self._message_writers.discard(writer)
+            self._strangers.pop(writer, None)
             writer.close()
 
     async def _receive(self, reader, writer) -> None:
@@ -244,6 +259,7 @@
             peer_nonce = await reader.readexactly(NONCE_BYTES)
             authenticator = Authenticator(self._key, peer_nonce + nonce)
             sender = (await read_frame(reader, authenticator)).decode()
+        self._strangers.pop(writer, None)
         acknowledgement: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
         try:
--- a/hibiscusstep/platform/settings.py
+++ b/hibiscusstep/platform/settings.py
@@ -82,6 +82,7 @@
         heartbeat_interval=HEARTBEAT_INTERVAL_S,
         suspect_after=SUSPECT_AFTER_S,
         memory_mb=_memory_mb(document.get("Limits") or {}),
+        max_fds=_max_fds(document.get("Limits") or {}),
         capacity=_capacity(document.get("Limits") or {}),
         region_count=_count_regions(document.get("Zones")),
         is_first_start=bool(document.get("Bootstrap", False)),
@@ -110,6 +111,14 @@
     return limit
 
 
+def _max_fds(limits: dict) -> int:
+    """Return the number of descriptors; 0 if there is no limit."""
+    limit = int(limits.get("MaxFds") or 0)
+    if limit < 0:
+        raise ValueError(f"MaxFds: {limit}")
+    return limit
+
+
 def _capacity(limits: dict) -> int:
     """Return the capacity in hundredths of a core, reduced for a slow link.
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscusstep.descriptors import ConnectionLimits
 from hibiscusstep.http_server.connection import Connection
 from hibiscusstep.http_server.connection_table import ConnectionTable, Phase
 from hibiscusstep.http_server.limits import (
@@ -246,3 +247,64 @@
                 while b" 400 " not in site.transport.written:
                     await asyncio.sleep(0)
             assert site.transport.written.startswith(b"HTTP/1.1 200 ")
+
+
+class TestRoom:
+    """Which connection is closed for a new one."""
+
+    def test_order(self):
+        table = ConnectionTable(1.0)
+        for number, phase in enumerate(reversed(Phase)):
+            table.set_phase(f"{phase.name}-old", phase, float(number))
+            table.set_phase(f"{phase.name}-new", phase, 100.0)
+        chosen = []
+        while (victim := table.choose_victim()) is not None:
+            chosen.append(victim)
+            table.remove(victim)
+        assert chosen == [
+            "REFUSED-old",
+            "REFUSED-new",
+            "CLOSING-old",
+            "CLOSING-new",
+            "HEAD-old",
+            "NEW-old",
+            "NEW-new",
+            "HEAD-new",
+            "IDLE-old",
+            "IDLE-new",
+            "BODY-old",
+            "BODY-new",
+        ]
+        assert len(table) == 2
+
+    @pytest.mark.parametrize("sent", [b"", b"GET /0 HT", request(0, b"", 0)])
+    async def test_a_connection_without_a_request_is_closed(self, sent):
+        async with Site() as site:
+            await site.feed(sent)
+            async with asyncio.timeout(BOUND_S):
+                while sent.endswith(b"\r\n\r\n") and not site.transport.written:
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            site.connection.evict()
+            assert site.transport.is_closed
+
+    async def test_half_a_body_is_told_that_nothing_ran(self):
+        async with Site() as site:
+            await site.feed(request(0, b"whole", 0)[:-1])
+            site.connection.evict()
+            async with asyncio.timeout(BOUND_S):
+                while not site.transport.written:
+                    await asyncio.sleep(0)
+            assert site.transport.written.startswith(b"HTTP/1.1 503 ")
+            assert not site.received
+
+
+class TestConnectionLimits:
+    """The descriptors are shared between the ports."""
+
+    @pytest.mark.parametrize("max_fds", [0, 64, 300, 2870, 4100, 8192, 1 << 30])
+    def test_some_are_left(self, max_fds):
+        limits = ConnectionLimits.of_descriptors(max_fds)
+        ports = limits.callers + 3 * limits.others
+        assert limits.callers >= 16
+        assert ports <= max(32, (max_fds or 1 << 30) - 200) * 7 // 8
