Bound what a port parses in one step of the event loop

What callers saw: while 24 connections sent bodies in chunks of one byte, and for ten seconds after, an ordinary request was not served.

Each piece that the reader took also resumed reading, and with it the parser, once more.

Change: parsing has a cost, by its bytes and, in heads and chunks, its lines. In each step of the loop a port parses for about 2 ms; the other connections take turns in the next steps, heads before bodies, with reading paused. Reading is resumed only where it was paused.

--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -14,6 +14,7 @@
 
 from hibiscusstep.http_server.connection_table import Phase
 from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.http_server.loop_share import Parsing, parsing_cost
 from hibiscusstep.http_server.server_context import LINGER_S, ServerContext
 
 __all__ = ["Connection", "RequestRefused"]
@@ -65,7 +66,7 @@
         self.reason = reason
 
 
-class Connection(web.RequestHandler):
+class Connection(web.RequestHandler, Parsing):
     """Connection of a caller that need not keep the limits.
 
     Parameters
@@ -91,6 +92,7 @@
         "_framing_bytes",
         "_held",
         "_input_paused",
+        "_awaits_turn",
         "_is_closing",
         "_offset",
         "_payload",
@@ -137,6 +139,8 @@
         # The transport until it is lost; aiohttp forgets it when it closes.
         self._connected: asyncio.Transport | None = None
         self._is_closing = False
+        # Whether it waits for its turn to parse.
+        self._awaits_turn = False
 
     @property
     def _limits(self) -> IngressLimits:
@@ -246,13 +250,14 @@
 
     def _advance(self) -> None:
         """Parse what may be parsed now, and receive no more while bytes wait for it."""
-        while self._offset < len(self._held) and not self._refused:
-            if self._payload is not None:
-                if self._body_paused:
-                    break
-                self._parse_body()
-            elif self._at_work or not self._parse_head():
-                break
+        while (
+            self._offset < len(self._held)
+            and not (self._refused or self._awaits_turn)
+            and (
+                self._parse_body() if self._payload is not None else self._parse_head()
+            )
+        ):
+            pass
         if self._offset >= len(self._held):
             self._held = b""
             self._offset = 0
@@ -264,7 +269,9 @@
             self._context.table.set_phase(self, self._phase, self._loop.time())
 
     def _pause_input(self) -> None:
-        waits = bool(self._held) and (self._at_work or self._body_paused)
+        waits = bool(self._held) and (
+            self._at_work or self._body_paused or self._awaits_turn
+        )
         if waits != self._input_paused:
             self._input_paused = waits
             if waits or not self._body_paused:
@@ -280,9 +287,24 @@
         else:
             transport.pause_reading()
 
+    def go_on(self) -> None:
+        """Parse on: it is this connection's turn."""
+        self._awaits_turn = False
+        if self._connected is not None:
+            self._advance()
+
+    def _take_turn(self, is_head: bool) -> bool:
+        """Whether it may parse now; otherwise it waits for its turn."""
+        share = self._context.loop_share
+        if share.allows(is_head):
+            return True
+        self._awaits_turn = True
+        share.wait(self, is_head)
+        return False
+
     def _parse_head(self) -> bool:
-        """Parse a head if all of it is here; return whether it was."""
-        if not self._skip_blank_lines():
+        """Parse a head if all of it is here; return whether to go on."""
+        if self._at_work or not self._skip_blank_lines():
             return False
         held, start = self._held, self._offset
         if not b"A" <= held[start : start + 1] <= b"Z":
@@ -298,10 +320,14 @@
             self._offset = 0
             self._searched = max(0, len(self._held) - len(END_OF_HEAD) + 1)
             return False
+        if not self._take_turn(is_head=True):
+            return False
         self._searched = self._blank_bytes = 0
         self._offset = end
-        self._start_request(held[start:end])
-        return not self._refused
+        head = held[start:end]
+        self._context.loop_share.spend(parsing_cost(head, has_lines=True))
+        self._start_request(head)
+        return True
 
     def _skip_blank_lines(self) -> bool:
         """Skip line ends before a head; return whether more bytes are here."""
@@ -343,8 +369,10 @@
         elif self._payload is not None and self._payload.is_eof():
             self._payload = None
 
-    def _parse_body(self) -> None:
-        """Parse a piece of a body that does not reach beyond its end."""
+    def _parse_body(self) -> bool:
+        """Parse a piece that does not reach beyond a body; return whether to go on."""
+        if self._body_paused or not self._take_turn(is_head=False):
+            return False
         held, start = self._held, self._offset
         size = min(PIECE_BYTES, len(held) - start)
         if self._body_left is not None:
@@ -361,6 +389,8 @@
         self._offset = start + size
         payload = self._payload
         content_bytes = payload.total_bytes
+        is_chunked = self._body_left is None
+        self._context.loop_share.spend(parsing_cost(part, is_chunked))
         self._parse(part)
         if payload.total_bytes > content_bytes:
             self._framing_bytes = 0
@@ -368,6 +398,7 @@
             self._framing_bytes += size
             if self._framing_bytes > self._limits.max_header_bytes:
                 self._refuse(FRAMING_TOO_LONG)
+        return True
 
     def _refuse(self, refusal: _Refusal) -> None:
         """Refuse what the caller sends; close the connection after a response."""
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -5,6 +5,7 @@
 
 from hibiscusstep.http_server.connection_table import ConnectionTable
 from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.http_server.loop_share import LoopShare
 
 __all__ = ["LINGER_S", "ServerContext"]
 
@@ -35,6 +36,8 @@
     ----------
     table : ConnectionTable
         The open connections.
+    loop_share : LoopShare
+        What they may parse in one step of the event loop.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self._on_refused = on_refused
         self.max_connections = max_connections
         self.table = ConnectionTable(LINGER_S, work_timeout)
+        self.loop_share = LoopShare()
 
     @property
     def limits(self) -> IngressLimits:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -15,6 +15,12 @@
     IDLE_MARGIN_S,
     IngressLimits,
 )
+from hibiscusstep.http_server.loop_share import (
+    STEP_COST,
+    LoopShare,
+    Parsing,
+    parsing_cost,
+)
 from hibiscusstep.http_server.server_context import ServerContext
 
 LIMITS = IngressLimits(max_header_bytes=400)
@@ -308,3 +314,43 @@
         ports = limits.callers + 3 * limits.others
         assert limits.callers >= 16
         assert ports <= max(32, (max_fds or 1 << 30) - 200) * 7 // 8
+
+
+class TestLoopShare:
+    """What a port parses in one step of the event loop is bounded."""
+
+    async def test_all_take_turns_in_bounded_steps(self):
+        share, turns, steps = LoopShare(), [], [0]
+
+        class Sender(Parsing):
+            def __init__(self, name, is_head):
+                self.name, self.is_head = name, is_head
+
+            def go_on(self):
+                share.spend(STEP_COST)
+                turns.append((steps[0], self.name))
+                if not self.is_head:
+                    share.wait(self, False)
+
+        for name in "abc":
+            share.wait(Sender(name, False), False)
+        for steps[0] in range(9):
+            if steps[0] == 5:
+                share.wait(Sender("head", True), True)
+            await asyncio.sleep(0)
+        assert [name for _step, name in turns] == list("abcab") + ["head"] + list("cab")
+        assert [step for step, _name in turns] == list(range(9))
+
+    async def test_a_head_is_parsed_beside_bodies(self):
+        share = LoopShare()
+        share.spend(STEP_COST)
+        assert not share.allows(is_head=False)
+        assert share.allows(is_head=True)
+        share.spend(STEP_COST)
+        assert not share.allows(is_head=True)
+        await asyncio.sleep(0)
+        assert share.allows(is_head=False)
+
+    def test_chunks_cost_more_than_their_bytes(self):
+        chunks, plain = b"1\r\na\r\n" * 1000, bytes(6000)
+        assert parsing_cost(chunks, True) > 100 * parsing_cost(plain, False)
