Bound what the kernel holds of a connection that is not read

What callers saw: a process near its memory limit while connections are not read: on the users' machines what the kernel has received counts too.

Cause: the receive buffer grows up to megabytes while nobody reads, and what is read at once grows with it.

Change: a listening socket asks for 32 KiB, which accepted ones inherit; Linux doubles it for its own use.

--- a/hibiscusstep/listening.py
+++ b/hibiscusstep/listening.py
@@ -6,6 +6,9 @@
 
 # Maximum number of connections waiting to be accepted.
 BACKLOG = 1024
+# What the kernel may hold of a connection that is not read, about, in bytes. It counts
+# toward the memory of the process.
+RECEIVE_BUFFER_BYTES = 1 << 15
 
 
 def listen(address: str) -> socket.socket:
@@ -22,5 +25,7 @@
     """
     host, _, port = address.rpartition(":")
     listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+    # Accepted sockets inherit it.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listener.setblocking(False)
     return listener
