Take heads of more than 128 fields, and bound what parsed heads hold

What callers saw: 400 for a head of 6,319 bytes (16,384 allowed) in some hundred short fields.

Cause: the library's cap of 128 fields, which a client inside the limits meets. Without it a head of 16 KiB in fields of four bytes takes 0.7 MB once parsed (166 bytes a field, measured with tracemalloc); 100 heads whose bodies never come took 128 MB of 80.

Change: no cap on the number. What a head takes beyond 64 fields counts, 200 bytes a field, toward the bound of held bytes; before such a head is parsed, room is made as for a body, and without room it gets 503. The readiness and metrics ports take heads of 4 KiB.

--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -27,7 +27,7 @@
 )
 from hibiscusstep.forwarding.quota import QuotaLimiter
 from hibiscusstep.forwarding.quota_request import QUOTA_RETRY_S, QuotaRequest
-from hibiscusstep.http_server.connection import RequestRefused
+from hibiscusstep.http_server.connection import RequestRefused, field_memory
 from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.log import decision
 
@@ -135,6 +135,7 @@
         self._context.metrics.set_gauge("open_requests", self._open)
         caller = CallerConnection(request, self._record_cut_off)
         account = self._context.buffers.open(caller)
+        account.add(BufferKind.REQUEST, field_memory(len(request.raw_headers)))
         try:
             response, deadline = await self._respond(request, caller, account)
             if self._draining and not response.prepared:
@@ -265,8 +266,13 @@
     ) -> bytes:
         received = account.progress_at
         error = RequestRefused(503, "memory")
+
+        def refuse() -> None:
+            request.content.set_exception(error)
+
         parts = [b""]
         size = 0
+        account.refuse_request = refuse
         while part := await request.content.readany():
             # It is not refused to make room for itself.
             account.refuse_request = None
@@ -276,7 +282,7 @@
             self._check_memory(len(part), received, account.held)
             account.add(BufferKind.REQUEST, len(part))
             account.record_progress()
-            account.refuse_request = lambda: request.content.set_exception(error)
+            account.refuse_request = refuse
             # Many small parts would take far more memory than their bytes.
             if len(parts[-1]) < JOINED_PART_BYTES:
                 parts[-1] += part
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -59,6 +59,7 @@
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.http_server.acceptor import Acceptor
+from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.http_server.server import serve
 from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
@@ -112,6 +113,8 @@
 METRICS_RETRY_S = 5.0
 # Time for a balancer or an operator to take a response.
 OPERATOR_TIMEOUT_S = 60.0
+# Limits of balancers and operators, which poll less often than callers call.
+OPERATOR_LIMITS = IngressLimits(max_header_bytes=4096, idle_timeout=75.0)
 # Time for which an idle, stopping instance still answers requests that were in transit;
 # later callers find its port closed.
 FINAL_REQUESTS_S = 0.1
@@ -709,9 +712,14 @@
         context = self._operator_context("ready")
         await serve(app, self._environment.ready_address, context)
 
+    def _make_room(self, size: int) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._buffers.make_room(size, now)
+
     def _operator_context(self, port: str) -> ServerContext:
         return ServerContext(
             port,
+            lambda: OPERATOR_LIMITS,
             work_timeout=OPERATOR_TIMEOUT_S,
             max_connections=self._connection_limits.others,
         )
@@ -819,6 +827,7 @@
             "callers",
             lambda: self._frontend.limits,
             max_connections=self._connection_limits.callers,
+            make_room=self._make_room,
         )
         await serve(
             self._frontend.app(),
--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -17,12 +17,15 @@
 from hibiscusstep.http_server.loop_share import Parsing, parsing_cost
 from hibiscusstep.http_server.server_context import LINGER_S, ServerContext
 
-__all__ = ["Connection", "RequestRefused"]
+__all__ = ["Connection", "RequestRefused", "field_memory"]
 
 # The limits are checked here; the parser's own must not be met first.
 PARSER_LIMIT = 1 << 30
 END_OF_HEAD = b"\r\n\r\n"
 LINE_ENDS = b"\r\n"
+# What a parsed field takes at least, and the number that is not counted.
+FIELD_BYTES = 200
+USUAL_FIELDS = 64
 # HTTP asks to ignore an empty line before a request.
 MAX_BLANK_BYTES = 16
 # Bytes of a body that are parsed at once.
@@ -31,6 +34,11 @@
 MAX_DISCARDED_BYTES = 1 << 18
 
 
+def field_memory(count: int) -> int:
+    """Return the bytes that the fields of a head take beyond those of a usual one."""
+    return FIELD_BYTES * max(0, count - USUAL_FIELDS)
+
+
 @dataclass(frozen=True, slots=True)
 class _Refusal:
     """Status of a refusal and the reason that is counted."""
@@ -43,6 +51,7 @@
 HEAD_TOO_LONG = _Refusal(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-long")
 MALFORMED = _Refusal(HTTPStatus.BAD_REQUEST, "malformed")
 NO_ROOM = _Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "no-room")
+NO_MEMORY = _Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "memory")
 BLANK_LINES = _Refusal(HTTPStatus.BAD_REQUEST, "blank-lines")
 FRAMING_TOO_LONG = _Refusal(HTTPStatus.BAD_REQUEST, "framing-too-long")
 
@@ -114,6 +123,7 @@
             access_log=None,
             max_line_size=PARSER_LIMIT,
             max_field_size=PARSER_LIMIT,
+            max_headers=PARSER_LIMIT,
             **options,
         )
         self._context = context
@@ -322,9 +332,13 @@
             return False
         if not self._take_turn(is_head=True):
             return False
+        head = held[start:end]
+        memory = field_memory(head.count(b"\n"))
+        if memory and not self._context.make_room(memory):
+            self._refuse(NO_MEMORY)
+            return False
         self._searched = self._blank_bytes = 0
         self._offset = end
-        head = held[start:end]
         self._context.loop_share.spend(parsing_cost(head, has_lines=True))
         self._start_request(head)
         return True
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -31,6 +31,8 @@
         Seconds for which a request may be at work; None if requests end by themselves.
     max_connections : int
         Connections that are open at once.
+    make_room : callable of int, or None
+        Returns whether a request may hold so many bytes; None if there is no bound.
 
     Attributes
     ----------
@@ -47,11 +49,13 @@
         on_refused: Callable[[str, str], None] | None = None,
         work_timeout: float | None = None,
         max_connections: int = 1024,
+        make_room: Callable[[int], bool] | None = None,
     ) -> None:
         self.port = port
         self._read_limits = read_limits or IngressLimits
         self._on_refused = on_refused
         self.max_connections = max_connections
+        self.make_room = make_room or (lambda size: True)
         self.table = ConnectionTable(LINGER_S, work_timeout)
         self.loop_share = LoopShare()
 
