Serve the own interface with the same guarded server

What callers saw: the same crowds at the callers' or operators' port of an instance without the users' platform took 200 to 498 MB.

Cause: the own interface had a server of its own with the library's defaults, which kept connections for an hour, and no bound of bodies together (64 MiB each).

Change: it uses hibiscusstep/http_server. Its settings have max_header_bytes, header_timeout, idle_timeout, max_descriptors and max_body_bytes_held; their defaults are above what the documented clients send. A body over the bound of all gets 503 'instance-full': it was not run.

--- a/hibiscusstep/caller_server.py
+++ b/hibiscusstep/caller_server.py
@@ -8,12 +8,15 @@
 from hibiscusstep.answer_sink import AnswerSink
 from hibiscusstep.configuration.in_force import ConfigurationInForce
 from hibiscusstep.delivery import Delivery, DeliveryServices
+from hibiscusstep.http_server.connection import RequestRefused
 from hibiscusstep.metrics import Metrics
 from hibiscusstep.problem import Outcome, Problem
 
 __all__ = ["CallerServer"]
 
 MAX_BODY_BYTES = 64 << 20
+# Key of a request under which the bytes of its body are counted.
+HELD_BYTES = web.RequestKey("held_bytes", int)
 
 
 class CallerServer:
@@ -29,6 +32,8 @@
         Seconds within which a caller must send its body.
     max_open : int
         Limit of open requests; more are refused.
+    max_held : int
+        Limit of the bytes of their bodies together; more are refused.
     """
 
     def __init__(
@@ -37,11 +42,14 @@
         metrics: Metrics,
         body_timeout: float,
         max_open: int,
+        max_held: int = 256 << 20,
     ) -> None:
         self._services = services
         self._metrics = metrics
         self._body_timeout = body_timeout
         self._max_open = max_open
+        self._max_held = max_held
+        self._held_bytes = 0
         self._being_admitted = 0
         self._in_force = ConfigurationInForce()
         self._draining = False
@@ -80,6 +88,12 @@
         return app
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
+        try:
+            return await self._respond(request)
+        finally:
+            self._held_bytes -= request.get(HELD_BYTES, 0)
+
+    async def _respond(self, request: web.Request) -> web.StreamResponse:
         received_at = asyncio.get_running_loop().time()
         sink = AnswerSink(request, f"{self._services.name}-refused", keep=False)
         self._being_admitted += 1
@@ -136,15 +150,30 @@
     async def _read_body(self, request: web.Request) -> bytes:
         try:
             async with asyncio.timeout(self._body_timeout):
-                return await request.read()
+                return await self._collect_body(request)
         except TimeoutError:
             detail = "The body did not come in time."
             raise Problem(408, "body-timeout", detail) from None
-        except web.HTTPRequestEntityTooLarge:
-            raise Problem(413, "too-large", "The body is too large.") from None
+        except RequestRefused as cause:
+            detail = "The body was not read to its end; the request was not run."
+            raise Problem(cause.status, cause.reason, detail) from None
         except (ValueError, web.HTTPException) as cause:
             raise Problem(400, "malformed", f"The body: {cause}"[:200]) from None
 
+    async def _collect_body(self, request: web.Request) -> bytes:
+        parts = []
+        request[HELD_BYTES] = 0
+        async for part in request.content.iter_any():
+            request[HELD_BYTES] += len(part)
+            self._held_bytes += len(part)
+            if request[HELD_BYTES] > MAX_BODY_BYTES:
+                raise Problem(413, "too-large", "The body is too large.")
+            if self._held_bytes > self._max_held:
+                detail = "This instance holds as much as it may; it was not run."
+                raise Problem(503, "instance-full", detail, Outcome.NOT_RUN, 1.0)
+            parts.append(part)
+        return b"".join(parts)
+
     def _track(self, task: asyncio.Task) -> None:
         self._open_tasks.add(task)
         self._idle.clear()
--- a/hibiscusstep/configuration/settings.py
+++ b/hibiscusstep/configuration/settings.py
@@ -59,6 +59,21 @@
     body_timeout: float = Field(
         20.0, gt=0, description="Seconds for a caller to send its body."
     )
+    max_header_bytes: int = Field(
+        16384, ge=1024, description="Size of a request's head; more gets 431."
+    )
+    header_timeout: float = Field(
+        10.0, gt=0, description="Seconds for a caller to send its head; then 408."
+    )
+    idle_timeout: float = Field(
+        75.0, gt=0, description="Seconds a connection may wait for a request."
+    )
+    max_body_bytes_held: int = Field(
+        256 << 20, ge=1 << 20, description="Memory for bodies of callers' requests."
+    )
+    max_descriptors: int = Field(
+        0, ge=0, description="Descriptors of the process; 0 for what is allowed."
+    )
     retry_share: float = Field(
         0.2, ge=0, le=1, description="Repeats after failures for each request."
     )
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -59,7 +59,7 @@
 from hibiscusstep.forwarding.tunneling_connector import TunnelingConnector
 from hibiscusstep.forwarding.windowed_retry_budget import WindowedRetryBudget
 from hibiscusstep.http_server.acceptor import Acceptor
-from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.http_server.limits import OPERATOR_LIMITS, OPERATOR_TIMEOUT_S
 from hibiscusstep.http_server.server import serve
 from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.log import count_dropped_lines, decision, flush_periodically
@@ -111,10 +111,6 @@
 REGISTER_RETRY_S = 1.0
 REGISTER_JITTER_S = 2.0
 METRICS_RETRY_S = 5.0
-# Time for a balancer or an operator to take a response.
-OPERATOR_TIMEOUT_S = 60.0
-# Limits of balancers and operators, which poll less often than callers call.
-OPERATOR_LIMITS = IngressLimits(max_header_bytes=4096, idle_timeout=75.0)
 # Time for which an idle, stopping instance still answers requests that were in transit;
 # later callers find its port closed.
 FINAL_REQUESTS_S = 0.1
--- a/hibiscusstep/http_server/limits.py
+++ b/hibiscusstep/http_server/limits.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-__all__ = ["HEADER_MARGIN_S", "IDLE_MARGIN_S", "IngressLimits"]
+__all__ = [
+    "HEADER_MARGIN_S",
+    "IDLE_MARGIN_S",
+    "OPERATOR_LIMITS",
+    "OPERATOR_TIMEOUT_S",
+    "IngressLimits",
+]
 
 # Added to the limits of callers, so that the server's are always the longer ones.
 HEADER_MARGIN_S = 1.0
@@ -29,3 +35,9 @@
     max_body_bytes: int = 4 << 20
     header_timeout: float = 3.0
     idle_timeout: float = 15.0
+
+
+# Limits of balancers and operators, which poll less often than callers call, and the
+# time for them to take a response, in seconds.
+OPERATOR_LIMITS = IngressLimits(max_header_bytes=4096, idle_timeout=75.0)
+OPERATOR_TIMEOUT_S = 60.0
--- a/hibiscusstep/instance.py
+++ b/hibiscusstep/instance.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import orjson
-from aiohttp import web
 
 from hibiscusstep.answer_store import AnswerStore
 from hibiscusstep.caller_server import CallerServer
@@ -16,10 +15,18 @@
 from hibiscusstep.configuration.settings import Settings
 from hibiscusstep.configuration.updater import ConfigurationUpdater
 from hibiscusstep.delivery import DeliveryServices
+from hibiscusstep.descriptors import ConnectionLimits
 from hibiscusstep.dispatch_client import DispatchClient
 from hibiscusstep.dispatcher_host import DispatcherHost
 from hibiscusstep.events import EventKind, NullRecorder, Recorder
 from hibiscusstep.explain import Explainer
+from hibiscusstep.http_server.limits import (
+    OPERATOR_LIMITS,
+    OPERATOR_TIMEOUT_S,
+    IngressLimits,
+)
+from hibiscusstep.http_server.server import serve
+from hibiscusstep.http_server.server_context import ServerContext
 from hibiscusstep.idempotency import KeyGuard
 from hibiscusstep.mailbox import Worker
 from hibiscusstep.membership.mesh import MeshMembership, OwnStateChange, ViewChanged
@@ -171,7 +178,12 @@
     def _make_workers(self) -> None:
         settings, name = self._settings, self._settings.name
         address = settings.peer_address
-        self._links = PeerLinks(address, settings.peer_key, self._deliver)
+        self._connection_limits = ConnectionLimits.of_descriptors(
+            settings.max_descriptors
+        )
+        self._links = PeerLinks(
+            address, settings.peer_key, self._deliver, self._connection_limits.others
+        )
         self._membership = MeshMembership(
             settings, self._incarnation, self._links, self._platform, self._on_view
         )
@@ -230,7 +242,11 @@
         )
         settings = self._settings
         self._caller_server = CallerServer(
-            services, self._metrics, settings.body_timeout, settings.max_open_requests
+            services,
+            self._metrics,
+            settings.body_timeout,
+            settings.max_open_requests,
+            settings.max_body_bytes_held,
         )
         self._operators = OperatorApi(
             self._settings.operator_key,
@@ -304,24 +320,32 @@
         self._membership.tell(OwnStateChange(version=in_force.version, ready=True))
 
     async def _serve_callers(self) -> None:
-        await self._serve(self._caller_server.app(), self._settings.caller_address)
+        settings = self._settings
+        limits = IngressLimits(
+            max_header_bytes=settings.max_header_bytes,
+            header_timeout=settings.header_timeout,
+            idle_timeout=settings.idle_timeout,
+        )
+        context = ServerContext(
+            "callers",
+            lambda: limits,
+            max_connections=self._connection_limits.callers,
+        )
+        app = self._caller_server.app()
+        await self._serve(app, settings.caller_address, context)
 
     async def _serve_operators(self) -> None:
-        await self._serve(self._operators.app(), self._settings.operator_address)
-
-    async def _serve(self, app: web.Application, address: str) -> None:
-        runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2
+        context = ServerContext(
+            "operators",
+            lambda: OPERATOR_LIMITS,
+            work_timeout=OPERATOR_TIMEOUT_S,
+            max_connections=self._connection_limits.others,
         )
-        await runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), backlog=1024)
-        await site.start()
-        self.started.set()
-        try:
-            await asyncio.Event().wait()
-        finally:
-            await runner.cleanup()
+        app = self._operators.app()
+        await self._serve(app, self._settings.operator_address, context)
+
+    async def _serve(self, app, address: str, context: ServerContext) -> None:
+        await serve(app, address, context, lambda _acceptor: self.started.set())
 
     def _refresh_gauges(self) -> None:
         metrics = self._metrics
