Bound the log lines that callers can cause, and count refusals by reason

What callers saw: nothing; operators saw 7.7 MB of 'rejected' lines, or tracebacks with callers' bytes, in three seconds from 24 connections.

Cause: a line for each refusal, each with what the caller sent, and a traceback for each error of the parser.

Change: 'rejected' lines of requests that callers made wrong are at most 20 a second and status, 'connection-refused' ones two a second and reason, tracebacks of failed handlers two a second; left_out counts the others. A line holds at most 128 characters of an id. connections_refused_total{port,reason} counts all.

--- a/hibiscusstep/forwarding/caller_frontend.py
+++ b/hibiscusstep/forwarding/caller_frontend.py
@@ -29,6 +29,7 @@
 from hibiscusstep.forwarding.quota_request import QUOTA_RETRY_S, QuotaRequest
 from hibiscusstep.http_server.connection import RequestRefused, field_memory
 from hibiscusstep.http_server.limits import IngressLimits
+from hibiscusstep.line_limit import LineLimit
 from hibiscusstep.log import decision
 
 __all__ = ["CallerFrontend"]
@@ -49,6 +50,9 @@
 REJECTION_TIMEOUT_S = 10.0
 # Parts of a body that are smaller are joined as they come.
 JOINED_PART_BYTES = 1 << 12
+# Statuses of requests that callers made wrong, and log lines for each in a second.
+CALLER_FAULTS = frozenset({400, 401, 404, 408, 413, 431})
+FAULT_LINES_PER_S = 20
 
 
 class _RequestRejected(Exception):
@@ -80,6 +84,7 @@
         self._table: RoutingTable | None = None
         self._table_received = asyncio.Event()
         self._open = 0
+        self._lines = LineLimit(FAULT_LINES_PER_S, context.buffers.now)
         self._idle = asyncio.Event()
         self._idle.set()
         self._draining = False
@@ -301,15 +306,20 @@
         self._context.metrics.requests.inc(
             {"route": "", "rank": "", "status": str(rejected.status)}
         )
-        decision(
-            "rejected",
-            request=name,
-            status=rejected.status,
-            why=rejected.reason,
-            host=request.headers.get("Host", ""),
-            path=request.path[:80],
-            version=version,
-        )
+        left_out = 0
+        if rejected.status in CALLER_FAULTS:
+            left_out = self._lines.admit(rejected.status)
+        if left_out is not None:
+            decision(
+                "rejected",
+                request=name,
+                status=rejected.status,
+                why=rejected.reason,
+                host=request.headers.get("Host", "")[:80],
+                path=request.path[:80],
+                version=version,
+                **({"left_out": left_out} if left_out else {}),
+            )
         return local_response(rejected.status, retry_after=rejected.retry_after)
 
 
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -708,6 +708,9 @@
         context = self._operator_context("ready")
         await serve(app, self._environment.ready_address, context)
 
+    def _count_refused(self, port: str, reason: str) -> None:
+        self._metrics.connections_refused.inc({"port": port, "reason": reason})
+
     def _make_room(self, size: int) -> bool:
         now = asyncio.get_running_loop().time()
         return self._buffers.make_room(size, now)
@@ -716,6 +719,7 @@
         return ServerContext(
             port,
             lambda: OPERATOR_LIMITS,
+            self._count_refused,
             work_timeout=OPERATOR_TIMEOUT_S,
             max_connections=self._connection_limits.others,
         )
@@ -822,6 +826,7 @@
         context = ServerContext(
             "callers",
             lambda: self._frontend.limits,
+            self._count_refused,
             max_connections=self._connection_limits.callers,
             make_room=self._make_room,
         )
--- a/hibiscusstep/forwarding/metrics.py
+++ b/hibiscusstep/forwarding/metrics.py
@@ -31,6 +31,8 @@
         Seconds of waiting for a grant, by pool.
     cut_off : aioprometheus.Counter
         Exchanges cut off, by reason and whether the request may be repeated.
+    connections_refused : aioprometheus.Counter
+        Callers that kept no limit, or were closed to make room, by port and reason.
     memory_waits : aioprometheus.Counter
         Requests that waited for memory of a target, by pool dispatched here.
     streams_not_continued : aioprometheus.Counter
@@ -49,6 +51,9 @@
         self.stream_pause = self._histogram("longest_pause_seconds", "Longest pause.")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a grant.")
         self.cut_off = self._counter("cut_off_total", "Exchanges cut off.")
+        self.connections_refused = self._counter(
+            "connections_refused_total", "Connections refused or closed for others."
+        )
         self.memory_waits = self._counter("memory_waits_total", "Waited for memory.")
         self.streams_not_continued = self._counter(
             "streams_not_continued_total", "Streams whose version is gone or unknown."
--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -255,7 +255,8 @@
 
     def log_exception(self, *args, **kw) -> None:
         """Log an exception, unless it only tells that a body was refused."""
-        if not isinstance(kw.get("exc_info"), RequestRefused):
+        is_refusal = isinstance(kw.get("exc_info"), RequestRefused)
+        if not is_refusal and self._context.admits_exception():
             super().log_exception(*args, **kw)
 
     def _advance(self) -> None:
@@ -416,7 +417,7 @@
 
     def _refuse(self, refusal: _Refusal) -> None:
         """Refuse what the caller sends; close the connection after a response."""
-        self._context.count_refusal(refusal.reason)
+        self._context.count_refusal(refusal.reason, self.peername)
         self._stop_reading()
         if self._payload is not None:
             error = RequestRefused(refusal.status, refusal.reason)
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -6,6 +6,8 @@
 from hibiscusstep.http_server.connection_table import ConnectionTable
 from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.http_server.loop_share import LoopShare
+from hibiscusstep.line_limit import LineLimit
+from hibiscusstep.log import decision
 
 __all__ = ["LINGER_S", "ServerContext"]
 
@@ -14,6 +16,8 @@
 PAUSE_S = 0.25
 # Time for which a refused caller may read its response.
 LINGER_S = 1.0
+# Log lines about each reason to refuse callers.
+LINES_PER_S = 2
 
 
 class ServerContext:
@@ -54,6 +58,7 @@
         self.port = port
         self._read_limits = read_limits or IngressLimits
         self._on_refused = on_refused
+        self._lines = LineLimit(LINES_PER_S, asyncio.get_running_loop().time)
         self.max_connections = max_connections
         self.make_room = make_room or (lambda size: True)
         self.table = ConnectionTable(LINGER_S, work_timeout)
@@ -64,10 +69,31 @@
         """The limits in force."""
         return self._read_limits()
 
-    def count_refusal(self, reason: str) -> None:
-        """Count a caller that was refused, or whose connection was closed."""
+    def count_refusal(self, reason: str, peer: object = None) -> None:
+        """Count a caller that was refused, or whose connection was closed.
+
+        Parameters
+        ----------
+        reason : str
+            Reason for log and metrics, never a caller's words.
+        peer : object
+            Address of the caller.
+        """
         if self._on_refused:
             self._on_refused(self.port, reason)
+        left_out = self._lines.admit(reason)
+        if left_out is not None:
+            decision(
+                "connection-refused",
+                port=self.port,
+                why=reason,
+                peer=str(peer or ""),
+                left_out=left_out,
+            )
+
+    def admits_exception(self) -> bool:
+        """Whether the traceback of a failed handler is logged."""
+        return self._lines.admit("exception") is not None
 
     async def close_expired(self) -> None:
         """Close connections whose time is over, until cancelled."""
--- a/hibiscusstep/instance.py
+++ b/hibiscusstep/instance.py
@@ -329,6 +329,7 @@
         context = ServerContext(
             "callers",
             lambda: limits,
+            self._count_refused,
             max_connections=self._connection_limits.callers,
         )
         app = self._caller_server.app()
@@ -338,6 +339,7 @@
         context = ServerContext(
             "operators",
             lambda: OPERATOR_LIMITS,
+            self._count_refused,
             work_timeout=OPERATOR_TIMEOUT_S,
             max_connections=self._connection_limits.others,
         )
@@ -347,6 +349,9 @@
     async def _serve(self, app, address: str, context: ServerContext) -> None:
         await serve(app, address, context, lambda _acceptor: self.started.set())
 
+    def _count_refused(self, port: str, reason: str) -> None:
+        self._metrics.connections_refused.inc({"port": port, "reason": reason})
+
     def _refresh_gauges(self) -> None:
         metrics = self._metrics
         metrics.open_requests.set({}, self._caller_server.open_requests)
--- a/hibiscusstep/log.py
+++ b/hibiscusstep/log.py
@@ -18,6 +18,9 @@
 ]
 
 _STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+# Fields that hold what a caller sent, and how much of it is logged.
+_CALLERS_WORDS = ("request", "resumed_request", "last_event")
+MAX_WORD_LENGTH = 128
 _DECISION_LOG = logging.getLogger("hibiscusstep.decision")
 
 
@@ -106,4 +109,8 @@
         Request, customer, tier, target, candidates, reason, wait in seconds; `routine`
         marks lines that are dropped first under load.
     """
+    for name in _CALLERS_WORDS:
+        word = fields.get(name)
+        if isinstance(word, str) and len(word) > MAX_WORD_LENGTH:
+            fields[name] = word[:MAX_WORD_LENGTH]
     _DECISION_LOG.info(kind, extra=fields)
--- a/hibiscusstep/metrics.py
+++ b/hibiscusstep/metrics.py
@@ -17,6 +17,8 @@
         Answered requests by tier, route and outcome.
     first_byte : aioprometheus.Histogram
         Seconds from receipt to the first byte, by tier.
+    connections_refused : aioprometheus.Counter
+        Callers that kept no limit, or were closed to make room, by port and reason.
     open_requests, version, members, restarts : aioprometheus.Gauge
         Open requests, configuration version in force, live instances, task restarts.
     claim_writes, claims_written : aioprometheus.Gauge
@@ -34,6 +36,11 @@
             buckets=BUCKETS_S,
             registry=registry,
         )
+        self.connections_refused = Counter(
+            "hibiscusstep_connections_refused_total",
+            "Connections refused or closed for others.",
+            registry=registry,
+        )
         self.open_requests = self._gauge("open_requests", "Requests held now.")
         self.version = self._gauge("configuration_version", "Version in force.")
         self.members = self._gauge("members", "Live instances seen.")
