Bound the first frame of a stranger at the peers' port

What callers saw: 24 connections to the peers' port that announce a frame of 15 MiB took 167 to 207 MB in three seconds.

Cause: the first frame, read before its tag can be checked, could have 16 MiB as those of peers may. Change: it holds an address and may have 256 bytes.

--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -22,6 +22,8 @@
 NONCE_BYTES = 16
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 16 << 20
+# The first frame of a stranger has its address.
+MAX_ADDRESS_BYTES = 256
 MAX_QUEUED_MESSAGES = 20_000
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -93,7 +95,11 @@
         return _LENGTH.pack(len(body)) + self.tag(body) + body
 
 
-async def read_frame(reader: asyncio.StreamReader, authenticator: Authenticator):
+async def read_frame(
+    reader: asyncio.StreamReader,
+    authenticator: Authenticator,
+    max_bytes: int = MAX_FRAME_BYTES,
+) -> bytes:
     """Return the body of the next frame.
 
     Raises
@@ -102,9 +108,9 @@
         If the frame is too long or its tag does not match.
     """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise PeerError(
-            f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}",
+            f"frame of {length} bytes exceeds the limit of {max_bytes}",
             step="read",
         )
     tag = await reader.readexactly(TAG_BYTES)
@@ -258,7 +264,8 @@
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             peer_nonce = await reader.readexactly(NONCE_BYTES)
             authenticator = Authenticator(self._key, peer_nonce + nonce)
-            sender = (await read_frame(reader, authenticator)).decode()
+            frame = await read_frame(reader, authenticator, MAX_ADDRESS_BYTES)
+            sender = frame.decode()
         self._strangers.pop(writer, None)
         acknowledgement: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
--- a/tests/test_unruly_callers.py
+++ b/tests/test_unruly_callers.py
@@ -170,6 +170,15 @@
                 await instance.check()
             await instance.check()
 
+    @pytest.mark.timeout(90)
+    async def test_long_first_frames_at_the_port_of_peers(self, tmp_path):
+        async with WatchedInstance(tmp_path) as instance:
+            address = f"{instance.instance.ip}:{instance.instance.peer_port}"
+            first = bytes(16) + struct.pack(">I", 15 << 20)
+            async with Crowd(address, first, b"a" * PIECE):
+                await instance.check()
+            await instance.check()
+
     @pytest.mark.timeout(90)
     async def test_resets_after_connecting(self, tmp_path):
         async with WatchedInstance(tmp_path, MAX_FDS) as instance:
