--- a/hibiscusstep/peerlink.py
+++ b/hibiscusstep/peerlink.py
@@ -7,12 +7,14 @@
 import logging
 import secrets
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from hibiscusstep import codec
 from hibiscusstep.clock import PauseDetector
 from hibiscusstep.errors import PeerError
+from hibiscusstep.line_limit import LineLimit
 from hibiscusstep.mailbox import Tick, Worker
 from hibiscusstep.peer import MESSAGES, Received, TunnelOpen
 
@@ -24,6 +26,7 @@
 MAX_FRAME_BYTES = 16 << 20
 # The first frame of a stranger has its address.
 MAX_ADDRESS_BYTES = 256
+REFUSED_LINES_PER_S = 2
 MAX_QUEUED_MESSAGES = 20_000
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -153,6 +156,7 @@
         self._serve_tunnel: Callable[..., Awaitable[None]] | None = None
         self._receive_tasks: set[asyncio.Task] = set()
         self._max_strangers = max_strangers
+        self._lines = LineLimit(REFUSED_LINES_PER_S, time.monotonic)
         # Connections that have not shown the key, the oldest first.
         self._strangers: dict[asyncio.StreamWriter, None] = {}
         # Connections that messages arrive on, and the number of pauses so far.
@@ -247,7 +251,10 @@
         try:
             await self._receive(reader, writer)
         except (PeerError, codec.CodecError, IndexError, TimeoutError) as error:
-            _LOG.warning("peer refused", extra={"peer": peer, "error": str(error)})
+            left_out = self._lines.admit("peer refused")
+            if left_out is not None:
+                fields = {"peer": peer, "error": str(error), "left_out": left_out}
+                _LOG.warning("peer refused", extra=fields)
         except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
