Bound what all connections of a port hold before it is parsed

Each connection holds at most a head, or a piece behind a request at work; thousands of them together were not bounded by the memory of the process.

Change: a quarter of the bound of held bytes, 64 MiB at most. Above it a connection that holds more than a head is refused, else the oldest part of a head, with 503 or by a close after the response at work.

Evidence: TestUnparsedBytes on a simulated transport; found by reading, no crowd of that size was run.

--- a/hibiscusstep/forwarding/buffer_budget.py
+++ b/hibiscusstep/forwarding/buffer_budget.py
@@ -32,6 +32,9 @@
 # Bodies of requests on their way need room between refusing and cutting off.
 SOFT_SHARE = 0.5
 ADMIT_SHARE = 0.8
+# Part of the hard bound, and at most, that callers' bytes take before they are parsed.
+UNPARSED_SHARE = 0.25
+MAX_UNPARSED_BYTES = 64 << 20
 # Windows widen only well below the soft bound, so that they do not flap.
 WIDEN_SHARE = 0.8
 # Write buffer of a caller's connection and read limit of a target's, normally and above
@@ -91,6 +94,11 @@
     admit: float = float("inf")
     hard: float = float("inf")
 
+    @property
+    def unparsed(self) -> float:
+        """Bytes from callers that may wait to be parsed, beside what is held."""
+        return min(MAX_UNPARSED_BYTES, UNPARSED_SHARE * self.hard)
+
     @classmethod
     def of_memory(cls, limit_mb: float, resident: int) -> "BufferBounds":
         """Return the bounds that follow from a memory limit.
--- a/hibiscusstep/forwarding/instance.py
+++ b/hibiscusstep/forwarding/instance.py
@@ -829,6 +829,7 @@
             self._count_refused,
             max_connections=self._connection_limits.callers,
             make_room=self._make_room,
+            max_held=self._buffers.bounds.unparsed,
         )
         await serve(
             self._frontend.app(),
--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -96,6 +96,7 @@
         "_body_tail",
         "_connected",
         "_context",
+        "_counted",
         "_discarded",
         "_first_request",
         "_framing_bytes",
@@ -130,6 +131,7 @@
         # Received bytes that the parser has not seen, from an offset on.
         self._held = b""
         self._offset = 0
+        self._counted = 0
         # Where the search for the end of the head goes on.
         self._searched = 0
         self._blank_bytes = 0
@@ -170,6 +172,15 @@
             return Phase.HEAD
         return Phase.NEW if self._first_request else Phase.IDLE
 
+    @property
+    def held_bytes(self) -> int:
+        """Received bytes that wait to be parsed."""
+        return len(self._held)
+
+    def refuse_input(self) -> None:
+        """Refuse what waits to be parsed: all connections hold too much."""
+        self._refuse(NO_MEMORY)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
         self._connected = transport
@@ -180,6 +191,8 @@
         """Forget the connection."""
         self._context.table.remove(self)
         self._connected = None
+        self._held = b""
+        self._count_held()
         super().connection_lost(exc)
 
     def expire(self, phase: Phase) -> None:
@@ -274,6 +287,13 @@
             self._offset = 0
         self._pause_input()
         self._record_phase()
+        self._count_held()
+
+    def _count_held(self) -> None:
+        change = len(self._held) - self._counted
+        if change:
+            self._counted += change
+            self._context.count_held(change, self)
 
     def _record_phase(self) -> None:
         if self._connected is not None:
@@ -432,6 +452,7 @@
         self._refused = True
         self._held = b""
         self._offset = 0
+        self._count_held()
         self._receive(False)
 
     def _answer(self, status: HTTPStatus) -> None:
--- a/hibiscusstep/http_server/connection_table.py
+++ b/hibiscusstep/http_server/connection_table.py
@@ -72,6 +72,10 @@
         if phase is not None:
             del self._since[phase][connection]
 
+    def oldest(self, phase: Phase) -> Hashable | None:
+        """Return the connection that is in a phase for longest, or None."""
+        return next(iter(self._since[phase]), None)
+
     def choose_victim(self) -> Hashable | None:
         """Return the connection to close for a new one; None if all are at work."""
         without_head = [
@@ -79,15 +83,13 @@
             for phase in (Phase.NEW, Phase.HEAD)
             if self._since[phase]
         ]
-        for phase in (Phase.REFUSED, Phase.CLOSING):
-            if self._since[phase]:
-                return next(iter(self._since[phase]))
-        if without_head:
-            return min(without_head, key=lambda item: item[1])[0]
-        for phase in (Phase.IDLE, Phase.BODY):
-            if self._since[phase]:
-                return next(iter(self._since[phase]))
-        return None
+        return (
+            self.oldest(Phase.REFUSED)
+            or self.oldest(Phase.CLOSING)
+            or min(without_head, key=lambda item: item[1], default=(None,))[0]
+            or self.oldest(Phase.IDLE)
+            or self.oldest(Phase.BODY)
+        )
 
     def expired(
         self, now: float, limits: IngressLimits
--- a/hibiscusstep/http_server/server_context.py
+++ b/hibiscusstep/http_server/server_context.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from hibiscusstep.http_server.connection_table import ConnectionTable
+from hibiscusstep.http_server.connection_table import ConnectionTable, Phase
 from hibiscusstep.http_server.limits import IngressLimits
 from hibiscusstep.http_server.loop_share import LoopShare
 from hibiscusstep.line_limit import LineLimit
@@ -37,6 +37,8 @@
         Connections that are open at once.
     make_room : callable of int, or None
         Returns whether a request may hold so many bytes; None if there is no bound.
+    max_held : float
+        Received bytes of all connections together that wait to be parsed.
 
     Attributes
     ----------
@@ -54,10 +56,13 @@
         work_timeout: float | None = None,
         max_connections: int = 1024,
         make_room: Callable[[int], bool] | None = None,
+        max_held: float = 64 << 20,
     ) -> None:
         self.port = port
         self._read_limits = read_limits or IngressLimits
         self._on_refused = on_refused
+        self._max_held = max_held
+        self._held = 0
         self._lines = LineLimit(LINES_PER_S, asyncio.get_running_loop().time)
         self.max_connections = max_connections
         self.make_room = make_room or (lambda size: True)
@@ -91,6 +96,20 @@
                 left_out=left_out,
             )
 
+    def count_held(self, change: int, connection) -> None:
+        """Count bytes that a connection holds; above the bound, refuse one.
+
+        That is the connection itself if it holds more than a head, else the oldest one
+        with a part of a head.
+        """
+        self._held += change
+        if change > 0 and self._held > self._max_held:
+            oldest = self.table.oldest(Phase.HEAD)
+            if connection.held_bytes > self.limits.max_header_bytes or oldest is None:
+                connection.refuse_input()
+            else:
+                oldest.refuse_input()
+
     def admits_exception(self) -> bool:
         """Whether the traceback of a failed handler is logged."""
         return self._lines.admit("exception") is not None
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -63,7 +63,23 @@
 
 
 class Site:
-    """One connection to an application that returns the body of each request."""
+    """One connection to an application that returns the body of each request.
+
+    Parameters
+    ----------
+    context : ServerContext or None
+        That of another connection to share; None makes one.
+    **options : object
+        Arguments of the context.
+    """
+
+    def __init__(self, context=None, **options):
+        self.context = context
+        self._options = options
+
+    def another(self):
+        """Return another connection to the port."""
+        return Site(self.context)
 
     async def __aenter__(self):
         self.received = []
@@ -72,11 +88,14 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
-        context = ServerContext(
-            "p", lambda: LIMITS, lambda *args: self.refusals.append(args)
+        self.context = self.context or ServerContext(
+            "p",
+            lambda: LIMITS,
+            lambda *args: self.refusals.append(args),
+            **self._options,
         )
         loop = asyncio.get_running_loop()
-        self.connection = Connection(self._runner.server, context, loop=loop)
+        self.connection = Connection(self._runner.server, self.context, loop=loop)
         self.transport = Transport()
         self.connection.connection_made(self.transport)
         return self
@@ -354,3 +373,29 @@
     def test_chunks_cost_more_than_their_bytes(self):
         chunks, plain = b"1\r\na\r\n" * 1000, bytes(6000)
         assert parsing_cost(chunks, True) > 100 * parsing_cost(plain, False)
+
+
+class TestUnparsedBytes:
+    """What all connections of a port hold before it is parsed is bounded."""
+
+    async def test_the_oldest_part_of_a_head_goes_first(self):
+        async with Site(max_held=250) as site, site.another() as other:
+            await site.feed(b"GET /" + b"a" * 100)
+            await other.feed(b"GET /" + b"a" * 100)
+            assert not site.refusals
+            await other.feed(b"a" * 50)
+            assert site.transport.written.startswith(b"HTTP/1.1 503 ")
+            assert not other.transport.written
+            assert site.context._held == other.connection.held_bytes
+
+    async def test_bytes_behind_a_request_go_before_heads(self):
+        async with Site(max_held=250) as site, site.another() as other:
+            await other.feed(b"GET /" + b"a" * 100)
+            site.connection.data_received(request(0, b"", 0) + b"j" * 1000)
+            assert not other.transport.written
+            await site.received_all(1)
+            async with asyncio.timeout(BOUND_S):
+                while not site.transport.is_closed:
+                    await asyncio.sleep(0)
+            assert site.transport.written.startswith(b"HTTP/1.1 200 ")
+            assert site.transport.written.count(b"HTTP/1.1") == 1
