Let go of closed connections whose callers take no response

Found by reading: a connection whose body was cut, and whose caller does not take the response, was closed but stayed: what is written is never flushed, and its phase was that of a body, whose time a request ends.

Change: a connection that is closed is in the phase of that, whose time is bounded, unless a request is at work.

Evidence: test_a_connection_that_is_closed_expires fails before and passes.

--- a/hibiscusstep/http_server/connection.py
+++ b/hibiscusstep/http_server/connection.py
@@ -90,6 +90,7 @@
 
     __slots__ = (
         "_at_work",
+        "_awaits_turn",
         "_blank_bytes",
         "_body_left",
         "_body_paused",
@@ -102,7 +103,6 @@
         "_framing_bytes",
         "_held",
         "_input_paused",
-        "_awaits_turn",
         "_is_closing",
         "_offset",
         "_payload",
@@ -160,14 +160,14 @@
 
     @property
     def _phase(self) -> Phase:
-        if self._payload is not None:
-            return Phase.BODY
         if self._at_work:
-            return Phase.AT_WORK
+            return Phase.AT_WORK if self._payload is None else Phase.BODY
         if self._refused:
             return Phase.REFUSED
         if self._is_closing:
             return Phase.CLOSING
+        if self._payload is not None:
+            return Phase.BODY
         if self._held:
             return Phase.HEAD
         return Phase.NEW if self._first_request else Phase.IDLE
@@ -200,12 +200,22 @@
         if phase is Phase.HEAD:
             self._refuse(HEAD_TOO_LATE)
         elif phase in (Phase.NEW, Phase.IDLE):
-            self._is_closing = True
             self.force_close()
-            self._record_phase()
         else:
             self._connected.abort()
 
+    def close(self) -> None:
+        """Close the connection after the requests that were parsed."""
+        self._is_closing = True
+        super().close()
+        self._record_phase()
+
+    def force_close(self) -> None:
+        """Close the connection once what was written has been taken."""
+        self._is_closing = True
+        super().force_close()
+        self._record_phase()
+
     def evict(self) -> None:
         """Close the connection, whose request is not at work, for another one.
 
@@ -249,10 +259,9 @@
         """Write the rest of a response; then the next request may be parsed."""
         result = await super().finish_response(request, resp, start_time)
         self._at_work = False
-        if resp.keep_alive and not result[1]:
+        self._is_closing |= not resp.keep_alive or result[1]
+        if not self._is_closing:
             self._advance()
-        else:
-            self._is_closing = True
         self._record_phase()
         return result
 
--- a/hibiscusstep/http_server/loop_share.py
+++ b/hibiscusstep/http_server/loop_share.py
@@ -27,6 +27,8 @@
 class Parsing(ABC):
     """A connection that parses what it has received."""
 
+    __slots__ = ()
+
     @abstractmethod
     def go_on(self) -> None:
         """Parse on: it is this connection's turn."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -105,7 +105,7 @@
         await self._runner.cleanup()
 
     async def _handle(self, request):
-        body = await request.read()
+        body = b"" if request.path == "/unread" else await request.read()
         self.received.append((request.path, body))
         return web.Response(body=body)
 
@@ -125,7 +125,7 @@
 
 
 def request(number, body, chunk_bytes):
-    head = b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
+    head = f"POST /{number} HTTP/1.1\r\nHost: h\r\n".encode()
     if not chunk_bytes:
         return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
     pieces = (body[n : n + chunk_bytes] for n in range(0, len(body), chunk_bytes))
@@ -399,3 +399,14 @@
                     await asyncio.sleep(0)
             assert site.transport.written.startswith(b"HTTP/1.1 200 ")
             assert site.transport.written.count(b"HTTP/1.1") == 1
+
+    async def test_a_connection_that_is_closed_expires(self):
+        """One whose body was cut and whose response was not taken stayed for good."""
+        async with Site() as site:
+            await site.feed(request("unread", b"whole", 0)[:-1])
+            async with asyncio.timeout(BOUND_S):
+                while not site.transport.written:
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            site.connection.force_close()
+            assert site.context.table.oldest(Phase.CLOSING) is site.connection
