Tell when to come back where a body made room, and log failed accepts seldom

At the own interface a body that was closed to make room got 503 without Retry-After. A failed accept was logged 20 times a second; it counts as any other refusal, 'accept-failed', two lines a second. Found by reading the change.

--- a/hibiscusstep/caller_server.py
+++ b/hibiscusstep/caller_server.py
@@ -156,7 +156,10 @@
             raise Problem(408, "body-timeout", detail) from None
         except RequestRefused as cause:
             detail = "The body was not read to its end; the request was not run."
-            raise Problem(cause.status, cause.reason, detail) from None
+            retry_after = 1.0 if cause.status == 503 else None
+            raise Problem(
+                cause.status, cause.reason, detail, Outcome.NOT_RUN, retry_after
+            ) from None
         except (ValueError, web.HTTPException) as cause:
             raise Problem(400, "malformed", f"The body: {cause}"[:200]) from None
 
--- a/hibiscusstep/http_server/acceptor.py
+++ b/hibiscusstep/http_server/acceptor.py
@@ -1,14 +1,12 @@
 """hibiscusstep.http_server.acceptor: accepts connections up to a number."""
 
 import asyncio
-import logging
 import socket
 
 from hibiscusstep.http_server.server_context import ServerContext
 
 __all__ = ["Acceptor"]
 
-_LOG = logging.getLogger(__name__)
 # Connections accepted before bytes of others are read.
 BATCH = 8
 # Time for descriptors to become free again.
@@ -59,8 +57,8 @@
                 sock, _address = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError as error:
-                self._pause(error)
+            except OSError:
+                self._pause()
                 return
             if not self._make_room():
                 sock.close()
@@ -82,9 +80,8 @@
             victim.evict()
         return True
 
-    def _pause(self, error: OSError) -> None:
+    def _pause(self) -> None:
         """Accept no more for a moment: there is no descriptor or no memory."""
-        _LOG.warning("accept failed", extra={"error": str(error)})
         self._context.count_refusal("accept-failed")
         victim = self._context.table.choose_victim()
         if victim is not None:
