--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -347,7 +347,7 @@
             "Bootstrap": self.starts == 0 and world.first_start, "InTolerance": False,
             "Limits": {
                 "CpuShare": 0.537, "Cores": 2, "MemoryMb": 300, "MaxFds": 4100,
-                "LinkMbps": 1000.0, "DiskMb": 0,
+                "LinkMbps": 1000.0, "DiskMb": 0, **world.limits,
             },
             "DataDir": None, "Discovery": "platform", "Entry": "vip",
             "HeartbeatMs": 1200,
@@ -411,6 +411,7 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-2-")
         self.bounds = {**BOUNDS, **(bounds or {})}
+        self.limits = {}
         self.first_start = first_start
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.role = deploy["roles"]["entry"]
