--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -470,6 +471,7 @@
         for worker in self.workers:
             worker.stop()
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_ports(ip):
