--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -37,7 +37,7 @@
     """Writes record.txt: what was sent, answered and run, with times."""
 
     def __init__(self, path):
-        self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115
+        self._file = open(path, "w", encoding="utf-8")
         self._started = time.monotonic()
 
     def __call__(self, text):
@@ -616,7 +616,7 @@
     record(f"case   disruption {'on' if trouble else 'off'}")
     try:
         breaks = asyncio.run(main(record, trouble))
-    except BaseException as cause:  # noqa: BLE001
+    except BaseException as cause:
         record(f"result the case could not run: {cause!r}")
         print(f"could not run: {cause!r}")
         raise SystemExit(2) from cause
